--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test format fuzz soak capacity bench clean
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/python -m tillerlane.testing.demo
+
+test: install
+	$(BIN)/python -m tillerlane.testing.check
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build out
--- /dev/null
+++ b/tillerlane/agent/scheduling.py
@@ -0,0 +1,347 @@
+"""Decisions at a target: who starts, who goes on, who is set aside.
+
+`decide` reads the state and gives actions; it changes nothing but cached ranks.  Memory is
+counted by the agent itself, so that a runner that reports late or wrongly misleads nobody.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.agent import forecast
+from tillerlane.agent import generation as generations
+from tillerlane.agent import target as targets
+from tillerlane.config import settings
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.policy import builtin, facts
+
+__all__ = ["Admit", "Pause", "Unpause", "decide", "refuse_arrival"]
+
+LOOKAHEAD_STEPS = 8
+"""Tokens that each generation may write before the next decision takes effect."""
+RANKS_A_DECISION = 64
+"""Ranks evaluated anew in one decision; the others keep their last value."""
+RANK_AGE_SECONDS = 0.5
+"""A rank younger than this is not evaluated anew."""
+TRIES_A_DECISION = 32
+RESUME_RISK_SHARE = 0.5
+"""A generation that was set aside goes on at this share of the accepted risk, so that it is not
+set aside again at once."""
+TOP_RANKS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admit:
+    """Start a waiting generation."""
+
+    generation: generations.Generation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unpause:
+    """Let a generation that was set aside go on."""
+
+    generation: generations.Generation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Set a running generation aside to free its memory."""
+
+    generation: generations.Generation
+
+
+Action = Admit | Unpause | Pause
+Readers = dict[str, Callable[[], facts.Value]]
+
+
+def read_fixed(
+    generation: generations.Generation, state: targets.TargetState
+) -> dict[str, facts.Value]:
+    """Facts of a request that do not change."""
+    start = generation.start
+    return {
+        "workspace": start.workspace,
+        "class_name": start.class_name,
+        "model": start.model,
+        "priority": float(generation.priority),
+        "urgent": generation.urgent,
+        "repeatable": generation.repeatable,
+        "prompt_tokens": float(start.prompt_tokens),
+        "max_tokens": float(start.max_tokens),
+        "workspace_weight": state.weights.get(start.workspace, 1.0),
+    }
+
+
+def bind_readers(
+    generation: generations.Generation,
+    state: targets.TargetState,
+    leads: dict[str, float],
+    now: float,
+) -> Readers:
+    """Functions that read the facts of a generation as they are now."""
+    waited_before = generation.start.waited_ms / 1000
+    return {
+        "expected_tokens": lambda: len(generation.texts) + generation.look_ahead().expected_left,
+        "waited_s": lambda: now - generation.arrived + waited_before,
+        "deadline_left_s": lambda: max(0.0, generation.deadline - now),
+        "workspace_lead": lambda: leads.get(generation.start.workspace, 0.0),
+        "times_paused": lambda: float(generation.times_paused),
+        "written_tokens": lambda: float(len(generation.texts)),
+        "delivered_tokens": lambda: float(generation.delivered),
+        "expected_left_tokens": lambda: generation.look_ahead().expected_left,
+        "memory_tokens": lambda: float(generation.memory),
+        "runs_s": lambda: now - generation.ran_since,
+        "waiting": lambda: float(len(state.waiting)),
+        "running": lambda: float(len(state.running)),
+        "memory_share": lambda: state.memory_used / max(1, state.memory_total),
+        "memory_total": lambda: float(state.memory_total),
+        "urgent_share": lambda: state.urgent_share,
+        "estimated_wait_s": lambda: state.estimate_wait(generation.urgent),
+    }
+
+
+def rank_generation(
+    generation: generations.Generation,
+    state: targets.TargetState,
+    leads: dict[str, float],
+    now: float,
+) -> float:
+    """Rank by the policy; the value is kept on the generation."""
+    if generation.ranker is None:
+        generation.ranker = state.program.bind("rank", read_fixed(generation, state))
+    default = builtin.rank(
+        priority=float(generation.priority),
+        waited_s=now - generation.arrived + generation.start.waited_ms / 1000,
+        workspace_lead=leads.get(generation.start.workspace, 0.0),
+        times_paused=float(generation.times_paused),
+    )
+    if generation.ranker.is_builtin:
+        generation.rank = default
+    else:
+        readers = bind_readers(generation, state, leads, now)
+        generation.rank = float(generation.ranker.evaluate(readers, default))
+    generation.rank_at = now
+    return generation.rank
+
+
+def order_waiting(
+    state: targets.TargetState, leads: dict[str, float], now: float
+) -> list[generations.Generation]:
+    """Waiting generations, highest rank first; evaluates a bounded number of ranks.
+
+    New arrivals, the foremost and then the stalest are evaluated; the order of the others is at
+    most a few decisions old.
+    """
+    waiting = state.waiting
+    if state.program.expressions.get("rank") is None or len(waiting) <= RANKS_A_DECISION:
+        stale = [item for item in waiting if now - item.rank_at > 0]
+    else:
+        foremost = waiting[:TOP_RANKS]
+        others = sorted(waiting[TOP_RANKS:], key=lambda item: item.rank_at)
+        stale = [*foremost, *others[: RANKS_A_DECISION - TOP_RANKS]]
+        stale = [item for item in stale if now - item.rank_at > RANK_AGE_SECONDS]
+    for generation in stale:
+        rank_generation(generation, state, leads, now)
+    waiting.sort(key=lambda item: -item.rank)
+    return waiting
+
+
+def evaluate(
+    name: str,
+    default: facts.Value,
+    generation: generations.Generation,
+    state: targets.TargetState,
+    leads: dict[str, float],
+    now: float,
+) -> facts.Value:
+    """Value of one of the policy's expressions for a generation."""
+    if name not in state.program.expressions:
+        return default
+    evaluator = state.program.bind(name, read_fixed(generation, state))
+    value = evaluator.evaluate(bind_readers(generation, state, leads, now), default)
+    generation.explained[name] = {"value": value, "facts": dict(evaluator.facts)}
+    return value
+
+
+def read_headroom(state: targets.TargetState) -> float:
+    """Share of memory and batch that is kept for urgent work."""
+    if "headroom" not in state.program.expressions:
+        return builtin.HEADROOM
+    evaluator = state.program.bind("headroom", {})
+    readers: Readers = {
+        "waiting": lambda: float(len(state.waiting)),
+        "running": lambda: float(len(state.running)),
+        "memory_share": lambda: state.memory_used / max(1, state.memory_total),
+        "memory_total": lambda: float(state.memory_total),
+        "urgent_share": lambda: state.urgent_share,
+    }
+    return float(evaluator.evaluate(readers, builtin.HEADROOM))
+
+
+def choose_victim(
+    running: list[generations.Generation],
+    state: targets.TargetState,
+    leads: dict[str, float],
+    now: float,
+) -> generations.Generation | None:
+    """Who yields: the highest ``sacrifice``, but nobody twice while another can."""
+    scores: dict[generations.Generation, float] = {}
+    for generation in running:
+        default = builtin.sacrifice(
+            priority=float(generation.priority),
+            written_tokens=float(len(generation.texts)),
+            expected_left_tokens=generation.look_ahead().expected_left,
+            memory_tokens=float(generation.memory),
+        )
+        score = float(evaluate("sacrifice", default, generation, state, leads, now))
+        if score >= 0:
+            scores[generation] = score
+    if not scores:
+        return None
+    return min(scores, key=lambda item: (item.times_paused, -scores[item]))
+
+
+def _pause_for_memory(
+    state: targets.TargetState, leads: dict[str, float], now: float
+) -> list[Action]:
+    """Set generations aside until the next steps of the others fit."""
+    staying = list(state.running)
+    actions: list[Action] = []
+    used = state.memory_used
+    while len(staying) > 1 and used + LOOKAHEAD_STEPS * len(staying) > state.room:
+        victim = choose_victim(staying, state, leads, now)
+        if victim is None:
+            break
+        staying.remove(victim)
+        used -= victim.memory
+        actions.append(Pause(victim))
+    return actions
+
+
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """The batch as it will be with what has been admitted so far."""
+
+    forecast: forecast.BatchForecast
+    used: int
+    count: int
+
+    def add(self, generation: generations.Generation) -> None:
+        self.forecast.add(generation)
+        self.used += generation.memory
+        self.count += 1
+
+
+def _fits(
+    generation: generations.Generation,
+    batch: _Batch,
+    state: targets.TargetState,
+    headroom: float,
+    leads: dict[str, float],
+    now: float,
+) -> bool:
+    kept = 0.0 if generation.urgent else headroom
+    if batch.count >= max(1, round(state.batch_limit * (1.0 - kept))):
+        return False
+    room = state.room * (1.0 - kept)
+    needed = batch.used + generation.memory + LOOKAHEAD_STEPS * (batch.count + 1)
+    if batch.count == 0:
+        return generation.memory <= state.room
+    if needed > room:
+        return False
+    limit = float(evaluate("admit_risk", builtin.ADMIT_RISK, generation, state, leads, now))
+    if generation.state is generations.State.PAUSED:
+        limit *= RESUME_RISK_SHARE
+    with_it = forecast.BatchForecast()
+    with_it.copy(batch.forecast)
+    with_it.add(generation)
+    return with_it.risk(room) <= limit
+
+
+def _order_candidates(
+    state: targets.TargetState, leads: dict[str, float], now: float
+) -> list[generations.Generation]:
+    """Urgent ones, then what was set aside, then the others, each by rank."""
+    waiting = order_waiting(state, leads, now)
+    for generation in state.paused:
+        rank_generation(generation, state, leads, now)
+    paused = sorted(state.paused, key=lambda item: -item.rank)
+    urgent = [item for item in waiting if item.urgent]
+    others = [item for item in waiting if not item.urgent]
+    return [*urgent, *paused, *others]
+
+
+def _admit(state: targets.TargetState, leads: dict[str, float], now: float) -> list[Action]:
+    headroom = read_headroom(state)
+    batch = _Batch(forecast.BatchForecast(state.running), state.memory_used, len(state.running))
+    actions: list[Action] = []
+    blocked: set[bool] = set()
+    for generation in _order_candidates(state, leads, now)[:TRIES_A_DECISION]:
+        if generation.urgent in blocked:
+            continue
+        if not _fits(generation, batch, state, headroom, leads, now):
+            blocked.add(generation.urgent)
+            if len(blocked) == 2:
+                break
+            continue
+        batch.add(generation)
+        is_paused = generation.state is generations.State.PAUSED
+        actions.append(Unpause(generation) if is_paused else Admit(generation))
+    return actions
+
+
+def _admit_calls(state: targets.TargetState) -> list[Action]:
+    """Plain services have no memory to run short of: a bound on calls at once is all."""
+    free = max(0, state.batch_limit - len(state.running))
+    return [Admit(generation) for generation in state.waiting[:free]]
+
+
+def decide(state: targets.TargetState, now: float) -> list[Action]:
+    """What to do now.
+
+    Parameters
+    ----------
+    state : targets.TargetState
+        The target.
+    now : float
+        Time of the event loop, in seconds.
+    """
+    if state.kind is settings.TargetKind.SERVICE:
+        return _admit_calls(state)
+    if not state.waiting and not state.paused and not state.running:
+        return []
+    leads = state.read_leads()
+    actions = _pause_for_memory(state, leads, now)
+    if actions or not state.healthy or not (state.waiting or state.paused):
+        return actions
+    return _admit(state, leads, now)
+
+
+def refuse_arrival(
+    generation: generations.Generation, state: targets.TargetState, now: float
+) -> faults.Fault | None:
+    """Whether a new request must be refused at once; nothing of it has run."""
+    if state.leaving:
+        return faults.new_fault(kinds.ErrorKind.LEAVING, f"{state.name} is leaving")
+    if not state.healthy:
+        return faults.new_fault(kinds.ErrorKind.NO_CAPACITY, f"{state.name} does not answer")
+    wait = state.estimate_wait(generation.urgent)
+    if len(state.waiting) >= state.max_waiting:
+        message = f"{state.name}: {len(state.waiting)} wait already, of {state.max_waiting}"
+        return faults.new_fault(
+            kinds.ErrorKind.NO_CAPACITY, message, retry_after=max(1.0, wait / 2)
+        )
+    if generation.memory > state.memory_total > 0 and state.kind is settings.TargetKind.RUNNER:
+        message = f"prompt of {generation.memory} tokens, memory of {state.memory_total}"
+        return faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message)
+    if not state.waiting and not state.paused:
+        return None
+    service_time = generation.look_ahead().expected_left * state.step_seconds
+    default = builtin.may_wait(
+        estimated_wait_s=wait + service_time, deadline_left_s=generation.deadline - now
+    )
+    if evaluate("may_wait", default, generation, state, {}, now):
+        return None
+    message = f"{state.name}: estimated wait {wait:.1f} s is too long"
+    return faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message, retry_after=max(1.0, wait))
--- /dev/null
+++ b/tillerlane/agent/server.py
@@ -0,0 +1,421 @@
+"""The agent's side of its peer links: takes starts and attaches, feeds tokens, reports load."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.agent import execution, scheduling
+from tillerlane.agent import generation as generations
+from tillerlane.agent import target as targets
+from tillerlane.config import documents, settings
+from tillerlane.config import store as stores
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.policy import program as programs
+from tillerlane.runners import core as runners
+from tillerlane.timeline import core as timelines
+
+__all__ = ["SERVICE_PREFIX", "Agent"]
+
+SERVICE_PREFIX = "service:"
+"""Class name of a service's calls: this and the service's name."""
+REPORT_SECONDS = 0.2
+"""Least time between two load reports; sent only if something changed."""
+REPORT_ANYWAY_SECONDS = 1.0
+CONFIG_WAIT_SECONDS = 2.0
+"""How long a start waits for a configuration that knows its class."""
+DEADLINE_GRACE_SECONDS = 0.25
+MAX_CREDIT = 65_536
+SERVICE_PRIORITY = 50
+
+Connect = Callable[[settings.Target], runners.RunnerClient]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Terms:
+    """What a class of work or a service is owed at its target."""
+
+    priority: int
+    urgent: bool
+    repeatable: bool
+    finish_alone: bool
+
+
+class Agent:
+    """The agent role of a daemon.
+
+    Parameters
+    ----------
+    own : dict
+        Target name to its settings.
+    connect : callable
+        Gives the functions of a target.
+    store : stores.Store
+        Configuration in force.
+    timeline : timelines.Timeline
+        Takes the events.
+    get_links : callable
+        Links that load reports go to.
+    count : callable
+        Called with (metric name, number).
+    """
+
+    def __init__(
+        self,
+        own: dict[str, settings.Target],
+        connect: Connect,
+        store: stores.Store,
+        timeline: timelines.Timeline,
+        get_links: Callable[[], list[links.Link]],
+        count: Callable[[str, float], None],
+    ) -> None:
+        self._store = store
+        self._timeline = timeline
+        self._get_links = get_links
+        self._count = count
+        self._changed = asyncio.Event()
+        self._sequence = 0
+        self._reported: dict[str, messages.Load] = {}
+        self._report_task: asyncio.Task[None] | None = None
+        self.is_leaving = False
+        self.host_leaving = False
+        self.executors: dict[str, execution.Executor] = {}
+        for name, item in own.items():
+            empty = programs.Program("builtin", {})
+            state = targets.TargetState(name, item.kind, connect(item), empty)
+            self.executors[name] = execution.Executor(state, timeline, self._get_fleet, count)
+        store.listen(self._take_configuration)
+        self._take_configuration(store.current)
+
+    def begin(self) -> None:
+        """Start the tasks of all targets."""
+        for executor in self.executors.values():
+            executor.begin()
+        self._report_task = asyncio.create_task(self._report_for_ever())
+
+    async def stop(self) -> None:
+        """End the tasks; see `drain` for a planned stop."""
+        if self._report_task is not None:
+            self._report_task.cancel()
+        for executor in self.executors.values():
+            await executor.stop()
+
+    def _get_fleet(self) -> tuple[float, float]:
+        fleet = self._store.current.fleet
+        return fleet.resume_seconds, fleet.detached_seconds
+
+    # Configuration
+
+    def _take_configuration(self, configuration: stores.Configuration) -> None:
+        weights = {name: item.weight for name, item in configuration.workspaces.items()}
+        for name, executor in self.executors.items():
+            state = executor.state
+            state.weights = weights
+            service = configuration.service_by_target.get(name)
+            if service is not None:
+                state.batch_limit = configuration.services[service].concurrent
+            pool_name = configuration.pool_by_target.get(name)
+            if pool_name is not None:
+                pool = configuration.pools[pool_name]
+                state.max_waiting = pool.max_waiting
+                self._take_policy(state, pool.policy, configuration)
+            is_draining = name in configuration.drains or self.host_leaving
+            if is_draining != state.leaving and not self.is_leaving:
+                reason = "the platform's list" if self.host_leaving else "an operator"
+                self._set_leaving(executor, is_draining, reason)
+            executor.wake()
+        self._changed.set()
+
+    def _take_policy(
+        self,
+        state: targets.TargetState,
+        policy_name: str | None,
+        configuration: stores.Configuration,
+    ) -> None:
+        policy = configuration.policies.get(policy_name or "", documents.Policy())
+        compiled = programs.compile_program(policy_name or "builtin", policy)
+        program = compiled.unwrap_or(programs.Program("builtin", {}))
+        program.on_fault = self._note_policy_fault
+        state.program = program
+        for generation in state.held.values():
+            generation.ranker = None
+            generation.rank_at = -1.0
+
+    def _note_policy_fault(self, policy: str, expression: str, reason: str) -> None:
+        self._count("policy_faults", 1)
+        self._timeline.record("policy.fault", policy=policy, expression=expression, reason=reason)
+
+    def _set_leaving(self, executor: execution.Executor, leaving: bool, reason: str) -> None:
+        state = executor.state
+        state.leaving = leaving
+        name = "target.leaving" if leaving else "target.back"
+        self._timeline.record(name, target=state.name, reason=reason)
+        if leaving:
+            self._hand_back(state)
+        self._changed.set()
+
+    def _hand_back(self, state: targets.TargetState) -> None:
+        """Refuse what waits: it has not run and can run elsewhere at once."""
+        now = asyncio.get_running_loop().time()
+        for generation in list(state.waiting):
+            state.dequeue(generation)
+            fault = faults.new_fault(kinds.ErrorKind.LEAVING, f"{state.name} is leaving")
+            generation.fail(fault, now)
+
+    # Leaving
+
+    def leave(self, reason: str) -> None:
+        """Refuse new work from now on and hand back what waits."""
+        self.is_leaving = True
+        for executor in self.executors.values():
+            if not executor.state.leaving:
+                self._set_leaving(executor, True, reason)
+
+    def set_host_leaving(self, leaving: bool) -> None:
+        """Follow the platform's word on this host; operators' drains stay in force."""
+        self.host_leaving = leaving
+        self._take_configuration(self._store.current)
+
+    def read_leaving(self) -> set[str]:
+        """Targets that take no new work."""
+        return {name for name, item in self.executors.items() if item.state.leaving}
+
+    def count_active(self) -> int:
+        """Generations that run or whose tokens are still being read."""
+        return sum(
+            1
+            for executor in self.executors.values()
+            for generation in executor.state.held.values()
+            if generation.end is None or any(not feed.done for feed in generation.feeds)
+        )
+
+    # Serving
+
+    async def serve(self, exchange: links.Exchange, start: messages.Start) -> None:
+        """Serve one exchange that an entry opened with ``Start``."""
+        executor = self.executors.get(start.target)
+        if executor is None:
+            message = f"no target {start.target!r} here, expected {sorted(self.executors)}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message))
+        generation = executor.state.held.get(start.generation_id)
+        if generation is not None:
+            self._check_owner(generation.start.workspace, start)
+        elif start.attach:
+            generation = await self._adopt(executor, start)
+        else:
+            generation = await self._take(executor, start)
+        await self._feed(executor, generation, exchange, start)
+
+    def _check_owner(self, owner: str, start: messages.Start) -> None:
+        if owner != start.workspace:
+            fault = faults.new_fault(
+                kinds.ErrorKind.NOT_FOUND, f"no generation {start.generation_id!r} of yours"
+            )
+            raise faults.FaultError(fault)
+
+    async def _get_terms(self, start: messages.Start) -> _Terms:
+        """Terms of the class, waiting a little for a configuration that knows it."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + CONFIG_WAIT_SECONDS
+        while True:
+            terms = _find_terms(self._store.current, start.class_name)
+            if terms is not None:
+                return terms
+            if loop.time() >= until:
+                message = f"class {start.class_name!r} is not in force here"
+                raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message))
+            await asyncio.sleep(0.05)
+
+    def _build(
+        self, executor: execution.Executor, start: messages.Start, terms: _Terms
+    ) -> generations.Generation:
+        now = asyncio.get_running_loop().time()
+        book = executor.state.length_book
+        return generations.Generation(
+            start=start,
+            arrived=now,
+            deadline=now + start.deadline_ms / 1000 + DEADLINE_GRACE_SECONDS,
+            priority=terms.priority,
+            urgent=terms.urgent,
+            repeatable=terms.repeatable,
+            length_model=book.get(start.workspace, start.class_name, start.model),
+        )
+
+    async def _take(
+        self, executor: execution.Executor, start: messages.Start
+    ) -> generations.Generation:
+        terms = await self._get_terms(start)
+        state = executor.state
+        known = state.held.get(start.generation_id)
+        if known is not None:
+            return known
+        generation = self._build(executor, start, terms)
+        fault = scheduling.refuse_arrival(generation, state, generation.arrived)
+        if fault is None and state.models and start.model and start.model not in state.models:
+            message = f"{state.name} has not loaded {start.model!r}"
+            fault = faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message)
+        if fault is not None:
+            self._count("refusals", 1)
+            self._timeline.record(
+                "generation.refuse",
+                request_id=start.request_id,
+                generation_id=start.generation_id,
+                target=state.name,
+                kind=fault.kind,
+                message=fault.message,
+            )
+            raise faults.FaultError(fault)
+        state.enqueue(generation)
+        self._timeline.record(
+            "generation.queue",
+            request_id=start.request_id,
+            generation_id=start.generation_id,
+            target=state.name,
+            waiting=len(state.waiting),
+        )
+        executor.wake()
+        self._changed.set()
+        return generation
+
+    async def _adopt(
+        self, executor: execution.Executor, start: messages.Start
+    ) -> generations.Generation:
+        """Take over a generation that the target holds and this process does not know."""
+        state = executor.state
+        try:
+            owner, prompt_tokens = await state.client.read_owner(start.generation_id)
+        except (runners.UnknownGeneration, runners.TargetBroken) as error:
+            message = f"no generation {start.generation_id!r} at {state.name}: {error}"
+            fault = faults.new_fault(
+                kinds.ErrorKind.GENERATION_LOST, message, ran=kinds.Ran.UNKNOWN
+            )
+            raise faults.FaultError(fault) from error
+        self._check_owner(owner, start)
+        known = state.held.get(start.generation_id)
+        if known is not None:
+            return known
+        start.prompt_tokens = prompt_tokens
+        terms = await self._get_terms(start)
+        generation = self._build(executor, start, terms)
+        executor.adopt(generation)
+        return generation
+
+    async def _feed(
+        self,
+        executor: execution.Executor,
+        generation: generations.Generation,
+        exchange: links.Exchange,
+        start: messages.Start,
+    ) -> None:
+        """Feed the reader until it has the end, cancels, or its link is lost."""
+        exchange.send(messages.Accepted(generation.id, start.offset))
+        credit = min(start.credit, MAX_CREDIT)
+        feed = generations.Feed(generation, exchange, start.offset, credit)
+        generation.feeds.append(feed)
+        generation.detached_at = None
+        feed.push()
+        try:
+            while True:
+                body = await exchange.receive()
+                if isinstance(body, messages.Credit):
+                    feed.credit = min(feed.credit + body.tokens, MAX_CREDIT)
+                    feed.push()
+                elif isinstance(body, messages.Cancel):
+                    self._take_cancel(executor, generation, body.reason)
+                    return
+                elif isinstance(body, messages.End):
+                    return
+        finally:
+            generation.feeds.remove(feed)
+            self._note_detached(generation)
+            self._changed.set()
+
+    def _take_cancel(
+        self, executor: execution.Executor, generation: generations.Generation, reason: str
+    ) -> None:
+        terms = _find_terms(self._store.current, generation.start.class_name)
+        if terms is not None and terms.finish_alone:
+            return
+        executor.cancel(generation, kinds.ErrorKind.CANCELLED, reason)
+
+    def _note_detached(self, generation: generations.Generation) -> None:
+        if generation.feeds or generation.end is not None:
+            return
+        terms = _find_terms(self._store.current, generation.start.class_name)
+        if terms is None or not terms.finish_alone:
+            generation.detached_at = asyncio.get_running_loop().time()
+
+    # Reports
+
+    def read_loads(self) -> list[messages.Load]:
+        """Load of every target as it is now."""
+        return [self._read_load(executor.state) for executor in self.executors.values()]
+
+    def _read_load(self, state: targets.TargetState) -> messages.Load:
+        used = state.memory_used
+        promised = sum(int(item.look_ahead().expected_left) for item in state.running)
+        return messages.Load(
+            target=state.name,
+            waiting=len(state.waiting) + len(state.paused),
+            running=len(state.running),
+            memory_used=used + state.foreign_memory,
+            memory_total=state.memory_total,
+            memory_promised=promised,
+            step_ms=state.step_seconds * 1000,
+            wait_ms=state.estimate_wait(False) * 1000,
+            leaving=state.leaving,
+            healthy=state.healthy,
+            prefixes=list(state.prefixes)[-targets.MAX_PREFIXES_TOLD :],
+            models=sorted(state.models),
+            urgent_wait_ms=state.estimate_wait(True) * 1000,
+        )
+
+    async def _report_for_ever(self) -> None:
+        loop = asyncio.get_running_loop()
+        last = 0.0
+        known: set[links.Link] = set()
+        while True:
+            try:
+                await asyncio.wait_for(self._changed.wait(), REPORT_ANYWAY_SECONDS)
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            peers = set(self._get_links())
+            is_due = loop.time() - last >= REPORT_ANYWAY_SECONDS or bool(peers - known)
+            loads = self._read_changed(is_due)
+            if loads:
+                last = loop.time()
+                self._send_loads(peers, loads)
+            known = peers
+            await asyncio.sleep(REPORT_SECONDS)
+
+    def _read_changed(self, everything: bool) -> list[messages.Load]:
+        changed = []
+        for load in self.read_loads():
+            if everything or self._reported.get(load.target) != load:
+                self._reported[load.target] = dataclasses.replace(load)
+                changed.append(load)
+        self._sequence += 1
+        return [dataclasses.replace(load, sequence=self._sequence) for load in changed]
+
+    def _send_loads(self, peers: set[links.Link], loads: list[messages.Load]) -> None:
+        for link in peers:
+            try:
+                link.send(messages.Loads(loads))
+            except links.LinkLost:
+                continue
+
+
+def _find_terms(configuration: stores.Configuration, class_name: str) -> _Terms | None:
+    if class_name.startswith(SERVICE_PREFIX):
+        service = configuration.services.get(class_name.removeprefix(SERVICE_PREFIX))
+        if service is None:
+            return None
+        return _Terms(SERVICE_PRIORITY, True, service.repeatable, not service.repeatable)
+    work = configuration.classes.get(class_name)
+    if work is None:
+        return None
+    finish = work.on_disconnect is documents.OnDisconnect.FINISH or not work.repeatable
+    return _Terms(work.priority, work.urgent, work.repeatable, finish)
--- /dev/null
+++ b/tillerlane/agent/target.py
@@ -0,0 +1,203 @@
+"""State of one target at its agent, and the facts that are read from it."""
+
+import collections
+import dataclasses
+import math
+
+from tillerlane.agent import generation as generations
+from tillerlane.agent import lengths
+from tillerlane.config import settings
+from tillerlane.policy import program as programs
+from tillerlane.runners import core as runners
+
+__all__ = ["TargetState", "WorkspaceLedger"]
+
+LEDGER_HALF_LIFE_SECONDS = 60.0
+PROMPT_TOKEN_COST = 0.1
+"""Cost of a prompt's token beside a written one, in the ledger of workspaces."""
+RATE_SMOOTHING_SECONDS = 5.0
+FOREIGN_SHARE = 0.1
+"""Reported memory that this agent does not know of counts if it is more than this share."""
+DEFAULT_BATCH_LIMIT = 32
+DEFAULT_MEMORY_TOKENS = 16_000
+DEFAULT_STEP_SECONDS = 0.03
+STALE_LOAD_SECONDS = 3.0
+MAX_PREFIXES = 256
+MAX_PREFIXES_TOLD = 32
+"""Prefixes named in a load report, the latest ones."""
+
+
+class WorkspaceLedger:
+    """Tokens served to each workspace, decaying, over its weight."""
+
+    def __init__(self) -> None:
+        self._served: dict[str, float] = {}
+        self._at = 0.0
+
+    def _decay(self, now: float) -> None:
+        passed = now - self._at
+        if passed < 1.0:
+            return
+        factor = 0.5 ** (passed / LEDGER_HALF_LIFE_SECONDS)
+        self._served = {
+            workspace: served * factor
+            for workspace, served in self._served.items()
+            if served * factor > 1.0
+        }
+        self._at = now
+
+    def charge(self, workspace: str, tokens: float, now: float) -> None:
+        """Add served tokens."""
+        self._decay(now)
+        self._served[workspace] = self._served.get(workspace, 0.0) + tokens
+
+    def read(self, workspace: str) -> float:
+        """Tokens served lately."""
+        return self._served.get(workspace, 0.0)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetState:
+    """What an agent knows of one target.
+
+    Memory is in tokens, times are of the event loop in seconds.
+    """
+
+    name: str
+    kind: settings.TargetKind
+    client: runners.RunnerClient
+    program: programs.Program
+    weights: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Workspace to weight, of the configuration in force."""
+    max_waiting: int = 1_000
+    held: dict[str, generations.Generation] = dataclasses.field(default_factory=dict)
+    waiting: list[generations.Generation] = dataclasses.field(default_factory=list)
+    running: list[generations.Generation] = dataclasses.field(default_factory=list)
+    paused: list[generations.Generation] = dataclasses.field(default_factory=list)
+    length_book: lengths.LengthBook = dataclasses.field(default_factory=lengths.LengthBook)
+    ledger: WorkspaceLedger = dataclasses.field(default_factory=WorkspaceLedger)
+    memory_total: int = DEFAULT_MEMORY_TOKENS
+    batch_limit: int = DEFAULT_BATCH_LIMIT
+    step_seconds: float = DEFAULT_STEP_SECONDS
+    foreign_memory: int = 0
+    models: set[str] = dataclasses.field(default_factory=set)
+    load_at: float = -math.inf
+    load_failures: int = 0
+    healthy: bool = True
+    leaving: bool = False
+    fence: tuple[int, int] = (0, 0)
+    backlog: dict[bool, float] = dataclasses.field(default_factory=lambda: {True: 0.0, False: 0.0})
+    """Expected tokens of what waits, urgent or not."""
+    token_rate: float = 0.0
+    urgent_share: float = 0.0
+    preemptions: int = 0
+    recomputed_tokens: int = 0
+    prefixes: collections.OrderedDict[int, int] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    _rate_tokens: int = 0
+    _rate_at: float = 0.0
+
+    @property
+    def memory_used(self) -> int:
+        """Memory of what runs, as counted here without lag."""
+        return sum(generation.memory for generation in self.running)
+
+    @property
+    def room(self) -> int:
+        """Memory that this agent may fill."""
+        return max(0, self.memory_total - self.foreign_memory)
+
+    def take_load(self, load: runners.RunnerLoad, now: float) -> None:
+        """Take note of the target's own, lagging report."""
+        self.load_at = now
+        self.load_failures = 0
+        self.memory_total = load.memory_total
+        self.batch_limit = load.batch_limit
+        if load.step_ms > 0:
+            self.step_seconds = load.step_ms / 1000
+        self.models = set(load.models)
+        unknown = load.memory_used - self.memory_used
+        is_foreign = unknown > FOREIGN_SHARE * load.memory_total
+        self.foreign_memory = min(unknown, load.memory_total) if is_foreign else 0
+
+    def count_tokens(self, workspace: str, tokens: int, now: float) -> None:
+        """Charge written tokens and follow the rate at which the target writes."""
+        self.ledger.charge(workspace, tokens, now)
+        self._rate_tokens += tokens
+        passed = now - self._rate_at
+        if passed >= 1.0:
+            rate = self._rate_tokens / passed
+            part = min(1.0, passed / RATE_SMOOTHING_SECONDS)
+            busy = bool(self.waiting)
+            if rate > self.token_rate or busy:
+                self.token_rate += part * (rate - self.token_rate)
+            self._rate_tokens = 0
+            self._rate_at = now
+
+    def get_rate(self) -> float:
+        """Tokens a second that the target can write, from what it wrote when it was busy."""
+        by_size = 0.25 * self.batch_limit / max(1e-3, self.step_seconds)
+        return max(1.0, self.token_rate, by_size)
+
+    def estimate_wait(self, urgent: bool) -> float:
+        """Seconds until a request that comes now would start."""
+        ahead = self.backlog[True] + (0.0 if urgent else self.backlog[False])
+        return ahead / self.get_rate()
+
+    def enqueue(self, generation: generations.Generation) -> None:
+        """Put a new generation into the queue."""
+        self.held[generation.id] = generation
+        self.waiting.append(generation)
+        self.backlog[generation.urgent] += generation.look_ahead().expected_left
+        self.urgent_share += 0.05 * (float(generation.urgent) - self.urgent_share)
+
+    def dequeue(self, generation: generations.Generation) -> None:
+        """Take a generation out of the queue."""
+        self.waiting.remove(generation)
+        left = self.backlog[generation.urgent] - generation.look_ahead().expected_left
+        self.backlog[generation.urgent] = max(0.0, left) if self.waiting else 0.0
+
+    def release(self, generation: generations.Generation) -> None:
+        """Take a generation out of whichever list it stands in."""
+        if generation in self.running:
+            self.running.remove(generation)
+        elif generation in self.paused:
+            self.paused.remove(generation)
+        elif generation in self.waiting:
+            self.dequeue(generation)
+
+    def read_leads(self) -> dict[str, float]:
+        """Tokens over weight of each workspace with work here, above the least served one.
+
+        What still runs counts with what it is expected to write, so that many requests at once
+        gain nothing.
+        """
+        served: dict[str, float] = {}
+        for generation in self.waiting:
+            workspace = generation.start.workspace
+            if workspace not in served:
+                served[workspace] = self.ledger.read(workspace)
+        for generation in (*self.running, *self.paused):
+            workspace = generation.start.workspace
+            if workspace not in served:
+                served[workspace] = self.ledger.read(workspace)
+            served[workspace] += generation.look_ahead().expected_left
+        over = {key: value / self.weights.get(key, 1.0) for key, value in served.items()}
+        least = min(over.values(), default=0.0)
+        return {key: value - least for key, value in over.items()}
+
+    def take_cache_event(self, event: runners.CacheEvent, expected: int) -> None:
+        """Follow the prefix cache.
+
+        After a gap the prefixes known so far may have been dropped unseen, so they are forgotten:
+        the index lacks some, and is never wrong for ever.
+        """
+        if event.number != expected:
+            self.prefixes.clear()
+        if event.stored:
+            self.prefixes[event.prefix_hash] = event.number
+            while len(self.prefixes) > MAX_PREFIXES:
+                self.prefixes.popitem(last=False)
+        else:
+            self.prefixes.pop(event.prefix_hash, None)
--- /dev/null
+++ b/tillerlane/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon and the configuration that all daemons share."""
--- /dev/null
+++ b/tillerlane/config/settings.py
@@ -0,0 +1,113 @@
+"""Settings of one daemon, read from its settings file."""
+
+import enum
+import pathlib
+from typing import Annotated
+
+import pydantic
+import result
+
+from tillerlane.config import documents, reader
+from tillerlane.faults import core as faults
+
+__all__ = ["Role", "Settings", "StaleAction", "Target", "TargetKind", "Tls", "read_settings"]
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    parts = host.split(".")
+    is_ip = len(parts) == 4 and all(part.isdigit() and int(part) < 256 for part in parts)
+    if not is_ip or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError("an IP number and a port, such as 127.0.0.1:7000")
+    return value
+
+
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class Role(enum.StrEnum):
+    """What a daemon does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+    KEEPER = "keeper"
+
+
+class TargetKind(enum.StrEnum):
+    """What stands behind an agent."""
+
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+class Target(documents.Model):
+    """A runner or plain service on the agent's own host."""
+
+    url: str
+    kind: TargetKind = TargetKind.RUNNER
+    checks_fence: bool = False
+    """Whether the target itself refuses orders with an older fence."""
+
+
+class Tls(documents.Model):
+    """Certificates; a daemon's certificate has its id as common name."""
+
+    certificate: str
+    private_key: str
+    peer_authority: str
+    """Certificates of the authority that signs the fleet's daemons."""
+    for_callers: bool = False
+    """Whether the HTTP listener uses the same certificate."""
+
+
+class StaleAction(enum.StrEnum):
+    """What an entry does when it has had no word from a keeper for too long."""
+
+    SERVE = "serve"
+    UNREADY = "unready"
+
+
+class Settings(documents.Model):
+    """One daemon's settings."""
+
+    daemon: documents.Name
+    fleet: documents.Name = "fleet"
+    data_hall: documents.Name
+    roles: Annotated[list[Role], pydantic.Field(min_length=1)]
+    peer_address: Address
+    http_address: Address
+    keepers: Annotated[dict[documents.Name, Address], pydantic.Field(min_length=1)]
+    """First voters: daemon id to peer address.  Later ones come through the log."""
+    data_folder: str | None = None
+    targets: dict[documents.Name, Target] = {}
+    operators: dict[documents.Name, documents.Operator] = {}
+    """Operators known before there is a configuration."""
+    platform_list: str | None = None
+    """File or http URL of the platform's list of hosts."""
+    statsd: Address | None = None
+    tls: Tls | None = None
+    peers: list[documents.Name] | None = None
+    """Daemon ids that may link to this one; None is every one of the fleet."""
+    stale_action: StaleAction = StaleAction.SERVE
+    stale_seconds: documents.Seconds = 30
+    stop_seconds: documents.Seconds = 3_600
+    """How long a planned stop waits for what runs."""
+    max_connections: Annotated[int, pydantic.Field(gt=0)] = 4_096
+    log_file: str | None = None
+    """File for the log's JSON lines; standard error without it."""
+
+    @pydantic.model_validator(mode="after")
+    def check_roles(self) -> "Settings":
+        """A keeper has a disk and its own name among the keepers; an agent has targets."""
+        if Role.KEEPER in self.roles and self.data_folder is None:
+            raise ValueError("a keeper needs 'data_folder'")
+        if Role.AGENT in self.roles and not self.targets:
+            raise ValueError("an agent needs 'targets'")
+        if Role.AGENT not in self.roles and self.targets:
+            raise ValueError("'targets' needs the role 'agent'")
+        return self
+
+
+def read_settings(path: pathlib.Path | str) -> result.Result[Settings, faults.Fault]:
+    """Read and check a settings file."""
+    return reader.read_file(path).and_then(lambda data: reader.validate(Settings, data, str(path)))
--- /dev/null
+++ b/tillerlane/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: puts the roles of one process together and runs them."""
--- /dev/null
+++ b/tillerlane/daemon/core.py
@@ -0,0 +1,458 @@
+"""One daemon: its links, its view of the fleet, and whichever roles its settings name."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from tillerlane.agent import server as agents
+from tillerlane.config import settings
+from tillerlane.config import store as stores
+from tillerlane.daemon import metrics, tls
+from tillerlane.entry import api, dispatch, fleet, limits, routing
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import client as clients
+from tillerlane.keeper import disk as disks
+from tillerlane.keeper import machine as machines
+from tillerlane.keeper import replica, server
+from tillerlane.keeper import storage as storages
+from tillerlane.members import exchange, platform
+from tillerlane.members import view as views
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.peers import node as nodes
+from tillerlane.runners import core as runners
+from tillerlane.runners import http_service, sse_runner
+from tillerlane.timeline import clock as clocks
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Daemon"]
+
+PULL_SECONDS = 0.2
+"""Least time between two pulls of the configuration on one link."""
+REFRESH_SECONDS = 0.2
+NOTICE_SECONDS = 1.0
+"""How long a stopping entry still takes requests after it went unready."""
+QUERY_SECONDS = 2.0
+
+Query = Callable[[dict[str, Any]], Any]
+
+
+def connect_target(target: settings.Target) -> runners.RunnerClient:
+    """Functions of a target, by its kind."""
+    if target.kind is settings.TargetKind.SERVICE:
+        return http_service.connect(target.url)
+    return sse_runner.connect(target.url)
+
+
+class Daemon:
+    """One process of the system.
+
+    Parameters
+    ----------
+    own : settings.Settings
+        Its settings.
+    connect : callable
+        Gives the functions of a target.
+    """
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        connect: agents.Connect = connect_target,
+    ) -> None:
+        self.settings = own
+        self.started_at = time.time()
+        self.clock = clocks.HybridClock()
+        self.timeline = timelines.Timeline(own.daemon, self.clock)
+        self.metrics = metrics.open_metrics(own.statsd, own.daemon)
+        self.members = views.MemberView(own.keepers.values())
+        self.stopping = False
+        self.refuses = False
+        self.queries: dict[str, Query] = {}
+        self._pulled_at: dict[links.Link, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        server_tls, client_tls = tls.build_contexts(own.tls)
+        self.node = nodes.Node(self._build_local(), server_tls, client_tls)
+        self.keeper: server.Keeper | None = None
+        self.exchange: exchange.KeeperExchange | None = None
+        self.store = stores.Store()
+        if settings.Role.KEEPER in own.roles:
+            self._build_keeper()
+        self.client = clients.KeeperClient(
+            own.daemon, own.keepers, self.node, self.members, self._take_home
+        )
+        self.announcer = exchange.Announcer(
+            self._build_member(), self.members, lambda: self.client.home
+        )
+        self.agent: agents.Agent | None = None
+        if settings.Role.AGENT in own.roles:
+            self.agent = agents.Agent(
+                own.targets,
+                connect,
+                self.store,
+                self.timeline,
+                self._get_report_links,
+                self.metrics.count,
+            )
+        self.view: fleet.FleetView | None = None
+        self.callers: api.Callers | None = None
+        if settings.Role.ENTRY in own.roles:
+            self._build_entry()
+        self.store.listen(self._note_configuration)
+
+    # Building
+
+    def _build_local(self) -> links.Local:
+        own = self.settings
+        return links.Local(
+            daemon_id=own.daemon,
+            fleet=own.fleet,
+            address=own.peer_address,
+            incarnation=int(self.started_at * 1000),
+            clock=self.clock,
+            get_config_version=lambda: self.store.version,
+            on_peer_version=self._note_peer_version,
+            serve=self._serve,
+            notify=self._notify,
+            on_down=self._note_down,
+            admit=self._admit,
+        )
+
+    def _build_member(self) -> messages.Member:
+        own = self.settings
+        return messages.Member(
+            daemon_id=own.daemon,
+            incarnation=int(self.started_at * 1000),
+            sequence=0,
+            address=own.peer_address,
+            http_address=own.http_address,
+            data_hall=own.data_hall,
+            roles=[role.value for role in own.roles],
+            targets=sorted(own.targets),
+        )
+
+    def _build_keeper(self) -> None:
+        own = self.settings
+        assert own.data_folder is not None
+        storage = storages.Storage(disks.open_folder(own.data_folder), own.daemon)
+        state = machines.Machine()
+        self.store = state.store
+        part = replica.Replica(
+            own.daemon,
+            dict(own.keepers),
+            storage,
+            state,
+            self.timeline,
+            self._get_keeper_link,
+            server.run_in_thread,
+            random.Random(),
+        )
+        part.on_standing = self._note_standing
+        self.keeper = server.Keeper(
+            part, self._get_keeper_link, self._get_subscribers, lambda: int(time.time() * 1000)
+        )
+        self.exchange = exchange.KeeperExchange(
+            self.members, self._get_keeper_links, self._get_subscribers
+        )
+
+    def _build_entry(self) -> None:
+        self.view = fleet.FleetView(self.node, self.members)
+        router = routing.Router(self.view, self.settings.data_hall, random.Random())
+        dispatcher = dispatch.Dispatcher(
+            self.view,
+            router,
+            self.store,
+            self.timeline,
+            self.client.propose,
+            self.metrics.count,
+        )
+        self.callers = api.Callers(
+            store=self.store,
+            dispatcher=dispatcher,
+            limits=limits.WorkspaceLimits(),
+            timeline=self.timeline,
+            count_entries=self._count_entries,
+            is_stopping=lambda: self.refuses,
+            measure=self.metrics.measure,
+        )
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen to peers and start the roles."""
+        await self.node.listen(self.settings.peer_address)
+        if self.keeper is not None and self.exchange is not None:
+            for name, address in self.settings.keepers.items():
+                if name != self.settings.daemon:
+                    self.node.dial(address)
+            self.keeper.begin()
+            self.exchange.begin()
+        self.client.begin()
+        if self.agent is not None:
+            self.agent.begin()
+        self._tasks.append(asyncio.create_task(self._refresh()))
+        if self.settings.platform_list is not None:
+            following = platform.follow_list(
+                self.settings.platform_list, self.members, self._note_platform_list
+            )
+            self._tasks.append(asyncio.create_task(following))
+        self.timeline.record("daemon.start", roles=[role.value for role in self.settings.roles])
+
+    async def drain(self) -> None:
+        """Planned stop: take nothing new, finish what runs."""
+        self.stopping = True
+        self.timeline.record("daemon.leaving")
+        self.announcer.update(leaving=True, ready=False)
+        until = asyncio.get_running_loop().time() + self.settings.stop_seconds
+        if self.callers is not None:
+            await asyncio.sleep(NOTICE_SECONDS)
+            self.refuses = True
+            await self._wait_idle(lambda: self.callers.dispatcher.active, until)
+        if self.agent is not None:
+            self.agent.leave("planned stop")
+            await self._wait_idle(self.agent.count_active, until)
+
+    async def _wait_idle(self, count: Callable[[], int], until: float) -> None:
+        loop = asyncio.get_running_loop()
+        while count() > 0 and loop.time() < until:
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Stop all roles at once."""
+        self.timeline.record("daemon.stop")
+        for task in self._tasks:
+            task.cancel()
+        self.client.stop()
+        if self.agent is not None:
+            await self.agent.stop()
+        if self.exchange is not None:
+            self.exchange.stop()
+        if self.keeper is not None:
+            await self.keeper.stop()
+        await self.node.close()
+
+    # Links
+
+    def _admit(self, daemon_id: str, certificate_name: str) -> None:
+        """Admit a peer by the names in the settings, and by its certificate."""
+        own = self.settings
+        problem = ""
+        if own.tls is not None and certificate_name != daemon_id:
+            problem = f"the certificate is of {certificate_name!r}"
+        elif own.peers is not None and daemon_id not in own.peers:
+            problem = "the settings do not name it as a peer"
+        if problem:
+            message = f"peer {daemon_id!r}: {problem}"
+            self.timeline.record("peer.refused", peer=daemon_id, reason=problem)
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.FORBIDDEN, message))
+
+    def _get_keeper_link(self, address: str) -> links.Link | None:
+        return self.node.dial(address).link
+
+    def _get_keeper_links(self) -> list[links.Link]:
+        """Links to the other keepers."""
+        assert self.keeper is not None
+        own = self.keeper.replica
+        addresses = {voter.address for voter in own.voters.values()} | set(
+            self.settings.keepers.values()
+        )
+        addresses.discard(self.settings.peer_address)
+        found = [self.node.dial(address).link for address in addresses]
+        return [link for link in found if link is not None]
+
+    def _get_subscribers(self) -> list[links.Link]:
+        """Accepted links of daemons that are no keepers."""
+        assert self.keeper is not None
+        keepers = set(self.keeper.replica.voters) | set(self.settings.keepers)
+        return [
+            link
+            for link in self.node.accepted
+            if link.hello is not None and link.is_open and link.peer_id not in keepers
+        ]
+
+    def _get_report_links(self) -> list[links.Link]:
+        """Links that load reports go to: those of entries."""
+        return [
+            link
+            for link in self.node.accepted
+            if link.hello is not None and link.is_open and self._is_entry(link.peer_id)
+        ]
+
+    def _is_entry(self, daemon_id: str) -> bool:
+        member = self.members.read(daemon_id)
+        return member is None or settings.Role.ENTRY.value in member.roles
+
+    def _take_home(self, link: links.Link) -> None:
+        self.announcer.tell_anew(link)
+        self.timeline.record("keeper.home", keeper=link.peer_id)
+
+    def _note_down(self, link: links.Link) -> None:
+        self._pulled_at.pop(link, None)
+        if self.exchange is not None:
+            self.exchange.note_down(link)
+
+    # Configuration
+
+    def _note_peer_version(self, link: links.Link, version: int) -> None:
+        """Pull the configuration from a peer that is ahead; keepers have it from the log."""
+        if version <= self.store.version or self.keeper is not None:
+            return
+        now = asyncio.get_running_loop().time()
+        if now - self._pulled_at.get(link, -1e9) < PULL_SECONDS:
+            return
+        self._pulled_at[link] = now
+        with contextlib.suppress(links.LinkLost):
+            link.send(messages.ConfigPull(self.store.version))
+
+    def _note_configuration(self, configuration: stores.Configuration) -> None:
+        self.timeline.record("config.in_force", version=configuration.version)
+        self.announcer.update(config_version=configuration.version)
+
+    def _note_platform_list(self, leaving: set[str]) -> None:
+        self.timeline.record("platform.list", leaving=sorted(leaving))
+        if self.agent is not None and not self.stopping:
+            self.agent.set_host_leaving(self.settings.daemon in leaving)
+
+    def _note_standing(self) -> None:
+        assert self.keeper is not None
+        self.announcer.update(ready=self.keeper.replica.has_leader)
+
+    # Messages
+
+    async def _serve(self, exchange_: links.Exchange, body: messages.Body) -> None:
+        try:
+            await self._serve_body(exchange_, body)
+        except (faults.FaultError, links.LinkLost):
+            raise
+        except Exception as error:
+            raise faults.FaultError(self.note_internal(error)) from error
+
+    async def _serve_body(self, exchange_: links.Exchange, body: messages.Body) -> None:
+        if isinstance(body, messages.Query):
+            await self._answer_query(exchange_, body)
+        elif isinstance(body, messages.Start) and self.agent is not None:
+            await self.agent.serve(exchange_, body)
+        elif self.keeper is None or not await self.keeper.serve(exchange_, body):
+            message = f"{self.settings.daemon} does not serve {type(body).__name__}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message))
+
+    async def _answer_query(self, exchange_: links.Exchange, body: messages.Query) -> None:
+        query = self.queries.get(body.subject)
+        if query is None:
+            message = f"got query {body.subject!r}, expected one of {sorted(self.queries)}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+        result = query(messages.read_json(body.arguments))
+        if asyncio.iscoroutine(result):
+            result = await result
+        exchange_.send(messages.QueryReply(messages.write_json(result)))
+
+    def _notify(self, link: links.Link, body: messages.Body) -> None:
+        now = asyncio.get_running_loop().time()
+        match body:
+            case messages.Loads():
+                if self.view is not None:
+                    self.view.take_loads(link, body, now)
+            case messages.ConfigPull():
+                self._answer_pull(link, body)
+            case messages.ConfigDelta():
+                if self.keeper is None:
+                    self.store.apply_delta(body)
+            case messages.Members():
+                self._take_members(link, body, now)
+
+    def _answer_pull(self, link: links.Link, body: messages.ConfigPull) -> None:
+        if body.have < self.store.version:
+            with contextlib.suppress(links.LinkLost):
+                link.send(self.store.build_delta(body.have))
+
+    def _take_members(self, link: links.Link, body: messages.Members, now: float) -> None:
+        others = [item for item in body.members if item.daemon_id != self.settings.daemon]
+        if self.exchange is not None:
+            self.exchange.take(link, dataclasses.replace(body, members=others))
+        else:
+            self.members.merge(others, now)
+
+    # Upkeep
+
+    async def _refresh(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if self.view is not None:
+                self.view.refresh(loop.time())
+            if self.keeper is not None:
+                self._note_standing()
+            keepers = {
+                member.daemon_id: member.address
+                for member in self.members.read_live()
+                if settings.Role.KEEPER.value in member.roles
+            }
+            self.client.learn(keepers)
+            if self.agent is not None:
+                leaving = sorted(self.agent.read_leaving())
+                self.announcer.update(leaving_targets=leaving)
+            await asyncio.sleep(REFRESH_SECONDS)
+
+    def _count_entries(self) -> int:
+        """Live entries, this one included."""
+        entries = [
+            member
+            for member in self.members.read_live()
+            if settings.Role.ENTRY.value in member.roles and not member.leaving
+        ]
+        return max(1, len(entries))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform's balancer should send requests here."""
+        if self.stopping or self.store.version == 0:
+            return False
+        if self.settings.stale_action is settings.StaleAction.SERVE:
+            return True
+        age = asyncio.get_running_loop().time() - self.client.heard_at
+        return age < self.settings.stale_seconds
+
+    def note_internal(self, error: Exception) -> faults.Fault:
+        """Log an unforeseen error under an id and give the fault that names it."""
+        error_id = f"e-{random.getrandbits(48):012x}"
+        self.timeline.record(
+            "internal.error", error_id=error_id, error=f"{type(error).__name__}: {error}"
+        )
+        links.log_exception(error_id, error)
+        message = f"unforeseen error, see {error_id} in the log of {self.settings.daemon}"
+        return faults.new_fault(kinds.ErrorKind.INTERNAL, message, detail={"error_id": error_id})
+
+    # Queries to other daemons
+
+    @contextlib.asynccontextmanager
+    async def borrow_link(self, address: str) -> AsyncIterator[links.Link]:
+        """A link to a daemon that this one need not have dialed before."""
+        was_dialed = address in self.node.get_dialed()
+        peer = self.node.dial(address)
+        try:
+            yield await peer.wait_link(QUERY_SECONDS)
+        finally:
+            if not was_dialed:
+                self.node.hang_up(address)
+
+    async def ask(self, member: messages.Member, subject: str, arguments: dict[str, Any]) -> Any:
+        """Ask another daemon, or this one.
+
+        Raises
+        ------
+        links.LinkLost
+            If it does not answer.
+        """
+        if member.daemon_id == self.settings.daemon:
+            result = self.queries[subject](arguments)
+            return await result if asyncio.iscoroutine(result) else result
+        async with self.borrow_link(member.address) as link:
+            query = messages.Query(subject, json.dumps(arguments))
+            reply = await link.call(query, QUERY_SECONDS)
+        assert isinstance(reply, messages.QueryReply)
+        return messages.read_json(reply.result)
--- /dev/null
+++ b/tillerlane/daemon/http.py
@@ -0,0 +1,143 @@
+"""The daemon's HTTP listener: one application for callers and operators, one form of errors."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import litestar
+import uvicorn
+from litestar import exceptions
+
+from tillerlane.daemon import core as daemons
+from tillerlane.daemon import tls
+from tillerlane.entry import api as entry_api
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.operators import api as operators_api
+from tillerlane.peers import node as nodes
+
+__all__ = ["Listener", "build_app"]
+
+_KIND_BY_STATUS = {
+    401: kinds.ErrorKind.UNAUTHENTICATED,
+    403: kinds.ErrorKind.FORBIDDEN,
+    404: kinds.ErrorKind.NOT_FOUND,
+    413: kinds.ErrorKind.TOO_LARGE,
+}
+BACKLOG = 1_024
+IDLE_SECONDS = 30
+MAX_HEADER_BYTES = 32 * 1024
+LEAST_RETRY_SECONDS = 1
+HARD_BODY_BYTES = 32 * 1024 * 1024
+
+
+def write_fault(fault: faults.Fault) -> litestar.Response[dict[str, Any]]:
+    """Answer with a fault."""
+    headers = {"x-tillerlane-ran": fault.ran.value}
+    if fault.retry_after is not None:
+        headers["retry-after"] = str(max(LEAST_RETRY_SECONDS, round(fault.retry_after)))
+    return litestar.Response(fault.to_json(), status_code=fault.answer.status, headers=headers)
+
+
+def build_app(daemon: daemons.Daemon) -> litestar.Litestar:
+    """The application of one daemon."""
+    handlers = operators_api.build_handlers(daemon)
+    if daemon.callers is not None:
+        handlers += entry_api.build_handlers(daemon.callers)
+
+    def answer_fault(request: Any, error: faults.FaultError) -> litestar.Response[Any]:
+        return write_fault(error.fault)
+
+    def answer_http(request: Any, error: exceptions.HTTPException) -> litestar.Response[Any]:
+        kind = _KIND_BY_STATUS.get(error.status_code, kinds.ErrorKind.BAD_REQUEST)
+        if error.status_code >= 500:
+            return write_fault(daemon.note_internal(error))
+        return write_fault(faults.new_fault(kind, f"{error.status_code}: {error.detail}"))
+
+    def answer_other(request: Any, error: Exception) -> litestar.Response[Any]:
+        return write_fault(daemon.note_internal(error))
+
+    return litestar.Litestar(
+        handlers,
+        exception_handlers={
+            faults.FaultError: answer_fault,
+            exceptions.HTTPException: answer_http,
+            Exception: answer_other,
+        },
+        openapi_config=None,
+        logging_config=None,
+        request_max_body_size=HARD_BODY_BYTES,
+    )
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class Listener:
+    """The HTTP listener of a daemon.
+
+    Parameters
+    ----------
+    daemon : daemons.Daemon
+        Whose interface it is.
+    """
+
+    def __init__(self, daemon: daemons.Daemon) -> None:
+        own = daemon.settings
+        host, port = nodes.split_address(own.http_address)
+        extra: dict[str, Any] = {}
+        if own.tls is not None and own.tls.for_callers:
+            extra = {"ssl_certfile": own.tls.certificate, "ssl_keyfile": own.tls.private_key}
+        config = uvicorn.Config(
+            build_app(daemon),
+            host=host,
+            port=port,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            backlog=BACKLOG,
+            limit_concurrency=own.max_connections,
+            timeout_keep_alive=IDLE_SECONDS,
+            timeout_graceful_shutdown=2,
+            h11_max_incomplete_event_size=MAX_HEADER_BYTES,
+            **extra,
+        )
+        self._server = _Server(config)
+        self._tls = own.tls
+        self._config = config
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be listened at.
+        """
+        self._task = asyncio.create_task(self._server.serve())
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+                raise OSError("the HTTP listener did not start")
+            await asyncio.sleep(0.01)
+
+    def reload_tls(self) -> None:
+        """Read the certificate again."""
+        if self._config.ssl is not None:
+            tls.reload_contexts(self._tls, self._config.ssl)
+
+    async def stop(self) -> None:
+        """Stop listening and end what is left."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/tillerlane/daemon/metrics.py
@@ -0,0 +1,48 @@
+"""Metrics by statsd; without an address they go nowhere."""
+
+import dataclasses
+from collections.abc import Callable
+
+import statsd
+
+from tillerlane.peers import node as nodes
+
+__all__ = ["Metrics", "open_metrics"]
+
+PREFIX = "tillerlane"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metrics:
+    """Functions that take metrics.
+
+    Attributes
+    ----------
+    count : callable
+        (name, number) adds to a counter.
+    measure : callable
+        (name, seconds) takes a duration.
+    gauge : callable
+        (name, value) sets a value.
+    """
+
+    count: Callable[[str, float], None]
+    measure: Callable[[str, float], None]
+    gauge: Callable[[str, float], None]
+
+
+def open_metrics(address: str | None, daemon: str) -> Metrics:
+    """Metrics of one daemon, sent to ``IP:port`` by UDP."""
+    if address is None:
+
+        def drop(name: str, value: float) -> None:
+            return None
+
+        return Metrics(drop, drop, drop)
+    host, port = nodes.split_address(address)
+    client = statsd.StatsClient(host, port, prefix=f"{PREFIX}.{daemon}")
+
+    def measure(name: str, seconds: float) -> None:
+        client.timing(name, seconds * 1000)
+
+    return Metrics(client.incr, measure, client.gauge)
--- /dev/null
+++ b/tillerlane/entry/dispatch.py
@@ -0,0 +1,396 @@
+"""Runs a caller's request: target, attempts, claim, and what of it may be tried elsewhere.
+
+Once a token has gone to the caller no other generation takes the place of the first.  A request
+that may not be repeated is claimed in the replicated log before it is sent.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import result
+
+from tillerlane.config import documents
+from tillerlane.config import store as stores
+from tillerlane.entry import fleet, limits, relay, requests, routing
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import commands
+from tillerlane.policy import program as programs
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Dispatcher"]
+
+MAX_STORED_CHARACTERS = 16_384
+"""Answers up to this size are stored with the claim's end."""
+MAX_ATTEMPTS = 6
+RELEASE_DELAYS = (0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+"""Seconds before each try to release a claim whose opening got no answer."""
+_ELSEWHERE = frozenset(
+    {
+        kinds.ErrorKind.LEAVING,
+        kinds.ErrorKind.NO_CAPACITY,
+        kinds.ErrorKind.TARGET_FAILED,
+        kinds.ErrorKind.GENERATION_LOST,
+        kinds.ErrorKind.UNREACHABLE,
+    }
+)
+"""Faults after which another target may do better."""
+_TARGETS_OWN = frozenset({kinds.ErrorKind.TARGET_FAILED, kinds.ErrorKind.GENERATION_LOST})
+
+Propose = Callable[[commands.Command], Awaitable[dict[str, Any]]]
+Item = relay.Piece | relay.Ending
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    """A claim held by this request; `attempt` counts the generations it was given to."""
+
+    key: str
+    attempt: int = 0
+    generation_id: str = ""
+    texts: list[str] = dataclasses.field(default_factory=list)
+    characters: int = 0
+
+    def keep(self, piece: relay.Piece) -> None:
+        """Keep an answer while it is small."""
+        self.characters += sum(len(text) for text in piece.texts)
+        if self.characters <= MAX_STORED_CHARACTERS:
+            self.texts.extend(piece.texts)
+
+
+class Dispatcher:
+    """Runs requests at one entry.
+
+    Parameters
+    ----------
+    view : fleet.FleetView
+        Targets.
+    router : routing.Router
+        Chooses among them.
+    store : stores.Store
+        Configuration in force.
+    timeline : timelines.Timeline
+        Takes the events.
+    propose : callable
+        Puts a command into the replicated log and gives its answer.
+    count : callable
+        Called with (metric name, number).
+    """
+
+    def __init__(
+        self,
+        view: fleet.FleetView,
+        router: routing.Router,
+        store: stores.Store,
+        timeline: timelines.Timeline,
+        propose: Propose,
+        count: Callable[[str, float], None],
+    ) -> None:
+        self._view = view
+        self._router = router
+        self._store = store
+        self._timeline = timeline
+        self._propose = propose
+        self._count = count
+        self._budget = limits.RetryBudget()
+        self._programs: dict[str, programs.Program] = {}
+        self._background: set[asyncio.Task[None]] = set()
+        self.active = 0
+        store.listen(lambda configuration: self._programs.clear())
+
+    def _get_program(self, group: str) -> programs.Program:
+        """The policy of a pool; services have the built-in rules."""
+        program = self._programs.get(group)
+        if program is None:
+            configuration = self._store.current
+            pool = configuration.pools.get(group)
+            name = (pool.policy if pool else None) or "builtin"
+            policy = configuration.policies.get(name, documents.Policy())
+            compiled = programs.compile_program(name, policy)
+            program = compiled.unwrap_or(programs.Program("builtin", {}))
+            program.on_fault = self._note_policy_fault
+            self._programs[group] = program
+        return program
+
+    def _note_policy_fault(self, policy: str, expression: str, reason: str) -> None:
+        self._count("policy_faults", 1)
+        self._timeline.record("policy.fault", policy=policy, expression=expression, reason=reason)
+
+    # Running
+
+    async def run(self, request: requests.Request) -> AsyncIterator[Item]:
+        """Tokens of the answer in order, then its end.
+
+        Raises
+        ------
+        faults.FaultError
+            With the kind and the truth on whether the request ran.
+        """
+        self.active += 1
+        self._budget.pay_in(request.group, request.retry_share)
+        try:
+            if request.repeatable or not request.idempotency_key:
+                attempts = self._try_targets(request, None)
+            else:
+                attempts = self._run_claimed(request)
+            async with contextlib.aclosing(attempts) as items:
+                async for item in items:
+                    yield item
+        finally:
+            self.active -= 1
+
+    async def resume(
+        self, request: requests.Request, generation_id: str, offset: int
+    ) -> AsyncIterator[Item]:
+        """The rest of a generation that another entry, or this one, had been reading."""
+        target, _ = requests.split_generation_id(generation_id)
+        record = self._view.find(target)
+        if record is None:
+            message = f"the target of {generation_id!r} is gone"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.GENERATION_LOST, message))
+        self.active += 1
+        try:
+            reading = self._relay(request, record, generation_id, offset, attach=True)
+            async with contextlib.aclosing(reading.read()) as items:
+                async for item in items:
+                    yield item
+        finally:
+            self.active -= 1
+
+    def _relay(
+        self,
+        request: requests.Request,
+        record: fleet.TargetRecord,
+        generation_id: str,
+        offset: int,
+        *,
+        attach: bool,
+    ) -> relay.Relay:
+        patience = self._store.current.fleet.detached_seconds
+        return relay.Relay(request, record, generation_id, offset, attach, patience, self._timeline)
+
+    async def _try_targets(
+        self, request: requests.Request, claim: _Claim | None
+    ) -> AsyncIterator[Item]:
+        """Try targets until one gives the whole answer or nothing more may be tried."""
+        tried: set[str] = set()
+        last: faults.Fault | None = None
+        for _ in range(MAX_ATTEMPTS):
+            record = self._choose(request, tried, last)
+            generation_id = requests.new_generation_id(record.name, request.class_name)
+            if claim is not None:
+                await self._take_claim(request, claim, generation_id)
+            delivered = False
+            try:
+                attempt = self._run_attempt(request, record, generation_id, claim)
+                async with contextlib.aclosing(attempt) as items:
+                    async for item in items:
+                        delivered = True
+                        yield item
+                return
+            except faults.FaultError as error:
+                last = error.fault
+                if delivered or not self._may_try_elsewhere(request, last):
+                    await self._give_up_claim(request, claim, last)
+                    raise
+            tried.add(record.name)
+            self._count("retries", 1)
+            self._record("request.retry", request, generation_id, kind=last.kind, ran=last.ran)
+        await self._give_up_claim(request, claim, last)
+        raise faults.FaultError(last)
+
+    def _choose(
+        self, request: requests.Request, tried: set[str], last: faults.Fault | None
+    ) -> fleet.TargetRecord:
+        now = asyncio.get_running_loop().time()
+        program = self._get_program(request.group)
+        chosen = routing.choose_target(request, self._router, program, tried, now)
+        if isinstance(chosen, result.Err):
+            raise faults.FaultError(last or chosen.err_value)
+        return chosen.ok_value
+
+    def _may_try_elsewhere(self, request: requests.Request, fault: faults.Fault) -> bool:
+        if fault.kind not in _ELSEWHERE:
+            return False
+        if fault.ran is not kinds.Ran.NO and not request.repeatable:
+            return False
+        if asyncio.get_running_loop().time() >= request.deadline:
+            return False
+        if fault.kind is kinds.ErrorKind.LEAVING:
+            return True
+        return self._budget.take(request.group)
+
+    async def _run_attempt(
+        self,
+        request: requests.Request,
+        record: fleet.TargetRecord,
+        generation_id: str,
+        claim: _Claim | None,
+    ) -> AsyncIterator[Item]:
+        """One generation; with delivery ``whole`` its tokens are held until its end."""
+        self._record("request.send", request, generation_id, target=record.name)
+        record.note_sent(request.prompt_tokens)
+        held: list[Item] = []
+        failed = False
+        reading = self._relay(request, record, generation_id, 0, attach=False)
+        try:
+            async with contextlib.aclosing(reading.read()) as items:
+                async for item in items:
+                    if claim is not None:
+                        await self._note_claimed(request, claim, item)
+                    if request.delivery is documents.Delivery.WHOLE:
+                        held.append(item)
+                    else:
+                        yield item
+        except faults.FaultError as error:
+            failed = error.fault.kind in _TARGETS_OWN
+            raise
+        finally:
+            record.note_done(failed, asyncio.get_running_loop().time())
+        for item in held:
+            yield item
+
+    def _record(
+        self, name: str, request: requests.Request, generation_id: str, **fields: Any
+    ) -> None:
+        self._timeline.record(
+            name, request_id=request.request_id, generation_id=generation_id, **fields
+        )
+
+    # Claims
+
+    async def _run_claimed(self, request: requests.Request) -> AsyncIterator[Item]:
+        """Run a request that may not be repeated, or meet the claim of its first arrival."""
+        claim = _Claim(request.idempotency_key)
+        try:
+            async with contextlib.aclosing(self._try_targets(request, claim)) as items:
+                async for item in items:
+                    yield item
+        except _ClaimHeld as held:
+            async with contextlib.aclosing(self._join(request, held.claim)) as items:
+                async for item in items:
+                    yield item
+
+    async def _take_claim(
+        self, request: requests.Request, claim: _Claim, generation_id: str
+    ) -> None:
+        """Claim the request for a generation, before anything is sent."""
+        now_ms = int(time.time() * 1000)
+        if claim.attempt == 0:
+            keep_ms = int(self._store.current.fleet.claim_seconds * 1000)
+            command: commands.Command = commands.ClaimOpen(
+                workspace=request.workspace,
+                key=claim.key,
+                digest=request.digest,
+                generation_id=generation_id,
+                at_ms=now_ms,
+                expires_ms=now_ms + keep_ms,
+            )
+        else:
+            command = commands.ClaimMove(request.workspace, claim.key, claim.attempt, generation_id)
+        try:
+            answer = await self._propose(command)
+        except faults.FaultError as error:
+            self._release_later(request, claim.key, generation_id)
+            fault = dataclasses.replace(error.fault, ran=kinds.Ran.NO)
+            raise faults.FaultError(fault) from error
+        if not answer["granted"]:
+            raise _ClaimHeld(answer["claim"])
+        claim.attempt = answer["claim"]["attempt"]
+        claim.generation_id = generation_id
+        claim.texts = []
+        claim.characters = 0
+
+    def _release_later(self, request: requests.Request, key: str, generation_id: str) -> None:
+        """Drop a claim that may have been granted without our hearing of it: nothing was sent."""
+        command = commands.ClaimRelease(request.workspace, key, generation_id)
+        task = asyncio.create_task(self._release_patiently(command))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _release_patiently(self, command: commands.ClaimRelease) -> None:
+        for delay in RELEASE_DELAYS:
+            await asyncio.sleep(delay)
+            with contextlib.suppress(faults.FaultError):
+                await self._propose(command)
+                return
+
+    async def _note_claimed(self, request: requests.Request, claim: _Claim, item: Item) -> None:
+        """Keep the answer, and settle the claim before its end goes to the caller."""
+        if isinstance(item, relay.Piece):
+            claim.keep(item)
+            return
+        small = claim.characters <= MAX_STORED_CHARACTERS
+        settle = commands.ClaimSettle(
+            workspace=request.workspace,
+            key=claim.key,
+            attempt=claim.attempt,
+            outcome="ended",
+            tokens=item.tokens,
+            texts=claim.texts if small else None,
+        )
+        await self._settle(settle)
+
+    async def _settle(self, command: commands.Command) -> None:
+        """Store an end; if no quorum answers the claim stays open, which is safe."""
+        try:
+            await self._propose(command)
+        except faults.FaultError as error:
+            self._timeline.record("claim.unsettled", reason=error.fault.message)
+
+    async def _give_up_claim(
+        self, request: requests.Request, claim: _Claim | None, fault: faults.Fault
+    ) -> None:
+        """Release the claim of a request that truly did not run; otherwise store its fault."""
+        if claim is None or claim.attempt == 0:
+            return
+        if fault.ran is kinds.Ran.NO:
+            command: commands.Command = commands.ClaimRelease(
+                request.workspace, claim.key, claim.generation_id
+            )
+        else:
+            command = commands.ClaimSettle(
+                workspace=request.workspace,
+                key=claim.key,
+                attempt=claim.attempt,
+                outcome="fault",
+                fault=fault.message,
+            )
+        await self._settle(command)
+
+    async def _join(self, request: requests.Request, claim: dict[str, Any]) -> AsyncIterator[Item]:
+        """Meet an existing claim: its stored end, its running generation, or ``unknown``."""
+        if claim["digest"] != request.digest:
+            message = "this Idempotency-Key was used for another request"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.KEY_REUSED, message))
+        generation_id = claim["generation_id"]
+        self._record("claim.join", request, generation_id, state=claim["state"])
+        if claim["state"] == "ended" and claim["texts"] is not None:
+            texts = list(claim["texts"])
+            if texts:
+                yield relay.Piece(generation_id, 0, texts)
+            yield relay.Ending(generation_id, "stop", len(texts), request.prompt_tokens)
+            return
+        if claim["state"] == "fault":
+            message = f"the first arrival failed and may have run: {claim['fault']}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.OUTCOME_UNKNOWN, message))
+        try:
+            async with contextlib.aclosing(self.resume(request, generation_id, 0)) as items:
+                async for item in items:
+                    yield item
+        except faults.FaultError as error:
+            message = f"the first arrival cannot be found again: {error.fault.message}"
+            fault = faults.new_fault(kinds.ErrorKind.OUTCOME_UNKNOWN, message)
+            raise faults.FaultError(fault) from error
+
+
+class _ClaimHeld(faults.TillerlaneError):
+    """Another arrival of the request holds the claim."""
+
+    def __init__(self, claim: dict[str, Any]) -> None:
+        super().__init__("claim held")
+        self.claim = claim
--- /dev/null
+++ b/tillerlane/keeper/machine.py
@@ -0,0 +1,199 @@
+"""The replicated state: what the keepers agree on, changed only by applying log entries.
+
+Applying is deterministic: it reads no clock and draws no number.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from tillerlane.config import store as stores
+from tillerlane.keeper import claims, commands
+from tillerlane.peers import messages
+
+__all__ = ["Machine"]
+
+MAX_REMEMBERED_CHANGES = 20_000
+"""Change ids whose first answer is remembered: over a week at 2,300 changes a day."""
+MAX_HISTORY = 1_000
+MAX_ORDERS_KEPT = 500
+FORMAT = 1
+
+
+@dataclasses.dataclass(slots=True)
+class OrderRecord:
+    """An order to a runner; its fence is (term, index) of its entry."""
+
+    order_id: str
+    target: str
+    action: str
+    model: str
+    at_ms: int
+    fence: tuple[int, int]
+    outcome: str = ""
+
+
+class Machine:
+    """State of the replicated log.
+
+    Attributes
+    ----------
+    store : stores.Store
+        Configuration in force.
+    claims : claims.ClaimBook
+        Requests that may not be repeated.
+    voters : dict
+        Keeper to `commands.Voter`.
+    orders : dict
+        Order id to `OrderRecord`.
+    pins : set
+        (runner, model) that demand does not move.
+    """
+
+    def __init__(self) -> None:
+        self.store = stores.Store()
+        self.claims = claims.ClaimBook()
+        self.voters: dict[str, commands.Voter] = {}
+        self.orders: collections.OrderedDict[str, OrderRecord] = collections.OrderedDict()
+        self.pins: set[tuple[str, str]] = set()
+        self.history: collections.deque[dict[str, Any]] = collections.deque(maxlen=MAX_HISTORY)
+        self._answers: collections.OrderedDict[str, dict[str, Any]] = collections.OrderedDict()
+
+    def apply(self, term: int, index: int, command: commands.Command) -> dict[str, Any]:
+        """Apply one entry and give its answer."""
+        match command:
+            case commands.Change():
+                return self._answer_once(command.change_id, lambda: self._change(command))
+            case commands.Drain():
+                return self._answer_once(command.change_id, lambda: self._drain(command))
+            case commands.ClaimOpen():
+                return self.claims.open(command)
+            case commands.ClaimMove():
+                return self.claims.move(command)
+            case commands.ClaimSettle():
+                return self.claims.settle(command)
+            case commands.ClaimRelease():
+                return self.claims.release(command)
+            case commands.Found():
+                self.voters = dict(command.voters)
+            case commands.VoterAdd():
+                self.voters[command.name] = commands.Voter(command.address, command.disk_id)
+            case commands.VoterRemove():
+                self.voters.pop(command.name, None)
+            case commands.Order():
+                return self._order(command, (term, index))
+            case commands.OrderDone():
+                return self._finish_order(command)
+            case commands.Pin():
+                pair = (command.target, command.model)
+                (self.pins.add if command.pinned else self.pins.discard)(pair)
+        return {"done": True}
+
+    def _answer_once(self, change_id: str, work: Any) -> dict[str, Any]:
+        """Give the first answer again to a change that was resent."""
+        known = self._answers.get(change_id)
+        if known is not None:
+            return {**known, "resent": True}
+        answer = work()
+        self._answers[change_id] = answer
+        while len(self._answers) > MAX_REMEMBERED_CHANGES:
+            self._answers.popitem(last=False)
+        return answer
+
+    def _change(self, command: commands.Change) -> dict[str, Any]:
+        version = self.store.version
+        if command.against != version:
+            return {"accepted": False, "version": version, "against": command.against}
+        if not command.puts and not command.deletes:
+            return {"accepted": True, "version": version}
+        puts = {(item.kind, item.name): item.body for item in command.puts}
+        deletes = [(item.kind, item.name) for item in command.deletes]
+        self.store.apply_change(version + 1, puts, deletes)
+        self._remember(command.actor, command.at_ms, command.change_id, command.note)
+        return {"accepted": True, "version": version + 1}
+
+    def _drain(self, command: commands.Drain) -> dict[str, Any]:
+        key = (stores.DRAINS, command.name)
+        is_drained = key in self.store.get_bodies()
+        if is_drained != command.leaving:
+            puts = {key: "{}"} if command.leaving else {}
+            deletes = [] if command.leaving else [key]
+            self.store.apply_change(self.store.version + 1, puts, deletes)
+            verb = "drain" if command.leaving else "undrain"
+            note = f"{verb} {command.name}"
+            self._remember(command.actor, command.at_ms, command.change_id, note)
+        return {"accepted": True, "version": self.store.version}
+
+    def _remember(self, actor: str, at_ms: int, change_id: str, note: str) -> None:
+        entry = {
+            "version": self.store.version,
+            "actor": actor,
+            "at_ms": at_ms,
+            "change_id": change_id,
+            "note": note,
+        }
+        self.history.append(entry)
+
+    def _order(self, command: commands.Order, fence: tuple[int, int]) -> dict[str, Any]:
+        known = self.orders.get(command.order_id)
+        if known is None:
+            known = OrderRecord(
+                command.order_id,
+                command.target,
+                command.action,
+                command.model,
+                command.at_ms,
+                fence,
+            )
+            self.orders[command.order_id] = known
+            self._forget_orders()
+        return {"fence": list(known.fence), "outcome": known.outcome}
+
+    def _forget_orders(self) -> None:
+        done = [key for key, item in self.orders.items() if item.outcome]
+        for key in done[: max(0, len(self.orders) - MAX_ORDERS_KEPT)]:
+            del self.orders[key]
+
+    def _finish_order(self, command: commands.OrderDone) -> dict[str, Any]:
+        known = self.orders.get(command.order_id)
+        if known is not None and not known.outcome:
+            known.outcome = command.outcome
+        return {"done": known is not None}
+
+    # Snapshots
+
+    def dump(self) -> bytes:
+        """The whole state for a snapshot."""
+        values = {
+            "format": FORMAT,
+            "version": self.store.version,
+            "entities": [dataclasses.asdict(item) for item in self.store.get_entities()],
+            "answers": list(self._answers.items()),
+            "history": list(self.history),
+            "claims": self.claims.dump(),
+            "voters": self.voters,
+            "orders": [dataclasses.asdict(item) for item in self.orders.values()],
+            "pins": sorted(self.pins),
+        }
+        return msgspec.json.encode(values)
+
+    def load(self, data: bytes) -> None:
+        """Take over a snapshot."""
+        values = msgspec.json.decode(data)
+        if values["format"] != FORMAT:
+            raise ValueError(f"got snapshot format {values['format']}, expected {FORMAT}")
+        entities = [messages.Entity(**item) for item in values["entities"]]
+        self._answers = collections.OrderedDict(
+            (change_id, answer) for change_id, answer in values["answers"]
+        )
+        self.history = collections.deque(values["history"], maxlen=MAX_HISTORY)
+        self.claims.load(values["claims"])
+        self.voters = {name: commands.Voter(**voter) for name, voter in values["voters"].items()}
+        self.orders = collections.OrderedDict()
+        for item in values["orders"]:
+            item["fence"] = tuple(item["fence"])
+            self.orders[item["order_id"]] = OrderRecord(**item)
+        self.pins = {(target, model) for target, model in values["pins"]}
+        self.store.restore(values["version"], entities)
--- /dev/null
+++ b/tillerlane/keeper/replica.py
@@ -0,0 +1,781 @@
+"""One keeper's part in the replicated log: election, replication, commit.
+
+The algorithm is Raft with pre-vote and a leader lease.  What differs:
+
+- A keeper's identity is its disk.  Every reply names the disk, and candidate and leader count
+  only replies of the disk that the log has on record for that voter, so a keeper whose disk is
+  new never votes with the old one's identity.  It is brought up to date as a learner and gets
+  its vote through the log.
+- The first log is founded only when every configured keeper says that its disk is fresh.
+- Voters change one at a time, and a change counts from when it stands in the log.
+
+References
+----------
+Ongaro, "Consensus: Bridging Theory and Practice" (2014), chapters 3, 4, 6 and 9.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import commands, machine
+from tillerlane.keeper import storage as storages
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Replica", "Standing"]
+
+HEARTBEAT_SECONDS = 0.15
+ELECTION_SECONDS = (1.0, 1.6)
+"""Silence of the leader after which a voter stands for election, drawn anew each time."""
+LEASE_SECONDS = 0.8
+"""Shorter than the shortest election timeout, with room for clocks that drift."""
+CALL_SECONDS = 0.6
+COMMIT_SECONDS = 3.0
+"""How long a proposal waits to be committed."""
+MAX_BATCH_ENTRIES = 512
+MAX_BATCH_BYTES = 512 * 1024
+SNAPSHOT_ENTRIES = 4_000
+"""Entries behind the last snapshot after which a new one is made."""
+PIECE_BYTES = 256 * 1024
+
+_VOTER_MARKS = (b'"voter_add"', b'"voter_remove"', b'"found"')
+"""One of these stands in every command that changes the voters."""
+
+Run = Callable[..., Awaitable[Any]]
+
+
+class Standing(enum.StrEnum):
+    """What a keeper is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far one other keeper has got, as the leader knows it."""
+
+    next_index: int
+    match_index: int = 0
+    disk_id: str = ""
+    acked_at: float = -1e9
+    """When the last request that it answered was sent."""
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+@dataclasses.dataclass(slots=True)
+class _Incoming:
+    """A snapshot that is arriving in pieces."""
+
+    last_index: int
+    last_term: int
+    data: bytearray
+
+
+@dataclasses.dataclass(slots=True)
+class _Proposal:
+    """A command that waits to be appended or committed."""
+
+    command: bytes
+    answer: "asyncio.Future[dict[str, Any]]"
+
+
+class Replica:
+    """One keeper.
+
+    Parameters
+    ----------
+    name : str
+        Its daemon id.
+    configured : dict
+        Keepers of the settings: daemon id to peer address.
+    storage : storages.Storage
+        Its durable state.
+    state : machine.Machine
+        The replicated state.
+    timeline : timelines.Timeline
+        Takes the events.
+    get_link : callable
+        (address) gives the link to a keeper, or None.
+    run_blocking : callable
+        Runs a blocking function without holding the event loop.
+    rng : random.Random
+        Draws election timeouts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        configured: dict[str, str],
+        storage: storages.Storage,
+        state: machine.Machine,
+        timeline: timelines.Timeline,
+        get_link: Callable[[str], links.Link | None],
+        run_blocking: Run,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.machine = state
+        self.storage = storage
+        self._configured = configured
+        self._timeline = timeline
+        self._get_link = get_link
+        self._run_blocking = run_blocking
+        self._rng = rng
+        self.standing = Standing.FOLLOWER
+        self.leader = ""
+        self.commit = storage.snapshot.last_index
+        self.applied = storage.snapshot.last_index
+        self.learners: dict[str, str] = {}
+        """Keepers to be brought up to date and made voters: name to address."""
+        self._heard_at = -1e9
+        self._election_at = 0.0
+        self._write_lock = asyncio.Lock()
+        self._progress: dict[str, _Progress] = {}
+        self._peer_tasks: dict[str, asyncio.Task[None]] = {}
+        self._queue: list[_Proposal] = []
+        self._queued = asyncio.Event()
+        self._waiting: dict[int, _Proposal] = {}
+        self._incoming: _Incoming | None = None
+        self._noop_index = 0
+        self._voters: dict[str, commands.Voter] = {}
+        self._voters_mark: tuple[int, int, int] | None = None
+        self._adding_voter = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.failed: faults.Fault | None = None
+        self.on_standing: Callable[[], None] = lambda: None
+        if storage.snapshot.data:
+            state.load(storage.snapshot.data)
+
+    # Life
+
+    def begin(self) -> None:
+        """Start the keeper's tasks."""
+        now = asyncio.get_running_loop().time()
+        self._election_at = now + (0.05 if len(self._configured) == 1 else self._draw_timeout())
+        self._tasks = [
+            asyncio.create_task(self._keep_elections()),
+            asyncio.create_task(self._write_proposals()),
+        ]
+
+    async def stop(self) -> None:
+        """End the keeper's tasks; what is synced stays."""
+        tasks = [*self._tasks, *self._peer_tasks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._fail_waiting("the keeper stops")
+
+    def _draw_timeout(self) -> float:
+        return self._rng.uniform(*ELECTION_SECONDS)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def voters(self) -> dict[str, commands.Voter]:
+        """Voters by the latest entry of the log, committed or not; empty before it is founded."""
+        mark = (self.applied, self.storage.last_index, self.storage.last_term)
+        if mark != self._voters_mark:
+            self._voters_mark = mark
+            self._voters = self._read_voters()
+        return self._voters
+
+    def _read_voters(self) -> dict[str, commands.Voter]:
+        voters = dict(self.machine.voters)
+        ahead = self.storage.last_index - self.applied
+        for entry in self.storage.entries[len(self.storage.entries) - ahead :]:
+            if not any(mark in entry.command for mark in _VOTER_MARKS):
+                continue
+            command = commands.decode(entry.command)
+            if isinstance(command, commands.Found):
+                voters = dict(command.voters)
+            elif isinstance(command, commands.VoterAdd):
+                voters[command.name] = commands.Voter(command.address, command.disk_id)
+            elif isinstance(command, commands.VoterRemove):
+                voters.pop(command.name, None)
+        return voters
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this keeper, with the disk that it has, may vote."""
+        voter = self.voters.get(self.name)
+        return voter is not None and voter.disk_id == self.storage.disk_id
+
+    @property
+    def has_leader(self) -> bool:
+        """Whether a leader was heard of lately."""
+        if self.standing is Standing.LEADER:
+            return self.has_lease
+        return bool(self.leader) and self._now() - self._heard_at < ELECTION_SECONDS[1]
+
+    @property
+    def has_lease(self) -> bool:
+        """Whether no other keeper can be leader yet: a quorum answered lately."""
+        if self.standing is not Standing.LEADER or self.failed is not None:
+            return False
+        times = [
+            self._now() if name == self.name else self._progress[name].acked_at
+            for name, voter in self.voters.items()
+            if name == self.name or self._is_on_record(name, voter)
+        ]
+        times.sort(reverse=True)
+        needed = self._count_quorum()
+        return len(times) >= needed and self._now() - times[needed - 1] < LEASE_SECONDS
+
+    def _is_on_record(self, name: str, voter: commands.Voter) -> bool:
+        progress = self._progress.get(name)
+        return progress is not None and progress.disk_id == voter.disk_id
+
+    def _count_quorum(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    def _stand_down(self, fault: faults.Fault) -> None:
+        """The disk failed: answer nothing more that depends on it."""
+        if self.failed is None:
+            self.failed = fault
+            self._timeline.record("keeper.disk_failed", message=fault.message)
+            self._become_follower(self.storage.term, "")
+
+    def _check_disk(self) -> None:
+        if self.failed is not None:
+            raise faults.FaultError(self.failed)
+
+    async def _write(self, work: Callable[..., None], *arguments: Any) -> None:
+        """Run a blocking write of the storage; one at a time is the callers' lock."""
+        try:
+            await self._run_blocking(work, *arguments)
+        except faults.FaultError as error:
+            self._stand_down(error.fault)
+            raise
+
+    # Elections
+
+    async def _keep_elections(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            if self.failed is not None:
+                continue
+            if self.standing is Standing.LEADER:
+                if self.has_lease:
+                    self._heard_at = self._now()
+                elif self._now() - self._heard_at > LEASE_SECONDS * 2:
+                    self._timeline.record("keeper.lease_lost", term=self.storage.term)
+                    self._become_follower(self.storage.term, "")
+                continue
+            if self._now() >= self._election_at:
+                self._election_at = self._now() + self._draw_timeout()
+                try:
+                    await self._stand_for_election()
+                except faults.FaultError:
+                    continue
+
+    async def _stand_for_election(self) -> None:
+        if not self.voters:
+            await self._try_founding()
+            return
+        if not self.is_voter:
+            return
+        if not await self._collect_votes(self.storage.term + 1, pre=True):
+            return
+        async with self._write_lock:
+            term = self.storage.term + 1
+            await self._write(self.storage.save_vote, term, self.name)
+        self.standing = Standing.CANDIDATE
+        self.leader = ""
+        if await self._collect_votes(term, pre=False) and self.storage.term == term:
+            self._become_leader()
+
+    def _build_vote_request(self, term: int, *, pre: bool) -> messages.VoteRequest:
+        storage = self.storage
+        return messages.VoteRequest(term, self.name, storage.last_index, storage.last_term, pre)
+
+    async def _collect_votes(self, term: int, *, pre: bool) -> bool:
+        """Ask all voters; whether a quorum granted."""
+        request = self._build_vote_request(term, pre=pre)
+        others = {name: voter for name, voter in self.voters.items() if name != self.name}
+        needed = self._count_quorum()
+        granted = 1
+        calls = [
+            asyncio.create_task(self._ask_vote(voter.address, request)) for voter in others.values()
+        ]
+        by_call = dict(zip(calls, others.values(), strict=True))
+        pending = set(calls)
+        try:
+            while granted < needed and pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for call in done:
+                    reply = call.result()
+                    if reply is None:
+                        continue
+                    if reply.term > self.storage.term and not pre:
+                        await self._follow_term(reply.term)
+                        return False
+                    if reply.granted and reply.disk_id == by_call[call].disk_id:
+                        granted += 1
+        finally:
+            for call in pending:
+                call.cancel()
+        return granted >= needed
+
+    async def _ask_vote(
+        self, address: str, request: messages.VoteRequest
+    ) -> messages.VoteReply | None:
+        link = self._get_link(address)
+        if link is None:
+            return None
+        try:
+            reply = await link.call(request, CALL_SECONDS)
+        except (links.LinkLost, faults.FaultError):
+            return None
+        return reply if isinstance(reply, messages.VoteReply) else None
+
+    async def _try_founding(self) -> None:
+        """Found the log, if every configured keeper is there with a fresh disk.
+
+        The keeper of the lowest name founds, so that two never do at once.
+        """
+        if not self.storage.is_fresh or self.name != min(self._configured):
+            return
+        request = self._build_vote_request(1, pre=True)
+        voters = {self.name: commands.Voter(self._configured[self.name], self.storage.disk_id)}
+        for name, address in self._configured.items():
+            if name == self.name:
+                continue
+            reply = await self._ask_vote(address, request)
+            if reply is None or not reply.fresh:
+                return
+            voters[name] = commands.Voter(address, reply.disk_id)
+        async with self._write_lock:
+            await self._write(self.storage.save_vote, 1, self.name)
+            found = messages.LogEntry(1, 1, commands.encode(commands.Found(voters)))
+            await self._write(self.storage.append, [found])
+        self._timeline.record("keeper.found", voters=sorted(voters))
+        self._become_leader()
+
+    def _become_leader(self) -> None:
+        self.standing = Standing.LEADER
+        self.leader = self.name
+        self._heard_at = self._now()
+        self._progress = {}
+        self._adding_voter = False
+        self._timeline.record("keeper.lead", term=self.storage.term)
+        self._fail_waiting("a new term began")
+        self._queue.insert(0, self._new_proposal(commands.encode(commands.Noop())))
+        self._noop_index = self.storage.last_index + 1
+        self._queued.set()
+        self._follow_peers()
+        self.on_standing()
+
+    def _become_follower(self, term: int, leader: str) -> None:
+        was = (self.standing, self.leader)
+        self.standing = Standing.FOLLOWER
+        self.leader = leader
+        if was[0] is Standing.LEADER:
+            self._timeline.record("keeper.follow", term=term, leader=leader)
+            for task in self._peer_tasks.values():
+                task.cancel()
+            self._peer_tasks = {}
+            self._fail_waiting("another keeper leads")
+        if was != (self.standing, self.leader):
+            self.on_standing()
+
+    async def _follow_term(self, term: int, leader: str = "") -> None:
+        """Enter a later term."""
+        if term > self.storage.term:
+            async with self._write_lock:
+                if term > self.storage.term:
+                    await self._write(self.storage.save_vote, term, "")
+        self._become_follower(term, leader)
+
+    async def take_vote_request(self, request: messages.VoteRequest) -> messages.VoteReply:
+        """Answer a candidate."""
+        self._check_disk()
+        if not request.pre and request.term > self.storage.term and not self._hears_leader():
+            await self._follow_term(request.term)
+        granted = self._may_grant(request)
+        if granted and not request.pre:
+            async with self._write_lock:
+                granted = self._may_grant(request)
+                if granted and self.storage.voted_for != request.candidate:
+                    await self._write(self.storage.save_vote, request.term, request.candidate)
+            if granted:
+                self._election_at = self._now() + self._draw_timeout()
+        storage = self.storage
+        return messages.VoteReply(storage.term, granted, storage.disk_id, storage.is_fresh)
+
+    def _hears_leader(self) -> bool:
+        """Whether a leader lives: then nobody is helped to replace it."""
+        if self.standing is Standing.LEADER:
+            return self.has_lease
+        return bool(self.leader) and self._now() - self._heard_at < ELECTION_SECONDS[0]
+
+    def _may_grant(self, request: messages.VoteRequest) -> bool:
+        storage = self.storage
+        if self._hears_leader():
+            return False
+        if (request.last_term, request.last_index) < (storage.last_term, storage.last_index):
+            return False
+        if request.pre:
+            return request.term > storage.term
+        return request.term == storage.term and storage.voted_for in ("", request.candidate)
+
+    # Proposals
+
+    def _new_proposal(self, command: bytes) -> _Proposal:
+        answer = asyncio.get_running_loop().create_future()
+        answer.add_done_callback(lambda future: future.cancelled() or future.exception())
+        return _Proposal(command, answer)
+
+    async def propose(self, command: bytes) -> dict[str, Any]:
+        """Commit a command and give its answer; only the leader can.
+
+        Raises
+        ------
+        faults.FaultError
+            ``no_quorum`` with ``ran: no`` if it was not taken at all, with ``ran: unknown`` if
+            it may still be committed.
+        """
+        self._check_disk()
+        if not self.has_lease:
+            message = f"{self.name} is {self.standing} without a lease"
+            detail = {"leader": self.leader}
+            raise faults.FaultError(
+                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0, detail=detail)
+            )
+        proposal = self._new_proposal(command)
+        self._queue.append(proposal)
+        self._queued.set()
+        try:
+            return await asyncio.wait_for(asyncio.shield(proposal.answer), COMMIT_SECONDS)
+        except TimeoutError as error:
+            raise faults.FaultError(_undecided("not committed in time")) from error
+
+    def _fail_waiting(self, reason: str) -> None:
+        """Nobody will tell these proposals' fate any more; they may still be committed."""
+        for proposal in [*self._queue, *self._waiting.values()]:
+            if not proposal.answer.done():
+                proposal.answer.set_exception(faults.FaultError(_undecided(reason)))
+        self._queue = []
+        self._waiting = {}
+
+    async def _write_proposals(self) -> None:
+        """Append what is queued; all that gathers during one sync shares the next."""
+        while True:
+            await self._queued.wait()
+            self._queued.clear()
+            if self.standing is not Standing.LEADER or not self._queue:
+                continue
+            async with self._write_lock:
+                await self._append_batch()
+
+    async def _append_batch(self) -> None:
+        if self.standing is not Standing.LEADER:
+            return
+        batch, self._queue = self._queue[:MAX_BATCH_ENTRIES], self._queue[MAX_BATCH_ENTRIES:]
+        if self._queue:
+            self._queued.set()
+        term = self.storage.term
+        first = self.storage.last_index + 1
+        entries = []
+        for position, proposal in enumerate(batch):
+            entries.append(messages.LogEntry(term, first + position, proposal.command))
+            self._waiting[first + position] = proposal
+        try:
+            await self._write(self.storage.append, entries)
+        except faults.FaultError:
+            return
+        if self.standing is Standing.LEADER:
+            self._advance_commit()
+            for progress in self._progress.values():
+                progress.wake.set()
+
+    def _advance_commit(self) -> None:
+        """Commit what a quorum of voters has synced, in this term."""
+        if self.standing is not Standing.LEADER:
+            return
+        matches = [
+            self.storage.last_index if name == self.name else self._progress[name].match_index
+            for name, voter in self.voters.items()
+            if name == self.name or self._is_on_record(name, voter)
+        ]
+        matches.sort(reverse=True)
+        needed = self._count_quorum()
+        if len(matches) < needed:
+            return
+        index = matches[needed - 1]
+        if index > self.commit and self.storage.get_term(index) == self.storage.term:
+            self.commit = index
+            self._apply_committed()
+            for progress in self._progress.values():
+                progress.wake.set()
+
+    def _apply_committed(self) -> None:
+        while self.applied < self.commit:
+            entries = self.storage.get_entries(self.applied + 1, 1_000, 1 << 30)
+            if not entries:
+                return
+            for entry in entries:
+                if entry.index > self.commit:
+                    return self._after_apply()
+                self._apply_entry(entry)
+        return self._after_apply()
+
+    def _apply_entry(self, entry: messages.LogEntry) -> None:
+        answer = self.machine.apply(entry.term, entry.index, commands.decode(entry.command))
+        self.applied = entry.index
+        proposal = self._waiting.pop(entry.index, None)
+        if proposal is not None and not proposal.answer.done():
+            proposal.answer.set_result({**answer, "index": entry.index, "term": entry.term})
+
+    def _after_apply(self) -> None:
+        if self.voters == self.machine.voters:
+            self._adding_voter = False
+        if self.standing is Standing.LEADER:
+            if self.name not in self.voters:
+                self._become_follower(self.storage.term, "")
+                return
+            self._follow_peers()
+        if self.applied - self.storage.snapshot.last_index >= SNAPSHOT_ENTRIES:
+            self._start_snapshot()
+
+    def _start_snapshot(self) -> None:
+        """Write a snapshot in the background; a few entries in front of it are kept."""
+        if any(task.get_name() == "snapshot" and not task.done() for task in self._tasks):
+            return
+        index = self.applied
+        term = self.storage.get_term(index)
+        snapshot = storages.Snapshot(index, term or 0, self.machine.dump())
+        self._tasks = [task for task in self._tasks if not task.done()]
+        self._tasks.append(asyncio.create_task(self._save_snapshot(snapshot), name="snapshot"))
+
+    async def _save_snapshot(self, snapshot: storages.Snapshot) -> None:
+        async with self._write_lock:
+            try:
+                await self._write(self.storage.save_snapshot, snapshot)
+            except faults.FaultError:
+                return
+        self._timeline.record(
+            "keeper.snapshot", index=snapshot.last_index, bytes=len(snapshot.data)
+        )
+
+    # The leader's side of replication
+
+    def add_learner(self, name: str, address: str) -> None:
+        """Bring a keeper up to date and then make it a voter."""
+        self.learners[name] = address
+        if self.standing is Standing.LEADER:
+            self._follow_peers()
+
+    def _follow_peers(self) -> None:
+        """One task for each other keeper: voters, configured ones and learners."""
+        wanted = {name: voter.address for name, voter in self.voters.items()}
+        for name, address in self.learners.items():
+            wanted.setdefault(name, address)
+        wanted.pop(self.name, None)
+        for name, address in wanted.items():
+            if name not in self._peer_tasks:
+                self._progress[name] = _Progress(self.storage.last_index + 1)
+                task = asyncio.create_task(self._replicate(name, address))
+                self._peer_tasks[name] = task
+        for name in set(self._peer_tasks) - set(wanted):
+            self._peer_tasks.pop(name).cancel()
+            self._progress.pop(name, None)
+
+    async def _replicate(self, name: str, address: str) -> None:
+        progress = self._progress[name]
+        while self.standing is Standing.LEADER:
+            progress.wake.clear()
+            link = self._get_link(address)
+            if link is not None:
+                try:
+                    await self._send_next(progress, link)
+                except (links.LinkLost, faults.FaultError):
+                    await asyncio.sleep(HEARTBEAT_SECONDS)
+                    continue
+                await self._promote(name, address, progress)
+            if progress.match_index >= self.storage.last_index or link is None:
+                try:
+                    await asyncio.wait_for(progress.wake.wait(), HEARTBEAT_SECONDS)
+                except TimeoutError:
+                    continue
+
+    async def _send_next(self, progress: _Progress, link: links.Link) -> None:
+        """Send one request and take its answer."""
+        prev_index = progress.next_index - 1
+        prev_term = self.storage.get_term(prev_index)
+        if prev_term is None:
+            await self._send_snapshot(progress, link)
+            return
+        entries = self.storage.get_entries(progress.next_index, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+        term = self.storage.term
+        request = messages.AppendRequest(
+            term, self.name, prev_index, prev_term, self.commit, entries
+        )
+        sent_at = self._now()
+        reply = await link.call(request, CALL_SECONDS)
+        if not isinstance(reply, messages.AppendReply) or self.storage.term != term:
+            return
+        if reply.term > term:
+            await self._follow_term(reply.term)
+            return
+        progress.acked_at = sent_at
+        progress.disk_id = reply.disk_id
+        if reply.success:
+            progress.match_index = prev_index + len(entries)
+            progress.next_index = progress.match_index + 1
+            self._advance_commit()
+        else:
+            progress.match_index = 0
+            progress.next_index = max(1, min(reply.last_index + 1, progress.next_index - 1))
+
+    async def _send_snapshot(self, progress: _Progress, link: links.Link) -> None:
+        """Send the last snapshot in bounded pieces."""
+        snapshot = self.storage.snapshot
+        term = self.storage.term
+        offset = 0
+        while offset < len(snapshot.data):
+            piece = messages.SnapshotPiece(
+                term,
+                self.name,
+                snapshot.last_index,
+                snapshot.last_term,
+                offset,
+                len(snapshot.data),
+                snapshot.data[offset : offset + PIECE_BYTES],
+            )
+            sent_at = self._now()
+            reply = await link.call(piece, CALL_SECONDS * 4)
+            if not isinstance(reply, messages.SnapshotReply) or self.storage.term != term:
+                return
+            if reply.term > term:
+                await self._follow_term(reply.term)
+                return
+            progress.acked_at = sent_at
+            progress.disk_id = reply.disk_id
+            offset = reply.received
+        progress.match_index = snapshot.last_index
+        progress.next_index = snapshot.last_index + 1
+
+    async def _promote(self, name: str, address: str, progress: _Progress) -> None:
+        """Give a keeper that has caught up its vote, for the disk that it has now."""
+        voter = self.voters.get(name)
+        is_current = voter is not None and voter.disk_id == progress.disk_id
+        if is_current or not progress.disk_id or self._adding_voter:
+            if is_current:
+                self.learners.pop(name, None)
+            return
+        if progress.match_index < self.commit:
+            return
+        self._timeline.record("keeper.promote", keeper=name, disk_id=progress.disk_id)
+        await self.change_voters(commands.VoterAdd(name, address, progress.disk_id))
+
+    async def change_voters(
+        self, command: commands.VoterAdd | commands.VoterRemove
+    ) -> dict[str, Any]:
+        """Change one voter; the former change, and an entry of this term, are committed first.
+
+        Raises
+        ------
+        faults.FaultError
+            ``no_quorum`` if another change is still on its way.
+        """
+        if self._adding_voter or self.commit < self._noop_index:
+            message = "another change of voters is on its way"
+            raise faults.FaultError(
+                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0)
+            )
+        self._adding_voter = True
+        try:
+            return await self.propose(commands.encode(command))
+        finally:
+            self._adding_voter = self.voters != self.machine.voters
+
+    # The follower's side of replication
+
+    async def take_append(self, request: messages.AppendRequest) -> messages.AppendReply:
+        """Take entries from the leader."""
+        self._check_disk()
+        if not await self._take_leader(request.term, request.leader):
+            return self._reply_append(False, self.storage.last_index)
+        async with self._write_lock:
+            storage = self.storage
+            if request.term < storage.term:
+                return self._reply_append(False, storage.last_index)
+            prev_term = storage.get_term(request.prev_index)
+            if request.prev_index < storage.snapshot.last_index:
+                prev_term = request.prev_term
+            if prev_term != request.prev_term:
+                hint = min(storage.last_index, max(0, request.prev_index - 1))
+                return self._reply_append(False, hint)
+            if request.entries:
+                await self._write(storage.append, request.entries)
+        known = request.prev_index + len(request.entries)
+        self.commit = max(self.commit, min(request.commit, known))
+        self._apply_committed()
+        return self._reply_append(True, known)
+
+    def _reply_append(self, success: bool, last_index: int) -> messages.AppendReply:
+        storage = self.storage
+        return messages.AppendReply(storage.term, success, last_index, storage.disk_id)
+
+    async def _take_leader(self, term: int, leader: str) -> bool:
+        """Follow the leader of a term; False for a former one."""
+        if term < self.storage.term:
+            return False
+        if term > self.storage.term:
+            await self._follow_term(term, leader)
+        self._heard_at = self._now()
+        self._election_at = self._heard_at + self._draw_timeout()
+        if self.leader != leader or self.standing is not Standing.FOLLOWER:
+            self._become_follower(term, leader)
+        return True
+
+    async def take_snapshot_piece(self, piece: messages.SnapshotPiece) -> messages.SnapshotReply:
+        """Take a piece of the leader's snapshot; the last one puts it in force."""
+        self._check_disk()
+        storage = self.storage
+        if not await self._take_leader(piece.term, piece.leader):
+            return messages.SnapshotReply(storage.term, 0, storage.disk_id)
+        incoming = self._incoming
+        if (
+            incoming is None
+            or incoming.last_index != piece.last_index
+            or incoming.last_term != piece.last_term
+            or piece.offset == 0
+        ):
+            incoming = _Incoming(piece.last_index, piece.last_term, bytearray())
+            self._incoming = incoming
+        if piece.offset == len(incoming.data):
+            incoming.data += piece.data
+        received = len(incoming.data)
+        if received == piece.total:
+            self._incoming = None
+            await self._install(incoming)
+        return messages.SnapshotReply(storage.term, received, storage.disk_id)
+
+    async def _install(self, incoming: _Incoming) -> None:
+        if incoming.last_index <= self.applied:
+            return
+        snapshot = storages.Snapshot(incoming.last_index, incoming.last_term, bytes(incoming.data))
+        async with self._write_lock:
+            await self._write(self.storage.save_snapshot, snapshot)
+        self.machine.load(snapshot.data)
+        self.commit = max(self.commit, snapshot.last_index)
+        self.applied = snapshot.last_index
+        self._timeline.record("keeper.install", index=snapshot.last_index)
+
+
+def _undecided(reason: str) -> faults.Fault:
+    message = f"{reason}; the outcome is not known, ask again with the same change id"
+    return faults.new_fault(
+        kinds.ErrorKind.NO_QUORUM, message, ran=kinds.Ran.UNKNOWN, retry_after=1.0
+    )
--- /dev/null
+++ b/tillerlane/keeper/server.py
@@ -0,0 +1,151 @@
+"""The keeper's side of its peer links: votes, entries, proposals, subscriptions."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tillerlane.config import store as stores
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import commands, replica
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+
+__all__ = ["Keeper"]
+
+MAX_HOPS = 2
+FORWARD_SECONDS = 4.0
+
+
+class Keeper:
+    """The keeper role of a daemon.
+
+    Parameters
+    ----------
+    node_replica : replica.Replica
+        Its part in the log.
+    get_link : callable
+        (address) gives the link to a keeper, or None.
+    get_subscribers : callable
+        Links of daemons that hear of each new configuration.
+    now_ms : callable
+        Wall time in milliseconds, for the age of claims.
+    """
+
+    def __init__(
+        self,
+        node_replica: replica.Replica,
+        get_link: Callable[[str], links.Link | None],
+        get_subscribers: Callable[[], list[links.Link]],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self.replica = node_replica
+        self._get_link = get_link
+        self._get_subscribers = get_subscribers
+        self._now_ms = now_ms
+        node_replica.machine.store.listen(self._push)
+
+    def begin(self) -> None:
+        """Start the keeper."""
+        self.replica.begin()
+
+    async def stop(self) -> None:
+        """Stop the keeper."""
+        await self.replica.stop()
+
+    def _push(self, configuration: stores.Configuration) -> None:
+        """Send the newest change to all subscribers; who lacks more pulls it."""
+        delta = self.replica.machine.store.build_delta(configuration.version - 1)
+        for link in self._get_subscribers():
+            try:
+                link.send(delta)
+            except links.LinkLost:
+                continue
+
+    async def serve(self, exchange: links.Exchange, body: messages.Body) -> bool:
+        """Serve an exchange that a peer opened; False if it is not for a keeper."""
+        match body:
+            case messages.VoteRequest():
+                exchange.send(await self.replica.take_vote_request(body))
+            case messages.AppendRequest():
+                exchange.send(await self.replica.take_append(body))
+            case messages.SnapshotPiece():
+                exchange.send(await self.replica.take_snapshot_piece(body))
+            case messages.Propose():
+                answer = await self.propose(body.command, body.hops)
+                exchange.send(messages.ProposeReply(msgspec.json.encode(answer)))
+            case _:
+                return False
+        return True
+
+    async def propose(self, command: bytes, hops: int = 0) -> dict[str, Any]:
+        """Commit a command here or at the leader.
+
+        Raises
+        ------
+        faults.FaultError
+            ``no_quorum`` if there is no leader, or its answer got lost (``ran: unknown``).
+        """
+        own = self.replica
+        if own.standing is replica.Standing.LEADER and own.has_lease:
+            return await self._propose_here(command)
+        leader = own.voters.get(own.leader)
+        link = self._get_link(leader.address) if leader and own.leader != own.name else None
+        if link is None or hops >= MAX_HOPS:
+            message = f"{own.name} knows no leader"
+            raise faults.FaultError(
+                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0)
+            )
+        try:
+            reply = await link.call(messages.Propose(command, hops + 1), FORWARD_SECONDS)
+        except links.LinkLost as error:
+            message = f"the leader's answer got lost: {error}"
+            raise faults.FaultError(
+                faults.new_fault(
+                    kinds.ErrorKind.NO_QUORUM, message, ran=kinds.Ran.UNKNOWN, retry_after=1.0
+                )
+            ) from error
+        assert isinstance(reply, messages.ProposeReply)
+        return messages.read_json(reply.result)
+
+    async def _propose_here(self, command: bytes) -> dict[str, Any]:
+        decoded = commands.decode(command)
+        if isinstance(decoded, commands.ClaimOpen):
+            command = commands.encode(self._restamp(decoded))
+        if isinstance(decoded, commands.VoterRemove):
+            return await self.replica.change_voters(decoded)
+        if isinstance(decoded, commands.VoterAdd):
+            self.replica.add_learner(decoded.name, decoded.address)
+            return {"done": True}
+        return await self.replica.propose(command)
+
+    def _restamp(self, command: commands.ClaimOpen) -> commands.ClaimOpen:
+        """Give a claim the leader's time, so that entries' clocks do not matter."""
+        now = self._now_ms()
+        age = command.expires_ms - command.at_ms
+        return msgspec.structs.replace(command, at_ms=now, expires_ms=now + age)
+
+    def read_status(self) -> dict[str, Any]:
+        """State of this keeper, for operators."""
+        own = self.replica
+        return {
+            "standing": own.standing.value,
+            "leader": own.leader,
+            "term": own.storage.term,
+            "last_index": own.storage.last_index,
+            "commit": own.commit,
+            "snapshot": own.storage.snapshot.last_index,
+            "has_lease": own.has_lease,
+            "is_voter": own.is_voter,
+            "voters": {name: voter.address for name, voter in own.voters.items()},
+            "learners": dict(own.learners),
+            "disk_failed": own.failed.message if own.failed else None,
+            "claims": len(own.machine.claims),
+        }
+
+
+async def run_in_thread(work: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a blocking function off the event loop."""
+    return await asyncio.to_thread(work, *arguments)
--- /dev/null
+++ b/tillerlane/keeper/storage.py
@@ -0,0 +1,354 @@
+"""The keeper's durable state: identity, vote, log segments and snapshots, all with checksums.
+
+Files
+-----
+``identity``
+    The disk's own id: a keeper is its disk, not its name.
+``vote``
+    Term and vote.
+``log-N``
+    Entries from index N on.  A record is length, checksum, kind, term, index and payload.  A
+    record of kind "cut" drops all entries from its index on.
+``snapshot``
+    The state after an index, and that index and term.
+
+A torn last record is cut off.  A bad record with good ones behind it means that the disk lost
+what it had promised to keep: the keeper stops with a clear error.
+"""
+
+import dataclasses
+import secrets
+import struct
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import disk as disks
+from tillerlane.peers import messages
+
+__all__ = ["Snapshot", "Storage"]
+
+FORMAT = 1
+_HEADER = struct.Struct(">4sI")
+_MAGIC_LOG = b"TLLG"
+_MAGIC_SNAPSHOT = b"TLSN"
+_RECORD = struct.Struct(">II")
+_RECORD_BODY = struct.Struct(">BQQ")
+_KIND_ENTRY = 1
+_KIND_CUT = 2
+_MAX_RECORD_BYTES = 64 * 1024 * 1024
+_IDENTITY = "identity"
+_VOTE = "vote"
+_SNAPSHOT = "snapshot"
+_LOG_PREFIX = "log-"
+
+
+class _Identity(msgspec.Struct):
+    keeper: str
+    disk_id: str
+    format: int
+
+
+class _Vote(msgspec.Struct):
+    term: int
+    voted_for: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """State after the entry `last_index` of term `last_term`."""
+
+    last_index: int
+    last_term: int
+    data: bytes
+
+
+def _checked(payload: bytes) -> bytes:
+    return struct.pack(">I", zlib.crc32(payload)) + payload
+
+
+def _damaged(name: str, reason: str) -> faults.FaultError:
+    message = f"{name}: {reason}; the keeper's disk has lost data that it had synced"
+    return faults.FaultError(faults.new_fault(kinds.ErrorKind.DISK_FAILED, message))
+
+
+def _read_checked(name: str, data: bytes) -> bytes:
+    if len(data) < 4 or struct.unpack(">I", data[:4])[0] != zlib.crc32(data[4:]):
+        raise _damaged(name, "checksum does not match")
+    return data[4:]
+
+
+def _encode_record(kind: int, term: int, index: int, payload: bytes) -> bytes:
+    body = _RECORD_BODY.pack(kind, term, index) + payload
+    return _RECORD.pack(len(body), zlib.crc32(body)) + body
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    kind: int
+    term: int
+    index: int
+    payload: bytes
+    end: int
+    """Position behind the record in its file."""
+
+
+def _read_record(data: bytes, position: int) -> _Record | None:
+    """The record at a position, or None if there is no good one."""
+    if position + _RECORD.size > len(data):
+        return None
+    length, checksum = _RECORD.unpack_from(data, position)
+    begin = position + _RECORD.size
+    end = begin + length
+    if not _RECORD_BODY.size <= length <= _MAX_RECORD_BYTES or end > len(data):
+        return None
+    body = data[begin:end]
+    if zlib.crc32(body) != checksum:
+        return None
+    kind, term, index = _RECORD_BODY.unpack_from(body)
+    return _Record(kind, term, index, body[_RECORD_BODY.size :], end)
+
+
+def _has_good_record_after(data: bytes, position: int) -> bool:
+    """Whether any good record begins behind a bad one."""
+    return any(_read_record(data, start) is not None for start in range(position + 1, len(data)))
+
+
+class Storage:
+    """Durable state of one keeper; every method blocks until it lasts.
+
+    Parameters
+    ----------
+    disk : disks.Disk
+        Where it lies.
+    keeper : str
+        The keeper's daemon id.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``disk_failed`` if the disk cannot be read, is damaged, or another keeper's.
+    """
+
+    def __init__(self, disk: disks.Disk, keeper: str) -> None:
+        self._disk = disk
+        self.term = 0
+        self.voted_for = ""
+        self.entries: list[messages.LogEntry] = []
+        self.snapshot = Snapshot(0, 0, b"")
+        self.failed = False
+        self.torn_bytes = 0
+        """Bytes of a torn tail that were cut at the start."""
+        try:
+            self.disk_id = self._load_identity(keeper)
+            self._load_vote()
+            self._load_snapshot()
+            self._segment = self._load_log()
+        except OSError as error:
+            raise _failed("cannot be read", error) from error
+
+    # Reading
+
+    def _load_identity(self, keeper: str) -> str:
+        data = self._disk.read(_IDENTITY)
+        if data is None:
+            if any(name.startswith(_LOG_PREFIX) for name in self._disk.list_names()):
+                raise _damaged(_IDENTITY, "is missing beside a log")
+            identity = _Identity(keeper, secrets.token_hex(8), FORMAT)
+            self._disk.replace(_IDENTITY, _checked(msgspec.json.encode(identity)))
+            return identity.disk_id
+        identity = msgspec.json.decode(_read_checked(_IDENTITY, data), type=_Identity)
+        if (identity.keeper, identity.format) != (keeper, FORMAT):
+            message = (
+                f"the data folder is of keeper {identity.keeper!r}, format {identity.format}; "
+                f"expected {keeper!r}, format {FORMAT}"
+            )
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.DISK_FAILED, message))
+        return identity.disk_id
+
+    def _load_vote(self) -> None:
+        data = self._disk.read(_VOTE)
+        if data is not None:
+            vote = msgspec.json.decode(_read_checked(_VOTE, data), type=_Vote)
+            self.term, self.voted_for = vote.term, vote.voted_for
+
+    def _load_snapshot(self) -> None:
+        data = self._disk.read(_SNAPSHOT)
+        if data is None:
+            return
+        magic, version = _HEADER.unpack_from(data)
+        if (magic, version) != (_MAGIC_SNAPSHOT, FORMAT):
+            raise _damaged(_SNAPSHOT, f"got {magic!r} format {version}")
+        payload = _read_checked(_SNAPSHOT, data[_HEADER.size :])
+        index, term = struct.unpack_from(">QQ", payload)
+        self.snapshot = Snapshot(index, term, payload[16:])
+
+    def _load_log(self) -> str:
+        """Read all segments in order; give the name of the last."""
+        names = [name for name in self._disk.list_names() if name.startswith(_LOG_PREFIX)]
+        names.sort(key=lambda name: int(name.removeprefix(_LOG_PREFIX)))
+        for position, name in enumerate(names):
+            self._load_segment(name, is_last=position == len(names) - 1)
+        if names:
+            return names[-1]
+        return self._open_segment(self.snapshot.last_index + 1)
+
+    def _load_segment(self, name: str, *, is_last: bool) -> None:
+        data = self._disk.read(name) or b""
+        if len(data) < _HEADER.size:
+            if not is_last:
+                raise _damaged(name, "header is torn")
+            self._disk.truncate(name, 0)
+            self._disk.append(name, _HEADER.pack(_MAGIC_LOG, FORMAT))
+            self._disk.sync(name)
+            return
+        magic, version = _HEADER.unpack_from(data)
+        if (magic, version) != (_MAGIC_LOG, FORMAT):
+            raise _damaged(name, f"got {magic!r} format {version}")
+        position = _HEADER.size
+        while position < len(data):
+            record = _read_record(data, position)
+            if record is None:
+                if not is_last or _has_good_record_after(data, position):
+                    raise _damaged(name, f"bad record at byte {position}")
+                self.torn_bytes = len(data) - position
+                self._disk.truncate(name, position)
+                return
+            self._take_record(name, record)
+            position = record.end
+
+    def _take_record(self, name: str, record: _Record) -> None:
+        if record.kind == _KIND_CUT:
+            self._drop_from(record.index)
+            return
+        if record.index <= self.snapshot.last_index:
+            return
+        if record.index != self.last_index + 1:
+            raise _damaged(name, f"got entry {record.index}, expected {self.last_index + 1}")
+        self.entries.append(messages.LogEntry(record.term, record.index, record.payload))
+
+    # The log in memory
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.entries[-1].index if self.entries else self.snapshot.last_index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.last_term
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the disk has never held an entry."""
+        return self.last_index == 0
+
+    def get_term(self, index: int) -> int | None:
+        """Term of an entry; None if it is not held."""
+        if index == self.snapshot.last_index:
+            return self.snapshot.last_term
+        position = index - self.snapshot.last_index - 1
+        if 0 <= position < len(self.entries):
+            return self.entries[position].term
+        return None
+
+    def get_entries(self, begin: int, limit: int, max_bytes: int) -> list[messages.LogEntry]:
+        """Entries from index `begin` on: at most `limit`, and `max_bytes` but for the first."""
+        position = begin - self.snapshot.last_index - 1
+        chosen: list[messages.LogEntry] = []
+        size = 0
+        for entry in self.entries[position : position + limit]:
+            size += len(entry.command)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def _drop_from(self, index: int) -> None:
+        del self.entries[max(0, index - self.snapshot.last_index - 1) :]
+
+    # Writing
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Make term and vote last."""
+        vote = _checked(msgspec.json.encode(_Vote(term, voted_for)))
+        self._write(lambda: self._disk.replace(_VOTE, vote))
+        self.term, self.voted_for = term, voted_for
+
+    def append(self, entries: list[messages.LogEntry]) -> None:
+        """Add entries; one that conflicts drops what came after it.  One sync for all."""
+        records = bytearray()
+        fresh: list[messages.LogEntry] = []
+        for entry in entries:
+            known = self.get_term(entry.index)
+            if not fresh and (known == entry.term or entry.index <= self.snapshot.last_index):
+                continue
+            if not fresh and known is not None:
+                records += _encode_record(_KIND_CUT, entry.term, entry.index, b"")
+            records += _encode_record(_KIND_ENTRY, entry.term, entry.index, entry.command)
+            fresh.append(entry)
+        if not fresh:
+            return
+        self._write(lambda: self._append_synced(bytes(records)))
+        self._drop_from(fresh[0].index)
+        self.entries.extend(fresh)
+
+    def _append_synced(self, data: bytes) -> None:
+        self._disk.append(self._segment, data)
+        self._disk.sync(self._segment)
+
+    def _open_segment(self, first_index: int) -> str:
+        name = f"{_LOG_PREFIX}{first_index}"
+        self._disk.append(name, _HEADER.pack(_MAGIC_LOG, FORMAT))
+        self._disk.sync(name)
+        return name
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Make a snapshot last, then drop the log that it stands for."""
+        if snapshot.last_index <= self.snapshot.last_index:
+            return
+        self._write(lambda: self._write_snapshot(snapshot))
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        payload = struct.pack(">QQ", snapshot.last_index, snapshot.last_term) + snapshot.data
+        data = _HEADER.pack(_MAGIC_SNAPSHOT, FORMAT) + _checked(payload)
+        self._disk.replace(_SNAPSHOT, data)
+        kept: list[messages.LogEntry] = []
+        if self.get_term(snapshot.last_index) == snapshot.last_term:
+            kept = self.entries[snapshot.last_index - self.snapshot.last_index :]
+        old = [name for name in self._disk.list_names() if name.startswith(_LOG_PREFIX)]
+        segment = self._open_segment_after(snapshot, kept)
+        for name in old:
+            if name != segment:
+                self._disk.remove(name)
+        self.snapshot = snapshot
+        self.entries = kept
+        self._segment = segment
+
+    def _open_segment_after(self, snapshot: Snapshot, kept: list[messages.LogEntry]) -> str:
+        """A new segment with the entries behind the snapshot."""
+        name = f"{_LOG_PREFIX}{snapshot.last_index + 1}"
+        records = b"".join(
+            _encode_record(_KIND_ENTRY, entry.term, entry.index, entry.command) for entry in kept
+        )
+        self._disk.replace(name, _HEADER.pack(_MAGIC_LOG, FORMAT) + records)
+        return name
+
+    def _write(self, work: Callable[[], None]) -> None:
+        """Do a write; after one has failed, what the files hold is unknown and none is tried."""
+        if self.failed:
+            raise _failed("cannot be written", OSError(0, "an earlier write failed"))
+        try:
+            work()
+        except OSError as error:
+            self.failed = True
+            raise _failed("cannot be written", error) from error
+
+
+def _failed(what: str, error: OSError) -> faults.FaultError:
+    message = f"the data folder {what}: {error.strerror or error}"
+    return faults.FaultError(faults.new_fault(kinds.ErrorKind.DISK_FAILED, message))
--- /dev/null
+++ b/tillerlane/operators/changes.py
@@ -0,0 +1,142 @@
+"""Changes of configuration: checked here, agreed on by the keepers."""
+
+import asyncio
+import time
+from typing import Any
+
+import pydantic
+import result
+
+from tillerlane.config import documents, reader
+from tillerlane.config import store as stores
+from tillerlane.daemon import core as daemons
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import commands
+from tillerlane.policy import program as programs
+
+__all__ = ["ChangeBody", "DrainBody", "check_document", "submit_change", "submit_drain"]
+
+CATCH_UP_SECONDS = 2.0
+
+
+class ChangeBody(pydantic.BaseModel):
+    """Body of ``POST /admin/config``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    against: int
+    """Version that the change was made against."""
+    change_id: str = pydantic.Field(min_length=8, max_length=100)
+    """The same when the change is sent again."""
+    document: dict[str, Any]
+    note: str = pydantic.Field("", max_length=500)
+
+
+class DrainBody(pydantic.BaseModel):
+    """Body of ``POST /admin/drain``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    change_id: str = pydantic.Field(min_length=8, max_length=100)
+    name: documents.Name
+    leaving: bool = True
+
+
+def check_document(
+    data: dict[str, Any], source: str
+) -> result.Result[documents.Document, faults.Fault]:
+    """Check a document and every policy in it."""
+    checked = reader.validate(documents.Document, data, source)
+    if isinstance(checked, result.Err):
+        return checked
+    document = checked.ok_value
+    for name, policy in document.policies.items():
+        outcome = programs.check_policy(name, policy)
+        if isinstance(outcome, result.Err):
+            return outcome
+    return result.Ok(document)
+
+
+async def _catch_up(store: stores.Store, version: int) -> None:
+    """Wait until this daemon has a version that the operator has seen elsewhere."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + CATCH_UP_SECONDS
+    while store.version < version and loop.time() < until:
+        await asyncio.sleep(0.02)
+
+
+def _build_change(
+    store: stores.Store, body: ChangeBody, document: documents.Document, actor: str
+) -> commands.Change:
+    """The command; against any other than the present version it carries no entities.
+
+    It will then be answered as its first arrival was, or with the conflict.
+    """
+    puts: dict[stores.Key, str] = {}
+    deletes: list[stores.Key] = []
+    if store.version == body.against:
+        puts, deletes = stores.diff_documents(store.get_bodies(), stores.split_document(document))
+    return commands.Change(
+        change_id=body.change_id,
+        against=body.against,
+        actor=actor,
+        at_ms=int(time.time() * 1000),
+        puts=[commands.EntityPut(kind, name, text) for (kind, name), text in puts.items()],
+        deletes=[commands.EntityKey(kind, name) for kind, name in deletes],
+        note=body.note,
+    )
+
+
+async def submit_change(daemon: daemons.Daemon, body: ChangeBody, actor: str) -> dict[str, Any]:
+    """Check a change and have the keepers agree on it.
+
+    Raises
+    ------
+    faults.FaultError
+        ``invalid_config`` or ``invalid_policy`` before anything is proposed,
+        ``version_conflict`` if another change was first, ``no_quorum`` with ``ran: unknown`` if
+        the fate is not known.
+    """
+    checked = check_document(body.document, "document")
+    if isinstance(checked, result.Err):
+        raise faults.FaultError(checked.err_value)
+    await _catch_up(daemon.store, body.against)
+    command = _build_change(daemon.store, body, checked.ok_value, actor)
+    answer = await daemon.client.propose(command)
+    daemon.timeline.record(
+        "config.change",
+        change_id=body.change_id,
+        actor=actor,
+        accepted=answer["accepted"],
+        version=answer["version"],
+        resent=answer.get("resent", False),
+    )
+    if not answer["accepted"]:
+        message = f"made against version {body.against}, version {answer['version']} is in force"
+        raise faults.FaultError(
+            faults.new_fault(
+                kinds.ErrorKind.VERSION_CONFLICT, message, detail={"version": answer["version"]}
+            )
+        )
+    return answer
+
+
+async def submit_drain(daemon: daemons.Daemon, body: DrainBody, actor: str) -> dict[str, Any]:
+    """Have a target leave, or come back.
+
+    Raises
+    ------
+    faults.FaultError
+        ``not_found`` if no pool or service has the target.
+    """
+    current = daemon.store.current
+    is_known = body.name in current.pool_by_target or body.name in current.service_by_target
+    if not is_known and body.leaving:
+        known = sorted([*current.pool_by_target, *current.service_by_target])
+        message = f"got target {body.name!r}, expected one of {known}"
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+    command = commands.Drain(
+        body.change_id, body.name, body.leaving, actor, int(time.time() * 1000)
+    )
+    return await daemon.client.propose(command)
--- /dev/null
+++ b/tillerlane/operators/queries.py
@@ -0,0 +1,160 @@
+"""Queries that any daemon answers for another: its part of the time line, status, history."""
+
+import asyncio
+import time
+from typing import Any
+
+from tillerlane.daemon import core as daemons
+from tillerlane.faults import kinds
+from tillerlane.members import view as views
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["ask_all", "gather_status", "gather_timeline", "register_queries"]
+
+MAX_QUERIES_AT_ONCE = 64
+
+
+def register_queries(daemon: daemons.Daemon) -> None:
+    """Have the daemon answer the queries of this module."""
+    daemon.queries["timeline"] = lambda arguments: _read_timeline(daemon, arguments)
+    daemon.queries["status"] = lambda arguments: read_status(daemon)
+    daemon.queries["cancel"] = lambda arguments: _cancel(daemon, arguments)
+    daemon.queries["history"] = lambda arguments: _read_history(daemon)
+
+
+def _read_timeline(daemon: daemons.Daemon, arguments: dict[str, Any]) -> list[dict[str, Any]]:
+    events = timelines.select_events(
+        daemon.timeline.read(),
+        request_id=arguments.get("request_id", ""),
+        generation_id=arguments.get("generation_id", ""),
+        since_ms=arguments.get("since_ms", 0),
+    )
+    return [event.to_json() for event in events]
+
+
+def _read_history(daemon: daemons.Daemon) -> list[dict[str, Any]]:
+    return list(daemon.keeper.replica.machine.history) if daemon.keeper else []
+
+
+def _cancel(daemon: daemons.Daemon, arguments: dict[str, Any]) -> dict[str, bool]:
+    """Cancel a generation that this agent holds."""
+    if daemon.agent is None:
+        return {"found": False}
+    for executor in daemon.agent.executors.values():
+        generation = executor.state.held.get(arguments["generation_id"])
+        if generation is not None:
+            executor.cancel(generation, kinds.ErrorKind.CANCELLED, "cancelled by an operator")
+            return {"found": True}
+    return {"found": False}
+
+
+def read_status(daemon: daemons.Daemon) -> dict[str, Any]:
+    """State of one daemon, as operators see it."""
+    own = daemon.settings
+    status: dict[str, Any] = {
+        "daemon": own.daemon,
+        "data_hall": own.data_hall,
+        "roles": [role.value for role in own.roles],
+        "version": daemon.store.version,
+        "leaving": daemon.stopping,
+        "ready": daemon.is_ready,
+        "home_keeper": daemon.client.home_name if daemon.client.home else None,
+        "uptime_s": round(time.time() - daemon.started_at, 1),
+        "links": _read_links(daemon),
+    }
+    if daemon.callers is not None:
+        status["requests"] = daemon.callers.dispatcher.active
+    if daemon.keeper is not None:
+        status["keeper"] = daemon.keeper.read_status()
+    if daemon.agent is not None:
+        status["targets"] = _read_targets(daemon)
+    return status
+
+
+def _read_links(daemon: daemons.Daemon) -> dict[str, int]:
+    found = daemon.node.get_links()
+    return {
+        "open": len(found),
+        "bytes_in": sum(link.bytes_in for link in found),
+        "bytes_out": sum(link.bytes_out for link in found),
+        "messages_in": sum(link.messages_in for link in found),
+        "messages_out": sum(link.messages_out for link in found),
+    }
+
+
+def _read_targets(daemon: daemons.Daemon) -> list[dict[str, Any]]:
+    assert daemon.agent is not None
+    now = asyncio.get_running_loop().time()
+    targets = []
+    for executor in daemon.agent.executors.values():
+        state = executor.state
+        stalls = [now - max(item.last_token_at, item.arrived) for item in state.waiting]
+        stalls += [now - max(item.last_token_at, item.arrived) for item in state.paused]
+        stalls += [now - max(item.last_token_at, item.ran_since) for item in state.running]
+        targets.append(
+            {
+                "target": state.name,
+                "kind": state.kind.value,
+                "running": len(state.running),
+                "waiting": len(state.waiting),
+                "paused": len(state.paused),
+                "memory_used": state.memory_used,
+                "memory_total": state.memory_total,
+                "preemptions": state.preemptions,
+                "leaving": state.leaving,
+                "healthy": state.healthy,
+                "models": sorted(state.models),
+                "worst_stall_s": round(max(stalls, default=0.0), 3),
+            }
+        )
+    return targets
+
+
+async def ask_all(
+    daemon: daemons.Daemon, subject: str, arguments: dict[str, Any]
+) -> tuple[dict[str, Any], list[str]]:
+    """Ask every daemon at once; what each said, and who did not answer."""
+    gate = asyncio.Semaphore(MAX_QUERIES_AT_ONCE)
+    members = {member.daemon_id: member for member in daemon.members.read_all()}
+    members.setdefault(daemon.settings.daemon, daemon.announcer.member)
+
+    async def ask_one(member: messages.Member) -> Any:
+        async with gate:
+            if member.state == views.GONE:
+                return None
+            try:
+                return await daemon.ask(member, subject, arguments)
+            except (links.LinkLost, OSError):
+                return None
+
+    answers = await asyncio.gather(*(ask_one(member) for member in members.values()))
+    said = dict(zip(members, answers, strict=True))
+    missing = sorted(name for name, answer in said.items() if answer is None)
+    return {name: answer for name, answer in said.items() if answer is not None}, missing
+
+
+async def gather_timeline(daemon: daemons.Daemon, arguments: dict[str, Any]) -> dict[str, Any]:
+    """All daemons' events in causal order, and which daemons are missing."""
+    rings, missing = await ask_all(daemon, "timeline", arguments)
+    parsed = [[timelines.Event(**event) for event in ring] for ring in rings.values()]
+    events = timelines.merge_events(parsed)
+    return {"events": [event.to_json() for event in events], "missing": missing}
+
+
+async def gather_status(daemon: daemons.Daemon) -> dict[str, Any]:
+    """State of the whole fleet."""
+    answers, missing = await ask_all(daemon, "status", {})
+    leaders = [
+        (answer["keeper"]["term"], answer["daemon"])
+        for answer in answers.values()
+        if answer.get("keeper", {}).get("has_lease")
+    ]
+    return {
+        "fleet": daemon.settings.fleet,
+        "version": daemon.store.version,
+        "leader": max(leaders)[1] if leaders else None,
+        "daemons": sorted(answers.values(), key=lambda answer: answer["daemon"]),
+        "missing": missing,
+    }
--- /dev/null
+++ b/tillerlane/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes: messages, connections, flow control."""
--- /dev/null
+++ b/tillerlane/peers/link.py
@@ -0,0 +1,441 @@
+"""One connection to a peer: frames, exchanges, heartbeats, batched tokens.
+
+A frame is its length (4 bytes, big-endian) and one Cap'n Proto envelope.  An exchange is a call
+or a stream; the side that dialed opens odd numbers, the other side even ones, so both can open
+exchanges at once.  Nothing in a link is unbounded: tokens are held back by credit, calls by
+their callers, and a peer that reads too slowly for the rest is cut off.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import struct
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import structlog
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.peers import messages
+from tillerlane.timeline import clock as clocks
+
+__all__ = ["Exchange", "Link", "LinkLost", "Local", "read_fault", "write_fault"]
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_HELLO_BYTES = 4096
+"""Bound on a frame of a peer that has not yet said who it is."""
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+"""A peer that leaves more than this unread is cut off."""
+HELLO_SECONDS = 2.0
+HEARTBEAT_SECONDS = 0.5
+SILENCE_SECONDS = 1.8
+"""A link on which nothing came for this long is lost: a cut is found within two seconds."""
+TOKEN_FLUSH_SECONDS = 0.002
+"""How long tokens wait for others to share their frame."""
+
+_LENGTH = struct.Struct(">I")
+_OPENING = (
+    messages.Start,
+    messages.Query,
+    messages.Propose,
+    messages.VoteRequest,
+    messages.AppendRequest,
+    messages.SnapshotPiece,
+)
+"""Bodies that may open an exchange; any other one for an unknown exchange came too late."""
+
+
+class LinkLost(faults.TillerlaneError):
+    """The connection ended; what was sent on it may or may not have arrived."""
+
+
+@dataclasses.dataclass(slots=True)
+class Local:
+    """What a daemon's links share.
+
+    Attributes
+    ----------
+    daemon_id, fleet, address : str
+        Who this daemon is; `address` is ``IP:port`` of its peer listener.
+    incarnation : int
+        Rises with each start of the daemon.
+    clock : clocks.HybridClock
+        Stamps messages.
+    get_config_version : callable
+        Version of the configuration in force here, sent on every message.
+    on_peer_version : callable
+        Called with (link, version) when a peer's version differs from the one in force here.
+    serve : callable
+        Coroutine function called with (exchange, body) for each exchange that a peer opens.
+    notify : callable
+        Called with (link, body) for each message that belongs to no exchange.
+    on_up, on_down : callable
+        Called with the link when it is ready and when it has ended.
+    admit : callable
+        Called with (daemon id, name in its certificate or "") before a link is ready; raises
+        `faults.FaultError` to refuse the peer.
+    """
+
+    daemon_id: str
+    fleet: str
+    address: str
+    incarnation: int
+    clock: clocks.HybridClock
+    get_config_version: Callable[[], int]
+    on_peer_version: Callable[["Link", int], None]
+    serve: Callable[["Exchange", messages.Body], Coroutine[Any, Any, None]]
+    notify: Callable[["Link", messages.Body], None]
+    on_up: Callable[["Link"], None] = lambda link: None
+    on_down: Callable[["Link"], None] = lambda link: None
+    admit: Callable[[str, str], None] = lambda daemon_id, name: None
+
+
+def log_exception(error_id: str, error: BaseException) -> None:
+    """Write an unforeseen exception with its trace to the log."""
+    structlog.get_logger().error("internal.trace", error_id=error_id, exc_info=error)
+
+
+def write_fault(fault: faults.Fault) -> str:
+    """Write a fault for a message."""
+    return messages.write_json(dataclasses.asdict(fault)).decode()
+
+
+def read_fault(text: str) -> faults.Fault:
+    """Read a fault that `write_fault` wrote."""
+    values = messages.read_json(text)
+    values["kind"] = kinds.ErrorKind(values["kind"])
+    values["ran"] = kinds.Ran(values["ran"])
+    return faults.Fault(**values)
+
+
+class Exchange:
+    """One call or stream on a link.
+
+    Parameters
+    ----------
+    link : Link
+        The link it runs on.
+    number : int
+        Its number on that link.
+    """
+
+    def __init__(self, link: "Link", number: int) -> None:
+        self.link = link
+        self.number = number
+        self._inbox: asyncio.Queue[messages.Body | messages.Run | None] = asyncio.Queue()
+
+    def put(self, body: messages.Body | messages.Run | None) -> None:
+        """Hand over a message that came; None says that the link is lost."""
+        self._inbox.put_nowait(body)
+
+    def send(self, body: messages.Body) -> None:
+        """Send a message of this exchange.
+
+        Raises
+        ------
+        LinkLost
+            If the link has ended.
+        """
+        self.link.send(body, self.number)
+
+    def send_run(self, offset: int, texts: list[str]) -> None:
+        """Send tokens, in one frame with those of other exchanges."""
+        self.link.send_run(messages.Run(self.number, offset, texts))
+
+    async def receive(self) -> messages.Body | messages.Run:
+        """Wait for the next message.
+
+        Raises
+        ------
+        LinkLost
+            If the link ended first.
+        """
+        body = await self._inbox.get()
+        if body is None:
+            self._inbox.put_nowait(None)
+            raise LinkLost(f"link to {self.link.peer_id} ended")
+        return body
+
+    def close(self) -> None:
+        """Forget the exchange; messages that still come for it are dropped."""
+        self.link.forget(self.number)
+
+
+class Link:
+    """One connection to a peer, ready once `run` has exchanged ``Hello``.
+
+    Parameters
+    ----------
+    reader, writer : asyncio streams
+        The connection.
+    local : Local
+        What this daemon's links share.
+    dialed : bool
+        Whether this side opened the connection.
+    on_ready : callable or None
+        Called with the link after ``Hello`` went both ways.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        local: Local,
+        *,
+        dialed: bool,
+        on_ready: Callable[["Link"], None] | None = None,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._local = local
+        self._on_ready = on_ready
+        self.dialed = dialed
+        self.hello: messages.Hello | None = None
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.messages_in = 0
+        self.messages_out = 0
+        self._numbers = itertools.count(1 if dialed else 2, 2)
+        self._exchanges: dict[int, Exchange] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+        self._runs: list[messages.Run] = []
+        self._flush: asyncio.TimerHandle | None = None
+        self._closed = False
+        self._last_sent = 0.0
+        self._last_heard = 0.0
+
+    @property
+    def peer_id(self) -> str:
+        """Daemon id of the peer; empty before its ``Hello``."""
+        return self.hello.daemon_id if self.hello else ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return not self._closed
+
+    # Sending
+
+    def send(self, body: messages.Body, exchange: int = 0) -> None:
+        """Send a message now.
+
+        Raises
+        ------
+        LinkLost
+            If the link has ended, or ends because the peer reads too slowly.
+        """
+        if self._closed:
+            raise LinkLost(f"link to {self.peer_id} ended")
+        if self._runs and exchange:
+            self._flush_runs()
+        self._write(body, exchange)
+
+    def _write(self, body: messages.Body, exchange: int) -> None:
+        local = self._local
+        envelope = messages.Envelope(local.clock.tick(), local.get_config_version(), exchange, body)
+        data = messages.encode(envelope)
+        self._writer.write(_LENGTH.pack(len(data)) + data)
+        self.bytes_out += len(data) + _LENGTH.size
+        self.messages_out += 1
+        self._last_sent = asyncio.get_running_loop().time()
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+            raise LinkLost(f"{self.peer_id} left more than {MAX_UNSENT_BYTES} bytes unread")
+
+    def send_run(self, run: messages.Run) -> None:
+        """Send tokens together with those that other streams send in the same moment."""
+        if self._closed:
+            raise LinkLost(f"link to {self.peer_id} ended")
+        self._runs.append(run)
+        if self._flush is None:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(TOKEN_FLUSH_SECONDS, self._flush_runs)
+
+    def _flush_runs(self) -> None:
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        if self._runs and not self._closed:
+            runs, self._runs = self._runs, []
+            try:
+                self._write(messages.Tokens(runs), 0)
+            except LinkLost:
+                return
+
+    def open(self, body: messages.Body) -> Exchange:
+        """Open an exchange with its first message."""
+        exchange = Exchange(self, next(self._numbers))
+        self._exchanges[exchange.number] = exchange
+        try:
+            self.send(body, exchange.number)
+        except LinkLost:
+            self.forget(exchange.number)
+            raise
+        return exchange
+
+    async def call(self, body: messages.Body, timeout: float) -> messages.Body:
+        """Send a message and wait for its one answer.
+
+        Parameters
+        ----------
+        body : messages.Body
+            An opening message.
+        timeout : float
+            Seconds to wait.
+
+        Raises
+        ------
+        LinkLost
+            If the link ended or `timeout` passed; the message may have arrived.
+        faults.FaultError
+            If the peer answered with a refusal.
+        """
+        exchange = self.open(body)
+        try:
+            reply = await asyncio.wait_for(exchange.receive(), timeout)
+        except TimeoutError as error:
+            raise LinkLost(f"no answer from {self.peer_id} within {timeout} s") from error
+        finally:
+            exchange.close()
+        if isinstance(reply, messages.Refusal):
+            raise faults.FaultError(read_fault(reply.fault))
+        return reply
+
+    def forget(self, number: int) -> None:
+        """Drop an exchange."""
+        self._exchanges.pop(number, None)
+
+    # Receiving
+
+    async def run(self) -> None:
+        """Exchange ``Hello``, then serve the connection until it ends."""
+        try:
+            await self._greet()
+        except (OSError, EOFError, TimeoutError, faults.TillerlaneError):
+            self.close()
+            raise
+        self._local.on_up(self)
+        if self._on_ready is not None:
+            self._on_ready(self)
+        watch = asyncio.create_task(self._watch())
+        try:
+            while True:
+                self._dispatch(await self._read_envelope(MAX_FRAME_BYTES))
+        except (OSError, EOFError, faults.TillerlaneError):
+            pass
+        finally:
+            watch.cancel()
+            self.close()
+            self._local.on_down(self)
+
+    async def _greet(self) -> None:
+        local = self._local
+        hello = messages.Hello(local.daemon_id, local.incarnation, local.fleet, local.address)
+        self._write(hello, 0)
+        envelope = await asyncio.wait_for(self._read_envelope(MAX_HELLO_BYTES), HELLO_SECONDS)
+        theirs = envelope.body
+        if not isinstance(theirs, messages.Hello):
+            raise _refuse(f"got {type(theirs).__name__}, expected Hello")
+        if (theirs.fleet, theirs.protocol) != (local.fleet, messages.PROTOCOL):
+            got = f"fleet {theirs.fleet!r}, protocol {theirs.protocol}"
+            raise _refuse(f"got {got}, expected {local.fleet!r}, {messages.PROTOCOL}")
+        local.admit(theirs.daemon_id, self._read_certificate_name())
+        self.hello = theirs
+
+    def _read_certificate_name(self) -> str:
+        certificate = self._writer.get_extra_info("peercert") or {}
+        for name_parts in certificate.get("subject", ()):
+            for key, value in name_parts:
+                if key == "commonName":
+                    return value
+        return ""
+
+    async def _read_envelope(self, limit: int) -> messages.Envelope:
+        (length,) = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))
+        if length > limit:
+            raise _refuse(f"got a frame of {length} bytes, expected at most {limit}")
+        envelope = messages.decode(await self._reader.readexactly(length))
+        self.bytes_in += length + _LENGTH.size
+        self.messages_in += 1
+        self._last_heard = asyncio.get_running_loop().time()
+        local = self._local
+        local.clock.follow(envelope.clock)
+        if self.hello is not None and envelope.config_version != local.get_config_version():
+            local.on_peer_version(self, envelope.config_version)
+        return envelope
+
+    def _dispatch(self, envelope: messages.Envelope) -> None:
+        body = envelope.body
+        if isinstance(body, messages.Tokens):
+            for run in body.runs:
+                exchange = self._exchanges.get(run.exchange)
+                if exchange is not None:
+                    exchange.put(run)
+            return
+        if envelope.exchange == 0:
+            if not isinstance(body, messages.Heartbeat):
+                self._local.notify(self, body)
+            return
+        exchange = self._exchanges.get(envelope.exchange)
+        if exchange is not None:
+            exchange.put(body)
+        elif self._is_theirs(envelope.exchange) and isinstance(body, _OPENING):
+            self._serve(envelope.exchange, body)
+
+    def _is_theirs(self, number: int) -> bool:
+        return (number % 2 == 0) == self.dialed
+
+    def _serve(self, number: int, body: messages.Body) -> None:
+        exchange = Exchange(self, number)
+        self._exchanges[number] = exchange
+        task = asyncio.create_task(self._run_served(exchange, body))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _run_served(self, exchange: Exchange, body: messages.Body) -> None:
+        try:
+            await self._local.serve(exchange, body)
+        except faults.FaultError as error:
+            _try_send(exchange, messages.Refusal(write_fault(error.fault)))
+        except LinkLost:
+            pass
+        finally:
+            exchange.close()
+
+    async def _watch(self) -> None:
+        """Send heartbeats while idle; end the link when the peer falls silent."""
+        loop = asyncio.get_running_loop()
+        self._last_heard = loop.time()
+        while not self._closed:
+            now = loop.time()
+            if now - self._last_heard > SILENCE_SECONDS:
+                self.close()
+                return
+            if now - self._last_sent >= HEARTBEAT_SECONDS * 0.9:
+                try:
+                    self._write(messages.Heartbeat(), 0)
+                except LinkLost:
+                    return
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def close(self) -> None:
+        """End the link at once; every open exchange learns of it."""
+        if self._closed:
+            return
+        self._flush_runs()
+        self._closed = True
+        for exchange in list(self._exchanges.values()):
+            exchange.put(None)
+        self._writer.close()
+
+
+def _try_send(exchange: Exchange, body: messages.Body) -> None:
+    try:
+        exchange.send(body)
+    except LinkLost:
+        return
+
+
+def _refuse(message: str) -> faults.FaultError:
+    return faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
--- /dev/null
+++ b/tillerlane/peers/messages.capnp
@@ -0,0 +1,141 @@
+@0xbf5147cbbecf40c1;
+# Messages between the system's own processes. Field names match the dataclasses of messages.py.
+
+struct Envelope {
+  clock @0 :UInt64;          # hybrid logical clock of the sender
+  configVersion @1 :UInt64;  # configuration in force at the sender
+  exchange @2 :UInt32;       # call or stream that the body belongs to; 0 for none
+  union {
+    heartbeat @3 :Void;
+    hello @4 :Hello;
+    start @5 :Start;
+    accepted @6 :Accepted;
+    tokens @7 :Tokens;
+    end @8 :End;
+    credit @9 :Credit;
+    cancel @10 :Cancel;
+    loads @11 :Loads;
+    configPull @12 :ConfigPull;
+    configDelta @13 :ConfigDelta;
+    members @14 :Members;
+    refusal @15 :Refusal;
+    voteRequest @16 :VoteRequest;
+    voteReply @17 :VoteReply;
+    appendRequest @18 :AppendRequest;
+    appendReply @19 :AppendReply;
+    snapshotPiece @20 :SnapshotPiece;
+    snapshotReply @21 :SnapshotReply;
+    propose @22 :Propose;
+    proposeReply @23 :ProposeReply;
+    query @24 :Query;
+    queryReply @25 :QueryReply;
+  }
+}
+
+struct Hello {
+  daemonId @0 :Text;
+  incarnation @1 :UInt64;
+  fleet @2 :Text;
+  address @3 :Text;
+  protocol @4 :UInt16;
+}
+
+struct Start {
+  generationId @0 :Text;
+  requestId @1 :Text;
+  workspace @2 :Text;
+  className @3 :Text;
+  model @4 :Text;
+  target @5 :Text;
+  payload @6 :Data;
+  promptTokens @7 :UInt32;
+  maxTokens @8 :UInt32;
+  prefixHash @9 :UInt64;
+  deadlineMs @10 :UInt32;
+  offset @11 :UInt32;
+  credit @12 :UInt32;
+  attach @13 :Bool;
+  waitedMs @14 :UInt32;
+}
+
+struct Accepted { generationId @0 :Text; offset @1 :UInt32; }
+
+struct Run { exchange @0 :UInt32; offset @1 :UInt32; texts @2 :List(Text); }
+struct Tokens { runs @0 :List(Run); }
+
+struct End {
+  reason @0 :Text;
+  tokens @1 :UInt32;
+  promptTokens @2 :UInt32;
+  fault @3 :Text;
+}
+
+struct Credit { tokens @0 :UInt32; }
+struct Cancel { reason @0 :Text; }
+
+struct Load {
+  target @0 :Text;
+  waiting @1 :UInt32;
+  running @2 :UInt32;
+  memoryUsed @3 :UInt64;
+  memoryTotal @4 :UInt64;
+  memoryPromised @5 :UInt64;
+  stepMs @6 :Float32;
+  waitMs @7 :Float32;
+  leaving @8 :Bool;
+  healthy @9 :Bool;
+  prefixes @10 :List(UInt64);
+  models @11 :List(Text);
+  sequence @12 :UInt64;
+  urgentWaitMs @13 :Float32;
+}
+struct Loads { loads @0 :List(Load); }
+
+struct ConfigPull { have @0 :UInt64; }
+struct Entity { kind @0 :Text; name @1 :Text; version @2 :UInt64; body @3 :Text; deleted @4 :Bool; }
+struct ConfigDelta {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  whole @2 :Bool;
+  entities @3 :List(Entity);
+}
+
+struct Member {
+  daemonId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  address @3 :Text;
+  httpAddress @4 :Text;
+  dataHall @5 :Text;
+  roles @6 :List(Text);
+  targets @7 :List(Text);
+  leaving @8 :Bool;
+  configVersion @9 :UInt64;
+  state @10 :Text;
+  leavingTargets @11 :List(Text);
+  ready @12 :Bool;
+}
+struct Members { members @0 :List(Member); whole @1 :Bool; }
+
+struct Refusal { fault @0 :Text; }
+
+struct VoteRequest {
+  term @0 :UInt64; candidate @1 :Text; lastIndex @2 :UInt64; lastTerm @3 :UInt64; pre @4 :Bool;
+}
+struct VoteReply { term @0 :UInt64; granted @1 :Bool; diskId @2 :Text; fresh @3 :Bool; }
+struct LogEntry { term @0 :UInt64; index @1 :UInt64; command @2 :Data; }
+struct AppendRequest {
+  term @0 :UInt64; leader @1 :Text; prevIndex @2 :UInt64; prevTerm @3 :UInt64;
+  commit @4 :UInt64; entries @5 :List(LogEntry);
+}
+struct AppendReply { term @0 :UInt64; success @1 :Bool; lastIndex @2 :UInt64; diskId @3 :Text; }
+struct SnapshotPiece {
+  term @0 :UInt64; leader @1 :Text; lastIndex @2 :UInt64; lastTerm @3 :UInt64;
+  offset @4 :UInt64; total @5 :UInt64; data @6 :Data;
+}
+struct SnapshotReply { term @0 :UInt64; received @1 :UInt64; diskId @2 :Text; }
+
+struct Propose { command @0 :Data; hops @1 :UInt8; }
+struct ProposeReply { result @0 :Data; leader @1 :Text; }
+struct Query { subject @0 :Text; arguments @1 :Text; }
+struct QueryReply { result @0 :Data; }
--- /dev/null
+++ b/tillerlane/peers/messages.py
@@ -0,0 +1,473 @@
+"""Typed messages between daemons and their form on the wire.
+
+Each dataclass here has a struct of the same name in ``messages.capnp``; `encode` and `decode`
+derive one from the other, so that a new message is a struct, a dataclass and a row of `_BODIES`.
+"""
+
+import dataclasses
+import pathlib
+import re
+import typing
+from typing import Any
+
+import capnp
+import msgspec
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+
+__all__ = ["Body", "Envelope", "decode", "encode", "read_json", "write_json"]
+
+PROTOCOL = 1
+"""Version of the peer protocol; daemons of another one are refused at ``Hello``."""
+
+
+@dataclasses.dataclass(slots=True)
+class Heartbeat:
+    """Shows that the sender lives."""
+
+
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """First message each way on a connection."""
+
+    daemon_id: str
+    incarnation: int
+    fleet: str
+    address: str
+    protocol: int = PROTOCOL
+
+
+@dataclasses.dataclass(slots=True)
+class Start:
+    """Asks an agent to run a generation or service call, or to attach to one that it holds.
+
+    ``attach`` never starts anything.  ``offset`` is the first token wanted, ``credit`` the tokens
+    that may be sent before a `Credit` message; times are in milliseconds.
+    """
+
+    generation_id: str
+    request_id: str
+    workspace: str
+    class_name: str
+    model: str
+    target: str
+    payload: bytes
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_hash: int = 0
+    deadline_ms: int = 0
+    offset: int = 0
+    credit: int = 0
+    attach: bool = False
+    waited_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Accepted:
+    """The agent holds the generation; tokens follow from ``offset``."""
+
+    generation_id: str
+    offset: int
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Consecutive tokens of one exchange, the first at ``offset``."""
+
+    exchange: int
+    offset: int
+    texts: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Tokens:
+    """Tokens of any number of exchanges on one link."""
+
+    runs: list[Run]
+
+
+@dataclasses.dataclass(slots=True)
+class End:
+    """Last message of a generation: a reason, or a fault as JSON (see `write_fault`)."""
+
+    reason: str
+    tokens: int = 0
+    prompt_tokens: int = 0
+    fault: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Credit:
+    """Allows that many more tokens on the exchange."""
+
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class Cancel:
+    """The caller no longer wants the exchange."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """State of one target as its agent sees it; memory in tokens, times in milliseconds."""
+
+    target: str
+    waiting: int = 0
+    running: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
+    memory_promised: int = 0
+    step_ms: float = 0.0
+    wait_ms: float = 0.0
+    leaving: bool = False
+    healthy: bool = True
+    prefixes: list[int] = dataclasses.field(default_factory=list)
+    models: list[str] = dataclasses.field(default_factory=list)
+    sequence: int = 0
+    urgent_wait_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Loads:
+    """Load reports of all targets of an agent that have changed."""
+
+    loads: list[Load]
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigPull:
+    """Asks for what came after version ``have``."""
+
+    have: int
+
+
+@dataclasses.dataclass(slots=True)
+class Entity:
+    """One named piece of the configuration; ``body`` is JSON, ``version`` its last change."""
+
+    kind: str
+    name: str
+    version: int
+    body: str = ""
+    deleted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigDelta:
+    """Takes a daemon from any version of at least ``base`` to ``version``."""
+
+    base: int
+    version: int
+    whole: bool
+    entities: list[Entity]
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A daemon's word on itself; the highest (incarnation, sequence) is the truth.
+
+    ``ready`` is false for a keeper that hears no leader, and for an entry out of service.
+    """
+
+    daemon_id: str
+    incarnation: int
+    sequence: int
+    address: str
+    http_address: str
+    data_hall: str
+    roles: list[str]
+    targets: list[str]
+    leaving: bool = False
+    config_version: int = 0
+    state: str = "live"
+    leaving_targets: list[str] = dataclasses.field(default_factory=list)
+    ready: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Members:
+    """Changed members, or with ``whole`` all of them."""
+
+    members: list[Member]
+    whole: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """Answers a call that failed; ``fault`` as written by `write_fault`."""
+
+    fault: str
+
+
+@dataclasses.dataclass(slots=True)
+class VoteRequest:
+    """A candidate asks for a vote; with ``pre`` it only asks whether it would get one."""
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@dataclasses.dataclass(slots=True)
+class VoteReply:
+    """Answer to a `VoteRequest`; `fresh` if the voter's disk holds no log yet."""
+
+    term: int
+    granted: bool
+    disk_id: str = ""
+    fresh: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class LogEntry:
+    """One entry of the replicated log."""
+
+    term: int
+    index: int
+    command: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class AppendRequest:
+    """The leader's entries after ``prev_index``; with none it renews the lease."""
+
+    term: int
+    leader: str
+    prev_index: int
+    prev_term: int
+    commit: int
+    entries: list[LogEntry]
+
+
+@dataclasses.dataclass(slots=True)
+class AppendReply:
+    """Answer to an `AppendRequest`; on failure ``last_index`` says where to try next."""
+
+    term: int
+    success: bool
+    last_index: int
+    disk_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class SnapshotPiece:
+    """Bytes of a snapshot from ``offset`` of ``total``."""
+
+    term: int
+    leader: str
+    last_index: int
+    last_term: int
+    offset: int
+    total: int
+    data: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class SnapshotReply:
+    """Answer to a `SnapshotPiece`: bytes held so far."""
+
+    term: int
+    received: int
+    disk_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Propose:
+    """A command for the replicated log; ``hops`` counts forwarding between keepers."""
+
+    command: bytes
+    hops: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ProposeReply:
+    """What the applied command answered, as JSON."""
+
+    result: bytes
+    leader: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Query:
+    """Asks a daemon for a part of its state; arguments and result are JSON."""
+
+    subject: str
+    arguments: str = "{}"
+
+
+@dataclasses.dataclass(slots=True)
+class QueryReply:
+    """Answer to a `Query`."""
+
+    result: bytes
+
+
+Body = (
+    Heartbeat
+    | Hello
+    | Start
+    | Accepted
+    | Tokens
+    | End
+    | Credit
+    | Cancel
+    | Loads
+    | ConfigPull
+    | ConfigDelta
+    | Members
+    | Refusal
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotPiece
+    | SnapshotReply
+    | Propose
+    | ProposeReply
+    | Query
+    | QueryReply
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Envelope:
+    """A message with what every message carries."""
+
+    clock: int
+    config_version: int
+    exchange: int
+    body: Body
+
+
+def write_json(value: Any) -> bytes:
+    """Write JSON for those fields that carry it."""
+    return msgspec.json.encode(value)
+
+
+def read_json(data: bytes | str) -> Any:
+    """Read JSON from those fields that carry it.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if it is none.
+    """
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, f"got no JSON: {error}")
+        raise faults.FaultError(fault) from error
+
+
+def _name_in_schema(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+def _name_of_body(cls: type) -> str:
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """How one dataclass field stands in the schema."""
+
+    name: str
+    schema_name: str
+    element: type | None
+    """Class of the elements of a list of dataclasses."""
+    is_list: bool
+
+
+def _plan_fields(cls: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(cls)
+    planned = []
+    for field in dataclasses.fields(cls):
+        hint = hints[field.name]
+        is_list = typing.get_origin(hint) is list
+        item = typing.get_args(hint)[0] if is_list else None
+        element = item if item is not None and dataclasses.is_dataclass(item) else None
+        planned.append(_Field(field.name, _name_in_schema(field.name), element, is_list))
+    return tuple(planned)
+
+
+_BODIES: dict[str, type] = {_name_of_body(cls): cls for cls in typing.get_args(Body)}
+_NAMES: dict[type, str] = {cls: name for name, cls in _BODIES.items()}
+_PLANS: dict[type, tuple[_Field, ...]] = {
+    cls: _plan_fields(cls) for cls in [*_BODIES.values(), Run, Load, Entity, Member, LogEntry]
+}
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
+_MAX_TRAVERSAL_WORDS = 8 * 1024 * 1024
+
+
+def _fill(builder: Any, value: Any) -> None:
+    for field in _PLANS[type(value)]:
+        item = getattr(value, field.name)
+        if not field.is_list:
+            setattr(builder, field.schema_name, item)
+        elif item:
+            listed = builder.init(field.schema_name, len(item))
+            for position, element in enumerate(item):
+                if field.element is None:
+                    listed[position] = element
+                else:
+                    _fill(listed[position], element)
+
+
+def _read(reader: Any, cls: type) -> Any:
+    values = []
+    for field in _PLANS[cls]:
+        item = getattr(reader, field.schema_name)
+        if not field.is_list:
+            values.append(item)
+        elif field.element is None:
+            values.append(list(item))
+        else:
+            values.append([_read(element, field.element) for element in item])
+    return cls(*values)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Write an envelope as one Cap'n Proto message."""
+    builder = _SCHEMA.Envelope.new_message()
+    builder.clock = envelope.clock
+    builder.configVersion = envelope.config_version
+    builder.exchange = envelope.exchange
+    body = envelope.body
+    if type(body) is Heartbeat:
+        builder.heartbeat = None
+    else:
+        _fill(builder.init(_NAMES[type(body)]), body)
+    return builder.to_bytes()
+
+
+def decode(data: bytes) -> Envelope:
+    """Read one Cap'n Proto message.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if `data` is no message of the schema.
+    """
+    try:
+        with _SCHEMA.Envelope.from_bytes(
+            data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS
+        ) as reader:
+            name = reader.which
+            name = str(name() if callable(name) else name)
+            cls = _BODIES[name]
+            body = cls() if cls is Heartbeat else _read(getattr(reader, name), cls)
+            return Envelope(reader.clock, reader.configVersion, reader.exchange, body)
+    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        reason = re.split(r"[\n;]", str(error))[0][:200]
+        message = f"got {len(data)} bytes that are no peer message: {reason}"
+        fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message)
+        raise faults.FaultError(fault) from error
--- /dev/null
+++ b/tillerlane/peers/node.py
@@ -0,0 +1,193 @@
+"""A daemon's end of all its links: one listener, one task for each peer that it dials."""
+
+import asyncio
+import random
+import ssl
+from collections.abc import Callable
+
+from tillerlane.faults import core as faults
+from tillerlane.peers import link as links
+
+__all__ = ["Node", "Peer", "split_address"]
+
+FIRST_RETRY_SECONDS = 0.05
+LAST_RETRY_SECONDS = 1.0
+DIAL_SECONDS = 2.0
+MAX_ACCEPTED_LINKS = 4_096
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:7000")
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Peer:
+    """A peer that this daemon dials, again and again, until told to stop.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:port``.
+    link : links.Link or None
+        The present link; None while there is none.
+    failures : int
+        Tries that failed since the last link.
+    """
+
+    def __init__(self, address: str, on_up: Callable[["Peer"], None] | None = None) -> None:
+        self.address = address
+        self.link: links.Link | None = None
+        self.failures = 0
+        self._on_up = on_up
+        self._up = asyncio.Event()
+
+    def set_link(self, link: links.Link) -> None:
+        """Take note that the link is ready."""
+        self.link = link
+        self.failures = 0
+        self._up.set()
+        if self._on_up is not None:
+            self._on_up(self)
+
+    def clear_link(self) -> None:
+        """Take note that the link has ended."""
+        self.link = None
+        self._up.clear()
+
+    async def wait_link(self, timeout: float) -> links.Link:
+        """Wait until there is a link.
+
+        Raises
+        ------
+        links.LinkLost
+            If there is none after `timeout` seconds.
+        """
+        if self.link is None:
+            try:
+                await asyncio.wait_for(self._up.wait(), timeout)
+            except TimeoutError:
+                pass
+        if self.link is None:
+            raise links.LinkLost(f"no link to {self.address} after {timeout} s")
+        return self.link
+
+
+class Node:
+    """All links of one daemon.
+
+    Parameters
+    ----------
+    local : links.Local
+        What the links share.
+    server_tls, client_tls : ssl.SSLContext or None
+        Contexts for accepted and dialed connections; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        local: links.Local,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.local = local
+        self._server_tls = server_tls
+        self._client_tls = client_tls
+        self._server: asyncio.Server | None = None
+        self._peers: dict[str, tuple[Peer, asyncio.Task[None]]] = {}
+        self.accepted: set[links.Link] = set()
+        self._accepting = 0
+
+    @property
+    def tls_contexts(self) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+        """Contexts for accepted and for dialed connections."""
+        return self._server_tls, self._client_tls
+
+    async def listen(self, address: str) -> None:
+        """Accept links at `address` (``IP:port``)."""
+        host, port = split_address(address)
+        extra = {"ssl": self._server_tls} if self._server_tls else {}
+        self._server = await asyncio.start_server(self._accept, host, port, **extra)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._accepting >= MAX_ACCEPTED_LINKS:
+            writer.close()
+            return
+        self._accepting += 1
+        link = links.Link(reader, writer, self.local, dialed=False)
+        self.accepted.add(link)
+        try:
+            await link.run()
+        except (OSError, EOFError, TimeoutError, faults.TillerlaneError):
+            pass
+        finally:
+            self.accepted.discard(link)
+            self._accepting -= 1
+
+    def dial(self, address: str, on_up: Callable[[Peer], None] | None = None) -> Peer:
+        """Keep a link to `address`; asking twice gives the same peer."""
+        known = self._peers.get(address)
+        if known is not None:
+            return known[0]
+        peer = Peer(address, on_up)
+        task = asyncio.create_task(self._keep_link(peer), name=f"dial {address}")
+        self._peers[address] = (peer, task)
+        return peer
+
+    def hang_up(self, address: str) -> None:
+        """Stop dialing `address` and end its link."""
+        known = self._peers.pop(address, None)
+        if known is None:
+            return
+        peer, task = known
+        if peer.link is not None:
+            peer.link.close()
+        task.cancel()
+
+    async def _keep_link(self, peer: Peer) -> None:
+        delay = FIRST_RETRY_SECONDS
+        while True:
+            try:
+                await self._run_link(peer)
+                delay = FIRST_RETRY_SECONDS
+            except (OSError, EOFError, TimeoutError, faults.TillerlaneError):
+                peer.failures += 1
+                delay = min(delay * 2, LAST_RETRY_SECONDS)
+            await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+
+    async def _run_link(self, peer: Peer) -> None:
+        host, port = split_address(peer.address)
+        extra = {"ssl": self._client_tls, "server_hostname": host} if self._client_tls else {}
+        opening = asyncio.open_connection(host, port, **extra)
+        reader, writer = await asyncio.wait_for(opening, DIAL_SECONDS)
+        link = links.Link(reader, writer, self.local, dialed=True, on_ready=peer.set_link)
+        try:
+            await link.run()
+        finally:
+            if peer.link is link:
+                peer.clear_link()
+
+    def get_dialed(self) -> set[str]:
+        """Addresses that are dialed."""
+        return set(self._peers)
+
+    def get_links(self) -> list[links.Link]:
+        """Every link that is ready, dialed or accepted."""
+        dialed = [peer.link for peer, _ in self._peers.values() if peer.link is not None]
+        return dialed + [link for link in self.accepted if link.hello is not None and link.is_open]
+
+    async def close(self) -> None:
+        """End all links and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for address in list(self._peers):
+            self.hang_up(address)
+        for link in list(self.accepted):
+            link.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tillerlane/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' policy programs: named expressions over documented facts, checked and bounded."""
