--- /dev/null
+++ b/tillerlane/runners/http_service.py
@@ -0,0 +1,101 @@
+"""Adapter for plain services: one HTTP call is a stream of one head and pieces of body.
+
+The first token is the head (status and headers) as JSON, the others are pieces of the body in
+base64.  A call that has begun cannot be resumed: services know no generation ids.
+"""
+
+import base64
+import json
+from collections.abc import AsyncIterator
+
+import httpx
+
+from tillerlane.runners import core
+
+__all__ = ["connect", "read_call", "write_call"]
+
+CONNECT_SECONDS = 2.0
+_PASSED_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
+_ANSWERED_HEADERS = ("content-type", "location", "cache-control", "etag", "retry-after")
+
+
+def write_call(method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
+    """Write a call as the payload of a job; only harmless headers are passed on."""
+    passed = {name: headers[name] for name in _PASSED_HEADERS if name in headers}
+    call = {
+        "method": method,
+        "path": path,
+        "headers": passed,
+        "body": base64.b64encode(body).decode(),
+    }
+    return json.dumps(call).encode()
+
+
+def read_call(payload: bytes) -> tuple[str, str, dict[str, str], bytes]:
+    """Read method, path, headers and body from a payload."""
+    call = json.loads(payload)
+    return call["method"], call["path"], call["headers"], base64.b64decode(call["body"])
+
+
+def connect(base_url: str) -> core.RunnerClient:
+    """Functions of the plain service at `base_url`."""
+    timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
+    client = httpx.AsyncClient(base_url=base_url, timeout=timeout, trust_env=False)
+
+    async def start(job: core.Job) -> AsyncIterator[core.Chunk | core.Finish]:
+        method, path, headers, body = read_call(job.payload)
+        count = 0
+        try:
+            async with client.stream(method, path, headers=headers, content=body) as answer:
+                kept = {
+                    name: answer.headers[name]
+                    for name in _ANSWERED_HEADERS
+                    if name in answer.headers
+                }
+                head = json.dumps({"status": answer.status_code, "headers": kept})
+                yield core.Chunk(0, [head])
+                count = 1
+                async for piece in answer.aiter_raw():
+                    yield core.Chunk(count, [base64.b64encode(piece).decode()])
+                    count += 1
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise core.TargetBroken(f"cannot connect: {error!r}", reached=False) from error
+        except httpx.HTTPError as error:
+            raise core.TargetBroken(f"{method} {path}: {error!r}", reached=True) from error
+        yield core.Finish("stop", count)
+
+    async def resume(generation_id: str, offset: int) -> AsyncIterator[core.Chunk | core.Finish]:
+        raise core.UnknownGeneration(generation_id)
+        yield core.Finish("stop", offset)
+
+    async def read_owner(generation_id: str) -> tuple[str, int]:
+        raise core.UnknownGeneration(generation_id)
+
+    async def change(generation_id: str) -> bool:
+        return False
+
+    async def cancel(generation_id: str) -> bool | None:
+        return None
+
+    async def read_load() -> core.RunnerLoad:
+        raise core.TargetBroken("plain services report no load", reached=False)
+
+    async def read_cache_events(after: int) -> AsyncIterator[core.CacheEvent]:
+        raise core.TargetBroken("plain services have no prefix cache", reached=False)
+        yield core.CacheEvent(0, False, 0)
+
+    async def give_order(order: core.Order) -> list[str]:
+        raise core.TargetBroken("plain services take no orders", reached=False)
+
+    return core.RunnerClient(
+        start=start,
+        resume=resume,
+        read_owner=read_owner,
+        pause=change,
+        unpause=change,
+        cancel=cancel,
+        read_load=read_load,
+        read_cache_events=read_cache_events,
+        give_order=give_order,
+        close=client.aclose,
+    )
--- /dev/null
+++ b/tillerlane/timeline/core.py
@@ -0,0 +1,119 @@
+"""Events, the bounded ring that each daemon keeps of them, and their merge."""
+
+import collections
+import dataclasses
+import heapq
+from collections.abc import Iterable
+from typing import Any
+
+import structlog
+
+from tillerlane.timeline import clock as clocks
+
+__all__ = ["Event", "Timeline", "merge_events", "select_events"]
+
+DEFAULT_RING_EVENTS = 20_000
+"""Events that a daemon keeps; the oldest goes first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One thing that happened on one daemon.
+
+    Attributes
+    ----------
+    stamp : int
+        Hybrid logical clock, see `tillerlane.timeline.clock`.
+    daemon : str
+        Id of the daemon it happened on.
+    name : str
+        What happened, a stable word such as ``generation.start``.
+    request_id, generation_id : str
+        What it happened to; empty where it does not apply.
+    fields : dict
+        Further facts, JSON values only; never keys or prompt text.
+    """
+
+    stamp: int
+    daemon: str
+    name: str
+    request_id: str = ""
+    generation_id: str = ""
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+    def to_json(self) -> dict[str, Any]:
+        """Event as JSON values."""
+        return dataclasses.asdict(self)
+
+
+class Timeline:
+    """Ring of one daemon's latest events; each is also a log line.
+
+    Parameters
+    ----------
+    daemon : str
+        Id of the daemon.
+    clock : clocks.HybridClock
+        Gives the stamps.
+    limit : int
+        Events kept.
+    """
+
+    def __init__(
+        self, daemon: str, clock: clocks.HybridClock, limit: int = DEFAULT_RING_EVENTS
+    ) -> None:
+        self.daemon = daemon
+        self.clock = clock
+        self._ring: collections.deque[Event] = collections.deque(maxlen=limit)
+        self._log = structlog.get_logger()
+
+    def record(
+        self, name: str, *, request_id: str = "", generation_id: str = "", **fields: Any
+    ) -> Event:
+        """Add an event and write it to the log."""
+        event = Event(self.clock.tick(), self.daemon, name, request_id, generation_id, fields)
+        self._ring.append(event)
+        self._log.info(
+            name,
+            daemon=self.daemon,
+            stamp=event.stamp,
+            request_id=request_id or None,
+            generation_id=generation_id or None,
+            **fields,
+        )
+        return event
+
+    def read(self) -> list[Event]:
+        """All events still held, oldest first."""
+        return list(self._ring)
+
+
+def select_events(
+    events: Iterable[Event],
+    *,
+    request_id: str = "",
+    generation_id: str = "",
+    since_ms: int = 0,
+    limit: int = 5_000,
+) -> list[Event]:
+    """Pick the events of a request, a generation or a span of time.
+
+    A generation's events also name its request, so asking for the request gives all attempts.
+    At most `limit` events are returned, the latest ones.
+    """
+    found = [
+        event
+        for event in events
+        if (not request_id or event.request_id == request_id)
+        and (not generation_id or event.generation_id == generation_id)
+        and clocks.read_milliseconds(event.stamp) >= since_ms
+    ]
+    return found[-limit:]
+
+
+def merge_events(rings: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merge several daemons' events in causal order.
+
+    Stamps follow messages, so an event that could have caused another sorts before it.
+    """
+    return list(heapq.merge(*rings, key=lambda event: (event.stamp, event.daemon)))
