--- /dev/null
+++ b/tillerlane/cli/__init__.py
@@ -0,0 +1,1 @@
+"""``tillerlane``: the operators' command line.  It speaks HTTP to any daemon."""
--- /dev/null
+++ b/tillerlane/cli/fleets.py
@@ -0,0 +1,313 @@
+"""``tillerlane status | runner | request | keeper | timeline``."""
+
+import argparse
+import re
+import secrets
+import time
+from typing import Any
+
+from tillerlane.cli import client as clients
+from tillerlane.cli import drawing
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.timeline import clock as clocks
+
+__all__ = ["add_keeper", "add_request", "add_runner", "add_status", "add_timeline"]
+
+_SPAN = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)?$")
+_UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
+WATCH_SECONDS = 1.0
+
+
+def read_span(text: str) -> float:
+    """Seconds of a span such as ``30s``.
+
+    Examples
+    --------
+    >>> read_span("2m")
+    120.0
+    """
+    found = _SPAN.match(text)
+    if not found:
+        raise argparse.ArgumentTypeError(f"got {text!r}, expected such as 30s, 500ms, 2m")
+    return float(found.group(1)) * _UNITS[found.group(2)]
+
+
+# Status
+
+
+def print_status(status: dict[str, Any]) -> None:
+    """Print the fleet at a glance."""
+    print(
+        f"fleet {status['fleet']}  version {status['version']}  leader {status['leader'] or 'none'}"
+    )
+    rows = []
+    for item in status["daemons"]:
+        marks = [mark for mark, on in (("leaving", item["leaving"]),) if on]
+        if not item["ready"]:
+            marks.append("not ready")
+        rows.append(
+            [
+                item["daemon"],
+                item["data_hall"],
+                "+".join(item["roles"]),
+                item["version"],
+                item.get("requests", "-"),
+                ", ".join(marks) or "ok",
+            ]
+        )
+    rows += [[name, "-", "-", "-", "-", "missing"] for name in status["missing"]]
+    clients.print_table(["DAEMON", "HALL", "ROLES", "VERSION", "REQUESTS", "STATE"], rows)
+    rows = [
+        [
+            target["target"],
+            item["daemon"],
+            target["running"],
+            target["waiting"],
+            target["paused"],
+            f"{target['memory_used']}/{target['memory_total']}",
+            target["preemptions"],
+            f"{target['worst_stall_s']:.1f} s",
+            _describe_target(target),
+        ]
+        for item in status["daemons"]
+        for target in item.get("targets", [])
+    ]
+    if rows:
+        print()
+        titles = ["TARGET", "AGENT", "RUN", "WAIT", "PAUSED", "MEMORY", "PREEMPTED", "STALL"]
+        clients.print_table([*titles, "STATE"], rows)
+
+
+def _describe_target(target: dict[str, Any]) -> str:
+    if target["leaving"]:
+        return "leaving"
+    return "ok" if target["healthy"] else "sick"
+
+
+def run_status(arguments: argparse.Namespace) -> int:
+    """``status``."""
+    client = clients.connect(arguments)
+    while True:
+        status = client.get("/admin/status")
+        if arguments.json:
+            clients.print_json(status)
+        else:
+            if arguments.watch:
+                print("\x1b[2J\x1b[H", end="")
+            print_status(status)
+        if not arguments.watch:
+            return 0
+        time.sleep(WATCH_SECONDS)
+
+
+def add_status(nouns: Any) -> None:
+    """Add ``status``."""
+    noun = nouns.add_parser("status", help="the fleet at a glance")
+    clients.add_options(noun)
+    noun.add_argument("--watch", action="store_true", help="refresh until interrupted")
+    noun.set_defaults(run=run_status)
+
+
+# Runners
+
+
+def run_drain(arguments: argparse.Namespace) -> int:
+    """``runner drain`` and ``runner undrain``."""
+    body = {
+        "change_id": "d-" + secrets.token_hex(8),
+        "name": arguments.name,
+        "leaving": arguments.leaving,
+    }
+    answer = clients.connect(arguments).post("/admin/drain", body)
+    if arguments.json:
+        clients.print_json(answer)
+    else:
+        verb = "takes no new work" if arguments.leaving else "takes work again"
+        print(f"{arguments.name} {verb}, as of version {answer['version']}")
+    return 0
+
+
+def run_runners(arguments: argparse.Namespace) -> int:
+    """``runner list``."""
+    status = clients.connect(arguments).get("/admin/status")
+    targets = [
+        {**target, "agent": item["daemon"], "data_hall": item["data_hall"]}
+        for item in status["daemons"]
+        for target in item.get("targets", [])
+    ]
+    if arguments.json:
+        clients.print_json(targets)
+    else:
+        rows = [
+            [
+                item["target"],
+                item["data_hall"],
+                item["agent"],
+                ",".join(item["models"]),
+                _describe_target(item),
+            ]
+            for item in targets
+        ]
+        clients.print_table(["TARGET", "HALL", "AGENT", "MODELS", "STATE"], rows)
+    return 0
+
+
+def add_runner(nouns: Any) -> None:
+    """Add ``runner``."""
+    verbs = nouns.add_parser("runner", help="runners and services").add_subparsers(
+        required=True, metavar="VERB"
+    )
+    listing = verbs.add_parser("list")
+    clients.add_options(listing)
+    listing.set_defaults(run=run_runners)
+    for name, leaving in (("drain", True), ("undrain", False)):
+        verb = verbs.add_parser(name)
+        clients.add_options(verb)
+        verb.add_argument("name", metavar="NAME")
+        verb.set_defaults(run=run_drain, leaving=leaving)
+
+
+# Requests
+
+
+def run_request_show(arguments: argparse.Namespace) -> int:
+    """``request show``."""
+    answer = clients.connect(arguments).get("/admin/timeline", request_id=arguments.id)
+    clients.print_json(answer) if arguments.json else print_events(answer)
+    return 0 if answer["events"] else kinds.ANSWERS[kinds.ErrorKind.NOT_FOUND].exit_code
+
+
+def run_cancel(arguments: argparse.Namespace) -> int:
+    """``request cancel``."""
+    answer = clients.connect(arguments).post("/admin/cancel", {"generation_id": arguments.id})
+    if not answer["found"]:
+        message = f"no agent holds generation {arguments.id!r}"
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+    clients.print_json(answer) if arguments.json else print(f"{arguments.id} is cancelled")
+    return 0
+
+
+def add_request(nouns: Any) -> None:
+    """Add ``request``."""
+    verbs = nouns.add_parser("request", help="single requests").add_subparsers(
+        required=True, metavar="VERB"
+    )
+    show = verbs.add_parser("show", help="what happened to a request")
+    show.add_argument("id", metavar="REQUEST")
+    cancel = verbs.add_parser("cancel", help="end a generation early")
+    cancel.add_argument("id", metavar="GENERATION")
+    for verb, run in ((show, run_request_show), (cancel, run_cancel)):
+        clients.add_options(verb)
+        verb.set_defaults(run=run)
+
+
+# Keepers
+
+
+def run_keepers(arguments: argparse.Namespace) -> int:
+    """``keeper list``."""
+    status = clients.connect(arguments).get("/admin/status")
+    keepers = [
+        {"daemon": item["daemon"], **item["keeper"]}
+        for item in status["daemons"]
+        if "keeper" in item
+    ]
+    if arguments.json:
+        clients.print_json(keepers)
+    else:
+        rows = [
+            [
+                item["daemon"],
+                item["standing"],
+                item["term"],
+                item["commit"],
+                item["snapshot"],
+                "yes" if item["is_voter"] else "no",
+                item["disk_failed"] or "ok",
+            ]
+            for item in keepers
+        ]
+        titles = ["KEEPER", "STANDING", "TERM", "COMMIT", "SNAPSHOT", "VOTES", "DISK"]
+        clients.print_table(titles, rows)
+    return 0
+
+
+def run_change_keepers(arguments: argparse.Namespace) -> int:
+    """``keeper add`` and ``keeper remove``."""
+    body = {"name": arguments.name, "address": getattr(arguments, "address", None)}
+    answer = clients.connect(arguments).post("/admin/keepers", body)
+    if arguments.json:
+        clients.print_json(answer)
+    elif body["address"]:
+        print(f"{arguments.name} learns and will vote once it has caught up")
+    else:
+        print(f"{arguments.name} votes no more")
+    return 0
+
+
+def add_keeper(nouns: Any) -> None:
+    """Add ``keeper``."""
+    verbs = nouns.add_parser("keeper", help="the keepers").add_subparsers(
+        required=True, metavar="VERB"
+    )
+    listing = verbs.add_parser("list")
+    listing.set_defaults(run=run_keepers)
+    add = verbs.add_parser("add", help="bring a keeper up to date and give it a vote")
+    add.add_argument("name", metavar="NAME")
+    add.add_argument("address", metavar="IP:PORT")
+    add.set_defaults(run=run_change_keepers)
+    remove = verbs.add_parser("remove", help="take a keeper's vote away")
+    remove.add_argument("name", metavar="NAME")
+    remove.set_defaults(run=run_change_keepers)
+    for verb in (listing, add, remove):
+        clients.add_options(verb)
+
+
+# Time line
+
+
+def print_events(answer: dict[str, Any]) -> None:
+    """Print events as lines: time, daemon, name, ids, facts."""
+    for event in answer["events"]:
+        stamp = clocks.read_milliseconds(event["stamp"])
+        at = time.strftime("%H:%M:%S", time.gmtime(stamp / 1000)) + f".{stamp % 1000:03d}"
+        fields = " ".join(
+            f"{name}={value}"
+            for name, value in event["fields"].items()
+            if not isinstance(value, dict)
+        )
+        ids = " ".join(item for item in (event["request_id"], event["generation_id"]) if item)
+        print(f"{at}  {event['daemon']:<14} {event['name']:<20} {ids} {fields}".rstrip())
+    if answer["missing"]:
+        print(f"missing: {', '.join(answer['missing'])} did not answer")
+
+
+def run_timeline(arguments: argparse.Namespace) -> int:
+    """``timeline``."""
+    parameters: dict[str, Any] = {}
+    if arguments.request:
+        parameters["request_id"] = arguments.request
+    if arguments.generation:
+        parameters["generation_id"] = arguments.generation
+    if arguments.last:
+        parameters["since_ms"] = int((time.time() - arguments.last) * 1000)
+    answer = clients.connect(arguments).get("/admin/timeline", **parameters)
+    if arguments.trace:
+        drawing.write_trace(answer["events"], arguments.trace)
+    if arguments.picture:
+        drawing.write_picture(answer["events"], arguments.picture)
+    clients.print_json(answer) if arguments.json else print_events(answer)
+    return 0
+
+
+def add_timeline(nouns: Any) -> None:
+    """Add ``timeline``."""
+    noun = nouns.add_parser("timeline", help="events of all daemons in causal order")
+    clients.add_options(noun)
+    noun.add_argument("--request", metavar="ID")
+    noun.add_argument("--generation", metavar="ID")
+    noun.add_argument("--last", type=read_span, metavar="SPAN", help="such as 30s or 2m")
+    noun.add_argument("--trace", metavar="FILE", help="write a trace that trace viewers open")
+    noun.add_argument("--picture", metavar="FILE", help="write an SVG picture")
+    noun.set_defaults(run=run_timeline)
--- /dev/null
+++ b/tillerlane/testing/demo.py
@@ -0,0 +1,125 @@
+"""The main job, from nothing: a fleet of processes, a change, a record, its time line, a stop.
+
+Everything goes through the programs and interfaces that users have; only the runners and the
+service are stand-ins.
+"""
+
+import json
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import time
+
+import httpx
+
+from tillerlane.testing import deployment
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+CONFIG = ROOT / "examples" / "brattvik" / "config.json"
+FOLDER = ROOT / "out" / "demo"
+CALLER_KEY = "example-katalog"
+RECORD_TOKENS = 60
+
+
+def say(text: str) -> None:
+    """Print a step."""
+    print(f"\n== {text}", flush=True)
+
+
+def run_cli(fleet: deployment.Fleet, *words: str) -> str:
+    """Run the command-line tool, show what it prints, and give it."""
+    environment = {
+        **os.environ,
+        "TILLERLANE_SERVER": fleet.plan.get_http("entry-1"),
+        "TILLERLANE_KEY": deployment.OPERATOR_KEY,
+    }
+    print("$ tillerlane " + " ".join(words), flush=True)
+    command = [sys.executable, "-m", "tillerlane.cli.main", *words]
+    done = subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
+    print(done.stdout, end="", flush=True)
+    if done.returncode != 0:
+        print(done.stderr, file=sys.stderr)
+        raise SystemExit(f"the command ended with {done.returncode}")
+    return done.stdout
+
+
+def stream_record(fleet: deployment.Fleet) -> str:
+    """Stream one record as a caller does; give its request id."""
+    body = {
+        "model": "record",
+        "stream": True,
+        "max_tokens": RECORD_TOKENS,
+        "messages": [{"role": "user", "content": "Title page, Bergen 1884, half calf, 212 leaves"}],
+    }
+    url = fleet.plan.get_http("entry-1") + "/v1/chat/completions"
+    headers = {"authorization": f"Bearer {CALLER_KEY}"}
+    began = time.monotonic()
+    request_id = ""
+    finish = ""
+    with httpx.stream(
+        "POST", url, json=body, headers=headers, timeout=30, trust_env=False
+    ) as answer:
+        answer.raise_for_status()
+        request_id = answer.headers["x-request-id"]
+        for line in answer.iter_lines():
+            if not line.startswith("data: ") or line == "data: [DONE]":
+                continue
+            choice = json.loads(line[6:])["choices"][0]
+            print(choice["delta"].get("content", ""), end="", flush=True)
+            finish = choice["finish_reason"] or finish
+    print(f"\n(ended with {finish!r} after {time.monotonic() - began:.2f} s)")
+    if finish != "stop":
+        raise SystemExit("the record did not come whole")
+    return request_id
+
+
+def change_policy(folder: pathlib.Path) -> str:
+    """A configuration file with another policy."""
+    text = CONFIG.read_text()
+    changed = text.replace('"headroom": "0.05"', '"headroom": "0.08"')
+    if changed == text:
+        raise SystemExit("the example no longer has the line that the demo changes")
+    path = folder / "changed.json"
+    path.write_text(changed)
+    return str(path.relative_to(ROOT))
+
+
+def main() -> None:
+    """Run the demo."""
+    os.chdir(ROOT)
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    _, document = deployment.read_example(CONFIG)
+    folder = str(FOLDER.relative_to(ROOT))
+    plan = deployment.plan(document, folder, runner_options=["--median-tokens", "300"])
+    fleet = deployment.Fleet(plan, FOLDER)
+    try:
+        say(f"start {len(plan.daemons)} daemons, {len(plan.programs)} fake runners and services")
+        fleet.start()
+        fleet.wait_answering()
+        say("apply the configuration of Brattvik Antikvariat")
+        run_cli(fleet, "config", "check", str(CONFIG.relative_to(ROOT)))
+        run_cli(fleet, "config", "apply", str(CONFIG.relative_to(ROOT)), "--wait")
+        fleet.wait_ready()
+        say("stream a bibliographic record")
+        request_id = stream_record(fleet)
+        say("change the policy while the fleet runs")
+        run_cli(fleet, "config", "apply", change_policy(FOLDER), "--wait", "--note", "headroom")
+        run_cli(fleet, "config", "status")
+        say("what happened to the record, over all daemons")
+        run_cli(fleet, "timeline", "--request", request_id)
+        say("the fleet at a glance")
+        run_cli(fleet, "status")
+        say("stop")
+        statuses = fleet.stop_all()
+        bad = {name: status for name, status in statuses.items() if status not in (0, -15)}
+        print(f"{len(statuses)} processes ended" + (f", badly: {bad}" if bad else " cleanly"))
+        if bad:
+            raise SystemExit(1)
+    finally:
+        fleet.kill_all()
+
+
+if __name__ == "__main__":
+    main()
