--- a/tillerlane/agent/server.py
+++ b/tillerlane/agent/server.py
@@ -375,15 +375,16 @@
     async def _report_for_ever(self) -> None:
         loop = asyncio.get_running_loop()
         last = 0.0
-        known: set[links.Link] = set()
+        known: list[links.Link] = []
         while True:
             try:
                 await asyncio.wait_for(self._changed.wait(), REPORT_ANYWAY_SECONDS)
             except TimeoutError:
                 pass
             self._changed.clear()
-            peers = set(self._get_links())
-            is_due = loop.time() - last >= REPORT_ANYWAY_SECONDS or bool(peers - known)
+            peers = self._get_links()
+            has_new = any(link not in known for link in peers)
+            is_due = has_new or loop.time() - last >= REPORT_ANYWAY_SECONDS
             loads = self._read_changed(is_due)
             if loads:
                 last = loop.time()
@@ -400,7 +401,7 @@
         self._sequence += 1
         return [dataclasses.replace(load, sequence=self._sequence) for load in changed]
 
-    def _send_loads(self, peers: set[links.Link], loads: list[messages.Load]) -> None:
+    def _send_loads(self, peers: list[links.Link], loads: list[messages.Load]) -> None:
         for link in peers:
             try:
                 link.send(messages.Loads(loads))
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -31,7 +31,7 @@
 from tillerlane.timeline import clock as clocks
 from tillerlane.timeline import core as timelines
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "Surroundings"]
 
 PULL_SECONDS = 0.2
 """Least time between two pulls of the configuration on one link."""
@@ -50,6 +50,34 @@
     return sse_runner.connect(target.url)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a daemon needs of the world; tests put stand-ins here.
+
+    Attributes
+    ----------
+    connect : callable
+        Gives the functions of a target.
+    open_disk : callable
+        (folder) gives the keeper's disk.
+    run_blocking : callable
+        Runs a blocking function without holding the event loop.
+    open_connection : callable
+        Opens a connection, as `asyncio.open_connection`.
+    now : callable
+        Wall time in seconds.
+    rng : random.Random
+        Draws timeouts and routes.
+    """
+
+    connect: agents.Connect = connect_target
+    open_disk: Callable[[str], disks.Disk] = disks.open_folder
+    run_blocking: replica.Run = server.run_in_thread
+    open_connection: nodes.Open = asyncio.open_connection
+    now: Callable[[], float] = time.time
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+
+
 class Daemon:
     """One process of the system.
 
@@ -57,18 +85,15 @@
     ----------
     own : settings.Settings
         Its settings.
-    connect : callable
-        Gives the functions of a target.
+    around : Surroundings, optional
+        What it needs of the world.
     """
 
-    def __init__(
-        self,
-        own: settings.Settings,
-        connect: agents.Connect = connect_target,
-    ) -> None:
+    def __init__(self, own: settings.Settings, around: Surroundings | None = None) -> None:
         self.settings = own
-        self.started_at = time.time()
-        self.clock = clocks.HybridClock()
+        self._around = around or Surroundings()
+        self.started_at = self._around.now()
+        self.clock = clocks.HybridClock(self._around.now)
         self.timeline = timelines.Timeline(own.daemon, self.clock)
         self.metrics = metrics.open_metrics(own.statsd, own.daemon)
         self.members = views.MemberView(own.keepers.values())
@@ -78,7 +103,9 @@
         self._pulled_at: dict[links.Link, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         server_tls, client_tls = tls.build_contexts(own.tls)
-        self.node = nodes.Node(self._build_local(), server_tls, client_tls)
+        self.node = nodes.Node(
+            self._build_local(), server_tls, client_tls, self._around.open_connection
+        )
         self.keeper: server.Keeper | None = None
         self.exchange: exchange.KeeperExchange | None = None
         self.store = stores.Store()
@@ -94,7 +121,7 @@
         if settings.Role.AGENT in own.roles:
             self.agent = agents.Agent(
                 own.targets,
-                connect,
+                self._around.connect,
                 self.store,
                 self.timeline,
                 self._get_report_links,
@@ -140,7 +167,7 @@
     def _build_keeper(self) -> None:
         own = self.settings
         assert own.data_folder is not None
-        storage = storages.Storage(disks.open_folder(own.data_folder), own.daemon)
+        storage = storages.Storage(self._around.open_disk(own.data_folder), own.daemon)
         state = machines.Machine()
         self.store = state.store
         part = replica.Replica(
@@ -150,20 +177,26 @@
             state,
             self.timeline,
             self._get_keeper_link,
-            server.run_in_thread,
-            random.Random(),
+            self._around.run_blocking,
+            self._around.rng,
         )
         part.on_standing = self._note_standing
         self.keeper = server.Keeper(
-            part, self._get_keeper_link, self._get_subscribers, lambda: int(time.time() * 1000)
+            part,
+            self._get_keeper_link,
+            self._get_subscribers,
+            lambda: int(self._around.now() * 1000),
         )
         self.exchange = exchange.KeeperExchange(
             self.members, self._get_keeper_links, self._get_subscribers
         )
 
+    def _read_ms(self) -> int:
+        return int(self._around.now() * 1000)
+
     def _build_entry(self) -> None:
         self.view = fleet.FleetView(self.node, self.members)
-        router = routing.Router(self.view, self.settings.data_hall, random.Random())
+        router = routing.Router(self.view, self.settings.data_hall, self._around.rng)
         dispatcher = dispatch.Dispatcher(
             self.view,
             router,
@@ -224,7 +257,7 @@
             await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
-        """Stop all roles at once."""
+        """Stop all roles at once; see `drain` for a planned stop."""
         self.timeline.record("daemon.stop")
         for task in self._tasks:
             task.cancel()
--- a/tillerlane/entry/dispatch.py
+++ b/tillerlane/entry/dispatch.py
@@ -27,6 +27,9 @@
 MAX_STORED_CHARACTERS = 16_384
 """Answers up to this size are stored with the claim's end."""
 MAX_ATTEMPTS = 6
+JOIN_SECONDS = 2.0
+"""How long a second arrival looks for the generation of the first."""
+JOIN_RETRY_SECONDS = 0.1
 RELEASE_DELAYS = (0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
 """Seconds before each try to release a claim whose opening got no answer."""
 _ELSEWHERE = frozenset(
@@ -378,14 +381,23 @@
         if claim["state"] == "fault":
             message = f"the first arrival failed and may have run: {claim['fault']}"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.OUTCOME_UNKNOWN, message))
-        try:
-            async with contextlib.aclosing(self.resume(request, generation_id, 0)) as items:
-                async for item in items:
-                    yield item
-        except faults.FaultError as error:
-            message = f"the first arrival cannot be found again: {error.fault.message}"
-            fault = faults.new_fault(kinds.ErrorKind.OUTCOME_UNKNOWN, message)
-            raise faults.FaultError(fault) from error
+        loop = asyncio.get_running_loop()
+        until = loop.time() + JOIN_SECONDS
+        delivered = False
+        while True:
+            try:
+                async with contextlib.aclosing(self.resume(request, generation_id, 0)) as items:
+                    async for item in items:
+                        delivered = True
+                        yield item
+                return
+            except faults.FaultError as error:
+                # The first arrival may be on its way between its claim and its agent.
+                if delivered or loop.time() >= until:
+                    message = f"the first arrival cannot be found again: {error.fault.message}"
+                    fault = faults.new_fault(kinds.ErrorKind.OUTCOME_UNKNOWN, message)
+                    raise faults.FaultError(fault) from error
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
 
 
 class _ClaimHeld(faults.TillerlaneError):
--- a/tillerlane/entry/fleet.py
+++ b/tillerlane/entry/fleet.py
@@ -86,8 +86,10 @@
         if self._began is None:
             self._began = now
         present: set[str] = set()
-        for member in self._members.read_live():
+        for member in self._members.read_all():
             for name in member.targets:
+                if member.state == views.GONE and not self._is_linked(name, member):
+                    continue
                 present.add(name)
                 self._follow(name, member, now)
         for name in set(self.targets) - present:
@@ -98,6 +100,18 @@
                 record.leaving = True
         self._hang_up()
 
+    def _is_linked(self, name: str, member: messages.Member) -> bool:
+        """Whether this entry still has a link to a member that the keepers call gone.
+
+        A daemon cut off from the keepers alone goes on with its work.
+        """
+        record = self.targets.get(name)
+        return (
+            record is not None
+            and record.peer.address == member.address
+            and record.peer.link is not None
+        )
+
     def _follow(self, name: str, member: messages.Member, now: float) -> None:
         record = self.targets.get(name)
         if record is None or record.peer.address != member.address:
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -601,7 +601,7 @@
                 except (links.LinkLost, faults.FaultError):
                     await asyncio.sleep(HEARTBEAT_SECONDS)
                     continue
-                await self._promote(name, address, progress)
+                self._consider_promotion(name, address, progress)
             if progress.match_index >= self.storage.last_index or link is None:
                 try:
                     await asyncio.wait_for(progress.wake.wait(), HEARTBEAT_SECONDS)
@@ -665,18 +665,32 @@
         progress.match_index = snapshot.last_index
         progress.next_index = snapshot.last_index + 1
 
-    async def _promote(self, name: str, address: str, progress: _Progress) -> None:
-        """Give a keeper that has caught up its vote, for the disk that it has now."""
+    def _consider_promotion(self, name: str, address: str, progress: _Progress) -> None:
+        """Give a keeper that has caught up its vote, for the disk that it has now.
+
+        The proposal runs beside the replication to that keeper, whose own acknowledgement may be
+        needed to commit it.  It needs a lease: a former leader may not give votes.
+        """
         voter = self.voters.get(name)
-        is_current = voter is not None and voter.disk_id == progress.disk_id
-        if is_current or not progress.disk_id or self._adding_voter:
-            if is_current:
-                self.learners.pop(name, None)
+        if voter is not None and voter.disk_id == progress.disk_id:
+            self.learners.pop(name, None)
             return
-        if progress.match_index < self.commit:
+        is_ready = progress.disk_id and progress.match_index >= max(self.commit, 1)
+        if not is_ready or self._adding_voter or not self.has_lease:
             return
-        self._timeline.record("keeper.promote", keeper=name, disk_id=progress.disk_id)
-        await self.change_voters(commands.VoterAdd(name, address, progress.disk_id))
+        self._adding_voter = True
+        command = commands.VoterAdd(name, address, progress.disk_id)
+        task = asyncio.create_task(self._promote(command), name="promote")
+        self._tasks = [item for item in self._tasks if not item.done()]
+        self._tasks.append(task)
+
+    async def _promote(self, command: commands.VoterAdd) -> None:
+        self._timeline.record("keeper.promote", keeper=command.name, disk_id=command.disk_id)
+        self._adding_voter = False
+        try:
+            await self.change_voters(command)
+        except faults.FaultError as error:
+            self._timeline.record("keeper.not_promoted", reason=error.fault.message)
 
     async def change_voters(
         self, command: commands.VoterAdd | commands.VoterRemove
--- a/tillerlane/keeper/storage.py
+++ b/tillerlane/keeper/storage.py
@@ -226,6 +226,8 @@
             return
         if record.index <= self.snapshot.last_index:
             return
+        if self.get_term(record.index) == record.term:
+            return  # a crash left both the segment before a snapshot and the one behind it
         if record.index != self.last_index + 1:
             raise _damaged(name, f"got entry {record.index}, expected {self.last_index + 1}")
         self.entries.append(messages.LogEntry(record.term, record.index, record.payload))
--- /dev/null
+++ b/tillerlane/keeper/tests/test_storage.py
@@ -0,0 +1,124 @@
+"""What a disk may do wrong, and what the keeper's storage makes of it."""
+
+import errno
+import unittest
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.keeper import storage as storages
+from tillerlane.peers import messages
+from tillerlane.testing import memory_disk
+
+
+def entry(index: int, term: int = 1) -> messages.LogEntry:
+    """An entry whose command is its index."""
+    return messages.LogEntry(term, index, f"command {index}".encode())
+
+
+class StorageTest(unittest.TestCase):
+    """Torn tails, damage, full disks, foreign folders, snapshots."""
+
+    def setUp(self) -> None:
+        self.disk = memory_disk.MemoryDisk()
+        self.storage = self.open()
+
+    def open(self, keeper: str = "keeper-1") -> storages.Storage:
+        return storages.Storage(self.disk.as_disk(), keeper)
+
+    def check_refused(self, keeper: str = "keeper-1") -> str:
+        with self.assertRaises(faults.FaultError) as raised:
+            self.open(keeper)
+        self.assertEqual(raised.exception.fault.kind, kinds.ErrorKind.DISK_FAILED)
+        return raised.exception.fault.message
+
+    def test_what_was_appended_is_read_again(self) -> None:
+        self.storage.append([entry(1), entry(2)])
+        self.storage.save_vote(7, "keeper-3")
+        self.disk.crash()
+        again = self.open()
+        self.assertEqual(again.entries, [entry(1), entry(2)])
+        self.assertEqual((again.term, again.voted_for), (7, "keeper-3"))
+        self.assertEqual(again.disk_id, self.storage.disk_id)
+
+    def test_conflicting_entries_are_dropped(self) -> None:
+        self.storage.append([entry(1), entry(2), entry(3)])
+        self.storage.append([entry(2, term=2)])
+        self.assertEqual(self.open().entries, [entry(1), entry(2, term=2)])
+
+    def test_every_torn_tail_is_cut(self) -> None:
+        self.storage.append([entry(1), entry(2)])
+        name = "log-1"
+        whole = bytes(self.disk.files[name])
+        self.storage.append([entry(3)])
+        longer = bytes(self.disk.files[name])
+        for size in range(len(whole), len(longer)):
+            self.disk.files[name] = bytearray(longer[:size])
+            again = self.open()
+            self.assertEqual(again.last_index, 2)
+            again.append([entry(3)])
+            self.assertEqual(self.open().last_index, 3)
+
+    def test_every_damaged_byte_in_the_middle_stops_the_keeper(self) -> None:
+        self.storage.append([entry(1), entry(2), entry(3)])
+        name = "log-1"
+        last = len(self.disk.files[name]) - len(b"command 3") - 8 - 17
+        for position in range(8, last):
+            self.disk.flip(name, position)
+            self.assertIn("bad record", self.check_refused())
+            self.disk.flip(name, position)
+
+    def test_damaged_vote_and_snapshot_stop_the_keeper(self) -> None:
+        self.storage.append([entry(1)])
+        self.storage.save_vote(3, "keeper-1")
+        self.storage.save_snapshot(storages.Snapshot(1, 1, b"{}"))
+        for name in ("vote", "snapshot", "identity"):
+            self.disk.flip(name, len(self.disk.files[name]) - 1)
+            self.check_refused()
+            self.disk.flip(name, len(self.disk.files[name]) - 1)
+        self.open()
+
+    def test_full_disk_stands_down_and_stays_down(self) -> None:
+        self.storage.append([entry(1)])
+        self.disk.fails_with = errno.ENOSPC
+        for _ in range(2):
+            with self.assertRaises(faults.FaultError):
+                self.storage.append([entry(2)])
+            self.disk.fails_with = None
+        self.assertEqual(self.storage.last_index, 1)
+        self.assertEqual(self.open().last_index, 1)
+
+    def test_folder_of_another_keeper_is_refused(self) -> None:
+        self.assertIn("keeper-1", self.check_refused("keeper-2"))
+
+    def test_log_without_identity_is_refused(self) -> None:
+        self.storage.append([entry(1)])
+        del self.disk.files["identity"]
+        self.assertIn("identity", self.check_refused())
+
+    def test_snapshot_replaces_the_log_before_it(self) -> None:
+        self.storage.append([entry(number) for number in range(1, 6)])
+        self.storage.save_snapshot(storages.Snapshot(3, 1, b"state"))
+        again = self.open()
+        self.assertEqual(again.snapshot, storages.Snapshot(3, 1, b"state"))
+        self.assertEqual(again.entries, [entry(4), entry(5)])
+        self.assertEqual([name for name in self.disk.files if "log" in name], ["log-4"])
+
+    def test_crash_between_snapshot_and_log(self) -> None:
+        """The snapshot lasts before the log before it is removed: both are there, or one."""
+        self.storage.append([entry(number) for number in range(1, 6)])
+        before = {name: bytes(data) for name, data in self.disk.files.items()}
+        self.storage.save_snapshot(storages.Snapshot(3, 1, b"state"))
+        self.disk.files["log-1"] = bytearray(before["log-1"])
+        self.assertEqual(self.open().last_index, 5)
+
+    def test_installed_snapshot_ahead_of_the_log(self) -> None:
+        self.storage.append([entry(1), entry(2)])
+        self.storage.save_snapshot(storages.Snapshot(9, 4, b"state"))
+        again = self.open()
+        self.assertEqual((again.last_index, again.last_term, again.entries), (9, 4, []))
+        again.append([entry(10, term=4)])
+        self.assertEqual(self.open().last_index, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/members/exchange.py
+++ b/tillerlane/members/exchange.py
@@ -98,7 +98,8 @@
         self._view = view
         self._get_keepers = get_keepers
         self._get_subscribers = get_subscribers
-        self._homes: dict[str, links.Link] = {}
+        self._homed: dict[links.Link, None] = {}
+        """Links over which a daemon told of itself; two keepers may have two of them."""
         self._pending: dict[str, messages.Member] = {}
         self._told: dict[str, messages.Member] = {}
         self._changed = asyncio.Event()
@@ -118,11 +119,9 @@
         """Take members that a peer told of."""
         now = asyncio.get_running_loop().time()
         for member in body.members:
-            if member.daemon_id == link.peer_id:
-                is_new = self._homes.get(link.peer_id) is not link
-                self._homes[link.peer_id] = link
-                if is_new:
-                    self._tell_all(link)
+            if member.daemon_id == link.peer_id and link not in self._homed:
+                self._homed[link] = None
+                self._tell_all(link)
         self._view.merge(body.members, now)
 
     def _tell_all(self, link: links.Link) -> None:
@@ -132,9 +131,11 @@
             return
 
     def note_down(self, link: links.Link) -> None:
-        """Suspect a daemon that called this keeper its home."""
-        if self._homes.get(link.peer_id) is link:
-            del self._homes[link.peer_id]
+        """Suspect a daemon that called this keeper its home, once its last link is lost."""
+        if link not in self._homed:
+            return
+        del self._homed[link]
+        if all(other.peer_id != link.peer_id for other in self._homed):
             self._view.suspect(link.peer_id, asyncio.get_running_loop().time())
 
     def _note(self, changed: list[messages.Member]) -> None:
--- a/tillerlane/peers/node.py
+++ b/tillerlane/peers/node.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import ssl
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tillerlane.faults import core as faults
 from tillerlane.peers import link as links
 
-__all__ = ["Node", "Peer", "split_address"]
+__all__ = ["Node", "Open", "Peer", "split_address"]
+
+Open = Callable[..., Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]]]
 
 FIRST_RETRY_SECONDS = 0.05
 LAST_RETRY_SECONDS = 1.0
@@ -88,6 +90,8 @@
         What the links share.
     server_tls, client_tls : ssl.SSLContext or None
         Contexts for accepted and dialed connections; None for plain TCP.
+    open_connection : callable
+        Opens a connection, as `asyncio.open_connection`.
     """
 
     def __init__(
@@ -95,13 +99,16 @@
         local: links.Local,
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
+        open_connection: Open = asyncio.open_connection,
     ) -> None:
         self.local = local
+        self._open_connection = open_connection
         self._server_tls = server_tls
         self._client_tls = client_tls
         self._server: asyncio.Server | None = None
         self._peers: dict[str, tuple[Peer, asyncio.Task[None]]] = {}
-        self.accepted: set[links.Link] = set()
+        self.accepted: dict[links.Link, None] = {}
+        """Links that peers dialed, in the order in which they came."""
         self._accepting = 0
 
     @property
@@ -121,13 +128,13 @@
             return
         self._accepting += 1
         link = links.Link(reader, writer, self.local, dialed=False)
-        self.accepted.add(link)
+        self.accepted[link] = None
         try:
             await link.run()
         except (OSError, EOFError, TimeoutError, faults.TillerlaneError):
             pass
         finally:
-            self.accepted.discard(link)
+            self.accepted.pop(link, None)
             self._accepting -= 1
 
     def dial(self, address: str, on_up: Callable[[Peer], None] | None = None) -> Peer:
@@ -164,7 +171,7 @@
     async def _run_link(self, peer: Peer) -> None:
         host, port = split_address(peer.address)
         extra = {"ssl": self._client_tls, "server_hostname": host} if self._client_tls else {}
-        opening = asyncio.open_connection(host, port, **extra)
+        opening = self._open_connection(host, port, **extra)
         reader, writer = await asyncio.wait_for(opening, DIAL_SECONDS)
         link = links.Link(reader, writer, self.local, dialed=True, on_ready=peer.set_link)
         try:
--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -56,7 +56,7 @@
 
 def run_module(module: str) -> Outcome:
     """All tests of one module; a module that ran none, or crashed, counts as one failure."""
-    done = _run([sys.executable, "-m", "unittest", module], module)
+    done = _run([sys.executable, "-W", "ignore", "-m", "unittest", module], module)
     output = done.stdout + done.stderr
     ran = _RAN.search(output)
     count = int(ran.group(1)) if ran else 0
--- /dev/null
+++ b/tillerlane/testing/network.py
@@ -0,0 +1,123 @@
+"""Connections in memory that can be cut silently, one way or both, and healed.
+
+What is sent into a cut waits, as it would in a kernel's buffers, and arrives after the cut heals
+if the connection still lives.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["Network"]
+
+
+class Network:
+    """Decides which pairs of daemons hear each other."""
+
+    def __init__(self) -> None:
+        self._cuts: set[tuple[str, str]] = set()
+        self._changed = asyncio.Event()
+        self.names: dict[str, str] = {}
+        """Peer address to daemon id."""
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Let nothing more arrive from one daemon at another."""
+        self._cuts.add((sender, receiver))
+
+    def isolate(self, name: str) -> None:
+        """Cut a daemon off from all others, both ways and without a word."""
+        for other in self.names.values():
+            if other != name:
+                self.cut(name, other)
+                self.cut(other, name)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Whether nothing gets through."""
+        return (sender, receiver) in self._cuts
+
+    async def wait_open(self, sender: str, receiver: str) -> None:
+        """Wait until something gets through."""
+        while self.is_cut(sender, receiver):
+            await self._changed.wait()
+
+    def connect_as(self, name: str) -> Callable[..., Any]:
+        """``open_connection`` of one daemon."""
+
+        async def open_connection(
+            host: str, port: int, **extra: Any
+        ) -> tuple["_Reader", "_Writer"]:
+            other = self.names.get(f"{host}:{port}", "")
+            await self.wait_open(name, other)
+            await self.wait_open(other, name)
+            reader, writer = await asyncio.open_connection(host, port, **extra)
+            return _Reader(self, reader, other, name), _Writer(self, writer, name, other)
+
+        return open_connection
+
+
+class _Reader:
+    """A stream reader that waits while its direction is cut."""
+
+    def __init__(
+        self, network: Network, reader: asyncio.StreamReader, sender: str, receiver: str
+    ) -> None:
+        self._network = network
+        self._reader = reader
+        self._pair = (sender, receiver)
+
+    async def readexactly(self, count: int) -> bytes:
+        await self._network.wait_open(*self._pair)
+        data = await self._reader.readexactly(count)
+        await self._network.wait_open(*self._pair)
+        return data
+
+
+class _Writer:
+    """A stream writer that keeps what is written while its direction is cut."""
+
+    def __init__(
+        self, network: Network, writer: asyncio.StreamWriter, sender: str, receiver: str
+    ) -> None:
+        self._network = network
+        self._writer = writer
+        self._pair = (sender, receiver)
+        self._held = bytearray()
+        self._flushing: asyncio.Task[None] | None = None
+        self.transport = writer.transport
+
+    def write(self, data: bytes) -> None:
+        if not self._held and not self._network.is_cut(*self._pair):
+            self._writer.write(data)
+            return
+        self._held += data
+        if self._flushing is None:
+            self._flushing = asyncio.create_task(self._flush())
+
+    async def _flush(self) -> None:
+        await self._network.wait_open(*self._pair)
+        data, self._held = bytes(self._held), bytearray()
+        self._flushing = None
+        if not self._writer.is_closing():
+            self._writer.write(data)
+
+    def get_extra_info(self, name: str) -> Any:
+        return self._writer.get_extra_info(name)
+
+    def close(self) -> None:
+        """Close; through a cut the other side does not hear of it."""
+        if self._flushing is not None:
+            self._flushing.cancel()
+        if not self._network.is_cut(*self._pair):
+            self._writer.close()
+        else:
+            self._closing = asyncio.create_task(self._close_later())
+
+    async def _close_later(self) -> None:
+        await self._network.wait_open(*self._pair)
+        self._writer.close()
--- /dev/null
+++ b/tillerlane/testing/scenes.py
@@ -0,0 +1,79 @@
+"""A small configuration, and checks that many tests in virtual time share."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import structlog
+
+from tillerlane.testing import lab
+
+__all__ = ["DOCUMENT", "SceneCase", "build_document"]
+
+
+def build_document(**classes: Any) -> dict[str, Any]:
+    """Two runners in two halls, two workspaces; `classes` change or add classes of work."""
+    base = {"pool": "pool", "model": "m", "max_tokens": 400, "deadline_seconds": 120}
+    named = {
+        "record": base,
+        "whole": {**base, "delivery": "whole"},
+        "once": {**base, "repeatable": False},
+        "ping": {**base, "urgent": True, "priority": 90, "max_tokens": 20},
+    }
+    for name, changes in classes.items():
+        named[name] = {**base, **changes}
+    return {
+        "workspaces": {"katalog": {}, "butikk": {}},
+        "classes": named,
+        "pools": {
+            "pool": {
+                "models": ["m"],
+                "runners": {"r1": {"data_hall": "hall-a"}, "r2": {"data_hall": "hall-b"}},
+            }
+        },
+    }
+
+
+DOCUMENT = build_document()
+
+
+class SceneCase(unittest.TestCase):
+    """Test case whose scenes run in virtual time."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Keep logs out of the test's output."""
+        structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+
+    def play(
+        self,
+        scene: Callable[[lab.Lab], Coroutine[Any, Any, None]],
+        document: dict[str, Any] | None = None,
+        **options: Any,
+    ) -> None:
+        """Run a scene in a fleet of one keeper and two entries, or as the options say."""
+
+        async def run() -> None:
+            given = {"keepers": 1, "entries": 2, **options}
+            stage = lab.Lab(document or DOCUMENT, **given)
+            await stage.begin()
+            await scene(stage)
+
+        lab.run_virtual(run())
+
+    def check_whole(self, answer: lab.Answer) -> None:
+        """The answer is whole, in order, and from a single generation."""
+        self.assertIsNone(answer.fault)
+        self.assertTrue(answer.ended, f"ended after {len(answer.texts)} tokens")
+        self.assertTrue(answer.is_right, answer.texts[:20])
+
+    async def begin_record(
+        self, stage: lab.Lab, prompt: str = "a long record", class_name: str = "record"
+    ) -> tuple[lab.Answer, "asyncio.Task[lab.Answer]"]:
+        """A call of which some tokens have come."""
+        answer, task = stage.begin_call("katalog", class_name, prompt)
+        while not answer.texts and not task.done():
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.2)
+        return answer, task
