--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,12 @@
 test: install
 	$(BIN)/python -m tillerlane.testing.check
 
+capacity: install
+	$(BIN)/python -m benchmarks.capacity
+
+fuzz: install
+	TILLERLANE_FUZZ=1 $(BIN)/python -m tillerlane.testing.check stateful messages
+
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: apart from the tests, never part of CI's verdict."""
--- a/tillerlane/config/settings.py
+++ b/tillerlane/config/settings.py
@@ -79,6 +79,8 @@
     keepers: Annotated[dict[documents.Name, Address], pydantic.Field(min_length=1)]
     """First voters: daemon id to peer address.  Later ones come through the log."""
     data_folder: str | None = None
+    near_halls: list[documents.Name] | None = None
+    """Halls whose agents an entry keeps links to; None is all.  Others are dialed at need."""
     targets: dict[documents.Name, Target] = {}
     operators: dict[documents.Name, documents.Operator] = {}
     """Operators known before there is a configuration."""
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -195,7 +195,8 @@
         return int(self._around.now() * 1000)
 
     def _build_entry(self) -> None:
-        self.view = fleet.FleetView(self.node, self.members)
+        near = self.settings.near_halls
+        self.view = fleet.FleetView(self.node, self.members, set(near) if near else None)
         router = routing.Router(self.view, self.settings.data_hall, self._around.rng)
         dispatcher = dispatch.Dispatcher(
             self.view,
--- a/tillerlane/entry/dispatch.py
+++ b/tillerlane/entry/dispatch.py
@@ -152,6 +152,10 @@
         """The rest of a generation that another entry, or this one, had been reading."""
         target, _ = requests.split_generation_id(generation_id)
         record = self._view.find(target)
+        if record is None:
+            loop = asyncio.get_running_loop()
+            await self._view.borrow_far([target], self._router.rng, loop.time())
+            record = self._view.find(target)
         if record is None:
             message = f"the target of {generation_id!r} is gone"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.GENERATION_LOST, message))
@@ -183,7 +187,7 @@
         tried: set[str] = set()
         last: faults.Fault | None = None
         for _ in range(MAX_ATTEMPTS):
-            record = self._choose(request, tried, last)
+            record = await self._choose(request, tried, last)
             generation_id = requests.new_generation_id(record.name, request.class_name)
             if claim is not None:
                 await self._take_claim(request, claim, generation_id)
@@ -206,12 +210,17 @@
         await self._give_up_claim(request, claim, last)
         raise faults.FaultError(last)
 
-    def _choose(
+    async def _choose(
         self, request: requests.Request, tried: set[str], last: faults.Fault | None
     ) -> fleet.TargetRecord:
-        now = asyncio.get_running_loop().time()
+        """A near target, or one of a far hall if no near one can take the request."""
+        loop = asyncio.get_running_loop()
         program = self._get_program(request.group)
-        chosen = routing.choose_target(request, self._router, program, tried, now)
+        chosen = routing.choose_target(request, self._router, program, tried, loop.time())
+        if isinstance(chosen, result.Err):
+            far = set(request.targets) - tried
+            if await self._view.borrow_far(far, self._router.rng, loop.time()):
+                chosen = routing.choose_target(request, self._router, program, tried, loop.time())
         if isinstance(chosen, result.Err):
             raise faults.FaultError(last or chosen.err_value)
         return chosen.ok_value
--- a/tillerlane/entry/fleet.py
+++ b/tillerlane/entry/fleet.py
@@ -1,7 +1,10 @@
 """What an entry knows of the targets: which agent has them, their lagging load, their failures."""
 
+import asyncio
 import dataclasses
 import math
+import random
+from collections.abc import Iterable
 
 from tillerlane.members import view as views
 from tillerlane.peers import link as links
@@ -13,6 +16,11 @@
 EJECT_SECONDS = 5.0
 EJECT_FAILURES = 3
 """Failures in a row after which a target is left out for a while."""
+FAR_SAMPLES = 2
+"""Far targets that are dialed at once at need."""
+FAR_DIAL_SECONDS = 0.5
+BORROW_SECONDS = 60.0
+"""How long a far target is kept after it was dialed."""
 SLOW_START_SECONDS = 10.0
 """How long a newcomer gets less than its share."""
 
@@ -36,6 +44,8 @@
     failures: int = 0
     ejected_until: float = -math.inf
     leaving: bool = False
+    borrowed_until: float = math.inf
+    """Until when a target of a far hall is kept."""
 
     def take_load(self, load: messages.Load, now: float) -> None:
         """Take a report; one that is older than the last is dropped."""
@@ -73,11 +83,16 @@
         Dials the agents.
     members : views.MemberView
         Who is there.
+    near_halls : set of str or None
+        Halls whose agents are kept linked; None is all.
     """
 
-    def __init__(self, node: nodes.Node, members: views.MemberView) -> None:
+    def __init__(
+        self, node: nodes.Node, members: views.MemberView, near_halls: set[str] | None = None
+    ) -> None:
         self._node = node
         self._members = members
+        self._near_halls = near_halls
         self._began: float | None = None
         self.targets: dict[str, TargetRecord] = {}
 
@@ -90,6 +105,8 @@
             for name in member.targets:
                 if member.state == views.GONE and not self._is_linked(name, member):
                     continue
+                if not self._is_wanted(name, member, now):
+                    continue
                 present.add(name)
                 self._follow(name, member, now)
         for name in set(self.targets) - present:
@@ -100,6 +117,39 @@
                 record.leaving = True
         self._hang_up()
 
+    def _is_wanted(self, name: str, member: messages.Member, now: float) -> bool:
+        """Whether a target is near, or far and still borrowed."""
+        if self._near_halls is None or member.data_hall in self._near_halls:
+            return True
+        record = self.targets.get(name)
+        return record is not None and (now < record.borrowed_until or record.in_flight > 0)
+
+    async def borrow_far(self, names: Iterable[str], rng: random.Random, now: float) -> bool:
+        """Link to a few targets of far halls, when the near ones cannot take a request.
+
+        Returns
+        -------
+        bool
+            Whether one of them has a link.
+        """
+        wanted = set(names) - set(self.targets)
+        far = [
+            (name, member)
+            for member in self._members.read_live()
+            if not member.leaving
+            for name in member.targets
+            if name in wanted and name not in member.leaving_targets
+        ]
+        chosen = rng.sample(far, min(FAR_SAMPLES, len(far)))
+        for name, member in chosen:
+            self._follow(name, member, now)
+            self.targets[name].borrowed_until = now + BORROW_SECONDS
+        links_found = await asyncio.gather(
+            *(self.targets[name].peer.wait_link(FAR_DIAL_SECONDS) for name, _ in chosen),
+            return_exceptions=True,
+        )
+        return any(isinstance(item, links.Link) for item in links_found)
+
     def _is_linked(self, name: str, member: messages.Member) -> bool:
         """Whether this entry still has a link to a member that the keepers call gone.
 
--- a/tillerlane/entry/tests/test_failures.py
+++ b/tillerlane/entry/tests/test_failures.py
@@ -351,5 +351,35 @@
         self.play(scene)
 
 
+class FarHallsTest(scenes.SceneCase):
+    """An entry keeps links to the agents of its own halls and borrows others at need."""
+
+    def test_near_first_and_far_when_near_cannot(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            near = [await stage.call("katalog", "ping", f"near {n}") for n in range(6)]
+            self.assertEqual({get_target(answer) for answer in near}, {"r1"})
+            self.assertEqual(set(stage.daemons["entry-1"].view.targets), {"r1"})
+            stage.daemons["agent-hall-a"].agent.leave("test")
+            far = [await stage.call("katalog", "ping", f"far {n}") for n in range(6)]
+            for answer in far:
+                self.check_whole(answer)
+            self.assertEqual({get_target(answer) for answer in far}, {"r2"})
+            await asyncio.sleep(70)
+            self.assertNotIn("r2", stage.daemons["entry-1"].view.targets)
+
+        self.play(scene, entry_settings={"near_halls": ["hall-a"]})
+
+    def test_resume_of_a_far_generation(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            stage.daemons["agent-hall-a"].agent.leave("test")
+            answer, task = await self.begin_record(stage)
+            task.cancel()
+            await stage.kill("entry-1")
+            await stage.call("katalog", "record", "", entry="entry-2", answer=answer)
+            self.check_whole(answer)
+
+        self.play(scene, entry_settings={"near_halls": ["hall-a"]})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/testing/lab.py
+++ b/tillerlane/testing/lab.py
@@ -120,6 +120,7 @@
         spec: engines.EngineSpec | None = None,
         seed: int = 0,
         get_length: Any = None,
+        entry_settings: dict[str, Any] | None = None,
     ) -> None:
         self.document = document
         self.checked = documents.Document.model_validate(document)
@@ -133,6 +134,7 @@
         self.distort: Any = lambda load: load
         self._spec = spec or engines.EngineSpec()
         self._get_length = get_length
+        self._entry_settings = entry_settings or {}
         self._seed = seed
         self._engine_tasks: dict[str, asyncio.Task[None]] = {}
         self._models: dict[str, list[str]] = {}
@@ -152,7 +154,14 @@
             self._add(name, hall, "keeper", addresses[name], addresses, data_folder=name)
         for number in range(1, entries + 1):
             hall = order[(number - 1) % len(order)]
-            self._add(f"entry-{number}", hall, "entry", f"10.0.1.{number}:7000", addresses)
+            self._add(
+                f"entry-{number}",
+                hall,
+                "entry",
+                f"10.0.1.{number}:7000",
+                addresses,
+                **self._entry_settings,
+            )
         for number, (hall, targets) in enumerate(halls.items(), 1):
             address = f"10.0.2.{number}:7000"
             self._add(f"agent-{hall}", hall, "agent", address, addresses, targets=targets)
