--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -18,6 +18,8 @@
 
 __all__ = ["Executor"]
 
+Decide = Callable[[targets.TargetState, float], list[scheduling.Action]]
+
 TICK_SECONDS = 0.05
 LOAD_SECONDS = 0.25
 LOAD_FAILURES_UNTIL_SICK = 4
@@ -41,6 +43,8 @@
         Gives (resume seconds, detached seconds) of the configuration in force.
     count : callable
         Called with (metric name, number).
+    decide : callable
+        Gives the actions to take; benchmarks put baselines here.
     """
 
     def __init__(
@@ -49,8 +53,10 @@
         timeline: timelines.Timeline,
         get_fleet: Callable[[], tuple[float, float]],
         count: Callable[[str, float], None],
+        decide: Decide = scheduling.decide,
     ) -> None:
         self.state = state
+        self._decide = decide
         self._timeline = timeline
         self._get_fleet = get_fleet
         self._count = count
@@ -94,7 +100,7 @@
             now = loop.time()
             self._check_stall(now)
             self._sweep(now)
-            for action in scheduling.decide(self.state, now):
+            for action in self._decide(self.state, now):
                 self._apply(action, now)
 
     def _apply(self, action: scheduling.Action, now: float) -> None:
--- a/tillerlane/agent/server.py
+++ b/tillerlane/agent/server.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from tillerlane.agent import execution, scheduling
+from tillerlane.agent import execution, lengths, scheduling
 from tillerlane.agent import generation as generations
 from tillerlane.agent import target as targets
 from tillerlane.config import documents, settings
@@ -60,6 +60,8 @@
         Links that load reports go to.
     count : callable
         Called with (metric name, number).
+    decide : callable
+        Gives the actions to take at a target.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         timeline: timelines.Timeline,
         get_links: Callable[[], list[links.Link]],
         count: Callable[[str, float], None],
+        decide: execution.Decide = scheduling.decide,
     ) -> None:
         self._store = store
         self._timeline = timeline
@@ -81,11 +84,15 @@
         self._report_task: asyncio.Task[None] | None = None
         self.is_leaving = False
         self.host_leaving = False
+        self.get_length_model: Callable[[messages.Start], lengths.LengthModel] | None = None
+        """Another source of length models; benchmarks put perfect knowledge here."""
         self.executors: dict[str, execution.Executor] = {}
         for name, item in own.items():
             empty = programs.Program("builtin", {})
             state = targets.TargetState(name, item.kind, connect(item), empty)
-            self.executors[name] = execution.Executor(state, timeline, self._get_fleet, count)
+            self.executors[name] = execution.Executor(
+                state, timeline, self._get_fleet, count, decide
+            )
         store.listen(self._take_configuration)
         self._take_configuration(store.current)
 
@@ -232,7 +239,10 @@
         self, executor: execution.Executor, start: messages.Start, terms: _Terms
     ) -> generations.Generation:
         now = asyncio.get_running_loop().time()
-        book = executor.state.length_book
+        model = self.get_length_model(start) if self.get_length_model else None
+        if model is None:
+            book = executor.state.length_book
+            model = book.get(start.workspace, start.class_name, start.model)
         return generations.Generation(
             start=start,
             arrived=now,
@@ -240,7 +250,7 @@
             priority=terms.priority,
             urgent=terms.urgent,
             repeatable=terms.repeatable,
-            length_model=book.get(start.workspace, start.class_name, start.model),
+            length_model=model,
         )
 
     async def _take(
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+from tillerlane.agent import execution, scheduling
 from tillerlane.agent import server as agents
 from tillerlane.config import settings
 from tillerlane.config import store as stores
@@ -68,6 +69,8 @@
         Wall time in seconds.
     rng : random.Random
         Draws timeouts and routes.
+    decide, choose : callable
+        Rules at the agent and at the entry; benchmarks put baselines here.
     """
 
     connect: agents.Connect = connect_target
@@ -76,6 +79,8 @@
     open_connection: nodes.Open = asyncio.open_connection
     now: Callable[[], float] = time.time
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    decide: execution.Decide = scheduling.decide
+    choose: routing.Choose | None = None
 
 
 class Daemon:
@@ -126,6 +131,7 @@
                 self.timeline,
                 self._get_report_links,
                 self.metrics.count,
+                self._around.decide,
             )
         self.view: fleet.FleetView | None = None
         self.callers: api.Callers | None = None
@@ -197,7 +203,9 @@
     def _build_entry(self) -> None:
         near = self.settings.near_halls
         self.view = fleet.FleetView(self.node, self.members, set(near) if near else None)
-        router = routing.Router(self.view, self.settings.data_hall, self._around.rng)
+        router = routing.Router(
+            self.view, self.settings.data_hall, self._around.rng, self._around.choose
+        )
         dispatcher = dispatch.Dispatcher(
             self.view,
             router,
--- a/tillerlane/entry/routing.py
+++ b/tillerlane/entry/routing.py
@@ -8,6 +8,7 @@
 import dataclasses
 import hashlib
 import random
+from collections.abc import Callable
 
 import result
 
@@ -35,6 +36,11 @@
     view: fleet.FleetView
     data_hall: str
     rng: random.Random
+    choose: "Choose | None" = None
+    """Another rule among those that may take a request; benchmarks put baselines here."""
+
+
+Choose = Callable[[requests.Request, list[fleet.TargetRecord]], fleet.TargetRecord]
 
 
 def estimate_wait(record: fleet.TargetRecord, urgent: bool) -> float:
@@ -157,6 +163,8 @@
         message = f"none of the {len(request.targets)} targets of {request.group!r} can take it"
         fault = faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message, retry_after=1.0)
         return result.Err(fault)
+    if router.choose is not None:
+        return result.Ok(router.choose(request, records))
     records = _leave_out_ejected(records, now)
     settled = [
         item for item in records if not item.is_new(now) or router.rng.random() < NEWCOMER_SHARE
--- a/tillerlane/operators/api.py
+++ b/tillerlane/operators/api.py
@@ -122,6 +122,11 @@
         access.authorize(daemon, request, documents.OperatorRole.READ)
         return await queries.gather_status(daemon)
 
+    @litestar.get("/admin/self")
+    async def own_status(request: Http) -> dict[str, Any]:
+        access.authorize(daemon, request, documents.OperatorRole.READ)
+        return queries.read_status(daemon)
+
     @litestar.get("/admin/timeline")
     async def timeline(request: Http) -> dict[str, Any]:
         access.authorize(daemon, request, documents.OperatorRole.READ)
@@ -157,7 +162,7 @@
             command = commands.VoterAdd(body.name, body.address, "")
         return await daemon.client.propose(command)
 
-    return [status, timeline, drain, cancel, keepers]
+    return [status, own_status, timeline, drain, cancel, keepers]
 
 
 def build_handlers(daemon: daemons.Daemon) -> list[Any]:
--- a/tillerlane/testing/deployment.py
+++ b/tillerlane/testing/deployment.py
@@ -116,6 +116,7 @@
     """
     targets = _find_targets(document)
     halls = sorted({hall for hall, _, _ in targets.values()})
+    homes = halls or ["hall-a"]
     needed = 2 * (keepers + entries + len(halls)) + len(targets)
     free = iter(ports or free_ports(needed))
     keeper_addresses = {
@@ -142,11 +143,11 @@
 
     result = Plan({}, {}, {})
     for number, (name, address) in enumerate(keeper_addresses.items()):
-        hall = halls[number % len(halls)]
+        hall = homes[number % len(homes)]
         result.daemons[name] = build(name, hall, "keeper", address, data_folder=f"{folder}/{name}")
     for number in range(1, entries + 1):
         name = f"entry-{number}"
-        hall = halls[(number - 1) % len(halls)]
+        hall = homes[(number - 1) % len(homes)]
         result.daemons[name] = build(name, hall, "entry", f"127.0.0.1:{next(free)}")
     for hall in halls:
         own: dict[str, Any] = {}
--- a/tillerlane/testing/lab.py
+++ b/tillerlane/testing/lab.py
@@ -121,6 +121,8 @@
         seed: int = 0,
         get_length: Any = None,
         entry_settings: dict[str, Any] | None = None,
+        rules: dict[str, Any] | None = None,
+        get_length_model: Any = None,
     ) -> None:
         self.document = document
         self.checked = documents.Document.model_validate(document)
@@ -134,6 +136,8 @@
         self.distort: Any = lambda load: load
         self._spec = spec or engines.EngineSpec()
         self._get_length = get_length
+        self._rules = rules or {}
+        self._get_length_model = get_length_model
         self._entry_settings = entry_settings or {}
         self._seed = seed
         self._engine_tasks: dict[str, asyncio.Task[None]] = {}
@@ -229,10 +233,13 @@
             open_connection=self.network.connect_as(name),
             now=lambda: WALL_BEGIN + loop.time(),
             rng=random.Random(texts.seed_of(f"{self._seed} {name}")),
+            **self._rules,
         )
         daemon = daemons.Daemon(self.plans[name], around)
         queries.register_queries(daemon)
         self.daemons[name] = daemon
+        if daemon.agent is not None and self._get_length_model is not None:
+            daemon.agent.get_length_model = self._get_length_model
         await daemon.start()
         return daemon
 
--- a/tillerlane/testing/scenes.py
+++ b/tillerlane/testing/scenes.py
@@ -1,6 +1,7 @@
 """A small configuration, and checks that many tests in virtual time share."""
 
 import asyncio
+import logging
 import unittest
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -44,7 +45,7 @@
     @classmethod
     def setUpClass(cls) -> None:
         """Keep logs out of the test's output."""
-        structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
 
     def play(
         self,
