Halve the heartbeats of subscribers and bound a decision's work

Cause: on a keeper of three, 50 subscribers cost 2.1% of a core and 12.8 kB/s, all of it heartbeats of two a second each way; a decision walked all that wait several times. Change: each side tells its pace in Hello; a daemon speaks to its home keeper every 2.5 s, others every 0.85 s, and silence of two paces ends a link. Raft's heartbeat goes from 150 to 250 ms. A decision keeps a count of waiting by workspace and evaluates 48 ranks at most.

--- a/tillerlane/agent/scheduling.py
+++ b/tillerlane/agent/scheduling.py
@@ -5,6 +5,8 @@
 """
 
 import dataclasses
+import heapq
+import itertools
 from collections.abc import Callable
 
 from tillerlane.agent import forecast
@@ -19,7 +21,7 @@
 
 LOOKAHEAD_STEPS = 8
 """Tokens that each generation may write before the next decision takes effect."""
-RANKS_A_DECISION = 64
+RANKS_A_DECISION = 48
 """Ranks evaluated anew in one decision; the others keep their last value."""
 RANK_AGE_SECONDS = 0.5
 """A rank younger than this is not evaluated anew."""
@@ -125,6 +127,14 @@
     return generation.rank
 
 
+def _read_rank_at(generation: generations.Generation) -> float:
+    return generation.rank_at
+
+
+def _read_reverse_rank(generation: generations.Generation) -> float:
+    return -generation.rank
+
+
 def order_waiting(
     state: targets.TargetState, leads: dict[str, float], now: float
 ) -> list[generations.Generation]:
@@ -137,13 +147,15 @@
     if state.program.expressions.get("rank") is None or len(waiting) <= RANKS_A_DECISION:
         stale = [item for item in waiting if now - item.rank_at > 0]
     else:
-        foremost = waiting[:TOP_RANKS]
-        others = sorted(waiting[TOP_RANKS:], key=lambda item: item.rank_at)
-        stale = [*foremost, *others[: RANKS_A_DECISION - TOP_RANKS]]
-        stale = [item for item in stale if now - item.rank_at > RANK_AGE_SECONDS]
+        stalest = heapq.nsmallest(RANKS_A_DECISION - TOP_RANKS, waiting, key=_read_rank_at)
+        stale = [
+            item
+            for item in [*waiting[:TOP_RANKS], *stalest]
+            if now - item.rank_at > RANK_AGE_SECONDS
+        ]
     for generation in stale:
         rank_generation(generation, state, leads, now)
-    waiting.sort(key=lambda item: -item.rank)
+    waiting.sort(key=_read_reverse_rank)
     return waiting
 
 
@@ -267,8 +279,8 @@
     for generation in state.paused:
         rank_generation(generation, state, leads, now)
     paused = sorted(state.paused, key=lambda item: -item.rank)
-    urgent = [item for item in waiting if item.urgent]
-    others = [item for item in waiting if not item.urgent]
+    urgent = itertools.islice((item for item in waiting if item.urgent), TRIES_A_DECISION)
+    others = itertools.islice((item for item in waiting if not item.urgent), TRIES_A_DECISION)
     return [*urgent, *paused, *others]
 
 
@@ -277,7 +289,7 @@
     batch = _Batch(forecast.BatchForecast(state.running), state.memory_used, len(state.running))
     actions: list[Action] = []
     blocked: set[bool] = set()
-    for generation in _order_candidates(state, leads, now)[:TRIES_A_DECISION]:
+    for generation in _order_candidates(state, leads, now):
         if generation.urgent in blocked:
             continue
         if not _fits(generation, batch, state, headroom, leads, now):
--- a/tillerlane/agent/target.py
+++ b/tillerlane/agent/target.py
@@ -86,6 +86,8 @@
     healthy: bool = True
     leaving: bool = False
     fence: tuple[int, int] = (0, 0)
+    waiting_of: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """How many of each workspace wait."""
     backlog: dict[bool, float] = dataclasses.field(default_factory=lambda: {True: 0.0, False: 0.0})
     """Expected tokens of what waits, urgent or not."""
     token_rate: float = 0.0
@@ -149,12 +151,17 @@
         """Put a new generation into the queue."""
         self.held[generation.id] = generation
         self.waiting.append(generation)
+        self.waiting_of[generation.start.workspace] += 1
         self.backlog[generation.urgent] += generation.look_ahead().expected_left
         self.urgent_share += 0.05 * (float(generation.urgent) - self.urgent_share)
 
     def dequeue(self, generation: generations.Generation) -> None:
         """Take a generation out of the queue."""
         self.waiting.remove(generation)
+        workspace = generation.start.workspace
+        self.waiting_of[workspace] -= 1
+        if not self.waiting_of[workspace]:
+            del self.waiting_of[workspace]
         left = self.backlog[generation.urgent] - generation.look_ahead().expected_left
         self.backlog[generation.urgent] = max(0.0, left) if self.waiting else 0.0
 
@@ -173,11 +180,7 @@
         What still runs counts with what it is expected to write, so that many requests at once
         gain nothing.
         """
-        served: dict[str, float] = {}
-        for generation in self.waiting:
-            workspace = generation.start.workspace
-            if workspace not in served:
-                served[workspace] = self.ledger.read(workspace)
+        served = {workspace: self.ledger.read(workspace) for workspace in self.waiting_of}
         for generation in (*self.running, *self.paused):
             workspace = generation.start.workspace
             if workspace not in served:
--- a/tillerlane/keeper/client.py
+++ b/tillerlane/keeper/client.py
@@ -129,7 +129,8 @@
         self._dial(now)
 
     def _dial(self, now: float) -> None:
-        self._peer = self._node.dial(self._keepers[self.home_name])
+        address = self._keepers[self.home_name]
+        self._peer = self._node.dial(address, pace=links.SLOW_PACE_SECONDS)
         self._linkless_since = now
 
     async def propose(self, command: commands.Command) -> dict[str, Any]:
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -31,7 +31,7 @@
 
 __all__ = ["Replica", "Standing"]
 
-HEARTBEAT_SECONDS = 0.15
+HEARTBEAT_SECONDS = 0.25
 ELECTION_SECONDS = (1.0, 1.6)
 """Silence of the leader after which a voter stands for election, drawn anew each time."""
 LEASE_SECONDS = 0.8
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -28,9 +28,12 @@
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """A peer that leaves more than this unread is cut off."""
 HELLO_SECONDS = 2.0
-HEARTBEAT_SECONDS = 0.5
-SILENCE_SECONDS = 1.8
-"""A link on which nothing came for this long is lost: a cut is found within two seconds."""
+PACE_SECONDS = 0.85
+"""Longest silence of a sender; a cut is found within two seconds."""
+SLOW_PACE_SECONDS = 2.5
+"""Pace of a daemon towards its home keeper, which has hundreds of such links."""
+SILENCE_FACTOR = 2.1
+"""A link on which nothing came for this many paces of the peer is lost."""
 TOKEN_FLUSH_SECONDS = 0.002
 """How long tokens wait for others to share their frame."""
 
@@ -175,6 +178,8 @@
         Whether this side opened the connection.
     on_ready : callable or None
         Called with the link after ``Hello`` went both ways.
+    pace : float
+        Seconds that this side may be silent.
     """
 
     def __init__(
@@ -185,7 +190,9 @@
         *,
         dialed: bool,
         on_ready: Callable[["Link"], None] | None = None,
+        pace: float = PACE_SECONDS,
     ) -> None:
+        self._pace = pace
         self._reader = reader
         self._writer = writer
         self._local = local
@@ -331,7 +338,13 @@
 
     async def _greet(self) -> None:
         local = self._local
-        hello = messages.Hello(local.daemon_id, local.incarnation, local.fleet, local.address)
+        hello = messages.Hello(
+            local.daemon_id,
+            local.incarnation,
+            local.fleet,
+            local.address,
+            pace_ms=int(self._pace * 1000),
+        )
         self._write(hello, 0)
         envelope = await asyncio.wait_for(self._read_envelope(MAX_HELLO_BYTES), HELLO_SECONDS)
         theirs = envelope.body
@@ -407,17 +420,21 @@
         """Send heartbeats while idle; end the link when the peer falls silent."""
         loop = asyncio.get_running_loop()
         self._last_heard = loop.time()
+        assert self.hello is not None
+        patience = SILENCE_FACTOR * self.hello.pace_ms / 1000
         while not self._closed:
             now = loop.time()
-            if now - self._last_heard > SILENCE_SECONDS:
+            if now - self._last_heard > patience:
                 self.close()
                 return
-            if now - self._last_sent >= HEARTBEAT_SECONDS * 0.9:
+            if now - self._last_sent >= self._pace * 0.99:
                 try:
                     self._write(messages.Heartbeat(), 0)
                 except LinkLost:
                     return
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            next_send = self._last_sent + self._pace
+            next_check = self._last_heard + patience
+            await asyncio.sleep(max(0.01, min(next_send, next_check) - loop.time()))
 
     def close(self) -> None:
         """End the link at once; every open exchange learns of it."""
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -38,6 +38,7 @@
   fleet @2 :Text;
   address @3 :Text;
   protocol @4 :UInt16;
+  paceMs @5 :UInt16;
 }
 
 struct Start {
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -29,13 +29,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Hello:
-    """First message each way on a connection."""
+    """First message each way on a connection.
+
+    ``pace_ms`` is how long the sender may be silent; twice that, and it is given up.
+    """
 
     daemon_id: str
     incarnation: int
     fleet: str
     address: str
     protocol: int = PROTOCOL
+    pace_ms: int = 850
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/peers/node.py
+++ b/tillerlane/peers/node.py
@@ -43,8 +43,14 @@
         Tries that failed since the last link.
     """
 
-    def __init__(self, address: str, on_up: Callable[["Peer"], None] | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        on_up: Callable[["Peer"], None] | None = None,
+        pace: float = links.PACE_SECONDS,
+    ) -> None:
         self.address = address
+        self.pace = pace
         self.link: links.Link | None = None
         self.failures = 0
         self._on_up = on_up
@@ -110,6 +116,7 @@
         self.accepted: dict[links.Link, None] = {}
         """Links that peers dialed, in the order in which they came."""
         self._accepting = 0
+        self._closing = False
 
     @property
     def tls_contexts(self) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
@@ -123,7 +130,7 @@
         self._server = await asyncio.start_server(self._accept, host, port, **extra)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._accepting >= MAX_ACCEPTED_LINKS:
+        if self._closing or self._accepting >= MAX_ACCEPTED_LINKS:
             writer.close()
             return
         self._accepting += 1
@@ -137,12 +144,17 @@
             self.accepted.pop(link, None)
             self._accepting -= 1
 
-    def dial(self, address: str, on_up: Callable[[Peer], None] | None = None) -> Peer:
+    def dial(
+        self,
+        address: str,
+        on_up: Callable[[Peer], None] | None = None,
+        pace: float = links.PACE_SECONDS,
+    ) -> Peer:
         """Keep a link to `address`; asking twice gives the same peer."""
         known = self._peers.get(address)
         if known is not None:
             return known[0]
-        peer = Peer(address, on_up)
+        peer = Peer(address, on_up, pace)
         task = asyncio.create_task(self._keep_link(peer), name=f"dial {address}")
         self._peers[address] = (peer, task)
         return peer
@@ -173,7 +185,9 @@
         extra = {"ssl": self._client_tls, "server_hostname": host} if self._client_tls else {}
         opening = self._open_connection(host, port, **extra)
         reader, writer = await asyncio.wait_for(opening, DIAL_SECONDS)
-        link = links.Link(reader, writer, self.local, dialed=True, on_ready=peer.set_link)
+        link = links.Link(
+            reader, writer, self.local, dialed=True, on_ready=peer.set_link, pace=peer.pace
+        )
         try:
             await link.run()
         finally:
@@ -190,7 +204,8 @@
         return dialed + [link for link in self.accepted if link.hello is not None and link.is_open]
 
     async def close(self) -> None:
-        """End all links and stop listening."""
+        """End all links and stop listening; a connection on its way in is closed too."""
+        self._closing = True
         if self._server is not None:
             self._server.close()
         for address in list(self._peers):
