Send idle heartbeats as four bytes and load reports by change

Change: an idle heartbeat is an empty frame while the configuration is unchanged; an agent reports a target when its memory, queue or state has changed enough, at the latest every two seconds. Reference page written from the code and compared by a test; direction of imports tested.

--- a/tillerlane/agent/server.py
+++ b/tillerlane/agent/server.py
@@ -21,9 +21,12 @@
 
 SERVICE_PREFIX = "service:"
 """Class name of a service's calls: this and the service's name."""
-REPORT_SECONDS = 0.2
-"""Least time between two load reports; sent only if something changed."""
-REPORT_ANYWAY_SECONDS = 1.0
+REPORT_SECONDS = 0.25
+"""Least time between two load reports; sent only if something changed enough."""
+REPORT_ANYWAY_SECONDS = 2.0
+REPORT_MEMORY_SHARE = 0.05
+"""Change of a target's memory, as a share of all of it, that is worth a report."""
+REPORT_RUNNING_SHARE = 0.2
 CONFIG_WAIT_SECONDS = 2.0
 """How long a start waits for a configuration that knows its class."""
 DEADLINE_GRACE_SECONDS = 0.25
@@ -405,8 +408,9 @@
     def _read_changed(self, everything: bool) -> list[messages.Load]:
         changed = []
         for load in self.read_loads():
-            if everything or self._reported.get(load.target) != load:
-                self._reported[load.target] = dataclasses.replace(load)
+            known = self._reported.get(load.target)
+            if everything or known is None or _has_changed(known, load):
+                self._reported[load.target] = load
                 changed.append(load)
         self._sequence += 1
         return [dataclasses.replace(load, sequence=self._sequence) for load in changed]
@@ -419,6 +423,18 @@
                 continue
 
 
+def _has_changed(old: messages.Load, new: messages.Load) -> bool:
+    """Whether a target's load has changed enough to be worth a report."""
+    if (old.leaving, old.healthy, old.models) != (new.leaving, new.healthy, new.models):
+        return True
+    if (old.waiting == 0) != (new.waiting == 0) or old.prefixes != new.prefixes:
+        return True
+    held = abs(new.memory_used + new.memory_promised - old.memory_used - old.memory_promised)
+    if held > REPORT_MEMORY_SHARE * max(1, new.memory_total):
+        return True
+    return abs(new.running - old.running) > 1 + REPORT_RUNNING_SHARE * old.running
+
+
 def _find_terms(configuration: stores.Configuration, class_name: str) -> _Terms | None:
     if class_name.startswith(SERVICE_PREFIX):
         service = configuration.services.get(class_name.removeprefix(SERVICE_PREFIX))
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -1,9 +1,11 @@
 """One connection to a peer: frames, exchanges, heartbeats, batched tokens.
 
-A frame is its length (4 bytes, big-endian) and one Cap'n Proto envelope.  An exchange is a call
-or a stream; the side that dialed opens odd numbers, the other side even ones, so both can open
-exchanges at once.  Nothing in a link is unbounded: tokens are held back by credit, calls by
-their callers, and a peer that reads too slowly for the rest is cut off.
+A frame is its length (4 bytes, big-endian) and one Cap'n Proto envelope.  A frame of length 0 is
+a heartbeat that says: I live, and my configuration is that of my last envelope.
+
+An exchange is a call or a stream; the side that dialed opens odd numbers, the other side even
+ones, so both can open exchanges at once.  Nothing in a link is unbounded: tokens are held back by
+credit, calls by their callers, and a peer that reads too slowly for the rest is cut off.
 """
 
 import asyncio
@@ -38,6 +40,7 @@
 """How long tokens wait for others to share their frame."""
 
 _LENGTH = struct.Struct(">I")
+_EMPTY_FRAME = _LENGTH.pack(0)
 _OPENING = (
     messages.Start,
     messages.Query,
@@ -209,6 +212,7 @@
         self._runs: list[messages.Run] = []
         self._flush: asyncio.TimerHandle | None = None
         self._closed = False
+        self._sent_version = -1
         self._last_sent = 0.0
         self._last_heard = 0.0
 
@@ -365,11 +369,15 @@
         return ""
 
     async def _read_envelope(self, limit: int) -> messages.Envelope:
-        (length,) = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))
+        length = 0
+        while length == 0:
+            (length,) = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))
+            self._last_heard = asyncio.get_running_loop().time()
+            self.bytes_in += _LENGTH.size
         if length > limit:
             raise _refuse(f"got a frame of {length} bytes, expected at most {limit}")
         envelope = messages.decode(await self._reader.readexactly(length))
-        self.bytes_in += length + _LENGTH.size
+        self.bytes_in += length
         self.messages_in += 1
         self._last_heard = asyncio.get_running_loop().time()
         local = self._local
@@ -428,14 +436,24 @@
                 self.close()
                 return
             if now - self._last_sent >= self._pace * 0.99:
-                try:
-                    self._write(messages.Heartbeat(), 0)
-                except LinkLost:
-                    return
+                self._send_heartbeat(now)
             next_send = self._last_sent + self._pace
             next_check = self._last_heard + patience
             await asyncio.sleep(max(0.01, min(next_send, next_check) - loop.time()))
 
+    def _send_heartbeat(self, now: float) -> None:
+        """Four bytes if the configuration is still that of the last envelope."""
+        if self._sent_version == self._local.get_config_version():
+            self._writer.write(_EMPTY_FRAME)
+            self.bytes_out += len(_EMPTY_FRAME)
+            self.messages_out += 1
+            self._last_sent = now
+            return
+        try:
+            self._write(messages.Heartbeat(), 0)
+        except LinkLost:
+            return
+
     def close(self) -> None:
         """End the link at once; every open exchange learns of it."""
         if self._closed:
--- /dev/null
+++ b/tillerlane/testing/tests/test_reference.py
@@ -0,0 +1,60 @@
+"""The reference page is that of the code; examples are valid; imports keep their direction."""
+
+import ast
+import pathlib
+import unittest
+
+from tillerlane.operators import changes
+from tillerlane.testing import deployment, reference
+
+PACKAGE = reference.ROOT / "tillerlane"
+ALLOWED = {
+    "faults": set(),
+    "timeline": set(),
+    "config": {"faults", "peers"},
+    "policy": {"faults", "config"},
+    "peers": {"faults", "timeline"},
+    "runners": {"faults"},
+    "members": {"peers"},
+    "keeper": {"faults", "timeline", "config", "peers", "members"},
+    "agent": {"faults", "timeline", "config", "peers", "policy", "runners"},
+    "entry": {
+        *("faults", "timeline", "config", "peers", "policy", "members", "agent", "runners"),
+        "keeper",
+    },
+}
+"""Which of the package's folders each folder may use; the others may use all."""
+
+
+class DocumentsTest(unittest.TestCase):
+    """Pages and examples."""
+
+    def test_reference_is_written_from_the_code(self) -> None:
+        self.assertEqual(reference.PATH.read_text(), reference.build_reference())
+
+    def test_examples_are_valid(self) -> None:
+        for path in sorted(reference.ROOT.glob("examples/*/config.json")):
+            data, _ = deployment.read_example(path)
+            changes.check_document(data, str(path)).unwrap()
+
+
+class ImportsTest(unittest.TestCase):
+    """Domain folders do not reach outwards."""
+
+    def read_imports(self, path: pathlib.Path) -> set[str]:
+        """Folders of the package that a module imports."""
+        found = set()
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("tillerlane."):
+                found.add(node.module.split(".")[1])
+        return found
+
+    def test_direction(self) -> None:
+        for folder, allowed in ALLOWED.items():
+            for path in (PACKAGE / folder).glob("*.py"):
+                extra = self.read_imports(path) - allowed - {folder}
+                self.assertEqual(extra, set(), f"{path.name} of {folder}")
+
+
+if __name__ == "__main__":
+    unittest.main()
