Test the HTTP interface and the command line with real processes

Cause: callers' forms, errors and exit codes were only tried by hand. Change: a public client library talks to an entry unmodified; each kind of bad input, keys, limits, deadline, resume at another entry, a plain service's call, drains, cancel and the command line.

--- /dev/null
+++ b/tillerlane/daemon/tests/test_http.py
@@ -0,0 +1,296 @@
+"""Real processes over real HTTP: callers' forms, errors of every listed kind, the command line."""
+
+import asyncio
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from typing import Any
+
+import httpx
+import openai
+
+from tillerlane.config import documents
+from tillerlane.testing import deployment
+
+KEY = "key-of-katalog"
+OTHER_KEY = "key-of-butikk"
+READER_KEY = "key-of-reader"
+DOCUMENT: dict[str, Any] = {
+    "fleet": {"max_body_bytes": 20_000},
+    "workspaces": {
+        "katalog": {"keys": [documents.hash_key(KEY)]},
+        "butikk": {
+            "keys": [documents.hash_key(OTHER_KEY)],
+            "classes": ["short"],
+            "limits": {"requests_per_second": 1},
+        },
+    },
+    "classes": {
+        "record": {"pool": "p", "model": "m", "max_tokens": 30, "aliases": ["record-large"]},
+        "short": {"pool": "p", "model": "m", "max_tokens": 5, "delivery": "whole"},
+        "once": {"pool": "p", "model": "m", "max_tokens": 5, "repeatable": False},
+        "late": {"pool": "p", "model": "m", "max_tokens": 3_000, "deadline_seconds": 0.5},
+    },
+    "pools": {
+        "p": {"models": ["m"], "runners": {"r-1": {"data_hall": "a"}, "r-2": {"data_hall": "b"}}}
+    },
+    "services": {"orders": {"repeatable": False, "targets": {"orders-1": {"data_hall": "a"}}}},
+    "operators": {"reader": {"keys": [documents.hash_key(READER_KEY)]}},
+}
+
+
+class HttpTest(unittest.TestCase):
+    """One keeper, two entries, two agents, two runners and a service."""
+
+    fleet: deployment.Fleet
+    folder: tempfile.TemporaryDirectory[str]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.folder = tempfile.TemporaryDirectory()
+        plan = deployment.plan(
+            documents.Document.model_validate(DOCUMENT),
+            cls.folder.name,
+            keepers=1,
+            runner_options=["--median-tokens", "5000", "--length-spread", "0.1", "--step-ms", "5"],
+        )
+        cls.fleet = deployment.Fleet(plan, pathlib.Path(cls.folder.name))
+        cls.addClassCleanup(cls.folder.cleanup)
+        cls.addClassCleanup(cls.fleet.kill_all)
+        cls.fleet.start()
+        cls.fleet.wait_answering()
+        cls.fleet.apply(DOCUMENT, 0, "change-first")
+        cls.fleet.wait_ready()
+
+    def post(self, path: str, body: Any, key: str = KEY, **headers: str) -> httpx.Response:
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        sent = {"authorization": f"Bearer {key}", "content-type": "application/json"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        url = self.fleet.plan.get_http("entry-1") + path
+        return httpx.post(url, content=content, headers=sent, timeout=20, trust_env=False)
+
+    def check_fault(self, answer: httpx.Response, kind: str, ran: str = "no") -> str:
+        error = answer.json()["error"]
+        self.assertEqual((error["type"], error["ran"]), (kind, ran), error)
+        self.assertEqual(answer.headers["x-tillerlane-ran"], ran)
+        return error["message"]
+
+    # Callers' forms
+
+    def test_public_client_streams_chat(self) -> None:
+        client = self.open_client()
+        chunks = client.chat.completions.create(
+            model="record", stream=True, messages=[{"role": "user", "content": "hello"}]
+        )
+        texts = [chunk.choices[0].delta.content or "" for chunk in chunks]
+        self.assertEqual("".join(texts).count(":"), 5)
+        self.assertIn("\n", "".join(texts))
+
+    def open_client(self, key: str = KEY) -> openai.OpenAI:
+        client = openai.OpenAI(
+            api_key=key,
+            base_url=self.fleet.plan.get_http("entry-1") + "/v1",
+            max_retries=0,
+            http_client=httpx.Client(trust_env=False),
+        )
+        self.addCleanup(client.close)
+        return client
+
+    def test_public_client_whole_answers_and_models(self) -> None:
+        client = self.open_client()
+        chat = client.chat.completions.create(
+            model="record-large", messages=[{"role": "user", "content": "hello"}]
+        )
+        self.assertEqual(chat.usage.completion_tokens, 30)
+        text = client.completions.create(model="short", prompt="hello")
+        self.assertEqual(text.usage.completion_tokens, 5)
+        names = {model.id for model in client.models.list()}
+        self.assertEqual(names, {"record", "record-large", "short", "once", "late"})
+
+    def test_public_client_reads_errors(self) -> None:
+        with self.assertRaises(openai.NotFoundError) as raised:
+            self.open_client().completions.create(model="nothing", prompt="x")
+        self.assertEqual(raised.exception.code, "unknown_model")
+        with self.assertRaises(openai.AuthenticationError):
+            self.open_client("wrong").models.list()
+
+    def test_resume_at_another_entry(self) -> None:
+        body = {"model": "record", "stream": True, "prompt": "a page"}
+        answer = self.post("/v1/completions", body)
+        events = [line for line in answer.text.split("\n\n") if line.startswith("id: ")]
+        some = events[3].split("\n")[0].removeprefix("id: ")
+        url = self.fleet.plan.get_http("entry-2") + "/v1/completions"
+        headers = {"authorization": f"Bearer {KEY}", "last-event-id": some}
+        rest = httpx.post(url, json=body, headers=headers, timeout=20, trust_env=False)
+
+        def read(lines: list[str]) -> str:
+            data = [json.loads(line.split("data: ", 1)[1]) for line in lines]
+            return "".join(item["choices"][0]["text"] for item in data)
+
+        later = [line for line in rest.text.split("\n\n") if line.startswith("id: ")]
+        self.assertEqual(read(events), read(events[:4]) + read(later))
+
+    def test_plain_service_call_runs_once(self) -> None:
+        for _ in range(3):
+            answer = self.post(
+                "/services/orders/orders", {"reference": "o-1"}, idempotency_key="order-1"
+            )
+            self.assertEqual((answer.status_code, answer.json()["times_run"]), (201, 1))
+        record = httpx.get(self.fleet.plan.urls["orders-1"] + "/test/record", trust_env=False)
+        self.assertEqual(record.json()["o-1"], 1)
+
+    # Bad input
+
+    def test_bad_input_is_refused_with_its_kind(self) -> None:
+        cases: list[tuple[Any, str, str]] = [
+            (b'{"model": ', "bad_request", "Invalid JSON"),
+            (b"\xff\xfe", "bad_request", ""),
+            ([], "bad_request", "$"),
+            ({"model": 3, "prompt": "x"}, "bad_request", "$.model: got 3"),
+            ({"model": "record"}, "bad_request", "$.prompt: got nothing"),
+            ({"model": "record", "prompt": "x", "max_tokens": 0}, "bad_request", "$.max_tokens"),
+            ({"model": "record", "prompt": "x", "n": 2}, "bad_request", "$.n"),
+            ({"model": "nothing", "prompt": "x"}, "unknown_model", "nothing"),
+            ({"model": "record", "prompt": "x" * 30_000}, "too_large", "20000"),
+        ]
+        for body, kind, text in cases:
+            with self.subTest(kind=kind, body=str(body)[:40]):
+                answer = self.post("/v1/completions", body)
+                self.assertIn(text, self.check_fault(answer, kind))
+
+    def test_body_without_end_is_cut_off_while_reading(self) -> None:
+        host, _, port = self.fleet.plan.daemons["entry-1"]["http_address"].rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=20) as connection:
+            connection.sendall(
+                b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                + f"Authorization: Bearer {KEY}\r\n\r\n".encode()
+            )
+            block = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+            try:
+                for _ in range(50):
+                    connection.sendall(block)
+            except OSError:
+                pass
+            answer = connection.recv(4096)
+        self.assertIn(b"413", answer.split(b"\r\n")[0])
+
+    def test_keys_and_paths(self) -> None:
+        body = {"model": "record", "prompt": "x"}
+        self.check_fault(self.post("/v1/completions", body, key="wrong"), "unauthenticated")
+        self.check_fault(self.post("/v1/completions", body, key=OTHER_KEY), "forbidden")
+        self.check_fault(self.post("/v1/nothing", body), "not_found")
+        answer = self.post("/v1/completions", body, last_event_id="x")
+        self.check_fault(answer, "bad_request")
+        answer = self.post("/v1/completions", body, last_event_id="r-9~record~00:3")
+        self.check_fault(answer, "generation_lost", "yes")
+        answer = self.post("/services/nothing/x", {})
+        self.check_fault(answer, "not_found")
+
+    def test_limits_and_deadline(self) -> None:
+        body = {"model": "short", "prompt": "x"}
+        answers = [self.post("/v1/completions", body, key=OTHER_KEY) for _ in range(4)]
+        refused = [answer for answer in answers if answer.status_code == 429]
+        self.assertTrue(refused)
+        self.check_fault(refused[0], "over_limit")
+        self.assertGreaterEqual(int(refused[0].headers["retry-after"]), 1)
+        answer = self.post("/v1/completions", {"model": "late", "prompt": "x"})
+        self.check_fault(answer, "deadline_expired", "yes")
+
+    def test_reused_key(self) -> None:
+        first = {"model": "once", "prompt": "one"}
+        self.assertEqual(self.post("/v1/completions", first, idempotency_key="k").status_code, 200)
+        other = {"model": "once", "prompt": "two"}
+        self.check_fault(self.post("/v1/completions", other, idempotency_key="k"), "key_reused")
+
+    # Operators
+
+    def run_cli(self, *words: str, key: str = deployment.OPERATOR_KEY) -> tuple[int, str]:
+        environment = {
+            **os.environ,
+            "TILLERLANE_SERVER": self.fleet.plan.get_http("keeper-1"),
+            "TILLERLANE_KEY": key,
+        }
+        command = [sys.executable, "-m", "tillerlane.cli.main", *words]
+        done = subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
+        return done.returncode, done.stdout + done.stderr
+
+    def write(self, text: str) -> str:
+        path = pathlib.Path(self.folder.name) / "document.json"
+        path.write_text(text)
+        return str(path)
+
+    def test_command_line_reads(self) -> None:
+        for words in (
+            ("status",),
+            ("config", "show"),
+            ("config", "status"),
+            ("config", "history"),
+            ("runner", "list"),
+            ("keeper", "list"),
+            ("timeline", "--last", "30s"),
+            ("workspace", "list"),
+            ("class", "show", "record"),
+        ):
+            with self.subTest(words=words):
+                status, output = self.run_cli(*words, "--json")
+                self.assertEqual(status, 0, output)
+                json.loads(output)
+        self.assertEqual(self.run_cli("status")[0], 0)
+
+    def test_command_line_exit_status_tells_the_kind(self) -> None:
+        bad = self.write('{"workspaces": {"a": {"wieght": 2}}}')
+        status, output = self.run_cli("config", "apply", bad)
+        self.assertEqual(status, 26)
+        self.assertIn(
+            "$.workspaces.a.wieght: got an unknown key, expected perhaps 'weight'", output
+        )
+        good = self.write(json.dumps(DOCUMENT))
+        self.assertEqual(self.run_cli("config", "apply", good, "--against", "999")[0], 28)
+        self.assertEqual(self.run_cli("config", "apply", good, key="wrong")[0], 12)
+        self.assertEqual(self.run_cli("config", "apply", good, key=READER_KEY)[0], 13)
+        self.assertEqual(self.run_cli("config", "show", key=READER_KEY)[0], 0)
+        self.assertEqual(self.run_cli("class", "show", "nothing")[0], 14)
+        unreachable = ("status", "--server", "http://127.0.0.1:9")
+        self.assertEqual(self.run_cli(*unreachable)[0], 31)
+
+    def test_drain_and_undrain(self) -> None:
+        status, output = self.run_cli("runner", "drain", "r-1")
+        self.assertEqual(status, 0, output)
+        answer = self.post("/v1/completions", {"model": "record", "prompt": "x"})
+        self.assertTrue(answer.json()["id"].startswith("r-2~"), answer.text)
+        self.assertEqual(self.run_cli("runner", "undrain", "r-1")[0], 0)
+        self.assertEqual(self.run_cli("runner", "drain", "nothing")[0], 14)
+
+    def test_daemon_checks_settings(self) -> None:
+        path = self.write('{"daemon": "x", "roles": ["entry"], "data_hal": "a"}')
+        command = [sys.executable, "-m", "tillerlane.daemon.main", "--settings", path, "--check"]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 26)
+        self.assertIn("$.data_hal: got an unknown key, expected perhaps 'data_hall'", done.stderr)
+
+    def test_cancel_by_an_operator(self) -> None:
+        async def scene() -> str:
+            url = self.fleet.plan.get_http("entry-1") + "/v1/completions"
+            headers = {"authorization": f"Bearer {KEY}"}
+            body = {"model": "record", "prompt": "x", "stream": True}
+            async with (
+                httpx.AsyncClient(trust_env=False, timeout=20) as client,
+                client.stream("POST", url, json=body, headers=headers) as answer,
+            ):
+                lines = answer.aiter_lines()
+                first = await anext(lines)
+                generation_id = first.removeprefix("id: ").rpartition(":")[0]
+                await asyncio.to_thread(self.run_cli, "request", "cancel", generation_id)
+                return "\n".join([line async for line in lines])
+
+        rest = asyncio.run(scene())
+        self.assertTrue("cancelled" in rest or "[DONE]" in rest, rest[-500:])
+
+
+if __name__ == "__main__":
+    unittest.main()
