--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,10 @@
 test: install
 	$(BIN)/python -m tillerlane.testing.check
 
+bench: install
+	$(BIN)/python -m benchmarks.policies
+	$(BIN)/python -m benchmarks.relay
+
 capacity: install
 	$(BIN)/python -m benchmarks.capacity
 
