Place models by demand with fenced orders

Cause: nothing moved a model to where it was asked for. Change: the leading keeper asks agents and entries for load and unserved requests, plans one order at a time (first copy, more, fewer; two thresholds; last copy and pins stay; the weight store's rate), has it agreed on and gives it through the agent, which refuses an older fence and does a resent order once. tillerlane placement show|plan|pin|unpin. Measured: none but the tests; a model asked for without a copy is served within 6 s in virtual time. Conclusion: adapters and roles of runners are not placed yet.

--- a/tillerlane/agent/server.py
+++ b/tillerlane/agent/server.py
@@ -3,8 +3,9 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import Any
 
-from tillerlane.agent import execution, lengths, scheduling
+from tillerlane.agent import execution, lengths, orders, scheduling
 from tillerlane.agent import generation as generations
 from tillerlane.agent import target as targets
 from tillerlane.config import documents, settings
@@ -96,6 +97,9 @@
             self.executors[name] = execution.Executor(
                 state, timeline, self._get_fleet, count, decide
             )
+        self._orders = {
+            name: orders.OrderBook(executor.state) for name, executor in self.executors.items()
+        }
         store.listen(self._take_configuration)
         self._take_configuration(store.current)
 
@@ -192,6 +196,31 @@
         """Targets that take no new work."""
         return {name for name, item in self.executors.items() if item.state.leaving}
 
+    async def obey(self, arguments: dict[str, Any]) -> dict[str, str]:
+        """Carry out a fenced order."""
+        book = self._orders.get(arguments["target"])
+        if book is None:
+            message = f"no target {arguments['target']!r} here"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+        outcome = await book.obey(arguments)
+        self._timeline.record("order.done", **arguments)
+        self._changed.set()
+        return outcome
+
+    def read_demand(self) -> list[dict[str, Any]]:
+        """Models, state and load by model of each runner, for placement."""
+        return [
+            {
+                "target": name,
+                "models": sorted(executor.state.models),
+                "loads": executor.state.read_loads_by_model(),
+                "leaving": executor.state.leaving,
+                "healthy": executor.state.healthy,
+            }
+            for name, executor in self.executors.items()
+            if executor.state.kind is settings.TargetKind.RUNNER
+        ]
+
     def count_active(self) -> int:
         """Generations that run or whose tokens are still being read."""
         return sum(
--- a/tillerlane/agent/target.py
+++ b/tillerlane/agent/target.py
@@ -190,6 +190,15 @@
         least = min(over.values(), default=0.0)
         return {key: value - least for key, value in over.items()}
 
+    def read_loads_by_model(self) -> dict[str, float]:
+        """Share of the target that each model uses or waits for, by memory; may exceed 1."""
+        loads: dict[str, float] = {}
+        for generation in (*self.running, *self.paused, *self.waiting):
+            held = generation.memory + generation.look_ahead().expected_left
+            model = generation.start.model
+            loads[model] = loads.get(model, 0.0) + held / max(1, self.memory_total)
+        return loads
+
     def take_cache_event(self, event: runners.CacheEvent, expected: int) -> None:
         """Follow the prefix cache.
 
--- a/tillerlane/cli/fleets.py
+++ b/tillerlane/cli/fleets.py
@@ -12,7 +12,7 @@
 from tillerlane.faults import kinds
 from tillerlane.timeline import clock as clocks
 
-__all__ = ["add_keeper", "add_request", "add_runner", "add_status", "add_timeline"]
+__all__ = ["add_keeper", "add_placement", "add_request", "add_runner", "add_status", "add_timeline"]
 
 _SPAN = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)?$")
 _UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
@@ -264,6 +264,65 @@
         clients.add_options(verb)
 
 
+# Placement
+
+
+def run_placement(arguments: argparse.Namespace) -> int:
+    """``placement show`` and ``placement plan``."""
+    status = clients.connect(arguments).get("/admin/placement")
+    if arguments.verb == "plan":
+        status = {"next": status["next"]}
+    if arguments.json:
+        clients.print_json(status)
+        return 0
+    if arguments.verb == "show":
+        rows = [
+            [item["name"], item["pool"], ",".join(item["models"]), f"{item['load']:.2f}"]
+            for item in status["runners"]
+        ]
+        clients.print_table(["RUNNER", "POOL", "MODELS", "LOAD"], rows)
+        for item in status["orders"]:
+            print(
+                f"{item['order_id']} {item['action']} {item['model']} at {item['target']}: ", end=""
+            )
+            print(item["outcome"] or "under way")
+    planned = status["next"]
+    if planned is None:
+        print("nothing to do")
+    else:
+        print(f"next: {planned['action']} {planned['model']} at {planned['target']}", end="")
+        print(f" ({planned['reason']})")
+    return 0
+
+
+def run_pin(arguments: argparse.Namespace) -> int:
+    """``placement pin`` and ``placement unpin``."""
+    body = {"target": arguments.name, "model": arguments.model, "pinned": arguments.pinned}
+    answer = clients.connect(arguments).post("/admin/pin", body)
+    verb = "stays on" if arguments.pinned else "may leave"
+    clients.print_json(answer) if arguments.json else print(
+        f"{arguments.model} {verb} {arguments.name}"
+    )
+    return 0
+
+
+def add_placement(nouns: Any) -> None:
+    """Add ``placement``."""
+    verbs = nouns.add_parser("placement", help="which runner has which model").add_subparsers(
+        required=True, metavar="VERB"
+    )
+    for name in ("show", "plan"):
+        verb = verbs.add_parser(name)
+        clients.add_options(verb)
+        verb.set_defaults(run=run_placement, verb=name)
+    for name, pinned in (("pin", True), ("unpin", False)):
+        verb = verbs.add_parser(name)
+        clients.add_options(verb)
+        verb.add_argument("name", metavar="RUNNER")
+        verb.add_argument("model", metavar="MODEL")
+        verb.set_defaults(run=run_pin, pinned=pinned)
+
+
 # Time line
 
 
--- a/tillerlane/cli/main.py
+++ b/tillerlane/cli/main.py
@@ -25,6 +25,7 @@
     fleets.add_runner(nouns)
     fleets.add_request(nouns)
     fleets.add_keeper(nouns)
+    fleets.add_placement(nouns)
     fleets.add_timeline(nouns)
     fleets.add_status(nouns)
     return parser
--- a/tillerlane/config/documents.py
+++ b/tillerlane/config/documents.py
@@ -167,6 +167,8 @@
     models: Annotated[list[str], pydantic.Field(min_length=1)]
     runners: dict[Name, Runner]
     policy: Name | None = None
+    most_models: Annotated[int, pydantic.Field(gt=0)] | None = None
+    """Models that one runner holds at most, for placement by demand; None leaves them alone."""
     max_waiting: Annotated[int, pydantic.Field(gt=0)] = 1_000
     """Requests that one runner's queue holds before it refuses."""
 
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -27,6 +27,7 @@
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
 from tillerlane.peers import node as nodes
+from tillerlane.placement import leader
 from tillerlane.runners import core as runners
 from tillerlane.runners import http_service, sse_runner
 from tillerlane.timeline import clock as clocks
@@ -112,6 +113,7 @@
             self._build_local(), server_tls, client_tls, self._around.open_connection
         )
         self.keeper: server.Keeper | None = None
+        self.placement: leader.PlacementLeader | None = None
         self.exchange: exchange.KeeperExchange | None = None
         self.store = stores.Store()
         if settings.Role.KEEPER in own.roles:
@@ -193,6 +195,9 @@
             self._get_subscribers,
             lambda: int(self._around.now() * 1000),
         )
+        self.placement = leader.PlacementLeader(
+            part, self.members.read_live, self.ask, self.timeline, self._read_ms
+        )
         self.exchange = exchange.KeeperExchange(
             self.members, self._get_keeper_links, self._get_subscribers
         )
@@ -234,6 +239,7 @@
                 if name != self.settings.daemon:
                     self.node.dial(address)
             self.keeper.begin()
+            self.placement.begin()
             self.exchange.begin()
         self.client.begin()
         if self.agent is not None:
@@ -276,6 +282,7 @@
         if self.exchange is not None:
             self.exchange.stop()
         if self.keeper is not None:
+            self.placement.stop()
             await self.keeper.stop()
         await self.node.close()
 
--- a/tillerlane/entry/dispatch.py
+++ b/tillerlane/entry/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import time
@@ -103,6 +104,8 @@
         self._programs: dict[str, programs.Program] = {}
         self._background: set[asyncio.Task[None]] = set()
         self.active = 0
+        self.unserved: collections.Counter[tuple[str, str]] = collections.Counter()
+        """(pool, model) to requests that found no target, since it was last read."""
         store.listen(lambda configuration: self._programs.clear())
 
     def _get_program(self, group: str) -> programs.Program:
@@ -123,6 +126,11 @@
         self._count("policy_faults", 1)
         self._timeline.record("policy.fault", policy=policy, expression=expression, reason=reason)
 
+    def read_unserved(self) -> list[list[Any]]:
+        """Requests that found no target, by pool and model; counts anew from here."""
+        counted, self.unserved = self.unserved, collections.Counter()
+        return [[pool, model, count] for (pool, model), count in counted.items() if model]
+
     # Running
 
     async def run(self, request: requests.Request) -> AsyncIterator[Item]:
@@ -222,6 +230,8 @@
             if await self._view.borrow_far(far, self._router.rng, loop.time()):
                 chosen = routing.choose_target(request, self._router, program, tried, loop.time())
         if isinstance(chosen, result.Err):
+            if last is None:
+                self.unserved[request.group, request.model] += 1
             raise faults.FaultError(last or chosen.err_value)
         return chosen.ok_value
 
--- a/tillerlane/operators/api.py
+++ b/tillerlane/operators/api.py
@@ -1,5 +1,6 @@
 """Handlers of the operators' interface."""
 
+import asyncio
 from typing import Any, TypeVar
 
 import litestar
@@ -39,6 +40,16 @@
     generation_id: str
 
 
+class PinBody(pydantic.BaseModel):
+    """Body of ``POST /admin/pin``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    target: documents.Name
+    model: str
+    pinned: bool = True
+
+
 async def _read_body(http: Http, model: type[Body]) -> Body:
     data = await entry_api.read_body(http, MAX_BODY_BYTES)
     try:
@@ -77,7 +88,8 @@
 async def _ask_keeper(daemon: daemons.Daemon, subject: str, arguments: dict[str, Any]) -> Any:
     """Ask this daemon if it is a keeper, or its home keeper."""
     if daemon.keeper is not None:
-        return daemon.queries[subject](arguments)
+        answer = daemon.queries[subject](arguments)
+        return await answer if asyncio.iscoroutine(answer) else answer
     member = daemon.members.read(daemon.client.home_name)
     if member is None:
         fault = faults.new_fault(kinds.ErrorKind.UNREACHABLE, "no keeper is known")
@@ -162,7 +174,18 @@
             command = commands.VoterAdd(body.name, body.address, "")
         return await daemon.client.propose(command)
 
-    return [status, own_status, timeline, drain, cancel, keepers]
+    @litestar.get("/admin/placement")
+    async def placement(request: Http) -> dict[str, Any]:
+        access.authorize(daemon, request, documents.OperatorRole.READ)
+        return await _ask_keeper(daemon, "placement", {})
+
+    @litestar.post("/admin/pin", status_code=200)
+    async def pin(request: Http) -> dict[str, Any]:
+        access.authorize(daemon, request, documents.OperatorRole.APPLY)
+        body = await _read_body(request, PinBody)
+        return await daemon.client.propose(commands.Pin(body.target, body.model, body.pinned))
+
+    return [status, own_status, timeline, drain, cancel, keepers, placement, pin]
 
 
 def build_handlers(daemon: daemons.Daemon) -> list[Any]:
--- a/tillerlane/operators/queries.py
+++ b/tillerlane/operators/queries.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tillerlane.daemon import core as daemons
+from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.members import view as views
 from tillerlane.peers import link as links
@@ -21,6 +22,9 @@
     daemon.queries["timeline"] = lambda arguments: _read_timeline(daemon, arguments)
     daemon.queries["status"] = lambda arguments: read_status(daemon)
     daemon.queries["cancel"] = lambda arguments: _cancel(daemon, arguments)
+    daemon.queries["demand"] = lambda arguments: _read_demand(daemon)
+    daemon.queries["order"] = lambda arguments: _obey(daemon, arguments)
+    daemon.queries["placement"] = lambda arguments: _read_placement(daemon)
     daemon.queries["history"] = lambda arguments: _read_history(daemon)
 
 
@@ -34,6 +38,31 @@
     return [event.to_json() for event in events]
 
 
+def _read_demand(daemon: daemons.Daemon) -> dict[str, Any]:
+    return {
+        "targets": daemon.agent.read_demand() if daemon.agent else [],
+        "unserved": daemon.callers.dispatcher.read_unserved() if daemon.callers else [],
+    }
+
+
+async def _obey(daemon: daemons.Daemon, arguments: dict[str, Any]) -> dict[str, str]:
+    if daemon.agent is None:
+        fault = faults.new_fault(kinds.ErrorKind.NOT_FOUND, "this daemon is no agent")
+        raise faults.FaultError(fault)
+    return await daemon.agent.obey(arguments)
+
+
+async def _read_placement(daemon: daemons.Daemon) -> dict[str, Any]:
+    """Placement as the leader sees it; other keepers ask the leader."""
+    if daemon.keeper is None or daemon.placement is None:
+        return {}
+    own = daemon.keeper.replica
+    leader = daemon.members.read(own.leader)
+    if own.has_lease or leader is None or own.leader == own.name:
+        return daemon.placement.read_status()
+    return await daemon.ask(leader, "placement", {})
+
+
 def _read_history(daemon: daemons.Daemon) -> list[dict[str, Any]]:
     return list(daemon.keeper.replica.machine.history) if daemon.keeper else []
 
--- /dev/null
+++ b/tillerlane/placement/leader.py
@@ -0,0 +1,226 @@
+"""The leader's task: gather demand, plan, have the order agreed on, give it, note its outcome.
+
+Orders whose outcome is not known are given again by whoever leads, with their first fence and id.
+"""
+
+import asyncio
+import dataclasses
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tillerlane.config import store as stores
+from tillerlane.faults import core as faults
+from tillerlane.keeper import commands, machine, replica
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.placement import planner
+from tillerlane.timeline import core as timelines
+
+__all__ = ["PlacementLeader"]
+
+PLAN_SECONDS = 2.0
+
+Ask = Callable[[messages.Member, str, dict[str, Any]], Awaitable[Any]]
+
+
+class PlacementLeader:
+    """Placement on one keeper; idle while it does not lead.
+
+    Parameters
+    ----------
+    own : replica.Replica
+        This keeper's part in the log.
+    read_members : callable
+        Gives the live members.
+    ask : callable
+        Coroutine function (member, subject, arguments) that asks a daemon.
+    timeline : timelines.Timeline
+        Takes the events.
+    now_ms : callable
+        Wall time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        own: replica.Replica,
+        read_members: Callable[[], list[messages.Member]],
+        ask: Ask,
+        timeline: timelines.Timeline,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._replica = own
+        self._read_members = read_members
+        self._ask = ask
+        self._timeline = timeline
+        self._now_ms = now_ms
+        self._task: asyncio.Task[None] | None = None
+        self.last_plan: planner.PlannedOrder | None = None
+        self.runners: list[planner.RunnerState] = []
+        self.demand: dict[tuple[str, str], planner.Demand] = {}
+
+    def begin(self) -> None:
+        """Start."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def _machine(self) -> machine.Machine:
+        return self._replica.machine
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_SECONDS)
+            if not self._replica.has_lease or not self._is_wanted():
+                continue
+            try:
+                await self._step()
+            except (faults.FaultError, links.LinkLost, OSError):
+                continue
+
+    def _is_wanted(self) -> bool:
+        """Whether any pool lets its models be moved."""
+        return any(pool.most_models for pool in self._machine.store.current.pools.values())
+
+    async def _step(self) -> None:
+        await self._gather()
+        for record in list(self._machine.orders.values()):
+            if not record.outcome:
+                await self._give(record)
+        if self._is_too_soon():
+            return
+        self.last_plan = self.plan()
+        if self.last_plan is not None:
+            await self._order(self.last_plan)
+
+    def _is_too_soon(self) -> bool:
+        """Whether the weight store's rate, or an order under way, says to wait."""
+        loads = [item for item in self._machine.orders.values() if item.action == "load"]
+        if any(not item.outcome for item in self._machine.orders.values()):
+            return True
+        gap_ms = self._machine.store.current.fleet.weight_load_seconds * 1000
+        return bool(loads) and self._now_ms() - max(item.at_ms for item in loads) < gap_ms
+
+    # Demand
+
+    async def _gather(self) -> None:
+        """Ask agents for their runners and entries for what found no copy."""
+        current = self._machine.store.current
+        members = [item for item in self._read_members() if {"agent", "entry"} & set(item.roles)]
+        answers = await asyncio.gather(
+            *(self._ask(member, "demand", {}) for member in members), return_exceptions=True
+        )
+        runners: list[planner.RunnerState] = []
+        demand: dict[tuple[str, str], planner.Demand] = {}
+        for answer in answers:
+            if isinstance(answer, BaseException):
+                continue
+            self._take_runners(answer, current, runners, demand)
+            for pool, model, count in answer.get("unserved", []):
+                known = demand.get((pool, model), planner.Demand())
+                demand[pool, model] = dataclasses.replace(known, unserved=known.unserved + count)
+        self.runners = runners
+        self.demand = demand
+
+    def _take_runners(
+        self,
+        answer: dict[str, Any],
+        current: stores.Configuration,
+        runners: list[planner.RunnerState],
+        demand: dict[tuple[str, str], planner.Demand],
+    ) -> None:
+        for item in answer.get("targets", []):
+            pool = current.pool_by_target.get(item["target"])
+            if pool is None:
+                continue
+            loads = item["loads"]
+            state = planner.RunnerState(
+                name=item["target"],
+                pool=pool,
+                models=frozenset(item["models"]),
+                load=sum(loads.values()),
+                leaving=item["leaving"] or not item["healthy"],
+            )
+            runners.append(state)
+            for model, load in loads.items():
+                known = demand.get((pool, model), planner.Demand())
+                demand[pool, model] = dataclasses.replace(known, load=known.load + load)
+
+    def plan(self) -> planner.PlannedOrder | None:
+        """The next order by what was gathered last."""
+        pools = {
+            name: pool
+            for name, pool in self._machine.store.current.pools.items()
+            if pool.most_models
+        }
+        models = {name: list(pool.models) for name, pool in pools.items()}
+        for name, pool in pools.items():
+            one_pool = {name: models[name]}
+            assert pool.most_models is not None
+            found = planner.plan_next(
+                one_pool,
+                [item for item in self.runners if item.pool == name],
+                self.demand,
+                {pair for pair in self._machine.pins if pair[0] in pool.runners},
+                pool.most_models,
+            )
+            if found is not None:
+                return found
+        return None
+
+    # Orders
+
+    async def _order(self, planned: planner.PlannedOrder) -> None:
+        command = commands.Order(
+            order_id="o-" + secrets.token_hex(6),
+            target=planned.target,
+            action=planned.action,
+            model=planned.model,
+            at_ms=self._now_ms(),
+        )
+        self._timeline.record("placement.order", reason=planned.reason, **_describe(command))
+        await self._replica.propose(commands.encode(command))
+        await self._give(self._machine.orders[command.order_id])
+
+    async def _give(self, record: machine.OrderRecord) -> None:
+        """Give an order to the target's agent; no answer leaves it open, to be given again."""
+        for member in self._read_members():
+            if record.target in member.targets:
+                arguments = {
+                    "order_id": record.order_id,
+                    "target": record.target,
+                    "action": record.action,
+                    "model": record.model,
+                    "fence": list(record.fence),
+                }
+                answer = await self._ask(member, "order", arguments)
+                await self._finish(record.order_id, answer["outcome"])
+                return
+        await self._finish(record.order_id, "target gone")
+
+    async def _finish(self, order_id: str, outcome: str) -> None:
+        self._timeline.record("placement.done", order_id=order_id, outcome=outcome)
+        await self._replica.propose(commands.encode(commands.OrderDone(order_id, outcome)))
+
+    def read_status(self) -> dict[str, Any]:
+        """What is known and planned, for operators."""
+        return {
+            "runners": [
+                {**dataclasses.asdict(item), "models": sorted(item.models)} for item in self.runners
+            ],
+            "demand": [
+                {"pool": pool, "model": model, **dataclasses.asdict(item)}
+                for (pool, model), item in sorted(self.demand.items())
+            ],
+            "pins": [list(pair) for pair in sorted(self._machine.pins)],
+            "orders": [dataclasses.asdict(item) for item in self._machine.orders.values()][-20:],
+            "next": dataclasses.asdict(plan) if (plan := self.plan()) else None,
+        }
+
+
+def _describe(command: commands.Order) -> dict[str, Any]:
+    return {"target": command.target, "action": command.action, "model": command.model}
--- /dev/null
+++ b/tillerlane/placement/tests/test_placement.py
@@ -0,0 +1,118 @@
+"""Models follow demand by fenced orders that are obeyed once."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.placement import planner
+from tillerlane.testing import lab, scenes
+
+MODELS = {"pool": ["m", "n"]}
+
+
+def runner(name: str, *models: str, load: float = 0.1, leaving: bool = False) -> Any:
+    """A runner of the pool."""
+    return planner.RunnerState(name, "pool", frozenset(models), load, leaving)
+
+
+def plan(runners: list[Any], demand: dict[str, planner.Demand], **more: Any) -> Any:
+    """The next order, with room for two models a runner."""
+    keyed = {("pool", model): item for model, item in demand.items()}
+    return planner.plan_next(MODELS, runners, keyed, more.get("pins", set()), more.get("most", 2))
+
+
+class PlannerTest(unittest.TestCase):
+    """Each rule of the plan."""
+
+    def test_first_copy_goes_to_the_least_loaded(self) -> None:
+        runners = [runner("a", "m", load=0.5), runner("b", "m", load=0.2)]
+        order = plan(runners, {"n": planner.Demand(unserved=3)})
+        self.assertEqual((order.target, order.action, order.model), ("b", "load", "n"))
+
+    def test_full_and_leaving_runners_get_nothing(self) -> None:
+        runners = [runner("a", "m"), runner("b", leaving=True)]
+        self.assertIsNone(plan(runners, {"n": planner.Demand(unserved=3)}, most=1))
+
+    def test_thresholds_do_not_swing(self) -> None:
+        one = [runner("a", "m", "n"), runner("b", "m")]
+        two = [runner("a", "m", "n"), runner("b", "m", "n")]
+        grown = plan(one, {"n": planner.Demand(load=0.8), "m": planner.Demand(load=1.0)})
+        self.assertEqual((grown.action, grown.target), ("load", "b"))
+        for load in (0.4, 0.6, 0.8, 1.0, 1.4):
+            demand = {"n": planner.Demand(load=load), "m": planner.Demand(load=1.0)}
+            self.assertIsNone(plan(two, demand), load)
+        shrunk = plan(two, {"n": planner.Demand(load=0.2), "m": planner.Demand(load=1.0)})
+        self.assertEqual(shrunk.action, "unload")
+
+    def test_last_copy_and_pins_stay(self) -> None:
+        self.assertIsNone(plan([runner("a", "m", "n"), runner("b", "m")], {"m": planner.Demand(1)}))
+        two = [runner("a", "m", "n"), runner("b", "m", "n")]
+        pins = {("a", "n"), ("b", "n"), ("a", "m"), ("b", "m")}
+        self.assertIsNone(plan(two, {}, pins=pins))
+
+    def test_pin_is_loaded(self) -> None:
+        order = plan([runner("a", "m"), runner("b", "m")], {}, pins={("b", "n")})
+        self.assertEqual((order.target, order.model), ("b", "n"))
+
+
+def build_document() -> dict[str, Any]:
+    """Two models, only one of them loaded."""
+    document = scenes.build_document(other={"model": "n"})
+    pool = document["pools"]["pool"]
+    pool["models"] = ["m", "n"]
+    pool["most_models"] = 2
+    for item in pool["runners"].values():
+        item["models"] = ["m"]
+    document["fleet"] = {"weight_load_seconds": 5}
+    return document
+
+
+class PlacementTest(scenes.SceneCase):
+    """Placement in a running fleet."""
+
+    def test_model_is_loaded_where_it_is_asked_for(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer = await stage.call("katalog", "other", "first")
+            self.assertEqual(answer.fault.ran, kinds.Ran.NO)
+            await asyncio.sleep(6)
+            self.check_whole(await stage.call("katalog", "other", "second"))
+
+        self.play(scene, build_document(), keepers=3)
+
+    def test_orders_survive_the_leader(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            await stage.call("katalog", "other", "first")
+            leader = next(
+                name
+                for name in stage.list_role("keeper")
+                if stage.daemons[name].keeper.replica.has_lease
+            )
+            await asyncio.sleep(1.0)
+            await stage.kill(leader)
+            await stage.call("katalog", "other", "second")
+            await asyncio.sleep(8)
+            self.check_whole(await stage.call("katalog", "other", "third"))
+
+        self.play(scene, build_document(), keepers=3)
+
+    def test_old_fence_is_refused_and_resent_order_done_once(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            agent = stage.daemons["agent-hall-a"].agent
+            order = {"order_id": "o-2", "target": "r1", "action": "load", "model": "n"}
+            for _ in range(2):
+                outcome = await agent.obey({**order, "fence": [3, 20]})
+                self.assertEqual(outcome, {"outcome": "done"})
+            self.assertEqual(stage._models["r1"].count("n"), 1)
+            old = {"order_id": "o-1", "target": "r1", "action": "unload", "model": "n"}
+            with self.assertRaises(faults.FaultError) as raised:
+                await agent.obey({**old, "fence": [2, 30]})
+            self.assertEqual(raised.exception.fault.kind, kinds.ErrorKind.STALE_FENCE)
+            self.assertIn("n", stage._models["r1"])
+
+        self.play(scene, build_document())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/lab.py
+++ b/tillerlane/testing/lab.py
@@ -151,7 +151,8 @@
         for pool in self.checked.pools.values():
             for name, runner in pool.runners.items():
                 halls.setdefault(runner.data_hall, {})[name] = {"url": f"lab://{name}"}
-                self._models[name] = list(pool.models)
+                loaded = pool.models if runner.models is None else runner.models
+                self._models[name] = list(loaded)
         order = [*halls] or ["hall-a"]
         for number, name in enumerate(names):
             hall = order[number % len(order)]
