--- a/tillerlane/agent/scheduling.py
+++ b/tillerlane/agent/scheduling.py
@@ -26,6 +26,8 @@
 RANK_AGE_SECONDS = 0.5
 """A rank younger than this is not evaluated anew."""
 TRIES_A_DECISION = 32
+DISPLACE_AFTER_SECONDS = 0.5
+"""Wait of urgent work after which another generation yields to it."""
 RESUME_RISK_SHARE = 0.5
 """A generation that was set aside goes on at this share of the accepted risk, so that it is not
 set aside again at once."""
@@ -284,6 +286,21 @@
     return [*urgent, *paused, *others]
 
 
+def _displace(state: targets.TargetState, leads: dict[str, float], now: float) -> list[Action]:
+    """Set one generation aside for urgent work that has waited for memory too long.
+
+    Nobody who was set aside before is taken, and nobody whom the policy spares.
+    """
+    waits = [now - item.arrived for item in state.waiting if item.urgent]
+    if not waits or max(waits) < DISPLACE_AFTER_SECONDS:
+        return []
+    able = [item for item in state.running if not item.urgent and not item.times_paused]
+    if len(state.running) < 2:
+        return []
+    victim = choose_victim(able, state, leads, now)
+    return [Pause(victim)] if victim is not None else []
+
+
 def _admit(state: targets.TargetState, leads: dict[str, float], now: float) -> list[Action]:
     headroom = read_headroom(state)
     batch = _Batch(forecast.BatchForecast(state.running), state.memory_used, len(state.running))
@@ -327,7 +344,8 @@
     actions = _pause_for_memory(state, leads, now)
     if actions or not state.healthy or not (state.waiting or state.paused):
         return actions
-    return _admit(state, leads, now)
+    actions = _admit(state, leads, now)
+    return actions or _displace(state, leads, now)
 
 
 def refuse_arrival(
