--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -136,7 +136,7 @@
         version = answer["version"]
         for size in SIZES:
             standing += await standins.start_many(len(standing), size - len(standing), keepers)
-            await asyncio.sleep(SETTLE_SECONDS)
+            await asyncio.sleep(SETTLE_SECONDS + size / 100)
             idle = await watch(fleet, names, SECONDS)
             before = {name: processes.read_usage(fleet.read_pid(name)) for name in names}
             delays = []
--- a/tillerlane/keeper/tests/test_log_stateful.py
+++ b/tillerlane/keeper/tests/test_log_stateful.py
@@ -271,6 +271,21 @@
 
         self.play(scene, keepers=3)
 
+    def test_idle_subscribers_cost_a_keeper_a_few_bytes(self) -> None:
+        """Heartbeats of 52 bytes were once sent where four were meant."""
+
+        async def scene(stage: lab.Lab) -> None:
+            def count() -> int:
+                found = stage.daemons["keeper-1"].node.get_links()
+                return sum(link.bytes_out + link.bytes_in for link in found)
+
+            await asyncio.sleep(5)
+            before = count()
+            await asyncio.sleep(20)
+            self.assertLess((count() - before) / 20, 10 * 12)
+
+        self.play(scene, keepers=1, entries=10)
+
     def test_replaced_disk_gets_its_vote_though_the_lease_was_lost_meanwhile(self) -> None:
         """A promotion that was refused once ended the replication to that keeper for good."""
 
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -263,7 +263,8 @@
 
     def _write(self, body: messages.Body, exchange: int) -> None:
         local = self._local
-        envelope = messages.Envelope(local.clock.tick(), local.get_config_version(), exchange, body)
+        self._sent_version = local.get_config_version()
+        envelope = messages.Envelope(local.clock.tick(), self._sent_version, exchange, body)
         data = messages.encode(envelope)
         self._writer.write(_LENGTH.pack(len(data)) + data)
         self.bytes_out += len(data) + _LENGTH.size
