--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 fuzz: install
 	TILLERLANE_FUZZ=1 $(BIN)/python -m tillerlane.testing.check stateful messages
 
+soak: install
+	$(BIN)/python -m tillerlane.testing.soak
+
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
