Refuse peers by certificate on the time line

Cause: a failed TLS handshake left no trace, and nothing tested who may link. Change: the listener asks for the certificate itself and records why a peer was refused; tests for no certificate, another fleet's, another's name, an unnamed peer, and a certificate replaced without restart. Conclusion: each is refused with its reason and nothing changes.

--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -157,6 +157,7 @@
             notify=self._notify,
             on_down=self._note_down,
             admit=self._admit,
+            note_refused=self._note_refused,
         )
 
     def _build_member(self) -> messages.Member:
@@ -301,6 +302,9 @@
             self.timeline.record("peer.refused", peer=daemon_id, reason=problem)
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.FORBIDDEN, message))
 
+    def _note_refused(self, reason: str) -> None:
+        self.timeline.record("peer.refused", peer="", reason=reason)
+
     def _get_keeper_link(self, address: str) -> links.Link | None:
         return self.node.dial(address).link
 
--- /dev/null
+++ b/tillerlane/daemon/tests/test_trust.py
@@ -0,0 +1,135 @@
+"""Who may link to a daemon: by certificate and by name; refusals stand on the time line."""
+
+import asyncio
+import logging
+import pathlib
+import ssl
+import tempfile
+import unittest
+from typing import Any
+
+import structlog
+
+from tillerlane.config import settings
+from tillerlane.daemon import core, tls
+from tillerlane.peers import messages
+from tillerlane.peers import node as nodes
+from tillerlane.testing import certificates, deployment
+
+
+def read_file(path: str) -> bytes:
+    """Bytes of a file."""
+    return pathlib.Path(path).read_bytes()
+
+
+class TrustTest(unittest.IsolatedAsyncioTestCase):
+    """A keeper with TLS, and peers that try to link to it."""
+
+    async def asyncSetUp(self) -> None:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        path = pathlib.Path(self.folder.name)
+        self.authority = certificates.Authority(path, "fleet-authority")
+        self.other = certificates.Authority(path, "other-authority")
+        port, http_port = deployment.free_ports(2)
+        self.address = f"127.0.0.1:{port}"
+        values: dict[str, Any] = {
+            "daemon": "keeper-1",
+            "data_hall": "a",
+            "roles": ["keeper"],
+            "peer_address": self.address,
+            "http_address": f"127.0.0.1:{http_port}",
+            "keepers": {"keeper-1": self.address},
+            "data_folder": str(path / "data"),
+            "tls": self.authority.issue("keeper-1").model_dump(),
+            "peers": ["keeper-1", "entry-1", "agent-1"],
+        }
+        self.keeper = core.Daemon(settings.Settings.model_validate(values))
+        await self.keeper.start()
+        self.addAsyncCleanup(self.keeper.stop)
+
+    async def link_as(self, daemon: str, own: settings.Tls | None) -> bool:
+        """Whether a link to the keeper comes about and carries messages."""
+        local = self.keeper.node.local
+        _, client = tls.build_contexts(own)
+        changed = type(local)(
+            **{
+                name: getattr(local, name)
+                for name in type(local).__slots__
+                if name not in ("daemon_id", "on_up", "on_down", "admit")
+            },
+            daemon_id=daemon,
+        )
+        node = nodes.Node(changed, None, client)
+        peer = node.dial(self.address)
+        for _ in range(30):
+            await asyncio.sleep(0.05)
+            if peer.failures or (peer.link and peer.link.messages_in > 1):
+                break
+        linked = peer.link is not None and any(
+            link.peer_id == daemon for link in self.keeper.node.get_links()
+        )
+        await node.close()
+        return linked
+
+    def read_refusals(self) -> list[str]:
+        return [
+            event.fields["reason"]
+            for event in self.keeper.timeline.read()
+            if event.name == "peer.refused"
+        ]
+
+    async def test_named_peer_with_the_fleets_certificate(self) -> None:
+        self.assertTrue(await self.link_as("entry-1", self.authority.issue("entry-1")))
+        self.assertEqual(self.read_refusals(), [])
+
+    async def test_peer_without_certificate(self) -> None:
+        context = ssl.create_default_context(cafile=str(self.authority.path))
+        context.check_hostname = False
+        host, port = nodes.split_address(self.address)
+        reader, writer = await asyncio.open_connection(host, port, ssl=context)
+        with self.assertRaises((ssl.SSLError, ConnectionError, asyncio.IncompleteReadError)):
+            writer.write(b"\0\0\0\0")
+            await reader.readexactly(1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        self.assertTrue(any("certificate" in item for item in self.read_refusals()))
+
+    async def test_peer_that_speaks_no_tls(self) -> None:
+        self.assertFalse(await self.link_as("entry-1", None))
+        self.assertTrue(any("certificate" in item for item in self.read_refusals()))
+
+    async def test_peer_of_another_fleet(self) -> None:
+        foreign = self.other.issue("entry-1")
+        trusting = foreign.model_copy(update={"peer_authority": str(self.authority.path)})
+        self.assertFalse(await self.link_as("entry-1", trusting))
+        self.assertTrue(any("certificate" in item for item in self.read_refusals()))
+
+    async def test_peer_under_anothers_name(self) -> None:
+        self.assertFalse(await self.link_as("entry-1", self.authority.issue("agent-1")))
+        self.assertTrue(any("'agent-1'" in item for item in self.read_refusals()))
+
+    async def test_peer_that_the_settings_do_not_name(self) -> None:
+        self.assertFalse(await self.link_as("stranger", self.authority.issue("stranger")))
+        self.assertTrue(any("do not name" in item for item in self.read_refusals()))
+
+    async def test_certificate_is_replaced_without_restart(self) -> None:
+        own = self.keeper.settings.tls
+        before = read_file(own.certificate)
+        self.authority.issue("keeper-1")
+        self.assertNotEqual(before, read_file(own.certificate))
+        tls.reload_contexts(own, *self.keeper.node.tls_contexts)
+        self.assertTrue(await self.link_as("agent-1", self.authority.issue("agent-1")))
+
+
+class HelloTest(unittest.TestCase):
+    """What a ``Hello`` says."""
+
+    def test_protocol_is_named(self) -> None:
+        hello = messages.Hello("a", 1, "fleet", "127.0.0.1:1")
+        self.assertEqual(hello.protocol, messages.PROTOCOL)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -81,6 +81,8 @@
     admit : callable
         Called with (daemon id, name in its certificate or "") before a link is ready; raises
         `faults.FaultError` to refuse the peer.
+    note_refused : callable
+        Called with the reason when a connection is refused before it says who it is.
     """
 
     daemon_id: str
@@ -95,6 +97,7 @@
     on_up: Callable[["Link"], None] = lambda link: None
     on_down: Callable[["Link"], None] = lambda link: None
     admit: Callable[[str, str], None] = lambda daemon_id, name: None
+    note_refused: Callable[[str], None] = lambda reason: None
 
 
 def log_exception(error_id: str, error: BaseException) -> None:
--- a/tillerlane/peers/node.py
+++ b/tillerlane/peers/node.py
@@ -126,14 +126,16 @@
     async def listen(self, address: str) -> None:
         """Accept links at `address` (``IP:port``)."""
         host, port = split_address(address)
-        extra = {"ssl": self._server_tls} if self._server_tls else {}
-        self._server = await asyncio.start_server(self._accept, host, port, **extra)
+        self._server = await asyncio.start_server(self._accept, host, port)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._closing or self._accepting >= MAX_ACCEPTED_LINKS:
             writer.close()
             return
         self._accepting += 1
+        if not await self._secure(writer):
+            self._accepting -= 1
+            return
         link = links.Link(reader, writer, self.local, dialed=False)
         self.accepted[link] = None
         try:
@@ -144,6 +146,18 @@
             self.accepted.pop(link, None)
             self._accepting -= 1
 
+    async def _secure(self, writer: asyncio.StreamWriter) -> bool:
+        """Have the peer show its certificate, if there is TLS; False if it is refused."""
+        if self._server_tls is None:
+            return True
+        try:
+            await writer.start_tls(self._server_tls, ssl_handshake_timeout=links.HELLO_SECONDS)
+        except (OSError, EOFError, TimeoutError) as error:
+            self.local.note_refused(f"no valid certificate: {error}"[:200])
+            writer.close()
+            return False
+        return True
+
     def dial(
         self,
         address: str,
