--- /dev/null
+++ b/tillerlane/agent/tests/test_scheduling.py
@@ -0,0 +1,282 @@
+"""Decisions at a target, one rule at a time, on a state built by hand."""
+
+import unittest
+
+from tillerlane.agent import execution, forecast, lengths, scheduling
+from tillerlane.agent import generation as generations
+from tillerlane.agent import target as targets
+from tillerlane.config import documents, settings
+from tillerlane.faults import kinds
+from tillerlane.peers import messages
+from tillerlane.policy import program as programs
+from tillerlane.testing import engine, engine_client
+
+__all__: list[str] = []
+
+
+def build_state(policy: documents.Policy | None = None, **changes: object) -> targets.TargetState:
+    """A target of 1,000 tokens and ten places."""
+    client = engine_client.connect(lambda: engine.Engine(engine.EngineSpec()), ["m"])
+    program = programs.compile_program("p", policy or documents.Policy()).unwrap()
+    state = targets.TargetState("t", settings.TargetKind.RUNNER, client, program)
+    state.memory_total = 1_000
+    state.batch_limit = 10
+    for name, value in changes.items():
+        setattr(state, name, value)
+    return state
+
+
+def build_generation(
+    state: targets.TargetState,
+    name: str,
+    *,
+    prompt: int = 50,
+    written: int = 0,
+    urgent: bool = False,
+    priority: int = 50,
+    workspace: str = "w",
+    class_name: str = "c",
+    arrived: float = 0.0,
+    longest: int = 100,
+) -> generations.Generation:
+    """A generation of a class whose answers have about 20 tokens."""
+    book = state.length_book
+    if book.get(workspace, class_name, "m").samples == 0:
+        for _ in range(50):
+            book.add(workspace, class_name, "m", 20)
+    start = messages.Start(
+        f"t~{class_name}~{name}", "r", workspace, class_name, "m", "t", b"", prompt, longest
+    )
+    model = book.get(workspace, class_name, "m")
+    item = generations.Generation(start, arrived, 1e9, priority, urgent, True, model)
+    item.texts = ["x"] * written
+    return item
+
+
+def add_running(state: targets.TargetState, item: generations.Generation) -> None:
+    """Have a generation run."""
+    item.state = generations.State.RUNNING
+    item.started = True
+    state.held[item.id] = item
+    state.running.append(item)
+
+
+def add_paused(state: targets.TargetState, item: generations.Generation) -> None:
+    """Have a generation set aside."""
+    item.state = generations.State.PAUSED
+    item.times_paused += 1
+    state.held[item.id] = item
+    state.paused.append(item)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Who starts."""
+
+    def test_highest_rank_first(self) -> None:
+        state = build_state(documents.Policy(rank="-prompt_tokens"))
+        for name, prompt in (("long", 200), ("short", 20), ("middle", 60)):
+            state.enqueue(build_generation(state, name, prompt=prompt))
+        admitted = [action.generation.id for action in scheduling.decide(state, 1.0)]
+        self.assertEqual(admitted, ["t~c~short", "t~c~middle", "t~c~long"])
+
+    def test_memory_is_not_outgrown(self) -> None:
+        state = build_state()
+        for number in range(10):
+            state.enqueue(build_generation(state, str(number), prompt=150))
+        admitted = scheduling.decide(state, 1.0)
+        self.assertTrue(admitted)
+        batch = [action.generation for action in admitted]
+        risk = forecast.BatchForecast(batch).risk(state.room * 0.9)
+        self.assertLessEqual(risk, 0.02)
+        self.assertGreater(forecast.BatchForecast(batch).expected_peak(), 500)
+
+    def test_anything_that_fits_alone_starts_alone(self) -> None:
+        state = build_state()
+        state.enqueue(build_generation(state, "huge", prompt=990, longest=5_000))
+        self.assertEqual(len(scheduling.decide(state, 1.0)), 1)
+
+    def test_headroom_is_for_urgent_work(self) -> None:
+        state = build_state(documents.Policy(headroom="0.5"))
+        for number in range(5):
+            add_running(state, build_generation(state, f"r{number}"))
+        state.enqueue(build_generation(state, "plain", priority=100))
+        state.enqueue(build_generation(state, "urgent", urgent=True, priority=1))
+        admitted = [action.generation.id for action in scheduling.decide(state, 1.0)]
+        self.assertEqual(admitted, ["t~c~urgent"])
+
+    def test_workspace_gains_nothing_by_many_requests(self) -> None:
+        state = build_state(batch_limit=3)
+        state.ledger.charge("flood", 5_000, 0.0)
+        for number in range(30):
+            state.enqueue(build_generation(state, f"f{number}", workspace="flood"))
+        state.enqueue(build_generation(state, "one", workspace="calm", arrived=0.5))
+        first = scheduling.decide(state, 1.0)[0]
+        self.assertEqual(first.generation.id, "t~c~one")
+
+    def test_age_lifts_any_request(self) -> None:
+        state = build_state(batch_limit=1)
+        state.enqueue(build_generation(state, "old", priority=0, arrived=-1_000.0))
+        state.enqueue(build_generation(state, "new", priority=100))
+        self.assertEqual(scheduling.decide(state, 1.0)[0].generation.id, "t~c~old")
+
+    def test_ranks_evaluated_are_bounded(self) -> None:
+        state = build_state(documents.Policy(rank="priority + waited_s"))
+        for number in range(1_000):
+            state.enqueue(build_generation(state, str(number)))
+        scheduling.order_waiting(state, {}, 5.0)
+        fresh = sum(item.rank_at == 5.0 for item in state.waiting)
+        self.assertLessEqual(fresh, scheduling.RANKS_A_DECISION)
+        for step in range(60):
+            scheduling.order_waiting(state, {}, 6.0 + step)
+        self.assertTrue(all(item.rank_at > 5.0 for item in state.waiting))
+
+
+class SacrificeTest(unittest.TestCase):
+    """Who yields."""
+
+    def fill(self, state: targets.TargetState) -> list[generations.Generation]:
+        items = [build_generation(state, str(n), prompt=306, written=20) for n in range(3)]
+        for item in items:
+            add_running(state, item)
+        return items
+
+    def test_somebody_yields_before_memory_is_full(self) -> None:
+        state = build_state()
+        self.fill(state)
+        actions = scheduling.decide(state, 1.0)
+        self.assertEqual([type(action) for action in actions], [scheduling.Pause])
+
+    def test_nobody_yields_twice_while_another_can(self) -> None:
+        state = build_state(documents.Policy(sacrifice="priority"))
+        items = self.fill(state)
+        items[0].priority = 100
+        items[0].times_paused = 1
+        victim = scheduling.decide(state, 1.0)[0].generation
+        self.assertIsNot(victim, items[0])
+
+    def test_spared_class_never_yields(self) -> None:
+        policy = documents.Policy(sacrifice="class_name == 'record' ? -1.0 : 1.0")
+        state = build_state(policy)
+        for number in range(2):
+            item = build_generation(state, str(number), prompt=300, class_name="record")
+            add_running(state, item)
+        other = build_generation(state, "other", prompt=390)
+        add_running(state, other)
+        self.assertEqual(scheduling.decide(state, 1.0), [scheduling.Pause(other)])
+
+    def test_what_was_set_aside_goes_on_before_new_work(self) -> None:
+        state = build_state(batch_limit=1)
+        state.enqueue(build_generation(state, "new", priority=100))
+        add_paused(state, build_generation(state, "aside", priority=1, written=10))
+        action = scheduling.decide(state, 1.0)[0]
+        self.assertIsInstance(action, scheduling.Unpause)
+
+    def test_urgent_work_displaces_after_a_while(self) -> None:
+        state = build_state()
+        for number in range(2):
+            add_running(state, build_generation(state, str(number), prompt=460, written=10))
+        state.enqueue(build_generation(state, "urgent", urgent=True, prompt=100))
+        self.assertEqual(scheduling.decide(state, 0.1), [])
+        self.assertIsInstance(scheduling.decide(state, 1.0)[0], scheduling.Pause)
+
+
+class RefusalTest(unittest.TestCase):
+    """Early refusals are certain not to have run."""
+
+    def refuse(self, state: targets.TargetState, item: generations.Generation) -> str:
+        fault = scheduling.refuse_arrival(item, state, 0.0)
+        if fault is None:
+            return ""
+        self.assertEqual(fault.ran, kinds.Ran.NO)
+        return fault.kind.value
+
+    def test_kinds(self) -> None:
+        state = build_state()
+        item = build_generation(state, "x")
+        self.assertEqual(self.refuse(state, item), "")
+        self.assertEqual(self.refuse(build_state(leaving=True), item), "leaving")
+        self.assertEqual(self.refuse(build_state(healthy=False), item), "no_capacity")
+        huge = build_generation(state, "huge", prompt=2_000)
+        self.assertEqual(self.refuse(state, huge), "bad_request")
+        state.max_waiting = 0
+        self.assertEqual(self.refuse(state, item), "no_capacity")
+
+    def test_wait_beyond_the_deadline(self) -> None:
+        state = build_state(backlog={True: 0.0, False: 1e6})
+        state.enqueue(build_generation(state, "before"))
+        item = build_generation(state, "x")
+        item.deadline = 5.0
+        self.assertEqual(self.refuse(state, item), "no_capacity")
+        item.deadline = 1e9
+        self.assertEqual(self.refuse(state, item), "")
+
+    def test_policy_decides(self) -> None:
+        state = build_state(documents.Policy(may_wait="!urgent"))
+        state.enqueue(build_generation(state, "before"))
+        self.assertEqual(self.refuse(state, build_generation(state, "plain")), "")
+        urgent = build_generation(state, "urgent", urgent=True)
+        self.assertEqual(self.refuse(state, urgent), "no_capacity")
+
+
+class PolicyFaultTest(unittest.TestCase):
+    """A program that fails at run time falls back to the built-in rule, visibly."""
+
+    def test_fall_back(self) -> None:
+        state = build_state(documents.Policy(rank="100.0 / double(int(priority) % 7) + 1.0"))
+        seen: list[str] = []
+        state.program.on_fault = lambda policy, expression, reason: seen.append(expression)
+        item = build_generation(state, "x", priority=49)
+        state.enqueue(item)
+        self.assertEqual(len(scheduling.decide(state, 1.0)), 1)
+        broken = programs.Evaluator(state.program, "rank", {})
+        value = broken.evaluate({"priority": lambda: "no number"}, 7.0)
+        self.assertEqual(value, 7.0)
+        self.assertEqual(seen, ["rank"])
+        self.assertEqual(state.program.faults_seen, 1)
+
+
+class LengthsTest(unittest.TestCase):
+    """Distributions of lengths."""
+
+    def test_long_survivors_are_expected_to_go_on(self) -> None:
+        model = lengths.LengthModel()
+        for length in [20] * 90 + [2_000] * 10:
+            model.add(length)
+        self.assertLess(model.look_ahead(0, 10_000).expected_left, 600)
+        self.assertGreater(model.look_ahead(200, 10_000).expected_left, 900)
+
+    def test_bound_of_the_request_counts(self) -> None:
+        model = lengths.LengthModel()
+        ahead = model.look_ahead(0, 50)
+        self.assertLessEqual(ahead.expected_left, 50)
+        self.assertEqual(ahead.alive[-1], 0.0)
+
+    def test_new_key_borrows_from_its_class(self) -> None:
+        book = lengths.LengthBook()
+        for _ in range(100):
+            book.add("a", "c", "m", 1_000)
+        fresh = book.get("b", "c", "m").look_ahead(0, 100_000)
+        self.assertGreater(fresh.expected_left, 600)
+
+    def test_it_adapts(self) -> None:
+        book = lengths.LengthBook()
+        for length in [100] * 400 + [300] * 400:
+            book.add("a", "c", "m", length)
+        self.assertGreater(book.get("a", "c", "m").look_ahead(0, 10_000).expected_left, 200)
+
+    def test_keys_are_bounded(self) -> None:
+        book = lengths.LengthBook()
+        for number in range(book.MAX_KEYS + 50):
+            book.get(f"w{number}", "c", "m")
+        self.assertLessEqual(len(book._models), book.MAX_KEYS)
+
+
+class ConstantsTest(unittest.TestCase):
+    """Bounds that others rely on."""
+
+    def test_resume_delays_rise(self) -> None:
+        self.assertEqual(sorted(execution.RESUME_DELAYS), list(execution.RESUME_DELAYS))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tillerlane/entry/tests/test_limits.py
@@ -0,0 +1,73 @@
+"""Limits over all entries together, and the budget of retries."""
+
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.config import documents
+from tillerlane.entry import limits
+from tillerlane.testing import profiles
+
+
+class LimitsTest(unittest.TestCase):
+    """Shares, buckets, concurrency."""
+
+    def test_two_entries_grant_the_limit_between_them(self) -> None:
+        wanted = documents.Limits(requests_per_second=10)
+        entries = [limits.WorkspaceLimits() for _ in range(2)]
+        granted = 0
+        for step in range(1_000):
+            for entry in entries:
+                fault = entry.enter("w", wanted, 2, 0, step * 0.1)
+                if fault is None:
+                    granted += 1
+                    entry.leave("w", 0, step * 0.1)
+        self.assertAlmostEqual(granted / 100, 10, delta=0.5)
+
+    def test_concurrent(self) -> None:
+        own = limits.WorkspaceLimits()
+        wanted = documents.Limits(concurrent=4)
+        self.assertIsNone(own.enter("w", wanted, 2, 0, 0.0))
+        self.assertIsNone(own.enter("w", wanted, 2, 0, 0.0))
+        fault = own.enter("w", wanted, 2, 0, 0.0)
+        self.assertEqual(fault.kind.value, "over_limit")
+        own.leave("w", 0, 0.0)
+        self.assertIsNone(own.enter("w", wanted, 2, 0, 0.0))
+
+    def test_written_tokens_are_charged(self) -> None:
+        own = limits.WorkspaceLimits()
+        wanted = documents.Limits(tokens_per_minute=600)
+        self.assertIsNone(own.enter("w", wanted, 1, 10, 0.0))
+        own.leave("w", 1_000, 0.0)
+        fault = own.enter("w", wanted, 1, 10, 1.0)
+        self.assertGreater(fault.retry_after, 30)
+        self.assertIsNone(own.enter("w", wanted, 1, 10, 1.0 + fault.retry_after + 0.1))
+
+    @profiles.choose(200)
+    @given(
+        strategies.floats(0.5, 50),
+        strategies.lists(strategies.floats(0, 5), min_size=1, max_size=60),
+    )
+    def test_never_more_than_rate_and_burst(self, rate: float, gaps: list[float]) -> None:
+        wanted = documents.Limits(requests_per_second=rate)
+        own = limits.WorkspaceLimits()
+        now = 0.0
+        granted = 0
+        for gap in gaps:
+            now += gap
+            granted += own.enter("w", wanted, 1, 0, now) is None
+        burst = max(1.0, rate * limits.BURST_SECONDS)
+        self.assertLessEqual(granted, rate * now + burst + 1e-6)
+
+    def test_retry_budget(self) -> None:
+        budget = limits.RetryBudget()
+        retried = 0
+        for _ in range(1_000):
+            budget.pay_in("pool", 0.1)
+            retried += budget.take("pool")
+        self.assertLessEqual(retried, 102)
+        self.assertGreaterEqual(retried, 99)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -14,6 +14,8 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+TOPS = ("benchmarks", "tillerlane")
+"""Folders with tests; the longest first."""
 MODULE_SECONDS = 240
 WORKERS = 4
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
@@ -70,7 +72,7 @@
 
 def find_modules(names: list[str]) -> list[str]:
     """Test modules, all of them or those whose name contains one of `names`."""
-    paths = sorted(ROOT.glob("tillerlane/**/tests/test_*.py"))
+    paths = sorted(path for top in TOPS for path in ROOT.glob(f"{top}/**/tests/test_*.py"))
     modules = [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
     return [item for item in modules if not names or any(name in item for name in names)]
 
