Give logic that stood twice one place

Cause: a proposal over a link, planning a load and reading an answer in the lab stood twice each. Change: keeper/proposals.py, one planning function, one reader.

--- a/tillerlane/keeper/client.py
+++ b/tillerlane/keeper/client.py
@@ -8,10 +8,9 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.keeper import commands
+from tillerlane.keeper import commands, proposals
 from tillerlane.members import view as views
 from tillerlane.peers import link as links
-from tillerlane.peers import messages
 from tillerlane.peers import node as nodes
 
 __all__ = ["KeeperClient"]
@@ -163,18 +162,5 @@
     async def _propose_once(self, encoded: bytes) -> dict[str, Any]:
         link = self.home
         if link is None:
-            message = "no link to a keeper"
-            raise faults.FaultError(
-                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0)
-            )
-        try:
-            reply = await link.call(messages.Propose(encoded), CALL_SECONDS)
-        except links.LinkLost as error:
-            message = f"the keeper's answer got lost: {error}"
-            raise faults.FaultError(
-                faults.new_fault(
-                    kinds.ErrorKind.NO_QUORUM, message, ran=kinds.Ran.UNKNOWN, retry_after=1.0
-                )
-            ) from error
-        assert isinstance(reply, messages.ProposeReply)
-        return messages.read_json(reply.result)
+            raise proposals.build_no_quorum("no link to a keeper")
+        return await proposals.send(link, encoded, 0, CALL_SECONDS)
--- /dev/null
+++ b/tillerlane/keeper/proposals.py
@@ -0,0 +1,35 @@
+"""A proposal over a link: the same from a daemon to its keeper and from a keeper to the leader."""
+
+from typing import Any
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+
+__all__ = ["build_no_quorum", "send"]
+
+RETRY_SECONDS = 1.0
+
+
+def build_no_quorum(message: str, ran: kinds.Ran = kinds.Ran.NO) -> faults.FaultError:
+    """The fault of a proposal that nobody took, or whose fate is not known."""
+    fault = faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, ran=ran, retry_after=RETRY_SECONDS)
+    return faults.FaultError(fault)
+
+
+async def send(link: links.Link, command: bytes, hops: int, timeout: float) -> dict[str, Any]:
+    """Propose a command over a link and give its answer.
+
+    Raises
+    ------
+    faults.FaultError
+        The keeper's own fault, or ``no_quorum`` with ``ran: unknown`` if its answer got lost.
+    """
+    try:
+        reply = await link.call(messages.Propose(command, hops), timeout)
+    except links.LinkLost as error:
+        message = f"the answer of {link.peer_id} got lost: {error}"
+        raise build_no_quorum(message, kinds.Ran.UNKNOWN) from error
+    assert isinstance(reply, messages.ProposeReply)
+    return messages.read_json(reply.result)
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -7,9 +7,7 @@
 import msgspec
 
 from tillerlane.config import store as stores
-from tillerlane.faults import core as faults
-from tillerlane.faults import kinds
-from tillerlane.keeper import commands, replica
+from tillerlane.keeper import commands, proposals, replica
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
 
@@ -94,21 +92,8 @@
         leader = own.voters.get(own.leader)
         link = self._get_link(leader.address) if leader and own.leader != own.name else None
         if link is None or hops >= MAX_HOPS:
-            message = f"{own.name} knows no leader"
-            raise faults.FaultError(
-                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0)
-            )
-        try:
-            reply = await link.call(messages.Propose(command, hops + 1), FORWARD_SECONDS)
-        except links.LinkLost as error:
-            message = f"the leader's answer got lost: {error}"
-            raise faults.FaultError(
-                faults.new_fault(
-                    kinds.ErrorKind.NO_QUORUM, message, ran=kinds.Ran.UNKNOWN, retry_after=1.0
-                )
-            ) from error
-        assert isinstance(reply, messages.ProposeReply)
-        return messages.read_json(reply.result)
+            raise proposals.build_no_quorum(f"{own.name} knows no leader")
+        return await proposals.send(link, command, hops + 1, FORWARD_SECONDS)
 
     async def _propose_here(self, command: bytes) -> dict[str, Any]:
         decoded = commands.decode(command)
--- a/tillerlane/placement/planner.py
+++ b/tillerlane/placement/planner.py
@@ -50,14 +50,17 @@
     return sum(model in runner.models and not runner.leaving for runner in runners)
 
 
-def _choose_for_load(model: str, runners: list[RunnerState], most: int) -> RunnerState | None:
-    """The least loaded runner that lacks the model and has room for one more."""
+def _plan_load(
+    model: str, runners: list[RunnerState], most: int, reason: str
+) -> PlannedOrder | None:
+    """Load at the least loaded runner that lacks the model and has room for one more."""
     able = [
         runner
         for runner in runners
         if not runner.leaving and model not in runner.models and len(runner.models) < most
     ]
-    return min(able, key=lambda runner: (runner.load, runner.name), default=None)
+    chosen = min(able, key=lambda runner: (runner.load, runner.name), default=None)
+    return PlannedOrder(chosen.name, "load", model, reason) if chosen is not None else None
 
 
 def plan_next(
@@ -114,10 +117,7 @@
 ) -> PlannedOrder | None:
     if wanted.unserved == 0 or _count_copies(model, runners) > 0:
         return None
-    chosen = _choose_for_load(model, runners, most)
-    if chosen is None:
-        return None
-    return PlannedOrder(chosen.name, "load", model, f"{wanted.unserved} asked, no copy")
+    return _plan_load(model, runners, most, f"{wanted.unserved} asked, no copy")
 
 
 def _plan_more(
@@ -130,11 +130,7 @@
     copies = _count_copies(model, runners)
     if copies == 0 or wanted.load / copies <= HIGH_LOAD:
         return None
-    chosen = _choose_for_load(model, runners, most)
-    if chosen is None:
-        return None
-    reason = f"load {wanted.load:.2f} on {copies} copies"
-    return PlannedOrder(chosen.name, "load", model, reason)
+    return _plan_load(model, runners, most, f"load {wanted.load:.2f} on {copies} copies")
 
 
 def _plan_less(
--- a/tillerlane/testing/lab.py
+++ b/tillerlane/testing/lab.py
@@ -96,6 +96,20 @@
     return work(*arguments)
 
 
+async def _read_answer(answer: Answer, items: Any) -> Answer:
+    """Read an answer to its end or fault."""
+    loop = asyncio.get_running_loop()
+    try:
+        async for item in items:
+            answer.take(item, loop.time())
+    except faults.FaultError as error:
+        answer.fault = error.fault
+    finally:
+        await items.aclose()
+    answer.ended_at = loop.time()
+    return answer
+
+
 class Lab:
     """A fleet in one event loop.
 
@@ -320,15 +334,7 @@
             items = dispatcher.run(request)
         else:
             items = dispatcher.resume(request, answer.generation_ids[0], len(answer.texts))
-        try:
-            async for item in items:
-                answer.take(item, loop.time())
-        except faults.FaultError as error:
-            answer.fault = error.fault
-        finally:
-            await items.aclose()
-        answer.ended_at = loop.time()
-        return answer
+        return await _read_answer(answer, items)
 
     def begin_call(self, *words: str, **more: Any) -> tuple[Answer, "asyncio.Task[Answer]"]:
         """Send a request in the background; its answer grows as tokens come."""
@@ -338,20 +344,8 @@
         request = self.build_request(workspace, class_name, prompt, entry=name, key=key)
         answer = Answer(request, asyncio.get_running_loop().time())
 
-        async def read() -> Answer:
-            loop = asyncio.get_running_loop()
-            items = self.daemons[name].callers.dispatcher.run(request)
-            try:
-                async for item in items:
-                    answer.take(item, loop.time())
-            except faults.FaultError as error:
-                answer.fault = error.fault
-            finally:
-                await items.aclose()
-            answer.ended_at = loop.time()
-            return answer
-
-        return answer, asyncio.create_task(read())
+        items = self.daemons[name].callers.dispatcher.run(request)
+        return answer, asyncio.create_task(_read_answer(answer, items))
 
     def find_agent(self, generation_id: str) -> str:
         """Daemon id of the agent that has a generation."""
