--- a/tillerlane/daemon/http.py
+++ b/tillerlane/daemon/http.py
@@ -10,7 +10,7 @@
 from litestar import exceptions
 
 from tillerlane.daemon import core as daemons
-from tillerlane.daemon import tls
+from tillerlane.daemon import protocol, tls
 from tillerlane.entry import api as entry_api
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
@@ -98,7 +98,7 @@
             build_app(daemon),
             host=host,
             port=port,
-            http="httptools",
+            http=protocol.BoundedProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
