--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -34,6 +34,7 @@
 HEARTBEAT_SECONDS = 0.25
 ELECTION_SECONDS = (1.0, 1.6)
 """Silence of the leader after which a voter stands for election, drawn anew each time."""
+ELECTION_CHECK_SECONDS = 0.1
 LEASE_SECONDS = 0.8
 """Shorter than the shortest election timeout, with room for clocks that drift."""
 CALL_SECONDS = 0.6
@@ -261,7 +262,7 @@
 
     async def _keep_elections(self) -> None:
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(ELECTION_CHECK_SECONDS)
             if self.failed is not None:
                 continue
             if self.standing is Standing.LEADER:
--- /dev/null
+++ b/tillerlane/members/tests/test_members.py
@@ -0,0 +1,119 @@
+"""Who is there: merged views, the platform's list, daemons without fresh word."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.members import platform
+from tillerlane.members import view as views
+from tillerlane.peers import messages
+from tillerlane.testing import lab, profiles, scenes
+
+
+def build_member(incarnation: int, sequence: int, leaving: bool = False) -> messages.Member:
+    """A daemon's word."""
+    return messages.Member(
+        "a", incarnation, sequence, "10.0.0.1:1", "10.0.0.1:2", "hall", ["agent"], ["t"], leaving
+    )
+
+
+class ViewTest(unittest.TestCase):
+    """Merging."""
+
+    @profiles.choose(100)
+    @given(strategies.permutations([(1, 1), (1, 2), (1, 7), (2, 1), (2, 3)]))
+    def test_any_order_gives_the_latest(self, order: list[tuple[int, int]]) -> None:
+        view = views.MemberView()
+        for incarnation, sequence in [*order, *order]:
+            view.merge([build_member(incarnation, sequence)], 0.0)
+        latest = view.read("a")
+        self.assertEqual((latest.incarnation, latest.sequence), (2, 3))
+
+    def test_suspicion_ages_and_own_word_overrides_it(self) -> None:
+        view = views.MemberView()
+        view.merge([build_member(1, 1)], 0.0)
+        view.suspect("a", 1.0)
+        self.assertEqual(len(view.read_live()), 1)
+        view.age_suspects(3.0)
+        self.assertEqual(view.read_live(), [])
+        view.merge([build_member(1, 2)], 4.0)
+        self.assertEqual(view.read("a").state, views.LIVE)
+
+    def test_platform_can_only_say_leaving(self) -> None:
+        view = views.MemberView()
+        view.merge([build_member(1, 1)], 0.0)
+        view.set_platform_leaving(["a", "unknown"])
+        self.assertTrue(view.read("a").leaving)
+        view.set_platform_leaving([])
+        self.assertFalse(view.read("a").leaving)
+
+    def test_lists(self) -> None:
+        text = json.dumps({"hosts": {"a": "leaving", "b": "live", "c": "odd"}})
+        self.assertEqual(platform.parse_list(text), {"a"})
+        for bad in ("", "[]", '{"hosts": 3}', "{"):
+            with self.assertRaises(ValueError):
+                platform.parse_list(bad)
+
+
+class FleetTest(scenes.SceneCase):
+    """In a running fleet."""
+
+    def test_platform_list_drains_and_harms_nobody(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "hosts.json"
+            path.write_text("torn {")
+
+            async def scene(stage: lab.Lab) -> None:
+                await stage.call("katalog", "ping", "a torn list changes nothing")
+                await asyncio.to_thread(path.write_text, '{"hosts": {"agent-hall-a": "leaving"}}')
+                await asyncio.sleep(2)
+                before = len(stage.engines["r1"].sequences)
+                for number in range(8):
+                    self.check_whole(await stage.call("katalog", "ping", f"n {number}"))
+                self.assertEqual(len(stage.engines["r1"].sequences), before)
+                await asyncio.to_thread(path.write_text, '{"hosts": {}}')
+                await asyncio.sleep(2)
+                for number in range(12):
+                    self.check_whole(await stage.call("katalog", "ping", f"m {number}"))
+                self.assertGreater(len(stage.engines["r1"].sequences), before)
+
+            self.play(scene, entry_settings={"platform_list": str(path)})
+
+    def test_no_fresh_word_serves_on_or_goes_unready(self) -> None:
+        for action, ready in (("serve", True), ("unready", False)):
+            with self.subTest(action=action):
+
+                async def scene(stage: lab.Lab, ready: bool = ready) -> None:
+                    entry = stage.daemons["entry-1"]
+                    self.assertTrue(entry.is_ready)
+                    await stage.kill("keeper-1")
+                    await asyncio.sleep(8)
+                    self.assertEqual(entry.is_ready, ready)
+                    self.check_whole(await stage.call("katalog", "record", "still served"))
+                    await stage.start_daemon("keeper-1")
+                    await asyncio.sleep(4)
+                    self.assertTrue(entry.is_ready)
+
+                own = {"stale_action": action, "stale_seconds": 5}
+                self.play(scene, entry_settings=own)
+
+    def test_flooding_workspace_costs_others_little(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            flood = [stage.begin_call("katalog", "record", f"flood {n}")[1] for n in range(200)]
+            await asyncio.sleep(1)
+            calm = [await stage.call("butikk", "record", f"calm {n}") for n in range(3)]
+            for answer in calm:
+                self.check_whole(answer)
+                self.assertLess(answer.times[0] - answer.sent_at, 10)
+            for task in flood:
+                task.cancel()
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
