Tell a waiting request at once that its deadline cannot be met

Cause: a request that could no longer be whole in time was told so only at its deadline. Change: a waiting request whose chance of missing its deadline is over 0.95, by the lengths learnt, is refused at once with ran: no; deadlines are looked at five times a second, not at every decision.

--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -21,6 +21,8 @@
 Decide = Callable[[targets.TargetState, float], list[scheduling.Action]]
 
 TICK_SECONDS = 0.05
+SWEEP_SECONDS = 0.2
+"""Least time between two looks at all deadlines: a look costs some us for each request held."""
 LOAD_SECONDS = 0.25
 LOAD_FAILURES_UNTIL_SICK = 4
 STALL_SECONDS = 5.0
@@ -61,6 +63,7 @@
         self._get_fleet = get_fleet
         self._count = count
         self._wake = asyncio.Event()
+        self._swept_at = -1e9
         self._tasks: set[asyncio.Task[None]] = set()
         self._loops: list[asyncio.Task[None]] = []
 
@@ -171,9 +174,18 @@
 
     def _sweep(self, now: float) -> None:
         """Expire deadlines and detached generations; forget ended ones."""
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
         state = self.state
         resume_seconds, detached_seconds = self._get_fleet()
         ended = []
+        if state.kind.value == "runner":
+            for generation in [
+                item for item in state.waiting if scheduling.is_hopeless(item, state, now)
+            ]:
+                reason = "the deadline cannot be met any more"
+                self.cancel(generation, kinds.ErrorKind.DEADLINE_EXPIRED, reason)
         for generation in state.held.values():
             if generation.end is not None:
                 if now - generation.ended_at > resume_seconds and not generation.feeds:
--- a/tillerlane/agent/scheduling.py
+++ b/tillerlane/agent/scheduling.py
@@ -28,6 +28,8 @@
 TRIES_A_DECISION = 32
 DISPLACE_AFTER_SECONDS = 0.5
 """Wait of urgent work after which another generation yields to it."""
+HOPELESS_CHANCE = 0.95
+"""Chance of missing its deadline at which a waiting request is given up."""
 RESUME_RISK_SHARE = 0.5
 """A generation that was set aside goes on at this share of the accepted risk, so that it is not
 set aside again at once."""
@@ -348,6 +350,17 @@
     return actions or _displace(state, leads, now)
 
 
+def is_hopeless(generation: generations.Generation, state: targets.TargetState, now: float) -> bool:
+    """Whether a waiting request could hardly be whole by its deadline if it started now.
+
+    It is then told at once, not at its deadline.
+    """
+    left = max(0.0, generation.deadline - now) / max(1e-4, state.step_seconds)
+    if left >= generation.start.max_tokens:
+        return False
+    return generation.length_model.survive(left) > HOPELESS_CHANCE
+
+
 def refuse_arrival(
     generation: generations.Generation, state: targets.TargetState, now: float
 ) -> faults.Fault | None:
--- a/tillerlane/agent/tests/test_scheduling.py
+++ b/tillerlane/agent/tests/test_scheduling.py
@@ -210,6 +210,14 @@
         item.deadline = 1e9
         self.assertEqual(self.refuse(state, item), "")
 
+    def test_hopeless_is_told_before_its_deadline(self) -> None:
+        state = build_state(step_seconds=0.1)
+        item = build_generation(state, "x")
+        item.deadline = 10.0
+        self.assertFalse(scheduling.is_hopeless(item, state, 0.0))
+        self.assertFalse(scheduling.is_hopeless(item, state, 7.0))
+        self.assertTrue(scheduling.is_hopeless(item, state, 9.5))
+
     def test_policy_decides(self) -> None:
         state = build_state(documents.Policy(may_wait="!urgent"))
         state.enqueue(build_generation(state, "before"))
