Remove a constant and a condition that did nothing

Cause: left over from a former form. Change: both are gone; no behaviour changed but the draws of the benchmark's waves.

--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -128,7 +128,7 @@
             rate = load * kind.share * capacity / len(kind.workspaces) * factor
             at = rng.expovariate(rate)
             while at < seconds:
-                if not burst or at % 40 < 20 or rng.random() < 0.0:
+                if not burst or at % 40 < 20:
                     arrivals.append(_draw(kind, workspace, at, rng))
                 at += rng.expovariate(rate * (2 if burst else 1))
     arrivals.sort(key=lambda item: item.at)
--- a/tillerlane/entry/api.py
+++ b/tillerlane/entry/api.py
@@ -25,7 +25,6 @@
 REQUEST_HEADER = "x-request-id"
 BODY_SECONDS = 30.0
 """How long a caller may take to send a body."""
-RELEASE_SECONDS = 0.5
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
 _NO_BODY = {"cache-control": "no-store"}
 
