Use one piece where logic stood twice, and drop callbacks nobody gave

Cause: read again as a whole, the change had the no_quorum fault built in three more places beside proposals.build_no_quorum, two ways to run something beside a keeper's tasks, a flag set and unset between two functions of one promotion, three ways to answer a query of this daemon, four string comparisons for a target's kind, a second reader of milliseconds, and on_up callbacks that nothing used. One answer differs: a query that a daemon does not know, asked of itself, is not_found in place of internal.

--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -70,7 +70,7 @@
     def begin(self) -> None:
         """Start the tasks of the target."""
         self._loops = [asyncio.create_task(self._decide_for_ever())]
-        if self.state.kind.value == "runner":
+        if self.state.is_runner:
             self._loops.append(asyncio.create_task(self._poll_load()))
             self._loops.append(asyncio.create_task(self._follow_cache()))
 
@@ -163,7 +163,7 @@
 
     def _check_stall(self, now: float) -> None:
         state = self.state
-        if state.kind.value != "runner":
+        if not state.is_runner:
             return
         last = max((max(item.last_token_at, item.ran_since) for item in state.running), default=now)
         sick = now - last > STALL_SECONDS or state.load_failures >= LOAD_FAILURES_UNTIL_SICK
@@ -180,7 +180,7 @@
         state = self.state
         resume_seconds, detached_seconds = self._get_fleet()
         ended = []
-        if state.kind.value == "runner":
+        if state.is_runner:
             for generation in [
                 item for item in state.waiting if scheduling.is_hopeless(item, state, now)
             ]:
@@ -296,7 +296,7 @@
                 reason = error.fault.message
             fresh = False
             tries = 0 if len(generation.texts) > before else tries + 1
-            if tries >= len(RESUME_DELAYS) or self.state.kind.value == "service":
+            if tries >= len(RESUME_DELAYS) or not self.state.is_runner:
                 return self._describe_loss(generation, reason)
             await asyncio.sleep(RESUME_DELAYS[tries])
             self._record("generation.resume", generation, offset=len(generation.texts))
@@ -350,7 +350,7 @@
                 generation.fail(fault, now)
             return
         start = generation.start
-        if finish.reason == "stop" and self.state.kind.value == "runner":
+        if finish.reason == "stop" and self.state.is_runner:
             self.state.length_book.add(
                 start.workspace, start.class_name, start.model, len(generation.texts)
             )
--- a/tillerlane/agent/scheduling.py
+++ b/tillerlane/agent/scheduling.py
@@ -12,7 +12,6 @@
 from tillerlane.agent import forecast
 from tillerlane.agent import generation as generations
 from tillerlane.agent import target as targets
-from tillerlane.config import settings
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.policy import builtin, facts
@@ -338,7 +337,7 @@
     now : float
         Time of the event loop, in seconds.
     """
-    if state.kind is settings.TargetKind.SERVICE:
+    if not state.is_runner:
         return _admit_calls(state)
     if not state.waiting and not state.paused and not state.running:
         return []
@@ -375,7 +374,7 @@
         return faults.new_fault(
             kinds.ErrorKind.NO_CAPACITY, message, retry_after=max(1.0, wait / 2)
         )
-    if generation.memory > state.memory_total > 0 and state.kind is settings.TargetKind.RUNNER:
+    if generation.memory > state.memory_total > 0 and state.is_runner:
         message = f"prompt of {generation.memory} tokens, memory of {state.memory_total}"
         return faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message)
     if not state.waiting and not state.paused:
--- a/tillerlane/agent/server.py
+++ b/tillerlane/agent/server.py
@@ -218,7 +218,7 @@
                 "healthy": executor.state.healthy,
             }
             for name, executor in self.executors.items()
-            if executor.state.kind is settings.TargetKind.RUNNER
+            if executor.state.is_runner
         ]
 
     def count_active(self) -> int:
--- a/tillerlane/agent/target.py
+++ b/tillerlane/agent/target.py
@@ -100,6 +100,11 @@
     _rate_tokens: int = 0
     _rate_at: float = 0.0
 
+    @property
+    def is_runner(self) -> bool:
+        """Whether it is a runner, not a plain service."""
+        return self.kind is settings.TargetKind.RUNNER
+
     @property
     def memory_used(self) -> int:
         """Memory of what runs, as counted here without lag."""
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -191,10 +191,7 @@
         )
         part.on_standing = self._note_standing
         self.keeper = server.Keeper(
-            part,
-            self._get_keeper_link,
-            self._get_subscribers,
-            lambda: int(self._around.now() * 1000),
+            part, self._get_keeper_link, self._get_subscribers, self._read_ms
         )
         self.placement = leader.PlacementLeader(
             part, self.members.read_live, self.ask, self.timeline, self._read_ms
@@ -395,14 +392,23 @@
             message = f"{self.settings.daemon} does not serve {type(body).__name__}"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message))
 
-    async def _answer_query(self, exchange_: links.Exchange, body: messages.Query) -> None:
-        query = self.queries.get(body.subject)
+    async def answer(self, subject: str, arguments: dict[str, Any]) -> Any:
+        """Answer a query about this daemon.
+
+        Raises
+        ------
+        faults.FaultError
+            Of kind ``not_found`` if there is no such query.
+        """
+        query = self.queries.get(subject)
         if query is None:
-            message = f"got query {body.subject!r}, expected one of {sorted(self.queries)}"
+            message = f"got query {subject!r}, expected one of {sorted(self.queries)}"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
-        result = query(messages.read_json(body.arguments))
-        if asyncio.iscoroutine(result):
-            result = await result
+        result = query(arguments)
+        return await result if asyncio.iscoroutine(result) else result
+
+    async def _answer_query(self, exchange_: links.Exchange, body: messages.Query) -> None:
+        result = await self.answer(body.subject, messages.read_json(body.arguments))
         exchange_.send(messages.QueryReply(messages.write_json(result)))
 
     def _notify(self, link: links.Link, body: messages.Body) -> None:
@@ -506,8 +512,7 @@
             If it does not answer.
         """
         if member.daemon_id == self.settings.daemon:
-            result = self.queries[subject](arguments)
-            return await result if asyncio.iscoroutine(result) else result
+            return await self.answer(subject, arguments)
         async with self.borrow_link(member.address) as link:
             query = messages.Query(subject, json.dumps(arguments))
             reply = await link.call(query, QUERY_SECONDS)
--- a/tillerlane/daemon/tests/test_trust.py
+++ b/tillerlane/daemon/tests/test_trust.py
@@ -57,7 +57,7 @@
             **{
                 name: getattr(local, name)
                 for name in type(local).__slots__
-                if name not in ("daemon_id", "on_up", "on_down", "admit")
+                if name not in ("daemon_id", "on_down", "admit")
             },
             daemon_id=daemon,
         )
--- a/tillerlane/entry/routing.py
+++ b/tillerlane/entry/routing.py
@@ -29,6 +29,9 @@
 """A cached prefix attracts only while its target has at most this times the mean load."""
 
 
+Choose = Callable[[requests.Request, list[fleet.TargetRecord]], fleet.TargetRecord]
+
+
 @dataclasses.dataclass(slots=True)
 class Router:
     """What routing needs besides the request."""
@@ -36,13 +39,10 @@
     view: fleet.FleetView
     data_hall: str
     rng: random.Random
-    choose: "Choose | None" = None
+    choose: Choose | None = None
     """Another rule among those that may take a request; benchmarks put baselines here."""
 
 
-Choose = Callable[[requests.Request, list[fleet.TargetRecord]], fleet.TargetRecord]
-
-
 def estimate_wait(record: fleet.TargetRecord, urgent: bool) -> float:
     """Seconds until a start, by the last report and what was sent since."""
     load = record.load
--- a/tillerlane/keeper/proposals.py
+++ b/tillerlane/keeper/proposals.py
@@ -12,9 +12,13 @@
 RETRY_SECONDS = 1.0
 
 
-def build_no_quorum(message: str, ran: kinds.Ran = kinds.Ran.NO) -> faults.FaultError:
+def build_no_quorum(
+    message: str, ran: kinds.Ran = kinds.Ran.NO, detail: dict[str, Any] | None = None
+) -> faults.FaultError:
     """The fault of a proposal that nobody took, or whose fate is not known."""
-    fault = faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, ran=ran, retry_after=RETRY_SECONDS)
+    fault = faults.new_fault(
+        kinds.ErrorKind.NO_QUORUM, message, ran=ran, retry_after=RETRY_SECONDS, detail=detail
+    )
     return faults.FaultError(fault)
 
 
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -18,12 +18,12 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.keeper import commands, machine
+from tillerlane.keeper import commands, machine, proposals
 from tillerlane.keeper import storage as storages
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -175,6 +175,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._fail_waiting("the keeper stops")
 
+    def _is_running(self, name: str) -> bool:
+        """Whether something that `_run_beside` began under this name still runs."""
+        return any(task.get_name() == name and not task.done() for task in self._tasks)
+
+    def _run_beside(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside the keeper's tasks; it ends with them."""
+        self._tasks = [task for task in self._tasks if not task.done()]
+        self._tasks.append(asyncio.create_task(work, name=name))
+
     def _draw_timeout(self) -> float:
         return self._rng.uniform(*ELECTION_SECONDS)
 
@@ -449,22 +458,20 @@
         if not self.has_lease:
             message = f"{self.name} is {self.standing} without a lease"
             detail = {"leader": self.leader}
-            raise faults.FaultError(
-                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0, detail=detail)
-            )
+            raise proposals.build_no_quorum(message, detail=detail)
         proposal = self._new_proposal(command)
         self._queue.append(proposal)
         self._queued.set()
         try:
             return await asyncio.wait_for(asyncio.shield(proposal.answer), COMMIT_SECONDS)
         except TimeoutError as error:
-            raise faults.FaultError(_undecided("not committed in time")) from error
+            raise _undecided("not committed in time") from error
 
     def _fail_waiting(self, reason: str) -> None:
         """Nobody will tell these proposals' fate any more; they may still be committed."""
         for proposal in [*self._queue, *self._waiting.values()]:
             if not proposal.answer.done():
-                proposal.answer.set_exception(faults.FaultError(_undecided(reason)))
+                proposal.answer.set_exception(_undecided(reason))
         self._queue = []
         self._waiting = {}
 
@@ -550,13 +557,12 @@
 
     def _start_snapshot(self) -> None:
         """Write a snapshot in the background; a few entries in front of it are kept."""
-        if any(task.get_name() == "snapshot" and not task.done() for task in self._tasks):
+        if self._is_running("snapshot"):
             return
         index = self.applied
         term = self.storage.get_term(index)
         snapshot = storages.Snapshot(index, term or 0, self.machine.dump())
-        self._tasks = [task for task in self._tasks if not task.done()]
-        self._tasks.append(asyncio.create_task(self._save_snapshot(snapshot), name="snapshot"))
+        self._run_beside("snapshot", self._save_snapshot(snapshot))
 
     async def _save_snapshot(self, snapshot: storages.Snapshot) -> None:
         async with self._write_lock:
@@ -677,17 +683,14 @@
             self.learners.pop(name, None)
             return
         is_ready = progress.disk_id and progress.match_index >= max(self.commit, 1)
-        if not is_ready or self._adding_voter or not self.has_lease:
+        is_changing = self._adding_voter or self._is_running("promote")
+        if not is_ready or is_changing or not self.has_lease:
             return
-        self._adding_voter = True
         command = commands.VoterAdd(name, address, progress.disk_id)
-        task = asyncio.create_task(self._promote(command), name="promote")
-        self._tasks = [item for item in self._tasks if not item.done()]
-        self._tasks.append(task)
+        self._run_beside("promote", self._promote(command))
 
     async def _promote(self, command: commands.VoterAdd) -> None:
         self._timeline.record("keeper.promote", keeper=command.name, disk_id=command.disk_id)
-        self._adding_voter = False
         try:
             await self.change_voters(command)
         except faults.FaultError as error:
@@ -704,10 +707,7 @@
             ``no_quorum`` if another change is still on its way.
         """
         if self._adding_voter or self.commit < self._noop_index:
-            message = "another change of voters is on its way"
-            raise faults.FaultError(
-                faults.new_fault(kinds.ErrorKind.NO_QUORUM, message, retry_after=1.0)
-            )
+            raise proposals.build_no_quorum("another change of voters is on its way")
         self._adding_voter = True
         try:
             return await self.propose(commands.encode(command))
@@ -789,8 +789,6 @@
         self._timeline.record("keeper.install", index=snapshot.last_index)
 
 
-def _undecided(reason: str) -> faults.Fault:
+def _undecided(reason: str) -> faults.FaultError:
     message = f"{reason}; the outcome is not known, ask again with the same change id"
-    return faults.new_fault(
-        kinds.ErrorKind.NO_QUORUM, message, ran=kinds.Ran.UNKNOWN, retry_after=1.0
-    )
+    return proposals.build_no_quorum(message, kinds.Ran.UNKNOWN)
--- a/tillerlane/operators/api.py
+++ b/tillerlane/operators/api.py
@@ -1,6 +1,5 @@
 """Handlers of the operators' interface."""
 
-import asyncio
 from typing import Any, TypeVar
 
 import litestar
@@ -88,8 +87,7 @@
 async def _ask_keeper(daemon: daemons.Daemon, subject: str, arguments: dict[str, Any]) -> Any:
     """Ask this daemon if it is a keeper, or its home keeper."""
     if daemon.keeper is not None:
-        answer = daemon.queries[subject](arguments)
-        return await answer if asyncio.iscoroutine(answer) else answer
+        return await daemon.answer(subject, arguments)
     member = daemon.members.read(daemon.client.home_name)
     if member is None:
         fault = faults.new_fault(kinds.ErrorKind.UNREACHABLE, "no keeper is known")
--- a/tillerlane/peers/node.py
+++ b/tillerlane/peers/node.py
@@ -46,14 +46,12 @@
     def __init__(
         self,
         address: str,
-        on_up: Callable[["Peer"], None] | None = None,
         pace: float = links.PACE_SECONDS,
     ) -> None:
         self.address = address
         self.pace = pace
         self.link: links.Link | None = None
         self.failures = 0
-        self._on_up = on_up
         self._up = asyncio.Event()
 
     def set_link(self, link: links.Link) -> None:
@@ -61,8 +59,6 @@
         self.link = link
         self.failures = 0
         self._up.set()
-        if self._on_up is not None:
-            self._on_up(self)
 
     def clear_link(self) -> None:
         """Take note that the link has ended."""
@@ -161,14 +157,13 @@
     def dial(
         self,
         address: str,
-        on_up: Callable[[Peer], None] | None = None,
         pace: float = links.PACE_SECONDS,
     ) -> Peer:
         """Keep a link to `address`; asking twice gives the same peer."""
         known = self._peers.get(address)
         if known is not None:
             return known[0]
-        peer = Peer(address, on_up, pace)
+        peer = Peer(address, pace)
         task = asyncio.create_task(self._keep_link(peer), name=f"dial {address}")
         self._peers[address] = (peer, task)
         return peer
