--- /dev/null
+++ b/tillerlane/gateway/budget.py
@@ -0,0 +1,72 @@
+"""The retry budget: how many sends beyond a request's first a pool may get, over a window.
+
+The bound holds for the whole fleet.  Each entry keeps to its own requests' ratio and to an equal
+part of the fixed allowance, so no message is needed before a retry.
+"""
+
+import collections
+import dataclasses
+
+__all__ = ["RetryBounds", "RetryBudget"]
+
+SAFETY = 0.7
+"""Share of the bound that is used: entries count one another late, and callers spread unevenly."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """Sends beyond the first in `window_seconds`: `ratio` of the requests, plus `allowance`."""
+
+    ratio: float
+    window_seconds: float
+    allowance: float
+
+
+class _Window:
+    """Times of one kind of event in a sliding window."""
+
+    def __init__(self) -> None:
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def count(self, since: float) -> int:
+        while self._times and self._times[0] < since:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RetryBudget:
+    """One entry's part of the budget.
+
+    Attributes
+    ----------
+    entries : int
+        Entries that share the allowance, as last heard.
+    """
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
+        self.entries = 1
+        self._firsts: dict[str, _Window] = collections.defaultdict(_Window)
+        self._repeats: dict[str, _Window] = collections.defaultdict(_Window)
+
+    def note_request(self, pool: str, now: float) -> None:
+        """Count a request for a pool."""
+        self._firsts[pool].add(now)
+
+    def note_repeat(self, pool: str, now: float) -> None:
+        """Count a send beyond a request's first that is made whatever the budget says."""
+        self._repeats[pool].add(now)
+
+    def take(self, pool: str, now: float) -> bool:
+        """Count a retry if the budget allows it; whether it does."""
+        bounds = self._bounds
+        since = now - bounds.window_seconds
+        allowance = bounds.allowance / max(1, self.entries)
+        most = SAFETY * (bounds.ratio * self._firsts[pool].count(since) + allowance)
+        if self._repeats[pool].count(since) + 1 > most:
+            return False
+        self._repeats[pool].add(now)
+        return True
--- /dev/null
+++ b/tillerlane/gateway/control.py
@@ -0,0 +1,322 @@
+"""A keeper of the gateway: the log, the targets' heartbeats, and what entries subscribe to."""
+
+import asyncio
+import dataclasses
+import random
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.gateway import directory as directories
+from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
+from tillerlane.keeper import disk as disks
+from tillerlane.keeper import machine as machines
+from tillerlane.keeper import storage as storages
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.peers import node as nodes
+from tillerlane.timeline import clock as clocks
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Control", "ControlSettings", "Surroundings"]
+
+RING_EVENTS = 2_000
+SWEEP_SECONDS = 0.5
+ENTRY_SECONDS = 5.0
+"""How long an entry counts after its last word about its load; others tell of it."""
+SPREAD_SECONDS = 0.05
+"""How long heartbeats that change nothing wait for others to share their message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Settings of a keeper.
+
+    Attributes
+    ----------
+    name, peer_address : str
+        Its daemon id and where it listens to peers.
+    data_folder : str
+        Its folder on the disk.
+    plan : formation.Plan
+        How the keepers find each other.
+    silent_seconds : float
+        A target whose last heartbeat is older gets work only where nothing else is left.
+    read_seconds : float
+        A read is answered only if all that was committed so long ago is surely held here.
+    """
+
+    name: str
+    peer_address: str
+    data_folder: str
+    plan: formation.Plan
+    silent_seconds: float
+    read_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a keeper needs of the world; tests put stand-ins here."""
+
+    open_disk: Callable[[str], disks.Disk] = disks.open_folder
+    run_blocking: replica.Run = server.run_in_thread
+    open_connection: nodes.Open = asyncio.open_connection
+    now: Callable[[], float] = time.time
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+
+
+class Control:
+    """One keeper daemon.
+
+    Parameters
+    ----------
+    own : ControlSettings
+        Its settings.
+    around : Surroundings, optional
+        What it needs of the world.
+    """
+
+    def __init__(self, own: ControlSettings, around: Surroundings | None = None) -> None:
+        self._own = own
+        self._around = around or Surroundings()
+        self._loop = asyncio.get_running_loop()
+        clock = clocks.HybridClock(self._around.now)
+        self.timeline = timelines.Timeline(own.name, clock, RING_EVENTS)
+        self.directory = directories.Directory()
+        self.directory.listen(self._note_phase)
+        self._subscribers: dict[links.Link, str] = {}
+        self._entries: dict[str, float] = {}
+        self._unspread: dict[str, directories.Target] = {}
+        self._spread_timer: asyncio.TimerHandle | None = None
+        self.node = nodes.Node(
+            self._build_local(clock), open_connection=self._around.open_connection
+        )
+        self.formation = formation.Formation(
+            own.plan, own.name, own.peer_address, self.node, self.timeline
+        )
+        storage = storages.Storage(self._around.open_disk(own.data_folder), own.name)
+        state = machines.Machine()
+        self.replica = replica.Replica(
+            own.name,
+            {own.name: own.peer_address},
+            storage,
+            state,
+            self.timeline,
+            self._get_link,
+            self._around.run_blocking,
+            self._around.rng,
+            self.formation.list_founders,
+        )
+        self.formation.attach(self.replica)
+        self.keeper = server.Keeper(
+            self.replica, self._get_link, lambda: [], lambda: int(self._around.now() * 1000)
+        )
+        self.freshness = freshness.KeeperFreshness(
+            self.replica, self._get_link, lambda: len(self._entries)
+        )
+        state.published.listen(self._push_publication)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_local(self, clock: clocks.HybridClock) -> links.Local:
+        return links.Local(
+            daemon_id=self._own.name,
+            fleet="fleet",
+            address=self._own.peer_address,
+            incarnation=int(self._around.now() * 1000),
+            clock=clock,
+            get_config_version=lambda: max(0, self.replica.machine.published.version),
+            on_peer_version=lambda link, version: None,
+            serve=self._serve_peer,
+            notify=self._take_message,
+            on_down=self._note_down,
+        )
+
+    def _get_link(self, address: str) -> links.Link | None:
+        return self.node.dial(address).link
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen to peers and begin."""
+        await self.node.listen(self._own.peer_address)
+        self.replica.begin()
+        self._tasks = [
+            self._loop.create_task(self.formation.run()),
+            self._loop.create_task(self.freshness.run()),
+            self._loop.create_task(self._sweep()),
+        ]
+        self.timeline.record(
+            "daemon.start",
+            role="keeper",
+            seeds=list(self._own.plan.seeds),
+            may_found=self._own.plan.may_found,
+            last_index=self.replica.storage.last_index,
+            version=self.replica.machine.published.version,
+        )
+
+    async def stop(self) -> None:
+        """End; what was acknowledged is on disks."""
+        self.timeline.record("daemon.stop")
+        for task in self._tasks:
+            task.cancel()
+        await self.replica.stop()
+        await self.node.close()
+
+    async def _sweep(self) -> None:
+        """Look after targets that fell silent and entries that went."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = self._loop.time()
+            self.directory.mark_silent(now - self._own.silent_seconds)
+            self.directory.forget_old(now)
+            for entry, heard_at in list(self._entries.items()):
+                if now - heard_at > ENTRY_SECONDS and entry not in self._subscribers.values():
+                    del self._entries[entry]
+
+    # Messages
+
+    async def _serve_peer(self, exchange: links.Exchange, body: messages.Body) -> None:
+        if isinstance(body, messages.FreshnessRequest):
+            exchange.send(self.freshness.build_reply())
+        elif not await self.keeper.serve(exchange, body):
+            message = f"keepers serve no {type(body).__name__}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
+
+    def _take_message(self, link: links.Link, body: messages.Body) -> None:
+        match body:
+            case messages.KeeperAnnounce():
+                self.formation.take(link, body)
+            case messages.Subscribe():
+                self._subscribe(link, body)
+            case messages.PublicationPull():
+                self._send_publication(link)
+            case messages.TargetStates():
+                for state in body.states:
+                    self.directory.take(directories.read_state(state))
+            case messages.EntryLoads():
+                self._take_loads(link, body)
+
+    def _note_down(self, link: links.Link) -> None:
+        entry = self._subscribers.pop(link, None)
+        if entry is not None:
+            self.timeline.record("entry.lost", entry=entry)
+
+    def _subscribe(self, link: links.Link, body: messages.Subscribe) -> None:
+        self._subscribers[link] = body.entry
+        self._entries[body.entry] = self._loop.time()
+        self.timeline.record("entry.subscribed", entry=body.entry, version=body.have)
+        self._send_publication(link)
+        states = directories.write_states(self.directory.targets.values(), whole=True)
+        _send(link, states)
+
+    def _send_publication(self, link: links.Link) -> None:
+        current = self.replica.machine.published.current
+        if current is not None:
+            _send(link, current)
+
+    def _push_publication(self, publication: messages.Publication) -> None:
+        self.timeline.record("config.committed", version=publication.version)
+        for link in list(self._subscribers):
+            _send(link, publication)
+
+    def _take_loads(self, link: links.Link, loads: messages.EntryLoads) -> None:
+        """Pass an entry's load on: to all keepers if it came from the entry itself."""
+        self._entries[loads.entry] = self._loop.time()
+        if link in self._subscribers:
+            self._send_to_keepers(loads)
+        for other, entry in list(self._subscribers.items()):
+            if entry != loads.entry:
+                _send(other, loads)
+
+    def _send_to_keepers(self, body: messages.Body) -> None:
+        for address in self.formation.list_addresses():
+            link = self._get_link(address)
+            if link is not None:
+                _send(link, body)
+
+    # Targets
+
+    def take_heartbeat(self, target: directories.Target) -> None:
+        """Take a target's own word and spread it."""
+        changed = self.directory.take(target)
+        known = self.directory.targets.get(target.target_id)
+        if known is None:
+            return
+        if changed:
+            self._send_to_keepers(directories.write_states([known]))
+        else:
+            self._unspread[known.target_id] = known
+            if self._spread_timer is None:
+                self._spread_timer = self._loop.call_later(SPREAD_SECONDS, self._spread)
+
+    def take_leave(self, target_id: str) -> None:
+        """Take a target's word that it goes."""
+        if self.directory.mark_gone(target_id):
+            self._send_to_keepers(directories.write_states([self.directory.targets[target_id]]))
+
+    def _spread(self) -> None:
+        self._spread_timer = None
+        targets, self._unspread = list(self._unspread.values()), {}
+        self._send_to_keepers(directories.write_states(targets))
+
+    def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
+        """Tell the entries of a change, whoever told it here."""
+        self.timeline.record(
+            "target.state",
+            target=target.target_id,
+            pool=target.pool,
+            address=target.address,
+            phase=target.phase.value,
+            sequence=target.sequence,
+            age_ms=int((self._loop.time() - target.heard_at) * 1000),
+        )
+        states = directories.write_states([target])
+        for link in list(self._subscribers):
+            _send(link, states)
+
+    # Configuration
+
+    async def publish(self, version: int, document: bytes) -> dict[str, Any]:
+        """Publish a checked document; returns once it, or a higher version, is committed.
+
+        Raises
+        ------
+        faults.FaultError
+            ``no_quorum`` if it may or may not be committed later.
+        """
+        held = self.replica.machine.published.version
+        if version <= held:
+            return {"taken": False, "version": held}
+        content = zlib.compress(document, 6)
+        at_ms = int(self._around.now() * 1000)
+        command = commands.encode(commands.Publish(version, content, at_ms))
+        answer = await self.keeper.propose(command)
+        self.timeline.record("config.published", version=version, answer=answer)
+        return answer
+
+    def read_publication(self) -> bytes:
+        """The document in force.
+
+        Raises
+        ------
+        faults.FaultError
+            ``no_quorum`` if a newer one may be in force, ``not_found`` if there is none.
+        """
+        age = self.freshness.read_age()
+        if age is None or age > self._own.read_seconds:
+            raise proposals.build_no_quorum(f"got word of age {age} s from the leader")
+        current = self.replica.machine.published.current
+        if current is None:
+            message = "nothing was published yet"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+        return zlib.decompress(current.content)
+
+
+def _send(link: links.Link, body: messages.Body) -> None:
+    try:
+        link.send(body)
+    except links.LinkLost:
+        return
--- /dev/null
+++ b/tillerlane/gateway/dialect.py
@@ -0,0 +1,146 @@
+"""What the gateway needs of the way in which callers and targets speak, as functions.
+
+An adapter fills in a `Dialect`; `tillerlane.platform` has the only one so far.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Awaitable, Callable
+
+from tillerlane.gateway import http_head, routes
+
+__all__ = [
+    "AnswerFacts",
+    "Dialect",
+    "ForwardPlan",
+    "MemoryCopy",
+    "MoveOutcome",
+    "MoveResult",
+    "RequestFacts",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a request's head says, decoded.
+
+    Attributes
+    ----------
+    request_id : str
+        The caller's id of this attempt.
+    wait_seconds : float or None
+        How long the caller waits.
+    key : str
+        Secret key; empty if there is none.
+    prompt_tokens : int
+        0 where the request is no generation.
+    output_tokens : int
+        Likely length of the answer: the caller's estimate, else the most it allows.
+    last_event_id : str
+        The caller has this event of an earlier stream; empty for a new stream.
+    """
+
+    request_id: str
+    wait_seconds: float | None
+    key: str
+    prompt_tokens: int
+    output_tokens: int
+    last_event_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryCopy:
+    """Where a run's memory lies: the runner that made the copy, and its name for it."""
+
+    address: str
+    handle: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardPlan:
+    """How a request is sent to one target.
+
+    Attributes
+    ----------
+    wait_seconds : float
+        What is left of the caller's and the route's time.
+    target_id : str
+        Only this incarnation may run it.
+    workspace : str
+        Whose request it is; empty on a public route.
+    priority : int
+        0 is the most urgent.
+    last_event_id : str
+        Go on behind this event.
+    copy : MemoryCopy or None
+        Go on with this memory: the same run, not a new one.
+    backup_address : str
+        Runner that gets the run's memory while it grows; empty for none.
+    """
+
+    wait_seconds: float
+    target_id: str
+    workspace: str
+    priority: int
+    last_event_id: str = ""
+    copy: MemoryCopy | None = None
+    backup_address: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What a target's head says, decoded; `did_run` is False only where the target vouches."""
+
+    request_id: str
+    did_run: bool
+    is_other_target: bool
+
+
+class MoveOutcome(enum.StrEnum):
+    """How an order to copy a run's memory ended."""
+
+    COPIED = "copied"
+    NO_RUN = "no_run"
+    BUSY = "busy"
+    NO_ROOM = "no_room"
+    LOST = "lost"
+    """No clear answer; the run may have been stopped."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveResult:
+    """Answer to such an order; `handle` is empty where there is no copy."""
+
+    outcome: MoveOutcome
+    handle: str = ""
+    events: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """Functions of an adapter.
+
+    Attributes
+    ----------
+    read_request : callable
+        (head) gives the facts of a caller's request.
+    write_forward : callable
+        (head, plan) gives the head for a target.
+    read_answer : callable
+        (head) gives the facts of a target's answer.
+    write_refusal : callable
+        (status, seconds until another try may succeed or None) gives the headers of an answer
+        of our own.
+    read_table : callable
+        (document) gives the routing table, or raises `faults.FaultError`.
+    move_run : callable
+        (source address, request id, destination address, stop the run, seconds) copies a run's
+        memory.
+    """
+
+    read_request: Callable[[http_head.RequestHead], RequestFacts]
+    write_forward: Callable[[http_head.RequestHead, ForwardPlan], http_head.RequestHead]
+    read_answer: Callable[[http_head.AnswerHead], AnswerFacts]
+    write_refusal: Callable[[int, float | None], http_head.AnswerHead]
+    read_table: Callable[[bytes], routes.RoutingTable]
+    move_run: Callable[[str, str, str, bool, float], Awaitable[MoveResult]]
--- /dev/null
+++ b/tillerlane/gateway/directory.py
@@ -0,0 +1,185 @@
+"""Targets as their own heartbeats tell of them: soft state, merged from many tellers.
+
+Each start of a target is a new incarnation with an id of its own, so a state that says ``gone``
+is final for that id, and a later sequence number always wins, whoever tells it.
+"""
+
+import asyncio
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable
+
+from tillerlane.peers import messages
+
+__all__ = ["Directory", "Phase", "Target"]
+
+FORGET_SECONDS = 60.0
+"""How long a target that is gone is remembered, so that late word does not bring it back."""
+MAX_TARGETS = 20_000
+"""Bound on memory; twenty times the users' target size."""
+
+
+class Phase(enum.StrEnum):
+    """What a target may be given."""
+
+    READY = "ready"
+    SILENT = "silent"
+    """Its heartbeats have stopped; used only where nothing else is left."""
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """One incarnation of a runner or plain service.
+
+    Attributes
+    ----------
+    target_id : str
+        Names this incarnation.
+    pool : str
+        Name of its pool.
+    address : str
+        ``IP:port``; another target's later.
+    sequence : int
+        Rises with each of its own words.
+    heard_at : float
+        Time of the event loop of its last own word, as far as is known here.
+    warm_at : float
+        Until then it works slowly after its start.
+    """
+
+    target_id: str
+    pool: str
+    address: str
+    data_hall: str
+    slots: int
+    phase: Phase
+    sequence: int
+    heard_at: float
+    warm_at: float = 0.0
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new requests may go to it."""
+        return self.phase in (Phase.READY, Phase.SILENT)
+
+
+_FINALITY = {Phase.READY: 0, Phase.SILENT: 0, Phase.DRAINING: 1, Phase.GONE: 2}
+Listener = Callable[[Target, Phase | None], None]
+
+
+class Directory:
+    """All targets known to one daemon.
+
+    Attributes
+    ----------
+    targets : dict
+        Target id to `Target`.
+    """
+
+    def __init__(self) -> None:
+        self.targets: dict[str, Target] = {}
+        self._listeners: list[Listener] = []
+
+    def listen(self, listener: Listener) -> None:
+        """Call `listener` with (target, former phase) when one is new or its phase changes."""
+        self._listeners.append(listener)
+
+    def list_pool(self, pool: str) -> list[Target]:
+        """Targets of a pool that may get work."""
+        return [item for item in self.targets.values() if item.pool == pool and item.takes_work]
+
+    def take(self, told: Target) -> bool:
+        """Merge one word about a target; whether anything but its time changed."""
+        known = self.targets.get(told.target_id)
+        if known is None:
+            if len(self.targets) >= MAX_TARGETS:
+                return False
+            self.targets[told.target_id] = told
+            self._call(told, None)
+            return True
+        known.heard_at = max(known.heard_at, told.heard_at)
+        is_newer = told.sequence > known.sequence
+        if _FINALITY[told.phase] < _FINALITY[known.phase]:
+            return False
+        is_final = _FINALITY[told.phase] > _FINALITY[known.phase]
+        if not is_newer and not is_final and told.sequence < known.sequence:
+            return False
+        former = known.phase
+        known.sequence = max(known.sequence, told.sequence)
+        known.warm_at = told.warm_at
+        if is_newer:
+            known.address, known.slots = told.address, told.slots
+        if told.phase is former:
+            return False
+        if not is_newer and not is_final and told.phase is Phase.READY:
+            return False
+        known.phase = told.phase
+        self._call(known, former)
+        return True
+
+    def mark_gone(self, target_id: str) -> bool:
+        """Take note that a target has said that it leaves now; whether that is new."""
+        known = self.targets.get(target_id)
+        if known is None or known.phase is Phase.GONE:
+            return False
+        return self.take(dataclasses.replace(known, phase=Phase.GONE))
+
+    def mark_silent(self, older_than: float) -> list[Target]:
+        """Mark ready targets whose last word is older than a time of the loop; gives them."""
+        found = [
+            item
+            for item in self.targets.values()
+            if item.phase is Phase.READY and item.heard_at < older_than
+        ]
+        for item in found:
+            item.phase = Phase.SILENT
+            self._call(item, Phase.READY)
+        return found
+
+    def forget_old(self, now: float) -> None:
+        """Drop targets that have been gone or silent for long."""
+        for target_id, item in list(self.targets.items()):
+            if item.phase is not Phase.READY and now - item.heard_at > FORGET_SECONDS:
+                del self.targets[target_id]
+
+    def _call(self, target: Target, former: Phase | None) -> None:
+        for listener in self._listeners:
+            listener(target, former)
+
+
+def write_states(targets: Iterable[Target], *, whole: bool = False) -> messages.TargetStates:
+    """Targets as a message; ages are those of the moment of writing."""
+    now = asyncio.get_running_loop().time()
+    states = [
+        messages.TargetState(
+            item.target_id,
+            item.pool,
+            item.address,
+            item.data_hall,
+            item.slots,
+            item.phase.value,
+            item.sequence,
+            max(0, int((item.warm_at - now) * 1000)),
+            min(max(0, int((now - item.heard_at) * 1000)), 2**31),
+        )
+        for item in targets
+    ]
+    return messages.TargetStates(states, whole)
+
+
+def read_state(state: messages.TargetState) -> Target:
+    """A target from a message."""
+    now = asyncio.get_running_loop().time()
+    return Target(
+        state.target_id,
+        state.pool,
+        state.address,
+        state.data_hall,
+        state.slots,
+        Phase(state.phase),
+        state.sequence,
+        now - state.age_ms / 1000,
+        now + state.cold_ms / 1000,
+    )
--- /dev/null
+++ b/tillerlane/gateway/entry.py
@@ -0,0 +1,247 @@
+"""An entry: callers' requests on one side, targets on the other, keepers behind."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from tillerlane.faults import core as faults
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import homes, http_head, http_server, relay, runs, selection
+from tillerlane.gateway import usage as usages
+from tillerlane.keeper import freshness, publications
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.peers import node as nodes
+from tillerlane.timeline import clock as clocks
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Entry", "EntrySettings"]
+
+LOADS_SECONDS = 0.15
+"""Least pause between two words about this entry's load."""
+QUIET_LOADS_SECONDS = 1.0
+STOP_CHECK_SECONDS = 0.05
+RING_EVENTS = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of an entry.
+
+    Attributes
+    ----------
+    name : str
+        Its daemon id.
+    peer_address, front_address, ready_address : str
+        Where it listens (``IP:port``): to peers, to callers and to the balancer's checks.
+    seeds : tuple of str
+        Keepers' peer addresses to begin with.
+    lease_seconds : float
+        How old the word that the configuration is the newest may be before keys are not trusted.
+    accept_seconds, stop_seconds : float
+        After the signal to stop: how long callers' new requests are taken, and when it ends.
+    retries : budgets.RetryBounds
+        The fleet's bound on retries.
+    """
+
+    name: str
+    data_hall: str
+    peer_address: str
+    front_address: str
+    ready_address: str
+    seeds: tuple[str, ...]
+    lease_seconds: float
+    accept_seconds: float
+    stop_seconds: float
+    retries: budgets.RetryBounds
+
+
+class Entry:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    own : EntrySettings
+        Its settings.
+    dialect : dialects.Dialect
+        How callers and targets speak.
+    """
+
+    def __init__(self, own: EntrySettings, dialect: dialects.Dialect) -> None:
+        self._own = own
+        self._dialect = dialect
+        self._loop = asyncio.get_running_loop()
+        self._started_ms = int(time.time() * 1000)
+        clock = clocks.HybridClock(time.time)
+        self.timeline = timelines.Timeline(own.name, clock, RING_EVENTS)
+        self.published = publications.Publisher()
+        self.published.listen(self._put_in_force)
+        self.directory = directories.Directory()
+        self._usage = usages.Usage(own.name)
+        self._budget = budgets.RetryBudget(own.retries)
+        selector = selection.Selector(
+            self.directory, self._usage, own.data_hall, random.Random(), self._loop.time
+        )
+        mover = runs.Mover(dialect, selector, self.directory, self.timeline)
+        self.relay = relay.Relay(dialect, selector, self._usage, self._budget, mover, self.timeline)
+        self.relay.is_fresh = self._is_fresh
+        self.node = nodes.Node(self._build_local(clock))
+        self._clock = freshness.FreshnessClock()
+        self.homes = homes.Homes(
+            own.name,
+            own.seeds,
+            self.node,
+            self._clock,
+            lambda: self.published.version,
+            self.timeline,
+        )
+        self.homes.on_entries = self._note_entries
+        self._limits = http_server.ServerLimits()
+        self._front = http_server.Server(self.relay.serve, self._limits, self._note_error)
+        self._ready = http_server.Server(
+            self._answer_ready, http_server.ServerLimits(), self._note_error
+        )
+        self._stopping = False
+        self._was_fresh = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_local(self, clock: clocks.HybridClock) -> links.Local:
+        return links.Local(
+            daemon_id=self._own.name,
+            fleet="fleet",
+            address=self._own.peer_address,
+            incarnation=self._started_ms,
+            clock=clock,
+            get_config_version=lambda: max(0, self.published.version),
+            on_peer_version=self._note_peer_version,
+            serve=self._serve_peer,
+            notify=self._take_message,
+        )
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen and begin to follow the keepers."""
+        await self._ready.listen(self._own.ready_address)
+        await self._front.listen(self._own.front_address)
+        self._tasks = [
+            self._loop.create_task(self.homes.run()),
+            self._loop.create_task(self._tell_loads()),
+        ]
+        self.timeline.record("daemon.start", role="entry", seeds=list(self._own.seeds))
+
+    async def stop(self) -> None:
+        """Planned stop: go unready, serve on for a while, finish what runs, end."""
+        self._stopping = True
+        began = self._loop.time()
+        self.timeline.record("daemon.leaving", busy=self._front.count_busy())
+        await asyncio.sleep(self._own.accept_seconds)
+        self._front.stop_accepting()
+        self._front.close_idle()
+        while self._front.count_busy() and self._loop.time() - began < self._own.stop_seconds:
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+        self.timeline.record("daemon.stop", busy=self._front.count_busy())
+        self._front.abort_all()
+        for task in self._tasks:
+            task.cancel()
+        await self.node.close()
+
+    # Configuration
+
+    def _put_in_force(self, publication: messages.Publication) -> None:
+        try:
+            table = self._dialect.read_table(publication.content)
+        except faults.FaultError as error:
+            # Keepers check a document before it is published; keep serving under the former one.
+            self.timeline.record("config.unreadable", message=error.fault.message)
+            return
+        self.relay.table = table
+        limits = table.limits
+        self._limits.header_bytes = limits.max_header_bytes
+        self._limits.body_bytes = limits.max_body_bytes
+        self._limits.header_seconds = limits.header_seconds
+        self._limits.idle_seconds = limits.idle_seconds
+        self.timeline.record("config.in_force", version=table.version, routes=len(table.routes))
+
+    def _is_fresh(self) -> bool:
+        fresh = self._clock.read_age(self._loop.time()) < self._own.lease_seconds
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            self.timeline.record("config.lease", held=fresh, version=self.published.version)
+        return fresh
+
+    def _note_entries(self, number: int) -> None:
+        self._budget.entries = number
+
+    def _note_peer_version(self, link: links.Link, version: int) -> None:
+        """Pull the publication from a peer that is ahead."""
+        if version > max(0, self.published.version):
+            try:
+                link.send(messages.PublicationPull(max(0, self.published.version)))
+            except links.LinkLost:
+                return
+
+    # Messages
+
+    async def _serve_peer(self, exchange: links.Exchange, body: messages.Body) -> None:
+        return None
+
+    def _take_message(self, link: links.Link, body: messages.Body) -> None:
+        match body:
+            case messages.Publication():
+                self.published.take(body)
+            case messages.TargetStates():
+                for state in body.states:
+                    self._take_state(state)
+            case messages.EntryLoads():
+                self._usage.take(body, self._loop.time())
+
+    def _take_state(self, state: messages.TargetState) -> None:
+        target = directories.read_state(state)
+        if self.directory.take(target):
+            self.timeline.record(
+                "target.state",
+                target=target.target_id,
+                pool=target.pool,
+                address=target.address,
+                phase=target.phase.value,
+                sequence=target.sequence,
+                age_ms=state.age_ms,
+            )
+
+    async def _tell_loads(self) -> None:
+        """Tell the keepers what is under way here: on change, and now and then."""
+        told_at = 0.0
+        while True:
+            await asyncio.sleep(LOADS_SECONDS)
+            now = self._loop.time()
+            is_due = now - told_at > QUIET_LOADS_SECONDS and self._usage.count_own()
+            if not self._usage.changed and not is_due:
+                continue
+            told_at = now
+            loads = self._usage.write(self._started_ms)
+            for link in self.homes.list_links():
+                try:
+                    link.send(loads)
+                except links.LinkLost:
+                    continue
+            self.directory.forget_old(now)
+
+    # HTTP
+
+    async def _answer_ready(
+        self, request: http_server.Request, responder: http_server.Responder
+    ) -> None:
+        table = self.relay.table
+        is_ready = table is not None and not self._stopping
+        if is_ready and table is not None and table.workspaces:
+            is_ready = self._is_fresh()
+        head = http_head.AnswerHead(200 if is_ready else 503, [])
+        await responder.send_whole(head, b"")
+
+    def _note_error(self, error: Exception) -> None:
+        links.log_exception("gateway", error)
+        self.timeline.record("internal.error", error=repr(error)[:200])
--- /dev/null
+++ b/tillerlane/gateway/homes.py
@@ -0,0 +1,148 @@
+"""An entry's links to keepers: a few at a time, replaced when they fall silent or know nothing."""
+
+import asyncio
+import dataclasses
+import hashlib
+from collections.abc import Callable, Iterable
+
+from tillerlane.keeper import freshness
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.peers import node as nodes
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Homes"]
+
+HOMES = 2
+"""Keepers that one entry is subscribed to: one may fail unnoticed for a second or two, and the
+other one still tells of a leaving target within the bound (2 s)."""
+CHECK_SECONDS = 0.1
+ASK_SECONDS = 0.4
+PATIENCE_SECONDS = 1.2
+"""How long a keeper may be without a link or a useful answer before another one is tried: an
+election takes about as long, and during one no keeper knows better."""
+LINK_PACE_SECONDS = 0.4
+"""Longest silence on these links; a cut is found after some 0.85 s."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Home:
+    address: str
+    peer: nodes.Peer
+    good_at: float
+    """When the keeper last gave a useful answer, or was chosen."""
+    link: links.Link | None = None
+    asked_at: float = -1e9
+
+
+class Homes:
+    """The keepers that an entry listens to.
+
+    Parameters
+    ----------
+    entry : str
+        This entry's id; it decides which keepers come first, so that entries spread.
+    seeds : iterable of str
+        Peer addresses to begin with.
+    node : nodes.Node
+        Dials them.
+    clock : freshness.FreshnessClock
+        Takes their answers.
+    read_version : callable
+        Version of the publication held, -1 without one.
+    timeline : timelines.Timeline
+        Takes regained and lost keepers.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        seeds: Iterable[str],
+        node: nodes.Node,
+        clock: freshness.FreshnessClock,
+        read_version: Callable[[], int],
+        timeline: timelines.Timeline,
+    ) -> None:
+        self._entry = entry
+        self._node = node
+        self._clock = clock
+        self._read_version = read_version
+        self._timeline = timeline
+        self._known = set(seeds)
+        self._homes: list[_Home] = []
+        self._tried: dict[str, float] = {}
+        """When each keeper was last given up."""
+        self._asking: set[asyncio.Task[None]] = set()
+        self.entries = 1
+        self.on_entries: Callable[[int], None] = lambda number: None
+
+    def list_links(self) -> list[links.Link]:
+        """Links that are up."""
+        return [home.link for home in self._homes if home.link is not None and home.link.is_open]
+
+    def learn(self, addresses: Iterable[str]) -> None:
+        """Take further keepers."""
+        self._known.update(addresses)
+
+    async def run(self) -> None:
+        """Keep the homes, until cancelled."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._give_up(now)
+            self._choose(now)
+            for home in self._homes:
+                self._follow(home, now)
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def _weigh(self, address: str) -> tuple[float, bytes]:
+        digest = hashlib.blake2b(f"{self._entry}:{address}".encode()).digest()
+        return self._tried.get(address, 0.0), digest
+
+    def _choose(self, now: float) -> None:
+        taken = {home.address for home in self._homes}
+        free = sorted(self._known - taken, key=self._weigh)
+        for address in free[: HOMES - len(self._homes)]:
+            peer = self._node.dial(address, pace=LINK_PACE_SECONDS)
+            self._homes.append(_Home(address, peer, now))
+
+    def _give_up(self, now: float) -> None:
+        for home in list(self._homes):
+            has_other = len(self._known) > len(self._homes)
+            if now - home.good_at > PATIENCE_SECONDS and has_other:
+                self._homes.remove(home)
+                self._tried[home.address] = now
+                self._node.hang_up(home.address)
+                self._timeline.record("keeper.given_up", keeper=home.address)
+
+    def _follow(self, home: _Home, now: float) -> None:
+        link = home.peer.link
+        if link is not home.link:
+            home.link = link
+            if link is not None:
+                self._timeline.record("keeper.home", keeper=home.address)
+                _send(link, messages.Subscribe(max(0, self._read_version()), self._entry))
+        if link is not None and now - home.asked_at >= ASK_SECONDS:
+            home.asked_at = now
+            task = asyncio.get_running_loop().create_task(self._ask(home, link, now))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, home: _Home, link: links.Link, asked_at: float) -> None:
+        reply = await freshness.ask(link, max(0, self._read_version()))
+        if reply is None:
+            return
+        self.learn(reply.keepers)
+        if reply.entries:
+            self.on_entries(reply.entries)
+        if not reply.known:
+            return
+        home.good_at = asked_at
+        if not self._clock.observe(asked_at, reply, self._read_version()):
+            _send(link, messages.PublicationPull(max(0, self._read_version())))
+
+
+def _send(link: links.Link, body: messages.Body) -> None:
+    try:
+        link.send(body)
+    except links.LinkLost:
+        return
--- /dev/null
+++ b/tillerlane/gateway/http_client.py
@@ -0,0 +1,229 @@
+"""One exchange with a target on a connection of its own.
+
+A connection serves one request and is closed.  Targets may send a surplus answer late, drop idle
+connections without a word or reset them: on a kept connection each of these could reach another
+request or leave it unknown whether one ran.  A new connection costs a target a millisecond.
+"""
+
+import asyncio
+import collections
+
+import httptools
+
+from tillerlane.faults import core as faults
+from tillerlane.gateway import http_head
+from tillerlane.peers import node as nodes
+
+__all__ = ["AnswerBroken", "Exchange", "connect"]
+
+HIGH_BYTES = 256 * 1024
+"""Unread bytes of an answer above which the target is not read from."""
+_NO_BODY = frozenset({204, 304})
+_BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+
+
+class AnswerBroken(faults.TillerlaneError):
+    """The target broke off, or sent what is no answer.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether any part of the request may have reached the target.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class Exchange(asyncio.Protocol):
+    """A request on its way and its answer.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether any byte of the request was given to the connection.
+    """
+
+    def __init__(self) -> None:
+        self.sent = False
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._headers: http_head.Headers = []
+        self._head: http_head.AnswerHead | None = None
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._paused = False
+        self._is_whole = False
+        self._broken: str | None = None
+        self._ends_by_close = False
+        self._method = b""
+        self._changed = asyncio.Event()
+
+    # Sending
+
+    def send(self, head: http_head.RequestHead, body: bytes) -> None:
+        """Send a whole request; its body goes with a length, however it came."""
+        assert self._transport is not None
+        self._method = head.method
+        self.sent = True
+        headers = list(head.headers)
+        if body or head.method not in _BODILESS_METHODS:
+            headers.append((b"Content-Length", str(len(body)).encode()))
+        framed = http_head.RequestHead(head.method, head.target, headers)
+        self._transport.write(http_head.write_request_head(framed) + body)
+
+    def abort(self) -> None:
+        """End the connection at once; a target that still works on the request learns of it."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Receiving
+
+    async def read_head(self) -> http_head.AnswerHead:
+        """Wait for the final answer's head.
+
+        Raises
+        ------
+        AnswerBroken
+            If the connection ended first, or what came is no answer.
+        """
+        while self._head is None:
+            self._raise_broken()
+            await self._wait()
+        return self._head
+
+    async def read_chunk(self) -> bytes | None:
+        """Wait for more of the body; None at its true end.
+
+        Raises
+        ------
+        AnswerBroken
+            If the answer ended early.
+        """
+        while not self._chunks:
+            if self._is_whole:
+                return None
+            self._raise_broken()
+            await self._wait()
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._paused and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def read_body(self, limit: int) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        AnswerBroken
+            If the answer ended early or is larger than `limit` bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (chunk := await self.read_chunk()) is not None:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                raise AnswerBroken(f"got over {limit} bytes of answer", sent=True)
+        return b"".join(parts)
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+    def _raise_broken(self) -> None:
+        if self._broken is not None:
+            raise AnswerBroken(self._broken, sent=self.sent)
+
+    def _break(self, reason: str) -> None:
+        if self._broken is None and not self._is_whole:
+            self._broken = reason
+        self._changed.set()
+
+    # Called by asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; what comes after a whole answer belongs to nobody."""
+        if self._is_whole or self._broken is not None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._break(f"no HTTP answer: {error}")
+            self.abort()
+        if self._buffered > HIGH_BYTES and not self._paused and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        self._changed.set()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Take the end; an answer without a length is whole only if it was closed in order."""
+        if self._ends_by_close and error is None and self._broken is None:
+            self._is_whole = True
+        self._break(f"connection ended: {error or 'closed'}")
+        self._changed.set()
+
+    # Called by the parser
+
+    def on_message_begin(self) -> None:
+        """Begin an answer, or an interim one."""
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the head; interim answers are passed over."""
+        if self._head is not None:
+            raise ValueError("a second answer")
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._head = http_head.AnswerHead(status, self._headers)
+        has_length = http_head.get_header(self._headers, b"content-length") is not None
+        is_chunked = http_head.get_header(self._headers, b"transfer-encoding") is not None
+        if self._method == b"HEAD" or status in _NO_BODY:
+            self._is_whole = True
+        elif not has_length and not is_chunked:
+            self._ends_by_close = True
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if not self._is_whole:
+            self._chunks.append(data)
+            self._buffered += len(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of the body."""
+        if self._head is not None and not self._ends_by_close:
+            self._is_whole = True
+
+
+async def connect(address: str, timeout: float) -> Exchange:
+    """Open a connection to a target (``IP:port``).
+
+    Raises
+    ------
+    AnswerBroken
+        If there is none within `timeout` seconds; nothing was sent.
+    """
+    host, port = nodes.split_address(address)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, exchange = await loop.create_connection(Exchange, host, port)
+    except (OSError, TimeoutError) as error:
+        reason = f"no connection to {address}: {error or f'none within {timeout} s'}"
+        raise AnswerBroken(reason, sent=False) from error
+    return exchange
--- /dev/null
+++ b/tillerlane/gateway/relay.py
@@ -0,0 +1,552 @@
+"""One request's way through an entry: admitted, sent, answered.
+
+What keeps the promises, in one place:
+
+- a refusal (503) is said only while no target can have begun: nothing was sent, or each target
+  that got it vouches that it did not run;
+- a request that may run once is sent at most once, unless that was so refused;
+- a stream's events go out whole, in the order of their ids, from one run; if that run is lost and
+  its memory is nowhere, the caller's connection ends and does not look whole.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import events, http_client, http_head, http_server, routes, runs, selection
+from tillerlane.gateway import usage as usages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Admission", "Refusal", "Relay"]
+
+CONNECT_SECONDS = 0.3
+"""A connection within a region takes milliseconds; a target that is dark never answers."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+RETRY_SECONDS = 0.25
+"""When a refused caller may come back: most refusals end with the next word of a target."""
+DEFAULT_WAIT_SECONDS = 60.0
+"""Time of a request that names none, on a route that names none."""
+LEAST_SEND_SECONDS = 0.02
+"""With less than this left a target could not answer."""
+UNSENT_TRIES = 3
+"""Targets that may turn out unreachable before a request is refused."""
+HANDOVER_SECONDS = 5.0
+CONTINUE_TRIES = 3
+MARGIN_SECONDS = 0.03
+"""How long before the end of a request's time its last answer is written."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of our own: status, reason for the log, and when to come back."""
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that may run, and what it was judged by.
+
+    Attributes
+    ----------
+    ends_at : float
+        Time of the event loop by which it must be answered.
+    """
+
+    request: http_server.Request
+    facts: dialects.RequestFacts
+    route: routes.Route
+    pool: routes.Pool
+    workspace: routes.Workspace | None
+    version: int
+    ends_at: float
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the request is likely to need at a runner."""
+        return self.facts.prompt_tokens + self.facts.output_tokens
+
+    @property
+    def priority(self) -> int:
+        """Its rank; the workspace's own goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Whole:
+    """A target's whole answer."""
+
+    head: http_head.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NotRun:
+    """The target vouches that it did not run the request, or it was never sent."""
+
+    reason: str
+    sent: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unknown:
+    """The target may have run the request, and there is no answer of it."""
+
+    reason: str
+    is_late: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stream:
+    """A target has begun a stream."""
+
+    head: http_head.AnswerHead
+    exchange: http_client.Exchange
+
+
+_Outcome = _Whole | _NotRun | _Unknown | _Stream
+
+
+class Relay:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    dialect : dialects.Dialect
+        How callers and targets speak.
+    selector : selection.Selector
+        Chooses targets.
+    usage : usages.Usage
+        Counts what is under way.
+    budget : budgets.RetryBudget
+        Bounds retries.
+    mover : runs.Mover
+        Moves streams off runners that leave.
+    timeline : timelines.Timeline
+        Takes the decisions.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        selector: selection.Selector,
+        usage: usages.Usage,
+        budget: budgets.RetryBudget,
+        mover: runs.Mover,
+        timeline: timelines.Timeline,
+    ) -> None:
+        self.table: routes.RoutingTable | None = None
+        self.is_fresh: Callable[[], bool] = lambda: True
+        """Whether keys may be trusted: the table is known to be the newest, or was lately."""
+        self._dialect = dialect
+        self._selector = selector
+        self._usage = usage
+        self._budget = budget
+        self._mover = mover
+        self._timeline = timeline
+        self._loop = asyncio.get_running_loop()
+
+    # Admission
+
+    async def serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
+        """Serve one request of a caller."""
+        admitted = self._admit(request)
+        if isinstance(admitted, Refusal):
+            facts = self._dialect.read_request(request.head)
+            await self._refuse(facts.request_id, responder, admitted)
+            return
+        self._budget.note_request(admitted.pool.name, self._loop.time())
+        if admitted.route.repeat is routes.Repeat.STREAM:
+            await self._serve_stream(admitted, responder)
+        else:
+            await self._serve_whole(admitted, responder)
+
+    def _admit(self, request: http_server.Request) -> Admission | Refusal:
+        table = self.table
+        if table is None:
+            return Refusal(503, "no configuration yet", RETRY_SECONDS)
+        host = http_head.get_header(request.head.headers, b"host") or b""
+        path = request.head.path.decode("latin-1")
+        route = table.find_route(host.decode("latin-1").lower(), path)
+        if route is None:
+            return Refusal(404, f"no route in version {table.version}")
+        facts = self._dialect.read_request(request.head)
+        workspace = None
+        if table.workspaces and not route.is_public:
+            if not self.is_fresh():
+                return Refusal(503, "configuration may be old, keys are not trusted", 1.0)
+            workspace = table.find_workspace(facts.key)
+            if workspace is None:
+                return Refusal(401, f"unknown key in version {table.version}")
+        waits = [facts.wait_seconds, route.timeout_seconds]
+        wait = min([item for item in waits if item is not None], default=DEFAULT_WAIT_SECONDS)
+        pool = table.pools[self._selector.draw_pool(route)]
+        ends_at = request.arrived + wait
+        return Admission(request, facts, route, pool, workspace, table.version, ends_at)
+
+    async def _refuse(
+        self, request_id: str, responder: http_server.Responder, refusal: Refusal
+    ) -> None:
+        self._timeline.record(
+            "request.refuse",
+            request_id=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+        )
+        head = self._dialect.write_refusal(refusal.status, refusal.retry_after)
+        await responder.send_whole(head, b"")
+
+    # Sending
+
+    async def _send(
+        self, admission: Admission, target: directories.Target, plan: dialects.ForwardPlan
+    ) -> _Outcome:
+        """Send a request to a target and take its answer: a stream's head, or all of it."""
+        address = target.address
+        self._usage.add(address, admission.tokens)
+        exchange: http_client.Exchange | None = None
+        keep = False
+        try:
+            async with asyncio.timeout_at(admission.ends_at - MARGIN_SECONDS):
+                exchange = await http_client.connect(address, CONNECT_SECONDS)
+                head = self._dialect.write_forward(admission.request.head, plan)
+                exchange.send(head, admission.request.body)
+                outcome = await self._read_answer(admission, exchange)
+            keep = isinstance(outcome, _Stream)
+            self._judge(target, outcome)
+            return outcome
+        except TimeoutError:
+            sent = exchange is not None and exchange.sent
+            if not sent:
+                return _NotRun(f"{address}: out of time before it was sent", sent=False)
+            return _Unknown(f"{address}: no answer in time", is_late=True)
+        except http_client.AnswerBroken as error:
+            self._selector.caution.note_failure(target.target_id, self._loop.time())
+            if not error.sent:
+                return _NotRun(str(error), sent=False)
+            return _Unknown(f"{address}: {error}")
+        finally:
+            if not keep:
+                self._usage.remove(address, admission.tokens)
+                if exchange is not None:
+                    exchange.abort()
+
+    async def _read_answer(self, admission: Admission, exchange: http_client.Exchange) -> _Outcome:
+        head = await exchange.read_head()
+        facts = self._dialect.read_answer(head)
+        if facts.request_id and facts.request_id != admission.facts.request_id:
+            raise http_client.AnswerBroken("answer to another request", sent=True)
+        if not facts.did_run:
+            what = "another target has its address" if facts.is_other_target else "turned away"
+            return _NotRun(f"{what}, status {head.status}", sent=True)
+        is_stream = admission.route.repeat is routes.Repeat.STREAM and head.status == 200
+        if is_stream:
+            return _Stream(head, exchange)
+        body = await exchange.read_body(MAX_ANSWER_BYTES)
+        if head.status in (408, 421, 429, 503):
+            # To the caller these would promise that nothing ran; this target promised nothing.
+            return _Unknown(f"status {head.status} without a promise")
+        return _Whole(head, body)
+
+    def _judge(self, target: directories.Target, outcome: _Outcome) -> None:
+        if isinstance(outcome, _NotRun):
+            return
+        self._selector.caution.note_success(target.target_id)
+
+    def _plan(
+        self,
+        admission: Admission,
+        target: directories.Target,
+        *,
+        last_event_id: str = "",
+        copy: dialects.MemoryCopy | None = None,
+        backup: directories.Target | None = None,
+    ) -> dialects.ForwardPlan:
+        return dialects.ForwardPlan(
+            wait_seconds=max(0.001, admission.ends_at - self._loop.time()),
+            target_id=target.target_id,
+            workspace=admission.workspace.name if admission.workspace is not None else "",
+            priority=admission.priority,
+            last_event_id=last_event_id,
+            copy=copy,
+            backup_address=backup.address if backup is not None else "",
+        )
+
+    async def _try_targets(
+        self, admission: Admission, last_event_id: str
+    ) -> tuple[_Outcome, directories.Target | None, directories.Target | None]:
+        """Send a request until it is answered or may not be sent again.
+
+        Gives the last outcome, its target and the runner that backs it up.
+        """
+        pool = admission.pool
+        excluded: set[str] = set()
+        outcome: _Outcome = _NotRun("no target", sent=False)
+        sends = 0
+        unsent = 0
+        while True:
+            target = self._selector.choose(pool, admission.tokens, excluded)
+            if target is None or self._loop.time() + LEAST_SEND_SECONDS > admission.ends_at:
+                return outcome, None, None
+            backup = self._choose_backup(admission, target)
+            plan = self._plan(admission, target, last_event_id=last_event_id, backup=backup)
+            excluded.add(target.target_id)
+            outcome = await self._send(admission, target, plan)
+            self._note_send(admission, target, outcome, sends)
+            if isinstance(outcome, _NotRun) and not outcome.sent:
+                unsent += 1
+                if unsent >= UNSENT_TRIES:
+                    return outcome, target, None
+                continue
+            sends += 1
+            if not self._may_send_again(admission, outcome, sends):
+                return outcome, target, backup
+
+    def _may_send_again(self, admission: Admission, outcome: _Outcome, sends: int) -> bool:
+        if sends >= admission.route.max_attempts:
+            return False
+        if isinstance(outcome, _Stream):
+            return False
+        if isinstance(outcome, _Whole):
+            # A failure of the target's own; another one may do better.
+            if outcome.head.status < 500 or not admission.route.is_repeatable:
+                return False
+        elif isinstance(outcome, _Unknown) and not admission.route.is_repeatable:
+            return False
+        return self._budget.take(admission.pool.name, self._loop.time())
+
+    def _note_send(
+        self, admission: Admission, target: directories.Target, outcome: _Outcome, sends: int
+    ) -> None:
+        if isinstance(outcome, _Whole) and outcome.head.status < 500:
+            return
+        reason = getattr(outcome, "reason", "")
+        status = outcome.head.status if isinstance(outcome, _Whole | _Stream) else 0
+        self._timeline.record(
+            "request.send",
+            request_id=admission.facts.request_id,
+            target=target.target_id,
+            address=target.address,
+            phase=target.phase.value,
+            heard_ms=int((self._loop.time() - target.heard_at) * 1000),
+            version=admission.version,
+            send=sends + 1,
+            outcome=type(outcome).__name__.strip("_").lower(),
+            status=status,
+            reason=reason,
+        )
+
+    # Whole answers
+
+    async def _serve_whole(self, admission: Admission, responder: http_server.Responder) -> None:
+        outcome, _, _ = await self._try_targets(admission, "")
+        await self._answer(admission, responder, outcome)
+
+    async def _answer(
+        self, admission: Admission, responder: http_server.Responder, outcome: _Outcome
+    ) -> None:
+        """Answer a caller who has got nothing yet."""
+        request_id = admission.facts.request_id
+        if isinstance(outcome, _Whole):
+            headers = http_head.list_end_to_end(outcome.head.headers)
+            head = http_head.AnswerHead(outcome.head.status, headers)
+            await responder.send_whole(head, outcome.body)
+        elif isinstance(outcome, _NotRun):
+            refusal = Refusal(503, outcome.reason, RETRY_SECONDS)
+            await self._refuse(request_id, responder, refusal)
+        else:
+            assert isinstance(outcome, _Unknown)
+            status = 504 if outcome.is_late else 502
+            await self._refuse(request_id, responder, Refusal(status, outcome.reason))
+
+    # Streams
+
+    def _choose_backup(
+        self, admission: Admission, target: directories.Target
+    ) -> directories.Target | None:
+        """A runner to copy a run's memory to while it grows; short runs are not worth it."""
+        return None
+
+    async def _serve_stream(self, admission: Admission, responder: http_server.Responder) -> None:
+        last_event_id = admission.facts.last_event_id
+        outcome, target, backup = await self._try_targets(admission, last_event_id)
+        if not isinstance(outcome, _Stream) or target is None:
+            await self._answer(admission, responder, outcome)
+            return
+        run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens, backup)
+        stream = _Relayed(admission, responder, run, outcome.exchange, last_event_id)
+        self._mover.add(run)
+        try:
+            headers = http_head.list_end_to_end(outcome.head.headers)
+            await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
+            async with asyncio.timeout_at(admission.ends_at):
+                await self._relay_runs(stream)
+        except TimeoutError:
+            self._note_broken(stream, "out of time")
+        finally:
+            self._drop(stream)
+            if not responder.is_done:
+                responder.abort()
+
+    def _drop(self, stream: "_Relayed") -> None:
+        """Let go of the run that a stream comes from."""
+        if stream.exchange is not None:
+            stream.exchange.abort()
+            stream.exchange = None
+            self._usage.remove(stream.run.target.address, stream.admission.tokens)
+        self._mover.remove(stream.run)
+
+    async def _relay_runs(self, stream: "_Relayed") -> None:
+        """Relay a stream over as many runners as its run is moved to."""
+        while True:
+            reason = await stream.relay_until_end()
+            if stream.run.is_stopping or reason is not None:
+                continuation = await self._await_move(stream.run)
+                if continuation is not None:
+                    if await self._go_on(stream, continuation):
+                        continue
+                    reason = reason or "moved run was not taken up"
+            if reason is None:
+                await stream.responder.finish()
+                return
+            if await self._run_anew(stream):
+                continue
+            self._note_broken(stream, reason)
+            return
+
+    async def _await_move(self, run: runs.Run) -> runs.Continuation | None:
+        if run.moving is None:
+            return None
+        try:
+            async with asyncio.timeout(HANDOVER_SECONDS):
+                return await asyncio.shield(run.moving)
+        except TimeoutError:
+            return None
+
+    async def _go_on(self, stream: "_Relayed", continuation: runs.Continuation) -> bool:
+        """Have a moved run go on; at the destination, else where its memory still is."""
+        places = [continuation.target, stream.run.target]
+        self._drop(stream)
+        for target in places:
+            plan = self._plan(
+                stream.admission,
+                target,
+                last_event_id=stream.last_event_id,
+                copy=continuation.copy,
+            )
+            self._budget.note_repeat(stream.admission.pool.name, self._loop.time())
+            if await self._take_up(stream, target, plan, "move"):
+                return True
+        return False
+
+    async def _run_anew(self, stream: "_Relayed") -> bool:
+        """Have another run go on behind the last event, where the route allows it."""
+        admission = stream.admission
+        if not admission.route.is_resumable or stream.runs_begun >= admission.route.max_attempts:
+            return False
+        if not self._budget.take(admission.pool.name, self._loop.time()):
+            return False
+        former = stream.run.target.target_id
+        self._drop(stream)
+        target = self._selector.choose(admission.pool, admission.tokens, {former})
+        if target is None:
+            return False
+        plan = self._plan(admission, target, last_event_id=stream.last_event_id)
+        stream.runs_begun += 1
+        return await self._take_up(stream, target, plan, "resume")
+
+    async def _take_up(
+        self,
+        stream: "_Relayed",
+        target: directories.Target,
+        plan: dialects.ForwardPlan,
+        why: str,
+    ) -> bool:
+        outcome = await self._send(stream.admission, target, plan)
+        taken = isinstance(outcome, _Stream)
+        self._timeline.record(
+            "run.go_on",
+            request_id=stream.admission.facts.request_id,
+            target=target.target_id,
+            why=why,
+            last_event=stream.last_event_id,
+            taken=taken,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if not isinstance(outcome, _Stream):
+            return False
+        stream.exchange = outcome.exchange
+        stream.run = dataclasses.replace(
+            stream.run, target=target, backup=None, moving=None, is_stopping=False
+        )
+        self._mover.add(stream.run)
+        return True
+
+    def _note_broken(self, stream: "_Relayed", reason: str) -> None:
+        self._timeline.record(
+            "stream.break",
+            request_id=stream.admission.facts.request_id,
+            target=stream.run.target.target_id,
+            phase=stream.run.target.phase.value,
+            last_event=stream.last_event_id,
+            events=stream.events,
+            reason=reason,
+        )
+
+
+class _Relayed:
+    """A stream on its way to the caller."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        responder: http_server.Responder,
+        run: runs.Run,
+        exchange: http_client.Exchange,
+        last_event_id: str,
+    ) -> None:
+        self.admission = admission
+        self.responder = responder
+        self.run = run
+        self.exchange: http_client.Exchange | None = exchange
+        self.last_event_id = last_event_id
+        self.events = 0
+        self.runs_begun = 1
+
+    async def relay_until_end(self) -> str | None:
+        """Relay one runner's events; None at a true end, else why it is none."""
+        assert self.exchange is not None
+        splitter = events.Splitter()
+        try:
+            while (data := await self.exchange.read_chunk()) is not None:
+                found = splitter.feed(data)
+                problem = self._check_order(found)
+                if problem:
+                    return problem
+                await self.responder.write(b"".join(found))
+        except http_client.AnswerBroken as error:
+            return str(error)
+        except ValueError as error:
+            return str(error)
+        return "ended within an event" if splitter.has_part else None
+
+    def _check_order(self, found: list[bytes]) -> str:
+        """Keep the last id; numbered events must follow one another."""
+        for event in found:
+            event_id = events.read_event_id(event)
+            if event_id.isdigit() and self.last_event_id.isdigit():
+                expected = int(self.last_event_id) + 1
+                if int(event_id) != expected:
+                    return f"got event {event_id}, expected {expected}"
+            if event_id:
+                self.last_event_id = event_id
+            self.events += 1
+        return ""
--- /dev/null
+++ b/tillerlane/gateway/selection.py
@@ -0,0 +1,133 @@
+"""Which target of a pool a request goes to."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Collection
+
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import routes
+from tillerlane.gateway import usage as usages
+
+__all__ = ["Caution", "Selector"]
+
+FIRST_AVOID_SECONDS = 1.0
+"""How long a target that could not be reached is avoided: a heartbeat's interval, by which time
+its keepers know more."""
+MOST_AVOID_SECONDS = 5.0
+OTHER_HALL_COST = 0.02
+"""Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
+COLD_COST = 0.5
+"""Load that a target still slow from its start counts as, as a share of a target."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Failures:
+    count: int
+    avoid_until: float
+
+
+class Caution:
+    """Targets that lately failed this entry, by id."""
+
+    def __init__(self) -> None:
+        self._failures: dict[str, _Failures] = {}
+
+    def note_failure(self, target_id: str, now: float) -> None:
+        """Avoid a target for a while, longer with each failure in a row."""
+        known = self._failures.setdefault(target_id, _Failures(0, now))
+        known.count += 1
+        seconds = min(MOST_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2 ** (known.count - 1))
+        known.avoid_until = now + seconds
+
+    def note_success(self, target_id: str) -> None:
+        """Forget a target's failures."""
+        self._failures.pop(target_id, None)
+
+    def is_avoided(self, target_id: str, now: float) -> bool:
+        """Whether other targets come first."""
+        known = self._failures.get(target_id)
+        return known is not None and now < known.avoid_until
+
+
+class Selector:
+    """Chooses targets.
+
+    Parameters
+    ----------
+    directory : directories.Directory
+        Targets known.
+    usage : usages.Usage
+        What is under way at each.
+    data_hall : str
+        This entry's data hall.
+    rng : random.Random
+        Breaks ties.
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        usage: usages.Usage,
+        data_hall: str,
+        rng: random.Random,
+        now: Callable[[], float],
+    ) -> None:
+        self.caution = Caution()
+        self._directory = directory
+        self._usage = usage
+        self._data_hall = data_hall
+        self._rng = rng
+        self._now = now
+
+    def draw_pool(self, route: routes.Route) -> str:
+        """A pool of the route, by weight."""
+        names = [name for name, _ in route.pools]
+        if len(names) == 1:
+            return names[0]
+        return self._rng.choices(names, [weight for _, weight in route.pools])[0]
+
+    def choose(
+        self, pool: routes.Pool, tokens: int, excluded: Collection[str]
+    ) -> directories.Target | None:
+        """The target with the least load that is not `excluded` (ids); None if there is none.
+
+        Silent and avoided targets come last, in that order.
+        """
+        now = self._now()
+        found = [item for item in self._directory.list_pool(pool.name)]
+        found = [item for item in found if item.target_id not in excluded]
+        if not found:
+            return None
+
+        def weigh(target: directories.Target) -> tuple[bool, bool, float, float]:
+            return (
+                target.phase is directories.Phase.SILENT,
+                self.caution.is_avoided(target.target_id, now),
+                self._read_load(pool, target, tokens, now),
+                self._rng.random(),
+            )
+
+        return min(found, key=weigh)
+
+    def _read_load(
+        self, pool: routes.Pool, target: directories.Target, tokens: int, now: float
+    ) -> float:
+        use = self._usage.read(target.address, now)
+        slots = max(1, target.slots)
+        load = use.requests / slots
+        if pool.engine is not None:
+            load += (use.tokens + tokens) / max(1, pool.engine.memory_tokens)
+        if target.data_hall != self._data_hall:
+            load += OTHER_HALL_COST
+        if target.warm_at > now:
+            load += COLD_COST
+        return load
+
+    def has_room(self, pool: routes.Pool, target: directories.Target, tokens: int) -> bool:
+        """Whether a run of so many tokens fits a target's memory beside what is under way."""
+        if pool.engine is None:
+            return True
+        use = self._usage.read(target.address, self._now())
+        return use.tokens + tokens <= pool.engine.memory_tokens
--- /dev/null
+++ b/tillerlane/gateway/usage.py
@@ -0,0 +1,95 @@
+"""What is under way at each target: this entry's own sends, and what other entries tell."""
+
+import collections
+import dataclasses
+
+from tillerlane.peers import messages
+
+__all__ = ["Usage", "Use"]
+
+OTHERS_SECONDS = 3.0
+"""How long another entry's word counts; it tells at least once a second while it has any use."""
+
+
+@dataclasses.dataclass(slots=True)
+class Use:
+    """Requests under way and the memory that they will need, in tokens."""
+
+    requests: int = 0
+    tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Told:
+    sequence: int
+    heard_at: float
+    uses: dict[str, Use]
+
+
+class Usage:
+    """Load by target address.
+
+    Parameters
+    ----------
+    entry : str
+        This entry's id.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._own: dict[str, Use] = collections.defaultdict(Use)
+        self._others: dict[str, _Told] = {}
+        self._sequence = 0
+        self.changed = False
+
+    def add(self, address: str, tokens: int) -> None:
+        """Count a request in."""
+        use = self._own[address]
+        use.requests += 1
+        use.tokens += tokens
+        self.changed = True
+
+    def remove(self, address: str, tokens: int) -> None:
+        """Count a request out."""
+        use = self._own[address]
+        use.requests -= 1
+        use.tokens -= tokens
+        if use.requests <= 0:
+            del self._own[address]
+        self.changed = True
+
+    def read(self, address: str, now: float) -> Use:
+        """All that is known to be under way at a target."""
+        own = self._own.get(address)
+        total = Use(own.requests, own.tokens) if own is not None else Use()
+        for told in self._others.values():
+            use = told.uses.get(address)
+            if use is not None and now - told.heard_at < OTHERS_SECONDS:
+                total.requests += use.requests
+                total.tokens += use.tokens
+        return total
+
+    def count_own(self) -> int:
+        """This entry's requests under way."""
+        return sum(use.requests for use in self._own.values())
+
+    def take(self, loads: messages.EntryLoads, now: float) -> None:
+        """Take another entry's word."""
+        known = self._others.get(loads.entry)
+        if loads.entry == self._entry or (known and known.sequence >= loads.sequence):
+            return
+        uses = {item.address: Use(item.requests, item.tokens) for item in loads.uses}
+        self._others[loads.entry] = _Told(loads.sequence, now, uses)
+        for entry, told in list(self._others.items()):
+            if now - told.heard_at > OTHERS_SECONDS:
+                del self._others[entry]
+
+    def write(self, started_ms: int) -> messages.EntryLoads:
+        """This entry's word; sequences of a later start of the process are higher."""
+        self.changed = False
+        self._sequence += 1
+        uses = [
+            messages.TargetUse(address, use.requests, max(0, use.tokens))
+            for address, use in self._own.items()
+        ]
+        return messages.EntryLoads(self._entry, started_ms * 1_000_000 + self._sequence, uses)
--- a/tillerlane/keeper/commands.py
+++ b/tillerlane/keeper/commands.py
@@ -151,6 +151,15 @@
     pinned: bool
 
 
+class Publish(msgspec.Struct, frozen=True, tag="publish"):
+    """Publishes a whole document under a version of its own; the highest version holds."""
+
+    version: int
+    content: bytes
+    """The document, compressed; the log does not look into it."""
+    at_ms: int
+
+
 Command = (
     Noop
     | Change
@@ -165,6 +174,7 @@
     | Order
     | OrderDone
     | Pin
+    | Publish
 )
 
 _decode = msgspec.json.Decoder(Command).decode
--- /dev/null
+++ b/tillerlane/keeper/freshness.py
@@ -0,0 +1,133 @@
+"""Up to when a daemon's publication is known to be the newest one.
+
+Each daemon asks the next one closer to the leader and reckons on its own steady clock from the
+moment *before* it asked, so that neither a delayed message nor a pause of any process can make
+old word look fresh.  A leader answers from its lease (a read index, as Raft calls it), a follower
+from what it last heard of the leader, an entry from what it last heard of a keeper.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from tillerlane.faults import core as faults
+from tillerlane.keeper import replica as replicas
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+
+__all__ = ["FreshnessClock", "KeeperFreshness", "ask"]
+
+ASK_SECONDS = 0.3
+"""Pause between two questions of a follower: an eighth of the shortest bound met so far on how
+long a revoked key may work (5 s, of which 3 s may be spent out of touch)."""
+CALL_SECONDS = 0.6
+UNKNOWN = -1e9
+
+
+class FreshnessClock:
+    """The latest moment at which the held version was surely the newest.
+
+    Attributes
+    ----------
+    fresh_at : float
+        Time of the event loop.
+    """
+
+    def __init__(self) -> None:
+        self.fresh_at = UNKNOWN
+
+    def observe(self, asked_at: float, reply: messages.FreshnessReply, held: int) -> bool:
+        """Take an answer to a question asked at `asked_at`; False if `held` is too old for it."""
+        if not reply.known:
+            return True
+        if held < reply.version:
+            return False
+        self.fresh_at = max(self.fresh_at, asked_at - reply.age_ms / 1000)
+        return True
+
+    def read_age(self, now: float) -> float:
+        """Seconds since the held version was surely the newest."""
+        return now - self.fresh_at
+
+
+async def ask(link: links.Link, have: int) -> messages.FreshnessReply | None:
+    """Ask a keeper; None if it did not answer."""
+    try:
+        reply = await link.call(messages.FreshnessRequest(have), CALL_SECONDS)
+    except (links.LinkLost, faults.FaultError):
+        return None
+    return reply if isinstance(reply, messages.FreshnessReply) else None
+
+
+class KeeperFreshness:
+    """A keeper's own freshness, and its answers to others.
+
+    Parameters
+    ----------
+    replica : replicas.Replica
+        Its part in the log.
+    get_link : callable
+        (address) gives the link to a keeper, or None.
+    count_entries : callable
+        Gives how many entries are known to be subscribed.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        get_link: Callable[[str], links.Link | None],
+        count_entries: Callable[[], int],
+    ) -> None:
+        self._replica = replica
+        self._get_link = get_link
+        self._count_entries = count_entries
+        self._clock = FreshnessClock()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def read_fresh_at(self) -> float | None:
+        """The latest moment up to which all that was committed is surely held here."""
+        confirmed_at = self._replica.read_confirmed_at()
+        if confirmed_at is not None:
+            return confirmed_at
+        return self._clock.fresh_at if self._clock.fresh_at > UNKNOWN else None
+
+    def read_age(self) -> float | None:
+        """Seconds since `read_fresh_at`; None if that is unknown."""
+        fresh_at = self.read_fresh_at()
+        return None if fresh_at is None else self._now() - fresh_at
+
+    def build_reply(self) -> messages.FreshnessReply:
+        """Answer to whoever asks this keeper."""
+        own = self._replica
+        age = self.read_age()
+        return messages.FreshnessReply(
+            version=max(0, own.machine.published.version),
+            age_ms=0 if age is None else min(int(age * 1000) + 1, 2**31),
+            known=age is not None and own.machine.published.version >= 0,
+            keepers=sorted(voter.address for voter in own.voters.values()),
+            entries=self._count_entries(),
+            applied_index=own.applied,
+        )
+
+    async def run(self) -> None:
+        """Keep asking the leader while another keeper leads."""
+        while True:
+            await asyncio.sleep(ASK_SECONDS)
+            await self._ask_leader()
+
+    async def _ask_leader(self) -> None:
+        own = self._replica
+        leader = own.voters.get(own.leader)
+        if leader is None or own.leader == own.name:
+            return
+        link = self._get_link(leader.address)
+        if link is None:
+            return
+        asked_at = self._now()
+        reply = await ask(link, max(0, own.machine.published.version))
+        if reply is None or own.leader == own.name:
+            return
+        # The leader's index counts, since the log carries more than the publication.
+        if reply.known and own.applied >= reply.applied_index:
+            self._clock.observe(asked_at, reply, own.machine.published.version)
--- a/tillerlane/keeper/machine.py
+++ b/tillerlane/keeper/machine.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from tillerlane.config import store as stores
-from tillerlane.keeper import claims, commands
+from tillerlane.keeper import claims, commands, publications
 from tillerlane.peers import messages
 
 __all__ = ["Machine"]
@@ -50,11 +50,14 @@
         Order id to `OrderRecord`.
     pins : set
         (runner, model) that demand does not move.
+    published : publications.Publisher
+        The published document of the highest version.
     """
 
     def __init__(self) -> None:
         self.store = stores.Store()
         self.claims = claims.ClaimBook()
+        self.published = publications.Publisher()
         self.voters: dict[str, commands.Voter] = {}
         self.orders: collections.OrderedDict[str, OrderRecord] = collections.OrderedDict()
         self.pins: set[tuple[str, str]] = set()
@@ -76,6 +79,8 @@
                 return self.claims.settle(command)
             case commands.ClaimRelease():
                 return self.claims.release(command)
+            case commands.Publish():
+                return self.published.publish(command)
             case commands.Found():
                 self.voters = dict(command.voters)
             case commands.VoterAdd():
@@ -176,6 +181,7 @@
             "voters": self.voters,
             "orders": [dataclasses.asdict(item) for item in self.orders.values()],
             "pins": sorted(self.pins),
+            "published": self.published.dump(),
         }
         return msgspec.json.encode(values)
 
@@ -197,3 +203,4 @@
             self.orders[item["order_id"]] = OrderRecord(**item)
         self.pins = {(target, model) for target, model in values["pins"]}
         self.store.restore(values["version"], entities)
+        self.published.load(values.get("published"))
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -44,7 +44,13 @@
 MAX_BATCH_BYTES = 512 * 1024
 SNAPSHOT_ENTRIES = 4_000
 """Entries behind the last snapshot after which a new one is made."""
+SNAPSHOT_BYTES = 8 * 1024 * 1024
+"""Bytes of commands behind the last snapshot after which a new one is made: a sixteenth of the
+smallest disk that a keeper has had (128 MB), and bounded memory for the entries held."""
 PIECE_BYTES = 256 * 1024
+STALL_SECONDS = 1.0
+"""A leader whose disk has been silent in a write for so long lets another one lead: below the
+time after which callers of the log ask elsewhere, above a slow sync."""
 
 _VOTER_MARKS = (b'"voter_add"', b'"voter_remove"', b'"found"')
 """One of these stands in every command that changes the voters."""
@@ -110,6 +116,9 @@
         Runs a blocking function without holding the event loop.
     rng : random.Random
         Draws election timeouts.
+    list_founders : callable, optional
+        Gives the first voters, name to address, if this keeper may found the log now; empty
+        otherwise.  By default the configured keepers, for the one of the lowest name.
     """
 
     def __init__(
@@ -122,8 +131,10 @@
         get_link: Callable[[str], links.Link | None],
         run_blocking: Run,
         rng: random.Random,
+        list_founders: Callable[[], dict[str, str]] | None = None,
     ) -> None:
         self.name = name
+        self._list_founders = list_founders or self._list_configured
         self.machine = state
         self.storage = storage
         self._configured = configured
@@ -150,6 +161,8 @@
         self._voters: dict[str, commands.Voter] = {}
         self._voters_mark: tuple[int, int, int] | None = None
         self._adding_voter = False
+        self._bytes_behind_snapshot = 0
+        self._writing_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.failed: faults.Fault | None = None
         self.on_standing: Callable[[], None] = lambda: None
@@ -232,6 +245,11 @@
         """Whether no other keeper can be leader yet: a quorum answered lately."""
         if self.standing is not Standing.LEADER or self.failed is not None:
             return False
+        confirmed_at = self._read_quorum_time()
+        return confirmed_at is not None and self._now() - confirmed_at < LEASE_SECONDS
+
+    def _read_quorum_time(self) -> float | None:
+        """When the latest requests were sent that a quorum has answered; None without one."""
         times = [
             self._now() if name == self.name else self._progress[name].acked_at
             for name, voter in self.voters.items()
@@ -239,7 +257,24 @@
         ]
         times.sort(reverse=True)
         needed = self._count_quorum()
-        return len(times) >= needed and self._now() - times[needed - 1] < LEASE_SECONDS
+        return times[needed - 1] if len(times) >= needed else None
+
+    def read_confirmed_at(self) -> float | None:
+        """Time of the event loop at which this keeper was surely the only leader.
+
+        What is committed here now includes all that was committed anywhere by then.  None if this
+        keeper does not lead, or has not yet committed an entry of its own term.
+        """
+        if not self.has_lease or self.commit < self._noop_index:
+            return None
+        return self._read_quorum_time()
+
+    def read_answered_at(self, name: str) -> float:
+        """When the last request was sent that another keeper has answered; leaders only."""
+        if name == self.name:
+            return self._now()
+        progress = self._progress.get(name)
+        return progress.acked_at if progress is not None else -1e9
 
     def _is_on_record(self, name: str, voter: commands.Voter) -> bool:
         progress = self._progress.get(name)
@@ -261,11 +296,20 @@
 
     async def _write(self, work: Callable[..., None], *arguments: Any) -> None:
         """Run a blocking write of the storage; one at a time is the callers' lock."""
+        self._writing_since = self._now()
         try:
             await self._run_blocking(work, *arguments)
         except faults.FaultError as error:
             self._stand_down(error.fault)
             raise
+        finally:
+            self._writing_since = None
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether a write has been with the disk for longer than `STALL_SECONDS`."""
+        since = self._writing_since
+        return since is not None and self._now() - since > STALL_SECONDS
 
     # Elections
 
@@ -274,6 +318,11 @@
             await asyncio.sleep(ELECTION_CHECK_SECONDS)
             if self.failed is not None:
                 continue
+            if self.is_stalled:
+                if self.standing is Standing.LEADER:
+                    self._timeline.record("keeper.disk_stalled", term=self.storage.term)
+                    self._become_follower(self.storage.term, "")
+                continue
             if self.standing is Standing.LEADER:
                 if self.has_lease:
                     self._heard_at = self._now()
@@ -348,16 +397,18 @@
             return None
         return reply if isinstance(reply, messages.VoteReply) else None
 
-    async def _try_founding(self) -> None:
-        """Found the log, if every configured keeper is there with a fresh disk.
+    def _list_configured(self) -> dict[str, str]:
+        """All configured keepers, for the one of the lowest name: so two never found at once."""
+        return self._configured if self.name == min(self._configured) else {}
 
-        The keeper of the lowest name founds, so that two never do at once.
-        """
-        if not self.storage.is_fresh or self.name != min(self._configured):
+    async def _try_founding(self) -> None:
+        """Found the log, if every founder is there with a fresh disk."""
+        founders = self._list_founders() if self.storage.is_fresh else {}
+        if self.name not in founders:
             return
         request = self._build_vote_request(1, pre=True)
-        voters = {self.name: commands.Voter(self._configured[self.name], self.storage.disk_id)}
-        for name, address in self._configured.items():
+        voters = {self.name: commands.Voter(founders[self.name], self.storage.disk_id)}
+        for name, address in founders.items():
             if name == self.name:
                 continue
             reply = await self._ask_vote(address, request)
@@ -540,6 +591,7 @@
     def _apply_entry(self, entry: messages.LogEntry) -> None:
         answer = self.machine.apply(entry.term, entry.index, commands.decode(entry.command))
         self.applied = entry.index
+        self._bytes_behind_snapshot += len(entry.command)
         proposal = self._waiting.pop(entry.index, None)
         if proposal is not None and not proposal.answer.done():
             proposal.answer.set_result({**answer, "index": entry.index, "term": entry.term})
@@ -552,7 +604,8 @@
                 self._become_follower(self.storage.term, "")
                 return
             self._follow_peers()
-        if self.applied - self.storage.snapshot.last_index >= SNAPSHOT_ENTRIES:
+        behind = self.applied - self.storage.snapshot.last_index
+        if behind >= SNAPSHOT_ENTRIES or self._bytes_behind_snapshot >= SNAPSHOT_BYTES:
             self._start_snapshot()
 
     def _start_snapshot(self) -> None:
@@ -562,6 +615,7 @@
         index = self.applied
         term = self.storage.get_term(index)
         snapshot = storages.Snapshot(index, term or 0, self.machine.dump())
+        self._bytes_behind_snapshot = 0
         self._run_beside("snapshot", self._save_snapshot(snapshot))
 
     async def _save_snapshot(self, snapshot: storages.Snapshot) -> None:
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -48,6 +48,7 @@
     messages.VoteRequest,
     messages.AppendRequest,
     messages.SnapshotPiece,
+    messages.FreshnessRequest,
 )
 """Bodies that may open an exchange; any other one for an unknown exchange came too late."""
 
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -29,6 +29,14 @@
     proposeReply @23 :ProposeReply;
     query @24 :Query;
     queryReply @25 :QueryReply;
+    publication @26 :Publication;
+    publicationPull @27 :PublicationPull;
+    subscribe @28 :Subscribe;
+    targetStates @29 :TargetStates;
+    entryLoads @30 :EntryLoads;
+    freshnessRequest @31 :FreshnessRequest;
+    freshnessReply @32 :FreshnessReply;
+    keeperAnnounce @33 :KeeperAnnounce;
   }
 }
 
@@ -145,3 +153,32 @@
 struct ProposeReply { result @0 :Data; leader @1 :Text; }
 struct Query { subject @0 :Text; arguments @1 :Text; }
 struct QueryReply { result @0 :Data; }
+
+struct Publication { version @0 :UInt64; content @1 :Data; }
+struct PublicationPull { have @0 :UInt64; }
+struct Subscribe { have @0 :UInt64; entry @1 :Text; }
+struct TargetState {
+  targetId @0 :Text;
+  pool @1 :Text;
+  address @2 :Text;
+  dataHall @3 :Text;
+  slots @4 :UInt32;
+  phase @5 :Text;
+  sequence @6 :UInt64;
+  coldMs @7 :UInt32;
+  ageMs @8 :UInt32;
+}
+struct TargetStates { states @0 :List(TargetState); whole @1 :Bool; }
+struct TargetUse { address @0 :Text; requests @1 :UInt32; tokens @2 :UInt64; }
+struct EntryLoads { entry @0 :Text; sequence @1 :UInt64; uses @2 :List(TargetUse); }
+struct FreshnessRequest { have @0 :UInt64; }
+struct FreshnessReply {
+  version @0 :UInt64;
+  ageMs @1 :UInt32;
+  known @2 :Bool;
+  keepers @3 :List(Text);
+  entries @4 :UInt32;
+  appliedIndex @5 :UInt64;
+}
+struct KeeperSeen { name @0 :Text; address @1 :Text; diskId @2 :Text; fresh @3 :Bool; }
+struct KeeperAnnounce { keepers @0 :List(KeeperSeen); }
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -337,6 +337,112 @@
     result: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class Publication:
+    """A published document: the highest ``version`` holds; ``content`` is compressed."""
+
+    version: int
+    content: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class PublicationPull:
+    """Asks a peer that is ahead for its publication."""
+
+    have: int
+
+
+@dataclasses.dataclass(slots=True)
+class Subscribe:
+    """An entry asks a keeper for publications, target states and other entries' loads."""
+
+    have: int
+    entry: str
+
+
+@dataclasses.dataclass(slots=True)
+class TargetState:
+    """What is known of one target; see `tillerlane.gateway.directory`.
+
+    ``sequence`` rises with each word of the target itself, ``age_ms`` is the time since its last.
+    """
+
+    target_id: str
+    pool: str
+    address: str
+    data_hall: str
+    slots: int
+    phase: str
+    sequence: int
+    cold_ms: int = 0
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetStates:
+    """Target states that changed, or with ``whole`` all of them."""
+
+    states: list[TargetState]
+    whole: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class TargetUse:
+    """What one entry has under way at one target; ``tokens`` is its estimate of memory."""
+
+    address: str
+    requests: int
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class EntryLoads:
+    """All that one entry has under way; a later ``sequence`` replaces an earlier one."""
+
+    entry: str
+    sequence: int
+    uses: list[TargetUse]
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessRequest:
+    """Asks up to when a publication is known to be the newest."""
+
+    have: int
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessReply:
+    """``version`` was the newest ``age_ms`` before this reply was written, if ``known``.
+
+    ``keepers`` are the voters' peer addresses, ``entries`` how many entries are subscribed.
+    """
+
+    version: int
+    age_ms: int
+    known: bool
+    keepers: list[str]
+    entries: int = 0
+    applied_index: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class KeeperSeen:
+    """A keeper that somebody has a link to; ``fresh`` tells that its disk holds no entry."""
+
+    name: str
+    address: str
+    disk_id: str
+    fresh: bool
+
+
+@dataclasses.dataclass(slots=True)
+class KeeperAnnounce:
+    """Keepers that the sender knows of, itself first."""
+
+    keepers: list[KeeperSeen]
+
+
 Body = (
     Heartbeat
     | Hello
@@ -361,6 +467,14 @@
     | ProposeReply
     | Query
     | QueryReply
+    | Publication
+    | PublicationPull
+    | Subscribe
+    | TargetStates
+    | EntryLoads
+    | FreshnessRequest
+    | FreshnessReply
+    | KeeperAnnounce
 )
 
 
@@ -428,8 +542,10 @@
 
 _BODIES: dict[str, type] = {_name_of_body(cls): cls for cls in typing.get_args(Body)}
 _NAMES: dict[type, str] = {cls: name for name, cls in _BODIES.items()}
+_ELEMENTS = (Load, Entity, Member, LogEntry, TargetState, TargetUse, KeeperSeen)
+"""Dataclasses that stand in lists of a body."""
 _PLANS: dict[type, tuple[_Field, ...]] = {
-    cls: _plan_fields(cls) for cls in [*_BODIES.values(), Load, Entity, Member, LogEntry]
+    cls: _plan_fields(cls) for cls in [*_BODIES.values(), *_ELEMENTS]
 }
 
 capnp.remove_import_hook()
--- /dev/null
+++ b/tillerlane/platform/calls.py
@@ -0,0 +1,75 @@
+"""Calls that the system makes of the platform's runners."""
+
+import asyncio
+
+import msgspec
+
+from tillerlane.gateway import dialect, http_client, http_head
+
+__all__ = ["move_run"]
+
+CONNECT_SECONDS = 0.3
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+class _Moved(msgspec.Struct):
+    """``made`` counts the events written so far."""
+
+    handle: str = ""
+    made: int = 0
+
+
+_OUTCOMES = {
+    200: dialect.MoveOutcome.COPIED,
+    404: dialect.MoveOutcome.NO_RUN,
+    409: dialect.MoveOutcome.BUSY,
+    503: dialect.MoveOutcome.NO_ROOM,
+}
+
+
+async def _call(
+    address: str, method: bytes, path: bytes, body: bytes, seconds: float
+) -> tuple[int, bytes]:
+    """One call of a runner.
+
+    Raises
+    ------
+    http_client.AnswerBroken
+        If it did not answer in time.
+    """
+    exchange = None
+    try:
+        async with asyncio.timeout(seconds):
+            exchange = await http_client.connect(address, CONNECT_SECONDS)
+            headers = [
+                (b"Host", address.encode()),
+                (b"Content-Type", b"application/json"),
+                (b"Connection", b"close"),
+            ]
+            exchange.send(http_head.RequestHead(method, path, headers), body)
+            head = await exchange.read_head()
+            return head.status, await exchange.read_body(MAX_ANSWER_BYTES)
+    except TimeoutError as error:
+        message = f"no answer of {address} within {seconds} s"
+        raise http_client.AnswerBroken(message, sent=True) from error
+    finally:
+        if exchange is not None:
+            exchange.abort()
+
+
+async def move_run(
+    source: str, request_id: str, destination: str, stop: bool, seconds: float
+) -> dialect.MoveResult:
+    """Copy a run's memory from one runner to another; with `stop` the run stops first."""
+    order: dict[str, object] = {"id": request_id, "target_version": destination}
+    if stop:
+        order["last"] = True
+    try:
+        status, body = await _call(
+            source, b"POST", b"/kv-move", msgspec.json.encode(order), seconds
+        )
+        moved = msgspec.json.decode(body, type=_Moved) if body else _Moved()
+    except (http_client.AnswerBroken, msgspec.DecodeError):
+        return dialect.MoveResult(dialect.MoveOutcome.LOST)
+    outcome = _OUTCOMES.get(status, dialect.MoveOutcome.LOST)
+    return dialect.MoveResult(outcome, moved.handle, moved.made)
--- /dev/null
+++ b/tillerlane/platform/control_api.py
@@ -0,0 +1,93 @@
+"""The platform's calls to a keeper: heartbeats of targets, and the operator's documents."""
+
+import asyncio
+import urllib.parse
+
+from tillerlane.faults import core as faults
+from tillerlane.gateway import control, http_head, http_server
+from tillerlane.gateway import directory as directories
+from tillerlane.platform import wire
+
+__all__ = ["build_server"]
+
+PUBLISH_SECONDS = 0.9
+"""Callers ask elsewhere after a second without an answer."""
+MAX_BODY_BYTES = 32 * 1024 * 1024
+IDLE_SECONDS = 30.0
+_PHASES = {"ready": directories.Phase.READY, "draining": directories.Phase.DRAINING}
+_JSON = [(b"Content-Type", b"application/json")]
+
+
+def build_server(keeper: control.Control) -> http_server.Server:
+    """The listener for heartbeats and operators."""
+
+    async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+        try:
+            status, body = await _answer(keeper, request)
+        except faults.FaultError as error:
+            fault = error.fault
+            status, body = fault.answer.status, b""
+            keeper.timeline.record(
+                "control.refuse",
+                path=request.head.path.decode("latin-1"),
+                status=status,
+                reason=fault.message[:300],
+            )
+        headers = list(_JSON) if body else []
+        await responder.send_whole(http_head.AnswerHead(status, headers), body)
+
+    limits = http_server.ServerLimits(body_bytes=MAX_BODY_BYTES, idle_seconds=IDLE_SECONDS)
+
+    def note_error(error: Exception) -> None:
+        keeper.timeline.record("internal.error", error=repr(error)[:200])
+
+    return http_server.Server(serve, limits, note_error)
+
+
+async def _answer(keeper: control.Control, request: http_server.Request) -> tuple[int, bytes]:
+    path = request.head.path.decode("latin-1")
+    name, _, argument = path.removeprefix("/").partition("/")
+    argument = urllib.parse.unquote(argument)
+    match request.head.method, name:
+        case b"POST", "Instances.Heartbeat" if argument:
+            _take_heartbeat(keeper, argument, wire.read_heartbeat(request.body))
+            return 200, b"{}"
+        case b"POST", "Instances.Leave" if argument:
+            keeper.take_leave(argument)
+            return 200, b"{}"
+        case b"POST", "Config.Put":
+            return await _publish(keeper, request.body)
+        case b"GET", "Config.Get":
+            return 200, keeper.read_publication()
+    return 404, b""
+
+
+def _take_heartbeat(keeper: control.Control, target_id: str, told: wire.Heartbeat) -> None:
+    now = asyncio.get_running_loop().time()
+    target = directories.Target(
+        target_id=target_id,
+        pool=told.service,
+        address=told.addr,
+        data_hall=told.zone,
+        slots=told.slots,
+        phase=_PHASES.get(told.state, directories.Phase.DRAINING),
+        sequence=told.seq,
+        heard_at=now,
+        warm_at=now + told.cold_left_ms / 1000,
+    )
+    keeper.take_heartbeat(target)
+
+
+async def _publish(keeper: control.Control, document: bytes) -> tuple[int, bytes]:
+    try:
+        table = wire.check_document(document)
+    except faults.FaultError as error:
+        keeper.timeline.record("config.refused", reason=error.fault.message[:300])
+        return 400, b""
+    try:
+        async with asyncio.timeout(PUBLISH_SECONDS):
+            await keeper.publish(table.version, document)
+    except TimeoutError:
+        keeper.timeline.record("config.undecided", version=table.version)
+        return 503, b""
+    return 200, b"{}"
--- /dev/null
+++ b/tillerlane/platform/settings.py
@@ -0,0 +1,150 @@
+"""The platform's settings file (TOML), decoded into the product's settings."""
+
+import pathlib
+import tomllib
+
+import msgspec
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import control, entry
+from tillerlane.keeper import formation
+from tillerlane.peers import node as nodes
+
+__all__ = ["VARIABLE", "Settings", "build_control", "build_entry", "read_settings"]
+
+VARIABLE = "TILLERLANE_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
+LEASE_SHARE = 0.75
+"""Share of the time for which a revoked key may still work that an entry trusts old word: the
+rest is for the way of a request to its runner."""
+ACCEPT_SECONDS = 3.0
+"""The balancer asks once a second and takes a daemon out after two failures."""
+STOP_MARGIN_SECONDS = 0.7
+"""How long before the platform's kill a stopping entry ends by itself."""
+SILENT_HEARTBEATS = 3.5
+"""Heartbeats may come seconds late; until then entries find dead targets by themselves."""
+READ_SHARE = 0.7
+"""Share of the time in which a change must be in force everywhere that a read may lag."""
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Tolerate(msgspec.Struct):
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+class _Bounds(msgspec.Struct):
+    """Times that end in ``_ms`` are in milliseconds, in ``_s`` in seconds."""
+
+    drain_ms: float = 2000
+    grace_s: float = 8
+    config_ms: float = 2000
+    revoke_ms: float = 5000
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_slack: float = 50
+
+
+class Settings(msgspec.Struct):
+    """The fields that are used; the platform may add others."""
+
+    node: str
+    ip: str
+    zone: str
+    serves: list[str]
+    port_range: list[int]
+    seeds: list[str] = []
+    bootstrap: bool = False
+    data_dir: str = ""
+    heartbeat_ms: float = 1200
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+    @property
+    def daemon_id(self) -> str:
+        """A machine's name is used again by its successor, so the address belongs to it."""
+        return f"{self.node}@{self.ip}"
+
+    @property
+    def peer_port(self) -> int:
+        """The first free port; ports are the same on every machine."""
+        return self.port_range[0]
+
+    @property
+    def peer_address(self) -> str:
+        """Where this daemon listens to peers."""
+        return f"{self.ip}:{self.peer_port}"
+
+    @property
+    def seed_peers(self) -> tuple[str, ...]:
+        """Peer addresses of the seeds, which are given by their addresses for callers."""
+        return tuple(f"{nodes.split_address(seed)[0]}:{self.peer_port}" for seed in self.seeds)
+
+
+def read_settings(path: str) -> Settings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``invalid_config``, with what was got and expected.
+    """
+    try:
+        values = tomllib.loads(pathlib.Path(path).read_text())
+        return msgspec.convert(values, Settings, strict=False)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeError) as error:
+        message = f"{path}: {error}"
+        raise faults.FaultError(
+            faults.new_fault(kinds.ErrorKind.INVALID_CONFIG, message)
+        ) from error
+
+
+def build_entry(own: Settings) -> entry.EntrySettings:
+    """Settings of an entry."""
+    bounds = own.bounds
+    return entry.EntrySettings(
+        name=own.daemon_id,
+        data_hall=own.zone,
+        peer_address=own.peer_address,
+        front_address=own.listen.front,
+        ready_address=own.listen.ready,
+        seeds=own.seed_peers,
+        lease_seconds=bounds.revoke_ms / 1000 * LEASE_SHARE,
+        accept_seconds=min(ACCEPT_SECONDS, bounds.grace_s / 2),
+        stop_seconds=bounds.grace_s - STOP_MARGIN_SECONDS,
+        retries=budgets.RetryBounds(
+            bounds.budget_ratio, bounds.budget_window_s, bounds.budget_slack
+        ),
+    )
+
+
+def build_control(own: Settings) -> control.ControlSettings:
+    """Settings of a keeper.
+
+    The lowest seed founds the log, on the first start of all only: every daemon is given the same
+    seeds then.
+    """
+    is_first_seed = own.peer_address == min(own.seed_peers, default="")
+    losses = max(own.tolerate.machines, own.tolerate.zones, own.tolerate.regions)
+    return control.ControlSettings(
+        name=own.daemon_id,
+        peer_address=own.peer_address,
+        data_folder=own.data_dir,
+        plan=formation.Plan(
+            seeds=own.seed_peers,
+            wished_voters=2 * losses + 1,
+            may_found=own.bootstrap and is_first_seed,
+        ),
+        silent_seconds=own.heartbeat_ms / 1000 * SILENT_HEARTBEATS,
+        read_seconds=own.bounds.config_ms / 1000 * READ_SHARE,
+    )
--- /dev/null
+++ b/tillerlane/platform/wire.py
@@ -0,0 +1,317 @@
+"""The platform's headers and bodies, decoded once into the product's types and back."""
+
+import zlib
+
+import msgspec
+
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
+from tillerlane.gateway import dialect, http_head, routes
+
+__all__ = [
+    "Heartbeat",
+    "check_document",
+    "read_answer",
+    "read_heartbeat",
+    "read_request",
+    "read_table",
+    "write_forward",
+    "write_refusal",
+]
+
+REQUEST_ID = b"Request-Id"
+DEADLINE = b"Deadline-Ms"
+KEY = b"Credential"
+WORKSPACE = b"Tenant"
+TARGET_ID = b"Expect-Instance"
+PRIORITY = b"Request-Priority"
+LAST_EVENT_ID = b"Last-Event-Id"
+COPY = b"Kv-From"
+BACKUP = b"Kv-Backup"
+NOT_RUN = b"not-run"
+LONGEST_WAIT_MS = 24 * 3600 * 1000
+"""Bound on a number that a caller sends."""
+
+_OURS = frozenset(
+    name.lower()
+    for name in (
+        KEY,
+        WORKSPACE,
+        TARGET_ID,
+        DEADLINE,
+        PRIORITY,
+        LAST_EVENT_ID,
+        COPY,
+        BACKUP,
+        b"Kv-Fetch",
+        b"Hold",
+        b"Pin-Ms",
+        b"Expect-Version",
+    )
+)
+"""Headers that only the system may set; a caller's are not passed on."""
+
+
+# Requests and answers
+
+
+def _read_number(value: bytes | None) -> int | None:
+    """A number in a header; None if there is none that can be read."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return min(int(value), LONGEST_WAIT_MS)
+
+
+def read_request(head: http_head.RequestHead) -> dialect.RequestFacts:
+    """Facts of a caller's request."""
+    found = {name.lower(): value for name, value in head.headers}
+
+    def read(name: bytes) -> str:
+        return found.get(name.lower(), b"").strip().decode("latin-1")
+
+    wait_ms = _read_number(found.get(DEADLINE.lower()))
+    # Both counts in one header: the prompt's tokens, and the most that may be written.
+    counts = [_read_number(part.encode()) or 0 for part in read(b"Token-Counts").split(",")]
+    most = counts[1] if len(counts) > 1 else 0
+    hint = _read_number(found.get(b"length-hint"))
+    return dialect.RequestFacts(
+        request_id=read(REQUEST_ID),
+        wait_seconds=None if wait_ms is None else wait_ms / 1000,
+        key=read(KEY),
+        prompt_tokens=counts[0] if counts else 0,
+        output_tokens=most if hint is None else hint,
+        last_event_id=read(LAST_EVENT_ID),
+    )
+
+
+def write_forward(head: http_head.RequestHead, plan: dialect.ForwardPlan) -> http_head.RequestHead:
+    """The head of a request for one target."""
+    headers = http_head.list_end_to_end(head.headers, _OURS)
+    headers.append((TARGET_ID, plan.target_id.encode()))
+    headers.append((DEADLINE, str(max(1, int(plan.wait_seconds * 1000))).encode()))
+    if plan.workspace:
+        headers.append((WORKSPACE, plan.workspace.encode()))
+    if http_head.get_header(headers, b"model") is not None:
+        headers.append((PRIORITY, str(min(9, max(0, plan.priority))).encode()))
+    if plan.last_event_id:
+        headers.append((LAST_EVENT_ID, plan.last_event_id.encode("latin-1")))
+    if plan.copy is not None:
+        headers.append((COPY, f"{plan.copy.address}/{plan.copy.handle}".encode()))
+    if plan.backup_address:
+        headers.append((BACKUP, plan.backup_address.encode()))
+    headers.append((b"Connection", b"close"))
+    return http_head.RequestHead(head.method, head.target, headers)
+
+
+def read_answer(head: http_head.AnswerHead) -> dialect.AnswerFacts:
+    """Facts of a target's answer."""
+    request_id = http_head.get_header(head.headers, REQUEST_ID.lower())
+    is_other = head.status == 421
+    refused = http_head.get_header(head.headers, NOT_RUN) is not None
+    return dialect.AnswerFacts(
+        request_id=(request_id or b"").strip().decode("latin-1"),
+        did_run=not refused and not is_other,
+        is_other_target=is_other,
+    )
+
+
+def write_refusal(status: int, retry_after: float | None) -> http_head.AnswerHead:
+    """The head of an answer of our own."""
+    headers: http_head.Headers = []
+    if retry_after is not None:
+        headers.append((b"Retry-After", f"{retry_after:.2f}".encode()))
+    return http_head.AnswerHead(status, headers)
+
+
+# Configuration
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    """``goal_ms`` is the time within which an answer earns its full credit."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = "idempotent"
+    timeout_ms: float | None = None
+    goal_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    backends: list[_Split] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    handle_s: float = 5.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_decode_document = msgspec.json.Decoder(_Document).decode
+_REPEATS = {
+    "idempotent": routes.Repeat.FREELY,
+    "non_idempotent": routes.Repeat.ONCE,
+    "streaming": routes.Repeat.STREAM,
+}
+
+
+def _build_route(item: _Route) -> routes.Route:
+    if item.kind not in _REPEATS:
+        raise msgspec.ValidationError(f"got kind {item.kind!r}, expected one of {list(_REPEATS)}")
+    if item.backends is not None:
+        pools = tuple((split.service, split.weight) for split in item.backends)
+    else:
+        pools = ((item.service or "", 1.0),)
+    return routes.Route(
+        name=item.name,
+        host=item.host.lower(),
+        path_prefix=item.path_prefix,
+        repeat=_REPEATS[item.kind],
+        pools=pools,
+        timeout_seconds=None if item.timeout_ms is None else item.timeout_ms / 1000,
+        aim_seconds=item.goal_ms / 1000,
+        priority=item.priority,
+        max_attempts=max(1, item.max_attempts),
+        is_public=item.public,
+        is_resumable=item.resumable,
+        pause_aim_seconds=None if item.gap_aim_ms is None else item.gap_aim_ms / 1000,
+    )
+
+
+def _build_pool(item: _Service) -> routes.Pool:
+    engine = item.engine
+    if engine is None:
+        return routes.Pool(item.name, item.health_path, item.max_conns)
+    return routes.Pool(
+        item.name,
+        item.health_path,
+        item.max_conns,
+        routes.Engine(
+            slots=engine.slots,
+            memory_tokens=engine.kv_capacity,
+            token_bytes=engine.kv_token_bytes,
+            link_mbps=engine.link_mbps,
+            can_move=engine.moves,
+            can_back_up=engine.backups,
+            hold_seconds=engine.handle_s,
+        ),
+    )
+
+
+def check_document(data: bytes) -> routes.RoutingTable:
+    """The routing table of an operator's document.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``invalid_config`` if it cannot be read whole or breaks a rule.
+    """
+    try:
+        document = _decode_document(data)
+        found = [_build_route(item) for item in document.routes]
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = f"cannot be read: {error}"
+        raise faults.FaultError(
+            faults.new_fault(kinds.ErrorKind.INVALID_CONFIG, message)
+        ) from error
+    limits = document.limits
+    table = routes.RoutingTable(
+        version=document.version,
+        routes=tuple(found),
+        pools={item.name: _build_pool(item) for item in document.services},
+        limits=routes.ClientLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        workspaces=tuple(
+            routes.Workspace(item.name, tuple(item.api_keys), item.priority)
+            for item in document.tenants
+        ),
+    )
+    problems = routes.check_table(table)
+    if problems:
+        message = "; ".join(problems[:5])
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.INVALID_CONFIG, message))
+    return table
+
+
+def read_table(content: bytes) -> routes.RoutingTable:
+    """The routing table of a published document, as keepers hold it."""
+    return check_document(zlib.decompress(content))
+
+
+# Targets
+
+
+class Heartbeat(msgspec.Struct):
+    """Body of a target's heartbeat; ``cold_left_ms`` is how much longer it works slowly."""
+
+    service: str
+    addr: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    cold_left_ms: float = 0.0
+    seq: int = 0
+
+
+_decode_heartbeat = msgspec.json.Decoder(Heartbeat).decode
+
+
+def read_heartbeat(data: bytes) -> Heartbeat:
+    """A target's heartbeat.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request``.
+    """
+    try:
+        return _decode_heartbeat(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, f"no heartbeat: {error}")
+        raise faults.FaultError(fault) from error
