Go on from a copy that grew with the run when its runner has ended

Cause: orders to copy all runs of a leaving runner queue on its link for longer than the notice (1.5 s); each second order waits behind the first ones of others, and caused pauses of up to 1.2 s. Change: a long stream names a second runner that gets its memory as it grows; when the stream breaks it goes on there. Orders to copy are left to runs without such a copy. Open: 8 preemptions for lack of memory.

--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -35,6 +35,9 @@
 """Targets that may turn out unreachable before a request is refused."""
 HANDOVER_SECONDS = 5.0
 CONTINUE_TRIES = 3
+LEAST_BACKUP_TOKENS = 40
+"""Answers expected to be shorter end before their memory would be of use elsewhere: a run writes
+some 130 tokens a second, and a runner leaves with 1.5 s of notice or more."""
 MARGIN_SECONDS = 0.03
 """How long before the end of a request's time its last answer is written."""
 
@@ -68,8 +71,8 @@
 
     @property
     def tokens(self) -> int:
-        """Memory that the request is likely to need at a runner."""
-        return self.facts.prompt_tokens + self.facts.output_tokens
+        """Memory that the request is likely to take at a runner, on the mean over its run."""
+        return self.facts.prompt_tokens + self.facts.output_tokens // 2
 
     @property
     def priority(self) -> int:
@@ -373,7 +376,15 @@
         self, admission: Admission, target: directories.Target
     ) -> directories.Target | None:
         """A runner to copy a run's memory to while it grows; short runs are not worth it."""
-        return None
+        engine = admission.pool.engine
+        if engine is None or not engine.can_back_up or admission.route.is_resumable:
+            return None
+        if admission.facts.output_tokens < LEAST_BACKUP_TOKENS:
+            return None
+        backup = self._selector.choose(admission.pool, admission.tokens, {target.target_id})
+        if backup is None or not self._selector.has_room(admission.pool, backup, admission.tokens):
+            return None
+        return backup
 
     async def _serve_stream(self, admission: Admission, responder: http_server.Responder) -> None:
         last_event_id = admission.facts.last_event_id
@@ -383,7 +394,7 @@
             return
         run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens, backup)
         stream = _Relayed(admission, responder, run, outcome.exchange, last_event_id)
-        self._mover.add(run)
+        self._hold(run)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
             await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
@@ -396,12 +407,20 @@
             if not responder.is_done:
                 responder.abort()
 
+    def _hold(self, run: runs.Run) -> None:
+        """Count a run, and its copy elsewhere, for as long as it is there."""
+        self._mover.add(run)
+        if run.backup is not None:
+            self._usage.add(run.backup.address, run.tokens, requests=0)
+
     def _drop(self, stream: "_Relayed") -> None:
         """Let go of the run that a stream comes from."""
         if stream.exchange is not None:
             stream.exchange.abort()
             stream.exchange = None
             self._usage.remove(stream.run.target.address, stream.admission.tokens)
+            if stream.run.backup is not None:
+                self._usage.remove(stream.run.backup.address, stream.run.tokens, requests=0)
         self._mover.remove(stream.run)
 
     async def _relay_runs(self, stream: "_Relayed") -> None:
@@ -410,12 +429,14 @@
             reason = await stream.relay_until_end()
             if stream.run.is_stopping or reason is not None:
                 continuation = await self._await_move(stream.run)
+                continuation = continuation or self._find_backup(stream.run)
                 if continuation is not None:
                     if await self._go_on(stream, continuation):
                         continue
                     reason = reason or "moved run was not taken up"
             if reason is None:
                 await stream.responder.finish()
+                self._note_end(stream)
                 return
             if await self._run_anew(stream):
                 continue
@@ -431,19 +452,30 @@
         except TimeoutError:
             return None
 
+    def _find_backup(self, run: runs.Run) -> runs.Continuation | None:
+        """Where a run that broke off can go on from the copy made while it grew."""
+        backup = run.backup
+        if backup is None or backup.phase is directories.Phase.GONE:
+            return None
+        return runs.Continuation(backup, dialects.MemoryCopy(backup.address, run.request_id))
+
     async def _go_on(self, stream: "_Relayed", continuation: runs.Continuation) -> bool:
         """Have a moved run go on; at the destination, else where its memory still is."""
-        places = [continuation.target, stream.run.target]
+        places = [continuation.target]
+        if continuation.copy.address == stream.run.target.address:
+            places.append(stream.run.target)
         self._drop(stream)
         for target in places:
+            backup = self._choose_backup(stream.admission, target)
             plan = self._plan(
                 stream.admission,
                 target,
                 last_event_id=stream.last_event_id,
                 copy=continuation.copy,
+                backup=backup,
             )
             self._budget.note_repeat(stream.admission.pool.name, self._loop.time())
-            if await self._take_up(stream, target, plan, "move"):
+            if await self._take_up(stream, target, plan, backup):
                 return True
         return False
 
@@ -461,14 +493,14 @@
             return False
         plan = self._plan(admission, target, last_event_id=stream.last_event_id)
         stream.runs_begun += 1
-        return await self._take_up(stream, target, plan, "resume")
+        return await self._take_up(stream, target, plan, None)
 
     async def _take_up(
         self,
         stream: "_Relayed",
         target: directories.Target,
         plan: dialects.ForwardPlan,
-        why: str,
+        backup: directories.Target | None,
     ) -> bool:
         outcome = await self._send(stream.admission, target, plan)
         taken = isinstance(outcome, _Stream)
@@ -476,7 +508,8 @@
             "run.go_on",
             request_id=stream.admission.facts.request_id,
             target=target.target_id,
-            why=why,
+            copy=plan.copy.handle if plan.copy is not None else "",
+            backup=plan.backup_address,
             last_event=stream.last_event_id,
             taken=taken,
             reason=getattr(outcome, "reason", ""),
@@ -484,12 +517,25 @@
         if not isinstance(outcome, _Stream):
             return False
         stream.exchange = outcome.exchange
+        stream.runners += 1
         stream.run = dataclasses.replace(
-            stream.run, target=target, backup=None, moving=None, is_stopping=False
+            stream.run, target=target, backup=backup, moving=None, is_stopping=False
         )
-        self._mover.add(stream.run)
+        self._hold(stream.run)
         return True
 
+    def _note_end(self, stream: "_Relayed") -> None:
+        self._timeline.record(
+            "stream.end",
+            request_id=stream.admission.facts.request_id,
+            target=stream.run.target.target_id,
+            events=stream.events,
+            first_ms=_milliseconds(stream.first_at - stream.admission.request.arrived),
+            pause_ms=_milliseconds(stream.longest_pause),
+            paused_at=stream.paused_at,
+            runners=stream.runners,
+        )
+
     def _note_broken(self, stream: "_Relayed", reason: str) -> None:
         self._timeline.record(
             "stream.break",
@@ -520,6 +566,12 @@
         self.last_event_id = last_event_id
         self.events = 0
         self.runs_begun = 1
+        self.runners = 1
+        self.first_at = 0.0
+        self.longest_pause = 0.0
+        self.paused_at = ""
+        """Last event before the longest pause."""
+        self._wrote_at = 0.0
 
     async def relay_until_end(self) -> str | None:
         """Relay one runner's events; None at a true end, else why it is none."""
@@ -531,7 +583,8 @@
                 problem = self._check_order(found)
                 if problem:
                     return problem
-                await self.responder.write(b"".join(found))
+                if found:
+                    await self.responder.write(b"".join(found))
         except http_client.AnswerBroken as error:
             return str(error)
         except ValueError as error:
@@ -540,6 +593,8 @@
 
     def _check_order(self, found: list[bytes]) -> str:
         """Keep the last id; numbered events must follow one another."""
+        if found:
+            self._note_times()
         for event in found:
             event_id = events.read_event_id(event)
             if event_id.isdigit() and self.last_event_id.isdigit():
@@ -550,3 +605,16 @@
                 self.last_event_id = event_id
             self.events += 1
         return ""
+
+    def _note_times(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._wrote_at:
+            self.first_at = now
+        elif now - self._wrote_at > self.longest_pause:
+            self.longest_pause = now - self._wrote_at
+            self.paused_at = self.last_event_id
+        self._wrote_at = now
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -20,8 +20,9 @@
 COPY_SECONDS = 4.0
 """Longest wait for a copy: twice the longest notice met (2.1 s); the source is gone by then."""
 STOP_SECONDS = 1.5
-MAX_TRIES = 3
-BUSY_SECONDS = 0.05
+MOVE_SECONDS = 6.0
+"""Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
+RETRY_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,37 +116,44 @@
         engine = run.pool.engine
         if engine is None or not engine.can_move or run.moving is not None:
             return
+        if run.backup is not None and run.backup.takes_work:
+            # It may end here yet, and goes on there at once if it does not.  An order would copy
+            # all of its memory again, and hold up those runs that have no other copy.
+            return
         run.moving = asyncio.get_running_loop().create_task(self._move(run))
 
     async def _move(self, run: Run) -> Continuation | None:
         """Move a run; None if it stays."""
         excluded = {run.target.target_id}
-        for _ in range(MAX_TRIES):
+        until = asyncio.get_running_loop().time() + MOVE_SECONDS
+        while asyncio.get_running_loop().time() < until:
             destination = self._choose(run, excluded)
             if destination is None:
                 self._note(run, "no_destination", None)
                 return None
             first = await self._order(run, destination, stop=False)
             if first.outcome is dialects.MoveOutcome.COPIED:
-                run.is_stopping = True
-                last = await self._order(run, destination, stop=True)
-                if last.handle:
-                    copy = dialects.MemoryCopy(run.target.address, last.handle)
-                    return Continuation(destination, copy)
-                run.is_stopping = last.outcome is dialects.MoveOutcome.LOST
-                return None
-            if first.outcome is dialects.MoveOutcome.BUSY:
-                await asyncio.sleep(BUSY_SECONDS)
+                return await self._stop(run, destination)
+            if first.outcome in (dialects.MoveOutcome.BUSY, dialects.MoveOutcome.NO_RUN):
+                # A run that has not begun yet has no memory to copy.
+                await asyncio.sleep(RETRY_SECONDS)
             elif first.outcome is dialects.MoveOutcome.NO_ROOM:
                 excluded.add(destination.target_id)
             else:
                 return None
         return None
 
+    async def _stop(self, run: Run, destination: directories.Target) -> Continuation | None:
+        """Stop a run whose memory is at the destination but for the newest part."""
+        run.is_stopping = True
+        last = await self._order(run, destination, stop=True)
+        if last.handle:
+            copy = dialects.MemoryCopy(run.target.address, last.handle)
+            return Continuation(destination, copy)
+        run.is_stopping = last.outcome is dialects.MoveOutcome.LOST
+        return None
+
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
-        backup = run.backup
-        if backup is not None and backup.takes_work and backup.target_id not in excluded:
-            return backup
         return self._selector.choose(run.pool, run.tokens, excluded)
 
     async def _order(
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -42,19 +42,19 @@
         self._sequence = 0
         self.changed = False
 
-    def add(self, address: str, tokens: int) -> None:
-        """Count a request in."""
+    def add(self, address: str, tokens: int, requests: int = 1) -> None:
+        """Count a request in; with no `requests` only memory that it takes there."""
         use = self._own[address]
-        use.requests += 1
+        use.requests += requests
         use.tokens += tokens
         self.changed = True
 
-    def remove(self, address: str, tokens: int) -> None:
-        """Count a request out."""
+    def remove(self, address: str, tokens: int, requests: int = 1) -> None:
+        """Count out what was counted in."""
         use = self._own[address]
-        use.requests -= 1
+        use.requests -= requests
         use.tokens -= tokens
-        if use.requests <= 0:
+        if use.requests <= 0 and use.tokens <= 0:
             del self._own[address]
         self.changed = True
 
