Copy a run again and again until a copy takes no time, and count copies as memory

Cause: the last copy waited on the source's link behind others' first copies (pauses up to 1.2 s); all movers chose one destination, whose memory was not counted until the run arrived; lost copies held memory there for seconds. Change: rounds of copies before the stop, copies counted at their destination, dropped ones freed, unread prompts counted as load.

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -136,6 +136,8 @@
     move_run : callable
         (source address, request id, destination address, stop the run, seconds) copies a run's
         memory.
+    drop_copy : callable
+        (copy) frees a copy that will not be used.
     """
 
     read_request: Callable[[http_head.RequestHead], RequestFacts]
@@ -144,3 +146,4 @@
     write_refusal: Callable[[int, float | None], http_head.AnswerHead]
     read_table: Callable[[bytes], routes.RoutingTable]
     move_run: Callable[[str, str, str, bool, float], Awaitable[MoveResult]]
+    drop_copy: Callable[[MemoryCopy], Awaitable[None]]
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -38,6 +38,15 @@
 LEAST_BACKUP_TOKENS = 40
 """Answers expected to be shorter end before their memory would be of use elsewhere: a run writes
 some 130 tokens a second, and a runner leaves with 1.5 s of notice or more."""
+BACKUP_MEMORY_SHARE = 0.75
+"""Share of a runner's memory up to which it gets copies of others' runs: the rest is for runs,
+which are pushed aside when memory runs out."""
+RUN_MEMORY_SHARE = 0.95
+"""Share up to which a runner gets runs that are not the most urgent: those under way still grow,
+and other entries' sends are heard of late."""
+GROWTH_TOKENS = 300
+"""Most tokens of a run's future growth that are counted as used: what a run writes in two
+seconds, by which time others have ended."""
 MARGIN_SECONDS = 0.03
 """How long before the end of a request's time its last answer is written."""
 
@@ -71,8 +80,12 @@
 
     @property
     def tokens(self) -> int:
-        """Memory that the request is likely to take at a runner, on the mean over its run."""
-        return self.facts.prompt_tokens + self.facts.output_tokens // 2
+        """Memory that the request is counted with at a runner when it begins."""
+        return self.facts.prompt_tokens + self.count_growth(0)
+
+    def count_growth(self, written: int) -> int:
+        """Tokens that are set aside for what a run is yet to write."""
+        return min(GROWTH_TOKENS, max(0, self.facts.output_tokens - written) // 2)
 
     @property
     def priority(self) -> int:
@@ -210,11 +223,20 @@
     # Sending
 
     async def _send(
-        self, admission: Admission, target: directories.Target, plan: dialects.ForwardPlan
+        self,
+        admission: Admission,
+        target: directories.Target,
+        plan: dialects.ForwardPlan,
+        tokens: int | None = None,
     ) -> _Outcome:
-        """Send a request to a target and take its answer: a stream's head, or all of it."""
+        """Send a request to a target and take its answer: a stream's head, or all of it.
+
+        `tokens` is the memory that a run which goes on is counted with.
+        """
         address = target.address
-        self._usage.add(address, admission.tokens)
+        unread = admission.facts.prompt_tokens if tokens is None else 0
+        tokens = admission.tokens if tokens is None else tokens
+        self._usage.add(address, requests=1, tokens=tokens, unread=unread)
         exchange: http_client.Exchange | None = None
         keep = False
         try:
@@ -237,8 +259,9 @@
                 return _NotRun(str(error), sent=False)
             return _Unknown(f"{address}: {error}")
         finally:
+            self._usage.add(address, unread=-unread)
             if not keep:
-                self._usage.remove(address, admission.tokens)
+                self._usage.add(address, requests=-1, tokens=-tokens)
                 if exchange is not None:
                     exchange.abort()
 
@@ -299,6 +322,9 @@
             target = self._selector.choose(pool, admission.tokens, excluded)
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > admission.ends_at:
                 return outcome, None, None
+            if not self._has_room(admission, target):
+                reason = f"no memory: {admission.tokens} tokens beside those under way"
+                return (_NotRun(reason, sent=False) if sends == 0 else outcome), None, None
             backup = self._choose_backup(admission, target)
             plan = self._plan(admission, target, last_event_id=last_event_id, backup=backup)
             excluded.add(target.target_id)
@@ -313,6 +339,12 @@
             if not self._may_send_again(admission, outcome, sends):
                 return outcome, target, backup
 
+    def _has_room(self, admission: Admission, target: directories.Target) -> bool:
+        """Whether a runner has memory for a request; short ones are gone before it runs out."""
+        is_short = admission.facts.output_tokens < LEAST_BACKUP_TOKENS
+        share = 1.0 if is_short or admission.priority == 0 else RUN_MEMORY_SHARE
+        return self._selector.has_room(admission.pool, target, admission.tokens, share)
+
     def _may_send_again(self, admission: Admission, outcome: _Outcome, sends: int) -> bool:
         if sends >= admission.route.max_attempts:
             return False
@@ -331,6 +363,7 @@
     ) -> None:
         if isinstance(outcome, _Whole) and outcome.head.status < 500:
             return
+        use = self._usage.read(target.address, self._loop.time())
         reason = getattr(outcome, "reason", "")
         status = outcome.head.status if isinstance(outcome, _Whole | _Stream) else 0
         self._timeline.record(
@@ -344,6 +377,9 @@
             send=sends + 1,
             outcome=type(outcome).__name__.strip("_").lower(),
             status=status,
+            requests_there=use.requests,
+            tokens_there=use.tokens,
+            tokens=admission.tokens,
             reason=reason,
         )
 
@@ -382,9 +418,12 @@
         if admission.facts.output_tokens < LEAST_BACKUP_TOKENS:
             return None
         backup = self._selector.choose(admission.pool, admission.tokens, {target.target_id})
-        if backup is None or not self._selector.has_room(admission.pool, backup, admission.tokens):
+        if backup is None:
             return None
-        return backup
+        has_room = self._selector.has_room(
+            admission.pool, backup, admission.tokens, BACKUP_MEMORY_SHARE
+        )
+        return backup if has_room else None
 
     async def _serve_stream(self, admission: Admission, responder: http_server.Responder) -> None:
         last_event_id = admission.facts.last_event_id
@@ -394,6 +433,7 @@
             return
         run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens, backup)
         stream = _Relayed(admission, responder, run, outcome.exchange, last_event_id)
+        stream.on_growth = self._note_growth
         self._hold(run)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
@@ -411,16 +451,27 @@
         """Count a run, and its copy elsewhere, for as long as it is there."""
         self._mover.add(run)
         if run.backup is not None:
-            self._usage.add(run.backup.address, run.tokens, requests=0)
+            run.backup_tokens = run.tokens
+            self._usage.add(run.backup.address, tokens=run.backup_tokens)
+
+    def _note_growth(self, run: runs.Run, tokens: int) -> None:
+        """Keep count of a run's memory, and of its copy's."""
+        grown = tokens - run.tokens
+        run.tokens = tokens
+        self._usage.add(run.target.address, tokens=grown)
+        if run.backup is not None:
+            run.backup_tokens += grown
+            self._usage.add(run.backup.address, tokens=grown)
 
     def _drop(self, stream: "_Relayed") -> None:
         """Let go of the run that a stream comes from."""
         if stream.exchange is not None:
             stream.exchange.abort()
             stream.exchange = None
-            self._usage.remove(stream.run.target.address, stream.admission.tokens)
-            if stream.run.backup is not None:
-                self._usage.remove(stream.run.backup.address, stream.run.tokens, requests=0)
+            run = stream.run
+            self._usage.add(run.target.address, requests=-1, tokens=-run.tokens)
+            if run.backup is not None:
+                self._usage.add(run.backup.address, tokens=-run.backup_tokens)
         self._mover.remove(stream.run)
 
     async def _relay_runs(self, stream: "_Relayed") -> None:
@@ -502,7 +553,7 @@
         plan: dialects.ForwardPlan,
         backup: directories.Target | None,
     ) -> bool:
-        outcome = await self._send(stream.admission, target, plan)
+        outcome = await self._send(stream.admission, target, plan, stream.run.tokens)
         taken = isinstance(outcome, _Stream)
         self._timeline.record(
             "run.go_on",
@@ -572,6 +623,7 @@
         self.paused_at = ""
         """Last event before the longest pause."""
         self._wrote_at = 0.0
+        self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
 
     async def relay_until_end(self) -> str | None:
         """Relay one runner's events; None at a true end, else why it is none."""
@@ -584,6 +636,7 @@
                 if problem:
                     return problem
                 if found:
+                    self._count_memory()
                     await self.responder.write(b"".join(found))
         except http_client.AnswerBroken as error:
             return str(error)
@@ -606,6 +659,14 @@
             self.events += 1
         return ""
 
+    def _count_memory(self) -> None:
+        engine = self.run.pool.engine
+        if engine is None:
+            return
+        written = self.events * engine.event_tokens
+        tokens = self.admission.facts.prompt_tokens + written
+        self.on_growth(self.run, tokens + self.admission.count_growth(written))
+
     def _note_times(self) -> None:
         now = asyncio.get_running_loop().time()
         if not self._wrote_at:
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -82,6 +82,8 @@
         Tokens that running requests and cached prefixes share.
     token_bytes, link_mbps : float
         Size of a token's memory, and the link that copies of it take.
+    event_tokens : int
+        Tokens that one event of a stream holds.
     can_move, can_back_up : bool
         Whether a run's memory can go to another runner on order, or all the while.
     hold_seconds : float
@@ -92,6 +94,7 @@
     memory_tokens: int
     token_bytes: float
     link_mbps: float
+    event_tokens: int
     can_move: bool
     can_back_up: bool
     hold_seconds: float
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -8,11 +8,11 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable
 
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import routes, selection
+from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Continuation", "Mover", "Run"]
@@ -20,6 +20,11 @@
 COPY_SECONDS = 4.0
 """Longest wait for a copy: twice the longest notice met (2.1 s); the source is gone by then."""
 STOP_SECONDS = 1.5
+QUICK_SECONDS = 0.08
+"""A copy that took less was not queued: the next one fits a pause of 180 ms, the bound met."""
+URGENT_SECONDS = 1.1
+"""Time from a runner's notice after which a run is stopped whatever its copies took; the shortest
+notice met is 1.5 s."""
 MOVE_SECONDS = 6.0
 """Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
 RETRY_SECONDS = 0.1
@@ -58,6 +63,10 @@
     target: directories.Target
     tokens: int
     backup: directories.Target | None = None
+    backup_tokens: int = 0
+    """Memory that the copy at `backup` is counted with."""
+    leaving_since: float = 0.0
+    """Time of the event loop at which its runner was known to leave."""
     moving: "asyncio.Task[Continuation | None] | None" = None
     is_stopping: bool = False
 
@@ -71,6 +80,8 @@
         Gives the orders.
     selector : selection.Selector
         Chooses destinations.
+    usage : usages.Usage
+        Counts the memory that copies take.
     timeline : timelines.Timeline
         Takes the decisions.
     """
@@ -79,14 +90,16 @@
         self,
         dialect: dialects.Dialect,
         selector: selection.Selector,
+        usage: usages.Usage,
         directory: directories.Directory,
         timeline: timelines.Timeline,
     ) -> None:
         self._dialect = dialect
         self._selector = selector
+        self._usage = usage
         self._timeline = timeline
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
-        self.count: Callable[[str, int], None] = lambda name, number: None
+        self._dropping: set[asyncio.Task[None]] = set()
         directory.listen(self._note_phase)
 
     def add(self, run: Run) -> None:
@@ -108,7 +121,7 @@
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         if target.takes_work:
             return
-        runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: -run.tokens)
+        runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: run.tokens)
         for run in runs:
             self._start(run)
 
@@ -120,41 +133,96 @@
             # It may end here yet, and goes on there at once if it does not.  An order would copy
             # all of its memory again, and hold up those runs that have no other copy.
             return
+        run.leaving_since = asyncio.get_running_loop().time()
         run.moving = asyncio.get_running_loop().create_task(self._move(run))
 
     async def _move(self, run: Run) -> Continuation | None:
         """Move a run; None if it stays."""
         excluded = {run.target.target_id}
-        until = asyncio.get_running_loop().time() + MOVE_SECONDS
-        while asyncio.get_running_loop().time() < until:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + MOVE_SECONDS
+        while loop.time() < until:
             destination = self._choose(run, excluded)
-            if destination is None:
-                self._note(run, "no_destination", None)
-                return None
-            first = await self._order(run, destination, stop=False)
-            if first.outcome is dialects.MoveOutcome.COPIED:
-                return await self._stop(run, destination)
-            if first.outcome in (dialects.MoveOutcome.BUSY, dialects.MoveOutcome.NO_RUN):
-                # A run that has not begun yet has no memory to copy.
-                await asyncio.sleep(RETRY_SECONDS)
-            elif first.outcome is dialects.MoveOutcome.NO_ROOM:
-                excluded.add(destination.target_id)
+            if destination is not None:
+                result = await self._copy_and_stop(run, destination)
+                if result.handle:
+                    copy = dialects.MemoryCopy(run.target.address, result.handle)
+                    return Continuation(destination, copy)
+                if result.outcome is dialects.MoveOutcome.LOST:
+                    return None
+                if result.outcome is dialects.MoveOutcome.NO_ROOM:
+                    excluded.add(destination.target_id)
             else:
-                return None
+                excluded = {run.target.target_id}
+            # A run that has not begun yet has no memory to copy; room may come.
+            await asyncio.sleep(RETRY_SECONDS)
         return None
 
-    async def _stop(self, run: Run, destination: directories.Target) -> Continuation | None:
-        """Stop a run whose memory is at the destination but for the newest part."""
-        run.is_stopping = True
-        last = await self._order(run, destination, stop=True)
-        if last.handle:
-            copy = dialects.MemoryCopy(run.target.address, last.handle)
-            return Continuation(destination, copy)
-        run.is_stopping = last.outcome is dialects.MoveOutcome.LOST
-        return None
+    async def _copy_and_stop(
+        self, run: Run, destination: directories.Target
+    ) -> dialects.MoveResult:
+        """Copy a run's memory, stop it and copy the rest; a handle only if it was stopped."""
+        tokens = run.tokens
+        self._usage.add(destination.address, tokens=tokens)
+        handle = ""
+        done = False
+        try:
+            first = await self._copy_until_quick(run, destination)
+            handle = first.handle
+            if first.outcome is not dialects.MoveOutcome.COPIED:
+                return dataclasses.replace(first, handle="")  # it has not stopped
+            run.is_stopping = True
+            last = await self._order(run, destination, stop=True)
+            if not last.handle:
+                run.is_stopping = last.outcome is dialects.MoveOutcome.LOST
+            done = bool(last.handle)
+            return last
+        finally:
+            self._usage.add(destination.address, tokens=-tokens)
+            if handle and not done:
+                self._drop_copy(run, destination, handle)
+
+    async def _copy_until_quick(
+        self, run: Run, destination: directories.Target
+    ) -> dialects.MoveResult:
+        """Copy a run's memory while it goes on, again and again until a copy takes no time.
+
+        A copy takes long while others are queued on the source's link; a run that stopped then
+        would stand still behind them.
+        """
+        loop = asyncio.get_running_loop()
+        first_handle = ""
+        while True:
+            began = loop.time()
+            result = await self._order(run, destination, stop=False)
+            first_handle = result.handle or first_handle
+            if result.outcome is not dialects.MoveOutcome.COPIED:
+                return dataclasses.replace(result, handle=first_handle)
+            is_urgent = began - run.leaving_since > URGENT_SECONDS
+            if loop.time() - began < QUICK_SECONDS or is_urgent:
+                return result
+
+    def _drop_copy(self, run: Run, destination: directories.Target, handle: str) -> None:
+        """Free a copy that nobody will use; it would hold memory for seconds."""
+        self._timeline.record(
+            "copy.drop",
+            request_id=run.request_id,
+            source=run.target.target_id,
+            destination=destination.target_id,
+        )
+        for address in (run.target.address, destination.address):
+            task = asyncio.get_running_loop().create_task(
+                self._dialect.drop_copy(dialects.MemoryCopy(address, handle))
+            )
+            self._dropping.add(task)
+            task.add_done_callback(self._dropping.discard)
 
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
-        return self._selector.choose(run.pool, run.tokens, excluded)
+        """The least loaded runner, if it has room for the run."""
+        found = self._selector.choose(run.pool, run.tokens, excluded)
+        if found is None or not self._selector.has_room(run.pool, found, run.tokens, 1.0):
+            return None
+        return found
 
     async def _order(
         self, run: Run, destination: directories.Target, *, stop: bool
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -16,8 +16,13 @@
 MOST_AVOID_SECONDS = 5.0
 OTHER_HALL_COST = 0.02
 """Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
+FULL_SHARE = 0.9
+"""Share of its memory above which a runner counts as full: what runs there still grows."""
 COLD_COST = 0.5
 """Load that a target still slow from its start counts as, as a share of a target."""
+UNREAD_TOKENS = 7_000
+"""Unread prompt tokens that count like a full target.  Runners that also write were seen to read
+some 7 a millisecond, so these make a request wait for a second."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,7 +98,7 @@
     ) -> directories.Target | None:
         """The target with the least load that is not `excluded` (ids); None if there is none.
 
-        Silent and avoided targets come last, in that order.
+        Silent, avoided and full targets come last, in that order.
         """
         now = self._now()
         found = [item for item in self._directory.list_pool(pool.name)]
@@ -101,10 +106,11 @@
         if not found:
             return None
 
-        def weigh(target: directories.Target) -> tuple[bool, bool, float, float]:
+        def weigh(target: directories.Target) -> tuple[bool, bool, bool, float, float]:
             return (
                 target.phase is directories.Phase.SILENT,
                 self.caution.is_avoided(target.target_id, now),
+                not self.has_room(pool, target, tokens, FULL_SHARE),
                 self._read_load(pool, target, tokens, now),
                 self._rng.random(),
             )
@@ -119,15 +125,18 @@
         load = use.requests / slots
         if pool.engine is not None:
             load += (use.tokens + tokens) / max(1, pool.engine.memory_tokens)
+            load += use.unread / UNREAD_TOKENS
         if target.data_hall != self._data_hall:
             load += OTHER_HALL_COST
         if target.warm_at > now:
             load += COLD_COST
         return load
 
-    def has_room(self, pool: routes.Pool, target: directories.Target, tokens: int) -> bool:
-        """Whether a run of so many tokens fits a target's memory beside what is under way."""
+    def has_room(
+        self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
+    ) -> bool:
+        """Whether so many tokens more leave a target's memory below a share of it."""
         if pool.engine is None:
             return True
         use = self._usage.read(target.address, self._now())
-        return use.tokens + tokens <= pool.engine.memory_tokens
+        return use.tokens + tokens <= pool.engine.memory_tokens * share
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -13,10 +13,26 @@
 
 @dataclasses.dataclass(slots=True)
 class Use:
-    """Requests under way and the memory that they will need, in tokens."""
+    """What is under way at a target.
+
+    Attributes
+    ----------
+    requests : int
+        Requests that it has.
+    tokens : int
+        Memory that they, and copies of others' runs, take.
+    unread : int
+        Prompt tokens of requests that have not written anything yet.
+    """
 
     requests: int = 0
     tokens: int = 0
+    unread: int = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is left of it."""
+        return self.requests <= 0 and self.tokens <= 0 and self.unread <= 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,31 +58,26 @@
         self._sequence = 0
         self.changed = False
 
-    def add(self, address: str, tokens: int, requests: int = 1) -> None:
-        """Count a request in; with no `requests` only memory that it takes there."""
+    def add(self, address: str, *, requests: int = 0, tokens: int = 0, unread: int = 0) -> None:
+        """Count something in at a target; negative numbers count it out."""
         use = self._own[address]
         use.requests += requests
         use.tokens += tokens
-        self.changed = True
-
-    def remove(self, address: str, tokens: int, requests: int = 1) -> None:
-        """Count out what was counted in."""
-        use = self._own[address]
-        use.requests -= requests
-        use.tokens -= tokens
-        if use.requests <= 0 and use.tokens <= 0:
+        use.unread += unread
+        if use.is_empty:
             del self._own[address]
         self.changed = True
 
     def read(self, address: str, now: float) -> Use:
         """All that is known to be under way at a target."""
         own = self._own.get(address)
-        total = Use(own.requests, own.tokens) if own is not None else Use()
+        total = dataclasses.replace(own) if own is not None else Use()
         for told in self._others.values():
             use = told.uses.get(address)
             if use is not None and now - told.heard_at < OTHERS_SECONDS:
                 total.requests += use.requests
                 total.tokens += use.tokens
+                total.unread += use.unread
         return total
 
     def count_own(self) -> int:
@@ -78,7 +89,7 @@
         known = self._others.get(loads.entry)
         if loads.entry == self._entry or (known and known.sequence >= loads.sequence):
             return
-        uses = {item.address: Use(item.requests, item.tokens) for item in loads.uses}
+        uses = {item.address: Use(item.requests, item.tokens, item.unread) for item in loads.uses}
         self._others[loads.entry] = _Told(loads.sequence, now, uses)
         for entry, told in list(self._others.items()):
             if now - told.heard_at > OTHERS_SECONDS:
@@ -89,7 +100,9 @@
         self.changed = False
         self._sequence += 1
         uses = [
-            messages.TargetUse(address, use.requests, max(0, use.tokens))
+            messages.TargetUse(
+                address, max(0, use.requests), max(0, use.tokens), max(0, use.unread)
+            )
             for address, use in self._own.items()
         ]
         return messages.EntryLoads(self._entry, started_ms * 1_000_000 + self._sequence, uses)
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -388,11 +388,15 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetUse:
-    """What one entry has under way at one target; ``tokens`` is its estimate of memory."""
+    """What one entry has under way at one target.
+
+    ``tokens`` is its estimate of memory, ``unread`` are prompt tokens that wait to be read.
+    """
 
     address: str
     requests: int
     tokens: int
+    unread: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -1,15 +1,17 @@
 """Calls that the system makes of the platform's runners."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
 from tillerlane.gateway import dialect, http_client, http_head
 
-__all__ = ["move_run"]
+__all__ = ["drop_copy", "move_run"]
 
 CONNECT_SECONDS = 0.3
 MAX_ANSWER_BYTES = 64 * 1024
+DROP_SECONDS = 1.0
 
 
 class _Moved(msgspec.Struct):
@@ -73,3 +75,9 @@
         return dialect.MoveResult(dialect.MoveOutcome.LOST)
     outcome = _OUTCOMES.get(status, dialect.MoveOutcome.LOST)
     return dialect.MoveResult(outcome, moved.handle, moved.made)
+
+
+async def drop_copy(copy: dialect.MemoryCopy) -> None:
+    """Free a copy at a runner; it expires by itself if the call is lost."""
+    with contextlib.suppress(http_client.AnswerBroken):
+        await _call(copy.address, b"DELETE", b"/kv-handle/" + copy.handle.encode(), b"", DROP_SECONDS)
--- a/tillerlane/platform/main.py
+++ b/tillerlane/platform/main.py
@@ -45,6 +45,7 @@
         write_refusal=wire.write_refusal,
         read_table=wire.read_table,
         move_run=calls.move_run,
+        drop_copy=calls.drop_copy,
     )
     daemon = entry.Entry(settings.build_entry(own), speech)
     await daemon.start()
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -79,7 +79,7 @@
         wait_seconds=None if wait_ms is None else wait_ms / 1000,
         key=read(KEY),
         prompt_tokens=counts[0] if counts else 0,
-        output_tokens=most if hint is None else hint,
+        output_tokens=most if hint is None else min(hint, most or hint),
         last_event_id=read(LAST_EVENT_ID),
     )
 
@@ -150,12 +150,13 @@
 
 
 class _Engine(msgspec.Struct):
-    """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one."""
+    """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one; an event holds ``stride``."""
 
     slots: int = 1
     kv_capacity: int = 0
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
+    stride: int = 1
     moves: bool = False
     backups: bool = False
     handle_s: float = 5.0
@@ -233,6 +234,7 @@
             memory_tokens=engine.kv_capacity,
             token_bytes=engine.kv_token_bytes,
             link_mbps=engine.link_mbps,
+            event_tokens=max(1, engine.stride),
             can_move=engine.moves,
             can_back_up=engine.backups,
             hold_seconds=engine.handle_s,
