Take turns in moving runs off a leaving runner, and copy beforehand what would not make it

Cause: first copies of all runs shared the source's link, so that none was done in time. Change: entries go one after another by their unsaved memory, which they tell each other; a run gets a copy beforehand only where the runner's unsaved memory would need longer than 0.7 s.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -85,9 +85,7 @@
         selector = selection.Selector(
             self.directory, self._usage, own.data_hall, random.Random(), self._loop.time
         )
-        mover = runs.Mover(
-            dialect, selector, self._usage, self.directory, self.timeline
-        )
+        mover = runs.Mover(dialect, selector, self._usage, self.directory, self.timeline)
         self.relay = relay.Relay(dialect, selector, self._usage, self._budget, mover, self.timeline)
         self.relay.is_fresh = self._is_fresh
         self.node = nodes.Node(self._build_local(clock))
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -38,6 +38,9 @@
 LEAST_BACKUP_TOKENS = 40
 """Answers expected to be shorter end before their memory would be of use elsewhere: a run writes
 some 130 tokens a second, and a runner leaves with 1.5 s of notice or more."""
+EVACUATION_SECONDS = 0.7
+"""A runner whose runs can all be copied in this time needs no copies beforehand: half of the
+shortest notice met (1.5 s), since more runs come and copies queue."""
 BACKUP_MEMORY_SHARE = 0.75
 """Share of a runner's memory up to which it gets copies of others' runs: the rest is for runs,
 which are pushed aside when memory runs out."""
@@ -417,6 +420,8 @@
             return None
         if admission.facts.output_tokens < LEAST_BACKUP_TOKENS:
             return None
+        if self._selector.read_evacuation(admission.pool, target) < EVACUATION_SECONDS:
+            return None
         backup = self._selector.choose(admission.pool, admission.tokens, {target.target_id})
         if backup is None:
             return None
@@ -453,6 +458,9 @@
         if run.backup is not None:
             run.backup_tokens = run.tokens
             self._usage.add(run.backup.address, tokens=run.backup_tokens)
+        else:
+            run.unsaved_tokens = run.tokens
+            self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
 
     def _note_growth(self, run: runs.Run, tokens: int) -> None:
         """Keep count of a run's memory, and of its copy's."""
@@ -462,6 +470,9 @@
         if run.backup is not None:
             run.backup_tokens += grown
             self._usage.add(run.backup.address, tokens=grown)
+        else:
+            run.unsaved_tokens += grown
+            self._usage.add(run.target.address, unsaved=grown)
 
     def _drop(self, stream: "_Relayed") -> None:
         """Let go of the run that a stream comes from."""
@@ -469,7 +480,9 @@
             stream.exchange.abort()
             stream.exchange = None
             run = stream.run
-            self._usage.add(run.target.address, requests=-1, tokens=-run.tokens)
+            self._usage.add(
+                run.target.address, requests=-1, tokens=-run.tokens, unsaved=-run.unsaved_tokens
+            )
             if run.backup is not None:
                 self._usage.add(run.backup.address, tokens=-run.backup_tokens)
         self._mover.remove(stream.run)
@@ -570,7 +583,13 @@
         stream.exchange = outcome.exchange
         stream.runners += 1
         stream.run = dataclasses.replace(
-            stream.run, target=target, backup=backup, moving=None, is_stopping=False
+            stream.run,
+            target=target,
+            backup=backup,
+            backup_tokens=0,
+            unsaved_tokens=0,
+            moving=None,
+            is_stopping=False,
         )
         self._hold(stream.run)
         return True
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -65,6 +65,8 @@
     backup: directories.Target | None = None
     backup_tokens: int = 0
     """Memory that the copy at `backup` is counted with."""
+    unsaved_tokens: int = 0
+    """Memory that it is counted with among those without a copy."""
     leaving_since: float = 0.0
     """Time of the event loop at which its runner was known to leave."""
     moving: "asyncio.Task[Continuation | None] | None" = None
@@ -97,6 +99,8 @@
         self._dialect = dialect
         self._selector = selector
         self._usage = usage
+        self._turns: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
+        """By source: this entry's runs go one after another too."""
         self._timeline = timeline
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
         self._dropping: set[asyncio.Task[None]] = set()
@@ -141,10 +145,12 @@
         excluded = {run.target.target_id}
         loop = asyncio.get_running_loop()
         until = loop.time() + MOVE_SECONDS
+        await asyncio.sleep(self._selector.read_turn(run.pool, run.target))
         while loop.time() < until:
             destination = self._choose(run, excluded)
             if destination is not None:
-                result = await self._copy_and_stop(run, destination)
+                async with self._turns[run.target.target_id]:
+                    result = await self._copy_and_stop(run, destination)
                 if result.handle:
                     copy = dialects.MemoryCopy(run.target.address, result.handle)
                     return Continuation(destination, copy)
@@ -219,7 +225,8 @@
 
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
         """The least loaded runner, if it has room for the run."""
-        found = self._selector.choose(run.pool, run.tokens, excluded)
+        hall = run.target.data_hall
+        found = self._selector.choose(run.pool, run.tokens, excluded, hall)
         if found is None or not self._selector.has_room(run.pool, found, run.tokens, 1.0):
             return None
         return found
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -16,6 +16,11 @@
 MOST_AVOID_SECONDS = 5.0
 OTHER_HALL_COST = 0.02
 """Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
+BETWEEN_HALLS = 2.0
+"""A copy between data halls takes twice the time of the link (the platform's page)."""
+MOVE_HALL_COST = 0.15
+"""Load that a copy within the data hall is worth, as a share of a target: it takes half the time
+of the link, of which a leaving runner's runs need all."""
 FULL_SHARE = 0.9
 """Share of its memory above which a runner counts as full: what runs there still grows."""
 COLD_COST = 0.5
@@ -94,10 +99,16 @@
         return self._rng.choices(names, [weight for _, weight in route.pools])[0]
 
     def choose(
-        self, pool: routes.Pool, tokens: int, excluded: Collection[str]
+        self,
+        pool: routes.Pool,
+        tokens: int,
+        excluded: Collection[str],
+        source_hall: str | None = None,
     ) -> directories.Target | None:
         """The target with the least load that is not `excluded` (ids); None if there is none.
 
+        With `source_hall` a run's memory has to go there, which takes longer between halls.
+
         Silent, avoided and full targets come last, in that order.
         """
         now = self._now()
@@ -111,7 +122,8 @@
                 target.phase is directories.Phase.SILENT,
                 self.caution.is_avoided(target.target_id, now),
                 not self.has_room(pool, target, tokens, FULL_SHARE),
-                self._read_load(pool, target, tokens, now),
+                self._read_load(pool, target, tokens, now)
+                + (MOVE_HALL_COST if source_hall not in (None, target.data_hall) else 0.0),
                 self._rng.random(),
             )
 
@@ -132,6 +144,20 @@
             load += COLD_COST
         return load
 
+    def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
+        """Seconds that a runner's link needs to copy all runs that have no copy yet."""
+        use = self._usage.read(target.address, self._now())
+        return _read_link_seconds(pool, use.unsaved)
+
+    def read_turn(self, pool: routes.Pool, target: directories.Target) -> float:
+        """Seconds after which it is this entry's turn to move its runs off a runner.
+
+        Copies queue on the runner's link, and a copy that waits there helps nobody; so entries
+        go one after another, in the order of their ids, without asking each other.
+        """
+        before = self._usage.read_unsaved_before(target.address, self._now())
+        return _read_link_seconds(pool, before)
+
     def has_room(
         self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
     ) -> bool:
@@ -140,3 +166,12 @@
             return True
         use = self._usage.read(target.address, self._now())
         return use.tokens + tokens <= pool.engine.memory_tokens * share
+
+
+def _read_link_seconds(pool: routes.Pool, tokens: int) -> float:
+    """Time that a runner's link needs for the memory of so many tokens, between halls."""
+    engine = pool.engine
+    if engine is None or engine.link_mbps <= 0:
+        return 0.0
+    bits = tokens * engine.token_bytes * 8
+    return bits / (engine.link_mbps * 1e6) * BETWEEN_HALLS
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -23,16 +23,19 @@
         Memory that they, and copies of others' runs, take.
     unread : int
         Prompt tokens of requests that have not written anything yet.
+    unsaved : int
+        Memory of runs that has no copy elsewhere.
     """
 
     requests: int = 0
     tokens: int = 0
     unread: int = 0
+    unsaved: int = 0
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing is left of it."""
-        return self.requests <= 0 and self.tokens <= 0 and self.unread <= 0
+        return max(self.requests, self.tokens, self.unread, self.unsaved) <= 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,12 +61,21 @@
         self._sequence = 0
         self.changed = False
 
-    def add(self, address: str, *, requests: int = 0, tokens: int = 0, unread: int = 0) -> None:
+    def add(
+        self,
+        address: str,
+        *,
+        requests: int = 0,
+        tokens: int = 0,
+        unread: int = 0,
+        unsaved: int = 0,
+    ) -> None:
         """Count something in at a target; negative numbers count it out."""
         use = self._own[address]
         use.requests += requests
         use.tokens += tokens
         use.unread += unread
+        use.unsaved += unsaved
         if use.is_empty:
             del self._own[address]
         self.changed = True
@@ -78,8 +90,17 @@
                 total.requests += use.requests
                 total.tokens += use.tokens
                 total.unread += use.unread
+                total.unsaved += use.unsaved
         return total
 
+    def read_unsaved_before(self, address: str, now: float) -> int:
+        """Unsaved memory at a target of those entries whose ids sort before this one's."""
+        return sum(
+            told.uses[address].unsaved
+            for entry, told in self._others.items()
+            if entry < self._entry and address in told.uses and now - told.heard_at < OTHERS_SECONDS
+        )
+
     def count_own(self) -> int:
         """This entry's requests under way."""
         return sum(use.requests for use in self._own.values())
@@ -89,7 +110,10 @@
         known = self._others.get(loads.entry)
         if loads.entry == self._entry or (known and known.sequence >= loads.sequence):
             return
-        uses = {item.address: Use(item.requests, item.tokens, item.unread) for item in loads.uses}
+        uses = {
+            item.address: Use(item.requests, item.tokens, item.unread, item.unsaved)
+            for item in loads.uses
+        }
         self._others[loads.entry] = _Told(loads.sequence, now, uses)
         for entry, told in list(self._others.items()):
             if now - told.heard_at > OTHERS_SECONDS:
@@ -101,7 +125,11 @@
         self._sequence += 1
         uses = [
             messages.TargetUse(
-                address, max(0, use.requests), max(0, use.tokens), max(0, use.unread)
+                address,
+                max(0, use.requests),
+                max(0, use.tokens),
+                max(0, use.unread),
+                max(0, use.unsaved),
             )
             for address, use in self._own.items()
         ]
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -169,7 +169,7 @@
   ageMs @8 :UInt32;
 }
 struct TargetStates { states @0 :List(TargetState); whole @1 :Bool; }
-struct TargetUse { address @0 :Text; requests @1 :UInt32; tokens @2 :UInt64; unread @3 :UInt64; }
+struct TargetUse { address @0 :Text; requests @1 :UInt32; tokens @2 :UInt64; unread @3 :UInt64; unsaved @4 :UInt64; }
 struct EntryLoads { entry @0 :Text; sequence @1 :UInt64; uses @2 :List(TargetUse); }
 struct FreshnessRequest { have @0 :UInt64; }
 struct FreshnessReply {
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -390,13 +390,15 @@
 class TargetUse:
     """What one entry has under way at one target.
 
-    ``tokens`` is its estimate of memory, ``unread`` are prompt tokens that wait to be read.
+    ``tokens`` is its estimate of memory, ``unread`` are prompt tokens that wait to be read,
+    ``unsaved`` is the memory of runs that has no copy elsewhere.
     """
 
     address: str
     requests: int
     tokens: int
     unread: int = 0
+    unsaved: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -80,4 +80,6 @@
 async def drop_copy(copy: dialect.MemoryCopy) -> None:
     """Free a copy at a runner; it expires by itself if the call is lost."""
     with contextlib.suppress(http_client.AnswerBroken):
-        await _call(copy.address, b"DELETE", b"/kv-handle/" + copy.handle.encode(), b"", DROP_SECONDS)
+        await _call(
+            copy.address, b"DELETE", b"/kv-handle/" + copy.handle.encode(), b"", DROP_SECONDS
+        )
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -150,7 +150,10 @@
 
 
 class _Engine(msgspec.Struct):
-    """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one; an event holds ``stride``."""
+    """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one.
+
+    An event of a stream holds ``stride`` of them.
+    """
 
     slots: int = 1
     kv_capacity: int = 0
