Leave keepers that are cut off from the log, and count runs from their send

Change: only a keeper with fresh word stays; a run counts as unsaved from its send, so that a burst gets copies too.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -68,9 +68,16 @@
         Its settings.
     dialect : dialects.Dialect
         How callers and targets speak.
+    open_connection : callable, optional
+        Opens a connection to a keeper.
     """
 
-    def __init__(self, own: EntrySettings, dialect: dialects.Dialect) -> None:
+    def __init__(
+        self,
+        own: EntrySettings,
+        dialect: dialects.Dialect,
+        open_connection: nodes.Open = asyncio.open_connection,
+    ) -> None:
         self._own = own
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
@@ -88,7 +95,7 @@
         mover = runs.Mover(dialect, selector, self._usage, self.directory, self.timeline)
         self.relay = relay.Relay(dialect, selector, self._usage, self._budget, mover, self.timeline)
         self.relay.is_fresh = self._is_fresh
-        self.node = nodes.Node(self._build_local(clock))
+        self.node = nodes.Node(self._build_local(clock), open_connection=open_connection)
         self._clock = freshness.FreshnessClock()
         self.homes = homes.Homes(
             own.name,
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -80,6 +80,10 @@
         """Links that are up."""
         return [home.link for home in self._homes if home.link is not None and home.link.is_open]
 
+    def list_addresses(self) -> list[str]:
+        """Addresses of the keepers listened to at present."""
+        return [home.address for home in self._homes]
+
     def learn(self, addresses: Iterable[str]) -> None:
         """Take further keepers."""
         self._known.update(addresses)
@@ -136,7 +140,8 @@
             self.on_entries(reply.entries)
         if not reply.known:
             return
-        home.good_at = asked_at
+        # A keeper that is cut off from the log answers too; only fresh word makes it useful.
+        home.good_at = max(home.good_at, asked_at - reply.age_ms / 1000)
         if not self._clock.observe(asked_at, reply, self._read_version()):
             _send(link, messages.PublicationPull(max(0, self._read_version())))
 
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -239,7 +239,8 @@
         address = target.address
         unread = admission.facts.prompt_tokens if tokens is None else 0
         tokens = admission.tokens if tokens is None else tokens
-        self._usage.add(address, requests=1, tokens=tokens, unread=unread)
+        unsaved = tokens if self._is_worth_copying(admission) and not plan.backup_address else 0
+        self._usage.add(address, requests=1, tokens=tokens, unread=unread, unsaved=unsaved)
         exchange: http_client.Exchange | None = None
         keep = False
         try:
@@ -264,7 +265,7 @@
         finally:
             self._usage.add(address, unread=-unread)
             if not keep:
-                self._usage.add(address, requests=-1, tokens=-tokens)
+                self._usage.add(address, requests=-1, tokens=-tokens, unsaved=-unsaved)
                 if exchange is not None:
                     exchange.abort()
 
@@ -411,14 +412,18 @@
 
     # Streams
 
+    def _is_worth_copying(self, admission: Admission) -> bool:
+        """Whether a run could be lost that is long and may not run again."""
+        if admission.pool.engine is None or admission.route.is_resumable:
+            return False
+        return admission.facts.output_tokens >= LEAST_BACKUP_TOKENS
+
     def _choose_backup(
         self, admission: Admission, target: directories.Target
     ) -> directories.Target | None:
         """A runner to copy a run's memory to while it grows; short runs are not worth it."""
         engine = admission.pool.engine
-        if engine is None or not engine.can_back_up or admission.route.is_resumable:
-            return None
-        if admission.facts.output_tokens < LEAST_BACKUP_TOKENS:
+        if engine is None or not engine.can_back_up or not self._is_worth_copying(admission):
             return None
         if self._selector.read_evacuation(admission.pool, target) < EVACUATION_SECONDS:
             return None
@@ -439,7 +444,7 @@
         run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens, backup)
         stream = _Relayed(admission, responder, run, outcome.exchange, last_event_id)
         stream.on_growth = self._note_growth
-        self._hold(run)
+        self._hold(admission, run)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
             await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
@@ -452,15 +457,14 @@
             if not responder.is_done:
                 responder.abort()
 
-    def _hold(self, run: runs.Run) -> None:
-        """Count a run, and its copy elsewhere, for as long as it is there."""
+    def _hold(self, admission: Admission, run: runs.Run) -> None:
+        """Take a run that has begun, and count its copy elsewhere while it goes on."""
         self._mover.add(run)
         if run.backup is not None:
             run.backup_tokens = run.tokens
             self._usage.add(run.backup.address, tokens=run.backup_tokens)
-        else:
+        elif self._is_worth_copying(admission):
             run.unsaved_tokens = run.tokens
-            self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
 
     def _note_growth(self, run: runs.Run, tokens: int) -> None:
         """Keep count of a run's memory, and of its copy's."""
@@ -470,7 +474,7 @@
         if run.backup is not None:
             run.backup_tokens += grown
             self._usage.add(run.backup.address, tokens=grown)
-        else:
+        elif run.unsaved_tokens:
             run.unsaved_tokens += grown
             self._usage.add(run.target.address, unsaved=grown)
 
@@ -591,7 +595,7 @@
             moving=None,
             is_stopping=False,
         )
-        self._hold(stream.run)
+        self._hold(stream.admission, stream.run)
         return True
 
     def _note_end(self, stream: "_Relayed") -> None:
--- /dev/null
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -0,0 +1,271 @@
+"""Requests through an entry: what runs, how often, and what the caller is told."""
+
+import asyncio
+import unittest
+
+from tillerlane.gateway import directory as directories
+from tillerlane.testing import gateway_lab, gateway_scenes, platform_runner
+
+TOKENS = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
+
+
+def build_stream(request_id: str, length: int, first: int = 1) -> bytes:
+    """All events of a stream."""
+    return b"".join(
+        platform_runner.build_event(request_id, number) for number in range(first, length + 1)
+    )
+
+
+class PlainTest(gateway_scenes.GatewayCase):
+    """Requests with one whole answer."""
+
+    def test_request_and_answer_pass_unaltered(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            answer = await stage.call(
+                "entry-1", "order", "r1", X_Own="kept", Tenant="forged", Kv_From="forged"
+            )
+            self.assertEqual((answer.status, answer.body), (200, b"answer to r1"))
+            self.assertEqual(answer.headers["response-seal"], "s.1")
+            ran = runner.ran[0]
+            self.assertEqual((ran.path, ran.body), ("/order/x?q=1", b"body"))
+            self.assertEqual(ran.headers["tenant"], "workspace-a")
+            self.assertEqual(ran.headers["x-own"], "kept")
+            self.assertNotIn("credential", ran.headers)
+            self.assertNotIn("kv-from", ran.headers)
+            self.assertLessEqual(int(ran.headers["deadline-ms"]), 10_000)
+
+        self.play(scene)
+
+    def test_unknown_key_and_unknown_route_run_nothing(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            bad_key = await stage.call("entry-1", "order", "r1", Credential="other")
+            bad_path = await stage.call("entry-1", "nowhere", "r2")
+            self.assertEqual((bad_key.status, bad_path.status), (401, 404))
+            self.assertEqual(runner.ran, [])
+
+        self.play(scene)
+
+    def test_without_a_target_the_refusal_says_when_to_come_back(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+            self.assertLess(answer.seconds, 0.1)
+
+        self.play(scene)
+
+    def test_lost_answer_of_what_may_run_once_is_no_refusal_and_no_second_run(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.loses_answer = True
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(sum(len(runner.ran) for runner in runners), 1)
+
+        self.play(scene)
+
+    def test_lost_answer_of_what_may_be_repeated_is_tried_at_another_target(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.loses_answer = True
+            answer = await stage.call("entry-1", "price", "r1", method=b"GET", body=b"")
+            self.assertEqual(answer.status, 502)
+            self.assertEqual([len(runner.ran) for runner in runners], [1, 1])
+
+        self.play(scene)
+
+    def test_target_that_turned_away_is_a_true_refusal(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.refuses = True
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+            self.assertEqual(runner.ran, [])
+
+        self.play(scene)
+
+    def test_own_503_of_a_target_is_no_promise(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.answer_status = 503
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn("response-seal", answer.headers)
+
+        self.play(scene)
+
+    def test_answer_to_another_request_reaches_nobody(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.answers_for = "r0"
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual((answer.status, answer.body), (502, b""))
+
+        self.play(scene)
+
+    def test_draining_target_gets_nothing_whichever_keeper_heard_it(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            for keeper in stage.keeper_names:
+                phase = directories.Phase.DRAINING
+                stage.beat("t1", "app", phase=phase, keeper=keeper)
+                await asyncio.sleep(0.3)
+                for number in range(6):
+                    await stage.call("entry-1", "order", f"{keeper}-{number}")
+                self.assertEqual(runners[0].ran, [])
+
+        self.play(scene)
+
+    def test_caller_that_leaves_ends_the_run(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=200)
+            await asyncio.sleep(0.2)
+            await stage.call("entry-1", "record", "r1", leave_after=0.5, **TOKENS)
+            await asyncio.sleep(0.1)
+            self.assertEqual(runner.ran[0].ended, "gone")
+            self.assertLess(runner.ran[0].events, 30)
+
+        self.play(scene)
+
+    def test_held_no_longer_than_the_route_says(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.is_dark = True
+            document = gateway_lab.build_document(2)
+            document["routes"][2]["timeout_ms"] = 700
+            await stage.publish("keeper-1", document)
+            await asyncio.sleep(0.5)
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(answer.status, 504)
+            self.assertLess(answer.seconds, 0.75)
+
+        self.play(scene)
+
+
+class StreamTest(gateway_scenes.GatewayCase):
+    """Streams of events."""
+
+    def test_stream_is_passed_on_whole(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=20)
+            await asyncio.sleep(0.2)
+            answer = await stage.call("entry-1", "record", "r1", **TOKENS)
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, build_stream("r1", 20))
+
+        self.play(scene)
+
+    def test_missing_event_ends_the_stream_unfinished(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            runner.skips_event = 7
+            await asyncio.sleep(0.2)
+            answer = await stage.call("entry-1", "record", "r1", **TOKENS)
+            self.assertFalse(answer.is_whole)
+            self.assertEqual(answer.body, build_stream("r1", 6))
+
+        self.play(scene)
+
+    def test_run_moves_off_a_leaving_runner_in_one_answer(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=60)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **TOKENS))
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=60)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, build_stream("r1", 60))
+            self.assertEqual((first.ran[0].ended, second.ran[0].ended), ("stopped", "whole"))
+            self.assertEqual(len(first.ran) + len(second.ran), 2)
+
+        self.play(scene)
+
+    def test_move_without_room_is_tried_elsewhere(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **TOKENS))
+            await asyncio.sleep(0.4)
+            full = await stage.add_runner("t2", "llm", length=90)
+            full.refuses = True
+            await stage.add_runner("t3", "llm", hall="hall-b", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertEqual(answer.body, build_stream("r1", 90))
+            self.assertEqual(full.ran, [])
+
+        self.play(scene)
+
+    def test_crash_of_a_runner_goes_on_from_the_copy(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=80) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            # Enough memory without a copy that the next run gets one.
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "record", f"r{number}", **TOKENS))
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            backed = [run for run in runners[0].ran if "kv-backup" in run.headers]
+            self.assertTrue(backed)
+            runners[0].crash()
+            answers = await asyncio.gather(*calls)
+            for run in backed:
+                answer = answers[int(run.request_id[1:])]
+                self.assertEqual(answer.body, build_stream(run.request_id, 80))
+                self.assertTrue(answer.is_whole)
+
+        self.play(scene)
+
+    def test_crash_without_a_copy_does_not_look_whole(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=80)
+            await stage.add_runner("t2", "llm", length=80)
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **TOKENS))
+            await asyncio.sleep(0.6)
+            runner.crash()
+            answer = await call
+            self.assertFalse(answer.is_whole)
+            self.assertTrue(build_stream("r1", 80).startswith(answer.body))
+            self.assertEqual(stage.runners["t2"].ran, [])
+
+        self.play(scene)
+
+    def test_resumable_stream_goes_on_in_another_run(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=30) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(
+                stage.call("entry-1", "verdict", "r1", Model="m", Token_Counts="100,10")
+            )
+            await asyncio.sleep(0.4)
+            next(item for item in runners if item.ran).crash()
+            answer = await call
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, build_stream("r1", 30))
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tillerlane/testing/gateway_lab.py
@@ -0,0 +1,280 @@
+"""Keepers, entries and stand-in targets of the gateway in virtual time.
+
+The daemons run unchanged; connections between keepers and entries can be cut, disks fail as
+`tillerlane.testing.memory_disk` says.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+from typing import Any
+
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import control, entry
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import http_client, http_head
+from tillerlane.keeper import formation
+from tillerlane.platform import calls, wire
+from tillerlane.testing import lab, memory_disk, network, platform_runner
+
+__all__ = ["CallerAnswer", "GatewayLab", "build_dialect", "build_document"]
+
+KEY = "key-of-workspace-a"
+HOST = "shop.example"
+
+
+def build_dialect() -> dialects.Dialect:
+    """The platform's dialect."""
+    return dialects.Dialect(
+        read_request=wire.read_request,
+        write_forward=wire.write_forward,
+        read_answer=wire.read_answer,
+        write_refusal=wire.write_refusal,
+        read_table=wire.read_table,
+        move_run=calls.move_run,
+        drop_copy=calls.drop_copy,
+    )
+
+
+def build_document(version: int, **changes: Any) -> dict[str, Any]:
+    """A configuration: a stream that runs once, a resumable one, two plain kinds."""
+
+    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": 20_000,
+            "goal_ms": 500,
+            "max_attempts": 1,
+            **more,
+        }
+
+    engine = {
+        "slots": 48,
+        "kv_capacity": 34_000,
+        "kv_token_bytes": 131_072,
+        "link_mbps": 19_000,
+        "stride": 4,
+        "moves": True,
+        "backups": True,
+    }
+    document = {
+        "version": version,
+        "routes": [
+            route("record", "streaming", "llm", sticky=True),
+            route("verdict", "streaming", "llm", resumable=True, max_attempts=2),
+            route("order", "non_idempotent", "app"),
+            route("price", "idempotent", "app", max_attempts=2),
+        ],
+        "services": [{"name": "llm", "engine": engine}, {"name": "app"}],
+        "tenants": [{"name": "workspace-a", "api_keys": [KEY]}],
+    }
+    return {**document, **changes}
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """What a caller got; `is_whole` tells whether the answer ended as one that is."""
+
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+    seconds: float = 0.0
+
+
+class GatewayLab:
+    """A fleet in one event loop.
+
+    Parameters
+    ----------
+    keepers, entries : int
+        How many of each.
+    wished_voters : int
+        Size of the keepers' log.
+    """
+
+    def __init__(self, keepers: int = 3, entries: int = 1, wished_voters: int = 3) -> None:
+        self.network = network.Network()
+        self.keepers: dict[str, control.Control] = {}
+        self.entries: dict[str, entry.Entry] = {}
+        self.disks: dict[str, memory_disk.MemoryDisk] = {}
+        self.runners: dict[str, platform_runner.PlatformRunner] = {}
+        self._by_address: dict[str, platform_runner.PlatformRunner] = {}
+        self._sequences: dict[str, int] = {}
+        self._wished = wished_voters
+        self.keeper_names = [f"keeper-{number}" for number in range(1, keepers + 1)]
+        self.entry_names = [f"entry-{number}" for number in range(1, entries + 1)]
+        for names, net in ((self.keeper_names, 0), (self.entry_names, 1)):
+            for number, name in enumerate(names, 1):
+                self.network.names[f"10.0.{net}.{number}:7000"] = name
+        self.seeds = tuple(f"10.0.0.{number}:7000" for number in range(1, min(keepers, 3) + 1))
+
+    def get_address(self, name: str) -> str:
+        """Peer address of a daemon."""
+        return next(key for key, value in self.network.names.items() if value == name)
+
+    # Life
+
+    async def start(self) -> None:
+        """Start all daemons, on empty disks."""
+        for name in self.keeper_names:
+            await self.start_keeper(name, is_first=True)
+        for name in self.entry_names:
+            await self.start_entry(name)
+
+    async def start_keeper(self, name: str, *, is_first: bool = False) -> control.Control:
+        """Start a keeper, on the disk that it had before if any."""
+        loop = asyncio.get_running_loop()
+        address = self.get_address(name)
+        disk = self.disks.setdefault(name, memory_disk.MemoryDisk(random.Random(1)))
+        own = control.ControlSettings(
+            name=name,
+            peer_address=address,
+            data_folder=name,
+            plan=formation.Plan(
+                self.seeds, self._wished, may_found=is_first and address == self.seeds[0]
+            ),
+            silent_seconds=4.0,
+            read_seconds=1.4,
+        )
+        around = control.Surroundings(
+            open_disk=lambda folder: disk.as_disk(),
+            run_blocking=lab.run_directly,
+            open_connection=self.network.connect_as(name),
+            now=lambda: lab.WALL_BEGIN + loop.time(),
+            rng=random.Random(name),
+        )
+        daemon = control.Control(own, around)
+        self.keepers[name] = daemon
+        await daemon.start()
+        return daemon
+
+    async def kill_keeper(self, name: str, *, wipe: bool = False) -> None:
+        """Kill a keeper; what was not synced is lost, with `wipe` all of its disk."""
+        await self.keepers.pop(name).stop()
+        await asyncio.sleep(0)
+        if wipe:
+            del self.disks[name]
+        else:
+            self.disks[name].crash()
+
+    async def start_entry(self, name: str) -> entry.Entry:
+        """Start an entry."""
+        address = self.get_address(name)
+        host = address.partition(":")[0]
+        own = entry.EntrySettings(
+            name=name,
+            data_hall="hall-a",
+            peer_address=address,
+            front_address=f"{host}:8000",
+            ready_address=f"{host}:8001",
+            seeds=self.seeds,
+            lease_seconds=3.75,
+            accept_seconds=1.0,
+            stop_seconds=6.0,
+            retries=budgets.RetryBounds(0.2, 10.0, 50.0),
+        )
+        daemon = entry.Entry(own, build_dialect(), self.network.connect_as(name))
+        self.entries[name] = daemon
+        await daemon.start()
+        return daemon
+
+    # Targets
+
+    async def add_runner(
+        self, target_id: str, pool: str, hall: str = "hall-a", **more: Any
+    ) -> platform_runner.PlatformRunner:
+        """Start a target and have it tell of itself."""
+        number = len(self.runners) + 1
+        address = f"10.0.9.{number}:9000"
+        runner = platform_runner.PlatformRunner(target_id, address, self._by_address, **more)
+        self.runners[target_id] = runner
+        await runner.start()
+        self.beat(target_id, pool, hall)
+        return runner
+
+    def beat(
+        self,
+        target_id: str,
+        pool: str,
+        hall: str = "hall-a",
+        phase: directories.Phase = directories.Phase.READY,
+        keeper: str = "",
+    ) -> None:
+        """Send a target's heartbeat to one keeper."""
+        sequence = self._sequences.get(target_id, 0) + 1
+        self._sequences[target_id] = sequence
+        told = directories.Target(
+            target_id,
+            pool,
+            self.runners[target_id].address,
+            hall,
+            48,
+            phase,
+            sequence,
+            asyncio.get_running_loop().time(),
+        )
+        daemon = self.keepers[keeper] if keeper else next(iter(self.keepers.values()))
+        daemon.take_heartbeat(told)
+
+    # Operators and callers
+
+    async def publish(self, keeper: str, document: dict[str, Any]) -> dict[str, Any]:
+        """Publish a configuration at a keeper."""
+        data = json.dumps(document).encode()
+        table = wire.check_document(data)
+        return await self.keepers[keeper].publish(table.version, data)
+
+    async def call(
+        self,
+        entry_name: str,
+        route: str,
+        request_id: str,
+        *,
+        method: bytes = b"POST",
+        body: bytes = b"body",
+        wait_ms: int = 10_000,
+        leave_after: float | None = None,
+        **headers: str,
+    ) -> CallerAnswer:
+        """Send a request as a caller and read its answer to the end."""
+        host = self.get_address(entry_name).partition(":")[0]
+        found = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(wait_ms),
+            "Credential": KEY,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        head = http_head.RequestHead(
+            method,
+            f"/{route}/x?q=1".encode(),
+            [(name.encode(), value.encode()) for name, value in found.items()],
+        )
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = CallerAnswer()
+        exchange = await http_client.connect(f"{host}:8000", 5.0)
+        exchange.send(head, body)
+        try:
+            async with asyncio.timeout(leave_after):
+                got = await exchange.read_head()
+                answer.status = got.status
+                answer.headers = {
+                    name.decode().lower(): value.decode() for name, value in got.headers
+                }
+                while (chunk := await exchange.read_chunk()) is not None:
+                    answer.body += chunk
+                answer.is_whole = True
+        except (http_client.AnswerBroken, TimeoutError):
+            pass
+        finally:
+            exchange.abort()
+        answer.seconds = loop.time() - began
+        return answer
--- /dev/null
+++ b/tillerlane/testing/gateway_scenes.py
@@ -0,0 +1,40 @@
+"""Scenes on a gateway in virtual time, as test cases."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+import structlog
+
+from tillerlane.testing import gateway_lab, lab
+
+__all__ = ["GatewayCase"]
+
+
+class GatewayCase(unittest.TestCase):
+    """Base of tests that play a scene; virtual time makes each run the same."""
+
+    keepers = 3
+    entries = 1
+    wished_voters = 3
+
+    def setUp(self) -> None:
+        """Keep the daemons' log lines out of the tests' output."""
+        structlog.configure(processors=[_drop])
+
+    def play(self, scene: Callable[[gateway_lab.GatewayLab], Awaitable[None]]) -> None:
+        """Start a fleet whose first configuration is in force, and play a scene."""
+
+        async def run() -> None:
+            stage = gateway_lab.GatewayLab(self.keepers, self.entries, self.wished_voters)
+            await stage.start()
+            await asyncio.sleep(6)
+            await stage.publish("keeper-1", gateway_lab.build_document(1))
+            await asyncio.sleep(1)
+            await scene(stage)
+
+        lab.run_virtual(run())
+
+
+def _drop(logger: object, method: str, values: object) -> None:
+    raise structlog.DropEvent
--- /dev/null
+++ b/tillerlane/testing/platform_runner.py
@@ -0,0 +1,245 @@
+"""A stand-in for the platform's targets, in one event loop and on its clock.
+
+It speaks the published protocol: incarnations, "not run", streams of numbered events, copies of
+a run's memory on order or as it grows.  Faults are switched on by its fields.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from tillerlane.gateway import http_head, http_server
+
+__all__ = ["PlatformRunner", "RanRequest", "build_event"]
+
+SEAL = b"Response-Seal"
+
+
+def build_event(request_id: str, number: int) -> bytes:
+    """The event that a run of a request writes at a number."""
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
+
+@dataclasses.dataclass(slots=True)
+class RanRequest:
+    """A request that a runner began to work on.
+
+    Attributes
+    ----------
+    events : int
+        Events written.
+    ended : str
+        Empty while it runs, else ``whole``, ``gone``, ``stopped`` or ``crashed``.
+    """
+
+    request_id: str
+    headers: dict[str, str]
+    path: str
+    body: bytes
+    began: float
+    first_event: int = 1
+    events: int = 0
+    ended: str = ""
+    is_stopped: bool = False
+    prompt_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Copy:
+    request_id: str
+    events: int
+    source: "PlatformRunner"
+
+
+class PlatformRunner:
+    """One incarnation of a target.
+
+    Parameters
+    ----------
+    target_id, address : str
+        Who it is.
+    length : int
+        Events of each stream; 0 for a plain service.
+
+    Attributes
+    ----------
+    ran : list of RanRequest
+        What it worked on.
+    answer_status : int
+        Status of plain answers.
+    refuses : bool
+        Turns every request away as not run.
+    loses_answer : bool
+        Runs a request and closes without an answer.
+    answers_for : str
+        Id of another request that it answers with.
+    is_dark : bool
+        Takes connections and never answers.
+    """
+
+    others: dict[str, "PlatformRunner"]
+
+    def __init__(
+        self,
+        target_id: str,
+        address: str,
+        others: dict[str, "PlatformRunner"],
+        *,
+        length: int = 0,
+        pace: float = 0.03,
+        copy_seconds: float = 0.05,
+    ) -> None:
+        self.target_id = target_id
+        self.address = address
+        self.others = others
+        others[address] = self
+        self.length = length
+        self.pace = pace
+        self.copy_seconds = copy_seconds
+        self.ran: list[RanRequest] = []
+        self.turned_away: list[str] = []
+        self.copies: dict[str, _Copy] = {}
+        self.answer_status = 200
+        self.refuses = False
+        self.loses_answer = False
+        self.answers_for = ""
+        self.is_dark = False
+        self.skips_event = 0
+        self.dropped: list[str] = []
+        self._handles = itertools.count(1)
+        limits = http_server.ServerLimits()
+        self._server = http_server.Server(self._serve, limits, lambda error: None)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.listen(self.address)
+
+    def crash(self) -> None:
+        """End at once: every connection is reset."""
+        self._server.stop_accepting()
+        for run in self.ran:
+            run.ended = run.ended or "crashed"
+        self._server.abort_all()
+        self.others.pop(self.address, None)
+
+    async def _serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
+        headers = {name.decode().lower(): value.decode() for name, value in request.head.headers}
+        if self.is_dark:
+            await asyncio.sleep(3600)
+        path = request.head.target.decode()
+        if path == "/kv-move":
+            await self._move(msgspec.json.decode(request.body), responder)
+        elif path.startswith("/kv-handle/"):
+            self.dropped.append(path.rpartition("/")[2])
+            self.copies.pop(path.rpartition("/")[2], None)
+            await responder.send_whole(http_head.AnswerHead(200, []), b"")
+        else:
+            await self._run(request, headers, responder)
+
+    async def _turn_away(
+        self, status: int, request_id: str, responder: http_server.Responder
+    ) -> None:
+        self.turned_away.append(request_id)
+        extra = [(b"Not-Run", b"1")] if status == 503 else [(b"Instance-Id", b"other")]
+        await responder.send_whole(http_head.AnswerHead(status, extra), b"")
+
+    async def _run(
+        self,
+        request: http_server.Request,
+        headers: dict[str, str],
+        responder: http_server.Responder,
+    ) -> None:
+        request_id = headers.get("request-id", "")
+        if headers.get("expect-instance", self.target_id) != self.target_id:
+            await self._turn_away(421, request_id, responder)
+            return
+        first = int(headers.get("last-event-id", "0")) + 1
+        copy_from = headers.get("kv-from", "")
+        if self.refuses or (copy_from and not self._take_copy(copy_from, request_id)):
+            await self._turn_away(503, request_id, responder)
+            return
+        run = RanRequest(
+            request_id,
+            headers,
+            request.head.target.decode(),
+            request.body,
+            asyncio.get_running_loop().time(),
+            first,
+            first - 1,
+        )
+        self.ran.append(run)
+        if self.length:
+            await self._stream(run, responder)
+            return
+        await asyncio.sleep(self.pace)
+        run.ended = "whole"
+        if self.loses_answer:
+            responder.abort()
+            return
+        head = http_head.AnswerHead(
+            self.answer_status,
+            [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
+        )
+        await responder.send_whole(head, b"answer to " + request_id.encode())
+
+    def _take_copy(self, copy_from: str, request_id: str) -> bool:
+        """Use a copy that lies here: by handle, or one that grew with the run."""
+        handle = copy_from.rpartition("/")[2]
+        copy = self.copies.pop(handle, None)
+        return copy is not None and copy.request_id == request_id
+
+    async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
+        head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
+        await responder.begin(head)
+        try:
+            for number in range(run.first_event, self.length + 1):
+                await asyncio.sleep(self.pace)
+                if run.is_stopped:
+                    run.ended = "stopped"
+                    responder.abort()
+                    return
+                if number != self.skips_event:
+                    await responder.write(build_event(run.request_id, number))
+                run.events = number
+                self._grow_copy(run)
+            run.ended = "whole"
+            await responder.finish()
+        finally:
+            run.ended = run.ended or "gone"
+
+    def _grow_copy(self, run: RanRequest) -> None:
+        backup = self.others.get(run.headers.get("kv-backup", ""))
+        if backup is not None:
+            backup.copies[run.request_id] = _Copy(run.request_id, run.events, self)
+
+    def find_run(self, request_id: str) -> RanRequest | None:
+        """The run of a request that still goes on."""
+        found: Callable[[RanRequest], bool] = lambda run: (
+            run.request_id == request_id and not run.ended
+        )
+        return next(filter(found, self.ran), None)
+
+    async def _move(self, order: dict[str, object], responder: http_server.Responder) -> None:
+        run = self.find_run(str(order["id"]))
+        if run is None:
+            await responder.send_whole(http_head.AnswerHead(404, []), b"")
+            return
+        destination = self.others.get(str(order["target_version"]))
+        handle = f"h{next(self._handles)}-{self.target_id}"
+        if order.get("last"):
+            run.is_stopped = True
+        await asyncio.sleep(self.copy_seconds)
+        answer = {"handle": handle, "made": run.events}
+        copy = _Copy(run.request_id, run.events, self)
+        status = 200
+        if destination is None or destination.refuses:
+            status = 503
+        else:
+            destination.copies[handle] = copy
+        if order.get("last"):
+            self.copies[handle] = copy
+        body = msgspec.json.encode(answer if status == 200 or order.get("last") else {})
+        await responder.send_whole(http_head.AnswerHead(status, []), body)
