Move a run when the runner with its copy leaves too

Change: such a run counts as unsaved again and is moved. Test: run_is_moved_when_its_copy_leaves_too fails before.

--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -125,10 +125,23 @@
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         if target.takes_work:
             return
+        for run in [run for runs in self._runs.values() for run in runs if run.backup is target]:
+            self._lose_backup(run)
         runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: run.tokens)
         for run in runs:
             self._start(run)
 
+    def _lose_backup(self, run: Run) -> None:
+        """Count a run among those without a copy when the runner that has it leaves."""
+        assert run.backup is not None
+        self._usage.add(run.backup.address, tokens=-run.backup_tokens)
+        run.backup = None
+        run.backup_tokens = 0
+        run.unsaved_tokens = run.tokens
+        self._usage.add(run.target.address, unsaved=run.tokens)
+        if not run.target.takes_work:
+            self._start(run)
+
     def _start(self, run: Run) -> None:
         engine = run.pool.engine
         if engine is None or not engine.can_move or run.moving is not None:
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -235,6 +235,33 @@
 
         self.play(scene)
 
+    def test_run_is_moved_when_its_copy_leaves_too(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=120)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "record", f"r{number}", **TOKENS))
+                for number in range(2)
+            ]
+            await asyncio.sleep(0.1)
+            backup = await stage.add_runner("t2", "llm", length=120)
+            await asyncio.sleep(0.1)
+            calls.append(asyncio.create_task(stage.call("entry-1", "record", "r2", **TOKENS)))
+            calls.append(asyncio.create_task(stage.call("entry-1", "record", "r3", **TOKENS)))
+            await asyncio.sleep(0.4)
+            await stage.add_runner("t3", "llm", length=120)
+            await asyncio.sleep(0.1)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.1)
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.5)
+            stage.runners["t1"].crash()
+            backup.crash()
+            for number, answer in enumerate(await asyncio.gather(*calls)):
+                self.assertEqual(answer.body, build_stream(f"r{number}", 120), number)
+
+        self.play(scene)
+
     def test_crash_without_a_copy_does_not_look_whole(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "llm", length=80)
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import control, entry
+from tillerlane.gateway import control, entry, http_client, http_head
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, http_head
 from tillerlane.keeper import formation
 from tillerlane.platform import calls, wire
 from tillerlane.testing import lab, memory_disk, network, platform_runner
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable
 
 import msgspec
 
@@ -217,10 +216,10 @@
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """The run of a request that still goes on."""
-        found: Callable[[RanRequest], bool] = lambda run: (
-            run.request_id == request_id and not run.ended
-        )
-        return next(filter(found, self.ran), None)
+        for run in self.ran:
+            if run.request_id == request_id and not run.ended:
+                return run
+        return None
 
     async def _move(self, order: dict[str, object], responder: http_server.Responder) -> None:
         run = self.find_run(str(order["id"]))
