Serve figures, follow changed settings, begin anew after a disk's failure

Cause: no metrics address; changed seeds were not read; a keeper whose disk refused a write stayed dead until restarted. Change: counters and histograms on port 9464; seeds read again on SIGHUP and every 2 s; a keeper reads its disk anew half a second after a failure.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway import meters
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -37,8 +38,8 @@
 
     Attributes
     ----------
-    name, peer_address : str
-        Its daemon id and where it listens to peers.
+    name, peer_address, metrics_address : str
+        Its daemon id, where it listens to peers and to whoever collects figures.
     data_folder : str
         Its folder on the disk.
     plan : formation.Plan
@@ -51,6 +52,7 @@
 
     name: str
     peer_address: str
+    metrics_address: str
     data_folder: str
     plan: formation.Plan
     silent_seconds: float
@@ -118,6 +120,9 @@
             self.replica, self._get_link, lambda: len(self._entries)
         )
         state.published.listen(self._push_publication)
+        self.meters = meters.build_control_meters()
+        self._set_gauges()
+        self._figures = meters.build_server(self.meters.registry)
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_local(self, clock: clocks.HybridClock) -> links.Local:
@@ -142,6 +147,7 @@
     async def start(self) -> None:
         """Listen to peers and begin."""
         await self.node.listen(self._own.peer_address)
+        await self._figures.listen(self._own.metrics_address)
         self.replica.begin()
         self._tasks = [
             self._loop.create_task(self.formation.run()),
@@ -157,11 +163,32 @@
             version=self.replica.machine.published.version,
         )
 
+    def _set_gauges(self) -> None:
+        """Have the gauges read what they show when they are asked."""
+        own = self.replica
+        self.meters.is_leader.set_function(lambda: own.standing is replica.Standing.LEADER)
+        self.meters.term.set_function(lambda: own.storage.term)
+        self.meters.version.set_function(lambda: own.machine.published.version)
+        self.meters.fresh_age.set_function(lambda: self.freshness.read_age() or 0.0)
+        self.meters.entries.set_function(lambda: len(self._entries))
+        self.meters.targets.set_function(lambda: len(self.directory.targets))
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.formation.set_seeds(seeds)
+        self.timeline.record("daemon.reload", seeds=list(seeds))
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the disk refused a write; what it holds must be read anew."""
+        return self.replica.failed is not None
+
     async def stop(self) -> None:
         """End; what was acknowledged is on disks."""
         self.timeline.record("daemon.stop")
         for task in self._tasks:
             task.cancel()
+        self._figures.stop_accepting()
         await self.replica.stop()
         await self.node.close()
 
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -9,7 +9,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, http_head, http_server, relay, runs, selection
+from tillerlane.gateway import homes, http_head, http_server, meters, relay, runs, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
@@ -35,8 +35,9 @@
     ----------
     name : str
         Its daemon id.
-    peer_address, front_address, ready_address : str
-        Where it listens (``IP:port``): to peers, to callers and to the balancer's checks.
+    peer_address, front_address, ready_address, metrics_address : str
+        Where it listens (``IP:port``): to peers, to callers, to the balancer's checks and to
+        whoever collects figures.
     seeds : tuple of str
         Keepers' peer addresses to begin with.
     lease_seconds : float
@@ -52,6 +53,7 @@
     peer_address: str
     front_address: str
     ready_address: str
+    metrics_address: str
     seeds: tuple[str, ...]
     lease_seconds: float
     accept_seconds: float
@@ -92,8 +94,13 @@
         selector = selection.Selector(
             self.directory, self._usage, own.data_hall, random.Random(), self._loop.time
         )
-        mover = runs.Mover(dialect, selector, self._usage, self.directory, self.timeline)
-        self.relay = relay.Relay(dialect, selector, self._usage, self._budget, mover, self.timeline)
+        self._meters = meters.build_entry_meters()
+        mover = runs.Mover(
+            dialect, selector, self._usage, self.directory, self.timeline, self._meters
+        )
+        self.relay = relay.Relay(
+            dialect, selector, self._usage, self._budget, mover, self.timeline, self._meters
+        )
         self.relay.is_fresh = self._is_fresh
         self.node = nodes.Node(self._build_local(clock), open_connection=open_connection)
         self._clock = freshness.FreshnessClock()
@@ -111,6 +118,8 @@
         self._ready = http_server.Server(
             self._answer_ready, http_server.ServerLimits(), self._note_error
         )
+        self._figures = meters.build_server(self._meters.registry)
+        self._set_gauges()
         self._stopping = False
         self._was_fresh = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -134,6 +143,7 @@
         """Listen and begin to follow the keepers."""
         await self._ready.listen(self._own.ready_address)
         await self._front.listen(self._own.front_address)
+        await self._figures.listen(self._own.metrics_address)
         self._tasks = [
             self._loop.create_task(self.homes.run()),
             self._loop.create_task(self._tell_loads()),
@@ -156,6 +166,17 @@
             task.cancel()
         await self.node.close()
 
+    def _set_gauges(self) -> None:
+        """Have the gauges read what they show when they are asked."""
+        self._meters.version.set_function(lambda: self.published.version)
+        self._meters.lease_age.set_function(lambda: self._clock.read_age(self._loop.time()))
+        self._meters.busy.set_function(self._front.count_busy)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.homes.learn(seeds)
+        self.timeline.record("daemon.reload", seeds=list(seeds))
+
     # Configuration
 
     def _put_in_force(self, publication: messages.Publication) -> None:
--- /dev/null
+++ b/tillerlane/gateway/meters.py
@@ -0,0 +1,122 @@
+"""Counters and latency histograms of the gateway's daemons, served as text on request.
+
+Label values come from closed lists or from the configuration, so that their number is bounded.
+"""
+
+import dataclasses
+
+import prometheus_client
+
+from tillerlane.gateway import http_head, http_server
+
+__all__ = ["ControlMeters", "EntryMeters", "build_server"]
+
+SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 40.0)
+"""From the service time of a plain call to the longest deadline met (39 s)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryMeters:
+    """What an entry counts."""
+
+    registry: prometheus_client.CollectorRegistry
+    requests: prometheus_client.Counter
+    """Requests by route and outcome; a refusal's outcome is its status."""
+    seconds: prometheus_client.Histogram
+    """Time to the whole answer, or to a stream's first event, by route."""
+    pauses: prometheus_client.Histogram
+    """Longest pause of each stream, by route."""
+    sends: prometheus_client.Counter
+    """Sends to targets by pool and outcome."""
+    moves: prometheus_client.Counter
+    """Orders to copy a run, by outcome."""
+    continuations: prometheus_client.Counter
+    """Runs that went on at another runner, by whether it took them up."""
+    lease_age: prometheus_client.Gauge
+    version: prometheus_client.Gauge
+    busy: prometheus_client.Gauge
+
+
+def build_entry_meters() -> EntryMeters:
+    """Fresh meters of one entry."""
+    registry = prometheus_client.CollectorRegistry()
+
+    def count(name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(name, text, labels, registry=registry)
+
+    def time(name: str, text: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name, text, ("route",), registry=registry, buckets=SECONDS_BUCKETS
+        )
+
+    def gauge(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, registry=registry)
+
+    return EntryMeters(
+        registry,
+        count("tillerlane_requests", "Requests answered", "route", "outcome"),
+        time("tillerlane_answer_seconds", "Time to a whole answer or a first event"),
+        time("tillerlane_pause_seconds", "Longest pause of a stream"),
+        count("tillerlane_sends", "Sends to targets", "pool", "outcome"),
+        count("tillerlane_moves", "Orders to copy a run", "outcome"),
+        count("tillerlane_continuations", "Runs that went on elsewhere", "taken"),
+        gauge("tillerlane_lease_age_seconds", "Age of the word that the configuration is newest"),
+        gauge("tillerlane_config_version", "Configuration in force"),
+        gauge("tillerlane_busy_connections", "Connections with a request under way"),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlMeters:
+    """What a keeper counts."""
+
+    registry: prometheus_client.CollectorRegistry
+    calls: prometheus_client.Counter
+    """Calls by name and status."""
+    seconds: prometheus_client.Histogram
+    """Time of a call, by its name (label ``route``)."""
+    is_leader: prometheus_client.Gauge
+    term: prometheus_client.Gauge
+    version: prometheus_client.Gauge
+    fresh_age: prometheus_client.Gauge
+    entries: prometheus_client.Gauge
+    targets: prometheus_client.Gauge
+
+
+def build_control_meters() -> ControlMeters:
+    """Fresh meters of one keeper."""
+    registry = prometheus_client.CollectorRegistry()
+
+    def gauge(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, registry=registry)
+
+    return ControlMeters(
+        registry,
+        prometheus_client.Counter(
+            "tillerlane_calls", "Calls answered", ("call", "status"), registry=registry
+        ),
+        prometheus_client.Histogram(
+            "tillerlane_call_seconds",
+            "Time of a call",
+            ("call",),
+            registry=registry,
+            buckets=SECONDS_BUCKETS,
+        ),
+        gauge("tillerlane_leader", "1 if this keeper leads the log"),
+        gauge("tillerlane_term", "Term of the log"),
+        gauge("tillerlane_config_version", "Configuration committed here"),
+        gauge("tillerlane_fresh_age_seconds", "Age of the leader's word"),
+        gauge("tillerlane_entries", "Entries known to be subscribed"),
+        gauge("tillerlane_targets", "Targets known"),
+    )
+
+
+def build_server(registry: prometheus_client.CollectorRegistry) -> http_server.Server:
+    """A listener that answers every request with the figures."""
+
+    async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+        body = prometheus_client.generate_latest(registry)
+        kind = prometheus_client.CONTENT_TYPE_LATEST.encode()
+        await responder.send_whole(http_head.AnswerHead(200, [(b"Content-Type", kind)]), body)
+
+    return http_server.Server(serve, http_server.ServerLimits(), lambda error: None)
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -17,6 +17,7 @@
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import events, http_client, http_head, http_server, routes, runs, selection
+from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
 
@@ -160,6 +161,7 @@
         budget: budgets.RetryBudget,
         mover: runs.Mover,
         timeline: timelines.Timeline,
+        meters: entry_meters.EntryMeters,
     ) -> None:
         self.table: routes.RoutingTable | None = None
         self.is_fresh: Callable[[], bool] = lambda: True
@@ -170,6 +172,7 @@
         self._budget = budget
         self._mover = mover
         self._timeline = timeline
+        self._meters = meters
         self._loop = asyncio.get_running_loop()
 
     # Admission
@@ -179,7 +182,7 @@
         admitted = self._admit(request)
         if isinstance(admitted, Refusal):
             facts = self._dialect.read_request(request.head)
-            await self._refuse(facts.request_id, responder, admitted)
+            await self._refuse(facts.request_id, "", responder, admitted)
             return
         self._budget.note_request(admitted.pool.name, self._loop.time())
         if admitted.route.repeat is routes.Repeat.STREAM:
@@ -211,8 +214,9 @@
         return Admission(request, facts, route, pool, workspace, table.version, ends_at)
 
     async def _refuse(
-        self, request_id: str, responder: http_server.Responder, refusal: Refusal
+        self, request_id: str, route: str, responder: http_server.Responder, refusal: Refusal
     ) -> None:
+        self._meters.requests.labels(route, str(refusal.status)).inc()
         self._timeline.record(
             "request.refuse",
             request_id=request_id,
@@ -365,6 +369,8 @@
     def _note_send(
         self, admission: Admission, target: directories.Target, outcome: _Outcome, sends: int
     ) -> None:
+        kind = type(outcome).__name__.strip("_").lower()
+        self._meters.sends.labels(admission.pool.name, kind).inc()
         if isinstance(outcome, _Whole) and outcome.head.status < 500:
             return
         use = self._usage.read(target.address, self._loop.time())
@@ -379,7 +385,7 @@
             heard_ms=int((self._loop.time() - target.heard_at) * 1000),
             version=admission.version,
             send=sends + 1,
-            outcome=type(outcome).__name__.strip("_").lower(),
+            outcome=kind,
             status=status,
             requests_there=use.requests,
             tokens_there=use.tokens,
@@ -402,13 +408,29 @@
             headers = http_head.list_end_to_end(outcome.head.headers)
             head = http_head.AnswerHead(outcome.head.status, headers)
             await responder.send_whole(head, outcome.body)
+            self._note_answer(admission, outcome.head.status)
         elif isinstance(outcome, _NotRun):
             refusal = Refusal(503, outcome.reason, RETRY_SECONDS)
-            await self._refuse(request_id, responder, refusal)
+            await self._refuse(request_id, admission.route.name, responder, refusal)
         else:
             assert isinstance(outcome, _Unknown)
             status = 504 if outcome.is_late else 502
-            await self._refuse(request_id, responder, Refusal(status, outcome.reason))
+            refusal = Refusal(status, outcome.reason)
+            await self._refuse(request_id, admission.route.name, responder, refusal)
+
+    def _note_answer(self, admission: Admission, status: int) -> None:
+        """Note a whole answer that a target gave."""
+        seconds = self._loop.time() - admission.request.arrived
+        self._meters.requests.labels(admission.route.name, str(status)).inc()
+        self._meters.seconds.labels(admission.route.name).observe(seconds)
+        self._timeline.record(
+            "request.end",
+            request_id=admission.facts.request_id,
+            route=admission.route.name,
+            version=admission.version,
+            status=status,
+            took_ms=_milliseconds(seconds),
+        )
 
     # Streams
 
@@ -572,6 +594,7 @@
     ) -> bool:
         outcome = await self._send(stream.admission, target, plan, stream.run.tokens)
         taken = isinstance(outcome, _Stream)
+        self._meters.continuations.labels(str(taken).lower()).inc()
         self._timeline.record(
             "run.go_on",
             request_id=stream.admission.facts.request_id,
@@ -599,18 +622,24 @@
         return True
 
     def _note_end(self, stream: "_Relayed") -> None:
+        admission = stream.admission
+        self._meters.requests.labels(admission.route.name, "200").inc()
+        first_seconds = stream.first_at - admission.request.arrived
+        self._meters.seconds.labels(admission.route.name).observe(first_seconds)
+        self._meters.pauses.labels(admission.route.name).observe(stream.longest_pause)
         self._timeline.record(
             "stream.end",
             request_id=stream.admission.facts.request_id,
             target=stream.run.target.target_id,
             events=stream.events,
-            first_ms=_milliseconds(stream.first_at - stream.admission.request.arrived),
+            first_ms=_milliseconds(first_seconds),
             pause_ms=_milliseconds(stream.longest_pause),
             paused_at=stream.paused_at,
             runners=stream.runners,
         )
 
     def _note_broken(self, stream: "_Relayed", reason: str) -> None:
+        self._meters.requests.labels(stream.admission.route.name, "broken").inc()
         self._timeline.record(
             "stream.break",
             request_id=stream.admission.facts.request_id,
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -11,6 +11,7 @@
 
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import routes, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
@@ -95,6 +96,7 @@
         usage: usages.Usage,
         directory: directories.Directory,
         timeline: timelines.Timeline,
+        meters: entry_meters.EntryMeters,
     ) -> None:
         self._dialect = dialect
         self._selector = selector
@@ -102,6 +104,7 @@
         self._turns: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
         """By source: this entry's runs go one after another too."""
         self._timeline = timeline
+        self._meters = meters
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
         self._dropping: set[asyncio.Task[None]] = set()
         directory.listen(self._note_phase)
@@ -266,6 +269,7 @@
     def _note(
         self, run: Run, outcome: str, destination: directories.Target | None, **fields: object
     ) -> None:
+        self._meters.moves.labels(outcome).inc()
         self._timeline.record(
             "run.move",
             request_id=run.request_id,
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -92,6 +92,10 @@
         """Take the keeper's part in the log, which itself asks `list_founders`."""
         self._replica = replica
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds; keepers known already stay known."""
+        self._plan = dataclasses.replace(self._plan, seeds=seeds)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/tillerlane/platform/control_api.py
+++ b/tillerlane/platform/control_api.py
@@ -22,6 +22,7 @@
     """The listener for heartbeats and operators."""
 
     async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+        began = asyncio.get_running_loop().time()
         try:
             status, body = await _answer(keeper, request)
         except faults.FaultError as error:
@@ -33,6 +34,11 @@
                 status=status,
                 reason=fault.message[:300],
             )
+        call = request.head.path.decode("latin-1").split("/")[1][:40]
+        if status != 404:
+            seconds = asyncio.get_running_loop().time() - began
+            keeper.meters.seconds.labels(call).observe(seconds)
+            keeper.meters.calls.labels(call, str(status)).inc()
         headers = list(_JSON) if body else []
         await responder.send_whole(http_head.AnswerHead(status, headers), body)
 
--- a/tillerlane/platform/main.py
+++ b/tillerlane/platform/main.py
@@ -5,15 +5,24 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import signal
 import sys
+from collections.abc import Callable
+
+import structlog
 
 from tillerlane.faults import core as faults
 from tillerlane.platform import settings
 
 __all__ = ["main"]
 
+RELOAD_SECONDS = 2.0
+"""Pause between two looks at the settings file, which may change without a signal."""
+DISK_RETRY_SECONDS = 0.5
+"""Pause before a keeper reads its disk anew after a failure."""
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Arguments of the programs."""
@@ -23,11 +32,34 @@
     return parser
 
 
-def _watch_signals(stop: asyncio.Event, reload: asyncio.Event) -> None:
+def _watch_signals() -> asyncio.Event:
+    """Have SIGTERM and SIGINT set an event; SIGHUP only hastens what `_follow_settings` does."""
+    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    return stop
+
+
+async def _follow_settings(
+    known: settings.Settings, take_seeds: Callable[[tuple[str, ...]], None]
+) -> None:
+    """Read the settings again on SIGHUP and every few seconds; only the seeds may change."""
+    changed = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), RELOAD_SECONDS)
+        was_told = changed.is_set()
+        changed.clear()
+        try:
+            found = settings.read_settings(os.environ.get(settings.VARIABLE, ""))
+        except faults.FaultError as error:
+            structlog.get_logger().warning("settings.unreadable", message=error.fault.message)
+            continue
+        if found.seeds != known.seeds or was_told:
+            take_seeds(found.seed_peers)
+            known = found
 
 
 async def run_entry(own: settings.Settings) -> None:
@@ -35,9 +67,7 @@
     from tillerlane.gateway import dialect, entry
     from tillerlane.platform import calls, wire
 
-    stop = asyncio.Event()
-    reload = asyncio.Event()
-    _watch_signals(stop, reload)
+    stop = _watch_signals()
     speech = dialect.Dialect(
         read_request=wire.read_request,
         write_forward=wire.write_forward,
@@ -49,24 +79,39 @@
     )
     daemon = entry.Entry(settings.build_entry(own), speech)
     await daemon.start()
+    following = asyncio.create_task(_follow_settings(own, daemon.set_seeds))
     await stop.wait()
+    following.cancel()
     await daemon.stop()
 
 
 async def run_keeper(own: settings.Settings) -> None:
-    """Run a keeper until it is told to stop."""
+    """Run a keeper until it is told to stop; after a failure of its disk, begin anew."""
+    stop = _watch_signals()
+    while not stop.is_set():
+        await _run_keeper_once(own, stop)
+
+
+async def _run_keeper_once(own: settings.Settings, stop: asyncio.Event) -> None:
     from tillerlane.gateway import control
     from tillerlane.platform import control_api
 
-    stop = asyncio.Event()
-    reload = asyncio.Event()
-    _watch_signals(stop, reload)
-    daemon = control.Control(settings.build_control(own))
+    try:
+        daemon = control.Control(settings.build_control(own))
+    except faults.FaultError as error:
+        structlog.get_logger().error("disk.unreadable", message=error.fault.message)
+        await asyncio.sleep(DISK_RETRY_SECONDS)
+        return
     await daemon.start()
     server = control_api.build_server(daemon)
     await server.listen(own.listen.control)
-    await stop.wait()
+    following = asyncio.create_task(_follow_settings(own, daemon.set_seeds))
+    while not stop.is_set() and not daemon.has_failed:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stop.wait(), DISK_RETRY_SECONDS)
+    following.cancel()
     server.stop_accepting()
+    server.abort_all()
     await daemon.stop()
 
 
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -14,6 +14,8 @@
 
 __all__ = ["VARIABLE", "Settings", "build_control", "build_entry", "read_settings"]
 
+METRICS_PORT = 9464
+"""Where figures are served; `deploy/system.toml` names it too."""
 VARIABLE = "TILLERLANE_SETTINGS"
 """Environment variable with the path of the settings file."""
 
@@ -118,6 +120,7 @@
         peer_address=own.peer_address,
         front_address=own.listen.front,
         ready_address=own.listen.ready,
+        metrics_address=f"{own.ip}:{METRICS_PORT}",
         seeds=own.seed_peers,
         lease_seconds=bounds.revoke_ms / 1000 * LEASE_SHARE,
         accept_seconds=min(ACCEPT_SECONDS, bounds.grace_s / 2),
@@ -139,6 +142,7 @@
     return control.ControlSettings(
         name=own.daemon_id,
         peer_address=own.peer_address,
+        metrics_address=f"{own.ip}:{METRICS_PORT}",
         data_folder=own.data_dir,
         plan=formation.Plan(
             seeds=own.seed_peers,
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -135,6 +135,7 @@
         own = control.ControlSettings(
             name=name,
             peer_address=address,
+            metrics_address=address.replace(":7000", ":9464"),
             data_folder=name,
             plan=formation.Plan(
                 self.seeds, self._wished, may_found=is_first and address == self.seeds[0]
@@ -173,6 +174,7 @@
             peer_address=address,
             front_address=f"{host}:8000",
             ready_address=f"{host}:8001",
+            metrics_address=f"{host}:9464",
             seeds=self.seeds,
             lease_seconds=3.75,
             accept_seconds=1.0,
