--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -26,6 +26,8 @@
 URGENT_SECONDS = 1.1
 """Time from a runner's notice after which a run is stopped whatever its copies took; the shortest
 notice met is 1.5 s."""
+TURN_CHECK_SECONDS = 0.05
+"""Entries tell of what they have moved within 0.15 s; a copy takes 0.2 s and more."""
 MOVE_SECONDS = 6.0
 """Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
 RETRY_SECONDS = 0.1
@@ -161,7 +163,7 @@
         excluded = {run.target.target_id}
         loop = asyncio.get_running_loop()
         until = loop.time() + MOVE_SECONDS
-        await asyncio.sleep(self._selector.read_turn(run.pool, run.target))
+        await self._await_turn(run)
         while loop.time() < until:
             destination = self._choose(run, excluded)
             if destination is not None:
@@ -180,6 +182,13 @@
             await asyncio.sleep(RETRY_SECONDS)
         return None
 
+    async def _await_turn(self, run: Run) -> None:
+        """Wait until the entries before this one have moved their runs, or should have."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._selector.read_turn(run.pool, run.target)
+        while loop.time() < until and self._selector.read_turn(run.pool, run.target) > 0:
+            await asyncio.sleep(TURN_CHECK_SECONDS)
+
     async def _copy_and_stop(
         self, run: Run, destination: directories.Target
     ) -> dialects.MoveResult:
--- /dev/null
+++ b/tillerlane/gateway/tests/test_rules.py
@@ -0,0 +1,169 @@
+"""Small rules: the routing table's checks, the retry budget, load and events."""
+
+import dataclasses
+import random
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import events, routes, selection
+from tillerlane.gateway import usage as usages
+from tillerlane.peers import messages
+from tillerlane.testing import profiles
+
+ENGINE = routes.Engine(48, 34_000, 131_072, 19_000, 4, True, True, 5.0)
+POOL = routes.Pool("pool", "/health", 100, ENGINE)
+
+
+def build_route(name: str, prefix: str = "/a/", **changes: object) -> routes.Route:
+    """A route to one pool."""
+    route = routes.Route(
+        name, "h", prefix, routes.Repeat.ONCE, (("pool", 1.0),), 1.0, 0.5, 1, 1, False, False, None
+    )
+    return dataclasses.replace(route, **changes)  # type: ignore[arg-type]
+
+
+def build_table(
+    *found: routes.Route, keys: tuple[tuple[str, ...], ...] = ()
+) -> routes.RoutingTable:
+    """A table of routes to one pool."""
+    workspaces = tuple(routes.Workspace(f"w{number}", item) for number, item in enumerate(keys))
+    return routes.RoutingTable(1, found, {"pool": POOL}, routes.ClientLimits(), workspaces)
+
+
+class TableTest(unittest.TestCase):
+    """Finding routes, and what is refused."""
+
+    def test_longest_prefix_wins(self) -> None:
+        table = build_table(build_route("a"), build_route("ab", "/a/b/"))
+        found = [table.find_route("h", path) for path in ("/a/x", "/a/b/x", "/b/", "/a")]
+        names = [route.name if route else None for route in found]
+        self.assertEqual(names, ["a", "ab", None, None])
+
+    def test_what_is_wrong_is_said(self) -> None:
+        wrong = {
+            "unknown pool": build_table(build_route("a", pools=(("other", 1.0),))),
+            "same place": build_table(build_route("a"), build_route("b")),
+            "no weight": build_table(build_route("a", pools=(("pool", 0.0),))),
+            "no timeout": build_table(build_route("a", timeout_seconds=0.0)),
+            "shared key": build_table(build_route("a"), keys=(("k",), ("k",))),
+        }
+        for name, table in wrong.items():
+            self.assertTrue(routes.check_table(table), name)
+        self.assertEqual(routes.check_table(build_table(build_route("a"), keys=(("k",),))), [])
+
+
+class BudgetTest(unittest.TestCase):
+    """The retry budget."""
+
+    @profiles.choose(100)
+    @given(
+        strategies.lists(strategies.tuples(strategies.booleans(), strategies.floats(0, 1))),
+        strategies.integers(1, 5),
+    )
+    def test_entries_together_keep_the_bound(
+        self, steps: list[tuple[bool, float]], entries: int
+    ) -> None:
+        bounds = budgets.RetryBounds(0.2, 10.0, 20.0)
+        parts = [budgets.RetryBudget(bounds) for _ in range(entries)]
+        for part in parts:
+            part.entries = entries
+        now, firsts, repeats = 0.0, 0, 0
+        for is_first, wait in steps:
+            now += wait / 10
+            if now > bounds.window_seconds:
+                break
+            for part in parts:
+                if is_first:
+                    part.note_request("pool", now)
+                    firsts += 1
+                else:
+                    repeats += part.take("pool", now)
+        self.assertLessEqual(repeats, bounds.ratio * firsts + bounds.allowance)
+
+    def test_window_slides(self) -> None:
+        budget = budgets.RetryBudget(budgets.RetryBounds(0.0, 10.0, 10.0))
+        self.assertEqual(sum(budget.take("pool", 0.0) for _ in range(20)), 7)
+        self.assertTrue(budget.take("pool", 10.1))
+
+
+class SelectionTest(unittest.TestCase):
+    """Load decides, its own and that of others."""
+
+    def setUp(self) -> None:
+        """Three targets."""
+        self.directory = directories.Directory()
+        self.usage = usages.Usage("entry-2")
+        self.selector = selection.Selector(
+            self.directory, self.usage, "hall-a", random.Random(1), lambda: 10.0
+        )
+        for number in (1, 2, 3):
+            target = directories.Target(
+                f"t{number}", "pool", f"a{number}", "hall-a", 48, directories.Phase.READY, 1, 10.0
+            )
+            self.directory.take(target)
+
+    def choose(self) -> str:
+        """Id of the target chosen for a run of 3,000 tokens."""
+        found = self.selector.choose(POOL, 3_000, ())
+        return found.target_id if found else ""
+
+    def test_others_load_counts_until_it_is_old(self) -> None:
+        self.usage.add("a1", requests=1, tokens=9_000)
+        told = messages.EntryLoads("entry-1", 1, [messages.TargetUse("a2", 3, 20_000)])
+        self.usage.take(told, 9.0)
+        self.assertEqual(self.choose(), "t3")
+        self.usage.add("a3", requests=1, tokens=12_000)
+        self.assertEqual(self.choose(), "t1")
+        self.assertEqual(self.usage.read("a2", 9.5).tokens, 20_000)
+        self.assertEqual(self.usage.read("a2", 20.0).tokens, 0)
+
+    def test_unread_prompts_weigh_more_than_free_memory(self) -> None:
+        self.usage.add("a1", requests=1, tokens=3_000, unread=3_000)
+        self.usage.add("a2", requests=2, tokens=8_000)
+        self.usage.add("a3", requests=2, tokens=9_000)
+        self.assertEqual(self.choose(), "t2")
+
+    def test_full_avoided_and_silent_come_last(self) -> None:
+        self.usage.add("a1", tokens=33_000)
+        self.selector.caution.note_failure("t2", 10.0)
+        self.assertEqual(self.choose(), "t3")
+        self.directory.targets["t3"].phase = directories.Phase.SILENT
+        self.assertEqual(self.choose(), "t1")
+        self.directory.targets["t1"].phase = directories.Phase.GONE
+        self.assertEqual(self.choose(), "t2")
+
+    def test_entries_take_turns_by_what_they_told(self) -> None:
+        told = [messages.TargetUse("a1", 1, 3_625, 0, 3_625)]
+        self.usage.take(messages.EntryLoads("entry-1", 1, told), 10.0)
+        self.usage.take(messages.EntryLoads("entry-3", 1, told), 10.0)
+        target = self.directory.targets["t1"]
+        seconds = self.selector.read_turn(POOL, target)
+        self.assertAlmostEqual(seconds, 0.4, places=2)
+        self.assertAlmostEqual(self.selector.read_evacuation(POOL, target), 0.8, places=2)
+
+
+class SplitterTest(unittest.TestCase):
+    """Events cut out of bytes."""
+
+    @profiles.choose(100)
+    @given(strategies.lists(strategies.integers(1, 9), max_size=20), strategies.booleans())
+    def test_any_cutting_gives_the_same_events(self, cuts: list[int], crlf: bool) -> None:
+        end = b"\r\n\r\n" if crlf else b"\n\n"
+        whole = [f"id: {number}\ndata: {'x' * number}".encode() + end for number in range(1, 6)]
+        data = b"".join(whole)
+        splitter = events.Splitter()
+        found: list[bytes] = []
+        for cut in cuts:
+            found += splitter.feed(data[:cut])
+            data = data[cut:]
+        found += splitter.feed(data)
+        self.assertEqual(found, whole)
+        self.assertFalse(splitter.has_part)
+        self.assertEqual([events.read_event_id(item) for item in found], list("12345"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -48,6 +48,8 @@
 """Bytes of commands behind the last snapshot after which a new one is made: a sixteenth of the
 smallest disk that a keeper has had (128 MB), and bounded memory for the entries held."""
 PIECE_BYTES = 256 * 1024
+CANCEL_SECONDS = 0.1
+"""Pause before tasks that are still there are cancelled again."""
 STALL_SECONDS = 1.0
 """A leader whose disk has been silent in a write for so long lets another one lead: below the
 time after which callers of the log ask elsewhere, above a slow sync."""
@@ -182,10 +184,13 @@
 
     async def stop(self) -> None:
         """End the keeper's tasks; what is synced stays."""
-        tasks = [*self._tasks, *self._peer_tasks.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        pending = {*self._tasks, *self._peer_tasks.values()}
+        while pending:
+            # More than once: `asyncio.wait_for` of Python 3.11 drops a cancellation that comes
+            # in the moment in which its work ends.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
         self._fail_waiting("the keeper stops")
 
     def _is_running(self, name: str) -> bool:
--- /dev/null
+++ b/tillerlane/keeper/tests/test_publications.py
@@ -0,0 +1,191 @@
+"""A published document: the highest version holds, through snapshots and losses of disks."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.faults import core as faults
+from tillerlane.keeper import commands, machine, publications
+from tillerlane.testing import gateway_lab, gateway_scenes, profiles
+
+
+def build_command(version: int, content: bytes = b"") -> commands.Publish:
+    """A publication as a command."""
+    return commands.Publish(version, content or f"content {version}".encode(), 0)
+
+
+class PublisherTest(unittest.TestCase):
+    """The state alone."""
+
+    @profiles.choose(100)
+    @given(strategies.lists(strategies.integers(0, 20), max_size=30))
+    def test_highest_version_holds_in_any_order(self, versions: list[int]) -> None:
+        publisher = publications.Publisher()
+        seen: list[int] = []
+        publisher.listen(lambda publication: seen.append(publication.version))
+        for version in versions:
+            publisher.publish(build_command(version))
+        self.assertEqual(publisher.version, max(versions, default=-1))
+        self.assertEqual(seen, sorted(set(seen)))
+
+    def test_other_content_under_the_version_held_changes_nothing(self) -> None:
+        publisher = publications.Publisher()
+        publisher.publish(build_command(3, b"first"))
+        answer = publisher.publish(build_command(3, b"second"))
+        self.assertEqual(answer, {"taken": False, "version": 3})
+        self.assertEqual(publisher.current.content, b"first")
+
+    def test_snapshot_keeps_it_and_an_older_one_takes_nothing_back(self) -> None:
+        old, new = machine.Machine(), machine.Machine()
+        old.apply(1, 1, build_command(3))
+        new.apply(1, 1, build_command(9))
+        restored = machine.Machine()
+        restored.load(new.dump())
+        self.assertEqual(restored.published.version, 9)
+        restored.load(old.dump())
+        self.assertEqual(restored.published.version, 9)
+
+
+class KeepersTest(gateway_scenes.GatewayCase):
+    """Five keepers, of which two may be lost at once."""
+
+    keepers = 5
+    entries = 2
+    wished_voters = 5
+
+    def read_versions(self, stage: gateway_lab.GatewayLab) -> set[int]:
+        """Versions that the live keepers hold."""
+        return {item.replica.machine.published.version for item in stage.keepers.values()}
+
+    def test_acknowledged_outlives_power_off_for_all(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.publish("keeper-3", gateway_lab.build_document(7))
+            for name in stage.keeper_names:
+                await stage.kill_keeper(name)
+            for name in stage.keeper_names:
+                await stage.start_keeper(name)
+            await asyncio.sleep(4)
+            self.assertEqual(self.read_versions(stage), {7})
+            stage.keepers["keeper-2"].read_publication()
+
+        self.play(scene)
+
+    def test_two_lost_disks_lose_nothing_and_get_their_votes_back(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.publish("keeper-1", gateway_lab.build_document(7))
+            for name in ("keeper-1", "keeper-2"):
+                await stage.kill_keeper(name, wipe=True)
+            for name in ("keeper-1", "keeper-2"):
+                await stage.start_keeper(name)
+            await asyncio.sleep(6)
+            self.assertEqual(self.read_versions(stage), {7})
+            # Both vote again: two others may now be lost.
+            for name in ("keeper-3", "keeper-4"):
+                await stage.kill_keeper(name)
+            await asyncio.sleep(4)
+            await stage.publish("keeper-1", gateway_lab.build_document(8))
+            self.assertEqual(self.read_versions(stage), {8})
+
+        self.play(scene)
+
+    def test_read_at_a_keeper_that_is_cut_off_is_refused(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            for name in stage.keeper_names:
+                stage.network.heal()
+                await asyncio.sleep(4)
+                stage.network.isolate(name)
+                await asyncio.sleep(2)
+                with self.assertRaises(faults.FaultError, msg=name):
+                    stage.keepers[name].read_publication()
+
+        self.play(scene)
+
+    def test_entry_that_is_cut_off_stops_trusting_keys_before_a_revoked_one_must_fail(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.5)
+            for name in stage.keeper_names:
+                stage.network.cut("entry-1", name)
+                stage.network.cut(name, "entry-1")
+            revoked = gateway_lab.build_document(2, tenants=[{"name": "b", "api_keys": ["other"]}])
+            await stage.publish("keeper-1", revoked)
+            published_at = asyncio.get_running_loop().time()
+            last_run = published_at
+            for number in range(100):
+                answer = await stage.call("entry-1", "order", f"r{number}")
+                if answer.status == 200:
+                    last_run = asyncio.get_running_loop().time()
+                else:
+                    self.assertEqual(answer.status, 503)
+                await asyncio.sleep(0.08)
+            self.assertGreater(len(runner.ran), 5)
+            self.assertLess(last_run - published_at, 4.0)
+            stage.network.heal()
+            await asyncio.sleep(3)
+            self.assertEqual((await stage.call("entry-1", "order", "last")).status, 401)
+
+        self.play(scene)
+
+
+class ReplacementTest(gateway_scenes.GatewayCase):
+    """A keeper that goes for good, and an empty one at another address."""
+
+    keepers = 4
+    wished_voters = 3
+
+    def test_spare_keeper_takes_the_vote_of_one_that_is_gone(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.publish("keeper-1", gateway_lab.build_document(7))
+            voters = set(stage.keepers["keeper-1"].replica.voters)
+            self.assertEqual(len(voters), 3)
+            gone = next(name for name in sorted(voters) if name != "keeper-1")
+            await stage.kill_keeper(gone, wipe=True)
+            await asyncio.sleep(15)
+            alive = next(iter(stage.keepers.values()))
+            self.assertEqual(set(alive.replica.voters), set(stage.keepers))
+            await stage.kill_keeper("keeper-1")
+            await asyncio.sleep(4)
+            other = next(iter(stage.keepers))
+            await stage.publish(other, gateway_lab.build_document(8))
+
+        self.play(scene)
+
+
+class StalledDiskTest(gateway_scenes.GatewayCase):
+    """A leader whose disk answers nothing."""
+
+    def test_another_keeper_leads_and_changes_go_on(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            leader = next(
+                item
+                for item in stage.keepers.values()
+                if item.replica.read_confirmed_at() is not None
+            )
+            healed = asyncio.Event()
+
+            async def stall(work: object, *arguments: object) -> None:
+                await healed.wait()
+                work(*arguments)  # type: ignore[operator]
+
+            leader.replica._run_blocking = stall
+            other = next(name for name, item in stage.keepers.items() if item is not leader)
+            taken = False
+            began = asyncio.get_running_loop().time()
+            while not taken and asyncio.get_running_loop().time() - began < 8:
+                try:
+                    async with asyncio.timeout(0.9):
+                        await stage.publish(other, gateway_lab.build_document(5))
+                    taken = True
+                except (faults.FaultError, TimeoutError):
+                    await asyncio.sleep(0.3)
+            self.assertTrue(taken)
+            healed.set()
+            await asyncio.sleep(2)
+            self.assertEqual(leader.replica.machine.published.version, 5)
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/peers/node.py
+++ b/tillerlane/peers/node.py
@@ -180,7 +180,8 @@
 
     async def _keep_link(self, peer: Peer) -> None:
         delay = FIRST_RETRY_SECONDS
-        while True:
+        # A cancellation may be lost (see `keeper.replica.Replica.stop`); the table decides.
+        while self._peers.get(peer.address, (None,))[0] is peer:
             try:
                 await self._run_link(peer)
                 delay = FIRST_RETRY_SECONDS
--- /dev/null
+++ b/tillerlane/platform/tests/test_settings.py
@@ -0,0 +1,61 @@
+"""The platform's settings file."""
+
+import pathlib
+import tempfile
+import unittest
+
+from tillerlane.faults import core as faults
+from tillerlane.platform import settings
+
+TEXT = """
+node = "core-hall-1"
+ip = "10.1.0.20"
+zone = "hall"
+serves = ["control"]
+port_range = [7200, 7215]
+seeds = ["10.1.0.20:8748", "10.2.0.14:8748"]
+bootstrap = true
+data_dir = "/data/x"
+unknown_field = 3
+[listen]
+control = "10.1.0.20:8748"
+[tolerate]
+machines = 2
+[bounds]
+revoke_ms = 4000
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Reading and translating."""
+
+    def read(self, text: str) -> settings.Settings:
+        """Read a text as the settings file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text(text)
+            return settings.read_settings(str(path))
+
+    def test_first_seed_founds_on_the_first_start_only(self) -> None:
+        own = settings.build_control(self.read(TEXT))
+        self.assertEqual(own.plan.seeds, ("10.1.0.20:7200", "10.2.0.14:7200"))
+        self.assertEqual((own.plan.wished_voters, own.plan.may_found), (5, True))
+        later = self.read(TEXT.replace("bootstrap = true", "bootstrap = false"))
+        self.assertFalse(settings.build_control(later).plan.may_found)
+        other = self.read(TEXT.replace('ip = "10.1.0.20"', 'ip = "10.2.0.14"'))
+        self.assertFalse(settings.build_control(other).plan.may_found)
+
+    def test_lease_ends_before_a_revoked_key_must_fail(self) -> None:
+        own = settings.build_entry(self.read(TEXT))
+        self.assertEqual(own.lease_seconds, 3.0)
+        self.assertLess(own.stop_seconds, 8.0)
+
+    def test_file_that_cannot_be_read_is_a_listed_error(self) -> None:
+        for text in ("", "node = 3", "node = ["):
+            with self.assertRaises(faults.FaultError) as caught:
+                self.read(text)
+            self.assertEqual(caught.exception.fault.kind, "invalid_config")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tillerlane/platform/tests/test_wire.py
@@ -0,0 +1,153 @@
+"""The platform's border: what is read, what is refused, and that nothing else happens."""
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given, strategies
+
+from tillerlane.faults import core as faults
+from tillerlane.gateway import dialect, http_head, routes
+from tillerlane.platform import wire
+from tillerlane.testing import gateway_lab, profiles
+
+JSON_VALUES = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(),
+    lambda inner: strategies.lists(inner) | strategies.dictionaries(strategies.text(), inner),
+    max_leaves=10,
+)
+
+
+def read(document: Any) -> routes.RoutingTable:
+    """Check a document."""
+    return wire.check_document(json.dumps(document).encode())
+
+
+class DocumentTest(unittest.TestCase):
+    """Operators' documents."""
+
+    def test_valid_document_is_decoded_once_and_whole(self) -> None:
+        table = read(gateway_lab.build_document(7))
+        route = table.find_route(gateway_lab.HOST, "/record/x")
+        self.assertEqual((table.version, route.repeat), (7, routes.Repeat.STREAM))
+        self.assertEqual((route.timeout_seconds, route.aim_seconds), (20.0, 0.5))
+        engine = table.pools["llm"].engine
+        self.assertEqual((engine.memory_tokens, engine.event_tokens), (34_000, 4))
+        self.assertEqual(table.find_workspace(gateway_lab.KEY).name, "workspace-a")
+
+    def check_refused(self, document: Any) -> None:
+        """Expect a listed error."""
+        with self.assertRaises(faults.FaultError) as caught:
+            read(document)
+        self.assertEqual(caught.exception.fault.kind, "invalid_config")
+
+    def test_what_must_be_refused(self) -> None:
+        def change(**changes: Any) -> dict[str, Any]:
+            document = gateway_lab.build_document(1)
+            document["routes"][0].update(changes)
+            return document
+
+        self.check_refused(change(service="unknown"))
+        self.check_refused(change(timeout_ms=0))
+        self.check_refused(change(path_prefix="/order/"))
+        self.check_refused(change(backends=[{"service": "llm", "weight": 0}]))
+        self.check_refused(change(kind="other"))
+        twice = [{"name": "a", "api_keys": ["k"]}, {"name": "b", "api_keys": ["k"]}]
+        self.check_refused(gateway_lab.build_document(1, tenants=twice))
+
+    def test_no_cut_of_a_valid_document_is_taken(self) -> None:
+        data = json.dumps(gateway_lab.build_document(1)).encode()
+        for cut in range(len(data)):
+            with self.assertRaises(faults.FaultError):
+                wire.check_document(data[:cut])
+
+    @profiles.choose(200)
+    @given(strategies.binary(max_size=200))
+    def test_any_bytes_give_a_table_or_a_listed_error(self, data: bytes) -> None:
+        for function in (wire.check_document, wire.read_heartbeat):
+            try:
+                function(data)
+            except faults.FaultError:
+                continue
+
+    @profiles.choose(200)
+    @given(strategies.sampled_from(["routes", "services", "tenants", "limits"]), JSON_VALUES)
+    def test_any_section_gives_a_table_or_a_listed_error(self, section: str, value: Any) -> None:
+        try:
+            read(gateway_lab.build_document(1, **{section: value}))
+        except faults.FaultError:
+            return
+
+
+def build_head(**headers: str) -> http_head.RequestHead:
+    """A caller's head."""
+    found = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
+    return http_head.RequestHead(b"POST", b"/a/b?c=%20d", found)
+
+
+PLAN = dialect.ForwardPlan(1.5, "i-1", "workspace-a", 2)
+
+
+class HeadTest(unittest.TestCase):
+    """Heads of requests and answers."""
+
+    def test_facts_of_a_request(self) -> None:
+        facts = wire.read_request(
+            build_head(
+                Request_Id="r", Deadline_Ms="1500", Token_Counts="3000,200", Length_Hint="900"
+            )
+        )
+        self.assertEqual((facts.wait_seconds, facts.prompt_tokens), (1.5, 3_000))
+        self.assertEqual(facts.output_tokens, 200)
+
+    @profiles.choose(200)
+    @given(strategies.text(alphabet="0123456789,.:-x", max_size=30))
+    def test_odd_numbers_are_read_as_absent(self, text: str) -> None:
+        facts = wire.read_request(build_head(Deadline_Ms=text, Token_Counts=text, Length_Hint=text))
+        self.assertGreaterEqual(facts.prompt_tokens, 0)
+        self.assertGreaterEqual(facts.output_tokens, 0)
+
+    def test_only_the_system_sets_what_is_its_own(self) -> None:
+        forged = build_head(
+            Host="h",
+            Kv_From="x",
+            Hold="x",
+            Pin_Ms="1",
+            Kv_Backup="x",
+            Tenant="x",
+            Expect_Instance="x",
+            Credential="secret",
+            Connection="keep-alive, X-Hop",
+            X_Hop="1",
+            X_Own="kept",
+        )
+        head = wire.write_forward(forged, PLAN)
+        found = {name.decode().lower(): value.decode() for name, value in head.headers}
+        self.assertEqual(found["tenant"], "workspace-a")
+        self.assertEqual(found["expect-instance"], "i-1")
+        self.assertEqual((found["deadline-ms"], found["x-own"]), ("1500", "kept"))
+        gone = {"kv-from", "hold", "pin-ms", "kv-backup", "credential", "x-hop"}
+        self.assertEqual(gone & set(found), set())
+        self.assertEqual(head.target, forged.target)
+
+    def test_copy_is_named_by_address_and_handle(self) -> None:
+        plan = dialect.ForwardPlan(
+            1.0, "i", "", 0, last_event_id="7", copy=dialect.MemoryCopy("10.0.0.1:80", "h1")
+        )
+        head = wire.write_forward(build_head(Host="h"), plan)
+        self.assertEqual(http_head.get_header(head.headers, b"kv-from"), b"10.0.0.1:80/h1")
+        self.assertEqual(http_head.get_header(head.headers, b"last-event-id"), b"7")
+
+    def test_only_the_targets_own_word_says_not_run(self) -> None:
+        def read_answer(status: int, **headers: str) -> bool:
+            found = build_head(**headers).headers
+            return wire.read_answer(http_head.AnswerHead(status, found)).did_run
+
+        self.assertTrue(read_answer(503))
+        self.assertFalse(read_answer(503, Not_Run="1"))
+        self.assertFalse(read_answer(421))
+        self.assertTrue(read_answer(429))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/tests/test_reference.py
+++ b/tillerlane/testing/tests/test_reference.py
@@ -22,6 +22,8 @@
         *("faults", "timeline", "config", "peers", "policy", "members", "agent", "runners"),
         "keeper",
     },
+    "gateway": {"faults", "timeline", "peers", "keeper"},
+    "platform": {"faults", "gateway", "keeper", "peers", "timeline"},
 }
 """Which of the package's folders each folder may use; the others may use all."""
 
@@ -49,6 +51,20 @@
                 found.add(node.module.split(".")[1])
         return found
 
+    def test_only_its_own_start_and_the_tests_know_the_platform(self) -> None:
+        for path in PACKAGE.rglob("*.py"):
+            folder = path.relative_to(PACKAGE).parts[0]
+            if folder not in ("platform", "testing") and "tests" not in path.parts:
+                self.assertNotIn("platform", self.read_imports(path), str(path))
+
+    def test_platform_takes_ports_and_settings_but_no_decision(self) -> None:
+        decisions = {"relay", "runs", "selection", "homes", "usage"}
+        for path in (PACKAGE / "platform").glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.ImportFrom) and node.module == "tillerlane.gateway":
+                    names = {alias.name for alias in node.names}
+                    self.assertEqual(names & decisions, set(), path.name)
+
     def test_direction(self) -> None:
         for folder, allowed in ALLOWED.items():
             for path in (PACKAGE / folder).glob("*.py"):
