--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -90,6 +90,8 @@
         self.directory = directories.Directory()
         self.directory.listen(self._note_phase)
         self._subscribers: dict[links.Link, str] = {}
+        self._greeted: set[links.Link] = set()
+        """Links of keepers that were told all targets."""
         self._entries: dict[str, float] = {}
         self._unspread: dict[str, directories.Target] = {}
         self._spread_timer: asyncio.TimerHandle | None = None
@@ -215,6 +217,7 @@
     def _take_message(self, link: links.Link, body: messages.Body) -> None:
         match body:
             case messages.KeeperAnnounce():
+                self._greet(link)
                 self.formation.take(link, body)
             case messages.Subscribe():
                 self._subscribe(link, body)
@@ -226,7 +229,14 @@
             case messages.EntryLoads():
                 self._take_loads(link, body)
 
+    def _greet(self, link: links.Link) -> None:
+        """Tell a keeper whose link is new all that is known; it may have been cut off."""
+        if link not in self._greeted:
+            self._greeted.add(link)
+            _send(link, directories.write_states(self.directory.targets.values(), whole=True))
+
     def _note_down(self, link: links.Link) -> None:
+        self._greeted.discard(link)
         entry = self._subscribers.pop(link, None)
         if entry is not None:
             self.timeline.record("entry.lost", entry=entry)
--- a/tillerlane/gateway/tests/test_homes.py
+++ b/tillerlane/gateway/tests/test_homes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from tillerlane.gateway import directory as directories
 from tillerlane.testing import gateway_lab, gateway_scenes
 
 
@@ -37,6 +38,25 @@
 
         self.play(scene)
 
+    def test_what_was_heard_on_one_side_of_a_cut_is_known_everywhere_after_it(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.5)
+            cut_off(stage, ["keeper-4", "keeper-5"])
+            await asyncio.sleep(3)
+            phase = directories.Phase.DRAINING
+            stage.beat("t1", "app", phase=phase, keeper="keeper-4")
+            await asyncio.sleep(3)
+            stage.network.heal()
+            await asyncio.sleep(4)
+            known = {
+                name: daemon.directory.targets["t1"].phase
+                for name, daemon in [*stage.keepers.items(), *stage.entries.items()]
+            }
+            self.assertEqual(set(known.values()), {phase}, known)
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
