--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -48,7 +48,7 @@
 EVACUATION_SECONDS = 0.7
 """A runner whose runs can all be copied in this time needs no copies beforehand: half of the
 shortest notice met (1.5 s), since more runs come and copies queue."""
-BACKUP_MEMORY_SHARE = 0.75
+BACKUP_MEMORY_SHARE = 0.6
 """Share of a runner's memory up to which it gets copies of others' runs: the rest is for runs,
 which are pushed aside when memory runs out."""
 RUN_MEMORY_SHARE = 0.95
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -249,12 +249,13 @@
             task.add_done_callback(self._dropping.discard)
 
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
-        """The least loaded runner, if it has room for the run."""
+        """The least loaded runner with room for the run; in the end any, whose word it is."""
         hall = run.target.data_hall
         found = self._selector.choose(run.pool, run.tokens, excluded, hall)
-        if found is None or not self._selector.has_room(run.pool, found, run.tokens, 1.0):
-            return None
-        return found
+        if found is None or self._selector.has_room(run.pool, found, run.tokens, 1.0):
+            return found
+        waited = asyncio.get_running_loop().time() - run.leaving_since
+        return found if waited > URGENT_SECONDS else None
 
     async def _order(
         self, run: Run, destination: directories.Target, *, stop: bool
