Split the relay, and keep order and attempts where a stream breaks

Cause: found by reading. Of a chunk with a gap the events before it were dropped but counted as sent, so a resumed stream missed them; a resumable stream whose first sends had failed began another run beyond its route's attempts. Change: events up to a gap are written; sends count as runs begun. Tests: gap_within_a_chunk and no_more_runners fail on the former code. relay.py is now admission, sending, streams and relay; a target whose address has gone to another one is avoided; one function builds the dialect.

--- /dev/null
+++ b/tillerlane/gateway/admission.py
@@ -0,0 +1,128 @@
+"""What a request is judged by before it is sent: route, key, freshness, time, memory."""
+
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import http_head, http_server, routes
+
+__all__ = ["LONG_TOKENS", "RETRY_SECONDS", "Admission", "Gate", "Refusal"]
+
+RETRY_SECONDS = 0.25
+"""When a refused caller may come back: most refusals end with the next word of a target."""
+STALE_RETRY_SECONDS = 1.0
+"""When a caller may come back whose key cannot be trusted: about when another keeper is found."""
+DEFAULT_WAIT_SECONDS = 60.0
+"""Time of a request that names none, on a route that names none."""
+LONG_TOKENS = 40
+"""Answers expected to be shorter end before their memory would be of use elsewhere: a run writes
+some 130 tokens a second, and a runner leaves with 1.5 s of notice or more."""
+GROWTH_TOKENS = 300
+"""Most tokens of a run's future growth that are counted as used: what a run writes in two
+seconds, by which time others have ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of our own: status, reason for the log, and when to come back."""
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that may run, and what it was judged by.
+
+    Attributes
+    ----------
+    ends_at : float
+        Time of the event loop by which it must be answered.
+    """
+
+    request: http_server.Request
+    facts: dialects.RequestFacts
+    route: routes.Route
+    pool: routes.Pool
+    workspace: routes.Workspace | None
+    version: int
+    ends_at: float
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the request is counted with at a runner when it begins."""
+        return self.facts.prompt_tokens + self.count_growth(0)
+
+    def count_growth(self, written: int) -> int:
+        """Tokens that are set aside for what a run is yet to write."""
+        return min(GROWTH_TOKENS, max(0, self.facts.output_tokens - written) // 2)
+
+    @property
+    def priority(self) -> int:
+        """Its rank; the workspace's own goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    @property
+    def is_long(self) -> bool:
+        """Whether it makes a run that is long and may not run again, so that its memory matters."""
+        if self.pool.engine is None or self.route.is_resumable:
+            return False
+        return self.facts.output_tokens >= LONG_TOKENS
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether a good answer is a stream of events."""
+        return self.route.repeat is routes.Repeat.STREAM
+
+
+class Gate:
+    """Decides on each request by the table in force.
+
+    Parameters
+    ----------
+    dialect : dialects.Dialect
+        Reads requests.
+    draw_pool : callable
+        Gives one of a route's pools.
+
+    Attributes
+    ----------
+    table : routes.RoutingTable or None
+        None until there is a configuration.
+    is_fresh : callable
+        Whether keys may be trusted: the table is known to be the newest, or was lately.
+    """
+
+    def __init__(self, dialect: dialects.Dialect, draw_pool: Callable[[routes.Route], str]) -> None:
+        self.table: routes.RoutingTable | None = None
+        self.is_fresh: Callable[[], bool] = lambda: True
+        self._dialect = dialect
+        self._draw_pool = draw_pool
+
+    def admit(self, request: http_server.Request) -> Admission | Refusal:
+        """Judge a request."""
+        table = self.table
+        if table is None:
+            return Refusal(503, "no configuration yet", RETRY_SECONDS)
+        host = http_head.get_header(request.head.headers, b"host") or b""
+        path = request.head.path.decode("latin-1")
+        route = table.find_route(host.decode("latin-1").lower(), path)
+        if route is None:
+            return Refusal(404, f"no route in version {table.version}")
+        facts = self._dialect.read_request(request.head)
+        workspace = None
+        if table.workspaces and not route.is_public:
+            if not self.is_fresh():
+                reason = "configuration may be old, keys are not trusted"
+                return Refusal(503, reason, STALE_RETRY_SECONDS)
+            workspace = table.find_workspace(facts.key)
+            if workspace is None:
+                return Refusal(401, f"unknown key in version {table.version}")
+        waits = [facts.wait_seconds, route.timeout_seconds]
+        wait = min([item for item in waits if item is not None], default=DEFAULT_WAIT_SECONDS)
+        pool = table.pools[self._draw_pool(route)]
+        ends_at = request.arrived + wait
+        return Admission(request, facts, route, pool, workspace, table.version, ends_at)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -7,10 +7,21 @@
 import time
 
 from tillerlane.faults import core as faults
+from tillerlane.gateway import (
+    admission,
+    homes,
+    http_head,
+    http_server,
+    meters,
+    relay,
+    runs,
+    selection,
+    sending,
+    streams,
+)
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, http_head, http_server, meters, relay, runs, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
@@ -99,10 +110,17 @@
         mover = runs.Mover(
             dialect, selector, self._usage, self.directory, self.timeline, self._meters
         )
-        self.relay = relay.Relay(
-            dialect, selector, self._usage, self._budget, mover, self.timeline, self._meters
+        self._gate = admission.Gate(dialect, selector.draw_pool)
+        self._gate.is_fresh = self._is_fresh
+        sender = sending.Sender(
+            dialect, selector, self._usage, self._budget, self.timeline, self._meters
+        )
+        relayed = streams.Streams(
+            sender, selector, self._usage, self._budget, mover, self.timeline, self._meters
+        )
+        self._relay = relay.Relay(
+            self._gate, sender, relayed, self._budget, dialect, self.timeline, self._meters
         )
-        self.relay.is_fresh = self._is_fresh
         self.node = nodes.Node(self._build_local(clock), open_connection=open_connection)
         self._clock = freshness.FreshnessClock()
         self.homes = homes.Homes(
@@ -115,7 +133,7 @@
         )
         self.homes.on_entries = self._note_entries
         self._limits = http_server.ServerLimits()
-        self._front = http_server.Server(self.relay.serve, self._limits, self._note_error)
+        self._front = http_server.Server(self._relay.serve, self._limits, self._note_error)
         self._ready = http_server.Server(
             self._answer_ready, http_server.ServerLimits(), self._note_error
         )
@@ -187,7 +205,7 @@
             # Keepers check a document before it is published; keep serving under the former one.
             self.timeline.record("config.unreadable", message=error.fault.message)
             return
-        self.relay.table = table
+        self._gate.table = table
         limits = table.limits
         self._limits.header_bytes = limits.max_header_bytes
         self._limits.body_bytes = limits.max_body_bytes
@@ -262,7 +280,7 @@
     async def _answer_ready(
         self, request: http_server.Request, responder: http_server.Responder
     ) -> None:
-        table = self.relay.table
+        table = self._gate.table
         is_ready = table is not None and not self._stopping
         if is_ready and table is not None and table.workspaces:
             is_ready = self._is_fresh()
--- /dev/null
+++ b/tillerlane/gateway/sending.py
@@ -0,0 +1,327 @@
+"""Sending a request to targets, and what is known of it afterwards.
+
+Here it is decided whether a request may be sent again: one that may run once only while every
+target that got it vouches that it did not run, any other within its route's attempts and the
+fleet's budget of retries.
+"""
+
+import asyncio
+import dataclasses
+
+from tillerlane.gateway import admission as admissions
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import http_client, http_head, selection
+from tillerlane.gateway import meters as entry_meters
+from tillerlane.gateway import usage as usages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["NotRun", "Outcome", "Sender", "Stream", "Tried", "Unknown", "Whole"]
+
+CONNECT_SECONDS = 0.3
+"""A connection within a region takes milliseconds; a target that is dark never answers."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+NO_ROOM_RETRY_SECONDS = 0.6
+"""When a caller may come back that found no memory: runs end about every second on a full pool."""
+ROOM_WAIT_SHARE = 0.2
+"""Share of the time within which an answer is in time that a request waits for memory: a refusal
+that comes within a quarter of it leaves the caller time to be served elsewhere."""
+ROOM_CHECK_SECONDS = 0.03
+LEAST_SEND_SECONDS = 0.02
+"""With less than this left a target could not answer."""
+UNSENT_TRIES = 3
+"""Targets that may turn out unreachable before a request is refused."""
+EVACUATION_SECONDS = 0.7
+"""A runner whose runs can all be copied in this time needs no copies beforehand: half of the
+shortest notice met (1.5 s), since more runs come and copies queue."""
+BACKUP_MEMORY_SHARE = 0.6
+"""Share of a runner's memory up to which it gets copies of others' runs: the rest is for runs,
+which are pushed aside when memory runs out."""
+RUN_MEMORY_SHARE = 0.95
+"""Share up to which a runner gets runs that are not the most urgent: those under way still grow,
+and other entries' sends are heard of late."""
+MARGIN_SECONDS = 0.03
+"""How long before the end of a request's time its last answer is written."""
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request did not run and never will."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Whole:
+    """A target's whole answer."""
+
+    head: http_head.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The target vouches that it did not run the request, or it was never sent."""
+
+    reason: str
+    sent: bool
+    is_other_target: bool = False
+    """Whether the address has gone to another target."""
+    retry_after: float = admissions.RETRY_SECONDS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The target may have run the request, and there is no answer of it."""
+
+    reason: str
+    is_late: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """A target has begun a stream."""
+
+    head: http_head.AnswerHead
+    exchange: http_client.Exchange
+
+
+Outcome = Whole | NotRun | Unknown | Stream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tried:
+    """How far a request got.
+
+    Attributes
+    ----------
+    target, backup : directories.Target or None
+        Where it was sent last, and the runner that gets its run's memory.
+    sends : int
+        Targets that it reached.
+    """
+
+    outcome: Outcome
+    target: directories.Target | None = None
+    backup: directories.Target | None = None
+    sends: int = 0
+
+
+class Sender:
+    """Sends requests.
+
+    Parameters
+    ----------
+    dialect : dialects.Dialect
+        How targets speak.
+    selector : selection.Selector
+        Chooses targets.
+    usage : usages.Usage
+        Counts what is under way.
+    budget : budgets.RetryBudget
+        Bounds retries.
+    timeline : timelines.Timeline
+        Takes the decisions.
+    meters : entry_meters.EntryMeters
+        Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        selector: selection.Selector,
+        usage: usages.Usage,
+        budget: budgets.RetryBudget,
+        timeline: timelines.Timeline,
+        meters: entry_meters.EntryMeters,
+    ) -> None:
+        self._dialect = dialect
+        self._selector = selector
+        self._usage = usage
+        self._budget = budget
+        self._timeline = timeline
+        self._meters = meters
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self,
+        asked: admissions.Admission,
+        target: directories.Target,
+        plan: dialects.ForwardPlan,
+        tokens: int | None = None,
+    ) -> Outcome:
+        """Send a request to a target and take its answer: a stream's head, or all of it.
+
+        `tokens` is the memory that a run which goes on is counted with.
+        """
+        address = target.address
+        unread = asked.facts.prompt_tokens if tokens is None else 0
+        tokens = asked.tokens if tokens is None else tokens
+        unsaved = tokens if asked.is_long and not plan.backup_address else 0
+        self._usage.add(address, requests=1, tokens=tokens, unread=unread, unsaved=unsaved)
+        exchange: http_client.Exchange | None = None
+        keep = False
+        try:
+            async with asyncio.timeout_at(asked.ends_at - MARGIN_SECONDS):
+                exchange = await http_client.connect(address, CONNECT_SECONDS)
+                head = self._dialect.write_forward(asked.request.head, plan)
+                exchange.send(head, asked.request.body)
+                outcome = await self._read_answer(asked, exchange)
+            keep = isinstance(outcome, Stream)
+            self._judge(target, outcome)
+            return outcome
+        except TimeoutError:
+            sent = exchange is not None and exchange.sent
+            if not sent:
+                return NotRun(f"{address}: out of time before it was sent", sent=False)
+            return Unknown(f"{address}: no answer in time", is_late=True)
+        except http_client.AnswerBroken as error:
+            self._selector.caution.note_failure(target.target_id, self._loop.time())
+            if not error.sent:
+                return NotRun(str(error), sent=False)
+            return Unknown(f"{address}: {error}")
+        finally:
+            self._usage.add(address, unread=-unread)
+            if not keep:
+                self._usage.add(address, requests=-1, tokens=-tokens, unsaved=-unsaved)
+                if exchange is not None:
+                    exchange.abort()
+
+    async def _read_answer(
+        self, asked: admissions.Admission, exchange: http_client.Exchange
+    ) -> Outcome:
+        head = await exchange.read_head()
+        facts = self._dialect.read_answer(head)
+        if facts.request_id and facts.request_id != asked.facts.request_id:
+            raise http_client.AnswerBroken("answer to another request", sent=True)
+        if not facts.did_run:
+            return NotRun(f"turned away, status {head.status}", True, facts.is_other_target)
+        if asked.is_stream and head.status == 200:
+            return Stream(head, exchange)
+        body = await exchange.read_body(MAX_ANSWER_BYTES)
+        if head.status in PROMISES:
+            # To the caller these would promise that nothing ran; this target promised nothing.
+            return Unknown(f"status {head.status} without a promise")
+        return Whole(head, body)
+
+    def _judge(self, target: directories.Target, outcome: Outcome) -> None:
+        """Keep whether a target is worth another request."""
+        if not isinstance(outcome, NotRun):
+            self._selector.caution.note_success(target.target_id)
+        elif outcome.is_other_target:
+            self._selector.caution.note_failure(target.target_id, self._loop.time())
+
+    def plan(
+        self,
+        asked: admissions.Admission,
+        target: directories.Target,
+        *,
+        last_event_id: str = "",
+        copy: dialects.MemoryCopy | None = None,
+        backup: directories.Target | None = None,
+    ) -> dialects.ForwardPlan:
+        return dialects.ForwardPlan(
+            wait_seconds=max(0.001, asked.ends_at - self._loop.time()),
+            target_id=target.target_id,
+            workspace=asked.workspace.name if asked.workspace is not None else "",
+            priority=asked.priority,
+            last_event_id=last_event_id,
+            copy=copy,
+            backup_address=backup.address if backup is not None else "",
+        )
+
+    def choose_backup(
+        self, asked: admissions.Admission, target: directories.Target
+    ) -> directories.Target | None:
+        """A runner to copy a run's memory to while it grows; short runs are not worth it."""
+        engine = asked.pool.engine
+        if engine is None or not engine.can_back_up or not asked.is_long:
+            return None
+        if self._selector.read_evacuation(asked.pool, target) < EVACUATION_SECONDS:
+            return None
+        backup = self._selector.choose(asked.pool, asked.tokens, {target.target_id})
+        if backup is None:
+            return None
+        has_room = self._selector.has_room(asked.pool, backup, asked.tokens, BACKUP_MEMORY_SHARE)
+        return backup if has_room else None
+
+    async def try_targets(self, asked: admissions.Admission) -> Tried:
+        """Send a request until it is answered or may not be sent again."""
+        excluded: set[str] = set()
+        tried = Tried(NotRun("no target", sent=False))
+        unsent = 0
+        while unsent < UNSENT_TRIES:
+            target = self._selector.choose(asked.pool, asked.tokens, excluded)
+            if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
+                return tried
+            if not self._has_room(asked, target):
+                if self._loop.time() < self._read_patience(asked):
+                    await asyncio.sleep(ROOM_CHECK_SECONDS)
+                    continue
+                return tried if tried.sends else Tried(_build_no_room(asked))
+            excluded.add(target.target_id)
+            tried = await self._try_target(asked, target, tried.sends)
+            if isinstance(tried.outcome, NotRun) and not tried.outcome.sent:
+                unsent += 1
+            elif not self._may_send_again(asked, tried):
+                return tried
+        return tried
+
+    async def _try_target(
+        self, asked: admissions.Admission, target: directories.Target, sends: int
+    ) -> Tried:
+        backup = self.choose_backup(asked, target)
+        plan = self.plan(asked, target, last_event_id=asked.facts.last_event_id, backup=backup)
+        outcome = await self.send(asked, target, plan)
+        self._note_send(asked, target, outcome, sends)
+        was_sent = not isinstance(outcome, NotRun) or outcome.sent
+        return Tried(outcome, target, backup, sends + was_sent)
+
+    def _read_patience(self, asked: admissions.Admission) -> float:
+        """Until when a request waits for memory; then the caller is told when to come back."""
+        return asked.request.arrived + asked.route.aim_seconds * ROOM_WAIT_SHARE
+
+    def _has_room(self, asked: admissions.Admission, target: directories.Target) -> bool:
+        """Whether a runner has memory for a request; short ones are gone before it runs out."""
+        is_short = asked.facts.output_tokens < admissions.LONG_TOKENS
+        share = 1.0 if is_short or asked.priority == 0 else RUN_MEMORY_SHARE
+        return self._selector.has_room(asked.pool, target, asked.tokens, share)
+
+    def _may_send_again(self, asked: admissions.Admission, tried: Tried) -> bool:
+        outcome = tried.outcome
+        if tried.sends >= asked.route.max_attempts or isinstance(outcome, Stream):
+            return False
+        if isinstance(outcome, Whole) and outcome.head.status < 500:
+            return False
+        # A failure of the target's own, or none of its word: another one may do better.
+        if not isinstance(outcome, NotRun) and not asked.route.is_repeatable:
+            return False
+        return self._budget.take(asked.pool.name, self._loop.time())
+
+    def _note_send(
+        self, asked: admissions.Admission, target: directories.Target, outcome: Outcome, sends: int
+    ) -> None:
+        kind = type(outcome).__name__.strip("_").lower()
+        self._meters.sends.labels(asked.pool.name, kind).inc()
+        if isinstance(outcome, Whole) and outcome.head.status < 500:
+            return
+        use = self._usage.read(target.address, self._loop.time())
+        reason = getattr(outcome, "reason", "")
+        status = outcome.head.status if isinstance(outcome, Whole | Stream) else 0
+        self._timeline.record(
+            "request.send",
+            request_id=asked.facts.request_id,
+            target=target.target_id,
+            address=target.address,
+            phase=target.phase.value,
+            heard_ms=int((self._loop.time() - target.heard_at) * 1000),
+            version=asked.version,
+            send=sends + 1,
+            outcome=kind,
+            status=status,
+            requests_there=use.requests,
+            tokens_there=use.tokens,
+            tokens=asked.tokens,
+            reason=reason,
+        )
+
+
+def _build_no_room(asked: admissions.Admission) -> NotRun:
+    reason = f"no memory: {asked.tokens} tokens beside those under way"
+    return NotRun(reason, sent=False, retry_after=NO_ROOM_RETRY_SECONDS)
--- /dev/null
+++ b/tillerlane/gateway/streams.py
@@ -0,0 +1,354 @@
+"""Streams of events relayed to callers, over as many runners as their run is moved to.
+
+Events go out whole, in the order of their ids, from one run.  If that run is lost and its memory is
+nowhere, another one goes on behind the last event where the route allows it; elsewhere the caller's
+connection ends and does not look whole.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.gateway import admission as admissions
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import events, http_client, http_head, http_server, runs, selection, sending
+from tillerlane.gateway import meters as entry_meters
+from tillerlane.gateway import usage as usages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Streams"]
+
+HANDOVER_SECONDS = 5.0
+"""Longest wait for a move of a run whose stream has ended: above the order's own limits."""
+
+
+class Relayed:
+    """A stream on its way to the caller.
+
+    Attributes
+    ----------
+    last_event_id : str
+        Id of the last event that the caller was sent.
+    runs_begun : int
+        Runners that may have begun a run of the request; one that goes on counts once.
+    runners : int
+        Runners that the stream came from.
+    """
+
+    def __init__(
+        self,
+        asked: admissions.Admission,
+        responder: http_server.Responder,
+        run: runs.Run,
+        exchange: http_client.Exchange,
+    ) -> None:
+        self.asked = asked
+        self.responder = responder
+        self.run = run
+        self.exchange: http_client.Exchange | None = exchange
+        self.last_event_id = asked.facts.last_event_id
+        self.events = 0
+        self.runs_begun = 1
+        self.runners = 1
+        self.first_at = 0.0
+        self.longest_pause = 0.0
+        self.paused_at = ""
+        """Last event before the longest pause."""
+        self._wrote_at = 0.0
+        self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
+
+    async def relay_until_end(self) -> str | None:
+        """Relay one runner's events; None at a true end, else why it is none."""
+        assert self.exchange is not None
+        splitter = events.Splitter()
+        try:
+            while (data := await self.exchange.read_chunk()) is not None:
+                found = splitter.feed(data)
+                good, problem = self._cut_at_gap(found)
+                if good:
+                    self._note_times()
+                    self._take(good)
+                    await self.responder.write(b"".join(good))
+                if problem:
+                    return problem
+        except (http_client.AnswerBroken, ValueError) as error:
+            return str(error)
+        return "ended within an event" if splitter.has_part else None
+
+    def _cut_at_gap(self, found: list[bytes]) -> tuple[list[bytes], str]:
+        """The events up to the first that does not follow, and what is wrong with that one."""
+        last = self.last_event_id
+        for position, event in enumerate(found):
+            event_id = events.read_event_id(event)
+            if event_id.isdigit() and last.isdigit() and int(event_id) != int(last) + 1:
+                return found[:position], f"got event {event_id}, expected {int(last) + 1}"
+            last = event_id or last
+        return found, ""
+
+    def _take(self, good: list[bytes]) -> None:
+        """Keep what the caller is sent now."""
+        for event in good:
+            self.last_event_id = events.read_event_id(event) or self.last_event_id
+        self.events += len(good)
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        engine = self.run.pool.engine
+        if engine is None:
+            return
+        written = self.events * engine.event_tokens
+        tokens = self.asked.facts.prompt_tokens + written
+        self.on_growth(self.run, tokens + self.asked.count_growth(written))
+
+    def _note_times(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._wrote_at:
+            self.first_at = now
+        elif now - self._wrote_at > self.longest_pause:
+            self.longest_pause = now - self._wrote_at
+            self.paused_at = self.last_event_id
+        self._wrote_at = now
+
+
+class Streams:
+    """Relays the streams of one entry.
+
+    Parameters
+    ----------
+    sender : sending.Sender
+        Sends requests.
+    selector : selection.Selector
+        Chooses runners.
+    usage : usages.Usage
+        Counts what is under way.
+    budget : budgets.RetryBudget
+        Bounds new runs.
+    mover : runs.Mover
+        Moves runs off runners that leave.
+    timeline : timelines.Timeline
+        Takes the decisions.
+    meters : entry_meters.EntryMeters
+        Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        sender: sending.Sender,
+        selector: selection.Selector,
+        usage: usages.Usage,
+        budget: budgets.RetryBudget,
+        mover: runs.Mover,
+        timeline: timelines.Timeline,
+        meters: entry_meters.EntryMeters,
+    ) -> None:
+        self._sender = sender
+        self._selector = selector
+        self._usage = usage
+        self._budget = budget
+        self._mover = mover
+        self._timeline = timeline
+        self._meters = meters
+        self._loop = asyncio.get_running_loop()
+
+    async def serve(
+        self,
+        asked: admissions.Admission,
+        responder: http_server.Responder,
+        tried: sending.Tried,
+    ) -> None:
+        """Relay a stream that a target has begun."""
+        outcome, target = tried.outcome, tried.target
+        assert isinstance(outcome, sending.Stream) and target is not None
+        run = runs.Run(asked.facts.request_id, asked.pool, target, asked.tokens, tried.backup)
+        stream = Relayed(asked, responder, run, outcome.exchange)
+        stream.runs_begun = tried.sends
+        stream.on_growth = self._note_growth
+        self._hold(asked, run)
+        try:
+            headers = http_head.list_end_to_end(outcome.head.headers)
+            await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
+            async with asyncio.timeout_at(asked.ends_at):
+                await self._relay_runs(stream)
+        except TimeoutError:
+            self._note_broken(stream, "out of time")
+        finally:
+            self._drop(stream)
+            if not responder.is_done:
+                responder.abort()
+
+    def _hold(self, asked: admissions.Admission, run: runs.Run) -> None:
+        """Take a run that has begun, and count its copy elsewhere while it goes on."""
+        self._mover.add(run)
+        if run.backup is not None:
+            run.backup_tokens = run.tokens
+            self._usage.add(run.backup.address, tokens=run.backup_tokens)
+        elif asked.is_long:
+            run.unsaved_tokens = run.tokens
+
+    def _note_growth(self, run: runs.Run, tokens: int) -> None:
+        """Keep count of a run's memory, and of its copy's."""
+        grown = tokens - run.tokens
+        run.tokens = tokens
+        self._usage.add(run.target.address, tokens=grown)
+        if run.backup is not None:
+            run.backup_tokens += grown
+            self._usage.add(run.backup.address, tokens=grown)
+        elif run.unsaved_tokens:
+            run.unsaved_tokens += grown
+            self._usage.add(run.target.address, unsaved=grown)
+
+    def _drop(self, stream: Relayed) -> None:
+        """Let go of the run that a stream comes from."""
+        if stream.exchange is not None:
+            stream.exchange.abort()
+            stream.exchange = None
+            run = stream.run
+            self._usage.add(
+                run.target.address, requests=-1, tokens=-run.tokens, unsaved=-run.unsaved_tokens
+            )
+            if run.backup is not None:
+                self._usage.add(run.backup.address, tokens=-run.backup_tokens)
+        self._mover.remove(stream.run)
+
+    async def _relay_runs(self, stream: Relayed) -> None:
+        """Relay a stream over as many runners as its run is moved to."""
+        while True:
+            reason = await stream.relay_until_end()
+            if stream.run.is_stopping or reason is not None:
+                continuation = await self._await_move(stream.run)
+                continuation = continuation or self._find_backup(stream.run)
+                if continuation is not None:
+                    if await self._go_on(stream, continuation):
+                        continue
+                    reason = reason or "moved run was not taken up"
+            if reason is None:
+                await stream.responder.finish()
+                self._note_end(stream)
+                return
+            if await self._run_anew(stream):
+                continue
+            self._note_broken(stream, reason)
+            return
+
+    async def _await_move(self, run: runs.Run) -> runs.Continuation | None:
+        if run.moving is None:
+            return None
+        try:
+            async with asyncio.timeout(HANDOVER_SECONDS):
+                return await asyncio.shield(run.moving)
+        except TimeoutError:
+            return None
+
+    def _find_backup(self, run: runs.Run) -> runs.Continuation | None:
+        """Where a run that broke off can go on from the copy made while it grew."""
+        backup = run.backup
+        if backup is None or backup.phase is directories.Phase.GONE:
+            return None
+        return runs.Continuation(backup, dialects.MemoryCopy(backup.address, run.request_id))
+
+    async def _go_on(self, stream: Relayed, continuation: runs.Continuation) -> bool:
+        """Have a moved run go on; at the destination, else where its memory still is."""
+        places = [continuation.target]
+        if continuation.copy.address == stream.run.target.address:
+            places.append(stream.run.target)
+        self._drop(stream)
+        for target in places:
+            backup = self._sender.choose_backup(stream.asked, target)
+            plan = self._sender.plan(
+                stream.asked,
+                target,
+                last_event_id=stream.last_event_id,
+                copy=continuation.copy,
+                backup=backup,
+            )
+            self._budget.note_repeat(stream.asked.pool.name, self._loop.time())
+            if await self._take_up(stream, target, plan, backup):
+                return True
+        return False
+
+    async def _run_anew(self, stream: Relayed) -> bool:
+        """Have another run go on behind the last event, where the route allows it."""
+        asked = stream.asked
+        if not asked.route.is_resumable or stream.runs_begun >= asked.route.max_attempts:
+            return False
+        if not self._budget.take(asked.pool.name, self._loop.time()):
+            return False
+        former = stream.run.target.target_id
+        self._drop(stream)
+        target = self._selector.choose(asked.pool, asked.tokens, {former})
+        if target is None:
+            return False
+        plan = self._sender.plan(asked, target, last_event_id=stream.last_event_id)
+        stream.runs_begun += 1
+        return await self._take_up(stream, target, plan, None)
+
+    async def _take_up(
+        self,
+        stream: Relayed,
+        target: directories.Target,
+        plan: dialects.ForwardPlan,
+        backup: directories.Target | None,
+    ) -> bool:
+        outcome = await self._sender.send(stream.asked, target, plan, stream.run.tokens)
+        taken = isinstance(outcome, sending.Stream)
+        self._meters.continuations.labels(str(taken).lower()).inc()
+        self._timeline.record(
+            "run.go_on",
+            request_id=stream.asked.facts.request_id,
+            target=target.target_id,
+            copy=plan.copy.handle if plan.copy is not None else "",
+            backup=plan.backup_address,
+            last_event=stream.last_event_id,
+            taken=taken,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if not isinstance(outcome, sending.Stream):
+            return False
+        stream.exchange = outcome.exchange
+        stream.runners += 1
+        stream.run = dataclasses.replace(
+            stream.run,
+            target=target,
+            backup=backup,
+            backup_tokens=0,
+            unsaved_tokens=0,
+            moving=None,
+            is_stopping=False,
+        )
+        self._hold(stream.asked, stream.run)
+        return True
+
+    def _note_end(self, stream: Relayed) -> None:
+        asked = stream.asked
+        self._meters.requests.labels(asked.route.name, "200").inc()
+        first_seconds = stream.first_at - asked.request.arrived
+        self._meters.seconds.labels(asked.route.name).observe(first_seconds)
+        self._meters.pauses.labels(asked.route.name).observe(stream.longest_pause)
+        self._timeline.record(
+            "stream.end",
+            request_id=stream.asked.facts.request_id,
+            target=stream.run.target.target_id,
+            events=stream.events,
+            first_ms=_milliseconds(first_seconds),
+            pause_ms=_milliseconds(stream.longest_pause),
+            paused_at=stream.paused_at,
+            runners=stream.runners,
+        )
+
+    def _note_broken(self, stream: Relayed, reason: str) -> None:
+        self._meters.requests.labels(stream.asked.route.name, "broken").inc()
+        self._timeline.record(
+            "stream.break",
+            request_id=stream.asked.facts.request_id,
+            target=stream.run.target.target_id,
+            phase=stream.run.target.phase.value,
+            last_event=stream.last_event_id,
+            events=stream.events,
+            reason=reason,
+        )
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -180,6 +180,44 @@
 
         self.play(scene)
 
+    def test_gap_within_a_chunk_loses_nothing_of_a_resumable_stream(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [
+                await stage.add_runner(f"t{number}", "llm", length=20, pace=0.0)
+                for number in (1, 2)
+            ]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.skips_event = 7
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1", Model="m"))
+            while not any(runner.ran for runner in runners):
+                await asyncio.sleep(0)
+            next(runner for runner in runners if not runner.ran).skips_event = 0
+            answer = await call
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, build_stream("r1", 20))
+
+        self.play(scene)
+
+    def test_stream_runs_on_no_more_runners_than_its_route_allows(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [
+                await stage.add_runner(f"t{number}", "llm", length=20) for number in (1, 2, 3, 4)
+            ]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.loses_answer = True
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1", Model="m"))
+            while not any(runner.ran for runner in runners):
+                await asyncio.sleep(0)
+            for runner in runners:
+                runner.loses_answer = False
+                runner.breaks_at = 5
+            self.assertFalse((await call).is_whole)
+            self.assertEqual(sum(len(runner.ran) for runner in runners), 2)
+
+        self.play(scene)
+
     def test_run_moves_off_a_leaving_runner_in_one_answer(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first = await stage.add_runner("t1", "llm", length=60)
--- /dev/null
+++ b/tillerlane/platform/adapter.py
@@ -0,0 +1,19 @@
+"""The platform's dialect, put together from the functions of this folder."""
+
+from tillerlane.gateway import dialect
+from tillerlane.platform import calls, wire
+
+__all__ = ["build_dialect"]
+
+
+def build_dialect() -> dialect.Dialect:
+    """How callers and targets of the platform speak."""
+    return dialect.Dialect(
+        read_request=wire.read_request,
+        write_forward=wire.write_forward,
+        read_answer=wire.read_answer,
+        write_refusal=wire.write_refusal,
+        read_table=wire.read_table,
+        move_run=calls.move_run,
+        drop_copy=calls.drop_copy,
+    )
--- a/tillerlane/platform/main.py
+++ b/tillerlane/platform/main.py
@@ -64,20 +64,11 @@
 
 async def run_entry(own: settings.Settings) -> None:
     """Run an entry until its planned stop is done."""
-    from tillerlane.gateway import dialect, entry
-    from tillerlane.platform import calls, wire
+    from tillerlane.gateway import entry
+    from tillerlane.platform import adapter
 
     stop = _watch_signals()
-    speech = dialect.Dialect(
-        read_request=wire.read_request,
-        write_forward=wire.write_forward,
-        read_answer=wire.read_answer,
-        write_refusal=wire.write_refusal,
-        read_table=wire.read_table,
-        move_run=calls.move_run,
-        drop_copy=calls.drop_copy,
-    )
-    daemon = entry.Entry(settings.build_entry(own), speech)
+    daemon = entry.Entry(settings.build_entry(own), adapter.build_dialect())
     await daemon.start()
     following = asyncio.create_task(_follow_settings(own, daemon.set_seeds))
     await stop.wait()
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -12,31 +12,17 @@
 
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import control, entry, http_client, http_head
-from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
-from tillerlane.platform import calls, wire
+from tillerlane.platform import adapter, wire
 from tillerlane.testing import lab, memory_disk, network, platform_runner
 
-__all__ = ["CallerAnswer", "GatewayLab", "build_dialect", "build_document"]
+__all__ = ["CallerAnswer", "GatewayLab", "build_document"]
 
 KEY = "key-of-workspace-a"
 HOST = "shop.example"
 
 
-def build_dialect() -> dialects.Dialect:
-    """The platform's dialect."""
-    return dialects.Dialect(
-        read_request=wire.read_request,
-        write_forward=wire.write_forward,
-        read_answer=wire.read_answer,
-        write_refusal=wire.write_refusal,
-        read_table=wire.read_table,
-        move_run=calls.move_run,
-        drop_copy=calls.drop_copy,
-    )
-
-
 def build_document(version: int, **changes: Any) -> dict[str, Any]:
     """A configuration: a stream that runs once, a resumable one, two plain kinds."""
 
@@ -181,7 +167,7 @@
             stop_seconds=6.0,
             retries=budgets.RetryBounds(0.2, 10.0, 50.0),
         )
-        daemon = entry.Entry(own, build_dialect(), self.network.connect_as(name))
+        daemon = entry.Entry(own, adapter.build_dialect(), self.network.connect_as(name))
         self.entries[name] = daemon
         await daemon.start()
         return daemon
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -77,6 +77,8 @@
         Id of another request that it answers with.
     is_dark : bool
         Takes connections and never answers.
+    skips_event, breaks_at : int
+        Number of an event that a stream leaves out, or at which it breaks off.
     """
 
     others: dict[str, "PlatformRunner"]
@@ -107,6 +109,7 @@
         self.answers_for = ""
         self.is_dark = False
         self.skips_event = 0
+        self.breaks_at = 0
         self.dropped: list[str] = []
         self._handles = itertools.count(1)
         limits = http_server.ServerLimits()
@@ -170,6 +173,10 @@
             first - 1,
         )
         self.ran.append(run)
+        if self.loses_answer and self.length:
+            run.ended = "lost"
+            responder.abort()
+            return
         if self.length:
             await self._stream(run, responder)
             return
@@ -195,11 +202,15 @@
         await responder.begin(head)
         try:
             for number in range(run.first_event, self.length + 1):
-                await asyncio.sleep(self.pace)
+                if self.pace:
+                    await asyncio.sleep(self.pace)
                 if run.is_stopped:
                     run.ended = "stopped"
                     responder.abort()
                     return
+                if number == self.breaks_at:
+                    responder.abort()
+                    return
                 if number != self.skips_event:
                     await responder.write(build_event(run.request_id, number))
                 run.events = number
