Leave a runner that went dark for the copy of its run

Change: after 0.7 s of silence the runner is asked for a connection; only if there is none does a run with a copy, or a resumable one, go on elsewhere. Tests: runner_that_goes_dark fails before; silence_alone_does_not_end_a_run.

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -14,7 +14,10 @@
 from tillerlane.gateway import http_head
 from tillerlane.peers import node as nodes
 
-__all__ = ["AnswerBroken", "Exchange", "connect"]
+__all__ = ["AnswerBroken", "Exchange", "connect", "is_reachable"]
+
+REACH_SECONDS = 0.3
+"""Longest wait for a connection that only shows whether somebody is there."""
 
 HIGH_BYTES = 256 * 1024
 """Unread bytes of an answer above which the target is not read from."""
@@ -227,3 +230,13 @@
         reason = f"no connection to {address}: {error or f'none within {timeout} s'}"
         raise AnswerBroken(reason, sent=False) from error
     return exchange
+
+
+async def is_reachable(address: str) -> bool:
+    """Whether a target takes connections."""
+    try:
+        exchange = await connect(address, REACH_SECONDS)
+    except AnswerBroken:
+        return False
+    exchange.abort()
+    return True
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -23,6 +23,10 @@
 HANDOVER_SECONDS = 5.0
 """Longest wait for a move of a run whose stream has ended: above the order's own limits."""
 
+SILENCE_SECONDS = 0.7
+"""Pause after which a runner is asked whether it can be reached at all: four times the longest
+pause that is still in time (180 ms), so that it costs nothing on a good day."""
+
 
 class Relayed:
     """A stream on its way to the caller.
@@ -64,7 +68,7 @@
         assert self.exchange is not None
         splitter = events.Splitter()
         try:
-            while (data := await self.exchange.read_chunk()) is not None:
+            while (data := await self._read_chunk(self.exchange)) is not None:
                 found = splitter.feed(data)
                 good, problem = self._cut_at_gap(found)
                 if good:
@@ -77,6 +81,20 @@
             return str(error)
         return "ended within an event" if splitter.has_part else None
 
+    async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
+        """Read on; a silent runner is given up only if it is out of reach and the run can go on.
+
+        Silence alone ends nothing: a run that was pushed aside at its runner goes on there later.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    return await exchange.read_chunk()
+            except TimeoutError as error:
+                can_go_on = self.run.backup is not None or self.asked.route.is_resumable
+                if can_go_on and not await http_client.is_reachable(self.run.target.address):
+                    raise http_client.AnswerBroken("silent and out of reach", sent=True) from error
+
     def _cut_at_gap(self, found: list[bytes]) -> tuple[list[bytes], str]:
         """The events up to the first that does not follow, and what is wrong with that one."""
         last = self.last_event_id
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -300,6 +300,40 @@
 
         self.play(scene)
 
+    def test_runner_that_goes_dark_is_left_for_the_copy(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=80) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "record", f"r{number}", **TOKENS))
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            backed = [run for run in runners[0].ran if "kv-backup" in run.headers]
+            self.assertTrue(backed)
+            runners[0].go_dark()
+            await asyncio.sleep(5)
+            for run in backed:
+                call = calls[int(run.request_id[1:])]
+                self.assertTrue(call.done())
+                self.assertEqual(call.result().body, build_stream(run.request_id, 80))
+            for call in calls:
+                call.cancel()
+
+        self.play(scene)
+
+    def test_silence_alone_does_not_end_a_run(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [
+                await stage.add_runner(f"t{number}", "llm", length=4, pace=2.0) for number in (1, 2)
+            ]
+            await asyncio.sleep(0.2)
+            answer = await stage.call("entry-1", "verdict", "r1", Model="m")
+            self.assertEqual(answer.body, build_stream("r1", 4))
+            self.assertEqual(sum(len(runner.ran) for runner in runners), 1)
+
+        self.play(scene)
+
     def test_crash_without_a_copy_does_not_look_whole(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "llm", length=80)
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -127,6 +127,11 @@
         self._server.abort_all()
         self.others.pop(self.address, None)
 
+    def go_dark(self) -> None:
+        """Fall silent: connections stay, nothing is sent, nobody gets through any more."""
+        self._server.stop_accepting()
+        self.is_dark = True
+
     async def _serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in request.head.headers}
         if self.is_dark:
@@ -204,6 +209,8 @@
             for number in range(run.first_event, self.length + 1):
                 if self.pace:
                     await asyncio.sleep(self.pace)
+                if self.is_dark:
+                    await asyncio.sleep(3600)
                 if run.is_stopped:
                     run.ended = "stopped"
                     responder.abort()
