Ask another target after half of the time, and avoid one that is silent

Cause: a repeatable call at a target that takes connections and never answers waited out its whole time, and the next call went there again. Tests: never_answers_costs_half_of_the_time_once fails before; short_deadlines_do_not_give_a_bad_name.

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -12,7 +12,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, http_head, selection
+from tillerlane.gateway import http_client, http_head, routes, selection
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
@@ -28,6 +28,10 @@
 """Share of the time within which an answer is in time that a request waits for memory: a refusal
 that comes within a quarter of it leaves the caller time to be served elsewhere."""
 ROOM_CHECK_SECONDS = 0.03
+FIRST_SEND_SHARE = 0.5
+"""Share of a request's time after which another target is asked, if it may run again."""
+SILENT_SECONDS = 0.25
+"""A target that is silent for longer is avoided; shorter waits end by callers' short deadlines."""
 LEAST_SEND_SECONDS = 0.02
 """With less than this left a target could not answer."""
 UNSENT_TRIES = 3
@@ -145,11 +149,15 @@
         target: directories.Target,
         plan: dialects.ForwardPlan,
         tokens: int | None = None,
+        until: float | None = None,
     ) -> Outcome:
         """Send a request to a target and take its answer: a stream's head, or all of it.
 
-        `tokens` is the memory that a run which goes on is counted with.
+        `tokens` is the memory that a run which goes on is counted with, `until` the loop's time
+        at which the answer is no longer waited for.
         """
+        began = self._loop.time()
+        until = asked.ends_at - MARGIN_SECONDS if until is None else until
         address = target.address
         unread = asked.facts.prompt_tokens if tokens is None else 0
         tokens = asked.tokens if tokens is None else tokens
@@ -158,7 +166,7 @@
         exchange: http_client.Exchange | None = None
         keep = False
         try:
-            async with asyncio.timeout_at(asked.ends_at - MARGIN_SECONDS):
+            async with asyncio.timeout_at(until):
                 exchange = await http_client.connect(address, CONNECT_SECONDS)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
@@ -170,6 +178,8 @@
             sent = exchange is not None and exchange.sent
             if not sent:
                 return NotRun(f"{address}: out of time before it was sent", sent=False)
+            if self._loop.time() - began > SILENT_SECONDS:
+                self._selector.caution.note_failure(target.target_id, self._loop.time())
             return Unknown(f"{address}: no answer in time", is_late=True)
         except http_client.AnswerBroken as error:
             self._selector.caution.note_failure(target.target_id, self._loop.time())
@@ -268,11 +278,21 @@
     ) -> Tried:
         backup = self.choose_backup(asked, target)
         plan = self.plan(asked, target, last_event_id=asked.facts.last_event_id, backup=backup)
-        outcome = await self.send(asked, target, plan)
+        until = self._read_limit(asked, sends)
+        outcome = await self.send(asked, target, plan, until=until)
         self._note_send(asked, target, outcome, sends)
         was_sent = not isinstance(outcome, NotRun) or outcome.sent
         return Tried(outcome, target, backup, sends + was_sent)
 
+    def _read_limit(self, asked: admissions.Admission, sends: int) -> float | None:
+        """Until when an answer is waited for, where another target may be asked after it."""
+        if asked.route.repeat is not routes.Repeat.FREELY:
+            return None
+        if sends + 1 >= asked.route.max_attempts:
+            return None
+        now = self._loop.time()
+        return now + (asked.ends_at - now) * FIRST_SEND_SHARE
+
     def _read_patience(self, asked: admissions.Admission) -> float:
         """Until when a request waits for memory; then the caller is told when to come back."""
         return asked.request.arrived + asked.route.aim_seconds * ROOM_WAIT_SHARE
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -82,6 +82,36 @@
 
         self.play(scene)
 
+    def test_target_that_never_answers_costs_half_of_the_time_once(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            runners[0].is_dark = True
+            seconds = []
+            for number in range(8):
+                answer = await stage.call(
+                    "entry-1", "price", f"r{number}", method=b"GET", body=b"", wait_ms=800
+                )
+                self.assertEqual(answer.status, 200)
+                seconds.append(answer.seconds)
+            self.assertEqual(sum(item > 0.3 for item in seconds), 1, seconds)
+
+        self.play(scene)
+
+    def test_short_deadlines_do_not_give_a_target_a_bad_name(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(name, "app", pace=0.1) for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            for number in range(6):
+                await stage.call("entry-1", "order", f"r{number}", wait_ms=50)
+            await asyncio.sleep(0.2)
+            calls = [stage.call("entry-1", "order", f"s{number}") for number in range(8)]
+            await asyncio.gather(*calls)
+            counts = [len([r for r in runner.ran if r.request_id[0] == "s"]) for runner in runners]
+            self.assertEqual(counts, [4, 4])
+
+        self.play(scene)
+
     def test_target_that_turned_away_is_a_true_refusal(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "app")
