Bound what is kept of keepers, targets and runs that are gone

Cause: found by reading: a replaced keeper's address was dialed for ever, locks and failures of targets long gone were kept, and a copy's runner was compared as an object that may be built anew. Change: forgotten after 30 s without a vote or word. Test: keeper_that_is_gone fails before.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -265,6 +265,7 @@
         while True:
             await asyncio.sleep(LOADS_SECONDS)
             now = self._loop.time()
+            self.directory.forget_old(now)
             is_due = now - told_at > QUIET_LOADS_SECONDS and self._usage.count_own()
             if not self._usage.changed and not is_due:
                 continue
@@ -273,7 +274,6 @@
             if link is not None:
                 with contextlib.suppress(links.LinkLost):
                     link.send(self._usage.write(self._started_ms))
-            self.directory.forget_old(now)
 
     # HTTP
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -87,8 +87,12 @@
         Chooses destinations.
     usage : usages.Usage
         Counts the memory that copies take.
+    directory : directories.Directory
+        Tells of targets that leave.
     timeline : timelines.Timeline
         Takes the decisions.
+    meters : entry_meters.EntryMeters
+        Counts orders.
     """
 
     def __init__(
@@ -124,14 +128,16 @@
             runs.discard(run)
             if not runs:
                 del self._runs[run.target.target_id]
+                self._turns.pop(run.target.target_id, None)
         if run.moving is not None and not run.moving.done():
             run.moving.cancel()
 
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         if target.takes_work:
             return
-        for run in [run for runs in self._runs.values() for run in runs if run.backup is target]:
-            self._lose_backup(run)
+        for run in [run for runs in self._runs.values() for run in runs]:
+            if run.backup is not None and run.backup.target_id == target.target_id:
+                self._lose_backup(run)
         runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: run.tokens)
         for run in runs:
             self._start(run)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -14,6 +14,8 @@
 """How long a target that could not be reached is avoided: a heartbeat's interval, by which time
 its keepers know more."""
 MOST_AVOID_SECONDS = 5.0
+FORGET_SECONDS = 30.0
+"""How long a failure counts for the next one, and bounds what is kept of targets long gone."""
 OTHER_HALL_COST = 0.02
 """Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
 BETWEEN_HALLS = 2.0
@@ -44,6 +46,9 @@
 
     def note_failure(self, target_id: str, now: float) -> None:
         """Avoid a target for a while, longer with each failure in a row."""
+        for other, failures in list(self._failures.items()):
+            if now - failures.avoid_until > FORGET_SECONDS:
+                del self._failures[other]
         known = self._failures.setdefault(target_id, _Failures(0, now))
         known.count += 1
         seconds = min(MOST_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2 ** (known.count - 1))
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -25,6 +25,8 @@
 """Pause between two announcements; they are small and only go between keepers."""
 KNOWN_SECONDS = 3.0
 """How long a keeper counts as alive after its last announcement: seven of them."""
+FORGET_SECONDS = 30.0
+"""Silence after which a keeper without a vote is no longer dialed: its address may be another's."""
 REPLACE_SECONDS = 6.0
 """Silence of a voter after which a spare keeper takes its vote: above a restart of a machine
 (about 4 s), since each change of voters is a moment of smaller redundancy."""
@@ -133,7 +135,7 @@
         for other in others:
             if other.name not in self._known and other.name != self._name:
                 # Known by hearsay: dialed, but not counted as alive.
-                self._known[other.name] = _Known(other, -1e9)
+                self._known[other.name] = _Known(other, self._now() - KNOWN_SECONDS)
         self.dial_all()
 
     def dial_all(self) -> None:
@@ -142,6 +144,15 @@
         for address in self.list_addresses() | hearsay - {self._address}:
             self._node.dial(address)
 
+    def _forget_gone(self) -> None:
+        """Stop dialing keepers that have not been heard of for long and have no vote."""
+        now = self._now()
+        for name, item in list(self._known.items()):
+            if now - item.heard_at > FORGET_SECONDS:
+                del self._known[name]
+                if item.seen.address not in self.list_addresses():
+                    self._node.hang_up(item.seen.address)
+
     def _build_announcement(self) -> messages.KeeperAnnounce:
         assert self._replica is not None
         storage = self._replica.storage
@@ -152,6 +163,7 @@
         """Announce this keeper and look after the voters, until cancelled."""
         self._began_at = self._now()
         while True:
+            self._forget_gone()
             self.dial_all()
             announcement = self._build_announcement()
             for address in self.list_addresses():
--- a/tillerlane/keeper/tests/test_publications.py
+++ b/tillerlane/keeper/tests/test_publications.py
@@ -151,6 +151,18 @@
 
         self.play(scene)
 
+    def test_keeper_that_is_gone_is_not_dialed_for_ever(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            address = stage.get_address("keeper-4")
+            dialed = [item.node.get_dialed() for item in stage.keepers.values()]
+            self.assertTrue(any(address in item for item in dialed))
+            await stage.kill_keeper("keeper-4", wipe=True)
+            await asyncio.sleep(70)
+            for item in stage.keepers.values():
+                self.assertNotIn(address, item.node.get_dialed())
+
+        self.play(scene)
+
 
 class StalledDiskTest(gateway_scenes.GatewayCase):
     """A leader whose disk answers nothing."""
