Stop a run sooner when its runner leaves, and make more copies beforehand

Cause: of a leaving runner's runs the last one or two were lost: an entry's turn passed by its clock while others still copied, a repeated copy then waited behind theirs until the runner was gone, and all copies together needed more than the notice, since runs grow after they were weighed. Change: turns last up to 1.5 times what was reckoned, a run is stopped at the first copy that ends later than 0.8 s after the notice, copies beforehand from 0.45 s of unsaved memory on.

--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -23,9 +23,11 @@
 STOP_SECONDS = 1.5
 QUICK_SECONDS = 0.08
 """A copy that took less was not queued: the next one fits a pause of 180 ms, the bound met."""
-URGENT_SECONDS = 1.1
+URGENT_SECONDS = 0.8
 """Time from a runner's notice after which a run is stopped whatever its copies took; the shortest
 notice met is 1.5 s."""
+TURN_PATIENCE = 1.5
+"""How much longer than reckoned the entries before this one may take: two at once are slower."""
 TURN_CHECK_SECONDS = 0.05
 """Entries tell of what they have moved within 0.15 s; a copy takes 0.2 s and more."""
 MOVE_SECONDS = 6.0
@@ -191,7 +193,8 @@
     async def _await_turn(self, run: Run) -> None:
         """Wait until the entries before this one have moved their runs, or should have."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + self._selector.read_turn(run.pool, run.target)
+        turn = self._selector.read_turn(run.pool, run.target)
+        until = loop.time() + turn * TURN_PATIENCE
         while loop.time() < until and self._selector.read_turn(run.pool, run.target) > 0:
             await asyncio.sleep(TURN_CHECK_SECONDS)
 
@@ -235,7 +238,7 @@
             first_handle = result.handle or first_handle
             if result.outcome is not dialects.MoveOutcome.COPIED:
                 return dataclasses.replace(result, handle=first_handle)
-            is_urgent = began - run.leaving_since > URGENT_SECONDS
+            is_urgent = loop.time() - run.leaving_since > URGENT_SECONDS
             if loop.time() - began < QUICK_SECONDS or is_urgent:
                 return result
 
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -36,9 +36,10 @@
 """With less than this left a target could not answer."""
 UNSENT_TRIES = 3
 """Targets that may turn out unreachable before a request is refused."""
-EVACUATION_SECONDS = 0.7
-"""A runner whose runs can all be copied in this time needs no copies beforehand: half of the
-shortest notice met (1.5 s), since more runs come and copies queue."""
+EVACUATION_SECONDS = 0.45
+"""A runner whose runs can all be copied in this time needs no copies beforehand.  One more run
+(0.4 s) and what all write meanwhile come on top; together they must stay below the shortest notice
+met (1.5 s).  Of 0.45 and 0.7, the former served quiet days better (docs/MEASUREMENTS.md)."""
 BACKUP_MEMORY_SHARE = 0.6
 """Share of a runner's memory up to which it gets copies of others' runs: the rest is for runs,
 which are pushed aside when memory runs out."""
