Read the change again: one way to send, counts derived, event ids read once

Change: links.try_send serves all; Run.unsaved_tokens is derived from tokens, copy and length; events are checked and taken in one pass; the rest removed. Behaviour and tests as before.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -201,8 +201,8 @@
             now = self._loop.time()
             self.directory.mark_silent(now - self._own.silent_seconds)
             self.directory.forget_old(now)
+            subscribed = {item.entry for item in self._subscribers.values()}
             for entry, heard_at in list(self._entries.items()):
-                subscribed = {item.entry for item in self._subscribers.values()}
                 if now - heard_at > ENTRY_SECONDS and entry not in subscribed:
                     del self._entries[entry]
 
@@ -234,7 +234,9 @@
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
         if link not in self._greeted:
             self._greeted.add(link)
-            _send(link, directories.write_states(self.directory.targets.values(), whole=True))
+            links.try_send(
+                link, directories.write_states(self.directory.targets.values(), whole=True)
+            )
 
     def _note_down(self, link: links.Link) -> None:
         self._greeted.discard(link)
@@ -251,17 +253,17 @@
         self.timeline.record("entry.subscribed", entry=body.entry, version=body.have)
         self._send_publication(link)
         states = directories.write_states(self.directory.targets.values(), whole=True)
-        _send(link, states)
+        links.try_send(link, states)
 
     def _send_publication(self, link: links.Link) -> None:
         current = self.replica.machine.published.current
         if current is not None:
-            _send(link, current)
+            links.try_send(link, current)
 
     def _push_publication(self, publication: messages.Publication) -> None:
         self.timeline.record("config.committed", version=publication.version)
         for link in list(self._subscribers):
-            _send(link, publication)
+            links.try_send(link, publication)
 
     def _take_loads(self, link: links.Link, loads: messages.EntryLoads) -> None:
         """Pass an entry's load on: to all keepers if it came from the entry itself."""
@@ -270,13 +272,13 @@
             self._send_to_keepers(loads)
         for other, asked in list(self._subscribers.items()):
             if asked.loads and asked.entry != loads.entry:
-                _send(other, loads)
+                links.try_send(other, loads)
 
     def _send_to_keepers(self, body: messages.Body) -> None:
         for address in self.formation.list_addresses():
             link = self._get_link(address)
             if link is not None:
-                _send(link, body)
+                links.try_send(link, body)
 
     # Targets
 
@@ -316,7 +318,7 @@
         )
         states = directories.write_states([target])
         for link in list(self._subscribers):
-            _send(link, states)
+            links.try_send(link, states)
 
     # Configuration
 
@@ -354,10 +356,3 @@
             message = "nothing was published yet"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
         return zlib.decompress(current.content)
-
-
-def _send(link: links.Link, body: messages.Body) -> None:
-    try:
-        link.send(body)
-    except links.LinkLost:
-        return
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -1,7 +1,6 @@
 """An entry: callers' requests on one side, targets on the other, keepers behind."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import time
@@ -226,10 +225,7 @@
     def _note_peer_version(self, link: links.Link, version: int) -> None:
         """Pull the publication from a peer that is ahead."""
         if version > max(0, self.published.version):
-            try:
-                link.send(messages.PublicationPull(max(0, self.published.version)))
-            except links.LinkLost:
-                return
+            links.try_send(link, messages.PublicationPull(max(0, self.published.version)))
 
     # Messages
 
@@ -272,8 +268,7 @@
             told_at = now
             link = self.homes.get_primary()
             if link is not None:
-                with contextlib.suppress(links.LinkLost):
-                    link.send(self._usage.write(self._started_ms))
+                links.try_send(link, self._usage.write(self._started_ms))
 
     # HTTP
 
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -153,7 +153,7 @@
         if link is not None and home.gives_loads is not gives_loads:
             home.gives_loads = gives_loads
             have = max(0, self._read_version())
-            _send(link, messages.Subscribe(have, self._entry, gives_loads))
+            links.try_send(link, messages.Subscribe(have, self._entry, gives_loads))
         if link is not None and now - home.asked_at >= ASK_SECONDS:
             home.asked_at = now
             task = asyncio.get_running_loop().create_task(self._ask(home, link, now))
@@ -173,11 +173,4 @@
         # A keeper that is cut off from the log answers too; only fresh word makes it useful.
         home.good_at = max(home.good_at, asked_at - reply.age_ms / 1000)
         if not self._clock.observe(asked_at, reply, self._read_version()):
-            _send(link, messages.PublicationPull(max(0, self._read_version())))
-
-
-def _send(link: links.Link, body: messages.Body) -> None:
-    try:
-        link.send(body)
-    except links.LinkLost:
-        return
+            links.try_send(link, messages.PublicationPull(max(0, self._read_version())))
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -74,7 +74,7 @@
     calls: prometheus_client.Counter
     """Calls by name and status."""
     seconds: prometheus_client.Histogram
-    """Time of a call, by its name (label ``route``)."""
+    """Time of a call, by its name."""
     is_leader: prometheus_client.Gauge
     term: prometheus_client.Gauge
     version: prometheus_client.Gauge
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -68,15 +68,18 @@
     target: directories.Target
     tokens: int
     backup: directories.Target | None = None
-    backup_tokens: int = 0
-    """Memory that the copy at `backup` is counted with."""
-    unsaved_tokens: int = 0
-    """Memory that it is counted with among those without a copy."""
+    is_long: bool = False
+    """Whether its memory is worth a copy."""
     leaving_since: float = 0.0
     """Time of the event loop at which its runner was known to leave."""
     moving: "asyncio.Task[Continuation | None] | None" = None
     is_stopping: bool = False
 
+    @property
+    def unsaved_tokens(self) -> int:
+        """Memory that it is counted with among the runs without a copy."""
+        return self.tokens if self.is_long and self.backup is None else 0
+
 
 class Mover:
     """All runs of one entry, by target.
@@ -147,11 +150,9 @@
     def _lose_backup(self, run: Run) -> None:
         """Count a run among those without a copy when the runner that has it leaves."""
         assert run.backup is not None
-        self._usage.add(run.backup.address, tokens=-run.backup_tokens)
+        self._usage.add(run.backup.address, tokens=-run.tokens)
         run.backup = None
-        run.backup_tokens = 0
-        run.unsaved_tokens = run.tokens
-        self._usage.add(run.target.address, unsaved=run.tokens)
+        self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
         if not run.target.takes_work:
             self._start(run)
 
@@ -275,25 +276,15 @@
         result = await self._dialect.move_run(
             run.target.address, run.request_id, destination.address, stop, seconds
         )
-        self._note(
-            run,
-            result.outcome.value,
-            destination,
-            stop=stop,
-            took_ms=int((loop.time() - began) * 1000),
-            events=result.events,
-        )
-        return result
-
-    def _note(
-        self, run: Run, outcome: str, destination: directories.Target | None, **fields: object
-    ) -> None:
-        self._meters.moves.labels(outcome).inc()
+        self._meters.moves.labels(result.outcome.value).inc()
         self._timeline.record(
             "run.move",
             request_id=run.request_id,
             source=run.target.target_id,
-            destination=destination.target_id if destination else "",
-            outcome=outcome,
-            **fields,
+            destination=destination.target_id,
+            outcome=result.outcome.value,
+            stop=stop,
+            took_ms=int((loop.time() - began) * 1000),
+            events=result.events,
         )
+        return result
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -117,8 +117,8 @@
         Silent, avoided and full targets come last, in that order.
         """
         now = self._now()
-        found = [item for item in self._directory.list_pool(pool.name)]
-        found = [item for item in found if item.target_id not in excluded]
+        listed = self._directory.list_pool(pool.name)
+        found = [item for item in listed if item.target_id not in excluded]
         if not found:
             return None
 
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -70,10 +70,11 @@
         try:
             while (data := await self._read_chunk(self.exchange)) is not None:
                 found = splitter.feed(data)
-                good, problem = self._cut_at_gap(found)
+                before = self.last_event_id
+                good, problem = self._take_in_order(found)
                 if good:
-                    self._note_times()
-                    self._take(good)
+                    self._note_times(before)
+                    self._count_memory()
                     await self.responder.write(b"".join(good))
                 if problem:
                     return problem
@@ -95,23 +96,18 @@
                 if can_go_on and not await http_client.is_reachable(self.run.target.address):
                     raise http_client.AnswerBroken("silent and out of reach", sent=True) from error
 
-    def _cut_at_gap(self, found: list[bytes]) -> tuple[list[bytes], str]:
-        """The events up to the first that does not follow, and what is wrong with that one."""
-        last = self.last_event_id
+    def _take_in_order(self, found: list[bytes]) -> tuple[list[bytes], str]:
+        """Take the events up to the first that does not follow; and what is wrong with that."""
         for position, event in enumerate(found):
             event_id = events.read_event_id(event)
-            if event_id.isdigit() and last.isdigit() and int(event_id) != int(last) + 1:
-                return found[:position], f"got event {event_id}, expected {int(last) + 1}"
-            last = event_id or last
+            if event_id.isdigit() and self.last_event_id.isdigit():
+                expected = int(self.last_event_id) + 1
+                if int(event_id) != expected:
+                    return found[:position], f"got event {event_id}, expected {expected}"
+            self.last_event_id = event_id or self.last_event_id
+            self.events += 1
         return found, ""
 
-    def _take(self, good: list[bytes]) -> None:
-        """Keep what the caller is sent now."""
-        for event in good:
-            self.last_event_id = events.read_event_id(event) or self.last_event_id
-        self.events += len(good)
-        self._count_memory()
-
     def _count_memory(self) -> None:
         engine = self.run.pool.engine
         if engine is None:
@@ -120,13 +116,13 @@
         tokens = self.asked.facts.prompt_tokens + written
         self.on_growth(self.run, tokens + self.asked.count_growth(written))
 
-    def _note_times(self) -> None:
+    def _note_times(self, event_before: str) -> None:
         now = asyncio.get_running_loop().time()
         if not self._wrote_at:
             self.first_at = now
         elif now - self._wrote_at > self.longest_pause:
             self.longest_pause = now - self._wrote_at
-            self.paused_at = self.last_event_id
+            self.paused_at = event_before
         self._wrote_at = now
 
 
@@ -180,10 +176,11 @@
         outcome, target = tried.outcome, tried.target
         assert isinstance(outcome, sending.Stream) and target is not None
         run = runs.Run(asked.facts.request_id, asked.pool, target, asked.tokens, tried.backup)
+        run.is_long = asked.is_long
         stream = Relayed(asked, responder, run, outcome.exchange)
         stream.runs_begun = tried.sends
         stream.on_growth = self._note_growth
-        self._hold(asked, run)
+        self._hold(run)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
             await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
@@ -196,26 +193,21 @@
             if not responder.is_done:
                 responder.abort()
 
-    def _hold(self, asked: admissions.Admission, run: runs.Run) -> None:
+    def _hold(self, run: runs.Run) -> None:
         """Take a run that has begun, and count its copy elsewhere while it goes on."""
         self._mover.add(run)
         if run.backup is not None:
-            run.backup_tokens = run.tokens
-            self._usage.add(run.backup.address, tokens=run.backup_tokens)
-        elif asked.is_long:
-            run.unsaved_tokens = run.tokens
+            self._usage.add(run.backup.address, tokens=run.tokens)
 
     def _note_growth(self, run: runs.Run, tokens: int) -> None:
         """Keep count of a run's memory, and of its copy's."""
         grown = tokens - run.tokens
+        unsaved_before = run.unsaved_tokens
         run.tokens = tokens
-        self._usage.add(run.target.address, tokens=grown)
+        unsaved_grown = run.unsaved_tokens - unsaved_before
+        self._usage.add(run.target.address, tokens=grown, unsaved=unsaved_grown)
         if run.backup is not None:
-            run.backup_tokens += grown
             self._usage.add(run.backup.address, tokens=grown)
-        elif run.unsaved_tokens:
-            run.unsaved_tokens += grown
-            self._usage.add(run.target.address, unsaved=grown)
 
     def _drop(self, stream: Relayed) -> None:
         """Let go of the run that a stream comes from."""
@@ -227,7 +219,7 @@
                 run.target.address, requests=-1, tokens=-run.tokens, unsaved=-run.unsaved_tokens
             )
             if run.backup is not None:
-                self._usage.add(run.backup.address, tokens=-run.backup_tokens)
+                self._usage.add(run.backup.address, tokens=-run.tokens)
         self._mover.remove(stream.run)
 
     async def _relay_runs(self, stream: Relayed) -> None:
@@ -330,12 +322,10 @@
             stream.run,
             target=target,
             backup=backup,
-            backup_tokens=0,
-            unsaved_tokens=0,
             moving=None,
             is_stopping=False,
         )
-        self._hold(stream.asked, stream.run)
+        self._hold(stream.run)
         return True
 
     def _note_end(self, stream: Relayed) -> None:
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 
 from tillerlane.faults import core as faults
 from tillerlane.keeper import commands
@@ -88,7 +87,6 @@
         self._replica: replicas.Replica | None = None
         self._answered: dict[str, float] = {}
         """When each voter was last seen to answer, by name."""
-        self.on_addresses: Callable[[], None] = lambda: None
 
     def attach(self, replica: replicas.Replica) -> None:
         """Take the keeper's part in the log, which itself asks `list_founders`."""
@@ -169,10 +167,7 @@
             for address in self.list_addresses():
                 link = self._node.dial(address).link
                 if link is not None:
-                    try:
-                        link.send(announcement)
-                    except links.LinkLost:
-                        continue
+                    links.try_send(link, announcement)
             await self._look_after_voters()
             await asyncio.sleep(ANNOUNCE_SECONDS)
 
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -57,10 +57,7 @@
         """Send the newest change to all subscribers; who lacks more pulls it."""
         delta = self.replica.machine.store.build_delta(configuration.version - 1)
         for link in self._get_subscribers():
-            try:
-                link.send(delta)
-            except links.LinkLost:
-                continue
+            links.try_send(link, delta)
 
     async def serve(self, exchange: links.Exchange, body: messages.Body) -> bool:
         """Serve an exchange that a peer opened; False if it is not for a keeper."""
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -22,7 +22,7 @@
 from tillerlane.peers import messages
 from tillerlane.timeline import clock as clocks
 
-__all__ = ["Exchange", "Link", "LinkLost", "Local", "read_fault", "write_fault"]
+__all__ = ["Exchange", "Link", "LinkLost", "Local", "read_fault", "try_send", "write_fault"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_HELLO_BYTES = 4096
@@ -440,7 +440,7 @@
         try:
             await self._local.serve(exchange, body)
         except faults.FaultError as error:
-            _try_send(exchange, messages.Refusal(write_fault(error.fault)))
+            try_send(exchange, messages.Refusal(write_fault(error.fault)))
         except LinkLost:
             pass
         finally:
@@ -487,9 +487,10 @@
         self._writer.close()
 
 
-def _try_send(exchange: Exchange, body: messages.Body) -> None:
+def try_send(channel: Exchange | Link, body: messages.Body) -> None:
+    """Send where a link that has ended needs no more than that: its owner hears of it anyway."""
     try:
-        exchange.send(body)
+        channel.send(body)
     except LinkLost:
         return
 
