Move a run with one copy, and order all copies of a runner at once

Change: a run is copied once while it goes on; then the request goes to the destination with that copy and the last event, the former runner's stream is left unread until the other one has begun, and ended then. What was written during the copy is read anew. So no order stops a run, none waits for another, and a copy that is not taken up costs nothing: the run is still there.

The test of turns went with the turns; in its place test_all_runs_of_a_leaving_runner_are_copied_one_after_another (fails before), and two tests on copies that are not taken up (fail before).

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -104,7 +104,7 @@
     BUSY = "busy"
     NO_ROOM = "no_room"
     LOST = "lost"
-    """No clear answer; the run may have been stopped."""
+    """No clear answer: the runner may be gone."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,9 +133,9 @@
         of our own.
     read_table : callable
         (document) gives the routing table, or raises `faults.FaultError`.
-    move_run : callable
-        (source address, request id, destination address, stop the run, seconds) copies a run's
-        memory.
+    copy_run : callable
+        (source address, request id, destination address, seconds) copies a run's memory while the
+        run goes on.
     drop_copy : callable
         (copy) frees a copy that will not be used.
     """
@@ -145,5 +145,5 @@
     read_answer: Callable[[http_head.AnswerHead], AnswerFacts]
     write_refusal: Callable[[int, float | None], http_head.AnswerHead]
     read_table: Callable[[bytes], routes.RoutingTable]
-    move_run: Callable[[str, str, str, bool, float], Awaitable[MoveResult]]
+    copy_run: Callable[[str, str, str, float], Awaitable[MoveResult]]
     drop_copy: Callable[[MemoryCopy], Awaitable[None]]
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -62,6 +62,7 @@
         self._broken: str | None = None
         self._ends_by_close = False
         self._method = b""
+        self._is_interrupted = False
         self._changed = asyncio.Event()
 
     # Sending
@@ -98,7 +99,7 @@
         return self._head
 
     async def read_chunk(self) -> bytes | None:
-        """Wait for more of the body; None at its true end.
+        """Wait for more of the body; None at its true end, empty where `interrupt` was called.
 
         Raises
         ------
@@ -109,6 +110,9 @@
             if self._is_whole:
                 return None
             self._raise_broken()
+            if self._is_interrupted:
+                self._is_interrupted = False
+                return b""
             await self._wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
@@ -118,6 +122,11 @@
             self._transport.resume_reading()
         return data
 
+    def interrupt(self) -> None:
+        """Have whoever waits for more of the body look after something else first."""
+        self._is_interrupted = True
+        self._changed.set()
+
     async def read_body(self, limit: int) -> bytes:
         """Read the whole body.
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -1,13 +1,16 @@
 """Streams under way at runners, and moving them off a runner that leaves.
 
-A run is moved in two steps.  The first copies its memory while it goes on; the second stops it,
-copies what is new and gives a handle.  The same request then goes to the destination with that
-handle and the last event that the caller has, and its events follow in the same answer.
+A run's memory is copied while the run goes on.  Once the copy is whole, the same request goes to
+the destination with the copy's handle and the last event that the caller has; its events follow in
+the same answer, and the destination reads anew what was written during the copy.  So one order is
+enough for a run, and all runs of a runner are ordered at once: the runner's link, which makes
+copies one after another, is never idle while a run waits.
 """
 
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
@@ -20,16 +23,9 @@
 
 COPY_SECONDS = 4.0
 """Longest wait for a copy: twice the longest notice met (2.1 s); the source is gone by then."""
-STOP_SECONDS = 1.5
-QUICK_SECONDS = 0.08
-"""A copy that took less was not queued: the next one fits a pause of 180 ms, the bound met."""
-URGENT_SECONDS = 0.8
-"""Time from a runner's notice after which a run is stopped whatever its copies took; the shortest
-notice met is 1.5 s."""
-TURN_PATIENCE = 1.5
-"""How much longer than reckoned the entries before this one may take: two at once are slower."""
-TURN_CHECK_SECONDS = 0.05
-"""Entries tell of what they have moved within 0.15 s; a copy takes 0.2 s and more."""
+LATE_SECONDS = 0.8
+"""Time from a runner's notice after which a destination is asked that is full by our own count;
+the shortest notice met is 1.5 s."""
 MOVE_SECONDS = 6.0
 """Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
 RETRY_SECONDS = 0.1
@@ -59,8 +55,8 @@
         Runner that gets its memory as it grows.
     moving : asyncio.Task or None
         Gives a `Continuation`, or None if the run stays where it is.
-    is_stopping : bool
-        Whether the order to stop it was sent: its stream ends without being whole.
+    on_copied : callable
+        Called when `moving` is done.
     """
 
     request_id: str
@@ -73,13 +69,20 @@
     leaving_since: float = 0.0
     """Time of the event loop at which its runner was known to leave."""
     moving: "asyncio.Task[Continuation | None] | None" = None
-    is_stopping: bool = False
+    on_copied: Callable[[], None] = lambda: None
 
     @property
     def unsaved_tokens(self) -> int:
         """Memory that it is counted with among the runs without a copy."""
         return self.tokens if self.is_long and self.backup is None else 0
 
+    def read_continuation(self) -> Continuation | None:
+        """Where the run can go on by now."""
+        task = self.moving
+        if task is None or not task.done() or task.cancelled():
+            return None
+        return task.result()
+
 
 class Mover:
     """All runs of one entry, by target.
@@ -112,8 +115,6 @@
         self._dialect = dialect
         self._selector = selector
         self._usage = usage
-        self._turns: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
-        """By source: this entry's runs go one after another too."""
         self._timeline = timeline
         self._meters = meters
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
@@ -133,10 +134,21 @@
             runs.discard(run)
             if not runs:
                 del self._runs[run.target.target_id]
-                self._turns.pop(run.target.target_id, None)
         if run.moving is not None and not run.moving.done():
             run.moving.cancel()
 
+    def give_up(self, run: Run) -> None:
+        """Free a copy that the run does not go on with."""
+        unused, run.moving = run.read_continuation(), None
+        if unused is not None:
+            self._drop_copy(run, unused)
+
+    def move_again(self, run: Run) -> None:
+        """Look for another destination after one did not take the run up."""
+        self.give_up(run)
+        if not run.target.takes_work:
+            self._start(run)
+
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         if target.takes_work:
             return
@@ -166,19 +178,18 @@
             return
         run.leaving_since = asyncio.get_running_loop().time()
         run.moving = asyncio.get_running_loop().create_task(self._move(run))
+        run.moving.add_done_callback(lambda task: run.on_copied())
 
     async def _move(self, run: Run) -> Continuation | None:
-        """Move a run; None if it stays."""
+        """Copy a run's memory to a runner with room; None if it stays."""
         excluded = {run.target.target_id}
         loop = asyncio.get_running_loop()
         until = loop.time() + MOVE_SECONDS
-        await self._await_turn(run)
         while loop.time() < until:
             destination = self._choose(run, excluded)
             if destination is not None:
-                async with self._turns[run.target.target_id]:
-                    result = await self._copy_and_stop(run, destination)
-                if result.handle:
+                result = await self._copy(run, destination)
+                if result.outcome is dialects.MoveOutcome.COPIED:
                     copy = dialects.MemoryCopy(run.target.address, result.handle)
                     return Continuation(destination, copy)
                 if result.outcome is dialects.MoveOutcome.LOST:
@@ -191,69 +202,26 @@
             await asyncio.sleep(RETRY_SECONDS)
         return None
 
-    async def _await_turn(self, run: Run) -> None:
-        """Wait until the entries before this one have moved their runs, or should have."""
-        loop = asyncio.get_running_loop()
-        turn = self._selector.read_turn(run.pool, run.target)
-        until = loop.time() + turn * TURN_PATIENCE
-        while loop.time() < until and self._selector.read_turn(run.pool, run.target) > 0:
-            await asyncio.sleep(TURN_CHECK_SECONDS)
-
-    async def _copy_and_stop(
-        self, run: Run, destination: directories.Target
-    ) -> dialects.MoveResult:
-        """Copy a run's memory, stop it and copy the rest; a handle only if it was stopped."""
+    async def _copy(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
+        """Copy a run's memory while it goes on, and count the copy as memory meanwhile."""
         tokens = run.tokens
         self._usage.add(destination.address, tokens=tokens)
-        handle = ""
-        done = False
         try:
-            first = await self._copy_until_quick(run, destination)
-            handle = first.handle
-            if first.outcome is not dialects.MoveOutcome.COPIED:
-                return dataclasses.replace(first, handle="")  # it has not stopped
-            run.is_stopping = True
-            last = await self._order(run, destination, stop=True)
-            if not last.handle:
-                run.is_stopping = last.outcome is dialects.MoveOutcome.LOST
-            done = bool(last.handle)
-            return last
+            return await self._order(run, destination)
         finally:
             self._usage.add(destination.address, tokens=-tokens)
-            if handle and not done:
-                self._drop_copy(run, destination, handle)
-
-    async def _copy_until_quick(
-        self, run: Run, destination: directories.Target
-    ) -> dialects.MoveResult:
-        """Copy a run's memory while it goes on, again and again until a copy takes no time.
 
-        A copy takes long while others are queued on the source's link; a run that stopped then
-        would stand still behind them.
-        """
-        loop = asyncio.get_running_loop()
-        first_handle = ""
-        while True:
-            began = loop.time()
-            result = await self._order(run, destination, stop=False)
-            first_handle = result.handle or first_handle
-            if result.outcome is not dialects.MoveOutcome.COPIED:
-                return dataclasses.replace(result, handle=first_handle)
-            is_urgent = loop.time() - run.leaving_since > URGENT_SECONDS
-            if loop.time() - began < QUICK_SECONDS or is_urgent:
-                return result
-
-    def _drop_copy(self, run: Run, destination: directories.Target, handle: str) -> None:
+    def _drop_copy(self, run: Run, unused: Continuation) -> None:
         """Free a copy that nobody will use; it would hold memory for seconds."""
         self._timeline.record(
             "copy.drop",
             request_id=run.request_id,
             source=run.target.target_id,
-            destination=destination.target_id,
+            destination=unused.target.target_id,
         )
-        for address in (run.target.address, destination.address):
+        for address in (run.target.address, unused.target.address):
             task = asyncio.get_running_loop().create_task(
-                self._dialect.drop_copy(dialects.MemoryCopy(address, handle))
+                self._dialect.drop_copy(dialects.MemoryCopy(address, unused.copy.handle))
             )
             self._dropping.add(task)
             task.add_done_callback(self._dropping.discard)
@@ -265,16 +233,13 @@
         if found is None or self._selector.has_room(run.pool, found, run.tokens, 1.0):
             return found
         waited = asyncio.get_running_loop().time() - run.leaving_since
-        return found if waited > URGENT_SECONDS else None
+        return found if waited > LATE_SECONDS else None
 
-    async def _order(
-        self, run: Run, destination: directories.Target, *, stop: bool
-    ) -> dialects.MoveResult:
-        seconds = STOP_SECONDS if stop else COPY_SECONDS
+    async def _order(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
         loop = asyncio.get_running_loop()
         began = loop.time()
-        result = await self._dialect.move_run(
-            run.target.address, run.request_id, destination.address, stop, seconds
+        result = await self._dialect.copy_run(
+            run.target.address, run.request_id, destination.address, COPY_SECONDS
         )
         self._meters.moves.labels(result.outcome.value).inc()
         self._timeline.record(
@@ -283,8 +248,8 @@
             source=run.target.target_id,
             destination=destination.target_id,
             outcome=result.outcome.value,
-            stop=stop,
             took_ms=int((loop.time() - began) * 1000),
             events=result.events,
+            tokens=run.tokens,
         )
         return result
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -154,15 +154,6 @@
         use = self._usage.read(target.address, self._now())
         return _read_link_seconds(pool, use.unsaved)
 
-    def read_turn(self, pool: routes.Pool, target: directories.Target) -> float:
-        """Seconds after which it is this entry's turn to move its runs off a runner.
-
-        Copies queue on the runner's link, and a copy that waits there helps nobody; so entries
-        go one after another, in the order of their ids, without asking each other.
-        """
-        before = self._usage.read_unsaved_before(target.address, self._now())
-        return _read_link_seconds(pool, before)
-
     def has_room(
         self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
     ) -> bool:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from tillerlane.gateway import admission as admissions
@@ -28,6 +29,15 @@
 pause that is still in time (180 ms), so that it costs nothing on a good day."""
 
 
+class Stop(enum.Enum):
+    """Why the relay of one runner's events stopped."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    CAN_GO_ON = "can_go_on"
+    """It has not ended; a copy of the run is ready elsewhere."""
+
+
 class Relayed:
     """A stream on its way to the caller.
 
@@ -39,6 +49,8 @@
         Runners that may have begun a run of the request; one that goes on counts once.
     runners : int
         Runners that the stream came from.
+    problem : str
+        Why it broke off, if it did.
     """
 
     def __init__(
@@ -61,26 +73,41 @@
         self.paused_at = ""
         """Last event before the longest pause."""
         self._wrote_at = 0.0
+        self._splitter = events.Splitter()
+        self.problem = ""
         self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
 
-    async def relay_until_end(self) -> str | None:
-        """Relay one runner's events; None at a true end, else why it is none."""
+    def take_exchange(self, exchange: http_client.Exchange) -> None:
+        """Go on with what another runner sends behind the last event."""
+        self.exchange = exchange
+        self._splitter = events.Splitter()
+
+    async def relay(self) -> Stop:
+        """Relay one runner's events until they end or the run can go on elsewhere."""
         assert self.exchange is not None
-        splitter = events.Splitter()
         try:
             while (data := await self._read_chunk(self.exchange)) is not None:
-                found = splitter.feed(data)
-                before = self.last_event_id
-                good, problem = self._take_in_order(found)
-                if good:
-                    self._note_times(before)
-                    self._count_memory()
-                    await self.responder.write(b"".join(good))
-                if problem:
-                    return problem
+                if not await self._pass_on(data):
+                    return Stop.BROKEN
+                if self.run.read_continuation() is not None:
+                    return Stop.CAN_GO_ON
         except (http_client.AnswerBroken, ValueError) as error:
-            return str(error)
-        return "ended within an event" if splitter.has_part else None
+            self.problem = str(error)
+            return Stop.BROKEN
+        if self._splitter.has_part:
+            self.problem = "ended within an event"
+            return Stop.BROKEN
+        return Stop.WHOLE
+
+    async def _pass_on(self, data: bytes) -> bool:
+        """Pass on whole events; False if one does not follow the last."""
+        before = self.last_event_id
+        good, self.problem = self._take_in_order(self._splitter.feed(data))
+        if good:
+            self._note_times(before)
+            self._count_memory()
+            await self.responder.write(b"".join(good))
+        return not self.problem
 
     async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
         """Read on; a silent runner is given up only if it is out of reach and the run can go on.
@@ -180,7 +207,7 @@
         stream = Relayed(asked, responder, run, outcome.exchange)
         stream.runs_begun = tried.sends
         stream.on_growth = self._note_growth
-        self._hold(run)
+        self._hold(stream)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
             await responder.begin(http_head.AnswerHead(outcome.head.status, headers))
@@ -189,12 +216,16 @@
         except TimeoutError:
             self._note_broken(stream, "out of time")
         finally:
+            self._mover.give_up(stream.run)
             self._drop(stream)
             if not responder.is_done:
                 responder.abort()
 
-    def _hold(self, run: runs.Run) -> None:
+    def _hold(self, stream: Relayed) -> None:
         """Take a run that has begun, and count its copy elsewhere while it goes on."""
+        run = stream.run
+        assert stream.exchange is not None
+        run.on_copied = stream.exchange.interrupt
         self._mover.add(run)
         if run.backup is not None:
             self._usage.add(run.backup.address, tokens=run.tokens)
@@ -225,21 +256,15 @@
     async def _relay_runs(self, stream: Relayed) -> None:
         """Relay a stream over as many runners as its run is moved to."""
         while True:
-            reason = await stream.relay_until_end()
-            if stream.run.is_stopping or reason is not None:
-                continuation = await self._await_move(stream.run)
-                continuation = continuation or self._find_backup(stream.run)
-                if continuation is not None:
-                    if await self._go_on(stream, continuation):
-                        continue
-                    reason = reason or "moved run was not taken up"
-            if reason is None:
+            stop = await stream.relay()
+            if stop is Stop.WHOLE:
                 await stream.responder.finish()
                 self._note_end(stream)
                 return
-            if await self._run_anew(stream):
+            go_on = self._switch if stop is Stop.CAN_GO_ON else self._go_on_from_copy
+            if await go_on(stream) or await self._run_anew(stream):
                 continue
-            self._note_broken(stream, reason)
+            self._note_broken(stream, stream.problem)
             return
 
     async def _await_move(self, run: runs.Run) -> runs.Continuation | None:
@@ -258,25 +283,32 @@
             return None
         return runs.Continuation(backup, dialects.MemoryCopy(backup.address, run.request_id))
 
-    async def _go_on(self, stream: Relayed, continuation: runs.Continuation) -> bool:
-        """Have a moved run go on; at the destination, else where its memory still is."""
-        places = [continuation.target]
-        if continuation.copy.address == stream.run.target.address:
-            places.append(stream.run.target)
-        self._drop(stream)
-        for target in places:
-            backup = self._sender.choose_backup(stream.asked, target)
-            plan = self._sender.plan(
-                stream.asked,
-                target,
-                last_event_id=stream.last_event_id,
-                copy=continuation.copy,
-                backup=backup,
-            )
-            self._budget.note_repeat(stream.asked.pool.name, self._loop.time())
-            if await self._take_up(stream, target, plan, backup):
-                return True
-        return False
+    async def _switch(self, stream: Relayed) -> bool:
+        """Go on at the runner that has a copy, else where the run still is; False if it is lost.
+
+        The former runner's stream is left unread until the other one has begun, and is ended
+        then; a runner that did not take the run up changes nothing.
+        """
+        former, exchange = stream.run, stream.exchange
+        continuation = former.read_continuation()
+        assert continuation is not None and exchange is not None
+        outcome = await self._take_up(stream, continuation)
+        if isinstance(outcome, sending.NotRun):
+            self._mover.move_again(former)
+            return True
+        if not isinstance(outcome, sending.Stream):
+            stream.problem = f"copy may have been taken up: {outcome.reason}"
+            return False
+        return True
+
+    async def _go_on_from_copy(self, stream: Relayed) -> bool:
+        """Go on with a copy after the run's own runner broke off."""
+        continuation = await self._await_move(stream.run)
+        continuation = continuation or self._find_backup(stream.run)
+        if continuation is None:
+            return False
+        outcome = await self._take_up(stream, continuation)
+        return isinstance(outcome, sending.Stream)
 
     async def _run_anew(self, stream: Relayed) -> bool:
         """Have another run go on behind the last event, where the route allows it."""
@@ -292,16 +324,33 @@
             return False
         plan = self._sender.plan(asked, target, last_event_id=stream.last_event_id)
         stream.runs_begun += 1
-        return await self._take_up(stream, target, plan, None)
+        outcome = await self._send_on(stream, target, plan, None)
+        return isinstance(outcome, sending.Stream)
+
+    async def _take_up(self, stream: Relayed, continuation: runs.Continuation) -> sending.Outcome:
+        """Have the run go on with a copy of its memory."""
+        asked, target = stream.asked, continuation.target
+        backup = self._sender.choose_backup(asked, target)
+        plan = self._sender.plan(
+            asked,
+            target,
+            last_event_id=stream.last_event_id,
+            copy=continuation.copy,
+            backup=backup,
+        )
+        self._budget.note_repeat(asked.pool.name, self._loop.time())
+        return await self._send_on(stream, target, plan, backup)
 
-    async def _take_up(
+    async def _send_on(
         self,
         stream: Relayed,
         target: directories.Target,
         plan: dialects.ForwardPlan,
         backup: directories.Target | None,
-    ) -> bool:
-        outcome = await self._sender.send(stream.asked, target, plan, stream.run.tokens)
+    ) -> sending.Outcome:
+        """Send the request to another runner; the stream goes on with its answer if it is one."""
+        run = stream.run
+        outcome = await self._sender.send(stream.asked, target, plan, run.tokens)
         taken = isinstance(outcome, sending.Stream)
         self._meters.continuations.labels(str(taken).lower()).inc()
         self._timeline.record(
@@ -315,18 +364,13 @@
             reason=getattr(outcome, "reason", ""),
         )
         if not isinstance(outcome, sending.Stream):
-            return False
-        stream.exchange = outcome.exchange
+            return outcome
+        self._drop(stream)
+        stream.take_exchange(outcome.exchange)
         stream.runners += 1
-        stream.run = dataclasses.replace(
-            stream.run,
-            target=target,
-            backup=backup,
-            moving=None,
-            is_stopping=False,
-        )
-        self._hold(stream.run)
-        return True
+        stream.run = dataclasses.replace(run, target=target, backup=backup, moving=None)
+        self._hold(stream)
+        return outcome
 
     def _note_end(self, stream: Relayed) -> None:
         asked = stream.asked
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -93,14 +93,6 @@
                 total.unsaved += use.unsaved
         return total
 
-    def read_unsaved_before(self, address: str, now: float) -> int:
-        """Unsaved memory at a target of those entries whose ids sort before this one's."""
-        return sum(
-            told.uses[address].unsaved
-            for entry, told in self._others.items()
-            if entry < self._entry and address in told.uses and now - told.heard_at < OTHERS_SECONDS
-        )
-
     def count_own(self) -> int:
         """This entry's requests under way."""
         return sum(use.requests for use in self._own.values())
--- a/tillerlane/platform/adapter.py
+++ b/tillerlane/platform/adapter.py
@@ -14,6 +14,6 @@
         read_answer=wire.read_answer,
         write_refusal=wire.write_refusal,
         read_table=wire.read_table,
-        move_run=calls.move_run,
+        copy_run=calls.copy_run,
         drop_copy=calls.drop_copy,
     )
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -7,7 +7,7 @@
 
 from tillerlane.gateway import dialect, http_client, http_head
 
-__all__ = ["drop_copy", "move_run"]
+__all__ = ["copy_run", "drop_copy"]
 
 CONNECT_SECONDS = 0.3
 MAX_ANSWER_BYTES = 64 * 1024
@@ -59,13 +59,18 @@
             exchange.abort()
 
 
-async def move_run(
-    source: str, request_id: str, destination: str, stop: bool, seconds: float
+class _MoveOrder(msgspec.Struct):
+    """``target_version`` is the address of the runner that gets the copy."""
+
+    id: str
+    target_version: str
+
+
+async def copy_run(
+    source: str, request_id: str, destination: str, seconds: float
 ) -> dialect.MoveResult:
-    """Copy a run's memory from one runner to another; with `stop` the run stops first."""
-    order: dict[str, object] = {"id": request_id, "target_version": destination}
-    if stop:
-        order["last"] = True
+    """Copy a run's memory from one runner to another while the run goes on."""
+    order = _MoveOrder(request_id, destination)
     try:
         status, body = await _call(
             source, b"POST", b"/kv-move", msgspec.json.encode(order), seconds
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -73,6 +73,8 @@
         Turns every request away as not run.
     loses_answer : bool
         Runs a request and closes without an answer.
+    loses_copies : bool
+        Refuses to go on with any copy.
     answers_for : str
         Id of another request that it answers with.
     is_dark : bool
@@ -107,10 +109,13 @@
         self.refuses = False
         self.loses_answer = False
         self.answers_for = ""
+        self.loses_copies = False
         self.is_dark = False
         self.skips_event = 0
         self.breaks_at = 0
         self.dropped: list[str] = []
+        self._link = asyncio.Lock()
+        """Copies are made one after another."""
         self._handles = itertools.count(1)
         limits = http_server.ServerLimits()
         self._server = http_server.Server(self._serve, limits, lambda error: None)
@@ -200,6 +205,8 @@
         """Use a copy that lies here: by handle, or one that grew with the run."""
         handle = copy_from.rpartition("/")[2]
         copy = self.copies.pop(handle, None)
+        if self.loses_copies:
+            return False
         return copy is not None and copy.request_id == request_id
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
@@ -248,7 +255,8 @@
         handle = f"h{next(self._handles)}-{self.target_id}"
         if order.get("last"):
             run.is_stopped = True
-        await asyncio.sleep(self.copy_seconds)
+        async with self._link:
+            await asyncio.sleep(self.copy_seconds)
         answer = {"handle": handle, "made": run.events}
         copy = _Copy(run.request_id, run.events, self)
         status = 200
