Order no more copies than the notice has time for, and say a later time to come back

Change: entries share the notice (1.5 s) by what they have to move, and have one order under way at least; a copy whose source was lost counts as memory for as long as copies are kept; a refusal for memory names 3 s, or 0.3 of the caller's time if less.

Three tests, each fails before.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -100,22 +100,22 @@
         self.published = publications.Publisher()
         self.published.listen(self._put_in_force)
         self.directory = directories.Directory()
-        self._usage = usages.Usage(own.name)
+        self.usage = usages.Usage(own.name)
         self._budget = budgets.RetryBudget(own.retries)
         selector = selection.Selector(
-            self.directory, self._usage, own.data_hall, random.Random(), self._loop.time
+            self.directory, self.usage, own.data_hall, random.Random(), self._loop.time
         )
         self._meters = meters.build_entry_meters()
         mover = runs.Mover(
-            dialect, selector, self._usage, self.directory, self.timeline, self._meters
+            dialect, selector, self.usage, self.directory, self.timeline, self._meters
         )
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
         sender = sending.Sender(
-            dialect, selector, self._usage, self._budget, self.timeline, self._meters
+            dialect, selector, self.usage, self._budget, self.timeline, self._meters
         )
         relayed = streams.Streams(
-            sender, selector, self._usage, self._budget, mover, self.timeline, self._meters
+            sender, selector, self.usage, self._budget, mover, self.timeline, self._meters
         )
         self._relay = relay.Relay(
             self._gate, sender, relayed, self._budget, dialect, self.timeline, self._meters
@@ -240,7 +240,7 @@
                 for state in body.states:
                     self._take_state(state)
             case messages.EntryLoads():
-                self._usage.take(body, self._loop.time())
+                self.usage.take(body, self._loop.time())
 
     def _take_state(self, state: messages.TargetState) -> None:
         target = directories.read_state(state)
@@ -262,13 +262,13 @@
             await asyncio.sleep(LOADS_SECONDS)
             now = self._loop.time()
             self.directory.forget_old(now)
-            is_due = now - told_at > QUIET_LOADS_SECONDS and self._usage.count_own()
-            if not self._usage.changed and not is_due:
+            is_due = now - told_at > QUIET_LOADS_SECONDS and self.usage.count_own()
+            if not self.usage.changed and not is_due:
                 continue
             told_at = now
             link = self.homes.get_primary()
             if link is not None:
-                links.try_send(link, self._usage.write(self._started_ms))
+                links.try_send(link, self.usage.write(self._started_ms))
 
     # HTTP
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -26,6 +26,13 @@
 LATE_SECONDS = 0.8
 """Time from a runner's notice after which a destination is asked that is full by our own count;
 the shortest notice met is 1.5 s."""
+NOTICE_SECONDS = 1.5
+"""Shortest time met from a runner's notice to its end."""
+LINK_CHECK_SECONDS = 0.03
+"""Pause of a run that waits for the link: a fifth of the shortest copy seen, so that little of its
+time is lost."""
+MIN_ORDERED_SECONDS = 0.001
+"""Less than any copy takes: rounding must not look like an order under way."""
 MOVE_SECONDS = 6.0
 """Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
 RETRY_SECONDS = 0.1
@@ -118,6 +125,8 @@
         self._timeline = timeline
         self._meters = meters
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
+        self._ordered: dict[str, float] = collections.defaultdict(float)
+        """Link seconds of the copies under way from each source, by its id."""
         self._dropping: set[asyncio.Task[None]] = set()
         directory.listen(self._note_phase)
 
@@ -187,6 +196,9 @@
         until = loop.time() + MOVE_SECONDS
         while loop.time() < until:
             destination = self._choose(run, excluded)
+            if destination is not None and not self._has_link_time(run):
+                await asyncio.sleep(LINK_CHECK_SECONDS)
+                continue
             if destination is not None:
                 result = await self._copy(run, destination)
                 if result.outcome is dialects.MoveOutcome.COPIED:
@@ -202,14 +214,52 @@
             await asyncio.sleep(RETRY_SECONDS)
         return None
 
+    def _count_ordered(self, run: Run, seconds: float) -> None:
+        source = run.target.target_id
+        self._ordered[source] += seconds
+        if self._ordered[source] < MIN_ORDERED_SECONDS:
+            del self._ordered[source]
+
+    def _has_link_time(self, run: Run) -> bool:
+        """Whether a copy is likely whole before the runner ends, or none is under way.
+
+        A copy that waits on the link takes memory at its destination all the while, and for
+        seconds after the runner has ended.  Entries share the time that is left by what they have
+        to move.
+        """
+        ordered = self._ordered.get(run.target.target_id)
+        if ordered is None:
+            return True
+        waited = asyncio.get_running_loop().time() - run.leaving_since
+        left = max(0.0, NOTICE_SECONDS - waited)
+        share = self._selector.read_own_share(run.target)
+        return ordered + self._selector.read_copy_seconds(run.pool, run.tokens) <= left * share
+
     async def _copy(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
         """Copy a run's memory while it goes on, and count the copy as memory meanwhile."""
         tokens = run.tokens
+        lingers = False
         self._usage.add(destination.address, tokens=tokens)
+        self._count_ordered(run, self._selector.read_copy_seconds(run.pool, tokens))
         try:
-            return await self._order(run, destination)
+            result = await self._order(run, destination)
+            lingers = result.outcome is dialects.MoveOutcome.LOST
+            return result
         finally:
+            self._release(run, destination, tokens, lingers)
+
+    def _release(
+        self, run: Run, destination: directories.Target, tokens: int, lingers: bool
+    ) -> None:
+        """Count a copy out; one whose source was lost stays for as long as copies are kept."""
+        self._count_ordered(run, -self._selector.read_copy_seconds(run.pool, tokens))
+        engine = run.pool.engine
+        if not lingers or engine is None:
             self._usage.add(destination.address, tokens=-tokens)
+            return
+        asyncio.get_running_loop().call_later(
+            engine.hold_seconds, lambda: self._usage.add(destination.address, tokens=-tokens)
+        )
 
     def _drop_copy(self, run: Run, unused: Continuation) -> None:
         """Free a copy that nobody will use; it would hold memory for seconds."""
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -154,6 +154,16 @@
         use = self._usage.read(target.address, self._now())
         return _read_link_seconds(pool, use.unsaved)
 
+    def read_copy_seconds(self, pool: routes.Pool, tokens: int) -> float:
+        """Seconds that a runner's link needs to copy so many tokens to another data hall."""
+        return _read_link_seconds(pool, tokens)
+
+    def read_own_share(self, target: directories.Target) -> float:
+        """This entry's share of the runs at a target that have no copy elsewhere."""
+        use = self._usage.read(target.address, self._now())
+        own = self._usage.read_own(target.address)
+        return min(1.0, own.unsaved / use.unsaved) if use.unsaved > 0 else 1.0
+
     def has_room(
         self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
     ) -> bool:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -22,8 +22,11 @@
 CONNECT_SECONDS = 0.3
 """A connection within a region takes milliseconds; a target that is dark never answers."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-NO_ROOM_RETRY_SECONDS = 0.6
-"""When a caller may come back that found no memory: runs end about every second on a full pool."""
+NO_ROOM_RETRY_SECONDS = 3.0
+"""When a caller may come back that found no memory: a full pool stays full for seconds, since a
+long run takes some 8 s and a runner that left is replaced after 4 s."""
+NO_ROOM_RETRY_SHARE = 0.3
+"""Share of its time left that a caller may be told to wait; callers obey up to a third of it."""
 ROOM_WAIT_SHARE = 0.2
 """Share of the time within which an answer is in time that a request waits for memory: a refusal
 that comes within a quarter of it leaves the caller time to be served elsewhere."""
@@ -265,7 +268,7 @@
                 if self._loop.time() < self._read_patience(asked):
                     await asyncio.sleep(ROOM_CHECK_SECONDS)
                     continue
-                return tried if tried.sends else Tried(_build_no_room(asked))
+                return tried if tried.sends else Tried(self._build_no_room(asked))
             excluded.add(target.target_id)
             tried = await self._try_target(asked, target, tried.sends)
             if isinstance(tried.outcome, NotRun) and not tried.outcome.sent:
@@ -342,7 +345,8 @@
             reason=reason,
         )
 
-
-def _build_no_room(asked: admissions.Admission) -> NotRun:
-    reason = f"no memory: {asked.tokens} tokens beside those under way"
-    return NotRun(reason, sent=False, retry_after=NO_ROOM_RETRY_SECONDS)
+    def _build_no_room(self, asked: admissions.Admission) -> NotRun:
+        left = max(0.0, asked.ends_at - self._loop.time())
+        retry_after = min(NO_ROOM_RETRY_SECONDS, left * NO_ROOM_RETRY_SHARE)
+        reason = f"no memory: {asked.tokens} tokens beside those under way"
+        return NotRun(reason, sent=False, retry_after=retry_after)
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -267,6 +267,65 @@
 
         self.play(scene)
 
+    def test_no_more_copies_are_ordered_than_the_notice_has_time_for(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=0.4)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "record", f"r{number}", **TOKENS))
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.4)
+            for name in ("t2", "t3"):
+                await stage.add_runner(name, "llm", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.3)
+            # 1.5 s of notice, and 0.37 s of link for each (3,300 tokens between halls).
+            self.assertEqual(len(first.copied), 4)
+            await asyncio.sleep(2.2)
+            self.assertEqual(len(first.copied), 6)
+            for number, answer in enumerate(await asyncio.gather(*calls)):
+                self.assertEqual(answer.body, build_stream(f"r{number}", 90), number)
+
+        self.play(scene)
+
+    def test_copy_of_a_lost_source_counts_as_memory_for_as_long_as_it_is_kept(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=2.0)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **TOKENS))
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.5)
+            first.crash()
+            await call
+            usage = stage.entries["entry-1"].usage
+            loop = asyncio.get_running_loop()
+            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            await asyncio.sleep(5.2)
+            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+
+        self.play(scene)
+
+    def test_refusal_for_memory_says_when_runs_will_have_ended(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            long = {**TOKENS, "Token_Counts": "33900,2000"}
+            answers = [
+                await stage.call("entry-1", "record", "r1", **long),
+                await stage.call("entry-1", "record", "r2", wait_ms=3_000, **long),
+            ]
+            self.assertEqual([answer.status for answer in answers], [503, 503])
+            waits = [float(answer.headers["retry-after"]) for answer in answers]
+            self.assertTrue(2.9 < waits[0] <= 3.0, waits)
+            self.assertTrue(0.8 < waits[1] <= 1.0, waits)
+
+        self.play(scene)
+
     def test_copy_that_is_not_taken_up_leaves_the_run_where_it_is(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first = await stage.add_runner("t1", "llm", length=90)
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -80,10 +80,13 @@
             del self._own[address]
         self.changed = True
 
+    def read_own(self, address: str) -> Use:
+        """What this entry has under way at a target."""
+        return dataclasses.replace(self._own[address]) if address in self._own else Use()
+
     def read(self, address: str, now: float) -> Use:
         """All that is known to be under way at a target."""
-        own = self._own.get(address)
-        total = dataclasses.replace(own) if own is not None else Use()
+        total = self.read_own(address)
         for told in self._others.values():
             use = told.uses.get(address)
             if use is not None and now - told.heard_at < OTHERS_SECONDS:
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -75,6 +75,8 @@
         Runs a request and closes without an answer.
     loses_copies : bool
         Refuses to go on with any copy.
+    copied : list of str
+        Request ids of the copies that were ordered here.
     answers_for : str
         Id of another request that it answers with.
     is_dark : bool
@@ -116,6 +118,7 @@
         self.dropped: list[str] = []
         self._link = asyncio.Lock()
         """Copies are made one after another."""
+        self.copied: list[str] = []
         self._handles = itertools.count(1)
         limits = http_server.ServerLimits()
         self._server = http_server.Server(self._serve, limits, lambda error: None)
@@ -255,6 +258,7 @@
         handle = f"h{next(self._handles)}-{self.target_id}"
         if order.get("last"):
             run.is_stopped = True
+        self.copied.append(run.request_id)
         async with self._link:
             await asyncio.sleep(self.copy_seconds)
         answer = {"handle": handle, "made": run.events}
