Soak the platform's programs as processes, with faults from outside them

Change: five keepers and four entries as processes, each behind a forwarder that delays, resets, silences or cuts one way; kills, pauses, planned stops, changed settings, emptied disks, half-written ends of logs, targets that crash, drain, or are out of reach; a configuration each 1.5 s that takes a key away. Every third seed does planned work only, under which nothing may fail. The checker goes by what callers, targets and operators saw; 18 tests plant a fault each and see it found.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+SEED ?= 1
 
 .PHONY: install demo test format fuzz soak capacity bench clean
 
@@ -30,6 +31,7 @@
 
 soak: install
 	$(BIN)/python -m tillerlane.testing.soak
+	$(BIN)/python -m tillerlane.testing.platform_soak --seeds 3 --seed $(SEED)
 
 format: install
 	$(BIN)/ruff format .
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -38,8 +38,10 @@
 
     Attributes
     ----------
-    name, peer_address, metrics_address : str
-        Its daemon id, where it listens to peers and to whoever collects figures.
+    name, peer_address : str
+        Its daemon id, and where peers reach it (``IP:port``).
+    peer_listen_address, metrics_address : str
+        Where it listens to peers and to whoever collects figures.
     data_folder : str
         Its folder on the disk.
     plan : formation.Plan
@@ -52,6 +54,7 @@
 
     name: str
     peer_address: str
+    peer_listen_address: str
     metrics_address: str
     data_folder: str
     plan: formation.Plan
@@ -148,7 +151,7 @@
 
     async def start(self) -> None:
         """Listen to peers and begin."""
-        await self.node.listen(self._own.peer_address)
+        await self.node.listen(self._own.peer_listen_address)
         await self._figures.listen(self._own.metrics_address)
         self.replica.begin()
         self._tasks = [
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -46,9 +46,11 @@
     ----------
     name : str
         Its daemon id.
-    peer_address, front_address, ready_address, metrics_address : str
-        Where it listens (``IP:port``): to peers, to callers, to the balancer's checks and to
-        whoever collects figures.
+    peer_address : str
+        Where peers reach it (``IP:port``).
+    peer_listen_address, front_address, ready_address, metrics_address : str
+        Where it listens: to peers, to callers, to the balancer's checks and to whoever collects
+        figures.
     seeds : tuple of str
         Keepers' peer addresses to begin with.
     lease_seconds : float
@@ -62,6 +64,7 @@
     name: str
     data_hall: str
     peer_address: str
+    peer_listen_address: str
     front_address: str
     ready_address: str
     metrics_address: str
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -36,6 +36,8 @@
     front: str = ""
     ready: str = ""
     control: str = ""
+    peer: str = ""
+    """Not one of the platform's: where peers are listened to behind a forwarder."""
 
 
 class _Tolerate(msgspec.Struct):
@@ -118,6 +120,7 @@
         name=own.daemon_id,
         data_hall=own.zone,
         peer_address=own.peer_address,
+        peer_listen_address=own.listen.peer or own.peer_address,
         front_address=own.listen.front,
         ready_address=own.listen.ready,
         metrics_address=f"{own.ip}:{METRICS_PORT}",
@@ -142,6 +145,7 @@
     return control.ControlSettings(
         name=own.daemon_id,
         peer_address=own.peer_address,
+        peer_listen_address=own.listen.peer or own.peer_address,
         metrics_address=f"{own.ip}:{METRICS_PORT}",
         data_folder=own.data_dir,
         plan=formation.Plan(
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -9,7 +9,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import dialect, http_head, routes
 from tillerlane.platform import wire
-from tillerlane.testing import gateway_lab, profiles
+from tillerlane.testing import caller, gateway_lab, profiles
 
 JSON_VALUES = strategies.recursive(
     strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(),
@@ -28,12 +28,12 @@
 
     def test_valid_document_is_decoded_once_and_whole(self) -> None:
         table = read(gateway_lab.build_document(7))
-        route = table.find_route(gateway_lab.HOST, "/record/x")
+        route = table.find_route(caller.HOST, "/record/x")
         self.assertEqual((table.version, route.repeat), (7, routes.Repeat.STREAM))
         self.assertEqual((route.timeout_seconds, route.aim_seconds), (20.0, 0.5))
         engine = table.pools["llm"].engine
         self.assertEqual((engine.memory_tokens, engine.event_tokens), (34_000, 4))
-        self.assertEqual(table.find_workspace(gateway_lab.KEY).name, "workspace-a")
+        self.assertEqual(table.find_workspace(caller.KEY).name, "workspace-a")
 
     def check_refused(self, document: Any) -> None:
         """Expect a listed error."""
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -5,22 +5,18 @@
 """
 
 import asyncio
-import dataclasses
 import json
 import random
 from typing import Any
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import control, entry, http_client, http_head
+from tillerlane.gateway import control, entry
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
 from tillerlane.platform import adapter, wire
-from tillerlane.testing import lab, memory_disk, network, platform_runner
+from tillerlane.testing import caller, lab, memory_disk, network, platform_runner
 
-__all__ = ["CallerAnswer", "GatewayLab", "build_document"]
-
-KEY = "key-of-workspace-a"
-HOST = "shop.example"
+__all__ = ["GatewayLab", "build_document"]
 
 
 def build_document(version: int, **changes: Any) -> dict[str, Any]:
@@ -29,7 +25,7 @@
     def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
         return {
             "name": name,
-            "host": HOST,
+            "host": caller.HOST,
             "path_prefix": f"/{name}/",
             "kind": kind,
             "service": service,
@@ -57,22 +53,11 @@
             route("price", "idempotent", "app", max_attempts=2),
         ],
         "services": [{"name": "llm", "engine": engine}, {"name": "app"}],
-        "tenants": [{"name": "workspace-a", "api_keys": [KEY]}],
+        "tenants": [{"name": "workspace-a", "api_keys": [caller.KEY]}],
     }
     return {**document, **changes}
 
 
-@dataclasses.dataclass(slots=True)
-class CallerAnswer:
-    """What a caller got; `is_whole` tells whether the answer ended as one that is."""
-
-    status: int = 0
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
-    body: bytes = b""
-    is_whole: bool = False
-    seconds: float = 0.0
-
-
 class GatewayLab:
     """A fleet in one event loop.
 
@@ -121,6 +106,7 @@
         own = control.ControlSettings(
             name=name,
             peer_address=address,
+            peer_listen_address=address,
             metrics_address=address.replace(":7000", ":9464"),
             data_folder=name,
             plan=formation.Plan(
@@ -158,6 +144,7 @@
             name=name,
             data_hall="hall-a",
             peer_address=address,
+            peer_listen_address=address,
             front_address=f"{host}:8000",
             ready_address=f"{host}:8001",
             metrics_address=f"{host}:9464",
@@ -229,39 +216,16 @@
         wait_ms: int = 10_000,
         leave_after: float | None = None,
         **headers: str,
-    ) -> CallerAnswer:
+    ) -> caller.CallerAnswer:
         """Send a request as a caller and read its answer to the end."""
         host = self.get_address(entry_name).partition(":")[0]
-        found = {
-            "Host": HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": str(wait_ms),
-            "Credential": KEY,
-            **{name.replace("_", "-"): value for name, value in headers.items()},
-        }
-        head = http_head.RequestHead(
-            method,
-            f"/{route}/x?q=1".encode(),
-            [(name.encode(), value.encode()) for name, value in found.items()],
+        return await caller.call(
+            f"{host}:8000",
+            route,
+            request_id,
+            method=method,
+            body=body,
+            wait_ms=wait_ms,
+            leave_after=leave_after,
+            **headers,
         )
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        answer = CallerAnswer()
-        exchange = await http_client.connect(f"{host}:8000", 5.0)
-        exchange.send(head, body)
-        try:
-            async with asyncio.timeout(leave_after):
-                got = await exchange.read_head()
-                answer.status = got.status
-                answer.headers = {
-                    name.decode().lower(): value.decode() for name, value in got.headers
-                }
-                while (chunk := await exchange.read_chunk()) is not None:
-                    answer.body += chunk
-                answer.is_whole = True
-        except (http_client.AnswerBroken, TimeoutError):
-            pass
-        finally:
-            exchange.abort()
-        answer.seconds = loop.time() - began
-        return answer
--- /dev/null
+++ b/tillerlane/testing/platform_checker.py
@@ -0,0 +1,192 @@
+"""Decides on a run of the platform's programs by what callers, targets and operators saw.
+
+The daemons' own logs have no say.
+"""
+
+import dataclasses
+import itertools
+
+from tillerlane.testing import caller, platform_runner
+
+__all__ = ["Call", "Leaving", "Observations", "check"]
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that say that a request has not run and never will."""
+OVERLAP_SECONDS = 0.4
+"""How long a run's former runner may work on after another one has gone on with it."""
+MOST_LATE = 3
+"""Requests that may reach a leaving runner late, as each may cross its word on the way."""
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request as its caller saw it.
+
+    Attributes
+    ----------
+    sent_at, ended_at : float
+        Times of the event loop.
+    key : str
+        Key that it carried.
+    """
+
+    request_id: str
+    route: str
+    key: str
+    sent_at: float
+    ended_at: float = 0.0
+    answer: caller.CallerAnswer = dataclasses.field(default_factory=caller.CallerAnswer)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A target's word that it drains, and when it was acknowledged."""
+
+    target_id: str
+    acknowledged_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Observations:
+    """Everything that was seen.
+
+    Attributes
+    ----------
+    stream_length : int
+        Events of each stream.
+    ran : dict
+        Target id to what it ran.
+    revoked : dict
+        Key to the time at which a configuration without it was acknowledged.
+    acknowledged, sent : list of int
+        Versions of the configuration.
+    in_force : dict
+        (daemon, start) to the versions that it said were in force, in order.
+    read_back : dict
+        Keeper to the version read there at the end; None if it gave none.
+    harmed : list of (float, float)
+        Spans with a fault that is not planned work.
+    planned_only : bool
+        Whether nothing else was done: then nothing may fail.
+    """
+
+    stream_length: int
+    ran: dict[str, list[platform_runner.RanRequest]] = dataclasses.field(default_factory=dict)
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    revoked: dict[str, float] = dataclasses.field(default_factory=dict)
+    acknowledged: list[int] = dataclasses.field(default_factory=list)
+    sent: list[int] = dataclasses.field(default_factory=list)
+    in_force: dict[tuple[str, int], list[int]] = dataclasses.field(default_factory=dict)
+    read_back: dict[str, int | None] = dataclasses.field(default_factory=dict)
+    harmed: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    planned_only: bool = False
+
+    def was_harmed(self, since: float, until: float) -> bool:
+        """Whether a fault fell into a span."""
+        return any(begin < until and end > since for begin, end in self.harmed)
+
+
+def check(seen: Observations, drain_seconds: float, revoke_seconds: float) -> list[str]:
+    """Every promise that was broken; empty if none."""
+    runs: dict[str, list[platform_runner.RanRequest]] = {}
+    for ran in seen.ran.values():
+        for run in ran:
+            runs.setdefault(run.request_id, []).append(run)
+    for found in runs.values():
+        found.sort(key=lambda run: run.began)
+    problems: list[str] = []
+    for call in seen.calls:
+        problems += _check_answer(seen, call, runs.get(call.request_id, []))
+        problems += _check_runs(seen, call, runs.get(call.request_id, []), revoke_seconds)
+    known = {call.request_id for call in seen.calls}
+    problems += [f"{item}: run, but nobody asked" for item in runs if item not in known]
+    problems += _check_leaving(seen, drain_seconds)
+    problems += _check_configuration(seen)
+    return problems
+
+
+def _check_answer(
+    seen: Observations, call: Call, runs: list[platform_runner.RanRequest]
+) -> list[str]:
+    answer, name = call.answer, call.request_id
+    if answer.status == 200:
+        expected = _build_body(seen, call)
+        if answer.is_whole and answer.body != expected:
+            return [f"{name}: whole, but {len(answer.body)} bytes are not its own answer"]
+        if not expected.startswith(answer.body):
+            return [f"{name}: events are missing, repeated or another request's"]
+    if answer.status in PROMISES and runs and call.route != "price":
+        return [f"{name}: got {answer.status}, which says that it has not run, but it ran"]
+    if answer.status in PROMISES and "retry-after" not in answer.headers:
+        return [f"{name}: got {answer.status} without a time to come back"]
+    is_revoked = call.key in seen.revoked
+    if seen.planned_only and not is_revoked:
+        is_refused = answer.status in PROMISES
+        if not is_refused and not (answer.status == 200 and answer.is_whole):
+            return [f"{name}: {call.route} was cut by planned work, status {answer.status}"]
+    if answer.status in (401, 404) and not is_revoked:
+        return [f"{name}: got {answer.status} though route and key are there"]
+    return []
+
+
+def _build_body(seen: Observations, call: Call) -> bytes:
+    if call.route in ("order", "price"):
+        return b"answer to " + call.request_id.encode()
+    return b"".join(
+        platform_runner.build_event(call.request_id, number)
+        for number in range(1, seen.stream_length + 1)
+    )
+
+
+def _check_runs(
+    seen: Observations,
+    call: Call,
+    runs: list[platform_runner.RanRequest],
+    revoke_seconds: float,
+) -> list[str]:
+    problems = []
+    begun = [run for run in runs if "kv-from" not in run.headers]
+    if call.route in ("order", "record") and len(begun) > 1:
+        problems.append(f"{call.request_id}: ran {len(begun)} times, may run once")
+    for former, later in itertools.pairwise(runs):
+        is_harmed = seen.was_harmed(later.began - 3.0, later.began + 1.0)
+        overlap = former.ended_at - later.began
+        if call.route == "record" and overlap > OVERLAP_SECONDS and not is_harmed:
+            problems.append(f"{call.request_id}: two runners worked on it for {overlap:.2f} s")
+    revoked_at = seen.revoked.get(call.key)
+    if revoked_at is not None and runs and call.sent_at > revoked_at + revoke_seconds:
+        problems.append(f"{call.request_id}: ran with a key taken away long before")
+    return problems
+
+
+def _check_leaving(seen: Observations, drain_seconds: float) -> list[str]:
+    problems = []
+    for leaving in seen.leavings:
+        late = [
+            run
+            for run in seen.ran.get(leaving.target_id, [])
+            if run.began > leaving.acknowledged_at + drain_seconds
+            and not seen.was_harmed(leaving.acknowledged_at - 3.0, run.began)
+        ]
+        if len(late) > MOST_LATE:
+            problems.append(f"{leaving.target_id}: got {len(late)} requests after it had drained")
+    return problems
+
+
+def _check_configuration(seen: Observations) -> list[str]:
+    problems = []
+    for (daemon, start), versions in seen.in_force.items():
+        for former, later in itertools.pairwise(versions):
+            if later < former:
+                problems.append(f"{daemon}, start {start}: went back from {former} to {later}")
+    newest = max(seen.acknowledged, default=0)
+    found = [version for version in seen.read_back.values() if version is not None]
+    if not found:
+        problems.append("no keeper gives a configuration at the end")
+    for keeper, version in seen.read_back.items():
+        if version is not None and version < newest:
+            problems.append(f"{keeper}: gives version {version}, {newest} was acknowledged")
+        if version is not None and version not in seen.sent:
+            problems.append(f"{keeper}: gives version {version}, which nobody sent")
+    return problems
--- /dev/null
+++ b/tillerlane/testing/platform_fleet.py
@@ -0,0 +1,218 @@
+"""The programs of the platform as processes of this machine, each behind a forwarder.
+
+Every daemon has an address of its own on the loopback network, where its forwarder listens; the
+process listens on another one.  Only processes that were started here are ever signalled.
+"""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+
+from tillerlane.testing import forwarder
+
+__all__ = ["BOUNDS", "Daemon", "PlatformFleet"]
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PEER_PORT = 7000
+CONTROL_PORT = 8748
+FRONT_PORT = 8740
+READY_PORT = 8749
+METRICS_PORT = 9464
+HALLS = ("hall-a", "hall-b", "hall-c", "hall-d")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times within which the fleet has to act, in seconds; the platform's usual ones."""
+
+    drain: float = 2.0
+    grace: float = 8.0
+    config: float = 2.0
+    revoke: float = 5.0
+
+
+BOUNDS = Bounds()
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """One daemon.
+
+    Attributes
+    ----------
+    starts : int
+        How often it was started.
+    """
+
+    name: str
+    role: str
+    address: str
+    folder: pathlib.Path
+    settings: str
+    way_in: forwarder.Forwarder
+    process: subprocess.Popen[bytes] | None = None
+    starts: int = 0
+
+    @property
+    def front(self) -> str:
+        """Where callers reach an entry."""
+        return f"{self.address}:{FRONT_PORT}"
+
+    @property
+    def control(self) -> str:
+        """Where targets and operators reach a keeper."""
+        return f"{self.address}:{CONTROL_PORT}"
+
+    @property
+    def metrics(self) -> str:
+        """Where its figures are."""
+        return f"{self.address}:{METRICS_PORT}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+class PlatformFleet:
+    """Keepers and entries.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings, data and logs; what it held is deleted.
+    net : int
+        Second byte of the addresses, so that fleets do not meet.
+    keepers, entries : int
+        How many of each.
+    rng : random.Random
+        For the forwarders' delays.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, net: int, keepers: int, entries: int, rng: random.Random
+    ) -> None:
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        self.net = net
+        self.daemons: dict[str, Daemon] = {}
+        self._seeds = [f"127.{net}.1.{number}" for number in range(1, min(keepers, 3) + 1)]
+        for role, kind, number in (("keeper", 1, keepers), ("entry", 2, entries)):
+            for item in range(1, number + 1):
+                self._add(folder, role, f"127.{net}.{kind}.{item}", f"{role}-{item}", item, rng)
+
+    def _add(
+        self,
+        folder: pathlib.Path,
+        role: str,
+        address: str,
+        name: str,
+        number: int,
+        rng: random.Random,
+    ) -> None:
+        own = folder / name
+        own.mkdir()
+        listens = address.replace(f"127.{self.net}.", f"127.{self.net + 1}.", 1)
+        settings = _write_settings(name, role, address, listens, HALLS[number % 4], own)
+        way_in = forwarder.Forwarder(f"{address}:{PEER_PORT}", f"{listens}:{PEER_PORT}", rng)
+        self.daemons[name] = Daemon(name, role, address, own, settings, way_in)
+
+    def list_role(self, role: str) -> list[Daemon]:
+        """Daemons of a role."""
+        return [item for item in self.daemons.values() if item.role == role]
+
+    async def start_all(self) -> None:
+        """Start the forwarders and all processes."""
+        for daemon in self.daemons.values():
+            await daemon.way_in.start()
+            self.start(daemon)
+
+    def start(self, daemon: Daemon) -> None:
+        """Start a daemon's process; only its first start may found the log."""
+        self.write_seeds(daemon, self._seeds)
+        daemon.starts += 1
+        path = daemon.folder / "settings.toml"
+        environment = {**os.environ, "TILLERLANE_SETTINGS": str(path), "PYTHONPATH": str(ROOT)}
+        with open(daemon.folder / "log", "ab") as output:
+            daemon.process = subprocess.Popen(
+                [sys.executable, "-m", "tillerlane.platform.main", daemon.role],
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+
+    def write_seeds(self, daemon: Daemon, seeds: list[str]) -> None:
+        """Write a daemon's settings file with these seeds."""
+        listed = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in seeds)
+        first = str(daemon.starts == 0).lower()
+        text = daemon.settings.replace("SEEDS", listed).replace("FIRST", first)
+        path = daemon.folder / "settings.new"
+        path.write_text(text)
+        path.replace(daemon.folder / "settings.toml")
+
+    def send(self, daemon: Daemon, number: signal.Signals) -> None:
+        """Send a signal to a daemon's process, if it runs."""
+        if daemon.process is not None and daemon.is_running:
+            daemon.process.send_signal(number)
+
+    def wipe(self, daemon: Daemon) -> None:
+        """Empty the disk of a keeper that does not run."""
+        shutil.rmtree(daemon.folder / "data", ignore_errors=True)
+        (daemon.folder / "data").mkdir()
+
+    def tear(self, daemon: Daemon, rng: random.Random) -> None:
+        """Leave half of a write behind the end of what a keeper that does not run has synced."""
+        files = [item for item in (daemon.folder / "data").iterdir() if item.name.startswith("log")]
+        if files:
+            newest = max(files, key=lambda item: item.stat().st_mtime_ns)
+            with open(newest, "ab") as output:
+                output.write(rng.randbytes(rng.randrange(1, 40)))
+
+    def kill_all(self) -> None:
+        """End every process and forwarder."""
+        for daemon in self.daemons.values():
+            daemon.way_in.stop()
+            if daemon.process is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    daemon.process.kill()
+                daemon.process.wait()
+
+
+def _write_settings(
+    name: str, role: str, address: str, listens: str, hall: str, folder: pathlib.Path
+) -> str:
+    """Settings in the platform's form; the seeds and the first start are filled in later."""
+    (folder / "data").mkdir()
+    serves = "front" if role == "entry" else "control"
+    return f"""node = "{name}"
+role = "{role}"
+ip = "{address}"
+zone = "{hall}"
+serves = ["{serves}"]
+port_range = [{PEER_PORT}, {PEER_PORT + 9}]
+seeds = [SEEDS]
+bootstrap = FIRST
+data_dir = "{folder / "data"}"
+heartbeat_ms = 1200
+[listen]
+front = "{address}:{FRONT_PORT}"
+ready = "{address}:{READY_PORT}"
+control = "{address}:{CONTROL_PORT}"
+peer = "{listens}:{PEER_PORT}"
+[tolerate]
+machines = 2
+[bounds]
+drain_ms = {BOUNDS.drain * 1000}
+grace_s = {BOUNDS.grace}
+config_ms = {BOUNDS.config * 1000}
+revoke_ms = {BOUNDS.revoke * 1000}
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 54
+"""
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -42,6 +42,7 @@
     first_event: int = 1
     events: int = 0
     ended: str = ""
+    ended_at: float = 0.0
     is_stopped: bool = False
     prompt_tokens: int = 0
 
@@ -59,7 +60,9 @@
     Parameters
     ----------
     target_id, address : str
-        Who it is.
+        Who it is, and where entries reach it.
+    listen_address : str
+        Where it listens, if something stands between.
     length : int
         Events of each stream; 0 for a plain service.
 
@@ -96,9 +99,11 @@
         length: int = 0,
         pace: float = 0.03,
         copy_seconds: float = 0.05,
+        listen_address: str = "",
     ) -> None:
         self.target_id = target_id
         self.address = address
+        self._listen_address = listen_address or address
         self.others = others
         others[address] = self
         self.length = length
@@ -125,12 +130,14 @@
 
     async def start(self) -> None:
         """Listen."""
-        await self._server.listen(self.address)
+        await self._server.listen(self._listen_address)
 
     def crash(self) -> None:
         """End at once: every connection is reset."""
         self._server.stop_accepting()
+        now = asyncio.get_running_loop().time()
         for run in self.ran:
+            run.ended_at = run.ended_at or now
             run.ended = run.ended or "crashed"
         self._server.abort_all()
         self.others.pop(self.address, None)
@@ -236,6 +243,7 @@
             await responder.finish()
         finally:
             run.ended = run.ended or "gone"
+            run.ended_at = run.ended_at or asyncio.get_running_loop().time()
 
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
--- /dev/null
+++ b/tillerlane/testing/platform_soak.py
@@ -0,0 +1,496 @@
+"""A randomized soak of the platform's programs: real processes, faults from outside them.
+
+Callers, operators and targets run here and write down what they see; `platform_checker` decides.
+A seed decides on the faults; every third seed does planned work only, under which nothing may
+fail.  Clocks: the programs reckon on the steady clock, and the wall clock only stamps their logs,
+so its jumps are tested in virtual time (`gateway_lab`), not here.  Storage: disks are emptied, and
+half-written ends are left behind, while a process does not run.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import re
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+from tillerlane.gateway import http_client, http_head
+from tillerlane.testing import (
+    caller,
+    forwarder,
+    gateway_lab,
+    platform_checker,
+    platform_fleet,
+    platform_runner,
+)
+
+__all__ = ["PlatformSoak", "run_seed"]
+
+KEEPERS = 5
+ENTRIES = 4
+RUNNERS = 4
+SERVICES = 3
+STREAM_LENGTH = 80
+STREAM_PACE = 0.03
+STREAM_TOKENS = "1500,320"
+BEAT_SECONDS = 1.2
+"""The platform's usual pause between heartbeats."""
+CALL_SECONDS = 1.0
+"""How long a target or an operator waits for a keeper's answer."""
+CHANGE_SECONDS = 1.5
+NOTICE_SECONDS = 2.0
+"""Time from a runner's word that it drains to its end."""
+FAULT_PAUSE_SECONDS = (0.3, 2.0)
+WIPE_PAUSE_SECONDS = 10.0
+"""Pause between two emptied disks: a keeper is to catch up before the next one loses its own."""
+REST_SECONDS = 15.0
+"""Quiet at the end, within which the fleet must recover and hold the newest configuration."""
+READY_SECONDS = 60.0
+END_SECONDS = 0.2
+"""For the tasks of connections that were ended to come to their end."""
+_VERSION = re.compile(r"^tillerlane_config_version (\S+)$", re.MULTILINE)
+
+
+async def fetch(address: str, method: bytes, path: str, body: bytes = b"") -> tuple[int, bytes]:
+    """One call of a daemon's own interface; status 0 without an answer."""
+    exchange = None
+    try:
+        async with asyncio.timeout(CALL_SECONDS):
+            exchange = await http_client.connect(address, CALL_SECONDS)
+            headers = [(b"Host", address.encode()), (b"Connection", b"close")]
+            exchange.send(http_head.RequestHead(method, path.encode(), headers), body)
+            head = await exchange.read_head()
+            return head.status, await exchange.read_body(16 * 1024 * 1024)
+    except (http_client.AnswerBroken, TimeoutError):
+        return 0, b""
+    finally:
+        if exchange is not None:
+            exchange.abort()
+
+
+class _Target:
+    """A stand-in target with its forwarder and its heartbeats."""
+
+    def __init__(
+        self, target_id: str, pool: str, hall: str, runner: platform_runner.PlatformRunner
+    ) -> None:
+        self.target_id = target_id
+        self.pool = pool
+        self.hall = hall
+        self.runner = runner
+        self.state = "ready"
+        self.sequence = 0
+        self.way_in: forwarder.Forwarder | None = None
+        self.beating: asyncio.Task[None] | None = None
+
+    def write_heartbeat(self) -> bytes:
+        self.sequence += 1
+        values = {
+            "service": self.pool,
+            "addr": self.runner.address,
+            "zone": self.hall,
+            "slots": 48,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": self.sequence,
+        }
+        return json.dumps(values).encode()
+
+
+class PlatformSoak:
+    """One run.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings, data and logs.
+    seed : int
+        Decides on faults, callers and addresses.
+    """
+
+    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._net = 20 + 4 * (seed % 50)
+        self.fleet = platform_fleet.PlatformFleet(
+            folder, self._net, KEEPERS, ENTRIES, random.Random(seed)
+        )
+        self.seen = platform_checker.Observations(STREAM_LENGTH, planned_only=seed % 3 == 0)
+        self.done: dict[str, int] = {}
+        """Faults done, by name."""
+        self._targets: dict[str, _Target] = {}
+        self._by_address: dict[str, platform_runner.PlatformRunner] = {}
+        self._number = 0
+        self._version = 0
+        self._ending = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._wiped_at = -WIPE_PAUSE_SECONDS
+        self._work: set[asyncio.Task[None]] = set()
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    # Targets
+
+    async def _add_target(self, pool: str) -> None:
+        number = self._next()
+        hall = platform_fleet.HALLS[number % 4]
+        told = f"127.{self._net + 2}.{number // 200}.{1 + number % 200}:9000"
+        listens = told.replace(f"127.{self._net + 2}.", f"127.{self._net + 3}.", 1)
+        is_runner = pool == "llm"
+        runner = platform_runner.PlatformRunner(
+            f"i-{number}",
+            told,
+            self._by_address,
+            length=STREAM_LENGTH if is_runner else 0,
+            pace=STREAM_PACE,
+            copy_seconds=0.1,
+            listen_address=listens,
+        )
+        target = _Target(runner.target_id, pool, hall, runner)
+        target.way_in = forwarder.Forwarder(told, listens, self._rng)
+        await runner.start()
+        await target.way_in.start()
+        self._targets[target.target_id] = target
+        self.seen.ran[target.target_id] = runner.ran
+        target.beating = self._begin(self._beat(target))
+
+    async def _beat(self, target: _Target) -> None:
+        while target.target_id in self._targets:
+            await self._tell(f"/Instances.Heartbeat/{target.target_id}", target.write_heartbeat)
+            await asyncio.sleep(BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+
+    async def _tell(self, path: str, write: Callable[[], bytes]) -> bool:
+        """Tell keepers something, one after another, until one acknowledges it."""
+        keepers = self.fleet.list_role("keeper")
+        for keeper in self._rng.sample(keepers, len(keepers)):
+            status, _ = await fetch(keeper.control, b"POST", path, write())
+            if status == 200:
+                return True
+        return False
+
+    def _end_target(self, target: _Target) -> None:
+        if self._targets.pop(target.target_id, None) is None:
+            return
+        target.runner.crash()
+        if target.way_in is not None:
+            target.way_in.stop()
+
+    # Callers
+
+    async def _send_calls(self) -> None:
+        while not self._ending.is_set():
+            kind = self._rng.choice(("record", "verdict", "order", "order", "price"))
+            await self._send_call(kind, caller.KEY)
+            await asyncio.sleep(self._rng.uniform(0.0, 0.2))
+
+    async def _send_revoked(self) -> None:
+        while not self._ending.is_set():
+            await asyncio.sleep(0.5)
+            if self.seen.revoked:
+                await self._send_call("order", self._rng.choice(list(self.seen.revoked)))
+
+    async def _send_call(self, route: str, key: str) -> None:
+        entry = self._rng.choice(self.fleet.list_role("entry"))
+        call = platform_checker.Call(f"r{self._next()}", route, key, self._loop.time())
+        headers = {"Credential": key}
+        if route in ("record", "verdict"):
+            headers |= {"Model": "m", "Token_Counts": STREAM_TOKENS}
+        is_read = route == "price"
+        try:
+            call.answer = await caller.call(
+                entry.front,
+                route,
+                call.request_id,
+                method=b"GET" if is_read else b"POST",
+                body=b"" if is_read else b"body",
+                **headers,
+            )
+        except http_client.AnswerBroken:
+            return  # no connection came about, so the entry has not read it
+        call.ended_at = self._loop.time()
+        self.seen.calls.append(call)
+
+    # Operators
+
+    async def _send_changes(self) -> None:
+        """A new version every while; each takes away the key that the one before had added."""
+        while not self._ending.is_set():
+            await self._send_change()
+            await asyncio.sleep(CHANGE_SECONDS)
+
+    async def _send_change(self) -> bool:
+        self._version += self._rng.randrange(1, 4)
+        version, former = self._version, self.seen.acknowledged[-1:]
+        document = gateway_lab.build_document(version)
+        document["tenants"][0]["api_keys"] = [caller.KEY, f"key-{version}"]
+        self.seen.sent.append(version)
+        body = json.dumps(document).encode()
+        if not await self._tell("/Config.Put", lambda: body):
+            return False
+        self.seen.acknowledged.append(version)
+        now = self._loop.time()
+        for key in [f"key-{item}" for item in former]:
+            self.seen.revoked.setdefault(key, now)
+        return True
+
+    async def _watch_versions(self) -> None:
+        while not self._ending.is_set():
+            for daemon in self.fleet.daemons.values():
+                start = daemon.starts
+                status, text = await fetch(daemon.metrics, b"GET", "/metrics")
+                found = _VERSION.search(text.decode()) if status == 200 else None
+                if found is not None and start == daemon.starts:
+                    versions = self.seen.in_force.setdefault((daemon.name, start), [])
+                    versions.append(int(float(found.group(1))))
+            await asyncio.sleep(0.2)
+
+    # Faults
+
+    async def _do_faults(self) -> None:
+        """Faults in series; each goes on by itself, so that they overlap."""
+        planned: list[Callable[[], Awaitable[None]]] = [self._stop_entry, self._reload, self._drain]
+        unplanned = [
+            self._kill,
+            self._kill,
+            self._kill_keepers,
+            self._pause,
+            self._wipe,
+            self._tear,
+            self._harm_link,
+            self._harm_link,
+            self._harm_target,
+            self._crash_target,
+        ]
+        kinds = planned if self.seen.planned_only else planned + unplanned
+        while not self._ending.is_set():
+            await asyncio.sleep(self._rng.uniform(*FAULT_PAUSE_SECONDS))
+            kind = self._rng.choice(kinds)
+            name = kind.__name__.strip("_")
+            self.done[name] = self.done.get(name, 0) + 1
+            self._begin(kind() if kind in planned else self._note_harm(kind))
+
+    async def _note_harm(self, kind: Callable[[], Awaitable[None]]) -> None:
+        began = self._loop.time()
+        span = len(self.seen.harmed)
+        self.seen.harmed.append((began, float("inf")))
+        try:
+            await kind()
+        finally:
+            self.seen.harmed[span] = (began, self._loop.time())
+
+    def _draw_daemon(self, role: str = "") -> platform_fleet.Daemon:
+        found = [item for item in self.fleet.daemons.values() if role in ("", item.role)]
+        return self._rng.choice(found)
+
+    async def _restart(self, daemon: platform_fleet.Daemon, seconds: float) -> bool:
+        """Kill a process and start it again; False if it does not run."""
+        if not daemon.is_running:
+            return False
+        self.fleet.send(daemon, signal.SIGKILL)
+        await self._await_end(daemon)
+        await asyncio.sleep(seconds)
+        self.fleet.start(daemon)
+        return True
+
+    async def _await_end(self, daemon: platform_fleet.Daemon) -> None:
+        while daemon.is_running:
+            await asyncio.sleep(0.02)
+
+    async def _kill(self) -> None:
+        await self._restart(self._draw_daemon(), self._rng.uniform(0.1, 2.0))
+
+    async def _kill_keepers(self) -> None:
+        keepers = self.fleet.list_role("keeper")
+        chosen = self._rng.sample(keepers, self._rng.choice((2, len(keepers))))
+        await asyncio.gather(*(self._restart(item, 0.5) for item in chosen))
+
+    async def _pause(self) -> None:
+        daemon = self._draw_daemon()
+        self.fleet.send(daemon, signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.2, 3.0))
+        self.fleet.send(daemon, signal.SIGCONT)
+
+    async def _wipe(self) -> None:
+        if self._loop.time() - self._wiped_at < WIPE_PAUSE_SECONDS:
+            return
+        self._wiped_at = self._loop.time()
+        await self._change_disk(self.fleet.wipe)
+
+    async def _tear(self) -> None:
+        await self._change_disk(lambda keeper: self.fleet.tear(keeper, self._rng))
+
+    async def _change_disk(self, change: Callable[[platform_fleet.Daemon], None]) -> None:
+        keeper = self._draw_daemon("keeper")
+        if not keeper.is_running:
+            return
+        self.fleet.send(keeper, signal.SIGKILL)
+        await self._await_end(keeper)
+        change(keeper)
+        self.fleet.start(keeper)
+
+    async def _harm(self, way: forwarder.Forwarder, kinds: list[forwarder.Harm]) -> None:
+        way.do(self._rng.choice(kinds))
+        await asyncio.sleep(self._rng.uniform(0.2, 4.0))
+        way.do(forwarder.Harm.NONE)
+
+    async def _harm_link(self) -> None:
+        await self._harm(self._draw_daemon().way_in, list(forwarder.Harm)[1:])
+
+    async def _harm_target(self) -> None:
+        target = self._rng.choice(list(self._targets.values()))
+        assert target.way_in is not None
+        await self._harm(target.way_in, [forwarder.Harm.DELAY, forwarder.Harm.RESET])
+
+    async def _crash_target(self) -> None:
+        target = self._rng.choice(list(self._targets.values()))
+        self._end_target(target)
+        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
+        await self._add_target(target.pool)
+
+    # Planned work
+
+    async def _stop_entry(self) -> None:
+        entry = self._draw_daemon("entry")
+        others = [item for item in self.fleet.list_role("entry") if item is not entry]
+        if not entry.is_running or not all(item.is_running for item in others):
+            return
+        self.fleet.send(entry, signal.SIGTERM)
+        await self._await_end(entry)
+        self.fleet.start(entry)
+
+    async def _reload(self) -> None:
+        daemon = self._draw_daemon()
+        keepers = [item.address for item in self.fleet.list_role("keeper")]
+        self.fleet.write_seeds(daemon, self._rng.sample(keepers, 3))
+        self.fleet.send(daemon, signal.SIGHUP)
+
+    async def _drain(self) -> None:
+        """A new target comes, then one of its pool drains, serves on for a while and ends."""
+        target = self._rng.choice(list(self._targets.values()))
+        await self._add_target(target.pool)
+        if target.state != "ready":
+            return
+        target.state = "draining"
+        path = f"/Instances.Heartbeat/{target.target_id}"
+        if await self._tell(path, target.write_heartbeat):
+            leaving = platform_checker.Leaving(target.target_id, self._loop.time())
+            self.seen.leavings.append(leaving)
+        until = self._loop.time() + NOTICE_SECONDS
+        while self._loop.time() < until or (self.seen.planned_only and self._is_busy(target)):
+            await asyncio.sleep(0.05)
+        await self._tell(f"/Instances.Leave/{target.target_id}", lambda: b"")
+        self._end_target(target)
+
+    def _is_busy(self, target: _Target) -> bool:
+        return any(not run.ended for run in target.runner.ran)
+
+    # The run
+
+    def _begin(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+        return task
+
+    async def _become_ready(self) -> None:
+        """Have a configuration in force at all entries and all targets known."""
+        for pool, number in (("llm", RUNNERS), ("app", SERVICES)):
+            for _ in range(number):
+                await self._add_target(pool)
+        until = self._loop.time() + READY_SECONDS
+        while not await self._send_change():
+            if self._loop.time() > until:
+                raise TimeoutError("no keeper took the first configuration")
+            await asyncio.sleep(0.2)
+        for entry in self.fleet.list_role("entry"):
+            address = f"{entry.address}:{platform_fleet.READY_PORT}"
+            while (await fetch(address, b"GET", "/ready"))[0] != 200:
+                if self._loop.time() > until:
+                    raise TimeoutError(f"{entry.name} is not ready")
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(2 * BEAT_SECONDS)
+
+    async def run(self, seconds: float, rest_seconds: float) -> list[str]:
+        """Run everything, let it come to rest, and give what was broken."""
+        await self.fleet.start_all()
+        try:
+            await self._become_ready()
+            work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
+            work += [self._send_calls() for _ in range(16)]
+            callers = [asyncio.ensure_future(item) for item in work]
+            faults = asyncio.ensure_future(self._do_faults())
+            await asyncio.sleep(seconds)
+            self._ending.set()
+            await asyncio.gather(faults, *callers)
+            await asyncio.sleep(rest_seconds)
+            await self._read_end()
+        finally:
+            for task in list(self._work):
+                task.cancel()
+            self.fleet.kill_all()
+            for target in list(self._targets.values()):
+                self._end_target(target)
+            await asyncio.sleep(END_SECONDS)
+        bounds = platform_fleet.BOUNDS
+        return platform_checker.check(self.seen, bounds.drain, bounds.revoke)
+
+    async def _read_end(self) -> None:
+        """Read the configuration back at each keeper, as an operator would, several times."""
+        for keeper in self.fleet.list_role("keeper"):
+            self.seen.read_back[keeper.name] = None
+            for _ in range(10):
+                status, body = await fetch(keeper.control, b"GET", "/Config.Get")
+                if status == 200:
+                    self.seen.read_back[keeper.name] = json.loads(body)["version"]
+                    break
+                await asyncio.sleep(0.3)
+
+
+async def run_seed(
+    folder: pathlib.Path, seed: int, seconds: float, rest_seconds: float = REST_SECONDS
+) -> tuple[PlatformSoak, list[str]]:
+    """Run one seed; gives the soak and the promises that were broken."""
+    soak = PlatformSoak(folder, seed)
+    return soak, await soak.run(seconds, rest_seconds)
+
+
+def describe(soak: PlatformSoak) -> str:
+    """One line on what a run saw."""
+    calls = soak.seen.calls
+    whole = sum(call.answer.status == 200 and call.answer.is_whole for call in calls)
+    refused = sum(call.answer.status in platform_checker.PROMISES for call in calls)
+    faults = ", ".join(f"{name} {number}" for name, number in sorted(soak.done.items()))
+    return (
+        f"calls {len(calls)}, whole {whole}, refused {refused}; "
+        f"versions {len(soak.seen.acknowledged)} of {len(soak.seen.sent)}; {faults}"
+    )
+
+
+def main() -> None:
+    """Run seeds one after another and print what was seen."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1, help="the first")
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument("--folder", type=pathlib.Path, default=pathlib.Path("out/platform-soak"))
+    arguments = parser.parse_args()
+    broken = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        folder = (arguments.folder / f"seed-{seed}").resolve()
+        with contextlib.suppress(KeyboardInterrupt):
+            soak, problems = asyncio.run(run_seed(folder, seed, arguments.seconds))
+            broken += bool(problems)
+            print(f"seed {seed}: {describe(soak)}", flush=True)
+            for problem in problems[:40]:
+                print(f"seed {seed} BROKEN {problem}", flush=True)
+    print("nothing broken" if not broken else f"{broken} seeds broke a promise")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -0,0 +1,239 @@
+"""The soak of the platform's programs: its checker finds planted faults; a short seeded run."""
+
+import asyncio
+import pathlib
+import random
+import tempfile
+import unittest
+
+from tillerlane.testing import (
+    caller,
+    forwarder,
+    platform_checker,
+    platform_fleet,
+    platform_runner,
+    platform_soak,
+)
+
+LENGTH = 5
+DRAIN_SECONDS = 2.0
+REVOKE_SECONDS = 5.0
+
+
+def build_run(request_id: str, began: float, ended: float, **headers: str):
+    """A run as a target wrote it down."""
+    run = platform_runner.RanRequest(
+        request_id,
+        {name.replace("_", "-"): value for name, value in headers.items()},
+        "",
+        b"",
+        began,
+    )
+    run.ended, run.ended_at = "whole", ended
+    return run
+
+
+def build_stream(request_id: str, length: int = LENGTH) -> bytes:
+    """Events of a stream."""
+    return b"".join(
+        platform_runner.build_event(request_id, number) for number in range(1, length + 1)
+    )
+
+
+def build_call(request_id: str, route: str, status: int, body: bytes, *, whole: bool = True):
+    """A call as its caller saw it."""
+    headers = {"retry-after": "1"} if status == 503 else {}
+    answer = caller.CallerAnswer(status, headers, body, whole)
+    return platform_checker.Call(request_id, route, caller.KEY, 10.0, 12.0, answer)
+
+
+def build_sound() -> platform_checker.Observations:
+    """A run in which every promise was kept."""
+    return platform_checker.Observations(
+        stream_length=LENGTH,
+        ran={
+            "t1": [
+                build_run("a", 10.0, 11.0),
+                build_run("b", 10.0, 10.5),
+                build_run("c", 10.0, 10.1),
+            ],
+            "t2": [build_run("a", 11.0, 12.0, kv_from="t1/h")],
+        },
+        calls=[
+            build_call("a", "record", 200, build_stream("a")),
+            build_call("b", "record", 200, build_stream("b", 3), whole=False),
+            build_call("c", "order", 200, b"answer to c"),
+            build_call("d", "order", 503, b""),
+        ],
+        leavings=[platform_checker.Leaving("t1", 10.0)],
+        acknowledged=[1, 3],
+        sent=[1, 2, 3],
+        in_force={("entry-1", 1): [1, 1, 3], ("entry-1", 2): [1]},
+        read_back={"keeper-1": 3, "keeper-2": None},
+    )
+
+
+class CheckerTest(unittest.TestCase):
+    """One planted fault of each kind."""
+
+    def setUp(self) -> None:
+        self.seen = build_sound()
+
+    def check(self) -> list[str]:
+        return platform_checker.check(self.seen, DRAIN_SECONDS, REVOKE_SECONDS)
+
+    def assert_found(self, text: str) -> None:
+        found = self.check()
+        self.assertEqual(len(found), 1, found)
+        self.assertIn(text, found[0])
+
+    def test_sound_run(self) -> None:
+        self.assertEqual(self.check(), [])
+
+    def test_missing_event(self) -> None:
+        self.seen.calls[1].answer.body = build_stream("b")[30:]
+        self.assert_found("missing, repeated")
+
+    def test_short_stream_that_looks_whole(self) -> None:
+        self.seen.calls[1].answer.is_whole = True
+        self.assert_found("not its own answer")
+
+    def test_another_requests_answer(self) -> None:
+        self.seen.calls[2].answer.body = b"answer to d"
+        self.assert_found("not its own answer")
+
+    def test_two_runs(self) -> None:
+        self.seen.ran["t2"].append(build_run("c", 11.0, 11.1))
+        self.assert_found("may run once")
+
+    def test_two_runners_at_once(self) -> None:
+        self.seen.ran["t1"][0].ended_at = 11.5
+        self.assert_found("two runners worked on it")
+
+    def test_refused_though_it_ran(self) -> None:
+        self.seen.ran["t2"].append(build_run("d", 11.0, 11.1))
+        self.assert_found("but it ran")
+
+    def test_refused_without_a_time_to_come_back(self) -> None:
+        self.seen.calls[3].answer.headers = {}
+        self.assert_found("without a time")
+
+    def test_run_that_nobody_asked_for(self) -> None:
+        self.seen.ran["t2"].append(build_run("x", 11.0, 11.1))
+        self.assert_found("nobody asked")
+
+    def test_denied(self) -> None:
+        self.seen.calls[3].answer.status = 404
+        self.assert_found("though route and key are there")
+
+    def test_key_taken_away(self) -> None:
+        self.seen.calls[2].key = "old"
+        self.seen.revoked["old"] = 4.0
+        self.assert_found("taken away long before")
+
+    def test_requests_after_draining(self) -> None:
+        for number in range(4):
+            request_id = f"late-{number}"
+            self.seen.ran["t1"].append(build_run(request_id, 13.0, 13.1))
+            self.seen.calls.append(
+                build_call(request_id, "order", 200, b"answer to " + request_id.encode())
+            )
+        self.assert_found("after it had drained")
+
+    def test_version_that_goes_back(self) -> None:
+        self.seen.in_force["entry-1", 1].append(2)
+        self.assert_found("went back from 3 to 2")
+
+    def test_acknowledged_version_that_is_lost(self) -> None:
+        self.seen.read_back["keeper-1"] = 2
+        self.assert_found("3 was acknowledged")
+
+    def test_version_that_nobody_sent(self) -> None:
+        self.seen.read_back["keeper-1"] = 9
+        self.assert_found("which nobody sent")
+
+    def test_no_configuration_at_the_end(self) -> None:
+        self.seen.read_back = {"keeper-1": None}
+        self.assert_found("no keeper gives")
+
+    def test_planned_work_that_cuts(self) -> None:
+        self.seen.planned_only = True
+        self.assert_found("cut by planned work")
+
+    def test_harm_excuses_only_what_it_touched(self) -> None:
+        self.seen.ran["t1"][0].ended_at = 11.5
+        self.seen.harmed = [(100.0, 101.0)]
+        self.assert_found("two runners worked on it")
+        self.seen.harmed = [(10.5, 10.6)]
+        self.assertEqual(self.check(), [])
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    """What a forwarder does to connections."""
+
+    async def asyncSetUp(self) -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        free = await asyncio.start_server(echo, "127.0.0.1", 0)
+        own = free.sockets[0].getsockname()[1]
+        free.close()
+        await free.wait_closed()
+        rng = random.Random(1)
+        self.way = forwarder.Forwarder(f"127.0.0.1:{own}", f"127.0.0.1:{port}", rng)
+        await self.way.start()
+        self.addAsyncCleanup(self.end)
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", own)
+
+    async def end(self) -> None:
+        """End all connections, and let their tasks come to their end."""
+        self.writer.close()
+        self.way.stop()
+        await asyncio.sleep(platform_soak.END_SECONDS)
+
+    async def test_silence_holds_and_then_lets_pass(self) -> None:
+        self.way.do(forwarder.Harm.SILENCE)
+        self.writer.write(b"word")
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(self.reader.readexactly(4), 0.2)
+        self.way.do(forwarder.Harm.NONE)
+        self.assertEqual(await self.reader.readexactly(4), b"word")
+
+    async def test_reset(self) -> None:
+        self.writer.write(b"word")
+        await self.reader.readexactly(4)
+        self.way.do(forwarder.Harm.RESET)
+        try:
+            self.assertEqual(await self.reader.read(4), b"")
+        except ConnectionResetError:
+            pass
+
+
+class SeededRunTest(unittest.TestCase):
+    """A few seconds of the real programs, under faults."""
+
+    def test_short_run_breaks_nothing(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "run"
+            soak, problems = asyncio.run(platform_soak.run_seed(path, 1, 5.0, rest_seconds=6.0))
+            self.assertEqual(problems, [])
+            self.assertGreater(len(soak.seen.calls), 0)
+            self.assertTrue(soak.done)
+            running = [item.name for item in soak.fleet.daemons.values() if item.is_running]
+            self.assertEqual(running, [])
+
+    def test_every_daemon_has_addresses_of_its_own(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            rng = random.Random(1)
+            fleet = platform_fleet.PlatformFleet(pathlib.Path(folder) / "f", 20, 5, 4, rng)
+            addresses = {item.address for item in fleet.daemons.values()}
+            self.assertEqual(len(addresses), 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
