--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -15,15 +15,21 @@
 """
 
 import asyncio
-import dataclasses
 import enum
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from tillerlane.faults import core as faults
-from tillerlane.faults import kinds
-from tillerlane.keeper import commands, machine, proposals
+from tillerlane.keeper import (
+    ballots,
+    commands,
+    followers,
+    machine,
+    pending,
+    proposals,
+    snapshots,
+)
 from tillerlane.keeper import storage as storages
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -37,7 +43,6 @@
 ELECTION_CHECK_SECONDS = 0.1
 LEASE_SECONDS = 0.8
 """Shorter than the shortest election timeout, with room for clocks that drift."""
-CALL_SECONDS = 0.6
 COMMIT_SECONDS = 3.0
 """How long a proposal waits to be committed."""
 MAX_BATCH_ENTRIES = 512
@@ -68,35 +73,6 @@
     LEADER = "leader"
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far one other keeper has got, as the leader knows it."""
-
-    next_index: int
-    match_index: int = 0
-    disk_id: str = ""
-    acked_at: float = -1e9
-    """When the last request that it answered was sent."""
-    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-
-@dataclasses.dataclass(slots=True)
-class _Incoming:
-    """A snapshot that is arriving in pieces."""
-
-    last_index: int
-    last_term: int
-    data: bytearray
-
-
-@dataclasses.dataclass(slots=True)
-class _Proposal:
-    """A command that waits to be appended or committed."""
-
-    command: bytes
-    answer: "asyncio.Future[dict[str, Any]]"
-
-
 class Replica:
     """One keeper.
 
@@ -153,12 +129,10 @@
         self._heard_at = -1e9
         self._election_at = 0.0
         self._write_lock = asyncio.Lock()
-        self._progress: dict[str, _Progress] = {}
+        self._followers = followers.Followers(name)
         self._peer_tasks: dict[str, asyncio.Task[None]] = {}
-        self._queue: list[_Proposal] = []
-        self._queued = asyncio.Event()
-        self._waiting: dict[int, _Proposal] = {}
-        self._incoming: _Incoming | None = None
+        self._pending = pending.Pending()
+        self._inbox = snapshots.Inbox()
         self._noop_index = 0
         self._voters: dict[str, commands.Voter] = {}
         self._voters_mark: tuple[int, int, int] | None = None
@@ -191,7 +165,7 @@
             for task in pending:
                 task.cancel()
             _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
-        self._fail_waiting("the keeper stops")
+        self._pending.fail_all("the keeper stops")
 
     def _is_running(self, name: str) -> bool:
         """Whether something that `_run_beside` began under this name still runs."""
@@ -255,14 +229,7 @@
 
     def _read_quorum_time(self) -> float | None:
         """When the latest requests were sent that a quorum has answered; None without one."""
-        times = [
-            self._now() if name == self.name else self._progress[name].acked_at
-            for name, voter in self.voters.items()
-            if name == self.name or self._is_on_record(name, voter)
-        ]
-        times.sort(reverse=True)
-        needed = self._count_quorum()
-        return times[needed - 1] if len(times) >= needed else None
+        return self._followers.read_quorum_time(self.voters, self._now())
 
     def read_confirmed_at(self) -> float | None:
         """Time of the event loop at which this keeper was surely the only leader.
@@ -278,15 +245,8 @@
         """When the last request was sent that another keeper has answered; leaders only."""
         if name == self.name:
             return self._now()
-        progress = self._progress.get(name)
-        return progress.acked_at if progress is not None else -1e9
-
-    def _is_on_record(self, name: str, voter: commands.Voter) -> bool:
-        progress = self._progress.get(name)
-        return progress is not None and progress.disk_id == voter.disk_id
-
-    def _count_quorum(self) -> int:
-        return len(self.voters) // 2 + 1
+        progress = self._followers.get(name)
+        return progress.acked_at if progress is not None else followers.NEVER
 
     def _stand_down(self, fault: faults.Fault) -> None:
         """The disk failed: answer nothing more that depends on it."""
@@ -365,42 +325,12 @@
     async def _collect_votes(self, term: int, *, pre: bool) -> bool:
         """Ask all voters; whether a quorum granted."""
         request = self._build_vote_request(term, pre=pre)
-        others = {name: voter for name, voter in self.voters.items() if name != self.name}
-        needed = self._count_quorum()
-        granted = 1
-        calls = [
-            asyncio.create_task(self._ask_vote(voter.address, request)) for voter in others.values()
-        ]
-        by_call = dict(zip(calls, others.values(), strict=True))
-        pending = set(calls)
-        try:
-            while granted < needed and pending:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for call in done:
-                    reply = call.result()
-                    if reply is None:
-                        continue
-                    if reply.term > self.storage.term and not pre:
-                        await self._follow_term(reply.term)
-                        return False
-                    if reply.granted and reply.disk_id == by_call[call].disk_id:
-                        granted += 1
-        finally:
-            for call in pending:
-                call.cancel()
-        return granted >= needed
-
-    async def _ask_vote(
-        self, address: str, request: messages.VoteRequest
-    ) -> messages.VoteReply | None:
-        link = self._get_link(address)
-        if link is None:
-            return None
-        try:
-            reply = await link.call(request, CALL_SECONDS)
-        except (links.LinkLost, faults.FaultError):
-            return None
-        return reply if isinstance(reply, messages.VoteReply) else None
+        others = [voter for name, voter in self.voters.items() if name != self.name]
+        needed = followers.count_quorum(self.voters)
+        ballot = await ballots.collect(self._get_link, request, others, needed)
+        if ballot.later_term > self.storage.term:
+            await self._follow_term(ballot.later_term)
+        return ballot.is_won
 
     def _list_configured(self) -> dict[str, str]:
         """All configured keepers, for the one of the lowest name: so two never found at once."""
@@ -416,7 +346,7 @@
         for name, address in founders.items():
             if name == self.name:
                 continue
-            reply = await self._ask_vote(address, request)
+            reply = await ballots.ask(self._get_link, address, request)
             if reply is None or not reply.fresh:
                 return
             voters[name] = commands.Voter(address, reply.disk_id)
@@ -431,13 +361,12 @@
         self.standing = Standing.LEADER
         self.leader = self.name
         self._heard_at = self._now()
-        self._progress = {}
+        self._followers.clear()
         self._adding_voter = False
         self._timeline.record("keeper.lead", term=self.storage.term)
-        self._fail_waiting("a new term began")
-        self._queue.insert(0, self._new_proposal(commands.encode(commands.Noop())))
+        self._pending.fail_all("a new term began")
+        self._pending.add(commands.encode(commands.Noop()), first=True)
         self._noop_index = self.storage.last_index + 1
-        self._queued.set()
         self._follow_peers()
         self.on_standing()
 
@@ -450,7 +379,7 @@
             for task in self._peer_tasks.values():
                 task.cancel()
             self._peer_tasks = {}
-            self._fail_waiting("another keeper leads")
+            self._pending.fail_all("another keeper leads")
         if was != (self.standing, self.leader):
             self.on_standing()
 
@@ -496,11 +425,6 @@
 
     # Proposals
 
-    def _new_proposal(self, command: bytes) -> _Proposal:
-        answer = asyncio.get_running_loop().create_future()
-        answer.add_done_callback(lambda future: future.cancelled() or future.exception())
-        return _Proposal(command, answer)
-
     async def propose(self, command: bytes) -> dict[str, Any]:
         """Commit a command and give its answer; only the leader can.
 
@@ -515,28 +439,18 @@
             message = f"{self.name} is {self.standing} without a lease"
             detail = {"leader": self.leader}
             raise proposals.build_no_quorum(message, detail=detail)
-        proposal = self._new_proposal(command)
-        self._queue.append(proposal)
-        self._queued.set()
+        proposal = self._pending.add(command)
         try:
             return await asyncio.wait_for(asyncio.shield(proposal.answer), COMMIT_SECONDS)
         except TimeoutError as error:
-            raise _undecided("not committed in time") from error
-
-    def _fail_waiting(self, reason: str) -> None:
-        """Nobody will tell these proposals' fate any more; they may still be committed."""
-        for proposal in [*self._queue, *self._waiting.values()]:
-            if not proposal.answer.done():
-                proposal.answer.set_exception(_undecided(reason))
-        self._queue = []
-        self._waiting = {}
+            raise pending.build_undecided("not committed in time") from error
 
     async def _write_proposals(self) -> None:
         """Append what is queued; all that gathers during one sync shares the next."""
         while True:
-            await self._queued.wait()
-            self._queued.clear()
-            if self.standing is not Standing.LEADER or not self._queue:
+            await self._pending.queued.wait()
+            self._pending.queued.clear()
+            if self.standing is not Standing.LEADER or not self._pending.has_queued:
                 continue
             async with self._write_lock:
                 await self._append_batch()
@@ -544,43 +458,32 @@
     async def _append_batch(self) -> None:
         if self.standing is not Standing.LEADER:
             return
-        batch, self._queue = self._queue[:MAX_BATCH_ENTRIES], self._queue[MAX_BATCH_ENTRIES:]
-        if self._queue:
-            self._queued.set()
+        batch = self._pending.take_batch(MAX_BATCH_ENTRIES)
         term = self.storage.term
         first = self.storage.last_index + 1
         entries = []
         for position, proposal in enumerate(batch):
             entries.append(messages.LogEntry(term, first + position, proposal.command))
-            self._waiting[first + position] = proposal
+            self._pending.note_appended(first + position, proposal)
         try:
             await self._write(self.storage.append, entries)
         except faults.FaultError:
             return
         if self.standing is Standing.LEADER:
             self._advance_commit()
-            for progress in self._progress.values():
-                progress.wake.set()
+            self._followers.wake_all()
 
     def _advance_commit(self) -> None:
         """Commit what a quorum of voters has synced, in this term."""
         if self.standing is not Standing.LEADER:
             return
-        matches = [
-            self.storage.last_index if name == self.name else self._progress[name].match_index
-            for name, voter in self.voters.items()
-            if name == self.name or self._is_on_record(name, voter)
-        ]
-        matches.sort(reverse=True)
-        needed = self._count_quorum()
-        if len(matches) < needed:
+        index = self._followers.find_quorum_index(self.voters, self.storage.last_index)
+        if index is None:
             return
-        index = matches[needed - 1]
         if index > self.commit and self.storage.get_term(index) == self.storage.term:
             self.commit = index
             self._apply_committed()
-            for progress in self._progress.values():
-                progress.wake.set()
+            self._followers.wake_all()
 
     def _apply_committed(self) -> None:
         while self.applied < self.commit:
@@ -597,9 +500,7 @@
         answer = self.machine.apply(entry.term, entry.index, commands.decode(entry.command))
         self.applied = entry.index
         self._bytes_behind_snapshot += len(entry.command)
-        proposal = self._waiting.pop(entry.index, None)
-        if proposal is not None and not proposal.answer.done():
-            proposal.answer.set_result({**answer, "index": entry.index, "term": entry.term})
+        self._pending.answer(entry.index, {**answer, "index": entry.index, "term": entry.term})
 
     def _after_apply(self) -> None:
         if self.voters == self.machine.voters:
@@ -649,15 +550,16 @@
         wanted.pop(self.name, None)
         for name, address in wanted.items():
             if name not in self._peer_tasks:
-                self._progress[name] = _Progress(self.storage.last_index + 1)
+                self._followers.begin(name, self.storage.last_index + 1)
                 task = asyncio.create_task(self._replicate(name, address))
                 self._peer_tasks[name] = task
         for name in set(self._peer_tasks) - set(wanted):
             self._peer_tasks.pop(name).cancel()
-            self._progress.pop(name, None)
+            self._followers.end(name)
 
     async def _replicate(self, name: str, address: str) -> None:
-        progress = self._progress[name]
+        progress = self._followers.get(name)
+        assert progress is not None
         while self.standing is Standing.LEADER:
             progress.wake.clear()
             link = self._get_link(address)
@@ -674,7 +576,7 @@
                 except TimeoutError:
                     continue
 
-    async def _send_next(self, progress: _Progress, link: links.Link) -> None:
+    async def _send_next(self, progress: followers.Progress, link: links.Link) -> None:
         """Send one request and take its answer."""
         prev_index = progress.next_index - 1
         prev_term = self.storage.get_term(prev_index)
@@ -687,7 +589,7 @@
             term, self.name, prev_index, prev_term, self.commit, entries
         )
         sent_at = self._now()
-        reply = await link.call(request, CALL_SECONDS)
+        reply = await link.call(request, ballots.CALL_SECONDS)
         if not isinstance(reply, messages.AppendReply) or self.storage.term != term:
             return
         if reply.term > term:
@@ -703,7 +605,7 @@
             progress.match_index = 0
             progress.next_index = max(1, min(reply.last_index + 1, progress.next_index - 1))
 
-    async def _send_snapshot(self, progress: _Progress, link: links.Link) -> None:
+    async def _send_snapshot(self, progress: followers.Progress, link: links.Link) -> None:
         """Send the last snapshot in bounded pieces."""
         snapshot = self.storage.snapshot
         term = self.storage.term
@@ -719,7 +621,7 @@
                 snapshot.data[offset : offset + PIECE_BYTES],
             )
             sent_at = self._now()
-            reply = await link.call(piece, CALL_SECONDS * 4)
+            reply = await link.call(piece, ballots.CALL_SECONDS * 4)
             if not isinstance(reply, messages.SnapshotReply) or self.storage.term != term:
                 return
             if reply.term > term:
@@ -731,7 +633,7 @@
         progress.match_index = snapshot.last_index
         progress.next_index = snapshot.last_index + 1
 
-    def _consider_promotion(self, name: str, address: str, progress: _Progress) -> None:
+    def _consider_promotion(self, name: str, address: str, progress: followers.Progress) -> None:
         """Give a keeper that has caught up its vote, for the disk that it has now.
 
         The proposal runs beside the replication to that keeper, whose own acknowledgement may be
@@ -819,35 +721,17 @@
         storage = self.storage
         if not await self._take_leader(piece.term, piece.leader):
             return messages.SnapshotReply(storage.term, 0, storage.disk_id)
-        incoming = self._incoming
-        if (
-            incoming is None
-            or incoming.last_index != piece.last_index
-            or incoming.last_term != piece.last_term
-            or piece.offset == 0
-        ):
-            incoming = _Incoming(piece.last_index, piece.last_term, bytearray())
-            self._incoming = incoming
-        if piece.offset == len(incoming.data):
-            incoming.data += piece.data
-        received = len(incoming.data)
+        received = self._inbox.take(piece)
         if received == piece.total:
-            self._incoming = None
-            await self._install(incoming)
+            await self._install(self._inbox.finish())
         return messages.SnapshotReply(storage.term, received, storage.disk_id)
 
-    async def _install(self, incoming: _Incoming) -> None:
-        if incoming.last_index <= self.applied:
+    async def _install(self, snapshot: storages.Snapshot) -> None:
+        if snapshot.last_index <= self.applied:
             return
-        snapshot = storages.Snapshot(incoming.last_index, incoming.last_term, bytes(incoming.data))
         async with self._write_lock:
             await self._write(self.storage.save_snapshot, snapshot)
         self.machine.load(snapshot.data)
         self.commit = max(self.commit, snapshot.last_index)
         self.applied = snapshot.last_index
         self._timeline.record("keeper.install", index=snapshot.last_index)
-
-
-def _undecided(reason: str) -> faults.FaultError:
-    message = f"{reason}; the outcome is not known, ask again with the same change id"
-    return proposals.build_no_quorum(message, kinds.Ran.UNKNOWN)
