Bound how long a request's body may pause

Change: a body may pause for as long as a connection may rest; then 408, which is true, since nothing was sent on. The test fails before.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -34,7 +34,7 @@
     header_seconds : float
         How long a head, once begun, may take.
     idle_seconds : float
-        How long a connection may rest between requests.
+        How long a connection may rest between requests, and between parts of a body.
     """
 
     header_bytes: int = 16_384
@@ -130,7 +130,7 @@
             self._timer = None
 
     def _expire(self) -> None:
-        """Nothing came for too long: rest is ended silently, a begun head with 408."""
+        """Nothing came for too long: rest is ended silently, a begun request with 408."""
         self._timer = None
         if self._incoming is not None:
             self._reject(408)
@@ -201,10 +201,10 @@
         self._incoming.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Take the head."""
+        """Take the head; its body may pause for as long as a connection may rest."""
         incoming = self._incoming
         assert incoming is not None
-        self._clear_timer()
+        self._set_timer(self._server.limits.idle_seconds)
         incoming.arrived = self._loop.time()
         incoming.method = self._parser.get_method()
         incoming.keep_alive = self._parser.should_keep_alive()
@@ -220,11 +220,13 @@
         incoming = self._incoming
         assert incoming is not None
         incoming.body += data
+        self._set_timer(self._server.limits.idle_seconds)
         if len(incoming.body) > self._server.limits.body_bytes:
             raise _Rejected(413)
 
     def on_message_complete(self) -> None:
         """Take the end of a request and have it served."""
+        self._clear_timer()
         incoming = self._incoming
         assert incoming is not None
         self._incoming = None
--- a/tillerlane/gateway/tests/test_http.py
+++ b/tillerlane/gateway/tests/test_http.py
@@ -20,13 +20,25 @@
     await responder.send_whole(head, request.body)
 
 
-async def talk(data: bytes, serve: http_server.Serve = echo, wait: float = 0.5) -> bytes:
-    """Send bytes to a server and give all that it answers until it closes or time is up."""
+async def talk(
+    data: bytes,
+    serve: http_server.Serve = echo,
+    wait: float = 0.5,
+    later: tuple[bytes, ...] = (),
+    pause: float = 0.0,
+) -> bytes:
+    """Send bytes to a server and give all that it answers until it closes or time is up.
+
+    `later` are further bytes, each sent after a pause in seconds.
+    """
     server = http_server.Server(serve, LIMITS, lambda error: None)
     await server.listen(ADDRESS)
     host, port = ADDRESS.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(data)
+    for part in later:
+        await asyncio.sleep(pause)
+        writer.write(part)
     got = b""
     try:
         async with asyncio.timeout(wait):
@@ -67,6 +79,20 @@
         self.assertIn(b" 408 ", self.talk(b"GET / HTTP/1.1\r\nX:", wait=2.0))
         self.assertEqual(self.talk(b"", wait=4.0), b"")
 
+    def test_body_that_stops_ends_with_408_and_a_slow_one_is_read(self) -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+        served = []
+
+        async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+            served.append(request)
+            await echo(request, responder)
+
+        got = self.talk(head + b"x", serve=serve, wait=4.0)
+        self.assertIn(b" 408 ", got)
+        self.assertEqual(served, [])
+        slow = self.talk(head, serve=serve, wait=1.0, later=(b"x", b"y", b"z"), pause=2.0)
+        self.assertTrue(slow.endswith(b"xyz"))
+
     def test_request_within_a_request_is_refused(self) -> None:
         smuggled = (
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
