Choose entries in the soak as the platform's balancer does

The platform's balancer gives such an entry no new connections: it asks each second and takes an entry out after two misses; the soak's callers did not ask.

Change: they do, and a broken promise names the entry and the times.

--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -28,6 +28,8 @@
         Times of the event loop.
     key : str
         Key that it carried.
+    entry : str
+        Where it was sent.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     sent_at: float
     ended_at: float = 0.0
     answer: caller.CallerAnswer = dataclasses.field(default_factory=caller.CallerAnswer)
+    entry: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +127,9 @@
     if seen.planned_only and not is_revoked:
         is_refused = answer.status in PROMISES
         if not is_refused and not (answer.status == 200 and answer.is_whole):
-            return [f"{name}: {call.route} was cut by planned work, status {answer.status}"]
+            at = f"{call.entry} from {call.sent_at:.2f} to {call.ended_at:.2f}"
+            text = f"{call.route} was cut by planned work, status {answer.status}"
+            return [f"{name}: {text}, {at}"]
     if answer.status in (401, 404) and not is_revoked:
         return [f"{name}: got {answer.status} though route and key are there"]
     return []
--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -69,6 +69,11 @@
         """Where targets and operators reach a keeper."""
         return f"{self.address}:{CONTROL_PORT}"
 
+    @property
+    def ready(self) -> str:
+        """Where the balancer asks whether an entry takes callers."""
+        return f"{self.address}:{READY_PORT}"
+
     @property
     def metrics(self) -> str:
         """Where its figures are."""
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -41,6 +41,9 @@
 """The platform's usual pause between heartbeats."""
 CALL_SECONDS = 1.0
 """How long a target or an operator waits for a keeper's answer."""
+BALANCER_SECONDS = 1.0
+BALANCER_MISSES = 2
+"""The platform's balancer asks each second and takes an entry out after two misses."""
 CHANGE_SECONDS = 1.5
 NOTICE_SECONDS = 2.0
 """Time from a runner's word that it drains to its end."""
@@ -127,6 +130,8 @@
         self._version = 0
         self._ending = asyncio.Event()
         self._loop = asyncio.get_running_loop()
+        self._taken_out: set[str] = set()
+        """Entries that get no new connections."""
         self._wiped_at = -WIPE_PAUSE_SECONDS
         self._work: set[asyncio.Task[None]] = set()
 
@@ -182,6 +187,25 @@
 
     # Callers
 
+    async def _balance(self) -> None:
+        """Ask the entries each second, as the platform's balancer does."""
+        misses: dict[str, int] = {}
+        while not self._ending.is_set():
+            for entry in self.fleet.list_role("entry"):
+                status, _ = await fetch(entry.ready, b"GET", "/ready")
+                misses[entry.name] = 0 if status == 200 else misses.get(entry.name, 0) + 1
+                if misses[entry.name] >= BALANCER_MISSES:
+                    self._taken_out.add(entry.name)
+                elif misses[entry.name] == 0:
+                    self._taken_out.discard(entry.name)
+            await asyncio.sleep(BALANCER_SECONDS)
+
+    def _draw_entry(self) -> platform_fleet.Daemon:
+        """An entry that the balancer gives new connections to; any, if it has taken all out."""
+        entries = self.fleet.list_role("entry")
+        found = [item for item in entries if item.name not in self._taken_out]
+        return self._rng.choice(found or entries)
+
     async def _send_calls(self) -> None:
         while not self._ending.is_set():
             kind = self._rng.choice(("record", "verdict", "order", "order", "price"))
@@ -195,8 +219,10 @@
                 await self._send_call("order", self._rng.choice(list(self.seen.revoked)))
 
     async def _send_call(self, route: str, key: str) -> None:
-        entry = self._rng.choice(self.fleet.list_role("entry"))
-        call = platform_checker.Call(f"r{self._next()}", route, key, self._loop.time())
+        entry = self._draw_entry()
+        call = platform_checker.Call(
+            f"r{self._next()}", route, key, self._loop.time(), entry=entry.name
+        )
         headers = {"Credential": key}
         if route in ("record", "verdict"):
             headers |= {"Model": "m", "Token_Counts": STREAM_TOKENS}
@@ -408,8 +434,7 @@
                 raise TimeoutError("no keeper took the first configuration")
             await asyncio.sleep(0.2)
         for entry in self.fleet.list_role("entry"):
-            address = f"{entry.address}:{platform_fleet.READY_PORT}"
-            while (await fetch(address, b"GET", "/ready"))[0] != 200:
+            while (await fetch(entry.ready, b"GET", "/ready"))[0] != 200:
                 if self._loop.time() > until:
                     raise TimeoutError(f"{entry.name} is not ready")
                 await asyncio.sleep(0.1)
@@ -421,6 +446,7 @@
         try:
             await self._become_ready()
             work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
+            work.append(self._balance())
             work += [self._send_calls() for _ in range(16)]
             callers = [asyncio.ensure_future(item) for item in work]
             faults = asyncio.ensure_future(self._do_faults())
