--- a/tillerlane/cli/fleets.py
+++ b/tillerlane/cli/fleets.py
@@ -3,14 +3,16 @@
 import argparse
 import re
 import secrets
+import sys
 import time
 from typing import Any
 
 from tillerlane.cli import client as clients
-from tillerlane.cli import drawing
+from tillerlane.cli import drawing, loglines
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.timeline import clock as clocks
+from tillerlane.timeline import core as timelines
 
 __all__ = ["add_keeper", "add_placement", "add_request", "add_runner", "add_status", "add_timeline"]
 
@@ -344,6 +346,32 @@
 
 def run_timeline(arguments: argparse.Namespace) -> int:
     """``timeline``."""
+    answer = _read_logs(arguments) if arguments.log else _ask_timeline(arguments)
+    if arguments.trace:
+        drawing.write_trace(answer["events"], arguments.trace)
+    if arguments.picture:
+        drawing.write_picture(answer["events"], arguments.picture)
+    clients.print_json(answer) if arguments.json else print_events(answer)
+    return 0
+
+
+def _read_logs(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Events of log files in the form of a fleet's answer."""
+    found = loglines.read_files(arguments.log)
+    since_ms = int((time.time() - arguments.last) * 1000) if arguments.last else 0
+    events = timelines.select_events(
+        found.events,
+        request_id=arguments.request or "",
+        generation_id=arguments.generation or "",
+        since_ms=since_ms,
+    )
+    if found.left_out or found.other_lines:
+        text = f"{found.left_out} events were left out, {found.other_lines} lines hold none"
+        print(text, file=sys.stderr)
+    return {"events": [event.to_json() for event in events], "missing": []}
+
+
+def _ask_timeline(arguments: argparse.Namespace) -> dict[str, Any]:
     parameters: dict[str, Any] = {}
     if arguments.request:
         parameters["request_id"] = arguments.request
@@ -351,13 +379,7 @@
         parameters["generation_id"] = arguments.generation
     if arguments.last:
         parameters["since_ms"] = int((time.time() - arguments.last) * 1000)
-    answer = clients.connect(arguments).get("/admin/timeline", **parameters)
-    if arguments.trace:
-        drawing.write_trace(answer["events"], arguments.trace)
-    if arguments.picture:
-        drawing.write_picture(answer["events"], arguments.picture)
-    clients.print_json(answer) if arguments.json else print_events(answer)
-    return 0
+    return clients.connect(arguments).get("/admin/timeline", **parameters)
 
 
 def add_timeline(nouns: Any) -> None:
@@ -367,6 +389,9 @@
     noun.add_argument("--request", metavar="ID")
     noun.add_argument("--generation", metavar="ID")
     noun.add_argument("--last", type=read_span, metavar="SPAN", help="such as 30s or 2m")
+    noun.add_argument(
+        "--log", nargs="+", metavar="FILE", help="read log lines in place of the fleet; - is stdin"
+    )
     noun.add_argument("--trace", metavar="FILE", help="write a trace that trace viewers open")
     noun.add_argument("--picture", metavar="FILE", help="write an SVG picture")
     noun.set_defaults(run=run_timeline)
--- a/tillerlane/config/store.py
+++ b/tillerlane/config/store.py
@@ -3,17 +3,24 @@
 A configuration is a set of entities, each with the version that last changed it.  What a daemon
 at version ``n`` lacks is every entity with a later version, deletions included, so that catch-up
 after hundreds of changes sends each changed entity once.  Deletions are kept; they are small.
+
+The entities' models are loaded when the first of them is read: a keeper on the users' platform has
+none, and their library is not among what its machines have.
 """
 
+from __future__ import annotations
+
 import dataclasses
 import functools
 import json
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from tillerlane.config import documents
 from tillerlane.peers import messages
 
+if TYPE_CHECKING:
+    from tillerlane.config import documents
+
 __all__ = ["Configuration", "Store", "build_document", "diff_documents", "split_document"]
 
 Key = tuple[str, str]
@@ -22,6 +29,12 @@
 """Kind of the entities that stand for drained targets; they are not part of the document."""
 
 
+def _get_kinds() -> dict[str, type[documents.Model]]:
+    from tillerlane.config import documents
+
+    return documents.KINDS
+
+
 def write_body(model: documents.Model) -> str:
     """Write an entity in its one canonical form."""
     values = model.model_dump(mode="json", exclude_defaults=True)
@@ -31,7 +44,7 @@
 def split_document(document: documents.Document) -> dict[Key, str]:
     """Split a document into entities: (kind, name) to body."""
     entities: dict[Key, str] = {("fleet", _FLEET_NAME): write_body(document.fleet)}
-    for kind in documents.KINDS:
+    for kind in _get_kinds():
         if kind != "fleet":
             for name, model in getattr(document, kind).items():
                 entities[kind, name] = write_body(model)
@@ -61,7 +74,7 @@
 
 @functools.lru_cache(maxsize=8_192)
 def _parse_entity(kind: str, body: str) -> documents.Model:
-    return documents.KINDS[kind].model_validate_json(body)
+    return _get_kinds()[kind].model_validate_json(body)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,12 +122,13 @@
 
 def build_configuration(version: int, entities: dict[Key, str]) -> Configuration:
     """Build the look-ups from entities that were validated when the change was accepted."""
-    sections: dict[str, dict[str, Any]] = {kind: {} for kind in documents.KINDS}
+    kinds = _get_kinds()
+    sections: dict[str, dict[str, Any]] = {kind: {} for kind in kinds}
     drains = frozenset(name for kind, name in entities if kind == DRAINS)
     for (kind, name), body in entities.items():
         if kind in sections:
             sections[kind][name] = _parse_entity(kind, body)
-    fleet = sections.pop("fleet").get(_FLEET_NAME, documents.Fleet())
+    fleet = sections.pop("fleet").get(_FLEET_NAME) or kinds["fleet"]()
     return Configuration(version=version, fleet=fleet, drains=drains, **sections)
 
 
@@ -127,12 +141,20 @@
     def __init__(self) -> None:
         self._entities: dict[Key, messages.Entity] = {}
         self._listeners: list[Listener] = []
-        self.current = build_configuration(0, {})
+        self._version = 0
+        self._current: Configuration | None = None
 
     @property
     def version(self) -> int:
         """Version in force; 0 before the first."""
-        return self.current.version
+        return self._version
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force."""
+        if self._current is None:
+            self._current = build_configuration(self._version, self.get_bodies())
+        return self._current
 
     def listen(self, listener: Listener) -> None:
         """Have `listener` called with each new configuration."""
@@ -185,6 +207,9 @@
         self._put_in_force(version)
 
     def _put_in_force(self, version: int) -> None:
-        self.current = build_configuration(version, self.get_bodies())
+        if version == self._version and not self._entities:
+            return  # nothing was ever put in force
+        self._version = version
+        self._current = None
         for listener in self._listeners:
             listener(self.current)
--- /dev/null
+++ b/tillerlane/gateway/tests/test_operations.py
@@ -0,0 +1,93 @@
+"""The ways of docs/OPERATIONS.md: from a failed request's id to its cause, by its log lines."""
+
+import asyncio
+import pathlib
+import re
+import unittest
+from typing import Any
+
+from tillerlane.gateway import directory as directories
+from tillerlane.testing import gateway_lab, gateway_scenes
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+LONG = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
+
+
+def read_lines(stage: gateway_lab.GatewayLab, request_id: str) -> list[dict[str, Any]]:
+    """What the entry wrote of a request, as name and facts."""
+    return [
+        {"event": event.name, **event.fields}
+        for event in stage.entries["entry-1"].timeline.read()
+        if event.request_id == request_id
+    ]
+
+
+class WaysTest(gateway_scenes.GatewayCase):
+    """Each failure of the page is caused, and its cause is found by the request's id alone."""
+
+    def test_stream_that_broke_off_when_its_runner_left(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=90, copy_seconds=3.0)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **LONG))
+            await asyncio.sleep(0.4)
+            await stage.add_runner("t2", "llm", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.5)
+            runner.crash()
+            await call
+            sent, moved, broken = read_lines(stage, "r1")
+            self.assertEqual((sent["event"], sent["target"]), ("request.send", "t1"))
+            self.assertEqual((moved["event"], moved["outcome"]), ("run.move", "lost"))
+            self.assertEqual((moved["source"], moved["destination"]), ("t1", "t2"))
+            self.assertGreaterEqual(moved["took_ms"], 1_400)
+            self.assertEqual((broken["event"], broken["phase"]), ("stream.break", "draining"))
+
+        self.play(scene)
+
+    def test_refusal_for_memory(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            tokens = {**LONG, "Token_Counts": "33900,2000"}
+            answer = await stage.call("entry-1", "record", "r1", **tokens)
+            (line,) = read_lines(stage, "r1")
+            self.assertEqual((answer.status, line["status"]), (503, 503))
+            self.assertIn("no memory: 34200 tokens", line["reason"])
+            self.assertEqual(f"{line['retry_after']:.2f}", answer.headers["retry-after"])
+
+        self.play(scene)
+
+    def test_call_without_an_answer_in_time(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.is_dark = True
+            answer = await stage.call("entry-1", "order", "r1", wait_ms=500)
+            sent, refused = read_lines(stage, "r1")
+            self.assertEqual((answer.status, refused["status"]), (504, 504))
+            self.assertEqual((sent["target"], sent["outcome"]), ("t1", "unknown"))
+            self.assertIn("no answer in time", refused["reason"])
+
+        self.play(scene)
+
+
+class PageTest(unittest.TestCase):
+    """The page names only lines that the programs write."""
+
+    def test_every_line_of_the_table_is_written_somewhere(self) -> None:
+        sources = "\n".join(
+            path.read_text()
+            for folder in ("gateway", "keeper", "platform", "timeline")
+            for path in (ROOT / "tillerlane" / folder).glob("*.py")
+        )
+        rows = [line for line in PAGE.read_text().splitlines() if line.startswith("| `")]
+        names = [name for row in rows for name in re.findall(r"`([a-z]+\.[a-z_]+)`", row)]
+        self.assertGreater(len(names), 15)
+        self.assertEqual([name for name in names if f'"{name}"' not in sources], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
