Stop moving a run that has ended, and count copies that nobody asks for

Ending a stream forgot the task that moved its run before it could be ended, so orders for runs that were over went on for up to 6 s (lines of run.move with no_run), and a copy that a runner finished afterwards was neither freed nor counted.

Change: one way to give a run's move up, which ends the task or frees the copy; a copy that nobody asks for counts as memory for as long as runners keep it. The test fails before.

Beside it, found when the tests ran: test_target_that_never_answers_costs_half_of_the_time_once failed once. Cause: the entry in the lab drew lots between equal targets without a seed, and in one of 2^8 runs never draws the silent one. The entry takes its random numbers from outside now, and the lab seeds them.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -86,6 +86,8 @@
         How callers and targets speak.
     open_connection : callable, optional
         Opens a connection to a keeper.
+    rng : random.Random, optional
+        Draws lots between targets that are as good as each other.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         own: EntrySettings,
         dialect: dialects.Dialect,
         open_connection: nodes.Open = asyncio.open_connection,
+        rng: random.Random | None = None,
     ) -> None:
         self._own = own
         self._dialect = dialect
@@ -106,7 +109,7 @@
         self.usage = usages.Usage(own.name)
         self._budget = budgets.RetryBudget(own.retries)
         selector = selection.Selector(
-            self.directory, self.usage, own.data_hall, random.Random(), self._loop.time
+            self.directory, self.usage, own.data_hall, rng or random.Random(), self._loop.time
         )
         self._meters = meters.build_entry_meters()
         mover = runs.Mover(
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -143,14 +143,16 @@
             runs.discard(run)
             if not runs:
                 del self._runs[run.target.target_id]
-        if run.moving is not None and not run.moving.done():
-            run.moving.cancel()
+        self.give_up(run)
 
     def give_up(self, run: Run) -> None:
-        """Free a copy that the run does not go on with."""
-        unused, run.moving = run.read_continuation(), None
+        """Move a run no more, and free a copy that it does not go on with."""
+        unused = run.read_continuation()
         if unused is not None:
             self._drop_copy(run, unused)
+        elif run.moving is not None:
+            run.moving.cancel()
+        run.moving = None
 
     def move_again(self, run: Run) -> None:
         """Look for another destination after one did not take the run up."""
@@ -238,7 +240,7 @@
     async def _copy(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
         """Copy a run's memory while it goes on, and count the copy as memory meanwhile."""
         tokens = run.tokens
-        lingers = False
+        lingers = True  # unless the runners say otherwise
         self._usage.add(destination.address, tokens=tokens)
         self._count_ordered(run, self._selector.read_copy_seconds(run.pool, tokens))
         try:
@@ -251,7 +253,7 @@
     def _release(
         self, run: Run, destination: directories.Target, tokens: int, lingers: bool
     ) -> None:
-        """Count a copy out; one whose source was lost stays for as long as copies are kept."""
+        """Count a copy out; one that nobody asks for stays for as long as copies are kept."""
         self._count_ordered(run, -self._selector.read_copy_seconds(run.pool, tokens))
         engine = run.pool.engine
         if not lingers or engine is None:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -216,7 +216,6 @@
         except TimeoutError:
             self._note_broken(stream, "out of time")
         finally:
-            self._mover.give_up(stream.run)
             self._drop(stream)
             if not responder.is_done:
                 responder.abort()
@@ -365,6 +364,7 @@
         )
         if not isinstance(outcome, sending.Stream):
             return outcome
+        run.moving = None  # its copy is used
         self._drop(stream)
         stream.take_exchange(outcome.exchange)
         stream.runners += 1
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -310,6 +310,47 @@
 
         self.play(scene)
 
+    def test_run_that_ends_is_moved_no_more(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=30, copy_seconds=2.0)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **TOKENS))
+            await asyncio.sleep(0.3)
+            second = await stage.add_runner("t2", "llm", length=30)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            self.assertTrue((await call).is_whole)
+            await asyncio.sleep(0.1)
+            tasks = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+            self.assertEqual([name for name in tasks if name == "Mover._move"], [])
+            # The runners make the copy all the same, and keep it for a while.
+            usage = stage.entries["entry-1"].usage
+            loop = asyncio.get_running_loop()
+            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            await asyncio.sleep(5.2)
+            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+
+        self.play(scene)
+
+    def test_copy_that_came_too_late_is_freed(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=0.2)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(
+                stage.call("entry-1", "record", "r1", leave_after=1.0, **TOKENS)
+            )
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            second.loses_copies = True
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await call
+            await asyncio.sleep(0.5)
+            self.assertEqual(second.copies, {})
+            self.assertEqual(first.ran[0].ended, "gone")
+
+        self.play(scene)
+
     def test_refusal_for_memory_says_when_runs_will_have_ended(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await stage.add_runner("t1", "llm", length=90)
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -154,7 +154,9 @@
             stop_seconds=6.0,
             retries=budgets.RetryBounds(0.2, 10.0, 50.0),
         )
-        daemon = entry.Entry(own, adapter.build_dialect(), self.network.connect_as(name))
+        daemon = entry.Entry(
+            own, adapter.build_dialect(), self.network.connect_as(name), random.Random(name)
+        )
         self.entries[name] = daemon
         await daemon.start()
         return daemon
