--- /dev/null
+++ b/tillerlane/gateway/tests/test_moves.py
@@ -0,0 +1,303 @@
+"""Runs that go on at another runner: moved off one that leaves, or from a copy made beforehand."""
+
+import asyncio
+import unittest
+
+from tillerlane.gateway import directory as directories
+from tillerlane.testing import gateway_lab, gateway_scenes
+
+
+class MoveTest(gateway_scenes.GatewayCase):
+    """Runs of one entry."""
+
+    def test_run_moves_off_a_leaving_runner_in_one_answer(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=60)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=60)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, gateway_scenes.build_stream("r1", 60))
+            self.assertEqual((first.ran[0].ended, second.ran[0].ended), ("gone", "whole"))
+            self.assertEqual(len(first.ran) + len(second.ran), 2)
+            # The former run stops as soon as the other one has begun.
+            self.assertLessEqual(first.ran[0].events - second.ran[0].first_event, 2)
+
+        self.play(scene)
+
+    def test_no_more_copies_are_ordered_than_the_notice_has_time_for(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=0.4)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.4)
+            for name in ("t2", "t3"):
+                await stage.add_runner(name, "llm", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.3)
+            # 1.5 s of notice, and 0.37 s of link for each (3,300 tokens between halls).
+            self.assertEqual(len(first.copied), 4)
+            await asyncio.sleep(2.2)
+            self.assertEqual(len(first.copied), 6)
+            for number, answer in enumerate(await asyncio.gather(*calls)):
+                self.assertEqual(answer.body, gateway_scenes.build_stream(f"r{number}", 90), number)
+
+        self.play(scene)
+
+    def test_run_that_ends_is_moved_no_more(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=30, copy_seconds=2.0)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.3)
+            second = await stage.add_runner("t2", "llm", length=30)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            self.assertTrue((await call).is_whole)
+            await asyncio.sleep(0.1)
+            tasks = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+            self.assertEqual([name for name in tasks if name == "Mover._move"], [])
+            # The runners make the copy all the same, and keep it for a while.
+            usage = stage.entries["entry-1"].usage
+            loop = asyncio.get_running_loop()
+            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            await asyncio.sleep(5.2)
+            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+
+        self.play(scene)
+
+    def test_copy_of_a_lost_source_counts_as_memory_for_as_long_as_it_is_kept(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=2.0)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.5)
+            first.crash()
+            await call
+            usage = stage.entries["entry-1"].usage
+            loop = asyncio.get_running_loop()
+            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            await asyncio.sleep(5.2)
+            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+
+        self.play(scene)
+
+    def test_copy_that_came_too_late_is_freed(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90, copy_seconds=0.2)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(
+                stage.call("entry-1", "record", "r1", leave_after=1.0, **gateway_scenes.LONG)
+            )
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            second.loses_copies = True
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await call
+            await asyncio.sleep(0.5)
+            self.assertEqual(second.copies, {})
+            self.assertEqual(first.ran[0].ended, "gone")
+
+        self.play(scene)
+
+    def test_copy_that_is_not_taken_up_leaves_the_run_where_it_is(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            await asyncio.sleep(0.2)
+            second.loses_copies = True
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertEqual(answer.body, gateway_scenes.build_stream("r1", 90))
+            self.assertTrue(answer.is_whole)
+            self.assertIn("r1", second.turned_away)
+            self.assertEqual((len(first.ran), len(second.ran)), (1, 0))
+
+        self.play(scene)
+
+    def test_run_that_may_go_on_elsewhere_is_not_gone_on_with_here(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.4)
+            second = await stage.add_runner("t2", "llm", length=90)
+            await asyncio.sleep(0.2)
+            second.loses_answer = True
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertFalse(answer.is_whole)
+            self.assertTrue(gateway_scenes.build_stream("r1", 90).startswith(answer.body))
+            self.assertEqual((len(first.ran), len(second.ran)), (1, 1))
+            self.assertEqual(first.ran[0].ended, "gone")
+
+        self.play(scene)
+
+    def test_move_without_room_is_tried_elsewhere(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=90)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.4)
+            full = await stage.add_runner("t2", "llm", length=90)
+            full.refuses = True
+            await stage.add_runner("t3", "llm", hall="hall-b", length=90)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            answer = await call
+            self.assertEqual(answer.body, gateway_scenes.build_stream("r1", 90))
+            self.assertEqual(full.ran, [])
+
+        self.play(scene)
+
+    def test_crash_of_a_runner_goes_on_from_the_copy(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=80) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            # Enough memory without a copy that the next run gets one.
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            backed = [run for run in runners[0].ran if "kv-backup" in run.headers]
+            self.assertTrue(backed)
+            runners[0].crash()
+            answers = await asyncio.gather(*calls)
+            for run in backed:
+                answer = answers[int(run.request_id[1:])]
+                self.assertEqual(answer.body, gateway_scenes.build_stream(run.request_id, 80))
+                self.assertTrue(answer.is_whole)
+
+        self.play(scene)
+
+    def test_run_is_moved_when_its_copy_leaves_too(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=120)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                )
+                for number in range(2)
+            ]
+            await asyncio.sleep(0.1)
+            backup = await stage.add_runner("t2", "llm", length=120)
+            await asyncio.sleep(0.1)
+            calls.append(
+                asyncio.create_task(stage.call("entry-1", "record", "r2", **gateway_scenes.LONG))
+            )
+            calls.append(
+                asyncio.create_task(stage.call("entry-1", "record", "r3", **gateway_scenes.LONG))
+            )
+            await asyncio.sleep(0.4)
+            await stage.add_runner("t3", "llm", length=120)
+            await asyncio.sleep(0.1)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.1)
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.5)
+            stage.runners["t1"].crash()
+            backup.crash()
+            for number, answer in enumerate(await asyncio.gather(*calls)):
+                self.assertEqual(
+                    answer.body, gateway_scenes.build_stream(f"r{number}", 120), number
+                )
+
+        self.play(scene)
+
+    def test_runner_that_goes_dark_is_left_for_the_copy(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=80) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            backed = [run for run in runners[0].ran if "kv-backup" in run.headers]
+            self.assertTrue(backed)
+            runners[0].go_dark()
+            await asyncio.sleep(5)
+            for run in backed:
+                call = calls[int(run.request_id[1:])]
+                self.assertTrue(call.done())
+                self.assertEqual(
+                    call.result().body, gateway_scenes.build_stream(run.request_id, 80)
+                )
+            for call in calls:
+                call.cancel()
+
+        self.play(scene)
+
+    def test_crash_without_a_copy_does_not_look_whole(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=80)
+            await stage.add_runner("t2", "llm", length=80)
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.6)
+            runner.crash()
+            answer = await call
+            self.assertFalse(answer.is_whole)
+            self.assertTrue(gateway_scenes.build_stream("r1", 80).startswith(answer.body))
+            self.assertEqual(stage.runners["t2"].ran, [])
+
+        self.play(scene)
+
+
+class TwoEntriesTest(gateway_scenes.GatewayCase):
+    """Entries that share runners."""
+
+    entries = 2
+
+    def test_all_runs_of_a_leaving_runner_are_copied_one_after_another(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=120, copy_seconds=0.25)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call(f"entry-{1 + n % 2}", "record", f"r{n}", **gateway_scenes.LONG)
+                )
+                for n in range(4)
+            ]
+            await asyncio.sleep(0.5)
+            await stage.add_runner("t2", "llm", length=120)
+            await stage.add_runner("t3", "llm", length=120)
+            await asyncio.sleep(0.3)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.15)
+            first.crash()
+            for number, answer in enumerate(await asyncio.gather(*calls)):
+                self.assertEqual(
+                    answer.body, gateway_scenes.build_stream(f"r{number}", 120), number
+                )
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/tests/test_operations.py
+++ b/tillerlane/gateway/tests/test_operations.py
@@ -11,7 +11,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PAGE = ROOT / "docs" / "OPERATIONS.md"
-LONG = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
 
 
 def read_lines(stage: gateway_lab.GatewayLab, request_id: str) -> list[dict[str, Any]]:
@@ -30,7 +29,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "llm", length=90, copy_seconds=3.0)
             await asyncio.sleep(0.2)
-            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **LONG))
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
             await asyncio.sleep(0.4)
             await stage.add_runner("t2", "llm", length=90)
             await asyncio.sleep(0.2)
@@ -51,7 +50,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await stage.add_runner("t1", "llm", length=90)
             await asyncio.sleep(0.2)
-            tokens = {**LONG, "Token_Counts": "33900,2000"}
+            tokens = {**gateway_scenes.LONG, "Token_Counts": "33900,2000"}
             answer = await stage.call("entry-1", "record", "r1", **tokens)
             (line,) = read_lines(stage, "r1")
             self.assertEqual((answer.status, line["status"]), (503, 503))
--- a/tillerlane/testing/gateway_scenes.py
+++ b/tillerlane/testing/gateway_scenes.py
@@ -6,9 +6,19 @@
 
 import structlog
 
-from tillerlane.testing import gateway_lab, lab
+from tillerlane.testing import gateway_lab, lab, platform_runner
 
-__all__ = ["GatewayCase"]
+__all__ = ["LONG", "GatewayCase", "build_stream"]
+
+LONG = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
+"""Headers of a generation that is worth a copy."""
+
+
+def build_stream(request_id: str, length: int, first: int = 1) -> bytes:
+    """All events of a stream."""
+    return b"".join(
+        platform_runner.build_event(request_id, number) for number in range(first, length + 1)
+    )
 
 
 class GatewayCase(unittest.TestCase):
