Start a daemon of the soak once, however many faults overlap

Cause: two faults of one daemon overlapped (a kill and a planned stop), each started it again, and the first handle was lost.

Change: a daemon that runs is not started; an interrupted soak ends instead of going on with the next seed. The test fails before.

--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -139,7 +139,12 @@
             self.start(daemon)
 
     def start(self, daemon: Daemon) -> None:
-        """Start a daemon's process; only its first start may found the log."""
+        """Start a daemon's process, if it has none; only its first start may found the log.
+
+        Two faults of one daemon may overlap, and each would start it again.
+        """
+        if daemon.is_running:
+            return
         self.write_seeds(daemon, self._seeds)
         daemon.starts += 1
         path = daemon.folder / "settings.toml"
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import pathlib
 import random
@@ -514,12 +513,11 @@
     broken = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         folder = (arguments.folder / f"seed-{seed}").resolve()
-        with contextlib.suppress(KeyboardInterrupt):
-            soak, problems = asyncio.run(run_seed(folder, seed, arguments.seconds))
-            broken += bool(problems)
-            print(f"seed {seed}: {describe(soak)}", flush=True)
-            for problem in problems[:40]:
-                print(f"seed {seed} BROKEN {problem}", flush=True)
+        soak, problems = asyncio.run(run_seed(folder, seed, arguments.seconds))
+        broken += bool(problems)
+        print(f"seed {seed}: {describe(soak)}", flush=True)
+        for problem in problems[:40]:
+            print(f"seed {seed} BROKEN {problem}", flush=True)
     print("nothing broken" if not broken else f"{broken} seeds broke a promise")
     sys.exit(1 if broken else 0)
 
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -241,6 +241,20 @@
             running = [item.name for item in soak.fleet.daemons.values() if item.is_running]
             self.assertEqual(running, [])
 
+    def test_overlapping_faults_start_one_process(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = platform_fleet.PlatformFleet(
+                pathlib.Path(folder) / "f", 20, 1, 0, random.Random(1)
+            )
+            daemon = fleet.daemons["keeper-1"]
+            fleet.start(daemon)
+            first = daemon.process
+            fleet.start(daemon)
+            self.assertIs(daemon.process, first)
+            self.assertEqual(daemon.starts, 1)
+            fleet.kill_all()
+            self.assertFalse(daemon.is_running)
+
     def test_every_daemon_has_addresses_of_its_own(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             rng = random.Random(1)
