Count copies under way in tokens, and keep one copy of two pieces

Cause: read once more. The link seconds of copies under way were summed as floating-point numbers, with a constant to tell rounding from a copy; read_copy_seconds only passed on to a function beside it; the gateway's lab repeated the signature of its caller.

Change: whole tokens are counted and turned into seconds once (the same value, as it is linear), the constant is gone; one method for a link's time; the lab passes its arguments on. Behaviour as before, no test touched.

--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -31,8 +31,6 @@
 LINK_CHECK_SECONDS = 0.03
 """Pause of a run that waits for the link: a fifth of the shortest copy seen, so that little of its
 time is lost."""
-MIN_ORDERED_SECONDS = 0.001
-"""Less than any copy takes: rounding must not look like an order under way."""
 MOVE_SECONDS = 6.0
 """Longest time in which moving one run is tried: a runner that drains may serve on for seconds."""
 RETRY_SECONDS = 0.1
@@ -125,8 +123,8 @@
         self._timeline = timeline
         self._meters = meters
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
-        self._ordered: dict[str, float] = collections.defaultdict(float)
-        """Link seconds of the copies under way from each source, by its id."""
+        self._ordered: dict[str, int] = {}
+        """Tokens of the copies under way from each source, by its id; none without a copy."""
         self._dropping: set[asyncio.Task[None]] = set()
         directory.listen(self._note_phase)
 
@@ -216,11 +214,11 @@
             await asyncio.sleep(RETRY_SECONDS)
         return None
 
-    def _count_ordered(self, run: Run, seconds: float) -> None:
+    def _count_ordered(self, run: Run, tokens: int) -> None:
         source = run.target.target_id
-        self._ordered[source] += seconds
-        if self._ordered[source] < MIN_ORDERED_SECONDS:
-            del self._ordered[source]
+        total = self._ordered.pop(source, 0) + tokens
+        if total:
+            self._ordered[source] = total
 
     def _has_link_time(self, run: Run) -> bool:
         """Whether a copy is likely whole before the runner ends, or none is under way.
@@ -235,14 +233,14 @@
         waited = asyncio.get_running_loop().time() - run.leaving_since
         left = max(0.0, NOTICE_SECONDS - waited)
         share = self._selector.read_own_share(run.target)
-        return ordered + self._selector.read_copy_seconds(run.pool, run.tokens) <= left * share
+        return self._selector.read_copy_seconds(run.pool, ordered + run.tokens) <= left * share
 
     async def _copy(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
         """Copy a run's memory while it goes on, and count the copy as memory meanwhile."""
         tokens = run.tokens
         lingers = True  # unless the runners say otherwise
         self._usage.add(destination.address, tokens=tokens)
-        self._count_ordered(run, self._selector.read_copy_seconds(run.pool, tokens))
+        self._count_ordered(run, tokens)
         try:
             result = await self._order(run, destination)
             lingers = result.outcome is dialects.MoveOutcome.LOST
@@ -254,7 +252,7 @@
         self, run: Run, destination: directories.Target, tokens: int, lingers: bool
     ) -> None:
         """Count a copy out; one that nobody asks for stays for as long as copies are kept."""
-        self._count_ordered(run, -self._selector.read_copy_seconds(run.pool, tokens))
+        self._count_ordered(run, -tokens)
         engine = run.pool.engine
         if not lingers or engine is None:
             self._usage.add(destination.address, tokens=-tokens)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -152,11 +152,15 @@
     def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
         """Seconds that a runner's link needs to copy all runs that have no copy yet."""
         use = self._usage.read(target.address, self._now())
-        return _read_link_seconds(pool, use.unsaved)
+        return self.read_copy_seconds(pool, use.unsaved)
 
     def read_copy_seconds(self, pool: routes.Pool, tokens: int) -> float:
         """Seconds that a runner's link needs to copy so many tokens to another data hall."""
-        return _read_link_seconds(pool, tokens)
+        engine = pool.engine
+        if engine is None or engine.link_mbps <= 0:
+            return 0.0
+        bits = tokens * engine.token_bytes * 8
+        return bits / (engine.link_mbps * 1e6) * BETWEEN_HALLS
 
     def read_own_share(self, target: directories.Target) -> float:
         """This entry's share of the runs at a target that have no copy elsewhere."""
@@ -172,12 +176,3 @@
             return True
         use = self._usage.read(target.address, self._now())
         return use.tokens + tokens <= pool.engine.memory_tokens * share
-
-
-def _read_link_seconds(pool: routes.Pool, tokens: int) -> float:
-    """Time that a runner's link needs for the memory of so many tokens, between halls."""
-    engine = pool.engine
-    if engine is None or engine.link_mbps <= 0:
-        return 0.0
-    bits = tokens * engine.token_bytes * 8
-    return bits / (engine.link_mbps * 1e6) * BETWEEN_HALLS
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -208,26 +208,8 @@
         return await self.keepers[keeper].publish(table.version, data)
 
     async def call(
-        self,
-        entry_name: str,
-        route: str,
-        request_id: str,
-        *,
-        method: bytes = b"POST",
-        body: bytes = b"body",
-        wait_ms: int = 10_000,
-        leave_after: float | None = None,
-        **headers: str,
+        self, entry_name: str, route: str, request_id: str, **more: Any
     ) -> caller.CallerAnswer:
-        """Send a request as a caller and read its answer to the end."""
+        """Send a request as a caller (`caller.call`) and read its answer to the end."""
         host = self.get_address(entry_name).partition(":")[0]
-        return await caller.call(
-            f"{host}:8000",
-            route,
-            request_id,
-            method=method,
-            body=body,
-            wait_ms=wait_ms,
-            leave_after=leave_after,
-            **headers,
-        )
+        return await caller.call(f"{host}:8000", route, request_id, **more)
