--- /dev/null
+++ b/benchmarks/startup.py
@@ -0,0 +1,54 @@
+"""Processor time from a program's start until its modules are imported, by way of starting it.
+
+    python -m benchmarks.startup [--starts 12]
+
+Each start is a process of its own; the least and the median of the starts are printed in seconds.
+"""
+
+import argparse
+import os
+import pathlib
+import resource
+import statistics
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+MODULES = {
+    "entry": "tillerlane.platform.main, tillerlane.gateway.entry, tillerlane.platform.adapter",
+    "keeper": "tillerlane.platform.main, tillerlane.gateway.control, tillerlane.platform.control_api",
+}
+WAYS = {"with site packages": [], "without (-S)": ["-S"]}
+
+
+def read_children() -> float:
+    """Processor seconds of all processes that have ended."""
+    usage = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return usage.ru_utime + usage.ru_stime
+
+
+def measure_starts(options: list[str], modules: str, starts: int) -> list[float]:
+    """Processor seconds of several starts."""
+    environment = {"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT / "target" / "deps")}
+    command = [sys.executable, *options, "-c", f"import {modules}"]
+    found = []
+    for _ in range(starts):
+        before = read_children()
+        subprocess.run(command, env=environment, cwd=ROOT, check=True)
+        found.append(read_children() - before)
+    return found
+
+
+def main() -> None:
+    """Print a line for each program and way."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--starts", type=int, default=12)
+    starts = parser.parse_args().starts
+    for program, modules in MODULES.items():
+        for way, options in WAYS.items():
+            found = measure_starts(options, modules, starts)
+            print(f"{program} {way}: least {min(found):.3f}, median {statistics.median(found):.3f}")
+
+
+if __name__ == "__main__":
+    main()
