Listen for callers before the entry's program is imported

Change: main opens the listener with the standard library's smallest parts and imports the rest then; callers wait in the system's queue, and then for the configuration.

--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -14,9 +14,10 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parent.parent
+COMMON = "tillerlane.platform.programs"
 MODULES = {
-    "entry": "tillerlane.platform.main, tillerlane.gateway.entry, tillerlane.platform.adapter",
-    "keeper": "tillerlane.platform.main, tillerlane.gateway.control, tillerlane.platform.control_api",
+    "entry": f"{COMMON}, tillerlane.gateway.entry, tillerlane.platform.adapter",
+    "keeper": f"{COMMON}, tillerlane.gateway.control, tillerlane.platform.control_api",
 }
 WAYS = {"with site packages": [], "without (-S)": ["-S"]}
 
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import socket
 import time
 
 from tillerlane.faults import core as faults
@@ -89,6 +90,8 @@
         Opens a connection to a keeper.
     rng : random.Random, optional
         Draws lots between targets that are as good as each other.
+    listener : socket.socket, optional
+        Socket that listens at the callers' address already.
     """
 
     def __init__(
@@ -97,8 +100,10 @@
         dialect: dialects.Dialect,
         open_connection: nodes.Open = asyncio.open_connection,
         rng: random.Random | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         self._own = own
+        self._listener = listener
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
         self._started_ms = int(time.time() * 1000)
@@ -185,7 +190,7 @@
     async def start(self) -> None:
         """Listen and begin to follow the keepers."""
         await self._ready.listen(self._own.ready_address)
-        await self._front.listen(self._own.front_address)
+        await self._front.listen(self._own.front_address, self._listener)
         await self._figures.listen(self._own.metrics_address)
         self._tasks = [
             self._loop.create_task(self.homes.run()),
--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import socket
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -362,10 +363,15 @@
         self.connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
 
-    async def listen(self, address: str) -> None:
-        """Accept connections at ``IP:port``."""
-        host, port = nodes.split_address(address)
+    async def listen(self, address: str, listener: socket.socket | None = None) -> None:
+        """Accept connections at ``IP:port``, or at a socket that listens there already."""
         loop = asyncio.get_running_loop()
+        if listener is not None:
+            self._server = await loop.create_server(
+                lambda: Connection(self), sock=listener, backlog=BACKLOG
+            )
+            return
+        host, port = nodes.split_address(address)
         self._server = await loop.create_server(
             lambda: Connection(self), host, port, backlog=BACKLOG
         )
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -16,8 +16,6 @@
 
 METRICS_PORT = 9464
 """Where figures are served; `deploy/system.toml` names it too."""
-VARIABLE = "TILLERLANE_SETTINGS"
-"""Environment variable with the path of the settings file."""
 
 LEASE_SHARE = 0.75
 """Share of the time for which a revoked key may still work that an entry trusts old word: the
--- a/tillerlane/platform/tests/test_imports.py
+++ b/tillerlane/platform/tests/test_imports.py
@@ -46,6 +46,7 @@
     def test_entry(self) -> None:
         self.run_without_others(
             "tillerlane.platform.main",
+            "tillerlane.platform.programs",
             "tillerlane.platform.adapter",
             "tillerlane.gateway.entry",
             "tillerlane.timeline.sink",
@@ -54,6 +55,7 @@
     def test_keeper(self) -> None:
         self.run_without_others(
             "tillerlane.platform.main",
+            "tillerlane.platform.programs",
             "tillerlane.platform.control_api",
             "tillerlane.gateway.control",
             "tillerlane.timeline.sink",
