--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -12,7 +12,7 @@
 from tillerlane.keeper import formation
 from tillerlane.peers import node as nodes
 
-__all__ = ["VARIABLE", "Settings", "build_control", "build_entry", "read_settings"]
+__all__ = ["Settings", "build_control", "build_entry", "read_settings"]
 
 METRICS_PORT = 9464
 """Where figures are served; `deploy/system.toml` names it too."""
