--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -122,17 +122,41 @@
         if not found:
             return None
 
-        def weigh(target: directories.Target) -> tuple[bool, bool, bool, float, float]:
+        def read_rank(target: directories.Target) -> tuple[bool, bool, bool]:
             return (
                 target.phase is directories.Phase.SILENT,
                 self.caution.is_avoided(target.target_id, now),
                 not self.has_room(pool, target, tokens, FULL_SHARE),
-                self._read_load(pool, target, tokens, now)
-                + (MOVE_HALL_COST if source_hall not in (None, target.data_hall) else 0.0),
-                self._rng.random(),
             )
 
-        return min(found, key=weigh)
+        ranks = [read_rank(item) for item in found]
+        best = min(ranks)
+        loads = [
+            (self._read_load(pool, target, tokens, now), target)
+            for target, rank in zip(found, ranks, strict=True)
+            if rank == best
+        ]
+        if source_hall is not None:
+            loads = [
+                (load + (MOVE_HALL_COST if target.data_hall != source_hall else 0.0), target)
+                for load, target in loads
+            ]
+        most = min(load for load, _ in loads)
+        if source_hall is None:
+            most += self._read_slack(pool, tokens)
+        return self._rng.choice([target for load, target in loads if load <= most])
+
+    def _read_slack(self, pool: routes.Pool, tokens: int) -> float:
+        """Load above the least at which a runner is as good: what other entries may have sent.
+
+        Their word is some tenths of a second old.  With many entries that all take the least
+        loaded runner, prompts queue there while other runners are idle; each draws its lot among
+        those that one prompt more would make no worse.
+        """
+        entries = self._usage.count_entries()
+        if pool.engine is None or entries < 2:
+            return 0.0
+        return tokens / UNREAD_TOKENS * (entries - 1) / entries
 
     def _read_load(
         self, pool: routes.Pool, target: directories.Target, tokens: int, now: float
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -100,6 +100,10 @@
         """This entry's requests under way."""
         return sum(use.requests for use in self._own.values())
 
+    def count_entries(self) -> int:
+        """Entries whose word counts, this one included."""
+        return len(self._others) + 1
+
     def take(self, loads: messages.EntryLoads, now: float) -> None:
         """Take another entry's word."""
         known = self._others.get(loads.entry)
