--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -30,11 +30,12 @@
 UNREAD_TOKENS = 7_000
 """Unread prompt tokens that count like a full target.  Runners that also write were seen to read
 some 7 a millisecond, so these make a request wait for a second."""
-UNHEARD_PROMPTS = 4.0
-"""Prompts sent elsewhere and not yet heard of from which on any runner within one prompt is as
-good.  Means of `worth` on the users' machines without processor time: 0.643 without lots and 0.698
-with them where some four prompts are unheard of (two days, two seeds); 0.803 and 0.731 where it is
-less than one and lots were drawn as widely (one day, two seeds)."""
+UNHEARD_PROMPTS = (1.0, 5.0)
+"""Prompts sent elsewhere and not yet heard of: up to the first number the least loaded runner is
+taken, from the second on any within one prompt of it is as good.  Means of `worth` on the users'
+machines without processor time, without lots and with them: 0.643 and 0.697 with four prompts
+unheard of (two days, two seeds), 0.606 and 0.594 with less than one (three days, two seeds), where
+runs spread less evenly."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,8 +162,9 @@
         """
         if pool.engine is None:
             return 0.0
-        unheard = self._usage.read_unheard(now)
-        return tokens / UNREAD_TOKENS * min(1.0, unheard / UNHEARD_PROMPTS)
+        few, many = UNHEARD_PROMPTS
+        share = (self._usage.read_unheard(now) - few) / (many - few)
+        return tokens / UNREAD_TOKENS * min(1.0, max(0.0, share))
 
     def _read_load(
         self, pool: routes.Pool, target: directories.Target, tokens: int, now: float
--- /dev/null
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -0,0 +1,86 @@
+"""Which runner gets a prompt, with word of other entries that is old or fresh."""
+
+import collections
+import random
+import unittest
+
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import routes, selection, usage
+from tillerlane.peers import messages
+
+PROMPT_TOKENS = 3_000
+RUNNERS = 10
+ENGINE = routes.Engine(
+    slots=24,
+    memory_tokens=34_000,
+    token_bytes=131_072,
+    link_mbps=19_000.0,
+    event_tokens=4,
+    can_move=True,
+    can_back_up=True,
+    hold_seconds=5.0,
+)
+
+
+class LotsTest(unittest.TestCase):
+    """One runner is a little less loaded than nine others, which are alike."""
+
+    def setUp(self) -> None:
+        """Ten runners, and an entry that knows of some others."""
+        self.now = 10.0
+        self.directory = directories.Directory()
+        for number in range(RUNNERS):
+            self.directory.take(
+                directories.Target(
+                    f"t{number}",
+                    "llm",
+                    f"10.0.9.{number}:9000",
+                    "hall-a",
+                    24,
+                    directories.Phase.READY,
+                    1,
+                    self.now,
+                )
+            )
+        self.usage = usage.Usage("entry-0")
+        self.pool = routes.Pool("llm", "/health", 200, ENGINE)
+
+    def count_choices(self, entries: int, prompts: int) -> collections.Counter[str]:
+        """Choices of an entry among several that has sent some prompts within a second."""
+        uses = [
+            messages.TargetUse(f"10.0.9.{number}:9000", 1, 1_000 if number else 0, 0, 0)
+            for number in range(RUNNERS)
+        ]
+        for number in range(1, entries):
+            told = messages.EntryLoads(f"entry-{number}", 1, uses if number == 1 else [])
+            self.usage.take(told, self.now)
+        for _ in range(prompts):
+            self.usage.note_prompt(self.now)
+        selector = selection.Selector(
+            self.directory, self.usage, "hall-a", random.Random(1), lambda: self.now
+        )
+        chosen: collections.Counter[str] = collections.Counter()
+        for _ in range(200):
+            target = selector.choose(self.pool, PROMPT_TOKENS, ())
+            assert target is not None
+            chosen[target.target_id] += 1
+        return chosen
+
+    def test_least_loaded_while_word_is_good(self) -> None:
+        self.assertEqual(self.count_choices(entries=4, prompts=5)["t0"], 200)
+
+    def test_alone_an_entry_needs_no_lots(self) -> None:
+        self.assertEqual(self.count_choices(entries=1, prompts=100)["t0"], 200)
+
+    def test_many_entries_do_not_all_follow_to_one_runner(self) -> None:
+        chosen = self.count_choices(entries=23, prompts=8)
+        self.assertEqual(len(chosen), RUNNERS)
+        self.assertLess(chosen["t0"], 50)
+
+    def test_runner_that_one_prompt_more_would_not_equal_gets_none(self) -> None:
+        self.usage.add("10.0.9.9:9000", unread=2 * PROMPT_TOKENS)
+        self.assertEqual(self.count_choices(entries=23, prompts=8)["t9"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -11,7 +11,7 @@
 OTHERS_SECONDS = 3.0
 """How long another entry's word counts; it tells at least once a second while it has any use."""
 RATE_SECONDS = 5.0
-"""Time over which this entry's own rate of prompts is smoothed: some ten prompts of a thin entry."""
+"""Time over which this entry's own rate of prompts is smoothed: five prompts of a thin entry."""
 WORD_SECONDS = 0.2
 """Age of other entries' word: the pause between two words (0.15 s) and two hops."""
 
