--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -47,13 +47,10 @@
 
     def count_choices(self, entries: int, prompts: int) -> collections.Counter[str]:
         """Choices of an entry among several that has sent some prompts within a second."""
-        uses = [
-            messages.TargetUse(f"10.0.9.{number}:9000", 1, 1_000 if number else 0, 0, 0)
-            for number in range(RUNNERS)
-        ]
+        for number in range(1, RUNNERS):
+            self.usage.add(f"10.0.9.{number}:9000", requests=1, tokens=1_000)
         for number in range(1, entries):
-            told = messages.EntryLoads(f"entry-{number}", 1, uses if number == 1 else [])
-            self.usage.take(told, self.now)
+            self.usage.take(messages.EntryLoads(f"entry-{number}", 1, []), self.now)
         for _ in range(prompts):
             self.usage.note_prompt(self.now)
         selector = selection.Selector(
