--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -20,7 +20,7 @@
 """Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
 BETWEEN_HALLS = 2.0
 """A copy between data halls takes twice the time of the link (the platform's page)."""
-MOVE_HALL_COST = 0.15
+MOVE_HALL_COST = 0.6
 """Load that a copy within the data hall is worth, as a share of a target: it takes half the time
 of the link, of which a leaving runner's runs need all."""
 FULL_SHARE = 0.9
