--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -65,8 +65,7 @@
     async def serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
         """Serve one request of a caller."""
         if self._startup.ready_at is None:
-            facts = self._dialect.read_request(request.head)
-            await self._startup.wait_ready(request.arrived, facts.wait_seconds)
+            await self._wait_ready(request)
         asked = self._gate.admit(request)
         if isinstance(asked, admissions.Refusal):
             facts = self._dialect.read_request(request.head)
@@ -79,6 +78,17 @@
         else:
             await self._answer(asked, responder, tried.outcome)
 
+    async def _wait_ready(self, request: http_server.Request) -> None:
+        """Have a request that came before the configuration wait for it a while."""
+        facts = self._dialect.read_request(request.head)
+        await self._startup.wait_ready(request.arrived, facts.wait_seconds)
+        self._timeline.record(
+            "request.held",
+            request_id=facts.request_id,
+            waited_ms=int((self._loop.time() - request.arrived) * 1000),
+            ready=self._startup.ready_at is not None,
+        )
+
     async def _refuse(
         self,
         request_id: str,
