--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -52,6 +52,30 @@
 
         self.play(scene)
 
+    def test_late_heartbeat_of_a_target_whose_address_is_anothers_runs_nothing_twice(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("new", "app")
+            late = directories.Target(
+                "old",
+                "app",
+                runner.address,
+                "hall-a",
+                48,
+                directories.Phase.READY,
+                9,
+                asyncio.get_running_loop().time(),
+            )
+            stage.keepers["keeper-1"].take_heartbeat(late)
+            await asyncio.sleep(0.5)
+            statuses = []
+            for number in range(10):
+                answer = await stage.call("entry-1", "price", f"r{number}")
+                statuses.append(answer.status)
+            self.assertEqual(statuses, [200] * 10)
+            self.assertEqual(runner.ran, [f"r{number}" for number in range(10)])
+
+        self.play(scene)
+
     def test_lost_answer_of_what_may_run_once_is_no_refusal_and_no_second_run(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
