Weigh a copy within the hall by the runners that can share it

Change: 0.15 for each runner of the hall that can take the run, 0.6 at most; with one runner that is what stood before.

--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -20,11 +20,15 @@
 """Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
 BETWEEN_HALLS = 2.0
 """A copy between data halls takes twice the time of the link (the platform's page)."""
-MOVE_HALL_COST = 0.6
-"""Load that a copy within the data hall is worth, as a share of a target: it takes half the time
-of the link, of which a leaving runner's runs need all.  Means of `worth` on the users' machines
-with 0.15 and with 0.6: 0.679 and 0.712 (22 runners in three halls, processor time, two days, two
-seeds), 0.617 and 0.626 (9 runners, two days, three seeds); 2.0 gave no more."""
+MOVE_HALL_COST = 0.15
+"""Load that a copy within the data hall is worth, as a share of a target, for each runner there
+that can take one: it takes half the time of the link, of which a leaving runner's runs need all;
+but where few can take them, all entries choose the same one before they hear of each other."""
+MOST_MOVE_HALL_COST = 0.6
+"""Bound on that.  Means of `worth` on the users' machines with 0.15 and with 0.6, whatever the
+number: 0.679 and 0.712 with seven runners a hall (processor time, two days, two seeds), 0.617 and
+0.626 with three (two days, three seeds), 0.760 and 0.660 with one (processor time, a quiet day,
+three seeds); 2.0 gave no more."""
 FULL_SHARE = 0.9
 """Share of its memory above which a runner counts as full: what runs there still grows."""
 COLD_COST = 0.5
@@ -145,8 +149,9 @@
         if source_hall is None:
             slack = self._read_slack(pool, tokens, now)
         else:
-            far = [MOVE_HALL_COST * (item.data_hall != source_hall) for item in contenders]
-            loads = [load + cost for load, cost in zip(loads, far, strict=True)]
+            is_far = [item.data_hall != source_hall for item in contenders]
+            far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * is_far.count(False))
+            loads = [load + far_cost * far for load, far in zip(loads, is_far, strict=True)]
         most = min(loads) + slack
         good = [item for item, load in zip(contenders, loads, strict=True) if load <= most]
         return self._rng.choice(good)
