--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -79,7 +79,7 @@
         self.assertEqual(self.count_choices(entries=23, prompts=8)["t9"], 0)
 
     def choose_destination(self, near: int) -> str:
-        """Destination of a copy where the first `near` runners, busier, are in the source's hall."""
+        """Hall of a copy where the first `near` runners, busier, are in the source's hall."""
         for number in range(RUNNERS):
             is_near = number < near
             self.directory.targets[f"t{number}"].data_hall = "hall-a" if is_near else "hall-b"
