--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -39,8 +39,8 @@
 UNHEARD_PROMPTS = (1.0, 5.0)
 """Prompts sent elsewhere and not yet heard of: up to the first number the least loaded runner is
 taken, from the second on any within one prompt of it is as good.  Means of `worth` on the users'
-machines without lots and with them, played in pairs: 0.542 and 0.560 with some four prompts unheard
-of (processor time, two days, two seeds).  Lots that began at none cost 0.012 where less than one was
+machines without lots and with them, in pairs: 0.542 and 0.560 with some four prompts unheard of
+(processor time, two days, two seeds).  Lots that began at none cost 0.012 where less than one was
 unheard of (three days, two seeds), since runs spread less evenly."""
 
 
