--- /dev/null
+++ b/benchmarks/choices.py
@@ -0,0 +1,104 @@
+"""Processor time of what an entry does with other entries' loads, by how many there are.
+
+    python -m benchmarks.choices
+
+A choice among runners, and the digest that a keeper pushes; the least of several rounds, in
+microseconds, as a table.  What another version takes is measured by running this file there.
+"""
+
+import random
+import timeit
+
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import loads, routes, selection
+from tillerlane.gateway import usage as usages
+from tillerlane.peers import messages
+
+__all__ = ["measure_choice", "measure_digest"]
+
+SIZES = ((3, 5), (67, 30), (67, 300), (400, 300))
+"""Other entries and targets: a small fleet, a large one, and towards the users' target."""
+TARGETS_AN_ENTRY = 4
+"""Targets at which one entry has something under way."""
+ROUNDS = 7
+CALLS = 20
+ENGINE = routes.Engine(24, 34_000, 131_072, 19_000.0, 4, True, True, 2.0)
+POOL = routes.Pool("llm", "/health", 200, ENGINE)
+
+
+def get_address(number: int) -> str:
+    """Address of a target."""
+    return f"10.{number // 250}.{number % 250}.9:9000"
+
+
+def build_ledger(entries: int, targets: int) -> loads.Ledger:
+    """A keeper that was told the loads of so many entries."""
+    rng = random.Random(1)
+    ledger = loads.Ledger("keeper-1", 1)
+    for entry in range(entries):
+        uses = [
+            messages.TargetUse(
+                get_address(number), 1, 3_300 + rng.randrange(500), 0, 3_300, 20, 700
+            )
+            for number in rng.sample(range(targets), TARGETS_AN_ENTRY)
+        ]
+        ledger.take_word(messages.EntryLoads(f"entry-{entry}", 1, uses), 0.0)
+    return ledger
+
+
+def build_selector(entries: int, targets: int) -> selection.Selector:
+    """An entry that has heard of so many others."""
+    directory = directories.Directory()
+    for number in range(targets):
+        address, phase = get_address(number), directories.Phase.READY
+        directory.take(
+            directories.Target(f"t{number}", "llm", address, "hall-a", 24, phase, 1, 0.0)
+        )
+    usage = usages.Usage("entry-own")
+    ledger = build_ledger(entries, targets)
+    while ledger.write_changes() is not None:
+        pass  # what is told is bounded a digest
+    usage.take(ledger.write_whole(), 0.0)
+    return selection.Selector(directory, usage, "hall-a", random.Random(1), lambda: 0.0)
+
+
+def measure_choice(entries: int, targets: int) -> float:
+    """Microseconds of one choice."""
+    selector = build_selector(entries, targets)
+    times = timeit.repeat(lambda: selector.choose(POOL, 3_000, ()), number=CALLS, repeat=ROUNDS)
+    return min(times) / CALLS * 1e6
+
+
+def measure_digest(targets: int) -> tuple[float, float, int]:
+    """Microseconds to write a digest and to take it in, and its bytes on the wire."""
+    ledger = build_ledger(targets * 4, targets)
+    table = loads.write_uses(
+        (get_address(number), ledger.read(get_address(number))) for number in range(targets)
+    )
+    digest = messages.LoadDigest("keeper-1", 1, 0, True, table)
+    frame = messages.encode(messages.Envelope(1, 1, 0, digest))
+
+    def take() -> None:
+        body = messages.decode(frame).body
+        assert isinstance(body, messages.LoadDigest)
+        usages.Usage("entry-own").take(body, 0.0)
+
+    uses = list(loads.read_uses(table).items())
+    writing = timeit.repeat(lambda: loads.write_uses(uses), number=CALLS, repeat=ROUNDS)
+    taking = timeit.repeat(take, number=CALLS, repeat=ROUNDS)
+    return min(writing) / CALLS * 1e6, min(taking) / CALLS * 1e6, len(frame)
+
+
+def main() -> None:
+    """Print the tables."""
+    print("| other entries | targets | us a choice |\n| --- | --- | --- |")
+    for entries, targets in SIZES:
+        print(f"| {entries} | {targets} | {measure_choice(entries, targets):.0f} |")
+    print("\n| targets told | us to write | us to take | bytes |\n| --- | --- | --- | --- |")
+    for targets in (10, 30, loads.MOST_ROWS):
+        writing, taking, size = measure_digest(targets)
+        print(f"| {targets} | {writing:.0f} | {taking:.0f} | {size} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -11,7 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, meters
+from tillerlane.gateway import homes, loads, meters
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -30,6 +30,12 @@
 """How long an entry counts after its last word about its load; others tell of it."""
 SPREAD_SECONDS = 0.05
 """How long heartbeats that change nothing wait for others to share their message."""
+LOADS_SECONDS = 0.12
+"""Pause between two batches for other keepers, and two digests for subscribers: with the entries'
+own pause (0.15 s) a word is 0.14 s old on the mean when it comes to another entry of the same
+keeper, 0.2 s to one of another keeper."""
+QUIET_LOADS_SECONDS = 1.0
+"""Longest pause between two digests: a third of the time for which one counts."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +102,7 @@
         self._greeted: set[links.Link] = set()
         """Links of keepers that were told all targets."""
         self._entries: dict[str, float] = {}
+        self._loads = loads.Ledger(own.name, int(self._around.now() * 1000))
         self._unspread: dict[str, directories.Target] = {}
         self._spread_timer: asyncio.TimerHandle | None = None
         self._pushing: asyncio.Handle | None = None
@@ -161,6 +168,7 @@
             self._loop.create_task(self.formation.run()),
             self._loop.create_task(self.freshness.run()),
             self._loop.create_task(self._sweep()),
+            self._loop.create_task(self._tell_loads()),
         ]
         self.timeline.record(
             "daemon.start",
@@ -236,7 +244,11 @@
                 for state in body.states:
                     self.directory.take(directories.read_state(state))
             case messages.EntryLoads():
-                self._take_loads(link, body)
+                self._entries[body.entry] = self._loop.time()
+                self._loads.take_word(body, self._loop.time())
+            case messages.PassedLoads():
+                self._entries.update(dict.fromkeys(body.entries, self._loop.time()))
+                self._loads.take_passed(body, self._loop.time())
 
     def _greet(self, link: links.Link) -> None:
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
@@ -256,6 +268,8 @@
         is_new = link not in self._subscribers
         self._subscribers[link] = body
         self._entries[body.entry] = self._loop.time()
+        if body.loads:
+            self._send_digest(link, self._loads.write_whole())
         if not is_new:
             return
         self.timeline.record("entry.subscribed", entry=body.entry, version=body.have)
@@ -287,14 +301,29 @@
         for link in list(self._subscribers):
             self._send_publication(link)
 
-    def _take_loads(self, link: links.Link, loads: messages.EntryLoads) -> None:
-        """Pass an entry's load on: to all keepers if it came from the entry itself."""
-        self._entries[loads.entry] = self._loop.time()
-        if link in self._subscribers:
-            self._send_to_keepers(loads)
-        for other, asked in list(self._subscribers.items()):
-            if asked.loads and asked.entry != loads.entry:
-                links.try_send(other, loads)
+    async def _tell_loads(self) -> None:
+        """Pass on to other keepers what entries told here, and tell subscribers the sums."""
+        told_at = 0.0
+        while True:
+            await asyncio.sleep(LOADS_SECONDS)
+            now = self._loop.time()
+            dropped = self._loads.expire(now)
+            if dropped:
+                self.timeline.record("loads.expired", entries=dropped, after_s=loads.WORD_SECONDS)
+            passed = self._loads.write_passed()
+            if passed is not None:
+                self._send_to_keepers(passed)
+            digest = self._loads.write_changes(is_due=now - told_at > QUIET_LOADS_SECONDS)
+            if digest is None:
+                continue
+            told_at = now
+            for link, asked in list(self._subscribers.items()):
+                if asked.loads:
+                    self._send_digest(link, digest)
+
+    def _send_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
+        included = self._loads.read_included(self._subscribers[link].entry)
+        links.try_send(link, dataclasses.replace(digest, included=included))
 
     def _send_to_keepers(self, body: messages.Body) -> None:
         for address in self.formation.list_addresses():
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -36,6 +36,8 @@
 LOADS_SECONDS = 0.15
 """Least pause between two words about this entry's load."""
 QUIET_LOADS_SECONDS = 1.0
+"""Longest pause between them: a third of the time for which a word counts, and what keepers count
+entries by."""
 STOP_CHECK_SECONDS = 0.05
 RING_EVENTS = 2_000
 
@@ -218,6 +220,7 @@
         """Have the gauges read what they show when they are asked."""
         self._meters.version.set_function(lambda: self.published.version)
         self._meters.lease_age.set_function(lambda: self._clock.read_age(self._loop.time()))
+        self._meters.loads_age.set_function(lambda: self.usage.read_age(self._loop.time()) or 0.0)
         self._meters.busy.set_function(self._front.count_busy)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -258,6 +261,7 @@
 
     def _note_entries(self, number: int) -> None:
         self._budget.entries = number
+        self.usage.entries = number
 
     def _note_peer_version(self, link: links.Link, version: int) -> None:
         """Pull the publication from a peer that is ahead."""
@@ -276,8 +280,8 @@
             case messages.TargetStates():
                 for state in body.states:
                     self._take_state(state)
-            case messages.EntryLoads():
-                self.usage.take(body, self._loop.time())
+            case messages.LoadDigest():
+                self._take_digest(link, body)
 
     def _take_state(self, state: messages.TargetState) -> None:
         target = directories.read_state(state)
@@ -292,20 +296,32 @@
                 age_ms=state.age_ms,
             )
 
+    def _take_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
+        """Take a keeper's sums, if it is the one that is told this entry's load."""
+        if link is not self.homes.get_primary():
+            return  # on its way when another keeper was chosen; only one of the two is in sequence
+        taken = self.usage.take(digest, self._loop.time())
+        if taken is usages.Taken.GAP:
+            self.timeline.record("loads.gap", keeper=digest.keeper, sequence=digest.sequence)
+            self.homes.ask_loads_again()
+        elif taken is usages.Taken.GOOD and digest.whole:
+            self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
+
     async def _tell_loads(self) -> None:
-        """Tell a keeper what is under way here: on change, and now and then."""
-        told_at = 0.0
+        """Tell a keeper what is under way here: on change, now and then, and when it is new."""
+        told_at, told_to = 0.0, None
         while True:
             await asyncio.sleep(LOADS_SECONDS)
             now = self._loop.time()
             self.directory.forget_old(now)
-            is_due = now - told_at > QUIET_LOADS_SECONDS and self.usage.count_own()
-            if not self.usage.changed and not is_due:
-                continue
-            told_at = now
+            if self.usage.forget_others(now):
+                self.timeline.record("loads.lost", after_s=usages.OTHERS_SECONDS)
             link = self.homes.get_primary()
-            if link is not None:
-                links.try_send(link, self.usage.write(self._started_ms))
+            is_due = link is not told_to or now - told_at > QUIET_LOADS_SECONDS
+            if link is None or not (self.usage.changed or is_due):
+                continue
+            told_at, told_to = now, link
+            links.try_send(link, self.usage.write(self._started_ms, now))
 
     # HTTP
 
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -91,7 +91,7 @@
         self._asking: set[asyncio.Task[None]] = set()
         self._entries = 1
         self._primary = ""
-        """Address of the keeper that passes other entries' loads on."""
+        """Address of the keeper that is told this entry's load and tells the sums of all."""
         self.on_entries: Callable[[int], None] = lambda number: None
         self.on_fresh: Callable[[], None] = lambda: None
         self._wake = asyncio.Event()
@@ -103,6 +103,13 @@
                 return home.link
         return None
 
+    def ask_loads_again(self) -> None:
+        """Ask the primary keeper for all loads, since something it told is missing here."""
+        for home in self._homes:
+            if home.address == self._primary:
+                home.gives_loads = None
+        self.look_soon()
+
     def list_addresses(self) -> list[str]:
         """Addresses of the keepers listened to at present."""
         return [home.address for home in self._homes]
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -34,6 +34,8 @@
     """Runs that went on at another runner, by whether it took them up."""
     lease_age: prometheus_client.Gauge
     version: prometheus_client.Gauge
+    loads_age: prometheus_client.Gauge
+    """Age of the keeper's word of other entries' loads; 0 without one that counts."""
     busy: prometheus_client.Gauge
 
 
@@ -62,6 +64,7 @@
         count("tillerlane_continuations", "Runs that went on elsewhere", "taken"),
         gauge("tillerlane_lease_age_seconds", "Age of the word that the configuration is newest"),
         gauge("tillerlane_config_version", "Configuration in force"),
+        gauge("tillerlane_loads_age_seconds", "Age of the word of other entries' loads"),
         gauge("tillerlane_busy_connections", "Connections with a request under way"),
     )
 
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import routes
+from tillerlane.gateway import loads, routes
 from tillerlane.gateway import usage as usages
 
 __all__ = ["Caution", "Selector"]
@@ -130,31 +130,31 @@
         """
         now = self._now()
         listed = self._directory.list_pool(pool.name)
-        found = [item for item in listed if item.target_id not in excluded]
-        if not found:
-            return None
-
-        def read_rank(target: directories.Target) -> tuple[bool, bool, bool]:
-            return (
+        contenders: list[tuple[directories.Target, float]] = []
+        best = (True, True, True)
+        for target in listed:
+            if target.target_id in excluded:
+                continue
+            use = self._usage.read(target.address)
+            rank = (
                 target.phase is directories.Phase.SILENT,
                 self.caution.is_avoided(target.target_id, now),
-                not self.has_room(pool, target, tokens, FULL_SHARE),
+                not _has_room(pool, use, tokens, FULL_SHARE),
             )
-
-        ranks = [read_rank(item) for item in found]
-        best = min(ranks)
-        contenders = [item for item, rank in zip(found, ranks, strict=True) if rank == best]
-        loads = [self._read_load(pool, item, tokens, now) for item in contenders]
+            if rank > best:
+                continue
+            if rank < best:
+                best, contenders = rank, []
+            contenders.append((target, self._read_load(pool, target, use, tokens, now)))
+        if not contenders:
+            return None
         slack = 0.0
         if source_hall is None:
             slack = self._read_slack(pool, tokens, now)
         else:
-            is_far = [item.data_hall != source_hall for item in contenders]
-            far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * is_far.count(False))
-            loads = [load + far_cost * far for load, far in zip(loads, is_far, strict=True)]
-        most = min(loads) + slack
-        good = [item for item, load in zip(contenders, loads, strict=True) if load <= most]
-        return self._rng.choice(good)
+            contenders = _add_hall_cost(contenders, source_hall)
+        most = min(load for _, load in contenders) + slack
+        return self._rng.choice([target for target, load in contenders if load <= most])
 
     def _read_slack(self, pool: routes.Pool, tokens: int, now: float) -> float:
         """Load above the least at which a runner is as good: what other entries may have sent.
@@ -171,11 +171,14 @@
         return tokens / UNREAD_TOKENS * min(1.0, max(0.0, share))
 
     def _read_load(
-        self, pool: routes.Pool, target: directories.Target, tokens: int, now: float
+        self,
+        pool: routes.Pool,
+        target: directories.Target,
+        use: loads.Use,
+        tokens: int,
+        now: float,
     ) -> float:
-        use = self._usage.read(target.address, now)
-        slots = max(1, target.slots)
-        load = use.requests / slots
+        load = use.requests / max(1, target.slots)
         if pool.engine is not None:
             load += (use.tokens + tokens) / max(1, pool.engine.memory_tokens)
             load += use.unread / UNREAD_TOKENS
@@ -187,7 +190,7 @@
 
     def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
         """Seconds that a runner's link needs to copy all runs that have no copy yet."""
-        use = self._usage.read(target.address, self._now())
+        use = self._usage.read(target.address)
         return self.read_copy_seconds(pool, use.unsaved)
 
     def read_copy_seconds(self, pool: routes.Pool, tokens: int) -> float:
@@ -200,7 +203,7 @@
 
     def read_own_share(self, target: directories.Target) -> float:
         """This entry's share of the runs at a target that have no copy elsewhere."""
-        use = self._usage.read(target.address, self._now())
+        use = self._usage.read(target.address)
         own = self._usage.read_own(target.address)
         return min(1.0, own.unsaved / use.unsaved) if use.unsaved > 0 else 1.0
 
@@ -208,7 +211,20 @@
         self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
     ) -> bool:
         """Whether so many tokens more leave a target's memory below a share of it."""
-        if pool.engine is None:
-            return True
-        use = self._usage.read(target.address, self._now())
-        return use.tokens + tokens <= pool.engine.memory_tokens * share
+        return _has_room(pool, self._usage.read(target.address), tokens, share)
+
+
+def _has_room(pool: routes.Pool, use: loads.Use, tokens: int, share: float) -> bool:
+    return pool.engine is None or use.tokens + tokens <= pool.engine.memory_tokens * share
+
+
+def _add_hall_cost(
+    contenders: list[tuple[directories.Target, float]], source_hall: str
+) -> list[tuple[directories.Target, float]]:
+    """Loads of a copy's destinations, with what the longer way to another data hall costs."""
+    near = sum(target.data_hall == source_hall for target, _ in contenders)
+    far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * near)
+    return [
+        (target, load if target.data_hall == source_hall else load + far_cost)
+        for target, load in contenders
+    ]
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -339,7 +339,7 @@
         self._meters.sends.labels(asked.pool.name, kind).inc()
         if isinstance(outcome, Whole) and outcome.head.status < 500:
             return
-        use = self._usage.read(target.address, self._loop.time())
+        use = self._usage.read(target.address)
         reason = getattr(outcome, "reason", "")
         status = outcome.head.status if isinstance(outcome, Whole | Stream) else 0
         self._timeline.record(
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -75,12 +75,16 @@
         self._wrote_at = 0.0
         self._splitter = events.Splitter()
         self.problem = ""
+        self._heard_at = 0.0
+        """When the present runner's last event came; 0 before its first."""
         self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
+        self.on_events: Callable[[runs.Run, int, float], None] = lambda run, events, seconds: None
 
     def take_exchange(self, exchange: http_client.Exchange) -> None:
         """Go on with what another runner sends behind the last event."""
         self.exchange = exchange
         self._splitter = events.Splitter()
+        self._heard_at = 0.0
 
     async def relay(self) -> Stop:
         """Relay one runner's events until they end or the run can go on elsewhere."""
@@ -104,7 +108,7 @@
         before = self.last_event_id
         good, self.problem = self._take_in_order(self._splitter.feed(data))
         if good:
-            self._note_times(before)
+            self._note_times(before, len(good))
             self._count_memory()
             await self.responder.write(b"".join(good))
         return not self.problem
@@ -143,8 +147,11 @@
         tokens = self.asked.facts.prompt_tokens + written
         self.on_growth(self.run, tokens + self.asked.count_growth(written))
 
-    def _note_times(self, event_before: str) -> None:
+    def _note_times(self, event_before: str, events_now: int) -> None:
         now = asyncio.get_running_loop().time()
+        if self._heard_at:
+            self.on_events(self.run, events_now, now - self._heard_at)
+        self._heard_at = now
         if not self._wrote_at:
             self.first_at = now
         elif now - self._wrote_at > self.longest_pause:
@@ -207,6 +214,7 @@
         stream = Relayed(asked, responder, run, outcome.exchange)
         stream.runs_begun = tried.sends
         stream.on_growth = self._note_growth
+        stream.on_events = self._note_events
         self._hold(stream)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
@@ -229,6 +237,10 @@
         if run.backup is not None:
             self._usage.add(run.backup.address, tokens=run.tokens)
 
+    def _note_events(self, run: runs.Run, events_now: int, seconds: float) -> None:
+        """Keep the pace at which a runner's events come."""
+        self._usage.note_events(run.target.address, events_now, seconds, self._loop.time())
+
     def _note_growth(self, run: runs.Run, tokens: int) -> None:
         """Keep count of a run's memory, and of its copy's."""
         grown = tokens - run.tokens
--- /dev/null
+++ b/tillerlane/gateway/tests/test_loads.py
@@ -0,0 +1,263 @@
+"""Loads added up by keepers: each entry's counted once, until it is old, whatever way it came."""
+
+import random
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.gateway import loads
+from tillerlane.gateway import usage as usages
+from tillerlane.peers import messages
+from tillerlane.testing import profiles
+
+ADDRESS = "10.0.9.1:9000"
+
+
+def build_word(
+    entry: str, sequence: int, tokens: int, address: str = ADDRESS
+) -> messages.EntryLoads:
+    """An entry's word of one target."""
+    rows = [messages.TargetUse(address, 1, tokens)] if tokens else []
+    return messages.EntryLoads(entry, sequence, rows)
+
+
+def pass_words(giver: loads.Ledger, taker: loads.Ledger, now: float) -> None:
+    """Pass on to another keeper what came since the last batch."""
+    passed = giver.write_passed()
+    if passed is not None:
+        taker.take_passed(passed, now)
+
+
+def read_tokens(ledger: loads.Ledger, address: str = ADDRESS) -> int:
+    """Memory under way at a target, as a keeper knows it."""
+    return ledger.read(address).tokens
+
+
+class LedgerTest(unittest.TestCase):
+    """Two keepers."""
+
+    def setUp(self) -> None:
+        """Both have just started."""
+        self.first = loads.Ledger("keeper-1", 1)
+        self.second = loads.Ledger("keeper-2", 1)
+
+    def test_later_word_replaces_earlier_and_not_the_other_way(self) -> None:
+        self.assertTrue(self.first.take_word(build_word("entry-1", 2, 500), 0.0))
+        self.assertFalse(self.first.take_word(build_word("entry-1", 1, 900), 0.1))
+        self.assertEqual(read_tokens(self.first), 500)
+
+    def test_entry_that_changes_its_keeper_counts_once(self) -> None:
+        self.first.take_word(build_word("entry-1", 1, 500), 0.0)
+        pass_words(self.first, self.second, 0.0)
+        self.second.take_word(build_word("entry-1", 2, 700), 0.1)
+        pass_words(self.second, self.first, 0.2)
+        self.assertEqual(read_tokens(self.first), 700)
+        pass_words(self.first, self.second, 0.3)
+        self.assertEqual(read_tokens(self.second), 700)
+
+    def test_entry_whose_keeper_died_counts_once_at_the_other(self) -> None:
+        self.first.take_word(build_word("entry-1", 1, 500), 0.0)
+        pass_words(self.first, self.second, 0.0)
+        self.second.take_word(build_word("entry-1", 2, 510), 0.4)
+        self.assertEqual(read_tokens(self.second), 510)
+
+    def test_entry_that_died_counts_for_as_long_as_a_word_does(self) -> None:
+        self.first.take_word(build_word("entry-1", 1, 500), 0.0)
+        pass_words(self.first, self.second, 0.0)
+        self.assertEqual(self.first.expire(loads.WORD_SECONDS), [])
+        self.assertEqual(self.second.expire(loads.WORD_SECONDS), [])
+        self.assertEqual((read_tokens(self.first), read_tokens(self.second)), (500, 500))
+        for ledger in (self.first, self.second):
+            self.assertEqual(ledger.expire(loads.WORD_SECONDS + 0.1), ["entry-1"])
+        self.assertEqual((read_tokens(self.first), read_tokens(self.second)), (0, 0))
+
+    def test_entry_that_started_again_replaces_its_former_self(self) -> None:
+        entry, started_again = usages.Usage("entry-1"), usages.Usage("entry-1")
+        entry.add(ADDRESS, tokens=900)
+        for _ in range(5):
+            word = entry.write(1_000, 0.0)
+        self.first.take_word(word, 0.0)
+        self.assertTrue(self.first.take_word(started_again.write(2_000, 0.1), 0.1))
+        self.assertEqual(read_tokens(self.first), 0)
+
+    def test_keeper_that_started_again_learns_from_the_entries_next_words(self) -> None:
+        self.first.take_word(build_word("entry-1", 8, 500), 0.0)
+        pass_words(self.first, self.second, 0.0)
+        again = loads.Ledger("keeper-1", 2)
+        again.take_word(build_word("entry-1", 9, 40), 1.0)
+        pass_words(again, self.second, 1.0)
+        self.assertEqual((read_tokens(again), read_tokens(self.second)), (40, 40))
+
+    def test_batch_that_comes_out_of_order_changes_nothing(self) -> None:
+        self.first.take_word(build_word("entry-1", 1, 500), 0.0)
+        early = self.first.write_passed()
+        self.first.take_word(build_word("entry-1", 2, 800), 0.1)
+        late = self.first.write_passed()
+        assert early is not None and late is not None
+        self.second.take_passed(late, 0.2)
+        self.second.take_passed(early, 0.3)
+        self.assertEqual(read_tokens(self.second), 800)
+
+    def test_batch_keeps_the_rows_of_each_entry_apart(self) -> None:
+        rows = [messages.TargetUse("a1", 1, 10), messages.TargetUse("a2", 2, 20)]
+        self.first.take_word(messages.EntryLoads("entry-1", 1, rows), 0.0)
+        self.first.take_word(messages.EntryLoads("entry-2", 1, []), 0.0)
+        self.first.take_word(build_word("entry-3", 1, 500, "a2"), 0.0)
+        pass_words(self.first, self.second, 0.0)
+        self.assertEqual([read_tokens(self.second, item) for item in ("a1", "a2")], [10, 520])
+        self.second.take_word(messages.EntryLoads("entry-1", 2, []), 0.1)
+        self.assertEqual([read_tokens(self.second, item) for item in ("a1", "a2")], [0, 500])
+
+    def test_nothing_is_told_where_nothing_changed(self) -> None:
+        self.first.take_word(build_word("entry-1", 1, 500), 0.0)
+        self.assertIsNotNone(self.first.write_passed())
+        self.assertIsNotNone(self.first.write_changes())
+        self.first.take_word(build_word("entry-1", 2, 500), 1.0)
+        self.assertIsNotNone(self.first.write_passed())  # that it still counts
+        self.assertIsNone(self.first.write_passed())
+        self.assertIsNone(self.first.write_changes())
+
+    def test_digest_is_bounded_and_tells_the_largest_changes_first(self) -> None:
+        number = loads.MOST_ROWS + 30
+        rows = [messages.TargetUse(f"10.0.9.{item}:9000", 1, 10 * item) for item in range(number)]
+        self.first.take_word(messages.EntryLoads("entry-1", 1, rows), 0.0)
+        digest = self.first.write_changes()
+        assert digest is not None
+        told = loads.read_uses(digest.table)
+        self.assertEqual(len(told), loads.MOST_ROWS)
+        self.assertNotIn("10.0.9.5:9000", told)
+        rest = self.first.write_changes()
+        assert rest is not None
+        self.assertEqual(len(loads.read_uses(rest.table)), 30)
+
+    @profiles.choose(60)
+    @given(strategies.randoms(use_true_random=False))
+    def test_totals_are_the_sum_of_the_latest_words(self, rng: random.Random) -> None:
+        """Whatever comes late, twice, or by whichever keeper."""
+        ledgers = [loads.Ledger(f"keeper-{number}", 1) for number in range(3)]
+        latest: dict[str, dict[str, int]] = {}
+        under_way: list[tuple[loads.Ledger, messages.PassedLoads]] = []
+        for sequence in range(1, 40):
+            entry = f"entry-{rng.randrange(4)}"
+            address = f"10.0.9.{rng.randrange(3)}:9000"
+            word = build_word(entry, sequence, rng.randrange(5) * 100, address)
+            latest[entry] = {item.address: item.tokens for item in word.uses}
+            keeper = rng.choice(ledgers)
+            keeper.take_word(word, 0.0)
+            passed = keeper.write_passed()
+            assert passed is not None
+            under_way += [(other, passed) for other in ledgers if other is not keeper]
+            rng.shuffle(under_way)
+            for _ in range(rng.randrange(min(3, len(under_way)))):
+                taker, batch = rng.choice(under_way)
+                taker.take_passed(batch, 0.0)
+        for taker, batch in under_way:
+            taker.take_passed(batch, 0.0)
+        for number in range(3):
+            address = f"10.0.9.{number}:9000"
+            expected = sum(uses.get(address, 0) for uses in latest.values())
+            self.assertEqual([read_tokens(item, address) for item in ledgers], [expected] * 3)
+
+
+class DigestTest(unittest.TestCase):
+    """An entry that tells a keeper and hears its digests."""
+
+    def setUp(self) -> None:
+        """An entry with 300 tokens under way, another one with 500."""
+        self.ledger = loads.Ledger("keeper-1", 1)
+        self.usage = usages.Usage("entry-1")
+        self.usage.add(ADDRESS, requests=1, tokens=300)
+        self.ledger.take_word(self.usage.write(1, 0.0), 0.0)
+        self.ledger.take_word(build_word("entry-2", 1, 500), 0.0)
+        self.ledger.write_changes()
+        self.hear(self.ledger.write_whole())
+
+    def hear(self, digest: messages.LoadDigest | None, now: float = 0.0) -> usages.Taken:
+        """Take a digest as the keeper addresses it."""
+        assert digest is not None
+        digest.included = self.ledger.read_included("entry-1")
+        return self.usage.take(digest, now)
+
+    def tell_other(self, sequence: int, tokens: int) -> messages.LoadDigest | None:
+        """The digest after another entry's word."""
+        self.ledger.take_word(build_word("entry-2", sequence, tokens), 0.0)
+        return self.ledger.write_changes()
+
+    def test_own_load_counts_once_and_at_once(self) -> None:
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 800)
+        self.usage.add(ADDRESS, tokens=50)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 850)
+        word = self.usage.write(1, 0.1)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 850)
+        self.ledger.take_word(word, 0.1)
+        self.assertEqual(self.hear(self.ledger.write_changes()), usages.Taken.GOOD)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 850)
+        self.usage.add(ADDRESS, requests=-1, tokens=-350)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 500)
+
+    def test_digest_without_its_own_word_leaves_nothing_off(self) -> None:
+        other = loads.Ledger("keeper-2", 1)
+        other.take_word(build_word("entry-2", 1, 500), 0.0)
+        other.write_changes()
+        self.usage.take(other.write_whole(), 0.0)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 800)
+
+    def test_digest_that_comes_out_of_order_changes_nothing(self) -> None:
+        early = self.tell_other(2, 600)
+        late = self.tell_other(3, 700)
+        self.hear(early)
+        self.hear(late)
+        self.assertEqual(self.hear(early), usages.Taken.OLD)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 1_000)
+
+    def test_missing_digest_is_noticed_and_made_good_by_a_whole_one(self) -> None:
+        self.tell_other(2, 600)
+        self.assertEqual(self.hear(self.tell_other(3, 700)), usages.Taken.GAP)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 800)
+        self.assertEqual(self.hear(self.ledger.write_whole()), usages.Taken.GOOD)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 1_000)
+
+    def test_keeper_that_started_again_is_heard(self) -> None:
+        self.ledger = loads.Ledger("keeper-1", 2)
+        self.ledger.take_word(build_word("entry-2", 2, 40), 1.0)
+        self.ledger.write_changes()
+        self.assertEqual(self.hear(self.ledger.write_whole(), 1.0), usages.Taken.GOOD)
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 340)
+
+    def test_target_that_all_have_left_is_struck_out(self) -> None:
+        self.usage.add(ADDRESS, requests=-1, tokens=-300)
+        self.ledger.take_word(self.usage.write(1, 0.1), 0.1)
+        self.hear(self.tell_other(2, 0))
+        self.assertTrue(self.usage.read(ADDRESS).is_empty)
+
+    def test_cut_off_entry_goes_by_what_it_knows_itself(self) -> None:
+        self.assertFalse(self.usage.forget_others(usages.OTHERS_SECONDS - 0.1))
+        self.assertTrue(self.usage.forget_others(usages.OTHERS_SECONDS + 0.1))
+        self.assertFalse(self.usage.forget_others(usages.OTHERS_SECONDS + 0.2))
+        self.assertEqual(self.usage.read(ADDRESS).tokens, 300)
+
+    def test_pace_is_that_of_all_entries(self) -> None:
+        self.usage.note_events(ADDRESS, 10, 0.3, 0.0)
+        self.ledger.take_word(self.usage.write(1, 0.0), 0.0)
+        rows = [messages.TargetUse(ADDRESS, 1, 500, 0, 0, 30, 1_500)]
+        self.ledger.take_word(messages.EntryLoads("entry-2", 2, rows), 0.0)
+        self.hear(self.ledger.write_changes())
+        use = self.usage.read(ADDRESS)
+        self.assertEqual((use.events, use.event_ms), (40, 1_800))
+
+
+class TableTest(unittest.TestCase):
+    """Uses on the wire."""
+
+    def test_table_reads_back(self) -> None:
+        uses = {f"10.0.9.{item}:1": loads.Use(item, 2, 3, 4, 5, 6) for item in range(40)}
+        self.assertEqual(loads.read_uses(loads.write_uses(uses.items())), uses)
+
+    def test_columns_of_different_lengths_are_refused(self) -> None:
+        table = messages.UseTable(["10.0.9.1:1"], [1, 2], [1], [1], [1], [1], [1])
+        with self.assertRaisesRegex(Exception, "expected one length"):
+            messages.read_table(messages.write_table(table))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/tests/test_moves.py
+++ b/tillerlane/gateway/tests/test_moves.py
@@ -69,10 +69,9 @@
             self.assertEqual([name for name in tasks if name == "Mover._move"], [])
             # The runners make the copy all the same, and keep it for a while.
             usage = stage.entries["entry-1"].usage
-            loop = asyncio.get_running_loop()
-            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            self.assertGreater(usage.read(second.address).tokens, 3_000)
             await asyncio.sleep(5.2)
-            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+            self.assertTrue(usage.read(second.address).is_empty)
 
         self.play(scene)
 
@@ -89,10 +88,9 @@
             first.crash()
             await call
             usage = stage.entries["entry-1"].usage
-            loop = asyncio.get_running_loop()
-            self.assertGreater(usage.read(second.address, loop.time()).tokens, 3_000)
+            self.assertGreater(usage.read(second.address).tokens, 3_000)
             await asyncio.sleep(5.2)
-            self.assertTrue(usage.read(second.address, loop.time()).is_empty)
+            self.assertTrue(usage.read(second.address).is_empty)
 
         self.play(scene)
 
--- a/tillerlane/gateway/tests/test_rules.py
+++ b/tillerlane/gateway/tests/test_rules.py
@@ -8,7 +8,7 @@
 
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import events, routes, selection
+from tillerlane.gateway import events, loads, routes, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import messages
 from tillerlane.testing import profiles
@@ -112,13 +112,18 @@
 
     def test_others_load_counts_until_it_is_old(self) -> None:
         self.usage.add("a1", requests=1, tokens=9_000)
-        told = messages.EntryLoads("entry-1", 1, [messages.TargetUse("a2", 3, 20_000)])
-        self.usage.take(told, 9.0)
+        ledger = loads.Ledger("keeper-1", 1)
+        word = messages.EntryLoads("entry-1", 1, [messages.TargetUse("a2", 3, 20_000)])
+        ledger.take_word(word, 9.0)
+        ledger.write_changes()
+        self.usage.take(ledger.write_whole(), 9.0)
         self.assertEqual(self.choose(), "t3")
         self.usage.add("a3", requests=1, tokens=12_000)
         self.assertEqual(self.choose(), "t1")
-        self.assertEqual(self.usage.read("a2", 9.5).tokens, 20_000)
-        self.assertEqual(self.usage.read("a2", 20.0).tokens, 0)
+        self.assertFalse(self.usage.forget_others(9.5))
+        self.assertEqual(self.usage.read("a2").tokens, 20_000)
+        self.assertTrue(self.usage.forget_others(20.0))
+        self.assertEqual(self.usage.read("a2").tokens, 0)
 
     def test_unread_prompts_weigh_more_than_free_memory(self) -> None:
         self.usage.add("a1", requests=1, tokens=3_000, unread=3_000)
@@ -137,8 +142,11 @@
 
     def test_runs_without_a_copy_are_counted_over_all_entries(self) -> None:
         told = [messages.TargetUse("a1", 1, 3_625, 0, 3_625)]
-        self.usage.take(messages.EntryLoads("entry-1", 1, told), 10.0)
-        self.usage.take(messages.EntryLoads("entry-3", 1, told), 10.0)
+        ledger = loads.Ledger("keeper-1", 1)
+        for entry in ("entry-1", "entry-3"):
+            ledger.take_word(messages.EntryLoads(entry, 1, told), 10.0)
+        ledger.write_changes()
+        self.usage.take(ledger.write_whole(), 10.0)
         target = self.directory.targets["t1"]
         self.assertAlmostEqual(self.selector.read_evacuation(POOL, target), 0.8, places=2)
 
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -6,7 +6,6 @@
 
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import routes, selection, usage
-from tillerlane.peers import messages
 
 PROMPT_TOKENS = 3_000
 RUNNERS = 10
@@ -49,8 +48,7 @@
         """Choices of an entry among several that has sent some prompts within a second."""
         for number in range(1, RUNNERS):
             self.usage.add(f"10.0.9.{number}:9000", requests=1, tokens=1_000)
-        for number in range(1, entries):
-            self.usage.take(messages.EntryLoads(f"entry-{number}", 1, []), self.now)
+        self.usage.entries = entries
         for _ in range(prompts):
             self.usage.note_prompt(self.now)
         selector = selection.Selector(
--- /dev/null
+++ b/tillerlane/gateway/tests/test_spread.py
@@ -0,0 +1,182 @@
+"""How entries hear of each other's loads by their keepers, while keepers and entries fail."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+from tillerlane.gateway import homes
+from tillerlane.gateway import usage as usages
+from tillerlane.testing import gateway_lab, gateway_scenes, lab
+
+PROMPT_TOKENS = 3_000
+SETTLE_SECONDS = 0.6
+"""Two pauses of an entry, two of keepers, and their hops."""
+SAMPLE_SECONDS = 0.05
+
+
+async def begin_run(stage: gateway_lab.GatewayLab) -> asyncio.Task[object]:
+    """Begin a stream of 16 s through the first entry, and let the word of it spread."""
+    await stage.add_runner("t1", "llm", length=800)
+    await asyncio.sleep(SETTLE_SECONDS)
+    call = stage.call("entry-1", "record", "r1", wait_ms=30_000, **gateway_scenes.LONG)
+    task = asyncio.create_task(call)
+    await asyncio.sleep(SETTLE_SECONDS)
+    return task
+
+
+def count_requests(stage: gateway_lab.GatewayLab, name: str) -> int:
+    """Requests at the runner, as an entry knows them."""
+    return stage.entries[name].usage.read(stage.runners["t1"].address).requests
+
+
+def read_primary(stage: gateway_lab.GatewayLab, name: str) -> str:
+    """The keeper that an entry tells its load."""
+    link = stage.entries[name].homes.get_primary()
+    assert link is not None
+    return link.peer_id
+
+
+async def sample(
+    stage: gateway_lab.GatewayLab, names: list[str], seconds: float
+) -> list[tuple[float, int]]:
+    """Requests that entries know at the runner, with the time, again and again."""
+    began = asyncio.get_running_loop().time()
+    seen = []
+    while (passed := asyncio.get_running_loop().time() - began) < seconds:
+        seen += [(passed, count_requests(stage, name)) for name in names]
+        await asyncio.sleep(SAMPLE_SECONDS)
+    return seen
+
+
+@mock.patch.object(homes, "FEW_ENTRIES", 0)
+class SpreadTest(gateway_scenes.GatewayCase):
+    """Five keepers, of which each of six entries knows two."""
+
+    keepers = 5
+    entries = 6
+    wished_voters = 5
+
+    def test_all_entries_count_a_run_once(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            task = await begin_run(stage)
+            self.assertEqual({count_requests(stage, name) for name in stage.entry_names}, {1})
+            use = stage.entries["entry-6"].usage.read(stage.runners["t1"].address)
+            self.assertGreater(use.tokens, PROMPT_TOKENS)
+            self.assertGreater(use.events, 0)
+            task.cancel()
+            await asyncio.sleep(SETTLE_SECONDS)
+            self.assertEqual({count_requests(stage, name) for name in stage.entry_names}, {0})
+
+        self.play(scene)
+
+    def test_run_counts_once_again_soon_after_its_entry_lost_its_keeper(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            task = await begin_run(stage)
+            primary = read_primary(stage, "entry-1")
+            others = [name for name in stage.entry_names if read_primary(stage, name) != primary]
+            self.assertTrue(others)
+            await stage.kill_keeper(primary, wipe=True)
+            seen = await sample(stage, others, 6.0)
+            self.assertEqual({number for _, number in seen}, {1})
+            task.cancel()
+
+        self.play(scene)
+
+    def test_what_a_cut_off_entry_had_goes_out_after_three_seconds_and_not_before(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            task = await begin_run(stage)
+            stage.network.isolate("entry-1")
+            others = stage.entry_names[1:]
+            seen = await sample(stage, others, 5.0)
+            self.assertEqual([item for item in seen if item[0] < 2.0 and item[1] != 1], [])
+            self.assertEqual([item for item in seen if item[0] > 3.6 and item[1] != 0], [])
+            cut_off = stage.entries["entry-1"].usage
+            self.assertEqual(count_requests(stage, "entry-1"), 1)
+            self.assertIsNone(cut_off.read_age(asyncio.get_running_loop().time()))
+            stage.network.heal()
+            await asyncio.sleep(2)
+            self.assertEqual({count_requests(stage, name) for name in stage.entry_names}, {1})
+            task.cancel()
+
+        self.play(scene)
+
+    def test_digest_that_was_missed_is_asked_for(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            entry = stage.entries["entry-6"]
+            take = entry.usage.take
+            with mock.patch.object(entry.usage, "take", return_value=usages.Taken.GOOD):
+                task = await begin_run(stage)
+            self.assertEqual(entry.usage.take, take)
+            await asyncio.sleep(SETTLE_SECONDS)
+            self.assertEqual(count_requests(stage, "entry-6"), 1)
+            task.cancel()
+
+        self.play(scene)
+
+
+class ManyEntriesTest(gateway_scenes.GatewayCase):
+    """As many entries as a large deployment has."""
+
+    keepers = 5
+    entries = 68
+    wished_voters = 5
+
+    def play(self, scene: Callable[[gateway_lab.GatewayLab], Awaitable[None]]) -> None:
+        """Start keepers, and only then, all at once, entries."""
+
+        async def run() -> None:
+            stage = gateway_lab.GatewayLab(self.keepers, self.entries, self.wished_voters)
+            for name in stage.keeper_names:
+                await stage.start_keeper(name, is_first=True)
+            await asyncio.sleep(6)
+            await stage.publish("keeper-1", gateway_lab.build_document(1))
+            await stage.add_runner("t1", "llm", length=800)
+            await scene(stage)
+
+        lab.run_virtual(run())
+
+    def test_all_serve_soon_after_a_common_start(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            for name in stage.entry_names:
+                await stage.start_entry(name)
+            await asyncio.sleep(0.5)
+            for entry in stage.entries.values():
+                link = entry.homes.get_primary()
+                self.assertIsNotNone(link)
+                self.assertEqual(entry.published.version, 1)
+                self.assertIn("t1", entry.directory.targets)
+                self.assertIsNotNone(entry.usage.read_age(0.0))
+            await asyncio.sleep(1.5)
+            self.assertEqual({entry.usage.entries for entry in stage.entries.values()}, {68})
+
+        self.play(scene)
+
+    def test_each_hears_few_messages_whatever_their_number(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            for name in stage.entry_names:
+                await stage.start_entry(name)
+            await asyncio.sleep(2)
+            tasks = [
+                asyncio.create_task(
+                    stage.call(name, "record", f"r-{name}", wait_ms=30_000, **gateway_scenes.LONG)
+                )
+                for name in stage.entry_names[:20]
+            ]
+            await asyncio.sleep(SETTLE_SECONDS)
+            links = [entry.homes.get_primary() for entry in stage.entries.values()]
+            before = [link.messages_in for link in links if link is not None]
+            await asyncio.sleep(2.0)
+            after = [link.messages_in for link in links if link is not None]
+            self.assertEqual(len(before), 68)
+            # Digests come 8.3 times a second, answers to questions 2.5 times, heartbeats of the
+            # runner not at all here.
+            self.assertLess(max(b - a for a, b in zip(before, after, strict=True)), 2 * 12)
+            for task in tasks:
+                task.cancel()
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -1,53 +1,47 @@
-"""What is under way at each target: this entry's own sends, and what other entries tell."""
+"""What is under way at each target: this entry's own sends, and what keepers tell of others'."""
 
 import collections
 import dataclasses
+import enum
 import math
 
+from tillerlane.gateway import loads
 from tillerlane.peers import messages
 
-__all__ = ["Usage", "Use"]
+__all__ = ["Taken", "Usage"]
 
 OTHERS_SECONDS = 3.0
-"""How long another entry's word counts; it tells at least once a second while it has any use."""
+"""How long a keeper's digest counts; it comes at least once a second."""
 RATE_SECONDS = 5.0
 """Time over which this entry's own rate of prompts is smoothed: five prompts of a thin entry."""
 WORD_SECONDS = 0.2
-"""Age of other entries' word: the pause between two words (0.15 s) and two hops."""
+"""Age of other entries' word: pauses of the entry, its keeper, and the digest, half of each on the
+mean, and three hops."""
+PACE_SECONDS = 20.0
+"""Time over which a runner's pace is smoothed: one run writes for some 8 s, and the pace is told
+from all entries' runs there."""
+MOST_TOLD = 64
+"""Own words kept to take them off the keepers' sums: three seconds of them come to 20."""
 
+_NOTHING = loads.Use()
 
-@dataclasses.dataclass(slots=True)
-class Use:
-    """What is under way at a target.
-
-    Attributes
-    ----------
-    requests : int
-        Requests that it has.
-    tokens : int
-        Memory that they, and copies of others' runs, take.
-    unread : int
-        Prompt tokens of requests that have not written anything yet.
-    unsaved : int
-        Memory of runs that has no copy elsewhere.
-    """
 
-    requests: int = 0
-    tokens: int = 0
-    unread: int = 0
-    unsaved: int = 0
+class Taken(enum.Enum):
+    """What became of a digest."""
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether nothing is left of it."""
-        return max(self.requests, self.tokens, self.unread, self.unsaved) <= 0
+    GOOD = "good"
+    OLD = "old"
+    GAP = "gap"
+    """One before it is missing, so that all of it has to be asked for."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Told:
-    sequence: int
-    heard_at: float
-    uses: dict[str, Use]
+class _Pace:
+    """Events lately seen of a target, and the seconds that they took, as of a moment."""
+
+    events: float
+    seconds: float
+    at: float
 
 
 class Usage:
@@ -57,17 +51,39 @@
     ----------
     entry : str
         This entry's id.
+
+    Attributes
+    ----------
+    entries : int
+        Entries of the fleet, this one included, as last heard.
+    changed : bool
+        Whether there is anything new to tell.
     """
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
-        self._own: dict[str, Use] = collections.defaultdict(Use)
-        self._others: dict[str, _Told] = {}
+        self._own: dict[str, loads.Use] = collections.defaultdict(loads.Use)
+        self._paces: dict[str, _Pace] = {}
+        self._total: dict[str, loads.Use] = {}
+        """What the keeper told, this entry's own word included."""
+        self._included: dict[str, loads.Use] = {}
+        """That own word."""
+        self._others: dict[str, loads.Use] = {}
+        """The total without it, but for the pace, which is that of all entries."""
+        self._told: collections.deque[tuple[int, dict[str, loads.Use]]] = collections.deque(
+            maxlen=MOST_TOLD
+        )
+        self._keeper = ""
+        self._digest_sequence = 0
+        self._heard_at: float | None = None
         self._sequence = 0
+        self.entries = 1
         self.changed = False
         self._rate = 0.0
         self._rate_at = 0.0
 
+    # This entry's own
+
     def add(
         self,
         address: str,
@@ -87,21 +103,20 @@
             del self._own[address]
         self.changed = True
 
-    def read_own(self, address: str) -> Use:
+    def note_events(self, address: str, events: int, seconds: float, now: float) -> None:
+        """Count events of a stream that came from a target after a wait."""
+        pace = self._paces.get(address)
+        if pace is None:
+            self._paces[address] = _Pace(events, seconds, now)
+            return
+        kept = math.exp((pace.at - now) / PACE_SECONDS)
+        pace.events = pace.events * kept + events
+        pace.seconds = pace.seconds * kept + seconds
+        pace.at = now
+
+    def read_own(self, address: str) -> loads.Use:
         """What this entry has under way at a target."""
-        return dataclasses.replace(self._own[address]) if address in self._own else Use()
-
-    def read(self, address: str, now: float) -> Use:
-        """All that is known to be under way at a target."""
-        total = self.read_own(address)
-        for told in self._others.values():
-            use = told.uses.get(address)
-            if use is not None and now - told.heard_at < OTHERS_SECONDS:
-                total.requests += use.requests
-                total.tokens += use.tokens
-                total.unread += use.unread
-                total.unsaved += use.unsaved
-        return total
+        return dataclasses.replace(self._own.get(address, _NOTHING))
 
     def count_own(self) -> int:
         """This entry's requests under way."""
@@ -121,34 +136,108 @@
 
         Callers are spread over the entries, so that the others send as often as this one.
         """
-        return self._read_rate(now) * len(self._others) * WORD_SECONDS
+        return self._read_rate(now) * (self.entries - 1) * WORD_SECONDS
+
+    # All entries'
+
+    def read(self, address: str) -> loads.Use:
+        """All that is known to be under way at a target; not to be changed.
+
+        It takes the same time however many entries there are, and makes nothing anew where this
+        entry has nothing under way: choices ask for each target of a pool.
+        """
+        own = self._own.get(address)
+        others = self._others.get(address, _NOTHING)
+        if own is None:
+            return others
+        total = dataclasses.replace(others)
+        total.add(own)
+        return total
 
-    def take(self, loads: messages.EntryLoads, now: float) -> None:
-        """Take another entry's word."""
-        known = self._others.get(loads.entry)
-        if loads.entry == self._entry or (known and known.sequence >= loads.sequence):
+    def take(self, digest: messages.LoadDigest, now: float) -> Taken:
+        """Take a keeper's digest.
+
+        Raises
+        ------
+        faults.FaultError
+            Of kind ``bad_request`` if it can't be read.
+        """
+        is_same = digest.keeper == self._keeper
+        if is_same and digest.sequence < self._digest_sequence + (not digest.whole):
+            return Taken.OLD
+        if not digest.whole and not (is_same and digest.sequence == self._digest_sequence + 1):
+            return Taken.GAP
+        uses = loads.read_uses(digest.table)
+        if digest.whole:
+            self._total = {}
+        for address, use in uses.items():
+            if use.is_empty:
+                self._total.pop(address, None)
+            else:
+                self._total[address] = use
+        self._keeper, self._digest_sequence = digest.keeper, digest.sequence
+        self._heard_at = now
+        former = self._included
+        self._included = self._find_own_word(digest.included)
+        if digest.whole:
+            self._others = {}
+        for address in {*uses, *former, *self._included}:
+            self._note_others(address)
+        return Taken.GOOD
+
+    def _find_own_word(self, sequence: int) -> dict[str, loads.Use]:
+        """The own word that is in the total; one of a former start is not known any more."""
+        while self._told and self._told[0][0] < sequence:
+            self._told.popleft()
+        is_known = bool(self._told) and self._told[0][0] == sequence
+        return self._told[0][1] if is_known else {}
+
+    def _note_others(self, address: str) -> None:
+        """Take the own word off the total of a target."""
+        total = self._total.get(address)
+        if total is None:
+            self._others.pop(address, None)
             return
-        uses = {
-            item.address: Use(item.requests, item.tokens, item.unread, item.unsaved)
-            for item in loads.uses
-        }
-        self._others[loads.entry] = _Told(loads.sequence, now, uses)
-        for entry, told in list(self._others.items()):
-            if now - told.heard_at > OTHERS_SECONDS:
-                del self._others[entry]
-
-    def write(self, started_ms: int) -> messages.EntryLoads:
+        known = self._included.get(address, _NOTHING)
+        self._others[address] = loads.Use(
+            max(0, total.requests - known.requests),
+            max(0, total.tokens - known.tokens),
+            max(0, total.unread - known.unread),
+            max(0, total.unsaved - known.unsaved),
+            total.events,
+            total.event_ms,
+        )
+
+    def read_age(self, now: float) -> float | None:
+        """Seconds since the last digest; None without one that counts."""
+        return None if self._heard_at is None else now - self._heard_at
+
+    def forget_others(self, now: float) -> bool:
+        """Go by what is known here alone after a long silence; whether that begins now."""
+        if self._heard_at is None or now - self._heard_at < OTHERS_SECONDS:
+            return False
+        self._heard_at = None
+        self._keeper = ""
+        self._total, self._included, self._others = {}, {}, {}
+        return True
+
+    def write(self, started_ms: int, now: float) -> messages.EntryLoads:
         """This entry's word; sequences of a later start of the process are higher."""
         self.changed = False
         self._sequence += 1
-        uses = [
-            messages.TargetUse(
-                address,
-                max(0, use.requests),
-                max(0, use.tokens),
-                max(0, use.unread),
-                max(0, use.unsaved),
-            )
-            for address, use in self._own.items()
+        sequence = started_ms * 1_000_000 + self._sequence
+        uses = {address: dataclasses.replace(use) for address, use in self._own.items()}
+        for address, pace in list(self._paces.items()):
+            kept = math.exp((pace.at - now) / PACE_SECONDS)
+            events, event_ms = round(pace.events * kept), round(pace.seconds * kept * 1000)
+            if events < 1:
+                del self._paces[address]
+                continue
+            use = uses.setdefault(address, loads.Use())
+            use.events, use.event_ms = events, event_ms
+        self._told.append((sequence, uses))
+        rows = [
+            messages.TargetUse(address, *(max(0, getattr(use, name)) for name in loads.FIELDS))
+            for address, use in uses.items()
         ]
-        return messages.EntryLoads(self._entry, started_ms * 1_000_000 + self._sequence, uses)
+        return messages.EntryLoads(self._entry, sequence, rows)
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -37,6 +37,8 @@
     freshnessRequest @31 :FreshnessRequest;
     freshnessReply @32 :FreshnessReply;
     keeperAnnounce @33 :KeeperAnnounce;
+    passedLoads @34 :PassedLoads;
+    loadDigest @35 :LoadDigest;
   }
 }
 
@@ -169,8 +171,38 @@
   ageMs @8 :UInt32;
 }
 struct TargetStates { states @0 :List(TargetState); whole @1 :Bool; }
-struct TargetUse { address @0 :Text; requests @1 :UInt32; tokens @2 :UInt64; unread @3 :UInt64; unsaved @4 :UInt64; }
+struct TargetUse {
+  address @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :UInt64;
+  unread @3 :UInt64;
+  unsaved @4 :UInt64;
+  events @5 :UInt32;
+  eventMs @6 :UInt32;
+}
 struct EntryLoads { entry @0 :Text; sequence @1 :UInt64; uses @2 :List(TargetUse); }
+struct UseTable {
+  addresses @0 :List(Text);
+  requests @1 :List(UInt32);
+  tokens @2 :List(UInt32);
+  unread @3 :List(UInt32);
+  unsaved @4 :List(UInt32);
+  events @5 :List(UInt32);
+  eventMs @6 :List(UInt32);
+}
+struct PassedLoads {
+  entries @0 :List(Text);
+  sequences @1 :List(UInt64);
+  counts @2 :List(UInt32);
+  table @3 :Data;
+}
+struct LoadDigest {
+  keeper @0 :Text;
+  sequence @1 :UInt64;
+  included @2 :UInt64;
+  whole @3 :Bool;
+  table @4 :Data;
+}
 struct FreshnessRequest { have @0 :UInt64; }
 struct FreshnessReply {
   version @0 :UInt64;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -4,10 +4,12 @@
 derive one from the other, so that a new message is a struct, a dataclass and a row of `_BODIES`.
 """
 
+import contextlib
 import dataclasses
 import pathlib
 import re
 import typing
+from collections.abc import Iterator
 from typing import Any
 
 import capnp
@@ -16,7 +18,16 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 
-__all__ = ["Body", "Envelope", "decode", "encode", "read_json", "write_json"]
+__all__ = [
+    "Body",
+    "Envelope",
+    "decode",
+    "encode",
+    "read_json",
+    "read_table",
+    "write_json",
+    "write_table",
+]
 
 PROTOCOL = 1
 """Version of the peer protocol; daemons of another one are refused at ``Hello``."""
@@ -392,7 +403,8 @@
     """What one entry has under way at one target.
 
     ``tokens`` is its estimate of memory, ``unread`` are prompt tokens that wait to be read,
-    ``unsaved`` is the memory of runs that has no copy elsewhere.
+    ``unsaved`` is the memory of runs that has no copy elsewhere.  ``events`` of streams came from
+    it lately, over ``event_ms`` of waiting for them.
     """
 
     address: str
@@ -400,6 +412,8 @@
     tokens: int
     unread: int = 0
     unsaved: int = 0
+    events: int = 0
+    event_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -411,6 +425,52 @@
     uses: list[TargetUse]
 
 
+@dataclasses.dataclass(slots=True)
+class UseTable:
+    """Uses of many targets in columns; see `TargetUse`.
+
+    It stands in messages as bytes (`write_table`), so that a keeper writes it once for all its
+    subscribers.  A list of structs took 115 us for eight targets to read, columns 49 us for thirty
+    (mean of 2,000 on one core beside other work).
+    """
+
+    addresses: list[str]
+    requests: list[int]
+    tokens: list[int]
+    unread: list[int]
+    unsaved: list[int]
+    events: list[int]
+    event_ms: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class PassedLoads:
+    """Words of several entries that one keeper passes on to another.
+
+    Each of ``entries`` has one of ``sequences`` and as many rows of the table as ``counts`` says.
+    """
+
+    entries: list[str]
+    sequences: list[int]
+    counts: list[int]
+    table: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class LoadDigest:
+    """What all entries have under way: targets that changed, or with ``whole`` all of them.
+
+    Consecutive digests of a keeper have consecutive ``sequence``.  ``included`` is that of the
+    receiver's own word that went into the sums; 0 if there is none.
+    """
+
+    keeper: str
+    sequence: int
+    included: int
+    whole: bool
+    table: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class FreshnessRequest:
     """Asks up to when a publication is known to be the newest."""
@@ -479,6 +539,8 @@
     | Subscribe
     | TargetStates
     | EntryLoads
+    | PassedLoads
+    | LoadDigest
     | FreshnessRequest
     | FreshnessReply
     | KeeperAnnounce
@@ -552,7 +614,7 @@
 _ELEMENTS = (Load, Entity, Member, LogEntry, TargetState, TargetUse, KeeperSeen)
 """Dataclasses that stand in lists of a body."""
 _PLANS: dict[type, tuple[_Field, ...]] = {
-    cls: _plan_fields(cls) for cls in [*_BODIES.values(), *_ELEMENTS]
+    cls: _plan_fields(cls) for cls in [*_BODIES.values(), *_ELEMENTS, UseTable]
 }
 
 capnp.remove_import_hook()
@@ -584,6 +646,32 @@
     return cls(*values)
 
 
+def write_table(table: UseTable) -> bytes:
+    """Write a table for those fields that carry one."""
+    builder = _SCHEMA.UseTable.new_message()
+    _fill(builder, table)
+    return builder.to_bytes()
+
+
+def read_table(data: bytes) -> UseTable:
+    """Read a table from those fields that carry one.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if `data` is none, or its columns differ in length.
+    """
+    with _reading(data, "table of uses"):
+        with _SCHEMA.UseTable.from_bytes(
+            data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS
+        ) as reader:
+            table = _read(reader, UseTable)
+        lengths = {len(getattr(table, field.name)) for field in _PLANS[UseTable]}
+        if len(lengths) > 1:
+            raise ValueError(f"got columns of {sorted(lengths)} rows, expected one length")
+        return table
+
+
 def encode(envelope: Envelope) -> bytes:
     """Write an envelope as one Cap'n Proto message."""
     builder = _SCHEMA.Envelope.new_message()
@@ -606,17 +694,24 @@
     faults.FaultError
         Of kind ``bad_request`` if `data` is no message of the schema.
     """
+    with (
+        _reading(data, "peer message"),
+        _SCHEMA.Envelope.from_bytes(data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS) as reader,
+    ):
+        name = reader.which
+        name = str(name() if callable(name) else name)
+        cls = _BODIES[name]
+        body = cls() if cls is Heartbeat else _read(getattr(reader, name), cls)
+        return Envelope(reader.clock, reader.configVersion, reader.exchange, body)
+
+
+@contextlib.contextmanager
+def _reading(data: bytes, expected: str) -> Iterator[None]:
+    """Turn what goes wrong in reading into a fault of kind ``bad_request``."""
     try:
-        with _SCHEMA.Envelope.from_bytes(
-            data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS
-        ) as reader:
-            name = reader.which
-            name = str(name() if callable(name) else name)
-            cls = _BODIES[name]
-            body = cls() if cls is Heartbeat else _read(getattr(reader, name), cls)
-            return Envelope(reader.clock, reader.configVersion, reader.exchange, body)
-    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        yield
+    except (capnp.KjException, KeyError, ValueError) as error:
         reason = re.split(r"[\n;]", str(error))[0][:200]
-        message = f"got {len(data)} bytes that are no peer message: {reason}"
+        message = f"got {len(data)} bytes that are no {expected}: {reason}"
         fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message)
         raise faults.FaultError(fault) from error
--- a/tillerlane/testing/tests/test_reference.py
+++ b/tillerlane/testing/tests/test_reference.py
@@ -22,7 +22,8 @@
         *("faults", "timeline", "config", "peers", "policy", "members", "agent", "runners"),
         "keeper",
     },
-    "gateway": {"faults", "timeline", "peers", "keeper"},
+    "decisions": set(),
+    "gateway": {"faults", "timeline", "peers", "keeper", "decisions"},
     "platform": {"faults", "gateway", "keeper", "peers", "timeline"},
 }
 """Which of the package's folders each folder may use; the others may use all."""
