Place long runs by their runners' pace, and draw the runners that are looked at

Cause: on the large deployment a third of the runners takes 1.3 times as long for a step, and placing counted them alike.

Change: decisions/placing.py says what a runner costs in seconds of waiting, with its pace learned from the events of all entries' streams, and how many runners an entry looks at: all while less than one request is unheard of, else n / (1.2 x unheard). It replaces the lots and their thresholds. testing/engine_play.py plays a load of long and short requests on unequal runners.

--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -9,6 +9,7 @@
 import random
 import timeit
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import loads, routes, selection
 from tillerlane.gateway import usage as usages
@@ -20,10 +21,13 @@
 """Other entries and targets: a small fleet, a large one, and towards the users' target."""
 TARGETS_AN_ENTRY = 4
 """Targets at which one entry has something under way."""
+REQUESTS = 2
+"""Requests that the entry has sent within the last seconds: 0.4 a second."""
 ROUNDS = 7
 CALLS = 20
 ENGINE = routes.Engine(24, 34_000, 131_072, 19_000.0, 4, True, True, 2.0)
 POOL = routes.Pool("llm", "/health", 200, ENGINE)
+WORK = placing.Work(3_300, 3_000, 200)
 
 
 def get_address(number: int) -> str:
@@ -59,13 +63,16 @@
     while ledger.write_changes() is not None:
         pass  # what is told is bounded a digest
     usage.take(ledger.write_whole(), 0.0)
+    usage.entries = entries + 1
+    for _ in range(REQUESTS):
+        usage.note_request("llm", 0.0)
     return selection.Selector(directory, usage, "hall-a", random.Random(1), lambda: 0.0)
 
 
 def measure_choice(entries: int, targets: int) -> float:
     """Microseconds of one choice."""
     selector = build_selector(entries, targets)
-    times = timeit.repeat(lambda: selector.choose(POOL, 3_000, ()), number=CALLS, repeat=ROUNDS)
+    times = timeit.repeat(lambda: selector.choose(POOL, WORK, ()), number=CALLS, repeat=ROUNDS)
     return min(times) / CALLS * 1e6
 
 
--- /dev/null
+++ b/tillerlane/decisions/tests/test_placing.py
@@ -0,0 +1,152 @@
+"""Where requests go: what a runner costs, and a load played against it."""
+
+import random
+import statistics
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.decisions import placing
+from tillerlane.testing import engine_play, profiles
+
+RUNNERS = 30
+PACE = 0.035
+LETTERS_A_SECOND = 11.2
+VERDICTS_A_SECOND = 15.9
+"""Long and short requests; each second a third of what a full pool reads."""
+FIRST_AIM_SECONDS = 1.5
+WARM_SECONDS = 5.0
+"""Requests of the beginning are left out, when the pool is empty and no pace is known."""
+SECONDS = 20.0
+SEEDS = (1, 2, 3)
+STANDINGS = strategies.builds(
+    placing.Standing,
+    requests=strategies.integers(0, 40),
+    slots=strategies.just(24),
+    tokens=strategies.integers(0, 34_000),
+    memory_tokens=strategies.just(34_340),
+    unread=strategies.integers(0, 20_000),
+    event_seconds=strategies.floats(0.01, 0.2),
+)
+WORKS = strategies.builds(
+    placing.Work,
+    memory_tokens=strategies.integers(1, 9_000),
+    prompt_tokens=strategies.integers(0, 6_000),
+    events=strategies.floats(0, 600),
+)
+
+
+def build_standing(**changes: float) -> placing.Standing:
+    """A runner with two runs."""
+    values = {"requests": 2, "slots": 24, "tokens": 7_000, "memory_tokens": 34_340, "unread": 0}
+    return placing.Standing(**{**values, "event_seconds": PACE, **changes})  # type: ignore[arg-type]
+
+
+class CostTest(unittest.TestCase):
+    """What a runner costs."""
+
+    long = placing.Work(3_300, 3_000, 240)
+    short = placing.Work(2_600, 2_550, 3)
+
+    def weigh(self, work: placing.Work, **changes: float) -> float:
+        """Cost at a runner."""
+        return placing.weigh(work, build_standing(**changes), PACE)
+
+    def test_long_run_waits_for_a_fast_runner_and_a_short_one_does_not(self) -> None:
+        slow, busy = {"event_seconds": 1.2 * PACE}, {"unread": 6_000}
+        self.assertLess(self.weigh(self.long, **busy), self.weigh(self.long, **slow))
+        self.assertLess(self.weigh(self.short, **slow), self.weigh(self.short, **busy))
+
+    def test_fast_runner_that_is_full_of_runs_is_worth_no_more_than_a_slow_one(self) -> None:
+        crowded = {"event_seconds": PACE * 0.95, "requests": 20, "tokens": 33_000}
+        self.assertGreater(self.weigh(self.short, **crowded), self.weigh(self.short))
+
+    @profiles.choose(100)
+    @given(WORKS, STANDINGS)
+    def test_more_under_way_never_costs_less(
+        self, work: placing.Work, standing: placing.Standing
+    ) -> None:
+        cost = placing.weigh(work, standing, PACE)
+        for name in ("requests", "tokens", "unread", "event_seconds"):
+            values = {field: getattr(standing, field) for field in standing.__slots__}
+            values[name] *= 1.1
+            self.assertGreaterEqual(placing.weigh(work, placing.Standing(**values), PACE), cost)
+
+    def test_pace_of_an_unseen_runner_is_that_of_its_pool(self) -> None:
+        self.assertAlmostEqual(placing.read_event_seconds(0, 0, PACE), PACE)
+        seen = placing.read_event_seconds(980, 49_000, PACE)
+        self.assertAlmostEqual(seen, 0.05, places=3)
+        self.assertEqual(placing.read_pool_pace([]), placing.DEFAULT_EVENT_SECONDS)
+        self.assertAlmostEqual(placing.read_pool_pace([(10, 300), (30, 1_300)]), 0.04)
+
+    def test_fewer_are_looked_at_the_less_is_heard(self) -> None:
+        self.assertEqual(placing.count_candidates(30, 0.5), 30)
+        self.assertEqual(placing.count_candidates(30, 5.0), 5)
+        self.assertEqual(placing.count_candidates(30, 500.0), placing.LEAST_CANDIDATES)
+        self.assertEqual(placing.count_candidates(1, 500.0), 1)
+
+
+def build_chooser(rng: random.Random, unheard: float) -> engine_play.Choose:
+    """The decision as an entry takes it."""
+
+    def choose(work: placing.Work, standings: list[placing.Standing], pace: float) -> int:
+        wished = placing.count_candidates(len(standings), unheard)
+        drawn = rng.sample(range(len(standings)), wished)
+        return min(drawn, key=lambda item: placing.weigh(work, standings[item], pace))
+
+    return choose
+
+
+class LoadTest(unittest.TestCase):
+    """Many entries, 30 runners of which a third takes 1.3 times as long, word 0.2 s old."""
+
+    def play(
+        self, load: float, *, knows_pace: bool = True, unheard: float | None = None
+    ) -> tuple[float, float]:
+        """Mean milliseconds of a long run's event, share of short ones' first pieces in time."""
+        pool = [engine_play.RunnerSpec((1.0, 1.0, 1.3)[number % 3]) for number in range(RUNNERS)]
+        rates = (LETTERS_A_SECOND * load, VERDICTS_A_SECOND * load)
+        if unheard is None:
+            unheard = sum(rates) * engine_play.WORD_SECONDS
+        paces, shares = [], []
+        for seed in SEEDS:
+            arrivals = engine_play.draw_arrivals(
+                random.Random(seed),
+                SECONDS,
+                {"long": (rates[0], 3_079, 238.0), "short": (rates[1], 2_550, 3.0)},
+            )
+            choose = build_chooser(random.Random(seed), unheard)
+            outcomes = engine_play.play(pool, arrivals, choose, knows_pace=knows_pace)
+            self.assertEqual(len(outcomes), len(arrivals))
+            counted = [item for item in outcomes if item.arrival.at > WARM_SECONDS]
+            paces.append(engine_play.read_mean_event(counted, "long") * 1000)
+            shares.append(engine_play.read_share(counted, "short", FIRST_AIM_SECONDS))
+        return statistics.mean(paces), statistics.mean(shares)
+
+    def test_long_runs_are_faster_where_runners_paces_are_known(self) -> None:
+        """Half-full pool; before 36.1 ms an event and 0.977 in time, after 33.7 and 0.990."""
+        before, share_before = self.play(1.0, knows_pace=False)
+        after, share_after = self.play(1.0)
+        self.assertLess(after, 0.95 * before)
+        self.assertGreater(share_after, share_before - 0.02)
+
+    def test_full_pool_is_used_whole(self) -> None:
+        """1.8 times that load; before 43.3 ms and 0.964 in time, after 41.4 and 0.973.
+
+        With the slow runners left to short requests only, 0.01 of these come in time.
+        """
+        pace_before, share_before = self.play(1.8, knows_pace=False)
+        pace, share = self.play(1.8)
+        self.assertLess(pace, pace_before)
+        self.assertGreater(share, 0.9)
+        self.assertGreater(share, share_before - 0.03)
+
+    def test_entries_do_not_follow_one_another(self) -> None:
+        """Short requests' first pieces in time: 0.54 if all take the best, 0.97 with draws."""
+        _, followed = self.play(1.8, unheard=0.0)
+        _, drawn = self.play(1.8)
+        self.assertGreater(drawn, followed + 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import http_head, http_server, routes
 
@@ -55,6 +56,19 @@
         """Memory that the request is counted with at a runner when it begins."""
         return self.facts.prompt_tokens + self.count_growth(0)
 
+    @property
+    def work(self) -> placing.Work:
+        """What it asks of a runner."""
+        facts = self.facts
+        return placing.Work(self.tokens, facts.prompt_tokens, self.count_events_left(0))
+
+    def count_events_left(self, events: int) -> float:
+        """Events that its run is expected to write after so many."""
+        if self.pool.engine is None:
+            return 0.0
+        expected = self.facts.output_tokens / max(1, self.pool.engine.event_tokens)
+        return max(0.0, expected - events)
+
     def count_growth(self, written: int) -> int:
         """Tokens that are set aside for what a run is yet to write."""
         return min(GROWTH_TOKENS, max(0, self.facts.output_tokens - written) // 2)
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -12,6 +12,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import meters as entry_meters
@@ -69,6 +70,8 @@
     target: directories.Target
     tokens: int
     backup: directories.Target | None = None
+    events_left: float = 0.0
+    """Events that it is expected to write yet."""
     is_long: bool = False
     """Whether its memory is worth a copy."""
     leaving_since: float = 0.0
@@ -279,7 +282,8 @@
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
         """The least loaded runner with room for the run; in the end any, whose word it is."""
         hall = run.target.data_hall
-        found = self._selector.choose(run.pool, run.tokens, excluded, hall)
+        work = placing.Work(run.tokens, events=run.events_left)
+        found = self._selector.choose(run.pool, work, excluded, hall)
         if found is None or self._selector.has_room(run.pool, found, run.tokens, 1.0):
             return found
         waited = asyncio.get_running_loop().time() - run.leaving_since
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import loads, routes
 from tillerlane.gateway import usage as usages
@@ -33,15 +34,10 @@
 """Share of its memory above which a runner counts as full: what runs there still grows."""
 COLD_COST = 0.5
 """Load that a target still slow from its start counts as, as a share of a target."""
-UNREAD_TOKENS = 7_000
-"""Unread prompt tokens that count like a full target.  Runners that also write were seen to read
-some 7 a millisecond, so these make a request wait for a second."""
-UNHEARD_PROMPTS = (1.0, 5.0)
-"""Prompts sent elsewhere and not yet heard of: up to the first number the least loaded runner is
-taken, from the second on any within one prompt of it is as good.  Means of `worth` on the users'
-machines without lots and with them, in pairs: 0.542 and 0.560 with some four prompts unheard of
-(processor time, two days, two seeds).  Lots that began at none cost 0.012 where less than one was
-unheard of (three days, two seeds), since runs spread less evenly."""
+POOL_PACE_SECONDS = 1.0
+"""How long a pool's pace is used before it is read again; it is smoothed over 20 s."""
+FIRST_RANK = (False, False, False)
+"""Neither silent nor avoided nor full."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,7 +84,7 @@
     data_hall : str
         This entry's data hall.
     rng : random.Random
-        Breaks ties.
+        Draws the targets that are looked at.
     now : callable
         Time of the event loop.
     """
@@ -107,6 +103,8 @@
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
+        self._paces: dict[str, tuple[float, float]] = {}
+        """Pace of each pool, and when it was read."""
 
     def draw_pool(self, route: routes.Route) -> str:
         """A pool of the route, by weight."""
@@ -118,75 +116,102 @@
     def choose(
         self,
         pool: routes.Pool,
-        tokens: int,
+        work: placing.Work,
         excluded: Collection[str],
         source_hall: str | None = None,
     ) -> directories.Target | None:
-        """The target with the least load that is not `excluded` (ids); None if there is none.
+        """The target at which work costs least, of some that are not `excluded` (ids).
 
-        With `source_hall` a run's memory has to go there, which takes longer between halls.
+        None without any.  Silent, avoided and full targets come last, in that order.
 
-        Silent, avoided and full targets come last, in that order.
+        With `source_hall` a run's memory has to go there, which takes longer between halls; then
+        all targets are looked at.
         """
         now = self._now()
         listed = self._directory.list_pool(pool.name)
-        contenders: list[tuple[directories.Target, float]] = []
+        wished = len(listed)
+        if source_hall is None:
+            wished = placing.count_candidates(wished, self._usage.read_unheard(pool.name, now))
+        found = self._draw_best(pool, work, listed, excluded, wished, now)
+        if not found:
+            return None
+        pace = self._read_pace(pool, listed, now)
+        costs = [self._read_cost(pool, target, use, work, pace, now) for target, use in found]
+        if source_hall is not None:
+            is_far = [target.data_hall != source_hall for target, _ in found]
+            far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * is_far.count(False))
+            costs = [cost + far_cost * far for cost, far in zip(costs, is_far, strict=True)]
+        return found[costs.index(min(costs))][0]
+
+    def _draw_best(
+        self,
+        pool: routes.Pool,
+        work: placing.Work,
+        listed: list[directories.Target],
+        excluded: Collection[str],
+        wished: int,
+        now: float,
+    ) -> list[tuple[directories.Target, loads.Use]]:
+        """Draw so many targets that come first, with what is under way at each.
+
+        Where there are fewer, all that come first.
+        """
+        found: list[tuple[directories.Target, loads.Use]] = []
         best = (True, True, True)
-        for target in listed:
+        for target in _draw_in_turn(listed, self._rng):
             if target.target_id in excluded:
                 continue
             use = self._usage.read(target.address)
             rank = (
                 target.phase is directories.Phase.SILENT,
                 self.caution.is_avoided(target.target_id, now),
-                not _has_room(pool, use, tokens, FULL_SHARE),
+                not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
             )
             if rank > best:
                 continue
             if rank < best:
-                best, contenders = rank, []
-            contenders.append((target, self._read_load(pool, target, use, tokens, now)))
-        if not contenders:
-            return None
-        slack = 0.0
-        if source_hall is None:
-            slack = self._read_slack(pool, tokens, now)
-        else:
-            contenders = _add_hall_cost(contenders, source_hall)
-        most = min(load for _, load in contenders) + slack
-        return self._rng.choice([target for target, load in contenders if load <= most])
-
-    def _read_slack(self, pool: routes.Pool, tokens: int, now: float) -> float:
-        """Load above the least at which a runner is as good: what other entries may have sent.
-
-        Their word is some tenths of a second old.  With many entries that all take the least
-        loaded runner, prompts queue there while other runners are idle; each draws its lot among
-        those that one prompt more would make no worse.  With few prompts unheard of, the word is
-        good, and evenly spread runs are worth more.
-        """
-        if pool.engine is None:
-            return 0.0
-        few, many = UNHEARD_PROMPTS
-        share = (self._usage.read_unheard(now) - few) / (many - few)
-        return tokens / UNREAD_TOKENS * min(1.0, max(0.0, share))
-
-    def _read_load(
+                best, found = rank, []
+            found.append((target, use))
+            if len(found) >= wished and best == FIRST_RANK:
+                break
+        return found
+
+    def _read_pace(self, pool: routes.Pool, listed: list[directories.Target], now: float) -> float:
+        """Seconds an event over all runners of a pool, looked up now and then."""
+        known = self._paces.get(pool.name)
+        if known is not None and now - known[1] < POOL_PACE_SECONDS:
+            return known[0]
+        uses = [self._usage.read(target.address) for target in listed]
+        pace = placing.read_pool_pace((use.events, use.event_ms) for use in uses)
+        self._paces[pool.name] = (pace, now)
+        return pace
+
+    def _read_cost(
         self,
         pool: routes.Pool,
         target: directories.Target,
         use: loads.Use,
-        tokens: int,
+        work: placing.Work,
+        pace: float,
         now: float,
     ) -> float:
-        load = use.requests / max(1, target.slots)
-        if pool.engine is not None:
-            load += (use.tokens + tokens) / max(1, pool.engine.memory_tokens)
-            load += use.unread / UNREAD_TOKENS
+        if pool.engine is None:
+            cost = use.requests / max(1, target.slots)
+        else:
+            standing = placing.Standing(
+                use.requests,
+                target.slots,
+                use.tokens,
+                pool.engine.memory_tokens,
+                use.unread,
+                placing.read_event_seconds(use.events, use.event_ms, pace),
+            )
+            cost = placing.weigh(work, standing, pace)
         if target.data_hall != self._data_hall:
-            load += OTHER_HALL_COST
+            cost += OTHER_HALL_COST
         if target.warm_at > now:
-            load += COLD_COST
-        return load
+            cost += COLD_COST
+        return cost
 
     def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
         """Seconds that a runner's link needs to copy all runs that have no copy yet."""
@@ -214,17 +239,15 @@
         return _has_room(pool, self._usage.read(target.address), tokens, share)
 
 
-def _has_room(pool: routes.Pool, use: loads.Use, tokens: int, share: float) -> bool:
-    return pool.engine is None or use.tokens + tokens <= pool.engine.memory_tokens * share
+def _draw_in_turn(
+    targets: list[directories.Target], rng: random.Random
+) -> Iterator[directories.Target]:
+    """Draw targets one after another until all are drawn; `targets` is put into that order."""
+    for position in range(len(targets)):
+        drawn = rng.randrange(position, len(targets))
+        targets[position], targets[drawn] = targets[drawn], targets[position]
+        yield targets[position]
 
 
-def _add_hall_cost(
-    contenders: list[tuple[directories.Target, float]], source_hall: str
-) -> list[tuple[directories.Target, float]]:
-    """Loads of a copy's destinations, with what the longer way to another data hall costs."""
-    near = sum(target.data_hall == source_hall for target, _ in contenders)
-    far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * near)
-    return [
-        (target, load if target.data_hall == source_hall else load + far_cost)
-        for target, load in contenders
-    ]
+def _has_room(pool: routes.Pool, use: loads.Use, tokens: int, share: float) -> bool:
+    return pool.engine is None or use.tokens + tokens <= pool.engine.memory_tokens * share
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
@@ -172,8 +173,7 @@
         tokens = asked.tokens if tokens is None else tokens
         unsaved = tokens if asked.is_long and not plan.backup_address else 0
         self._usage.add(address, requests=1, tokens=tokens, unread=unread, unsaved=unsaved)
-        if unread:
-            self._usage.note_prompt(began)
+        self._usage.note_request(asked.pool.name, began)
         exchange: http_client.Exchange | None = None
         keep = False
         try:
@@ -256,7 +256,7 @@
             return None
         if self._selector.read_evacuation(asked.pool, target) < EVACUATION_SECONDS:
             return None
-        backup = self._selector.choose(asked.pool, asked.tokens, {target.target_id})
+        backup = self._selector.choose(asked.pool, placing.Work(asked.tokens), {target.target_id})
         if backup is None:
             return None
         has_room = self._selector.has_room(asked.pool, backup, asked.tokens, BACKUP_MEMORY_SHARE)
@@ -268,7 +268,7 @@
         tried = Tried(NotRun("no target", sent=False))
         unsent = 0
         while unsent < UNSENT_TRIES:
-            target = self._selector.choose(asked.pool, asked.tokens, excluded)
+            target = self._selector.choose(asked.pool, asked.work, excluded)
             if target is None and not excluded and self._may_wait_for_targets(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -145,6 +145,7 @@
             return
         written = self.events * engine.event_tokens
         tokens = self.asked.facts.prompt_tokens + written
+        self.run.events_left = self.asked.count_events_left(self.events)
         self.on_growth(self.run, tokens + self.asked.count_growth(written))
 
     def _note_times(self, event_before: str, events_now: int) -> None:
@@ -211,6 +212,7 @@
         assert isinstance(outcome, sending.Stream) and target is not None
         run = runs.Run(asked.facts.request_id, asked.pool, target, asked.tokens, tried.backup)
         run.is_long = asked.is_long
+        run.events_left = asked.count_events_left(0)
         stream = Relayed(asked, responder, run, outcome.exchange)
         stream.runs_begun = tried.sends
         stream.on_growth = self._note_growth
@@ -330,7 +332,7 @@
             return False
         former = stream.run.target.target_id
         self._drop(stream)
-        target = self._selector.choose(asked.pool, asked.tokens, {former})
+        target = self._selector.choose(asked.pool, asked.work, {former})
         if target is None:
             return False
         plan = self._sender.plan(asked, target, last_event_id=stream.last_event_id)
--- a/tillerlane/gateway/tests/test_rules.py
+++ b/tillerlane/gateway/tests/test_rules.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, strategies
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import events, loads, routes, selection
@@ -107,7 +108,7 @@
 
     def choose(self) -> str:
         """Id of the target chosen for a run of 3,000 tokens."""
-        found = self.selector.choose(POOL, 3_000, ())
+        found = self.selector.choose(POOL, placing.Work(3_000, 3_000), ())
         return found.target_id if found else ""
 
     def test_others_load_counts_until_it_is_old(self) -> None:
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -4,10 +4,12 @@
 import random
 import unittest
 
+from tillerlane.decisions import placing
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import routes, selection, usage
 
 PROMPT_TOKENS = 3_000
+WORK = placing.Work(PROMPT_TOKENS, PROMPT_TOKENS)
 RUNNERS = 10
 ENGINE = routes.Engine(
     slots=24,
@@ -50,13 +52,13 @@
             self.usage.add(f"10.0.9.{number}:9000", requests=1, tokens=1_000)
         self.usage.entries = entries
         for _ in range(prompts):
-            self.usage.note_prompt(self.now)
+            self.usage.note_request("llm", self.now)
         selector = selection.Selector(
             self.directory, self.usage, "hall-a", random.Random(1), lambda: self.now
         )
         chosen: collections.Counter[str] = collections.Counter()
         for _ in range(200):
-            target = selector.choose(self.pool, PROMPT_TOKENS, ())
+            target = selector.choose(self.pool, WORK, ())
             assert target is not None
             chosen[target.target_id] += 1
         return chosen
@@ -86,7 +88,7 @@
         selector = selection.Selector(
             self.directory, self.usage, "hall-b", random.Random(1), lambda: self.now
         )
-        chosen = selector.choose(self.pool, PROMPT_TOKENS, (), source_hall="hall-a")
+        chosen = selector.choose(self.pool, placing.Work(PROMPT_TOKENS), (), source_hall="hall-a")
         assert chosen is not None
         return chosen.data_hall
 
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -13,7 +13,8 @@
 OTHERS_SECONDS = 3.0
 """How long a keeper's digest counts; it comes at least once a second."""
 RATE_SECONDS = 5.0
-"""Time over which this entry's own rate of prompts is smoothed: five prompts of a thin entry."""
+"""Time over which this entry's own rate of requests is smoothed: a thin entry sends two prompts in
+it."""
 WORD_SECONDS = 0.2
 """Age of other entries' word: pauses of the entry, its keeper, and the digest, half of each on the
 mean, and three hops."""
@@ -44,6 +45,17 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    """Requests a second that this entry sends to a pool, as of a moment."""
+
+    per_second: float
+    at: float
+
+    def read(self, now: float) -> float:
+        return self.per_second * math.exp((self.at - now) / RATE_SECONDS)
+
+
 class Usage:
     """Load by target address.
 
@@ -79,8 +91,7 @@
         self._sequence = 0
         self.entries = 1
         self.changed = False
-        self._rate = 0.0
-        self._rate_at = 0.0
+        self._rates: dict[str, _Rate] = {}
 
     # This entry's own
 
@@ -122,21 +133,19 @@
         """This entry's requests under way."""
         return sum(use.requests for use in self._own.values())
 
-    def note_prompt(self, now: float) -> None:
-        """Count a prompt that this entry sends."""
-        self._rate = self._read_rate(now) + 1 / RATE_SECONDS
-        self._rate_at = now
-
-    def _read_rate(self, now: float) -> float:
-        """Prompts a second that this entry sent lately."""
-        return self._rate * math.exp((self._rate_at - now) / RATE_SECONDS)
+    def note_request(self, pool: str, now: float) -> None:
+        """Count a request that this entry sends to a pool."""
+        rate = self._rates.setdefault(pool, _Rate(0.0, now))
+        rate.per_second = rate.read(now) + 1 / RATE_SECONDS
+        rate.at = now
 
-    def read_unheard(self, now: float) -> float:
-        """Prompts that other entries have probably sent without this one having heard of it.
+    def read_unheard(self, pool: str, now: float) -> float:
+        """Requests that other entries have probably sent to a pool unheard of by this one.
 
         Callers are spread over the entries, so that the others send as often as this one.
         """
-        return self._read_rate(now) * (self.entries - 1) * WORD_SECONDS
+        rate = self._rates.get(pool)
+        return rate.read(now) * (self.entries - 1) * WORD_SECONDS if rate is not None else 0.0
 
     # All entries'
 
--- /dev/null
+++ b/tillerlane/testing/engine_play.py
@@ -0,0 +1,217 @@
+"""A pool of model runners played step by step, for decisions on where requests go.
+
+Each runner reads prompts one after another, a piece in each step, and writes a token of each run in
+each step; a step takes longer the more runs there are, and while a prompt is read.  What the
+chooser sees of the runners is some tenths of a second old.  Times are those of the play.
+"""
+
+import collections
+import dataclasses
+import random
+import statistics
+from collections.abc import Callable
+
+from tillerlane.decisions import placing
+
+__all__ = ["Arrival", "Outcome", "Pool", "RunnerSpec", "play"]
+
+STEP_SECONDS = 0.007
+STEP_SECONDS_A_RUN = 0.000_12
+PIECE_TOKENS = 112
+"""Prompt tokens read in a step at most."""
+TOKENS_A_SECOND = 14_000
+"""Prompt tokens that are read in a second of reading."""
+EVENT_TOKENS = 4
+WORD_SECONDS = 0.2
+"""Age of what the chooser sees."""
+TICK_SECONDS = 0.05
+"""Pause between two looks at the runners."""
+PACE_KEPT = 0.9975
+"""Share of the events seen that still counts a tick later: smoothed over 20 s."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerSpec:
+    """A runner: how many times as long its steps take, and its memory in tokens."""
+
+    slowness: float
+    memory_tokens: int = 34_340
+    slots: int = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request: when it comes, what it reads, and how many events it writes."""
+
+    at: float
+    kind: str
+    prompt_tokens: int
+    events: int
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What a request's caller got, in seconds from its arrival."""
+
+    arrival: Arrival
+    first_seconds: float = float("inf")
+    whole_seconds: float = float("inf")
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Run:
+    outcome: Outcome
+    unread: int
+    tokens_left: int
+
+
+class _Runner:
+    def __init__(self, spec: RunnerSpec) -> None:
+        self.spec = spec
+        self.reading: collections.deque[_Run] = collections.deque()
+        self.writing: list[_Run] = []
+        self.now = 0.0
+        self.events = 0.0
+        self.event_seconds = 0.0
+
+    def run_until(self, until: float) -> None:
+        """Make steps until a time."""
+        while self.now < until:
+            if not self.reading and not self.writing:
+                self.now = until
+                return
+            self._step()
+
+    def _step(self) -> None:
+        seconds = STEP_SECONDS + STEP_SECONDS_A_RUN * (len(self.writing) + len(self.reading))
+        if self.reading:
+            piece = min(PIECE_TOKENS, self.reading[0].unread)
+            self.reading[0].unread -= piece
+            seconds += piece / TOKENS_A_SECOND
+        seconds *= self.spec.slowness
+        self.now += seconds
+        for run in list(self.writing):
+            run.tokens_left -= 1
+            self._note(run, seconds)
+        if self.reading and self.reading[0].unread <= 0:
+            self.writing.append(self.reading.popleft())
+
+    def _note(self, run: _Run, seconds: float) -> None:
+        self.events += 1 / EVENT_TOKENS
+        self.event_seconds += seconds
+        passed = self.now - run.outcome.arrival.at
+        written = run.outcome.arrival.events * EVENT_TOKENS - run.tokens_left
+        if written == EVENT_TOKENS:
+            run.outcome.first_seconds = passed
+        if run.tokens_left <= 0:
+            run.outcome.whole_seconds = passed
+            self.writing.remove(run)
+
+    def read_standing(self) -> tuple[int, int, int, int, int]:
+        """Requests, tokens, unread tokens, events seen lately and their milliseconds."""
+        runs = [*self.reading, *self.writing]
+        tokens = sum(run.outcome.arrival.prompt_tokens + 300 for run in runs)
+        unread = sum(run.unread for run in self.reading)
+        return len(runs), tokens, unread, int(self.events), int(self.event_seconds * 1000)
+
+
+Pool = list[RunnerSpec]
+Choose = Callable[[placing.Work, list[placing.Standing], float], int]
+
+
+def play(
+    pool: Pool, arrivals: list[Arrival], choose: Choose, *, knows_pace: bool = True
+) -> list[Outcome]:
+    """Play a load to its end.
+
+    Parameters
+    ----------
+    pool : list of RunnerSpec
+        The runners.
+    arrivals : list of Arrival
+        Requests by time.
+    choose : callable
+        (work, standing of each runner, pace of the pool) gives the position of one.
+    knows_pace : bool
+        Whether runners' events are seen; without, all seem to run alike.
+    """
+    runners = [_Runner(spec) for spec in pool]
+    outcomes = []
+    seen = collections.deque([[runner.read_standing() for runner in runners]])
+    now = 0.0
+    waiting = collections.deque(arrivals)
+    last = arrivals[-1].at + 60.0
+    while now < last:
+        now += TICK_SECONDS
+        for runner in runners:
+            runner.run_until(now)
+            runner.events *= PACE_KEPT
+            runner.event_seconds *= PACE_KEPT
+        seen.append([runner.read_standing() for runner in runners])
+        if len(seen) > WORD_SECONDS / TICK_SECONDS:
+            seen.popleft()
+        while waiting and waiting[0].at <= now:
+            arrival = waiting.popleft()
+            position = _choose(pool, seen[0], arrival, choose, knows_pace)
+            outcome = Outcome(arrival)
+            outcomes.append(outcome)
+            run = _Run(outcome, arrival.prompt_tokens, arrival.events * EVENT_TOKENS)
+            runners[position].reading.append(run)
+        if not waiting and not any(runner.reading or runner.writing for runner in runners):
+            break
+    return outcomes
+
+
+def _choose(
+    pool: Pool,
+    seen: list[tuple[int, int, int, int, int]],
+    arrival: Arrival,
+    choose: Choose,
+    knows_pace: bool,
+) -> int:
+    paces = [(events, event_ms) if knows_pace else (0, 0) for *_, events, event_ms in seen]
+    pool_pace = placing.read_pool_pace(paces)
+    standings = [
+        placing.Standing(
+            requests,
+            spec.slots,
+            tokens,
+            spec.memory_tokens,
+            unread,
+            placing.read_event_seconds(*pace, pool_pace),
+        )
+        for spec, (requests, tokens, unread, *_), pace in zip(pool, seen, paces, strict=True)
+    ]
+    work = placing.Work(arrival.prompt_tokens + 300, arrival.prompt_tokens, arrival.events)
+    return choose(work, standings, pool_pace)
+
+
+def draw_arrivals(
+    rng: random.Random, seconds: float, kinds: dict[str, tuple[float, int, float]]
+) -> list[Arrival]:
+    """Requests by chance: for each kind how many a second, prompt tokens, mean of its events."""
+    arrivals = []
+    for kind, (rate, prompt_tokens, events) in kinds.items():
+        at = rng.expovariate(rate)
+        while at < seconds:
+            prompt = max(1, int(rng.gauss(prompt_tokens, prompt_tokens / 3)))
+            length = max(1, min(int(2.4 * events), int(rng.lognormvariate(0, 0.7) * events * 0.8)))
+            arrivals.append(Arrival(at, kind, prompt, length))
+            at += rng.expovariate(rate)
+    return sorted(arrivals, key=lambda item: item.at)
+
+
+def read_share(outcomes: list[Outcome], kind: str, aim_seconds: float) -> float:
+    """Share of a kind's requests whose first piece came in time."""
+    of_kind = [item for item in outcomes if item.arrival.kind == kind]
+    return sum(item.first_seconds <= aim_seconds for item in of_kind) / len(of_kind)
+
+
+def read_mean_event(outcomes: list[Outcome], kind: str) -> float:
+    """Mean time of an event of a kind's runs, in seconds."""
+    spans = [
+        (item.whole_seconds - item.first_seconds) / max(1, item.arrival.events - 1)
+        for item in outcomes
+        if item.arrival.kind == kind and item.arrival.events > 1
+    ]
+    return statistics.mean(spans)
