Take the rate of unheard requests over the time for which it was counted

Change: the smoothed rate is divided by the weight of the time counted so far.

Figures: 2 requests a second, counted for 1.5 s, 67 other entries: 9 unheard before, 36 after, 27 true (gateway/tests/test_selection.py). The test of a least loaded runner now says that its entry has run for long, as it meant.

--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -51,6 +51,7 @@
         for number in range(1, RUNNERS):
             self.usage.add(f"10.0.9.{number}:9000", requests=1, tokens=1_000)
         self.usage.entries = entries
+        self.usage.note_request("llm", self.now - 60.0)  # it has run for long
         for _ in range(prompts):
             self.usage.note_request("llm", self.now)
         selector = selection.Selector(
@@ -78,6 +79,17 @@
         self.usage.add("10.0.9.9:9000", unread=2 * PROMPT_TOKENS)
         self.assertEqual(self.count_choices(entries=23, prompts=8)["t9"], 0)
 
+    def test_entry_that_has_just_started_expects_as_many_unheard_as_others(self) -> None:
+        """Two requests a second for 1.5 s: 9 unheard, not 27, with a rate counted from nothing."""
+        self.usage.entries = 68
+        for number in range(4):
+            self.usage.note_request("llm", 0.5 * number)
+        self.assertAlmostEqual(self.usage.read_unheard("llm", 1.5), 2 * 67 * 0.2, delta=13)
+        for number in range(4, 100):
+            self.usage.note_request("llm", 0.5 * number)
+        self.assertAlmostEqual(self.usage.read_unheard("llm", 49.5), 2 * 67 * 0.2, delta=2)
+        self.assertLess(self.usage.read_unheard("llm", 69.5), 1.0)
+
     def choose_destination(self, near: int) -> str:
         """Hall of a copy where the first `near` runners, busier, are in the source's hall."""
         for number in range(RUNNERS):
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -15,6 +15,8 @@
 RATE_SECONDS = 5.0
 """Time over which this entry's own rate of requests is smoothed: a thin entry sends two prompts in
 it."""
+LEAST_RATE_SECONDS = 1.0
+"""Time over which a rate is taken at least, so that one request alone is one a second."""
 WORD_SECONDS = 0.2
 """Age of other entries' word: pauses of the entry, its keeper, and the digest, half of each on the
 mean, and three hops."""
@@ -47,13 +49,27 @@
 
 @dataclasses.dataclass(slots=True)
 class _Rate:
-    """Requests a second that this entry sends to a pool, as of a moment."""
+    """Requests a second that this entry sends to a pool, smoothed as of a moment."""
 
-    per_second: float
-    at: float
+    began_at: float
+    smoothed: float = 0.0
+    at: float = 0.0
+
+    def note(self, now: float) -> None:
+        self.smoothed = self._decay(now) + 1 / RATE_SECONDS
+        self.at = now
 
     def read(self, now: float) -> float:
-        return self.per_second * math.exp((self.at - now) / RATE_SECONDS)
+        """The rate, over the time for which it has been counted where that is short.
+
+        After a common start all callers come back at once, and entries that took their rate for
+        low would all follow each other to the same runners.
+        """
+        counted = max(LEAST_RATE_SECONDS, now - self.began_at)
+        return self._decay(now) / (1 - math.exp(-counted / RATE_SECONDS))
+
+    def _decay(self, now: float) -> float:
+        return self.smoothed * math.exp((self.at - now) / RATE_SECONDS)
 
 
 class Usage:
@@ -135,9 +151,7 @@
 
     def note_request(self, pool: str, now: float) -> None:
         """Count a request that this entry sends to a pool."""
-        rate = self._rates.setdefault(pool, _Rate(0.0, now))
-        rate.per_second = rate.read(now) + 1 / RATE_SECONDS
-        rate.at = now
+        self._rates.setdefault(pool, _Rate(now)).note(now)
 
     def read_unheard(self, pool: str, now: float) -> float:
         """Requests that other entries have probably sent to a pool unheard of by this one.
