Tell small changes of a target's load once a second

Change: targets that changed by less than 128 tokens wait for the digest that is due each second.

Tests: small changes are told when due, and when they add up.

--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -114,10 +114,10 @@
 
     Played with 30 runners, a third of them 1.3 times as slow, and 27 prompts a second
     (`tillerlane.testing.engine_play`, six seeds): an event of a long run takes 36.9 ms where all
-    count alike and 34.4 ms with their pace.  Two further terms gained nothing and are left out: what
-    a prompt's reading costs the runs beside it (34.3 in place of 34.6 ms, and with 49 prompts a
-    second 0.87 in place of 0.92 of short requests' first pieces in time), and a cost of memory that
-    rises faster as memory fills (up to 0.1 fewer of these with 35 prompts a second).
+    count alike and 34.4 ms with their pace.  Two further terms gained nothing and are left out:
+    what a prompt's reading costs the runs beside it (34.3 in place of 34.6 ms, and with 49 prompts
+    a second 0.87 in place of 0.92 of short requests' first pieces in time), and a cost of memory
+    that rises faster as memory fills (up to 0.1 fewer of these with 35 prompts a second).
     """
     slowness = standing.event_seconds / pool_pace
     crowding = standing.requests / max(1, standing.slots)
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -35,7 +35,8 @@
 own pause (0.15 s) a word is 0.14 s old on the mean when it comes to another entry of the same
 keeper, 0.2 s to one of another keeper."""
 QUIET_LOADS_SECONDS = 1.0
-"""Longest pause between two digests: a third of the time for which one counts."""
+"""Longest pause between two digests, and until small changes are told: a third of the time for
+which a digest counts."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -303,7 +304,7 @@
 
     async def _tell_loads(self) -> None:
         """Pass on to other keepers what entries told here, and tell subscribers the sums."""
-        told_at = 0.0
+        whole_at = 0.0
         while True:
             await asyncio.sleep(LOADS_SECONDS)
             now = self._loop.time()
@@ -313,10 +314,12 @@
             passed = self._loads.write_passed()
             if passed is not None:
                 self._send_to_keepers(passed)
-            digest = self._loads.write_changes(is_due=now - told_at > QUIET_LOADS_SECONDS)
+            is_due = now - whole_at > QUIET_LOADS_SECONDS
+            digest = self._loads.write_changes(is_due=is_due)
+            if is_due:
+                whole_at = now
             if digest is None:
                 continue
-            told_at = now
             for link, asked in list(self._subscribers.items()):
                 if asked.loads:
                     self._send_digest(link, digest)
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -25,6 +25,10 @@
 It bounds what an entry hears however many targets there are: 5.9 kB a digest, 1.6 kB with 30
 targets (`benchmarks/choices.py`), of which 8.3 come a second."""
 
+LEAST_CHANGE_TOKENS = 128
+"""Change of a target that is told at once; what is less waits for the next digest that is due (a
+second at most).  A run writes that much in a second, 0.4 in 100 of a runner's memory."""
+
 
 @dataclasses.dataclass(slots=True)
 class Use:
@@ -232,13 +236,15 @@
         )
 
     def write_changes(self, *, is_due: bool = False) -> messages.LoadDigest | None:
-        """What changed since the last digest, for all subscribers; None if nothing did.
+        """What changed since the last digest, for all subscribers; None if little did.
 
-        With `is_due` it is written all the same.  For each of them, `read_included` is put in.
+        With `is_due` it is written all the same, and small changes are told too.  For each
+        subscriber, `read_included` is put in.
         """
-        if not self._changed and not is_due:
+        addresses = self._pick_rows(0 if is_due else LEAST_CHANGE_TOKENS)
+        if not addresses and not is_due:
             return None
-        rows = [(address, self.read(address)) for address in self._pick_rows()]
+        rows = [(address, self.read(address)) for address in addresses]
         for address, use in rows:
             self._changed.discard(address)
             if use.is_empty:
@@ -248,14 +254,15 @@
         self._digest_sequence += 1
         return self._build_digest(rows, whole=False)
 
-    def _pick_rows(self) -> list[str]:
-        if len(self._changed) <= MOST_ROWS:
-            return list(self._changed)
+    def _pick_rows(self, least: int) -> list[str]:
+        """Targets that changed by so many tokens at least, those first that changed most."""
 
         def read_change(address: str) -> int:
             return self._total.get(address, _NOTHING).read_change(self._told.get(address, _NOTHING))
 
-        return sorted(self._changed, key=read_change, reverse=True)[:MOST_ROWS]
+        changes = [(read_change(address), address) for address in self._changed]
+        found = sorted((item for item in changes if item[0] >= least), reverse=True)
+        return [address for _, address in found[:MOST_ROWS]]
 
     def write_whole(self) -> messages.LoadDigest:
         """All that the subscribers were told, for one that is new or missed a digest."""
--- a/tillerlane/gateway/tests/test_spread.py
+++ b/tillerlane/gateway/tests/test_spread.py
@@ -61,6 +61,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             task = await begin_run(stage)
             self.assertEqual({count_requests(stage, name) for name in stage.entry_names}, {1})
+            await asyncio.sleep(1.0)
             use = stage.entries["entry-6"].usage.read(stage.runners["t1"].address)
             self.assertGreater(use.tokens, PROMPT_TOKENS)
             self.assertGreater(use.events, 0)
