Draw the destinations of a leaving runner's runs too

Change: a destination is drawn as a runner for a request is, near and far halls each for themselves, with the runs at the hall's leaving runners among what is unheard of.

Test: of 200 choices all went to the runner that had just started, now fewer than 70.

--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -124,56 +124,74 @@
 
         None without any.  Silent, avoided and full targets come last, in that order.
 
-        With `source_hall` a run's memory has to go there, which takes longer between halls; then
-        all targets are looked at.
+        With `source_hall` it is a run whose memory has to be copied, which takes longer between
+        halls.
         """
         now = self._now()
         listed = self._directory.list_pool(pool.name)
-        wished = len(listed)
+        unheard = self._usage.read_unheard(pool.name, now)
         if source_hall is None:
-            wished = placing.count_candidates(wished, self._usage.read_unheard(pool.name, now))
-        found = self._draw_best(pool, work, listed, excluded, wished, now)
+            groups = [listed]
+        else:
+            unheard += self._count_moving(pool, source_hall)
+            near = [target for target in listed if target.data_hall == source_hall]
+            groups = [near, [target for target in listed if target.data_hall != source_hall]]
+        found = self._draw_best(pool, work, groups, excluded, unheard, now)
         if not found:
             return None
         pace = self._read_pace(pool, listed, now)
         costs = [self._read_cost(pool, target, use, work, pace, now) for target, use in found]
         if source_hall is not None:
+            far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * len(groups[0]))
             is_far = [target.data_hall != source_hall for target, _ in found]
-            far_cost = min(MOST_MOVE_HALL_COST, MOVE_HALL_COST * is_far.count(False))
             costs = [cost + far_cost * far for cost, far in zip(costs, is_far, strict=True)]
         return found[costs.index(min(costs))][0]
 
+    def _count_moving(self, pool: routes.Pool, hall: str) -> int:
+        """Runs at a data hall's runners that leave; other entries choose where they go just now.
+
+        All of them see the same runner as the emptiest, often one that has just started.  On a day
+        with many runners leaving three to four runs went to one such within a second, it ran out of
+        memory, and runs there paused for 4 s (log lines `run.move` and `stream.end`).
+        """
+        return sum(
+            self._usage.read(target.address).requests
+            for target in self._directory.targets.values()
+            if target.pool == pool.name and target.data_hall == hall and not target.takes_work
+        )
+
     def _draw_best(
         self,
         pool: routes.Pool,
         work: placing.Work,
-        listed: list[directories.Target],
+        groups: list[list[directories.Target]],
         excluded: Collection[str],
-        wished: int,
+        unheard: float,
         now: float,
     ) -> list[tuple[directories.Target, loads.Use]]:
-        """Draw so many targets that come first, with what is under way at each.
-
-        Where there are fewer, all that come first.
-        """
+        """Draw some targets of each group, with what is under way at each; the best rank only."""
         found: list[tuple[directories.Target, loads.Use]] = []
         best = (True, True, True)
-        for target in _draw_in_turn(listed, self._rng):
-            if target.target_id in excluded:
-                continue
-            use = self._usage.read(target.address)
-            rank = (
-                target.phase is directories.Phase.SILENT,
-                self.caution.is_avoided(target.target_id, now),
-                not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
-            )
-            if rank > best:
-                continue
-            if rank < best:
-                best, found = rank, []
-            found.append((target, use))
-            if len(found) >= wished and best == FIRST_RANK:
-                break
+        for group in groups:
+            wished = placing.count_candidates(len(group), unheard)
+            drawn = 0
+            for target in _draw_in_turn(group, self._rng):
+                if drawn >= wished and best == FIRST_RANK:
+                    break
+                if target.target_id in excluded:
+                    continue
+                use = self._usage.read(target.address)
+                rank = (
+                    target.phase is directories.Phase.SILENT,
+                    self.caution.is_avoided(target.target_id, now),
+                    not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
+                )
+                if rank > best:
+                    continue
+                if rank < best:
+                    best, found, drawn = rank, [], 0
+                found.append((target, use))
+                drawn += 1
         return found
 
     def _read_pace(self, pool: routes.Pool, listed: list[directories.Target], now: float) -> float:
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -104,6 +104,26 @@
         assert chosen is not None
         return chosen.data_hall
 
+    def test_runs_of_a_leaving_runner_do_not_all_go_to_the_one_that_has_just_started(self) -> None:
+        """All 200 went there."""
+        for number in range(1, RUNNERS):
+            self.usage.add(f"10.0.9.{number}:9000", requests=4, tokens=9_000)
+        leaving = self.directory.targets["t9"]
+        leaving.phase = directories.Phase.DRAINING
+        self.usage.add(leaving.address, requests=8)
+        selector = selection.Selector(
+            self.directory, self.usage, "hall-a", random.Random(1), lambda: self.now
+        )
+        work = placing.Work(PROMPT_TOKENS, events=100)
+        chosen: collections.Counter[str] = collections.Counter()
+        for _ in range(200):
+            target = selector.choose(self.pool, work, (), source_hall="hall-a")
+            assert target is not None
+            chosen[target.target_id] += 1
+        self.assertEqual(chosen["t9"], 0)
+        self.assertLess(chosen["t0"], 70)
+        self.assertEqual(len(chosen), RUNNERS - 1)
+
     def test_copies_stay_in_the_hall_where_several_runners_share_them(self) -> None:
         self.assertEqual(self.choose_destination(near=4), "hall-a")
 
