--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -18,22 +18,22 @@
 FORGET_SECONDS = 30.0
 """How long a failure counts for the next one, and bounds what is kept of targets long gone."""
 OTHER_HALL_COST = 0.02
-"""Load that staying within the data hall is worth, as a share of a target: breaks ties only."""
+"""Seconds of waiting that staying within the data hall is worth: breaks ties only."""
 BETWEEN_HALLS = 2.0
 """A copy between data halls takes twice the time of the link (the platform's page)."""
 MOVE_HALL_COST = 0.15
-"""Load that a copy within the data hall is worth, as a share of a target, for each runner there
-that can take one: it takes half the time of the link, of which a leaving runner's runs need all;
-but where few can take them, all entries choose the same one before they hear of each other."""
+"""Seconds of waiting that a copy within the data hall is worth, for each runner there: it takes
+half the time of the link, of which a leaving runner's runs need all; but where few can take them,
+all entries choose the same ones before they hear of each other."""
 MOST_MOVE_HALL_COST = 0.6
-"""Bound on that.  Means of `worth` on the users' machines with 0.15 and with 0.6, whatever the
-number: 0.679 and 0.712 with seven runners a hall (processor time, two days, two seeds), 0.617 and
-0.626 with three (two days, three seeds), 0.760 and 0.660 with one (processor time, a quiet day,
-three seeds); 2.0 gave no more."""
+"""Bound on that, in seconds of a caller's waiting as `placing.weigh` counts: a run of 3,500 tokens
+takes 0.19 s of a link of 19 Gbit/s within the hall and 0.39 s between halls, so that of the runs of
+one runner seven in place of three are copied in the shortest notice met, 1.5 s.  Pairs of whole
+days with 0.15, 0.6 and 2.0 stand in ``docs/design/decisions.md``."""
 FULL_SHARE = 0.9
 """Share of its memory above which a runner counts as full: what runs there still grows."""
 COLD_COST = 0.5
-"""Load that a target still slow from its start counts as, as a share of a target."""
+"""Seconds of waiting that a target still slow from its start counts as."""
 POOL_PACE_SECONDS = 1.0
 """How long a pool's pace is used before it is read again; it is smoothed over 20 s."""
 FIRST_RANK = (False, False, False)
