--- a/tillerlane/decisions/tests/test_placing.py
+++ b/tillerlane/decisions/tests/test_placing.py
@@ -15,6 +15,9 @@
 VERDICTS_A_SECOND = 15.9
 """Long and short requests; each second a third of what a full pool reads."""
 FIRST_AIM_SECONDS = 1.5
+LONG_AIM_SECONDS = 1.8
+PAUSE_SECONDS = 0.18
+"""What callers of short requests and of long ones expect: first piece, pause between pieces."""
 WARM_SECONDS = 5.0
 """Requests of the beginning are left out, when the pool is empty and no pace is known."""
 SECONDS = 20.0
@@ -101,14 +104,22 @@
     """Many entries, 30 runners of which a third takes 1.3 times as long, word 0.2 s old."""
 
     def play(
-        self, load: float, *, knows_pace: bool = True, unheard: float | None = None
+        self,
+        load: float,
+        *,
+        knows_pace: bool = True,
+        unheard: float | None = None,
+        least_whole: float = 0.0,
     ) -> tuple[float, float]:
-        """Mean milliseconds of a long run's event, share of short ones' first pieces in time."""
+        """Mean milliseconds of a long run's event, share of short ones' first pieces in time.
+
+        More than `least_whole` of the long ones come in time and without a long pause.
+        """
         pool = [engine_play.RunnerSpec((1.0, 1.0, 1.3)[number % 3]) for number in range(RUNNERS)]
         rates = (LETTERS_A_SECOND * load, VERDICTS_A_SECOND * load)
         if unheard is None:
             unheard = sum(rates) * engine_play.WORD_SECONDS
-        paces, shares = [], []
+        paces, shares, wholes = [], [], []
         for seed in SEEDS:
             arrivals = engine_play.draw_arrivals(
                 random.Random(seed),
@@ -121,12 +132,16 @@
             counted = [item for item in outcomes if item.arrival.at > WARM_SECONDS]
             paces.append(engine_play.read_mean_event(counted, "long") * 1000)
             shares.append(engine_play.read_share(counted, "short", FIRST_AIM_SECONDS))
+            wholes.append(
+                engine_play.read_whole_share(counted, "long", LONG_AIM_SECONDS, PAUSE_SECONDS)
+            )
+        self.assertGreater(statistics.mean(wholes), least_whole)
         return statistics.mean(paces), statistics.mean(shares)
 
     def test_long_runs_are_faster_where_runners_paces_are_known(self) -> None:
         """Half-full pool; before 36.3 ms an event and 0.984 in time, after 33.8 and 0.993."""
         before, share_before = self.play(1.0, knows_pace=False)
-        after, share_after = self.play(1.0)
+        after, share_after = self.play(1.0, least_whole=0.98)
         self.assertLess(after, 0.95 * before)
         self.assertGreater(share_after, share_before - 0.02)
 
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -209,10 +209,6 @@
 
     # What is told
 
-    def list_entries(self) -> list[str]:
-        """Entries whose word counts."""
-        return list(self._words)
-
     def read(self, address: str) -> Use:
         """All that is known to be under way at a target."""
         return dataclasses.replace(self._total.get(address, _NOTHING))
--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -15,7 +15,18 @@
 
 from tillerlane.decisions import placing
 
-__all__ = ["Arrival", "Outcome", "Pool", "RunnerSpec", "play"]
+__all__ = [
+    "Arrival",
+    "Choose",
+    "Outcome",
+    "Pool",
+    "RunnerSpec",
+    "draw_arrivals",
+    "play",
+    "read_mean_event",
+    "read_share",
+    "read_whole_share",
+]
 
 STEP_SECONDS = 0.007
 STEP_SECONDS_A_RUN = 0.000_12
