--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -93,7 +93,6 @@
         self.now = 0.0
         self.events = 0.0
         self.event_seconds = 0.0
-        self.pushed_aside = 0
 
     def run_until(self, until: float) -> None:
         """Make steps until a time."""
@@ -113,7 +112,6 @@
             self.writing.remove(run)
             run.unread = run.count_memory()
             self.reading.appendleft(run)
-            self.pushed_aside += 1
 
     def _may_read(self) -> bool:
         if not self.reading:
