Have nothing new go to the targets of an evacuated data hall, by any way

Change: an order on a data hall is one more kind of entity in the replicated log, beside drains, made against a version, so that one still on its way when a later order was committed changes nothing. Keepers push the entities to their subscribers, before the first publication; word that the configuration is fresh counts at an entry only if the orders held are the newest too. The directory answers whether a target takes work; sends ask once more before they write. Copies in such a hall are given up; what runs there ends in peace. With nothing left a request is refused at once. Store listeners get the store, so that the platform's keepers, which have no models of entities, can listen. `gateway` may import `config` for the store that `keeper` uses already.

--- a/tillerlane/config/store.py
+++ b/tillerlane/config/store.py
@@ -26,7 +26,11 @@
 Key = tuple[str, str]
 _FLEET_NAME = "fleet"
 DRAINS = "drains"
-"""Kind of the entities that stand for drained targets; they are not part of the document."""
+"""Kind of the entities that stand for drained targets."""
+EVACUATIONS = "evacuations"
+"""Kind of the entities that stand for data halls whose targets get nothing new."""
+_ORDERS = frozenset({DRAINS, EVACUATIONS})
+"""Kinds that operators' orders put in force; they are not part of the document."""
 
 
 def _get_kinds() -> dict[str, type[documents.Model]]:
@@ -55,7 +59,7 @@
     """Join entities into the document's JSON form."""
     document: dict[str, Any] = {}
     for (kind, name), body in sorted(entities.items()):
-        if kind == DRAINS:
+        if kind in _ORDERS:
             continue
         values = json.loads(body)
         if kind == "fleet":
@@ -68,7 +72,7 @@
 def diff_documents(old: dict[Key, str], new: dict[Key, str]) -> tuple[dict[Key, str], list[Key]]:
     """What a change puts and what it deletes."""
     puts = {key: body for key, body in new.items() if old.get(key) != body}
-    deletes = [key for key in old if key not in new and key[0] != DRAINS]
+    deletes = [key for key in old if key not in new and key[0] not in _ORDERS]
     return puts, deletes
 
 
@@ -91,6 +95,8 @@
     operators: dict[str, documents.Operator]
     drains: frozenset[str] = frozenset()
     """Targets and daemons that operators have told to leave."""
+    evacuated: frozenset[str] = frozenset()
+    """Data halls whose targets get nothing new."""
 
     @functools.cached_property
     def workspace_by_hash(self) -> dict[str, str]:
@@ -125,14 +131,14 @@
     kinds = _get_kinds()
     sections: dict[str, dict[str, Any]] = {kind: {} for kind in kinds}
     drains = frozenset(name for kind, name in entities if kind == DRAINS)
+    evacuated = frozenset(name for kind, name in entities if kind == EVACUATIONS)
     for (kind, name), body in entities.items():
         if kind in sections:
             sections[kind][name] = _parse_entity(kind, body)
     fleet = sections.pop("fleet").get(_FLEET_NAME) or kinds["fleet"]()
-    return Configuration(version=version, fleet=fleet, drains=drains, **sections)
-
-
-Listener = Callable[[Configuration], None]
+    return Configuration(
+        version=version, fleet=fleet, drains=drains, evacuated=evacuated, **sections
+    )
 
 
 class Store:
@@ -140,7 +146,7 @@
 
     def __init__(self) -> None:
         self._entities: dict[Key, messages.Entity] = {}
-        self._listeners: list[Listener] = []
+        self._listeners: list[Callable[[Store], None]] = []
         self._version = 0
         self._current: Configuration | None = None
 
@@ -156,10 +162,18 @@
             self._current = build_configuration(self._version, self.get_bodies())
         return self._current
 
-    def listen(self, listener: Listener) -> None:
-        """Have `listener` called with each new configuration."""
+    def listen(self, listener: Callable[[Store], None]) -> None:
+        """Have `listener` called with this store after each change."""
         self._listeners.append(listener)
 
+    def list_names(self, kind: str) -> frozenset[str]:
+        """Names of the entities of a kind that exist."""
+        return frozenset(
+            name
+            for (found, name), item in self._entities.items()
+            if found == kind and not item.deleted
+        )
+
     def get_bodies(self) -> dict[Key, str]:
         """Entities that exist: (kind, name) to body."""
         return {key: item.body for key, item in self._entities.items() if not item.deleted}
@@ -212,4 +226,4 @@
         self._version = version
         self._current = None
         for listener in self._listeners:
-            listener(self.current)
+            listener(self)
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -360,9 +360,13 @@
         with contextlib.suppress(links.LinkLost):
             link.send(messages.ConfigPull(self.store.version))
 
-    def _note_configuration(self, configuration: stores.Configuration) -> None:
-        self.timeline.record("config.in_force", version=configuration.version)
-        self.announcer.update(config_version=configuration.version)
+    def _note_configuration(self, store: stores.Store) -> None:
+        self.timeline.record(
+            "config.in_force",
+            version=store.version,
+            evacuated=sorted(store.list_names(stores.EVACUATIONS)),
+        )
+        self.announcer.update(config_version=store.version)
 
     def _note_platform_list(self, leaving: set[str]) -> None:
         self.timeline.record("platform.list", leaving=sorted(leaving))
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from tillerlane.config import store as stores
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
@@ -25,6 +26,9 @@
 __all__ = ["Control", "ControlSettings", "Surroundings"]
 
 RING_EVENTS = 2_000
+MAX_HALL_LETTERS = 100
+MAX_EVACUATED_HALLS = 100
+"""Bounds on what operators' orders take; the users' target has 16 data halls."""
 SWEEP_SECONDS = 0.5
 ENTRY_SECONDS = 5.0
 """How long an entry counts after its last word about its load; others tell of it."""
@@ -136,6 +140,7 @@
             self.replica, self._get_link, lambda: len(self._entries)
         )
         state.published.listen(self._note_publication)
+        state.store.listen(self._note_orders)
         self.meters = meters.build_control_meters()
         self._set_gauges()
         self._figures = meters.build_server(self.meters.registry)
@@ -189,6 +194,7 @@
         self.meters.fresh_age.set_function(lambda: self.freshness.read_age() or 0.0)
         self.meters.entries.set_function(lambda: len(self._entries))
         self.meters.targets.set_function(lambda: len(self.directory.targets))
+        self.meters.evacuated.set_function(lambda: len(self.list_evacuated()))
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take the seeds of changed settings."""
@@ -239,6 +245,8 @@
                 self.formation.take(link, body)
             case messages.Subscribe():
                 self._subscribe(link, body)
+            case messages.ConfigPull():
+                links.try_send(link, self.replica.machine.store.build_delta(body.have))
             case messages.PublicationPull():
                 self._send_publication(link)
             case messages.TargetStates():
@@ -274,6 +282,8 @@
         if not is_new:
             return
         self.timeline.record("entry.subscribed", entry=body.entry, version=body.have)
+        # Orders go first: an entry may send requests as soon as it has a publication.
+        links.try_send(link, self.replica.machine.store.build_delta(0))
         self._send_publication(link)
         states = directories.write_states(self.directory.targets.values(), whole=True)
         links.try_send(link, states)
@@ -302,6 +312,14 @@
         for link in list(self._subscribers):
             self._send_publication(link)
 
+    def _note_orders(self, store: stores.Store) -> None:
+        """Push all of the operators' orders, which are few, to all subscribers."""
+        halls = sorted(store.list_names(stores.EVACUATIONS))
+        self.timeline.record("evacuation.committed", version=store.version, halls=halls)
+        delta = store.build_delta(0)
+        for link in list(self._subscribers):
+            links.try_send(link, delta)
+
     async def _tell_loads(self) -> None:
         """Pass on to other keepers what entries told here, and tell subscribers the sums."""
         whole_at = 0.0
@@ -394,6 +412,48 @@
         self.timeline.record("config.published", version=version, answer=answer)
         return answer
 
+    def list_evacuated(self) -> frozenset[str]:
+        """Data halls whose targets get nothing new, by what is committed here."""
+        return self.replica.machine.store.list_names(stores.EVACUATIONS)
+
+    async def evacuate(self, data_hall: str, evacuated: bool) -> dict[str, Any]:
+        """Close a data hall to new work, or open it again; returns once that is committed.
+
+        An order that another one has overtaken on its way is made anew while its caller waits, and
+        only then: see `commands.Evacuate`.
+
+        Raises
+        ------
+        faults.FaultError
+            ``bad_request`` if the name can't be one, ``no_quorum`` if the order may or may not be
+            committed later.
+        """
+        self._check_hall(data_hall)
+        against = self.replica.machine.store.version
+        while True:
+            at_ms = int(self._around.now() * 1000)
+            command = commands.Evacuate(data_hall, evacuated, against, "platform", at_ms)
+            answer = await self.keeper.propose(commands.encode(command))
+            self.timeline.record(
+                "evacuation.order",
+                data_hall=data_hall,
+                evacuated=evacuated,
+                against=against,
+                known=any(item.data_hall == data_hall for item in self.directory.targets.values()),
+                answer=answer,
+            )
+            if answer["accepted"]:
+                return answer
+            against = answer["version"]
+
+    def _check_hall(self, data_hall: str) -> None:
+        """Refuse what can't be a data hall; one without targets at present may get some later."""
+        is_name = 0 < len(data_hall) <= MAX_HALL_LETTERS and data_hall.isprintable()
+        is_many = len(self.list_evacuated() - {data_hall}) >= MAX_EVACUATED_HALLS
+        if not is_name or is_many:
+            message = f"got data hall {data_hall[:MAX_HALL_LETTERS]!r}, expected the name of one"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
+
     def read_publication(self) -> bytes:
         """The document in force.
 
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -15,6 +15,9 @@
 
 FORGET_SECONDS = 60.0
 """How long a target that is gone is remembered, so that late word does not bring it back."""
+TAKEN_BACK_COLD_SECONDS = 3.0
+"""How long a target of a data hall that was taken back counts as cold where no later heartbeat says
+otherwise: they come each 1.2 s, at times seconds late."""
 MAX_TARGETS = 20_000
 """Bound on memory; twenty times the users' target size."""
 
@@ -60,9 +63,9 @@
     warm_at: float = 0.0
 
     @property
-    def takes_work(self) -> bool:
-        """Whether new requests may go to it."""
-        return self.phase in (Phase.READY, Phase.SILENT)
+    def is_leaving(self) -> bool:
+        """Whether it drains or is gone, so that what runs there has to go elsewhere."""
+        return self.phase in (Phase.DRAINING, Phase.GONE)
 
 
 _FINALITY = {Phase.READY: 0, Phase.SILENT: 0, Phase.DRAINING: 1, Phase.GONE: 2}
@@ -76,19 +79,39 @@
     ----------
     targets : dict
         Target id to `Target`.
+    evacuated : frozenset of str
+        Data halls whose targets get nothing new; what runs there ends in peace.
     """
 
     def __init__(self) -> None:
         self.targets: dict[str, Target] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self._listeners: list[Listener] = []
 
     def listen(self, listener: Listener) -> None:
         """Call `listener` with (target, former phase) when one is new or its phase changes."""
         self._listeners.append(listener)
 
+    def set_evacuated(self, halls: frozenset[str], now: float) -> None:
+        """Have targets of these data halls, and of no others, get nothing new.
+
+        Those of a hall that is taken back may have restarted meanwhile, so until their next
+        heartbeat they count as cold.
+        """
+        for target in self.targets.values():
+            if target.data_hall in self.evacuated - halls:
+                target.warm_at = max(target.warm_at, now + TAKEN_BACK_COLD_SECONDS)
+        self.evacuated = halls
+
+    def takes_work(self, target: Target) -> bool:
+        """Whether new requests may go to a target; every way to one asks this."""
+        return not target.is_leaving and target.data_hall not in self.evacuated
+
     def list_pool(self, pool: str) -> list[Target]:
         """Targets of a pool that may get work."""
-        return [item for item in self.targets.values() if item.pool == pool and item.takes_work]
+        return [
+            item for item in self.targets.values() if item.pool == pool and self.takes_work(item)
+        ]
 
     def take(self, told: Target) -> bool:
         """Merge one word about a target; whether anything but its time changed."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+from tillerlane.config import store as stores
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
@@ -113,6 +114,8 @@
         self.timeline = timelines.Timeline(own.name, clock, RING_EVENTS)
         self.published = publications.Publisher()
         self.published.listen(self._put_in_force)
+        self.orders = stores.Store()
+        self.orders.listen(self._note_orders)
         self.directory = directories.Directory()
         self.usage = usages.Usage(own.name)
         self._budget = budgets.RetryBudget(own.retries)
@@ -120,7 +123,7 @@
             self.directory, self.usage, own.data_hall, rng or random.Random(), self._loop.time
         )
         self._meters = meters.build_entry_meters()
-        mover = runs.Mover(
+        self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._meters
         )
         self._startup = startup.Startup()
@@ -136,7 +139,7 @@
             self._startup,
         )
         relayed = streams.Streams(
-            sender, selector, self.usage, self._budget, mover, self.timeline, self._meters
+            sender, selector, self.usage, self._budget, self._mover, self.timeline, self._meters
         )
         self._relay = relay.Relay(
             self._gate,
@@ -158,6 +161,7 @@
             self.node,
             self._clock,
             lambda: self.published.version,
+            lambda: self.orders.version,
             self.timeline,
         )
         self.homes.on_entries = self._note_entries
@@ -222,6 +226,7 @@
         self._meters.lease_age.set_function(lambda: self._clock.read_age(self._loop.time()))
         self._meters.loads_age.set_function(lambda: self.usage.read_age(self._loop.time()) or 0.0)
         self._meters.busy.set_function(self._front.count_busy)
+        self._meters.evacuated.set_function(lambda: len(self.directory.evacuated))
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take the seeds of changed settings."""
@@ -248,6 +253,15 @@
         if not table.workspaces:
             self._startup.note_ready()
 
+    def _note_orders(self, orders: stores.Store) -> None:
+        """Put operators' orders on data halls in force."""
+        self.directory.set_evacuated(orders.list_names(stores.EVACUATIONS), self._loop.time())
+        self._mover.note_evacuated()
+        self.timeline.record(
+            "evacuation.in_force", version=orders.version, halls=sorted(self.directory.evacuated)
+        )
+        self.homes.ask_again()
+
     def _note_fresh(self) -> None:
         if self._gate.table is not None and self._is_fresh():
             self._startup.note_ready()
@@ -277,6 +291,8 @@
         match body:
             case messages.Publication():
                 self.published.take(body)
+            case messages.ConfigDelta():
+                self.orders.apply_delta(body)
             case messages.TargetStates():
                 for state in body.states:
                     self._take_state(state)
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -66,6 +66,8 @@
         Takes their answers.
     read_version : callable
         Version of the publication held, -1 without one.
+    read_orders : callable
+        Version of the operators' orders held.
     timeline : timelines.Timeline
         Takes regained and lost keepers.
     """
@@ -77,12 +79,14 @@
         node: nodes.Node,
         clock: freshness.FreshnessClock,
         read_version: Callable[[], int],
+        read_orders: Callable[[], int],
         timeline: timelines.Timeline,
     ) -> None:
         self._entry = entry
         self._node = node
         self._clock = clock
         self._read_version = read_version
+        self._read_orders = read_orders
         self._timeline = timeline
         self._known = set(seeds)
         self._homes: list[_Home] = []
@@ -207,7 +211,9 @@
             return
         # A keeper that is cut off from the log answers too; only fresh word makes it useful.
         home.good_at = max(home.good_at, asked_at - reply.age_ms / 1000)
-        if not self._clock.observe(asked_at, reply, self._read_version()):
-            links.try_send(link, messages.PublicationPull(max(0, self._read_version())))
+        held, held_orders = self._read_version(), self._read_orders()
+        if not self._clock.observe(asked_at, reply, held, held_orders):
+            links.try_send(link, messages.ConfigPull(held_orders))
+            links.try_send(link, messages.PublicationPull(max(0, held)))
         else:
             self.on_fresh()
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -37,6 +37,8 @@
     loads_age: prometheus_client.Gauge
     """Age of the keeper's word of other entries' loads; 0 without one that counts."""
     busy: prometheus_client.Gauge
+    evacuated: prometheus_client.Gauge
+    """Data halls whose targets get nothing new."""
 
 
 def build_entry_meters() -> EntryMeters:
@@ -66,6 +68,7 @@
         gauge("tillerlane_config_version", "Configuration in force"),
         gauge("tillerlane_loads_age_seconds", "Age of the word of other entries' loads"),
         gauge("tillerlane_busy_connections", "Connections with a request under way"),
+        gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
     )
 
 
@@ -84,6 +87,8 @@
     fresh_age: prometheus_client.Gauge
     entries: prometheus_client.Gauge
     targets: prometheus_client.Gauge
+    evacuated: prometheus_client.Gauge
+    """Data halls whose targets get nothing new."""
 
 
 def build_control_meters() -> ControlMeters:
@@ -111,6 +116,7 @@
         gauge("tillerlane_fresh_age_seconds", "Age of the leader's word"),
         gauge("tillerlane_entries", "Entries known to be subscribed"),
         gauge("tillerlane_targets", "Targets known"),
+        gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
     )
 
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -123,6 +123,7 @@
         self._dialect = dialect
         self._selector = selector
         self._usage = usage
+        self._directory = directory
         self._timeline = timeline
         self._meters = meters
         self._runs: dict[str, set[Run]] = collections.defaultdict(set)
@@ -134,7 +135,7 @@
     def add(self, run: Run) -> None:
         """Take a run that begins at a target."""
         self._runs[run.target.target_id].add(run)
-        if not run.target.takes_work:
+        if run.target.is_leaving:
             self._start(run)
 
     def remove(self, run: Run) -> None:
@@ -158,33 +159,40 @@
     def move_again(self, run: Run) -> None:
         """Look for another destination after one did not take the run up."""
         self.give_up(run)
-        if not run.target.takes_work:
+        if run.target.is_leaving:
             self._start(run)
 
+    def note_evacuated(self) -> None:
+        """Go by no copy in a data hall that gets nothing new: it could not be sent there."""
+        self._lose_backups(lambda backup: backup.data_hall in self._directory.evacuated)
+
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
-        if target.takes_work:
+        if not target.is_leaving:
             return
-        for run in [run for runs in self._runs.values() for run in runs]:
-            if run.backup is not None and run.backup.target_id == target.target_id:
-                self._lose_backup(run)
+        self._lose_backups(lambda backup: backup.target_id == target.target_id)
         runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: run.tokens)
         for run in runs:
             self._start(run)
 
+    def _lose_backups(self, is_lost: Callable[[directories.Target], bool]) -> None:
+        for run in [run for runs in self._runs.values() for run in runs]:
+            if run.backup is not None and is_lost(run.backup):
+                self._lose_backup(run)
+
     def _lose_backup(self, run: Run) -> None:
-        """Count a run among those without a copy when the runner that has it leaves."""
+        """Count a run among those without a copy when the one that it has can't be used."""
         assert run.backup is not None
         self._usage.add(run.backup.address, tokens=-run.tokens)
         run.backup = None
         self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
-        if not run.target.takes_work:
+        if run.target.is_leaving:
             self._start(run)
 
     def _start(self, run: Run) -> None:
         engine = run.pool.engine
         if engine is None or not engine.can_move or run.moving is not None:
             return
-        if run.backup is not None and run.backup.takes_work:
+        if run.backup is not None and self._directory.takes_work(run.backup):
             # It may end here yet, and goes on there at once if it does not.  An order would copy
             # all of its memory again, and hold up those runs that have no other copy.
             return
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -157,7 +157,7 @@
         return sum(
             self._usage.read(target.address).requests
             for target in self._directory.targets.values()
-            if target.pool == pool.name and target.data_hall == hall and not target.takes_work
+            if target.pool == pool.name and target.data_hall == hall and target.is_leaving
         )
 
     def _draw_best(
@@ -231,6 +231,17 @@
             cost += COLD_COST
         return cost
 
+    def may_send(self, target: directories.Target) -> bool:
+        """Whether a request chosen for a target may still be sent to it.
+
+        One that has begun to leave may: it serves on for a while, and a run's copy may be there.
+        """
+        return target.data_hall not in self._directory.evacuated
+
+    def list_evacuated(self) -> list[str]:
+        """Data halls whose targets get nothing new."""
+        return sorted(self._directory.evacuated)
+
     def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
         """Seconds that a runner's link needs to copy all runs that have no copy yet."""
         use = self._usage.read(target.address)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -33,6 +33,9 @@
 """Share of the time within which an answer is in time that a request waits for memory: a refusal
 that comes within a quarter of it leaves the caller time to be served elsewhere."""
 ROOM_CHECK_SECONDS = 0.03
+EVACUATED_RETRY_SECONDS = 1.0
+"""When a caller may come back that found all data halls evacuated: such an order holds for seconds,
+so that coming back at once is in vain."""
 FIRST_SEND_SHARE = 0.5
 """Share of a request's time after which another target is asked, if it may run again."""
 SILENT_SECONDS = 0.25
@@ -179,6 +182,8 @@
         try:
             async with asyncio.timeout_at(until):
                 exchange = await http_client.connect(address, CONNECT_SECONDS)
+                if not self._selector.may_send(target):
+                    return NotRun(f"{target.data_hall} was evacuated meanwhile", sent=False)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, exchange)
@@ -262,10 +267,18 @@
         has_room = self._selector.has_room(asked.pool, backup, asked.tokens, BACKUP_MEMORY_SHARE)
         return backup if has_room else None
 
+    def _build_no_target(self, asked: admissions.Admission) -> NotRun:
+        """Refuse a request that no target takes now, and say why."""
+        halls = self._selector.list_evacuated()
+        if not halls:
+            return NotRun("no target", sent=False)
+        reason = f"no target outside the evacuated data halls {halls}"
+        return NotRun(reason, sent=False, retry_after=EVACUATED_RETRY_SECONDS)
+
     async def try_targets(self, asked: admissions.Admission) -> Tried:
         """Send a request until it is answered or may not be sent again."""
         excluded: set[str] = set()
-        tried = Tried(NotRun("no target", sent=False))
+        tried = Tried(self._build_no_target(asked))
         unsent = 0
         while unsent < UNSENT_TRIES:
             target = self._selector.choose(asked.pool, asked.work, excluded)
--- a/tillerlane/keeper/commands.py
+++ b/tillerlane/keeper/commands.py
@@ -53,6 +53,20 @@
     at_ms: int
 
 
+class Evacuate(msgspec.Struct, frozen=True, tag="evacuate"):
+    """Closes a data hall to new work or opens it again, by an order made against a version.
+
+    Sent again it finds what holds already; one that is still on its way when a later order has
+    been committed is made against an older version, and changes nothing any more.
+    """
+
+    data_hall: str
+    evacuated: bool
+    against: int
+    actor: str
+    at_ms: int
+
+
 class ClaimOpen(msgspec.Struct, frozen=True, tag="claim_open"):
     """Claims a request that may not be repeated, before it is sent."""
 
@@ -164,6 +178,7 @@
     Noop
     | Change
     | Drain
+    | Evacuate
     | ClaimOpen
     | ClaimMove
     | ClaimSettle
--- a/tillerlane/keeper/freshness.py
+++ b/tillerlane/keeper/freshness.py
@@ -41,11 +41,16 @@
     def __init__(self) -> None:
         self.fresh_at = UNKNOWN
 
-    def observe(self, asked_at: float, reply: messages.FreshnessReply, held: int) -> bool:
-        """Take an answer to a question asked at `asked_at`; False if `held` is too old for it."""
+    def observe(
+        self, asked_at: float, reply: messages.FreshnessReply, held: int, held_orders: int
+    ) -> bool:
+        """Take an answer to a question asked at `asked_at`.
+
+        False if the publication held, or the operators' orders, are too old for it.
+        """
         if not reply.known:
             return True
-        if held < reply.version:
+        if held < reply.version or held_orders < reply.orders_version:
             return False
         self.fresh_at = max(self.fresh_at, asked_at - reply.age_ms / 1000)
         return True
@@ -148,6 +153,7 @@
             keepers=sorted(voter.address for voter in own.voters.values()),
             entries=self._count_entries(),
             applied_index=own.applied,
+            orders_version=own.machine.store.version,
         )
 
     async def run(self) -> None:
@@ -176,5 +182,6 @@
         # The leader's index counts, since the log carries more than the publication.
         self._is_behind = reply.known and own.applied < reply.applied_index
         if reply.known and not self._is_behind:
-            self._clock.observe(asked_at, reply, own.machine.published.version)
+            held = own.machine
+            self._clock.observe(asked_at, reply, held.published.version, held.store.version)
             self._note_known()
--- a/tillerlane/keeper/machine.py
+++ b/tillerlane/keeper/machine.py
@@ -71,6 +71,8 @@
                 return self._answer_once(command.change_id, lambda: self._change(command))
             case commands.Drain():
                 return self._answer_once(command.change_id, lambda: self._drain(command))
+            case commands.Evacuate():
+                return self._evacuate(command)
             case commands.ClaimOpen():
                 return self.claims.open(command)
             case commands.ClaimMove():
@@ -131,6 +133,21 @@
             self._remember(command.actor, command.at_ms, command.change_id, note)
         return {"accepted": True, "version": self.store.version}
 
+    def _evacuate(self, command: commands.Evacuate) -> dict[str, Any]:
+        version = self.store.version
+        if (command.data_hall in self.store.list_names(stores.EVACUATIONS)) == command.evacuated:
+            return {"accepted": True, "version": version}
+        if command.against != version:
+            return {"accepted": False, "version": version, "against": command.against}
+        key = (stores.EVACUATIONS, command.data_hall)
+        puts = {key: "{}"} if command.evacuated else {}
+        deletes = [] if command.evacuated else [key]
+        self.store.apply_change(version + 1, puts, deletes)
+        verb = "evacuate" if command.evacuated else "take back"
+        note = f"{verb} {command.data_hall}"
+        self._remember(command.actor, command.at_ms, "", note)
+        return {"accepted": True, "version": version + 1}
+
     def _remember(self, actor: str, at_ms: int, change_id: str, note: str) -> None:
         entry = {
             "version": self.store.version,
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -53,9 +53,9 @@
         """Stop the keeper."""
         await self.replica.stop()
 
-    def _push(self, configuration: stores.Configuration) -> None:
+    def _push(self, store: stores.Store) -> None:
         """Send the newest change to all subscribers; who lacks more pulls it."""
-        delta = self.replica.machine.store.build_delta(configuration.version - 1)
+        delta = store.build_delta(store.version - 1)
         for link in self._get_subscribers():
             links.try_send(link, delta)
 
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -211,6 +211,7 @@
   keepers @3 :List(Text);
   entries @4 :UInt32;
   appliedIndex @5 :UInt64;
+  ordersVersion @6 :UInt64;
 }
 struct KeeperSeen { name @0 :Text; address @1 :Text; diskId @2 :Text; fresh @3 :Bool; }
 struct KeeperAnnounce { keepers @0 :List(KeeperSeen); }
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -482,7 +482,8 @@
 class FreshnessReply:
     """``version`` was the newest ``age_ms`` before this reply was written, if ``known``.
 
-    ``keepers`` are the voters' peer addresses, ``entries`` how many entries are subscribed.
+    ``keepers`` are the voters' peer addresses, ``entries`` how many entries are subscribed,
+    ``orders_version`` that of the entity store, which holds operators' orders.
     """
 
     version: int
@@ -491,6 +492,7 @@
     keepers: list[str]
     entries: int = 0
     applied_index: int = 0
+    orders_version: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/platform/control_api.py
+++ b/tillerlane/platform/control_api.py
@@ -10,7 +10,7 @@
 
 __all__ = ["build_server"]
 
-PUBLISH_SECONDS = 0.9
+COMMIT_SECONDS = 0.9
 """Callers ask elsewhere after a second without an answer."""
 MAX_BODY_BYTES = 32 * 1024 * 1024
 IDLE_SECONDS = 30.0
@@ -63,6 +63,8 @@
             return 200, b"{}"
         case b"POST", "Config.Put":
             return await _publish(keeper, request.body)
+        case b"POST", "Evacuate.Start" | "Evacuate.End" if argument:
+            return await _evacuate(keeper, argument, name == "Evacuate.Start")
         case b"GET", "Config.Get":
             return 200, keeper.read_publication()
     return 404, b""
@@ -84,6 +86,16 @@
     keeper.take_heartbeat(target)
 
 
+async def _evacuate(keeper: control.Control, data_hall: str, evacuated: bool) -> tuple[int, bytes]:
+    try:
+        async with asyncio.timeout(COMMIT_SECONDS):
+            await keeper.evacuate(data_hall, evacuated)
+    except TimeoutError:
+        keeper.timeline.record("evacuation.undecided", data_hall=data_hall, evacuated=evacuated)
+        return 503, b""
+    return 200, b""
+
+
 async def _publish(keeper: control.Control, document: bytes) -> tuple[int, bytes]:
     try:
         table = wire.check_document(document)
@@ -91,7 +103,7 @@
         keeper.timeline.record("config.refused", reason=error.fault.message[:300])
         return 400, b""
     try:
-        async with asyncio.timeout(PUBLISH_SECONDS):
+        async with asyncio.timeout(COMMIT_SECONDS):
             await keeper.publish(table.version, document)
     except TimeoutError:
         keeper.timeline.record("config.undecided", version=table.version)
--- a/tillerlane/testing/tests/test_reference.py
+++ b/tillerlane/testing/tests/test_reference.py
@@ -23,7 +23,7 @@
         "keeper",
     },
     "decisions": set(),
-    "gateway": {"faults", "timeline", "peers", "keeper", "decisions"},
+    "gateway": {"faults", "timeline", "config", "peers", "keeper", "decisions"},
     "platform": {"faults", "gateway", "keeper", "peers", "timeline"},
 }
 """Which of the package's folders each folder may use; the others may use all."""
