Keep what all entries send to a cold target within its rate

Cause: `cold_per_s`, `cold_over` and `cold_slack` were read by nothing; a cold target only counted as half a second of waiting.

Change: decisions/cold.py gives each entry a share of the rate, in whole requests in any second and by lot for what is left over; gateway/cold.py holds each send against it, after the connection is open, so that moves, retries and second asks count. What finds only cold targets waits as it would for memory, then is refused with the time until the first is warm.

Lots stand; a keeper that grants rates was not built.

--- /dev/null
+++ b/tillerlane/gateway/cold.py
@@ -0,0 +1,65 @@
+"""What this entry has sent to cold targets lately, held against its share of what they bear."""
+
+import collections
+import dataclasses
+import hashlib
+
+from tillerlane.decisions import cold
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import routes
+
+__all__ = ["ColdBounds", "ColdSends"]
+
+WINDOW_SECONDS = 1.0
+"""Time over which a cold target's requests are counted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdBounds:
+    """Above a cold target's rate times `over` plus `slack` within a second it may fall over."""
+
+    over: float
+    slack: float
+
+
+class ColdSends:
+    """Sends to cold targets by target id.
+
+    Parameters
+    ----------
+    entry : str
+        This entry's id, by which it draws its lots.
+    bounds : ColdBounds
+        How far above their rate targets bear it.
+    """
+
+    def __init__(self, entry: str, bounds: ColdBounds) -> None:
+        self._entry = entry
+        self._bounds = bounds
+        self._sent: dict[str, collections.deque[float]] = {}
+
+    def may_send(
+        self, pool: routes.Pool, target: directories.Target, entries: int, now: float
+    ) -> bool:
+        """Whether one more request may go to a target now."""
+        if target.warm_at <= now or pool.cold_rate <= 0:
+            return True
+        most = pool.cold_rate * self._bounds.over + self._bounds.slack
+        rate = cold.Rate(pool.cold_rate, most)
+        share = cold.count_share(rate, entries, self._draw_lot(target.target_id))
+        sent = self._sent.get(target.target_id, ())
+        return sum(at > now - WINDOW_SECONDS for at in sent) < share
+
+    def note_sent(self, target: directories.Target, now: float) -> None:
+        """Count a request that goes out now, also to a target that may turn cold soon after."""
+        for other, sent in list(self._sent.items()):
+            if sent[-1] <= now - WINDOW_SECONDS:
+                del self._sent[other]
+        times = self._sent.setdefault(target.target_id, collections.deque())
+        times.append(now)
+        while times[0] <= now - WINDOW_SECONDS:
+            times.popleft()
+
+    def _draw_lot(self, target_id: str) -> float:
+        digest = hashlib.blake2b(f"{self._entry}:{target_id}".encode(), digest_size=4).digest()
+        return int.from_bytes(digest) / 2**32
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -120,9 +120,9 @@
         return not target.is_leaving and target.data_hall not in self.evacuated
 
     def list_pool(self, pool: str) -> list[Target]:
-        """Targets of a pool that may get work, in any order.
+        """Targets of a pool that may get work.
 
-        Looking through 3,001 targets takes 1.4 ms, and each request asks: the list is kept.
+        Looking through 3,001 targets takes 1.4 ms, and each request asks: what is found is kept.
         """
         listed = self._pools.get(pool)
         if listed is None:
@@ -132,7 +132,7 @@
                 if item.pool == pool and self.takes_work(item)
             ]
             self._pools[pool] = listed
-        return listed
+        return list(listed)
 
     def take(self, told: Target) -> bool:
         """Merge one word about a target; whether anything but its time changed."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -22,6 +22,7 @@
     streams,
 )
 from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import cold as colds
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
@@ -67,6 +68,8 @@
         After the signal to stop: how long callers' new requests are taken, and when it ends.
     retries : budgets.RetryBounds
         The fleet's bound on retries.
+    cold : colds.ColdBounds
+        How far above their rate cold targets bear requests.
     """
 
     name: str
@@ -81,6 +84,7 @@
     accept_seconds: float
     stop_seconds: float
     retries: budgets.RetryBounds
+    cold: colds.ColdBounds
 
 
 class Entry:
@@ -123,7 +127,12 @@
         self.usage = usages.Usage(own.name)
         self._budget = budgets.RetryBudget(own.retries)
         selector = selection.Selector(
-            self.directory, self.usage, own.data_hall, rng or random.Random(), self._loop.time
+            self.directory,
+            self.usage,
+            colds.ColdSends(own.name, own.cold),
+            own.data_hall,
+            rng or random.Random(),
+            self._loop.time,
         )
         self._meters = meters.build_entry_meters()
         self._mover = runs.Mover(
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -102,12 +102,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
-    """Targets that serve the same requests."""
+    """Targets that serve the same requests.
+
+    Attributes
+    ----------
+    cold_rate : float
+        Requests a second that one of them bears while it is cold; 0 for no bound.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterator
 
 from tillerlane.decisions import placing
+from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import loads, routes
 from tillerlane.gateway import usage as usages
@@ -81,6 +82,8 @@
         Targets known.
     usage : usages.Usage
         What is under way at each.
+    cold : colds.ColdSends
+        What this entry has sent to cold ones.
     data_hall : str
         This entry's data hall.
     rng : random.Random
@@ -93,6 +96,7 @@
         self,
         directory: directories.Directory,
         usage: usages.Usage,
+        cold: colds.ColdSends,
         data_hall: str,
         rng: random.Random,
         now: Callable[[], float],
@@ -100,6 +104,7 @@
         self.caution = Caution()
         self._directory = directory
         self._usage = usage
+        self._cold = cold
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
@@ -178,7 +183,9 @@
             for target in _draw_in_turn(group, self._rng):
                 if drawn >= wished and best == FIRST_RANK:
                     break
-                if target.target_id in excluded:
+                if target.target_id in excluded or not self._directory.takes_work(target):
+                    continue
+                if not self._bears_more(pool, target, now):
                     continue
                 use = self._usage.read(target.address)
                 rank = (
@@ -231,12 +238,27 @@
             cost += COLD_COST
         return cost
 
-    def may_send(self, target: directories.Target) -> bool:
-        """Whether a request chosen for a target may still be sent to it.
+    def note_send(self, pool: routes.Pool, target: directories.Target) -> str:
+        """Count a request that goes out to a target now; why it may not, or an empty text.
 
-        One that has begun to leave may: it serves on for a while, and a run's copy may be there.
+        One that has begun to leave gets it: it serves on for a while, and may have a run's copy.
         """
-        return target.data_hall not in self._directory.evacuated
+        now = self._now()
+        if target.data_hall in self._directory.evacuated:
+            return f"{target.data_hall} was evacuated meanwhile"
+        if not self._bears_more(pool, target, now):
+            return f"{target.address} is cold and has this entry's share"
+        self._cold.note_sent(target, now)
+        return ""
+
+    def _bears_more(self, pool: routes.Pool, target: directories.Target, now: float) -> bool:
+        return self._cold.may_send(pool, target, self._usage.entries, now)
+
+    def read_cold_seconds(self, pool: routes.Pool) -> float:
+        """Seconds until the first cold target of a pool is warm; 0 if none is cold."""
+        now = self._now()
+        listed = self._directory.list_pool(pool.name)
+        return min((item.warm_at - now for item in listed if item.warm_at > now), default=0.0)
 
     def list_evacuated(self) -> list[str]:
         """Data halls whose targets get nothing new."""
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -182,8 +182,9 @@
         try:
             async with asyncio.timeout_at(until):
                 exchange = await http_client.connect(address, CONNECT_SECONDS)
-                if not self._selector.may_send(target):
-                    return NotRun(f"{target.data_hall} was evacuated meanwhile", sent=False)
+                problem = self._selector.note_send(asked.pool, target)
+                if problem:
+                    return NotRun(problem, sent=False)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, exchange)
@@ -269,6 +270,10 @@
 
     def _build_no_target(self, asked: admissions.Admission) -> NotRun:
         """Refuse a request that no target takes now, and say why."""
+        cold_seconds = self._selector.read_cold_seconds(asked.pool)
+        if cold_seconds > 0:
+            reason = "no target but cold ones that have this entry's share"
+            return NotRun(reason, sent=False, retry_after=cold_seconds)
         halls = self._selector.list_evacuated()
         if not halls:
             return NotRun("no target", sent=False)
@@ -278,15 +283,18 @@
     async def try_targets(self, asked: admissions.Admission) -> Tried:
         """Send a request until it is answered or may not be sent again."""
         excluded: set[str] = set()
-        tried = Tried(self._build_no_target(asked))
+        tried = Tried(NotRun("no target", sent=False))
         unsent = 0
         while unsent < UNSENT_TRIES:
             target = self._selector.choose(asked.pool, asked.work, excluded)
             if target is None and not excluded and self._may_wait_for_targets(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
+            if target is None and self._may_wait_for_warmth(asked):
+                await asyncio.sleep(ROOM_CHECK_SECONDS)
+                continue
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
-                return tried
+                return tried if tried.target else Tried(self._build_no_target(asked))
             if not self._has_room(asked, target):
                 if self._loop.time() < self._read_patience(asked):
                     await asyncio.sleep(ROOM_CHECK_SECONDS)
@@ -324,6 +332,11 @@
         arrived = asked.request.arrived
         return self._startup.may_wait_for_targets(arrived, asked.ends_at - arrived)
 
+    def _may_wait_for_warmth(self, asked: admissions.Admission) -> bool:
+        """Whether a cold target may take a request in time, or be warm by then."""
+        left = self._read_patience(asked) - self._loop.time()
+        return left > 0 and self._selector.read_cold_seconds(asked.pool) > 0
+
     def _read_patience(self, asked: admissions.Admission) -> float:
         """Until when a request waits for memory; then the caller is told when to come back."""
         return asked.request.arrived + asked.route.aim_seconds * ROOM_WAIT_SHARE
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -5,12 +5,14 @@
 import unittest
 
 from tillerlane.decisions import placing
+from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import routes, selection, usage
 
 PROMPT_TOKENS = 3_000
 WORK = placing.Work(PROMPT_TOKENS, PROMPT_TOKENS)
 RUNNERS = 10
+COLD = colds.ColdSends("entry-0", colds.ColdBounds(1.5, 5.0))
 ENGINE = routes.Engine(
     slots=24,
     memory_tokens=34_000,
@@ -55,7 +57,7 @@
         for _ in range(prompts):
             self.usage.note_request("llm", self.now)
         selector = selection.Selector(
-            self.directory, self.usage, "hall-a", random.Random(1), lambda: self.now
+            self.directory, self.usage, COLD, "hall-a", random.Random(1), lambda: self.now
         )
         chosen: collections.Counter[str] = collections.Counter()
         for _ in range(200):
@@ -98,7 +100,7 @@
             if is_near:
                 self.usage.add(f"10.0.9.{number}:9000", requests=6, tokens=7_000)
         selector = selection.Selector(
-            self.directory, self.usage, "hall-b", random.Random(1), lambda: self.now
+            self.directory, self.usage, COLD, "hall-b", random.Random(1), lambda: self.now
         )
         chosen = selector.choose(self.pool, placing.Work(PROMPT_TOKENS), (), source_hall="hall-a")
         assert chosen is not None
@@ -112,7 +114,7 @@
         leaving.phase = directories.Phase.DRAINING
         self.usage.add(leaving.address, requests=8)
         selector = selection.Selector(
-            self.directory, self.usage, "hall-a", random.Random(1), lambda: self.now
+            self.directory, self.usage, COLD, "hall-a", random.Random(1), lambda: self.now
         )
         work = placing.Work(PROMPT_TOKENS, events=100)
         chosen: collections.Counter[str] = collections.Counter()
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -83,7 +83,7 @@
     Attributes
     ----------
     entries : int
-        Entries of the fleet, this one included, as last heard.
+        Entries of the fleet, this one included, as last heard; 0 until then.
     changed : bool
         Whether there is anything new to tell.
     """
@@ -105,7 +105,7 @@
         self._digest_sequence = 0
         self._heard_at: float | None = None
         self._sequence = 0
-        self.entries = 1
+        self.entries = 0
         self.changed = False
         self._rates: dict[str, _Rate] = {}
 
@@ -159,7 +159,8 @@
         Callers are spread over the entries, so that the others send as often as this one.
         """
         rate = self._rates.get(pool)
-        return rate.read(now) * (self.entries - 1) * WORD_SECONDS if rate is not None else 0.0
+        others = max(0, self.entries - 1)
+        return rate.read(now) * others * WORD_SECONDS if rate is not None else 0.0
 
     # All entries'
 
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -8,7 +8,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import control, entry
+from tillerlane.gateway import cold, control, entry
 from tillerlane.keeper import formation
 from tillerlane.peers import node as nodes
 
@@ -54,6 +54,8 @@
     budget_ratio: float = 0.2
     budget_window_s: float = 10
     budget_slack: float = 50
+    cold_over: float = 1.5
+    cold_slack: float = 5
 
 
 class Settings(msgspec.Struct):
@@ -129,6 +131,7 @@
         retries=budgets.RetryBounds(
             bounds.budget_ratio, bounds.budget_window_s, bounds.budget_slack
         ),
+        cold=cold.ColdBounds(bounds.cold_over, bounds.cold_slack),
     )
 
 
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -170,6 +170,7 @@
     health_path: str = "/health"
     max_conns: int = 100
     engine: _Engine | None = None
+    cold_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -225,23 +226,21 @@
 
 
 def _build_pool(item: _Service) -> routes.Pool:
-    engine = item.engine
-    if engine is None:
-        return routes.Pool(item.name, item.health_path, item.max_conns)
-    return routes.Pool(
-        item.name,
-        item.health_path,
-        item.max_conns,
-        routes.Engine(
-            slots=engine.slots,
-            memory_tokens=engine.kv_capacity,
-            token_bytes=engine.kv_token_bytes,
-            link_mbps=engine.link_mbps,
-            event_tokens=max(1, engine.stride),
-            can_move=engine.moves,
-            can_back_up=engine.backups,
-            hold_seconds=engine.handle_s,
-        ),
+    engine = None if item.engine is None else _build_engine(item.engine)
+    cold_rate = item.cold_per_s or 0.0
+    return routes.Pool(item.name, item.health_path, item.max_conns, engine, cold_rate)
+
+
+def _build_engine(item: _Engine) -> routes.Engine:
+    return routes.Engine(
+        slots=item.slots,
+        memory_tokens=item.kv_capacity,
+        token_bytes=item.kv_token_bytes,
+        link_mbps=item.link_mbps,
+        event_tokens=max(1, item.stride),
+        can_move=item.moves,
+        can_back_up=item.backups,
+        hold_seconds=item.handle_s,
     )
 
 
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import control, entry
+from tillerlane.gateway import cold, control, entry
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
 from tillerlane.platform import adapter, wire
@@ -153,6 +153,7 @@
             accept_seconds=1.0,
             stop_seconds=6.0,
             retries=budgets.RetryBounds(0.2, 10.0, 50.0),
+            cold=cold.ColdBounds(1.5, 5.0),
         )
         daemon = entry.Entry(
             own, adapter.build_dialect(), self.network.connect_as(name), random.Random(name)
@@ -182,6 +183,7 @@
         hall: str = "hall-a",
         phase: directories.Phase = directories.Phase.READY,
         keeper: str = "",
+        cold_seconds: float = 0.0,
     ) -> None:
         """Send a target's heartbeat to one keeper."""
         sequence = self._sequences.get(target_id, 0) + 1
@@ -195,6 +197,7 @@
             phase,
             sequence,
             asyncio.get_running_loop().time(),
+            asyncio.get_running_loop().time() + cold_seconds,
         )
         daemon = self.keepers[keeper] if keeper else next(iter(self.keepers.values()))
         daemon.take_heartbeat(told)
