Let operators empty a data hall from the command line, in the daemon too

Cause: the order on a data hall existed for the platform's calls only.

Change: `tillerlane evacuate start|end|list HALL`, POST /admin/evacuate and GET /admin/evacuations; the daemon's entries leave out targets of an evacuated hall in every choice, borrowed ones included; a hall that no daemon is in is refused (not_found).

--- a/tillerlane/cli/fleets.py
+++ b/tillerlane/cli/fleets.py
@@ -14,7 +14,15 @@
 from tillerlane.timeline import clock as clocks
 from tillerlane.timeline import core as timelines
 
-__all__ = ["add_keeper", "add_placement", "add_request", "add_runner", "add_status", "add_timeline"]
+__all__ = [
+    "add_evacuate",
+    "add_keeper",
+    "add_placement",
+    "add_request",
+    "add_runner",
+    "add_status",
+    "add_timeline",
+]
 
 _SPAN = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)?$")
 _UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
@@ -170,6 +178,46 @@
         verb.set_defaults(run=run_drain, leaving=leaving)
 
 
+# Data halls
+
+
+def run_evacuate(arguments: argparse.Namespace) -> int:
+    """``evacuate start`` and ``evacuate end``."""
+    body = {"data_hall": arguments.hall, "evacuated": arguments.evacuated}
+    answer = clients.connect(arguments).post("/admin/evacuate", body)
+    if arguments.json:
+        clients.print_json(answer)
+    else:
+        verb = "get nothing new" if arguments.evacuated else "take work again"
+        print(f"targets of {arguments.hall} {verb}, as of version {answer['version']}")
+    return 0
+
+
+def run_evacuations(arguments: argparse.Namespace) -> int:
+    """``evacuate list``."""
+    answer = clients.connect(arguments).get("/admin/evacuations")
+    if arguments.json:
+        clients.print_json(answer)
+    else:
+        clients.print_table(["HALL"], [[name] for name in answer["data_halls"]])
+    return 0
+
+
+def add_evacuate(nouns: Any) -> None:
+    """Add ``evacuate``."""
+    verbs = nouns.add_parser("evacuate", help="data halls without new work").add_subparsers(
+        required=True, metavar="VERB"
+    )
+    listing = verbs.add_parser("list")
+    clients.add_options(listing)
+    listing.set_defaults(run=run_evacuations)
+    for name, evacuated in (("start", True), ("end", False)):
+        verb = verbs.add_parser(name)
+        clients.add_options(verb)
+        verb.add_argument("hall", metavar="HALL")
+        verb.set_defaults(run=run_evacuate, evacuated=evacuated)
+
+
 # Requests
 
 
--- a/tillerlane/cli/main.py
+++ b/tillerlane/cli/main.py
@@ -23,6 +23,7 @@
     configs.add_section(nouns, "pool", "pools")
     configs.add_section(nouns, "service", "services")
     fleets.add_runner(nouns)
+    fleets.add_evacuate(nouns)
     fleets.add_request(nouns)
     fleets.add_keeper(nouns)
     fleets.add_placement(nouns)
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -207,7 +207,11 @@
         near = self.settings.near_halls
         self.view = fleet.FleetView(self.node, self.members, set(near) if near else None)
         router = routing.Router(
-            self.view, self.settings.data_hall, self._around.rng, self._around.choose
+            self.view,
+            self.settings.data_hall,
+            self._around.rng,
+            self._around.choose,
+            lambda: self.store.current.evacuated,
         )
         dispatcher = dispatch.Dispatcher(
             self.view,
--- a/tillerlane/entry/routing.py
+++ b/tillerlane/entry/routing.py
@@ -41,6 +41,8 @@
     rng: random.Random
     choose: Choose | None = None
     """Another rule among those that may take a request; benchmarks put baselines here."""
+    get_evacuated: Callable[[], frozenset[str]] = frozenset
+    """Data halls whose targets get nothing new."""
 
 
 def estimate_wait(record: fleet.TargetRecord, urgent: bool) -> float:
@@ -158,9 +160,16 @@
 ) -> result.Result[fleet.TargetRecord, faults.Fault]:
     """Choose a target for a request; `tried` ones are left out."""
     known = [router.view.targets.get(name) for name in request.targets]
-    records = [item for item in known if item is not None and _may_take(item, request, tried)]
+    evacuated = router.get_evacuated()
+    records = [
+        item
+        for item in known
+        if item is not None and item.hall not in evacuated and _may_take(item, request, tried)
+    ]
     if not records:
         message = f"none of the {len(request.targets)} targets of {request.group!r} can take it"
+        if evacuated:
+            message += f"; evacuated data halls: {sorted(evacuated)}"
         fault = faults.new_fault(kinds.ErrorKind.NO_CAPACITY, message, retry_after=1.0)
         return result.Err(fault)
     if router.choose is not None:
--- a/tillerlane/operators/api.py
+++ b/tillerlane/operators/api.py
@@ -153,6 +153,18 @@
         body = await _read_body(request, changes.DrainBody)
         return await changes.submit_drain(daemon, body, actor)
 
+    @litestar.post("/admin/evacuate", status_code=200)
+    async def evacuate(request: Http) -> dict[str, Any]:
+        actor = access.authorize(daemon, request, documents.OperatorRole.DRAIN)
+        body = await _read_body(request, changes.EvacuateBody)
+        return await changes.submit_evacuation(daemon, body, actor)
+
+    @litestar.get("/admin/evacuations")
+    async def evacuations(request: Http) -> dict[str, Any]:
+        access.authorize(daemon, request, documents.OperatorRole.READ)
+        current = daemon.store.current
+        return {"version": current.version, "data_halls": sorted(current.evacuated)}
+
     @litestar.post("/admin/cancel", status_code=200)
     async def cancel(request: Http) -> dict[str, Any]:
         actor = access.authorize(daemon, request, documents.OperatorRole.DRAIN)
@@ -183,7 +195,8 @@
         body = await _read_body(request, PinBody)
         return await daemon.client.propose(commands.Pin(body.target, body.model, body.pinned))
 
-    return [status, own_status, timeline, drain, cancel, keepers, placement, pin]
+    orders = [drain, evacuate, evacuations, cancel, keepers, placement, pin]
+    return [status, own_status, timeline, *orders]
 
 
 def build_handlers(daemon: daemons.Daemon) -> list[Any]:
--- a/tillerlane/operators/changes.py
+++ b/tillerlane/operators/changes.py
@@ -15,7 +15,15 @@
 from tillerlane.keeper import commands
 from tillerlane.policy import program as programs
 
-__all__ = ["ChangeBody", "DrainBody", "check_document", "submit_change", "submit_drain"]
+__all__ = [
+    "ChangeBody",
+    "DrainBody",
+    "EvacuateBody",
+    "check_document",
+    "submit_change",
+    "submit_drain",
+    "submit_evacuation",
+]
 
 CATCH_UP_SECONDS = 2.0
 
@@ -43,6 +51,16 @@
     leaving: bool = True
 
 
+class EvacuateBody(pydantic.BaseModel):
+    """Body of ``POST /admin/evacuate``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    data_hall: documents.Name
+    evacuated: bool = True
+    """False takes the data hall back."""
+
+
 def check_document(
     data: dict[str, Any], source: str
 ) -> result.Result[documents.Document, faults.Fault]:
@@ -140,3 +158,36 @@
         body.change_id, body.name, body.leaving, actor, int(time.time() * 1000)
     )
     return await daemon.client.propose(command)
+
+
+async def submit_evacuation(
+    daemon: daemons.Daemon, body: EvacuateBody, actor: str
+) -> dict[str, Any]:
+    """Have nothing new go to the targets of a data hall, or take the hall back.
+
+    Raises
+    ------
+    faults.FaultError
+        ``not_found`` if no daemon is known to be in the data hall, ``no_quorum`` with ``ran:
+        unknown`` if the fate is not known.
+    """
+    known = {member.data_hall for member in daemon.members.read_all()}
+    if body.evacuated and body.data_hall not in known:
+        message = f"got data hall {body.data_hall!r}, expected one of {sorted(known)}"
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
+    against = daemon.store.version
+    while True:
+        at_ms = int(time.time() * 1000)
+        command = commands.Evacuate(body.data_hall, body.evacuated, against, actor, at_ms)
+        answer = await daemon.client.propose(command)
+        daemon.timeline.record(
+            "evacuation.order",
+            data_hall=body.data_hall,
+            evacuated=body.evacuated,
+            against=against,
+            actor=actor,
+            answer=answer,
+        )
+        if answer["accepted"]:
+            return answer
+        against = answer["version"]
