Tell a prompt that is sent, or read, to all entries at once

Cause: 22 entries chose by word that was 0.2 s old while 28 prompts a second came: some six prompts were unheard of at each choice, and whatever was drawn met the same queues.

Change: an entry tells a change of 1,000 tokens at once (0.02 s apart at least), a keeper passes it on and tells it in a digest within 0.02 s, or longer where it has more than 20 entries to tell; smaller changes keep their pace. How old others' word is, is measured on the way of the own word to the digest that has it. The test that waits for a missed digest to be noticed now waits for as long as the design allows between two digests (1 s), not for what grows by chance meanwhile.

In the play of the load, word 0.2 s and 0.03 s old: short requests in time 0.903 -> 0.962, long ones unbroken 0.888 -> 0.941.

--- a/tillerlane/decisions/tests/test_placing.py
+++ b/tillerlane/decisions/tests/test_placing.py
@@ -1,5 +1,6 @@
 """Where requests go: what a runner costs, and a load played against it."""
 
+import dataclasses
 import random
 import statistics
 import unittest
@@ -22,6 +23,8 @@
 """Requests of the beginning are left out, when the pool is empty and no pace is known."""
 SECONDS = 20.0
 SEEDS = (1, 2, 3)
+FEW_RUNNERS = 15
+SHORT_MEMORY_TOKENS = 21_870
 STANDINGS = strategies.builds(
     placing.Standing,
     requests=strategies.integers(0, 40),
@@ -89,6 +92,21 @@
         self.assertEqual(placing.count_candidates(1, 500.0), 1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a runner may have, with a request, for it to be sent there."""
+
+    memory_share: float = 0.95
+    unread_tokens: float = float("inf")
+
+    def have_room(self, work: placing.Work, standing: placing.Standing) -> bool:
+        """Whether a runner may get the work."""
+        has_memory = (
+            standing.tokens + work.memory_tokens <= self.memory_share * standing.memory_tokens
+        )
+        return has_memory and standing.unread + work.prompt_tokens <= self.unread_tokens
+
+
 def build_chooser(rng: random.Random, unheard: float) -> engine_play.Choose:
     """The decision as an entry takes it."""
 
@@ -163,5 +181,50 @@
         self.assertGreater(drawn, followed + 0.2)
 
 
+def build_holding_chooser(rng: random.Random, unheard: float, bounds: Bounds) -> engine_play.Choose:
+    """The decision of an entry that has a request wait where no runner has room for it."""
+
+    def choose(work: placing.Work, standings: list[placing.Standing], pace: float) -> int | None:
+        wished = placing.count_candidates(len(standings), unheard)
+        drawn = rng.sample(range(len(standings)), wished)
+        free = [item for item in drawn if bounds.have_room(work, standings[item])]
+        if not free:
+            return None
+        return min(free, key=lambda item: placing.weigh(work, standings[item], pace))
+
+    return choose
+
+
+class ShortMemoryTest(unittest.TestCase):
+    """Fifteen runners with memory for six long runs each, a rush of prompts, a third slow."""
+
+    def play(self, load: float, bounds: Bounds, word_seconds: float) -> tuple[float, float]:
+        """Share of short requests' first pieces in time, and of long runs in time and unbroken."""
+        pool = [
+            engine_play.RunnerSpec((1.0, 1.0, 1.3)[number % 3], SHORT_MEMORY_TOKENS, 32)
+            for number in range(FEW_RUNNERS)
+        ]
+        kinds = {"long": (9.62 * load, 3_079, 187.0), "short": (18.7 * load, 2_550, 3.0)}
+        unheard = sum(rate for rate, *_ in kinds.values()) * word_seconds
+        firsts, wholes = [], []
+        for seed in SEEDS:
+            arrivals = engine_play.draw_arrivals(random.Random(seed), SECONDS, kinds)
+            choose = build_holding_chooser(random.Random(seed), unheard, bounds)
+            outcomes = engine_play.play(pool, arrivals, choose, word_seconds=word_seconds)
+            counted = [item for item in outcomes if item.arrival.at > WARM_SECONDS]
+            firsts.append(engine_play.read_share(counted, "short", FIRST_AIM_SECONDS))
+            wholes.append(
+                engine_play.read_whole_share(counted, "long", LONG_AIM_SECONDS, PAUSE_SECONDS)
+            )
+        return statistics.mean(firsts), statistics.mean(wholes)
+
+    def test_word_of_a_send_at_once_brings_more_in_time(self) -> None:
+        """Before, with word 0.2 s old, 0.903 short and 0.888 long; after, 0.962 and 0.941."""
+        before = self.play(0.8, Bounds(), word_seconds=0.2)
+        after = self.play(0.8, Bounds(), word_seconds=0.03)
+        self.assertGreater(after[0], before[0] + 0.03)
+        self.assertGreater(after[1], before[1] + 0.03)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -41,10 +41,13 @@
 """How long all targets, once written, are told to new subscribers, together with what changed
 since: after a common start 118 entries subscribe within a second, and writing 3,001 targets takes
 20 ms.  Ages told so are too low by as much, a fourth of a heartbeat's interval."""
+URGENT_LOADS_SECONDS = 0.02
+"""Least pause between two batches for other keepers, and two digests of large changes."""
+MOST_DIGESTS = 1_000
+"""Digests a second that a keeper sends at most: with more than 20 entries that it tells loads, the
+pause grows.  One costs it 35 us, so these are 3.5% of a core."""
 LOADS_SECONDS = 0.12
-"""Pause between two batches for other keepers, and two digests for subscribers: with the entries'
-own pause (0.15 s) a word is 0.14 s old on the mean when it comes to another entry of the same
-keeper, 0.2 s to one of another keeper."""
+"""Least pause between two digests of smaller changes."""
 QUIET_LOADS_SECONDS = 1.0
 """Longest pause between two digests, and until small changes are told: a third of the time for
 which a digest counts."""
@@ -343,9 +346,10 @@
 
     async def _tell_loads(self) -> None:
         """Pass on to other keepers what entries told here, and tell subscribers the sums."""
-        whole_at = 0.0
+        whole_at = paced_at = 0.0
         while True:
-            await asyncio.sleep(LOADS_SECONDS)
+            told = sum(asked.loads for asked in self._subscribers.values())
+            await asyncio.sleep(max(URGENT_LOADS_SECONDS, told / MOST_DIGESTS))
             now = self._loop.time()
             dropped = self._loads.expire(now)
             if dropped:
@@ -354,9 +358,13 @@
             if passed is not None:
                 self._send_to_keepers(passed)
             is_due = now - whole_at > QUIET_LOADS_SECONDS
-            digest = self._loads.write_changes(is_due=is_due)
+            is_paced = now - paced_at > LOADS_SECONDS
+            least = loads.LEAST_CHANGE_TOKENS if is_paced else loads.URGENT_CHANGE_TOKENS
+            digest = self._loads.write_changes(least, is_due=is_due)
             if is_due:
                 whole_at = now
+            if is_paced:
+                paced_at = now
             if digest is None:
                 continue
             for link, asked in list(self._subscribers.items()):
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -1,6 +1,7 @@
 """An entry: callers' requests on one side, targets on the other, keepers behind."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import socket
@@ -35,8 +36,10 @@
 
 __all__ = ["Entry", "EntrySettings"]
 
+URGENT_LOADS_SECONDS = 0.02
+"""Least pause between two words about this entry's load, if a prompt was sent or read meanwhile."""
 LOADS_SECONDS = 0.15
-"""Least pause between two words about this entry's load."""
+"""Least pause between words of smaller changes."""
 QUIET_LOADS_SECONDS = 1.0
 """Longest pause between them: a third of the time for which a word counts, and what keepers count
 entries by."""
@@ -344,7 +347,7 @@
         """Tell a keeper what is under way here: on change, now and then, and when it is new."""
         told_at, told_to = 0.0, None
         while True:
-            await asyncio.sleep(LOADS_SECONDS)
+            await self._pause_loads()
             now = self._loop.time()
             self.directory.forget_old(now)
             if self.usage.forget_others(now):
@@ -356,6 +359,13 @@
             told_at, told_to = now, link
             links.try_send(link, self.usage.write(self._started_ms, now))
 
+    async def _pause_loads(self) -> None:
+        """Wait until another word about this entry's load may go out."""
+        await asyncio.sleep(URGENT_LOADS_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOADS_SECONDS - URGENT_LOADS_SECONDS):
+                await self.usage.urgent.wait()
+
     # HTTP
 
     async def _answer_ready(
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -28,6 +28,9 @@
 LEAST_CHANGE_TOKENS = 128
 """Change of a target that is told at once; what is less waits for the next digest that is due (a
 second at most).  A run writes that much in a second, 0.4 in 100 of a runner's memory."""
+URGENT_CHANGE_TOKENS = 1_000
+"""Change of a target that is told without waiting for the pace of others: a prompt that is sent, or
+one that was read."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -231,13 +234,16 @@
             write_uses(row for _, word in words for row in word.uses.items()),
         )
 
-    def write_changes(self, *, is_due: bool = False) -> messages.LoadDigest | None:
-        """What changed since the last digest, for all subscribers; None if little did.
+    def write_changes(
+        self, least: int = LEAST_CHANGE_TOKENS, *, is_due: bool = False
+    ) -> messages.LoadDigest | None:
+        """What changed since the last digest, for all subscribers; None if nothing did.
 
-        With `is_due` it is written all the same, and small changes are told too.  For each
-        subscriber, `read_included` is put in.
+        Targets that changed by less than `least` tokens are left for later.  With `is_due` it is
+        written all the same, and small changes are told too.  For each subscriber,
+        `read_included` is put in.
         """
-        addresses = self._pick_rows(0 if is_due else LEAST_CHANGE_TOKENS)
+        addresses = self._pick_rows(0 if is_due else least)
         if not addresses and not is_due:
             return None
         rows = [(address, self.read(address)) for address in addresses]
--- a/tillerlane/gateway/tests/test_spread.py
+++ b/tillerlane/gateway/tests/test_spread.py
@@ -6,11 +6,12 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
+from tillerlane.gateway import control, homes
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes
 from tillerlane.gateway import usage as usages
 from tillerlane.testing import gateway_lab, gateway_scenes, lab
 
+LONG = gateway_scenes.LONG
 PROMPT_TOKENS = 3_000
 TARGETS = 300
 SETTLE_SECONDS = 0.6
@@ -105,6 +106,28 @@
 
         self.play(scene)
 
+    def test_prompt_that_is_sent_is_known_everywhere_at_once(self) -> None:
+        """Within 0.06 s; before, up to 0.3 s, in which all entries chose the same runner."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=800)
+            await asyncio.sleep(SETTLE_SECONDS)
+            for number in range(5):
+                call = stage.call(
+                    f"entry-{number + 1}", "record", f"r{number}", wait_ms=30_000, **LONG
+                )
+                tasks.append(asyncio.create_task(call))
+                await asyncio.sleep(0.06)
+                known = {count_requests(stage, name) for name in stage.entry_names}
+                self.assertEqual(known, {number + 1})
+            ages = [entry.usage.read_word_seconds() for entry in stage.entries.values()]
+            self.assertLess(min(ages), usages.WORD_SECONDS)
+            for task in tasks:
+                task.cancel()
+
+        tasks: list[asyncio.Task[object]] = []
+        self.play(scene)
+
     def test_digest_that_was_missed_is_asked_for(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             entry = stage.entries["entry-6"]
@@ -112,7 +135,8 @@
             with mock.patch.object(entry.usage, "take", return_value=usages.Taken.GOOD):
                 task = await begin_run(stage)
             self.assertEqual(entry.usage.take, take)
-            await asyncio.sleep(SETTLE_SECONDS)
+            # The next digest, which shows the gap, comes within this time at the latest.
+            await asyncio.sleep(control.QUIET_LOADS_SECONDS + 0.1)
             self.assertEqual(count_requests(stage, "entry-6"), 1)
             task.cancel()
 
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -1,5 +1,6 @@
 """What is under way at each target: this entry's own sends, and what keepers tell of others'."""
 
+import asyncio
 import collections
 import dataclasses
 import enum
@@ -18,13 +19,17 @@
 LEAST_RATE_SECONDS = 1.0
 """Time over which a rate is taken at least, so that one request alone is one a second."""
 WORD_SECONDS = 0.2
-"""Age of other entries' word: pauses of the entry, its keeper, and the digest, half of each on the
-mean, and three hops."""
+"""Age of other entries' word until it was measured."""
+WORD_WAYS = 2.0
+"""Another entry's word takes as many times as long as the own one takes back to this entry: it
+waits once more, for its keeper's batch to this entry's keeper."""
+AGE_WEIGHT = 0.1
+"""Weight of one more measurement of that time: smoothed over some ten sends of a prompt."""
 PACE_SECONDS = 20.0
 """Time over which a runner's pace is smoothed: one run writes for some 8 s, and the pace is told
 from all entries' runs there."""
-MOST_TOLD = 64
-"""Own words kept to take them off the keepers' sums: three seconds of them come to 20."""
+MOST_TOLD = 160
+"""Own words kept to take them off the keepers' sums: three seconds of them, at the fastest pace."""
 
 _NOTHING = loads.Use()
 
@@ -47,6 +52,16 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Told:
+    """An own word: its sequence, what it said, when it was written, and whether in a hurry."""
+
+    sequence: int
+    uses: dict[str, loads.Use]
+    at: float
+    is_urgent: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Rate:
     """Requests a second that this entry sends to a pool, smoothed as of a moment."""
@@ -86,6 +101,8 @@
         Entries of the fleet, this one included, as last heard; 0 until then.
     changed : bool
         Whether there is anything new to tell.
+    urgent : asyncio.Event
+        Set while what is new is large.
     """
 
     def __init__(self, entry: str) -> None:
@@ -98,15 +115,17 @@
         """That own word."""
         self._others: dict[str, loads.Use] = {}
         """The total without it, but for the pace, which is that of all entries."""
-        self._told: collections.deque[tuple[int, dict[str, loads.Use]]] = collections.deque(
-            maxlen=MOST_TOLD
-        )
+        self._told: collections.deque[_Told] = collections.deque(maxlen=MOST_TOLD)
+        self._included_sequence = 0
+        self._way_seconds = WORD_SECONDS / WORD_WAYS
+        """Time from an urgent own word to the digest that has it."""
         self._keeper = ""
         self._digest_sequence = 0
         self._heard_at: float | None = None
         self._sequence = 0
         self.entries = 0
         self.changed = False
+        self.urgent = asyncio.Event()
         self._rates: dict[str, _Rate] = {}
 
     # This entry's own
@@ -129,6 +148,8 @@
         if use.is_empty:
             del self._own[address]
         self.changed = True
+        if max(abs(tokens), abs(unread)) >= loads.URGENT_CHANGE_TOKENS:
+            self.urgent.set()
 
     def note_events(self, address: str, events: int, seconds: float, now: float) -> None:
         """Count events of a stream that came from a target after a wait."""
@@ -160,7 +181,11 @@
         """
         rate = self._rates.get(pool)
         others = max(0, self.entries - 1)
-        return rate.read(now) * others * WORD_SECONDS if rate is not None else 0.0
+        return rate.read(now) * others * self.read_word_seconds() if rate is not None else 0.0
+
+    def read_word_seconds(self) -> float:
+        """Age of other entries' word when it comes here, as far as it was seen."""
+        return self._way_seconds * WORD_WAYS
 
     # All entries'
 
@@ -202,19 +227,24 @@
         self._keeper, self._digest_sequence = digest.keeper, digest.sequence
         self._heard_at = now
         former = self._included
-        self._included = self._find_own_word(digest.included)
+        self._included = self._find_own_word(digest.included, now)
         if digest.whole:
             self._others = {}
         for address in {*uses, *former, *self._included}:
             self._note_others(address)
         return Taken.GOOD
 
-    def _find_own_word(self, sequence: int) -> dict[str, loads.Use]:
+    def _find_own_word(self, sequence: int, now: float) -> dict[str, loads.Use]:
         """The own word that is in the total; one of a former start is not known any more."""
-        while self._told and self._told[0][0] < sequence:
+        while self._told and self._told[0].sequence < sequence:
             self._told.popleft()
-        is_known = bool(self._told) and self._told[0][0] == sequence
-        return self._told[0][1] if is_known else {}
+        if not self._told or self._told[0].sequence != sequence:
+            return {}
+        word = self._told[0]
+        if word.is_urgent and sequence != self._included_sequence:
+            self._way_seconds += AGE_WEIGHT * (now - word.at - self._way_seconds)
+        self._included_sequence = sequence
+        return word.uses
 
     def _note_others(self, address: str) -> None:
         """Take the own word off the total of a target."""
@@ -248,6 +278,8 @@
     def write(self, started_ms: int, now: float) -> messages.EntryLoads:
         """This entry's word; sequences of a later start of the process are higher."""
         self.changed = False
+        is_urgent = self.urgent.is_set()
+        self.urgent.clear()
         self._sequence += 1
         sequence = started_ms * 1_000_000 + self._sequence
         uses = {address: dataclasses.replace(use) for address, use in self._own.items()}
@@ -259,7 +291,7 @@
                 continue
             use = uses.setdefault(address, loads.Use())
             use.events, use.event_ms = events, event_ms
-        self._told.append((sequence, uses))
+        self._told.append(_Told(sequence, uses, now, is_urgent))
         rows = [
             messages.TargetUse(address, *(max(0, getattr(use, name)) for name in loads.FIELDS))
             for address, use in uses.items()
--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 import statistics
 from collections.abc import Callable
@@ -36,11 +37,11 @@
 """Prompt tokens that are read in a second of reading."""
 EVENT_TOKENS = 4
 WORD_SECONDS = 0.2
-"""Age of what the chooser sees."""
+"""Age of what the chooser sees, unless a play says otherwise."""
 TICK_SECONDS = 0.05
-"""Pause between two looks at the runners."""
-PACE_KEPT = 0.9975
-"""Share of the events seen that still counts a tick later: smoothed over 20 s."""
+"""Pause between two looks at the runners; with fresher word, as long as that is old."""
+PACE_SECONDS = 20.0
+"""Time over which the events seen are smoothed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,11 +160,16 @@
 
 
 Pool = list[RunnerSpec]
-Choose = Callable[[placing.Work, list[placing.Standing], float], int]
+Choose = Callable[[placing.Work, list[placing.Standing], float], int | None]
 
 
 def play(
-    pool: Pool, arrivals: list[Arrival], choose: Choose, *, knows_pace: bool = True
+    pool: Pool,
+    arrivals: list[Arrival],
+    choose: Choose,
+    *,
+    knows_pace: bool = True,
+    word_seconds: float = WORD_SECONDS,
 ) -> list[Outcome]:
     """Play a load to its end.
 
@@ -174,33 +180,48 @@
     arrivals : list of Arrival
         Requests by time.
     choose : callable
-        (work, standing of each runner, pace of the pool) gives the position of one.
+        (work, standing of each runner, pace of the pool) gives the position of one; None has the
+        request wait where it came in, and asks again with the next word.
     knows_pace : bool
         Whether runners' events are seen; without, all seem to run alike.
+    word_seconds : float
+        Age of what the chooser sees.
     """
     runners = [_Runner(spec) for spec in pool]
     outcomes = []
     seen = collections.deque([[runner.read_standing() for runner in runners]])
     now = 0.0
+    tick = min(TICK_SECONDS, word_seconds)
+    kept = math.exp(-tick / PACE_SECONDS)
     waiting = collections.deque(arrivals)
+    held: list[Arrival] = []
     last = arrivals[-1].at + 60.0
     while now < last:
-        now += TICK_SECONDS
+        now += tick
         for runner in runners:
             runner.run_until(now)
-            runner.events *= PACE_KEPT
-            runner.event_seconds *= PACE_KEPT
+            runner.events *= kept
+            runner.event_seconds *= kept
         seen.append([runner.read_standing() for runner in runners])
-        if len(seen) > WORD_SECONDS / TICK_SECONDS:
+        if len(seen) > round(word_seconds / tick):
             seen.popleft()
         while waiting and waiting[0].at <= now:
-            arrival = waiting.popleft()
+            held.append(waiting.popleft())
+        came, held = held, []
+        for arrival in came:
             position = _choose(pool, seen[0], arrival, choose, knows_pace)
+            if position is None:
+                held.append(arrival)
+                continue
             outcome = Outcome(arrival)
             outcomes.append(outcome)
             run = _Run(outcome, arrival.prompt_tokens, arrival.events * EVENT_TOKENS)
             runners[position].reading.append(run)
-        if not waiting and not any(runner.reading or runner.writing for runner in runners):
+        if (
+            not waiting
+            and not held
+            and not any(runner.reading or runner.writing for runner in runners)
+        ):
             break
     return outcomes
 
@@ -211,7 +232,7 @@
     arrival: Arrival,
     choose: Choose,
     knows_pace: bool,
-) -> int:
+) -> int | None:
     paces = [(events, event_ms) if knows_pace else (0, 0) for *_, events, event_ms in seen]
     pool_pace = placing.read_pool_pace(paces)
     standings = [
