Split the codec from the messages

Change: encoding, decoding, tables and JSON fields are peers/codec.py; no behaviour changes.

Tests of peers, loads, homes and trust pass.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -20,7 +20,7 @@
 from tillerlane.config import documents
 from tillerlane.config import store as stores
 from tillerlane.keeper import commands
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 from tillerlane.testing import deployment
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -282,15 +282,15 @@
         entities = stores.split_document(document)
         store.apply_change(1, entities, [])
         delta = store.build_delta(0)
-        data = messages.encode(messages.Envelope(1, 1, 0, delta))
+        data = codec.encode(messages.Envelope(1, 1, 0, delta))
         receiver = stores.Store()
         began = time.process_time()
-        receiver.apply_delta(messages.decode(data).body)
+        receiver.apply_delta(codec.decode(data).body)
         whole = time.process_time() - began
         key = ("workspaces", "workspace-0")
         store.apply_change(2, {key: '{"weight":3.0}'}, [])
         small = store.build_delta(1)
-        small_data = messages.encode(messages.Envelope(1, 2, 0, small))
+        small_data = codec.encode(messages.Envelope(1, 2, 0, small))
         began = time.process_time()
         receiver.apply_delta(small)
         rows.append(
--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -13,7 +13,7 @@
 from tillerlane.gateway import cold, loads, routes, selection
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["measure_choice", "measure_digest"]
 
@@ -84,10 +84,10 @@
         (get_address(number), ledger.read(get_address(number))) for number in range(targets)
     )
     digest = messages.LoadDigest("keeper-1", 1, 0, True, table)
-    frame = messages.encode(messages.Envelope(1, 1, 0, digest))
+    frame = codec.encode(messages.Envelope(1, 1, 0, digest))
 
     def take() -> None:
-        body = messages.decode(frame).body
+        body = codec.decode(frame).body
         assert isinstance(body, messages.LoadDigest)
         usages.Usage("entry-own").take(body, 0.0)
 
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -24,8 +24,8 @@
 from tillerlane.keeper import storage as storages
 from tillerlane.members import exchange, platform
 from tillerlane.members import view as views
+from tillerlane.peers import codec, messages
 from tillerlane.peers import link as links
-from tillerlane.peers import messages
 from tillerlane.peers import node as nodes
 from tillerlane.placement import leader
 from tillerlane.runners import core as runners
@@ -416,8 +416,8 @@
         return await result if asyncio.iscoroutine(result) else result
 
     async def _answer_query(self, exchange_: links.Exchange, body: messages.Query) -> None:
-        result = await self.answer(body.subject, messages.read_json(body.arguments))
-        exchange_.send(messages.QueryReply(messages.write_json(result)))
+        result = await self.answer(body.subject, codec.read_json(body.arguments))
+        exchange_.send(messages.QueryReply(codec.write_json(result)))
 
     def _notify(self, link: links.Link, body: messages.Body) -> None:
         now = asyncio.get_running_loop().time()
@@ -525,4 +525,4 @@
             query = messages.Query(subject, json.dumps(arguments))
             reply = await link.call(query, QUERY_SECONDS)
         assert isinstance(reply, messages.QueryReply)
-        return messages.read_json(reply.result)
+        return codec.read_json(reply.result)
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -12,7 +12,7 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["Directory", "Phase", "Target", "read_states", "write_states"]
 
@@ -213,7 +213,7 @@
         [max(0, int((item.warm_at - now) * 1000)) for item in rows],
         [min(max(0, int((now - item.heard_at) * 1000)), MAX_AGE_MS) for item in rows],
     )
-    data = messages.write_table(table)
+    data = codec.write_table(table)
     return messages.TargetStates(zlib.compress(data, WHOLE_LEVEL) if whole else data, whole)
 
 
@@ -226,7 +226,7 @@
         Of kind ``bad_request`` if it can't be read.
     """
     now = asyncio.get_running_loop().time()
-    table = messages.read_table(_unpack(message), messages.StateTable)
+    table = codec.read_table(_unpack(message), messages.StateTable)
     rows = zip(
         table.target_ids,
         table.pools,
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -13,7 +13,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["FIELDS", "MOST_ROWS", "WORD_SECONDS", "Ledger", "Use", "read_uses", "write_uses"]
 
@@ -93,7 +93,7 @@
     """Uses by address as a table; what can't be (below 0) is told as 0."""
     rows = list(uses)
     columns = [[max(0, getattr(use, name)) for _, use in rows] for name in FIELDS]
-    return messages.write_table(messages.UseTable([address for address, _ in rows], *columns))
+    return codec.write_table(messages.UseTable([address for address, _ in rows], *columns))
 
 
 def read_uses(data: bytes) -> Uses:
@@ -108,7 +108,7 @@
 
 
 def _read_rows(data: bytes) -> list[tuple[str, Use]]:
-    table = messages.read_table(data, messages.UseTable)
+    table = codec.read_table(data, messages.UseTable)
     columns = [getattr(table, name) for name in FIELDS]
     return [
         (address, Use(*values)) for address, *values in zip(table.addresses, *columns, strict=True)
--- a/tillerlane/gateway/tests/test_loads.py
+++ b/tillerlane/gateway/tests/test_loads.py
@@ -7,7 +7,7 @@
 
 from tillerlane.gateway import loads
 from tillerlane.gateway import usage as usages
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 from tillerlane.testing import profiles
 
 ADDRESS = "10.0.9.1:9000"
@@ -274,7 +274,7 @@
     def test_columns_of_different_lengths_are_refused(self) -> None:
         table = messages.UseTable(["10.0.9.1:1"], [1, 2], [1], [1], [1], [1], [1])
         with self.assertRaisesRegex(Exception, "expected one length"):
-            messages.read_table(messages.write_table(table), messages.UseTable)
+            codec.read_table(codec.write_table(table), messages.UseTable)
 
 
 if __name__ == "__main__":
--- a/tillerlane/keeper/proposals.py
+++ b/tillerlane/keeper/proposals.py
@@ -4,8 +4,8 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
+from tillerlane.peers import codec, messages
 from tillerlane.peers import link as links
-from tillerlane.peers import messages
 
 __all__ = ["build_no_quorum", "send"]
 
@@ -36,4 +36,4 @@
         message = f"the answer of {link.peer_id} got lost: {error}"
         raise build_no_quorum(message, kinds.Ran.UNKNOWN) from error
     assert isinstance(reply, messages.ProposeReply)
-    return messages.read_json(reply.result)
+    return codec.read_json(reply.result)
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -19,7 +19,7 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 from tillerlane.timeline import clock as clocks
 
 __all__ = ["Exchange", "Link", "LinkLost", "Local", "read_fault", "try_send", "write_fault"]
@@ -108,12 +108,12 @@
 
 def write_fault(fault: faults.Fault) -> str:
     """Write a fault for a message."""
-    return messages.write_json(dataclasses.asdict(fault)).decode()
+    return codec.write_json(dataclasses.asdict(fault)).decode()
 
 
 def read_fault(text: str) -> faults.Fault:
     """Read a fault that `write_fault` wrote."""
-    values = messages.read_json(text)
+    values = codec.read_json(text)
     values["kind"] = kinds.ErrorKind(values["kind"])
     values["ran"] = kinds.Ran(values["ran"])
     return faults.Fault(**values)
@@ -269,7 +269,7 @@
         local = self._local
         self._sent_version = local.get_config_version()
         envelope = messages.Envelope(local.clock.tick(), self._sent_version, exchange, body)
-        data = messages.encode(envelope)
+        data = codec.encode(envelope)
         self._writer.write(_LENGTH.pack(len(data)) + data)
         self.bytes_out += len(data) + _LENGTH.size
         self.messages_out += 1
@@ -400,7 +400,7 @@
             self.bytes_in += _LENGTH.size
         if length > limit:
             raise _refuse(f"got a frame of {length} bytes, expected at most {limit}")
-        envelope = messages.decode(await self._reader.readexactly(length))
+        envelope = codec.decode(await self._reader.readexactly(length))
         self.bytes_in += length
         self.messages_in += 1
         self._last_heard = asyncio.get_running_loop().time()
--- a/tillerlane/peers/tests/test_messages.py
+++ b/tillerlane/peers/tests/test_messages.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from tillerlane.faults import core as faults
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 BODIES = typing.get_args(messages.Body)
 _TEXT = strategies.text(
@@ -45,13 +45,13 @@
     @hypothesis.given(strategies.one_of([build(cls) for cls in BODIES]))
     def test_round_trip(self, body: messages.Body) -> None:
         envelope = messages.Envelope(2**60 + 1, 7, 3, body)
-        self.assertEqual(messages.decode(messages.encode(envelope)), envelope)
+        self.assertEqual(codec.decode(codec.encode(envelope)), envelope)
 
     @hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
     @hypothesis.given(strategies.binary(max_size=200))
     def test_noise_is_refused_or_read(self, data: bytes) -> None:
         try:
-            messages.decode(data)
+            codec.decode(data)
         except faults.FaultError as error:
             self.assertEqual(error.fault.kind, "bad_request")
 
@@ -64,9 +64,9 @@
     def test_flipped_byte_is_refused_or_read(
         self, body: messages.Body, position: int, value: int
     ) -> None:
-        data = bytearray(messages.encode(messages.Envelope(1, 1, 1, body)))
+        data = bytearray(codec.encode(messages.Envelope(1, 1, 1, body)))
         data[position % len(data)] = value
         try:
-            messages.decode(bytes(data))
+            codec.decode(bytes(data))
         except faults.FaultError as error:
             self.assertEqual(error.fault.kind, "bad_request")
