Don't take heartbeats passed between keepers for targets that turn cold

Cause: a state without cold milliseconds was read as warm from now on, which is later than its last word, so each heartbeat that a keeper passed on was taken for a target that turns cold and told to all entries.

Change: no cold milliseconds mean warm since ever, at both places where a target is read. A test counts what listeners hear of heartbeats that change nothing; it failed before.

--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -236,7 +236,7 @@
         (Phase(phase) for phase in table.phases),
         table.sequences,
         (now - age / 1000 for age in table.age_ms),
-        (now + cold / 1000 for cold in table.cold_ms),
+        (now + cold / 1000 if cold else 0.0 for cold in table.cold_ms),
         strict=True,
     )
     return [Target(*row) for row in rows]
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from tillerlane.decisions import placing
+from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
@@ -32,6 +32,9 @@
 ROOM_WAIT_SHARE = 0.2
 """Share of the time within which an answer is in time that a request waits for memory: a refusal
 that comes within a quarter of it leaves the caller time to be served elsewhere."""
+READING_WAIT_SHARE = 0.7
+"""Share of that time that a request waits for a runner that has read enough; then it is sent to the
+one that has least to read."""
 ROOM_CHECK_SECONDS = 0.03
 EVACUATED_RETRY_SECONDS = 1.0
 """When a caller may come back that found all data halls evacuated: such an order holds for seconds,
@@ -300,6 +303,9 @@
                     await asyncio.sleep(ROOM_CHECK_SECONDS)
                     continue
                 return tried if tried.sends else Tried(self._build_no_room(asked))
+            if not self._may_begin(asked, target):
+                await asyncio.sleep(ROOM_CHECK_SECONDS)
+                continue
             excluded.add(target.target_id)
             tried = await self._try_target(asked, target, tried.sends)
             if isinstance(tried.outcome, NotRun) and not tried.outcome.sent:
@@ -341,6 +347,18 @@
         """Until when a request waits for memory; then the caller is told when to come back."""
         return asked.request.arrived + asked.route.aim_seconds * ROOM_WAIT_SHARE
 
+    def _may_begin(self, asked: admissions.Admission, target: directories.Target) -> bool:
+        """Whether a runner may get a prompt now, or the prompt has waited for long enough here."""
+        if asked.pool.engine is None:
+            return True
+        waited = self._loop.time() - asked.request.arrived
+        aim_seconds = asked.route.aim_seconds
+        if waited > aim_seconds * READING_WAIT_SHARE:
+            return True
+        unread = self._usage.read(target.address).unread
+        prompt_tokens = asked.facts.prompt_tokens
+        return queueing.may_begin(unread, prompt_tokens, aim_seconds, is_long=asked.is_long)
+
     def _has_room(self, asked: admissions.Admission, target: directories.Target) -> bool:
         """Whether a runner has memory for a request; short ones are gone before it runs out."""
         is_short = asked.facts.output_tokens < admissions.LONG_TOKENS
--- a/tillerlane/gateway/tests/test_spread.py
+++ b/tillerlane/gateway/tests/test_spread.py
@@ -106,6 +106,22 @@
 
         self.play(scene)
 
+    def test_heartbeats_that_change_nothing_are_told_to_no_entry(self) -> None:
+        """Whichever keeper hears them, and however old they are when it does."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=800)
+            await asyncio.sleep(SETTLE_SECONDS)
+            told: list[str] = []
+            for daemon in [*stage.entries.values(), *stage.keepers.values()]:
+                daemon.directory.listen(lambda target, former: told.append(target.target_id))
+            for keeper in stage.keeper_names * 3:
+                stage.beat("t1", "llm", keeper=keeper)
+                await asyncio.sleep(0.2)
+            self.assertEqual(told, [])
+
+        self.play(scene)
+
     def test_prompt_that_is_sent_is_known_everywhere_at_once(self) -> None:
         """Within 0.06 s; before, up to 0.3 s, in which all entries chose the same runner."""
 
--- a/tillerlane/platform/control_api.py
+++ b/tillerlane/platform/control_api.py
@@ -81,7 +81,7 @@
         phase=_PHASES.get(told.state, directories.Phase.DRAINING),
         sequence=told.seq,
         heard_at=now,
-        warm_at=now + told.cold_left_ms / 1000,
+        warm_at=now + told.cold_left_ms / 1000 if told.cold_left_ms > 0 else 0.0,
     )
     keeper.take_heartbeat(target)
 
