--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -320,8 +320,9 @@
         backup = self.choose_backup(asked, target)
         plan = self.plan(asked, target, last_event_id=asked.facts.last_event_id, backup=backup)
         until = self._read_limit(asked, sends)
+        began = self._loop.time()
         outcome = await self.send(asked, target, plan, until=until)
-        self._note_send(asked, target, outcome, sends)
+        self._note_send(asked, target, outcome, sends, began - asked.request.arrived)
         was_sent = not isinstance(outcome, NotRun) or outcome.sent
         return Tried(outcome, target, backup, sends + was_sent)
 
@@ -377,7 +378,12 @@
         return self._budget.take(asked.pool.name, self._loop.time())
 
     def _note_send(
-        self, asked: admissions.Admission, target: directories.Target, outcome: Outcome, sends: int
+        self,
+        asked: admissions.Admission,
+        target: directories.Target,
+        outcome: Outcome,
+        sends: int,
+        waited: float,
     ) -> None:
         kind = type(outcome).__name__.strip("_").lower()
         self._meters.sends.labels(asked.pool.name, kind).inc()
@@ -395,6 +401,7 @@
             heard_ms=int((self._loop.time() - target.heard_at) * 1000),
             version=asked.version,
             send=sends + 1,
+            waited_ms=int(waited * 1000),
             outcome=kind,
             status=status,
             requests_there=use.requests,
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -164,6 +164,28 @@
 
         self.play(scene)
 
+    def test_prompt_waits_here_for_the_runner_that_has_read_first(self) -> None:
+        """Before, it was sent at once, behind the prompt of the runner that seemed least loaded."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            fast = await stage.add_runner("t1", "llm", length=5, reading_seconds=0.15)
+            slow = await stage.add_runner("t2", "llm", length=5, reading_seconds=0.60)
+            await asyncio.sleep(0.3)
+            began = asyncio.get_running_loop().time()
+            calls = []
+            for number in range(3):
+                call = stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                calls.append(asyncio.create_task(call))
+                await asyncio.sleep(0.02)
+            for answer in await asyncio.gather(*calls):
+                self.assertTrue(answer.is_whole)
+            self.assertEqual((len(fast.ran), len(slow.ran)), (2, 1))
+            waited = fast.ran[1].began - began
+            self.assertGreater(waited, 0.15)
+            self.assertLess(waited, 0.25)
+
+        self.play(scene)
+
     def test_draining_target_gets_nothing_whichever_keeper_heard_it(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = [await stage.add_runner(name, "app") for name in ("t1", "t2")]
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -65,6 +65,8 @@
         Where it listens, if something stands between.
     length : int
         Events of each stream; 0 for a plain service.
+    reading_seconds : float
+        Time from a stream's request to its head.
 
     Attributes
     ----------
@@ -99,6 +101,7 @@
         length: int = 0,
         pace: float = 0.03,
         copy_seconds: float = 0.05,
+        reading_seconds: float = 0.0,
         listen_address: str = "",
     ) -> None:
         self.target_id = target_id
@@ -109,6 +112,7 @@
         self.length = length
         self.pace = pace
         self.copy_seconds = copy_seconds
+        self.reading_seconds = reading_seconds
         self.ran: list[RanRequest] = []
         self.turned_away: list[str] = []
         self.copies: dict[str, _Copy] = {}
@@ -220,6 +224,8 @@
         return copy is not None and copy.request_id == request_id
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
+        if self.reading_seconds:
+            await asyncio.sleep(self.reading_seconds)
         head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
         await responder.begin(head)
         try:
