End what a test module started when its time is up, and keep what it printed

Change: a module runs in a session of its own, is interrupted at its limit and then ended with all that it started; its output is kept.

--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -9,10 +9,12 @@
 
 import argparse
 import concurrent.futures
+import contextlib
 import dataclasses
 import os
 import pathlib
 import re
+import signal
 import subprocess
 import sys
 
@@ -20,6 +22,8 @@
 TOPS = ("benchmarks", "tillerlane")
 """Folders with tests; the longest first."""
 MODULE_SECONDS = 240
+INTERRUPT_SECONDS = 10
+"""How long a module that took too long may clean up."""
 WORKERS = 4
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -63,18 +67,37 @@
 
 def _run(command: list[str], name: str) -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", "PYTHONHASHSEED": "0"}
+    process = subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        start_new_session=True,
+    )
     try:
-        return subprocess.run(
-            command,
-            cwd=ROOT,
-            env=environment,
-            capture_output=True,
-            text=True,
-            timeout=MODULE_SECONDS,
-            check=False,
-        )
+        output, errors = process.communicate(timeout=MODULE_SECONDS)
+        return subprocess.CompletedProcess(command, process.returncode, output, errors)
     except subprocess.TimeoutExpired:
-        return subprocess.CompletedProcess(command, 1, "", f"{name}: no end in sight")
+        output = _end_group(process)
+        return subprocess.CompletedProcess(command, 1, output, f"{name}: no end in sight")
+
+
+def _end_group(process: subprocess.Popen[str]) -> str:
+    """End a process and all that it started, and give what it printed.
+
+    It is interrupted first, so that it tells where it was.
+    """
+    os.killpg(process.pid, signal.SIGINT)
+    try:
+        output, errors = process.communicate(timeout=INTERRUPT_SECONDS)
+    except subprocess.TimeoutExpired:
+        output = errors = ""
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
+    process.wait()
+    return output + errors
 
 
 def run_lint(arguments: list[str]) -> Outcome:
--- a/tillerlane/testing/tests/test_check.py
+++ b/tillerlane/testing/tests/test_check.py
@@ -1,6 +1,10 @@
 """What CI makes of the tests' output."""
 
+import os
+import sys
+import time
 import unittest
+from unittest import mock
 
 from tillerlane.testing import check
 
@@ -41,5 +45,30 @@
         self.assertEqual((found.passed, found.failed, found.known), (0, 1, ()))
 
 
+SLOW = """
+import subprocess, sys, time
+child = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
+print(child.pid, flush=True)
+time.sleep(60)
+"""
+
+
+class TimeLimitTest(unittest.TestCase):
+    """A module that does not end."""
+
+    @mock.patch.object(check, "MODULE_SECONDS", 1.0)
+    def test_what_it_started_ends_with_it_and_what_it_printed_is_kept(self) -> None:
+        """Before, a fleet of eight processes stayed behind."""
+        done = check._run([sys.executable, "-c", SLOW], "slow")
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("no end in sight", done.stderr)
+        first, _, rest = done.stdout.partition("\n")
+        self.assertIn("KeyboardInterrupt", rest)
+        with self.assertRaises(ProcessLookupError):
+            while True:  # until it is reaped
+                os.kill(int(first), 0)
+                time.sleep(0.05)
+
+
 if __name__ == "__main__":
     unittest.main()
