Read a workspace's own rank in one place, and say how long a hall stays cold

Behaviour is the same. Not mended: the loop that makes an order on a data hall anew stands in gateway/control.py and operators/changes.py.

--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -76,16 +76,18 @@
     @property
     def priority(self) -> int:
         """Its rank; the workspace's own goes before the route's."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
+        return self._read_rank(self.route.priority)
 
     @property
     def runner_rank(self) -> int:
         """Its rank at a runner: the workspace's own, if it has one."""
+        return self._read_rank(queueing.RUNNER_RANK)
+
+    def _read_rank(self, default: int) -> int:
+        """The workspace's own rank, or a default where it has none."""
         if self.workspace is not None and self.workspace.priority is not None:
             return self.workspace.priority
-        return queueing.RUNNER_RANK
+        return default
 
     @property
     def is_long(self) -> bool:
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -19,8 +19,8 @@
 FORGET_SECONDS = 60.0
 """How long a target that is gone is remembered, so that late word does not bring it back."""
 TAKEN_BACK_COLD_SECONDS = 3.0
-"""How long a target of a data hall that was taken back counts as cold where no later heartbeat says
-otherwise: they come each 1.2 s, at times seconds late."""
+"""How long a target of a data hall that was taken back counts as cold at an entry, which is told
+that one turns cold and not that one is warm: heartbeats come each 1.2 s, at times seconds late."""
 MAX_AGE_MS = 2**31
 WHOLE_LEVEL = 1
 """Compression of all targets at once: 3,001 of them take 512 kB as structs and 56 kB so, which an
@@ -106,8 +106,8 @@
     def set_evacuated(self, halls: frozenset[str], now: float) -> None:
         """Have targets of these data halls, and of no others, get nothing new.
 
-        Those of a hall that is taken back may have restarted meanwhile, so until their next
-        heartbeat they count as cold.
+        Those of a hall that is taken back may have turned cold meanwhile, so they count as cold
+        for a while.
         """
         for target in self.targets.values():
             if target.data_hall in self.evacuated - halls:
