Tell what each keeper sees of the quorum, and why an election was not won

Cause: logs and figures could not tell the incident's hypotheses apart: no keeper said how many voters it counts, whom it hears, whose disk is on record, why it was not elected, or how long a newcomer waits. Change: keeper.voters (at changes, and each 5 s while short), keeper.not_elected (each voter's answer with its reason), six gauges; a voter says on the wire why it refuses. No rule of the log changes. keeper may import decisions, which imports nothing.

--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -89,6 +89,15 @@
     targets: prometheus_client.Gauge
     evacuated: prometheus_client.Gauge
     """Data halls whose targets get nothing new."""
+    voters: prometheus_client.Gauge
+    live_voters: prometheus_client.Gauge
+    """Voters heard of lately, with the disk that is on record."""
+    bearable_losses: prometheus_client.Gauge
+    """Disks that may be lost next; below 0 the log stands still."""
+    short_seconds: prometheus_client.Gauge
+    """How long fewer losses than wished have been bearable."""
+    voteless_seconds: prometheus_client.Gauge
+    lost_elections: prometheus_client.Gauge
 
 
 def build_control_meters() -> ControlMeters:
@@ -117,6 +126,12 @@
         gauge("tillerlane_entries", "Entries known to be subscribed"),
         gauge("tillerlane_targets", "Targets known"),
         gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
+        gauge("tillerlane_keeper_voters", "Voters on this keeper's record"),
+        gauge("tillerlane_keeper_live_voters", "Voters heard of with the disk on record"),
+        gauge("tillerlane_keeper_bearable_losses", "Disks that may be lost next"),
+        gauge("tillerlane_keeper_short_seconds", "Time with fewer bearable losses than wished"),
+        gauge("tillerlane_keeper_voteless_seconds", "Time that this keeper has had no vote"),
+        gauge("tillerlane_keeper_lost_elections", "Elections stood in and not won"),
     )
 
 
--- a/tillerlane/keeper/ballots.py
+++ b/tillerlane/keeper/ballots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from tillerlane.faults import core as faults
@@ -9,7 +10,7 @@
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
 
-__all__ = ["CALL_SECONDS", "Ballot", "GetLink", "ask", "collect"]
+__all__ = ["CALL_SECONDS", "Ballot", "GetLink", "Refusal", "Verdict", "ask", "collect"]
 
 CALL_SECONDS = 0.6
 """Longest wait for a keeper's answer: below the shortest election timeout (1 s)."""
@@ -17,12 +18,38 @@
 GetLink = Callable[[str], links.Link | None]
 
 
+class Refusal(enum.StrEnum):
+    """Why a voter refuses its vote."""
+
+    LEADER_LIVES = "it hears a leader, or one may still hold a lease"
+    SHORTER_LOG = "the candidate's log is shorter"
+    OTHER_TERM = "it is in the term asked for, or a later one"
+    VOTE_GIVEN = "it gave its vote of this term to another"
+
+
+class Verdict(enum.StrEnum):
+    """What became of the question to one voter; a refusal's reason stands behind it."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    OTHER_DISK = "granted by a disk that is not on record"
+    NO_ANSWER = "no link or no answer"
+    OPEN = "not awaited, the vote was decided"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ballot:
-    """How a vote ended; `later_term` is that of a voter in a later one, 0 without."""
+    """How a vote ended; `later_term` is that of a voter in a later one, 0 without.
+
+    Attributes
+    ----------
+    verdicts : dict
+        Voter's name to its `Verdict`, for the log.
+    """
 
     is_won: bool
     later_term: int = 0
+    verdicts: dict[str, str] = dataclasses.field(default_factory=dict, compare=False)
 
 
 async def ask(
@@ -40,14 +67,21 @@
 
 
 async def collect(
-    get_link: GetLink, request: messages.VoteRequest, others: list[commands.Voter], needed: int
+    get_link: GetLink,
+    request: messages.VoteRequest,
+    others: dict[str, commands.Voter],
+    needed: int,
 ) -> Ballot:
     """Ask all other voters until `needed` votes, the own one included, are granted.
 
     Only the vote of the disk that the log has on record for a voter counts.  A later term ends
     the vote, but for a pre-vote, which changes nothing.
     """
-    calls = {asyncio.create_task(ask(get_link, voter.address, request)): voter for voter in others}
+    calls = {
+        asyncio.create_task(ask(get_link, voter.address, request)): name
+        for name, voter in others.items()
+    }
+    verdicts: dict[str, str] = dict.fromkeys(others, Verdict.OPEN.value)
     granted = 1
     pending = set(calls)
     try:
@@ -55,13 +89,25 @@
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for call in done:
                 reply = call.result()
+                name = calls[call]
+                verdicts[name] = _judge(reply, others[name])
                 if reply is None:
                     continue
                 if reply.term > request.term and not request.pre:
-                    return Ballot(False, reply.term)
-                if reply.granted and reply.disk_id == calls[call].disk_id:
-                    granted += 1
+                    return Ballot(False, reply.term, verdicts)
+                granted += verdicts[name] == Verdict.GRANTED
     finally:
         for call in pending:
             call.cancel()
-    return Ballot(granted >= needed)
+    return Ballot(granted >= needed, 0, verdicts)
+
+
+def _judge(reply: messages.VoteReply | None, voter: commands.Voter) -> str:
+    """What a voter's answer is worth, in words."""
+    if reply is None:
+        return Verdict.NO_ANSWER.value
+    if not reply.granted:
+        return f"{Verdict.REFUSED}: {reply.reason}, term {reply.term}"
+    if reply.disk_id != voter.disk_id:
+        return Verdict.OTHER_DISK.value
+    return Verdict.GRANTED.value
--- a/tillerlane/keeper/followers.py
+++ b/tillerlane/keeper/followers.py
@@ -4,9 +4,10 @@
 import dataclasses
 import typing
 
+from tillerlane.decisions import voters as voter_rules
 from tillerlane.keeper import commands
 
-__all__ = ["Followers", "Progress", "count_quorum"]
+__all__ = ["Followers", "Progress"]
 
 Value = typing.TypeVar("Value", int, float)
 
@@ -97,10 +98,5 @@
     others: list[Value], own: Value, voters: dict[str, commands.Voter], own_name: str
 ) -> Value | None:
     values = sorted([*others, own] if own_name in voters else others, reverse=True)
-    needed = count_quorum(voters)
+    needed = voter_rules.count_quorum(len(voters))
     return values[needed - 1] if len(values) >= needed else None
-
-
-def count_quorum(voters: dict[str, commands.Voter]) -> int:
-    """Voters that decide."""
-    return len(voters) // 2 + 1
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -11,7 +11,7 @@
 import dataclasses
 
 from tillerlane.faults import core as faults
-from tillerlane.keeper import commands
+from tillerlane.keeper import commands, quorum
 from tillerlane.keeper import replica as replicas
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -87,6 +87,7 @@
         self._replica: replicas.Replica | None = None
         self._answered: dict[str, float] = {}
         """When each voter was last seen to answer, by name."""
+        self.quorum = quorum.QuorumLog(timeline, plan.wished_voters // 2, self._now)
 
     def attach(self, replica: replicas.Replica) -> None:
         """Take the keeper's part in the log, which itself asks `list_founders`."""
@@ -168,9 +169,18 @@
                 link = self._node.dial(address).link
                 if link is not None:
                     links.try_send(link, announcement)
+            self._note_quorum()
             await self._look_after_voters()
             await asyncio.sleep(ANNOUNCE_SECONDS)
 
+    def _note_quorum(self) -> None:
+        """Say whom this keeper counts and hears, when that changes."""
+        own = self._replica
+        assert own is not None
+        heard = {item.seen.name: item.seen.disk_id for item in self._list_alive()}
+        disk_id = own.storage.disk_id
+        self.quorum.note(quorum.build_view(self._name, disk_id, own.leader, own.voters, heard))
+
     # The leader's part
 
     async def _look_after_voters(self) -> None:
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -21,6 +21,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from tillerlane.decisions import voters as voter_rules
 from tillerlane.faults import core as faults
 from tillerlane.keeper import (
     ballots,
@@ -63,6 +64,9 @@
 """Bytes of commands behind the last snapshot after which a new one is made: a sixteenth of the
 smallest disk that a keeper has had (128 MB), and bounded memory for the entries held."""
 PIECE_BYTES = 256 * 1024
+LOST_ELECTION_SECONDS = 5.0
+"""A keeper that can't win elections says so again after so long, though nothing has changed: often
+enough for a log that is cut to some lines, 720 lines an hour at most."""
 CANCEL_SECONDS = 0.1
 """Pause before tasks that are still there are cancelled again."""
 STALL_SECONDS = 1.0
@@ -153,6 +157,9 @@
         self._writing_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.failed: faults.Fault | None = None
+        self.lost_elections = 0
+        """Elections and pre-votes that this keeper stood in and did not win."""
+        self._told_lost_election: tuple[dict[str, str], float] | None = None
         self.on_standing: Callable[[], None] = lambda: None
         self.on_commit: Callable[[], None] = lambda: None
         if storage.snapshot.data:
@@ -366,13 +373,37 @@
     async def _collect_votes(self, term: int, *, pre: bool) -> bool:
         """Ask all voters; whether a quorum granted."""
         request = self._build_vote_request(term, pre=pre)
-        others = [voter for name, voter in self.voters.items() if name != self.name]
-        needed = followers.count_quorum(self.voters)
+        others = {name: voter for name, voter in self.voters.items() if name != self.name}
+        needed = voter_rules.count_quorum(len(self.voters))
         ballot = await ballots.collect(self._get_link, request, others, needed)
+        if not ballot.is_won:
+            self._note_lost_election(request, needed, ballot)
         if ballot.later_term > self.storage.term:
             await self._follow_term(ballot.later_term)
         return ballot.is_won
 
+    def _note_lost_election(
+        self, request: messages.VoteRequest, needed: int, ballot: ballots.Ballot
+    ) -> None:
+        """Say why an election was not won: once, and again when the reasons change.
+
+        A keeper without a quorum asks some ten times a second, and the answers are the same.
+        """
+        self.lost_elections += 1
+        told = (ballot.verdicts, self._now() // LOST_ELECTION_SECONDS)
+        if told == self._told_lost_election:
+            return
+        self._told_lost_election = told
+        self._timeline.record(
+            "keeper.not_elected",
+            term=request.term,
+            pre=request.pre,
+            last_index=request.last_index,
+            last_term=request.last_term,
+            needed=needed,
+            verdicts=ballot.verdicts,
+        )
+
     def _list_configured(self) -> dict[str, str]:
         """All configured keepers, for the one of the lowest name: so two never found at once."""
         return self._configured if self.name == min(self._configured) else {}
@@ -444,16 +475,22 @@
         is_later = not request.pre and request.term > self.storage.term
         if is_later and not self._hears_leader(request.candidate):
             await self._follow_term(request.term)
-        granted = self._may_grant(request)
-        if granted and not request.pre:
+        refusal = self._find_refusal(request)
+        if refusal is None and not request.pre:
             async with self._write_lock:
-                granted = self._may_grant(request)
-                if granted and self.storage.voted_for != request.candidate:
+                refusal = self._find_refusal(request)
+                if refusal is None and self.storage.voted_for != request.candidate:
                     await self._write(self.storage.save_vote, request.term, request.candidate)
-            if granted:
+            if refusal is None:
                 self._election_at = self._now() + self._draw_timeout()
         storage = self.storage
-        return messages.VoteReply(storage.term, granted, storage.disk_id, storage.is_fresh)
+        return messages.VoteReply(
+            storage.term,
+            refusal is None,
+            storage.disk_id,
+            storage.is_fresh,
+            refusal.value if refusal else "",
+        )
 
     def _hears_leader(self, candidate: str) -> bool:
         """Whether a leader lives or may live: then nobody else is helped to replace it."""
@@ -465,15 +502,19 @@
         has_other_leader = self.leader not in ("", candidate)
         return has_other_leader and self._now() - self._heard_at < ELECTION_SECONDS[0]
 
-    def _may_grant(self, request: messages.VoteRequest) -> bool:
+    def _find_refusal(self, request: messages.VoteRequest) -> ballots.Refusal | None:
+        """Why a candidate gets no vote here; None if it gets one."""
         storage = self.storage
         if self._hears_leader(request.candidate):
-            return False
+            return ballots.Refusal.LEADER_LIVES
         if (request.last_term, request.last_index) < (storage.last_term, storage.last_index):
-            return False
-        if request.pre:
-            return request.term > storage.term
-        return request.term == storage.term and storage.voted_for in ("", request.candidate)
+            return ballots.Refusal.SHORTER_LOG
+        is_in_term = request.term > storage.term if request.pre else request.term == storage.term
+        if not is_in_term:
+            return ballots.Refusal.OTHER_TERM
+        if not request.pre and storage.voted_for not in ("", request.candidate):
+            return ballots.Refusal.VOTE_GIVEN
+        return None
 
     # Proposals
 
--- a/tillerlane/keeper/tests/test_parts.py
+++ b/tillerlane/keeper/tests/test_parts.py
@@ -57,8 +57,9 @@
     """Votes of four others, three needed."""
 
     async def vote(self, replies: list[Any], *, pre: bool = False) -> ballots.Ballot:
-        others = [VOTERS[name] for name in "bcde"]
-        voters = dict(zip([voter.address for voter in others], replies, strict=True))
+        others = {name: VOTERS[name] for name in "bcde"}
+        addresses = [voter.address for voter in others.values()]
+        voters = dict(zip(addresses, replies, strict=True))
         request = messages.VoteRequest(4, "a", 1, 1, pre)
         return await ballots.collect(lambda address: _Voter(voters[address]), request, others, 3)
 
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -138,7 +138,7 @@
 struct VoteRequest {
   term @0 :UInt64; candidate @1 :Text; lastIndex @2 :UInt64; lastTerm @3 :UInt64; pre @4 :Bool;
 }
-struct VoteReply { term @0 :UInt64; granted @1 :Bool; diskId @2 :Text; fresh @3 :Bool; }
+struct VoteReply { term @0 :UInt64; granted @1 :Bool; diskId @2 :Text; fresh @3 :Bool; reason @4 :Text; }
 struct LogEntry { term @0 :UInt64; index @1 :UInt64; command @2 :Data; }
 struct AppendRequest {
   term @0 :UInt64; leader @1 :Text; prevIndex @2 :UInt64; prevTerm @3 :UInt64;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -235,12 +235,16 @@
 
 @dataclasses.dataclass(slots=True)
 class VoteReply:
-    """Answer to a `VoteRequest`; `fresh` if the voter's disk holds no log yet."""
+    """Answer to a `VoteRequest`; `fresh` if the voter's disk holds no log yet.
+
+    `reason` says why a vote is refused, for the candidate's log only.
+    """
 
     term: int
     granted: bool
     disk_id: str = ""
     fresh: bool = False
+    reason: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/testing/gateway_scenes.py
+++ b/tillerlane/testing/gateway_scenes.py
@@ -8,7 +8,7 @@
 
 from tillerlane.testing import gateway_lab, lab, platform_runner
 
-__all__ = ["LONG", "GatewayCase", "build_stream"]
+__all__ = ["LONG", "GatewayCase", "build_stream", "drop_log_lines"]
 
 LONG = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
 """Headers of a generation that is worth a copy."""
@@ -30,7 +30,7 @@
 
     def setUp(self) -> None:
         """Keep the daemons' log lines out of the tests' output."""
-        structlog.configure(processors=[_drop])
+        drop_log_lines()
 
     def play(self, scene: Callable[[gateway_lab.GatewayLab], Awaitable[None]]) -> None:
         """Start a fleet whose first configuration is in force, and play a scene."""
@@ -46,5 +46,10 @@
         lab.run_virtual(run())
 
 
+def drop_log_lines() -> None:
+    """Keep log lines out of a test's output."""
+    structlog.configure(processors=[_drop])
+
+
 def _drop(logger: object, method: str, values: object) -> None:
     raise structlog.DropEvent
--- a/tillerlane/testing/tests/test_reference.py
+++ b/tillerlane/testing/tests/test_reference.py
@@ -16,7 +16,7 @@
     "peers": {"faults", "timeline"},
     "runners": {"faults"},
     "members": {"peers"},
-    "keeper": {"faults", "timeline", "config", "peers", "members"},
+    "keeper": {"faults", "timeline", "config", "peers", "members", "decisions"},
     "agent": {"faults", "timeline", "config", "peers", "policy", "runners"},
     "entry": {
         *("faults", "timeline", "config", "peers", "policy", "members", "agent", "runners"),
