--- /dev/null
+++ b/tillerlane/keeper/tests/test_exchange.py
@@ -0,0 +1,140 @@
+"""A keeper is lost for good, another one comes, and then two more disks are lost.
+
+The story.  Users could not read their configuration back, and each request was refused with "no
+configuration yet", for as long as they watched.  Before that a keeper had been lost for good and
+an empty one had come at another address; seeds had been exchanged; a change had been acknowledged;
+then two keepers lost their disks, and all hosts power.  Five voters were on record, the lost one
+among them, and two of their disks were left: nobody could lead.
+
+The cause.  The newcomer had never got the lost one's vote, 25 s after it came.  The leader was no
+seed.  A newcomer spoke to its seeds and to those that had spoken to it, and to a leader that is
+neither it did not speak; nor the leader to it: each had heard of the other from others only.
+
+The evidence.  Lines of all keepers in a play of the same order of events: the leader knows of no
+keeper that waits for a vote (``waiting`` of ``keeper.voters``), while the three that are seeds do;
+when the leader was a seed, or a voter other than the leader was lost, the newcomer voted.
+"""
+
+import asyncio
+import unittest
+
+from tillerlane.testing import gateway_lab, gateway_scenes
+
+NEWCOMER = "keeper-6"
+NEWCOMER_SECONDS = 1.0
+"""From a keeper's loss to the start of its successor."""
+CATCH_UP_SECONDS = 4.0
+"""After its start a newcomer counts as whole again: the next two disks may be lost."""
+RECOVERY_SECONDS = 5.0
+"""How long keepers that are back may take until one leads: three elections."""
+
+
+def find_leader(stage: gateway_lab.GatewayLab) -> str:
+    """Name of the keeper that holds the lease; empty without one."""
+    leading = [name for name, item in stage.keepers.items() if item.replica.has_lease]
+    return leading[0] if leading else ""
+
+
+def list_followers(stage: gateway_lab.GatewayLab) -> list[str]:
+    """Names of the live keepers that don't lead."""
+    return [name for name in stage.keepers if name != find_leader(stage)]
+
+
+async def replace(stage: gateway_lab.GatewayLab, lost: str) -> None:
+    """Lose a keeper for good, and start an empty one elsewhere."""
+    await stage.lose_keeper(lost)
+    await asyncio.sleep(NEWCOMER_SECONDS)
+    stage.add_keeper(NEWCOMER)
+    await stage.start_keeper(NEWCOMER)
+
+
+class ExchangeCase(gateway_scenes.GatewayCase):
+    """Five keepers, of which two may be lost at once; base of the tests."""
+
+    keepers = 5
+    wished_voters = 5
+
+    async def check_serves_after_two_losses(
+        self, stage: gateway_lab.GatewayLab, wiped: list[str]
+    ) -> None:
+        """Acknowledge a change, lose two disks and all power, and read the change back."""
+        version = max(item.replica.machine.published.version for item in stage.keepers.values())
+        await stage.publish(find_leader(stage), gateway_lab.build_document(version + 1))
+        await stage.lose_power(wiped)
+        await asyncio.sleep(RECOVERY_SECONDS)
+        leader = find_leader(stage)
+        self.assertNotEqual(leader, "", f"nobody leads without the disks of {wiped}")
+        self.assertEqual(stage.keepers[leader].replica.machine.published.version, version + 1)
+
+
+class HearsayTest(ExchangeCase):
+    """The seeds don't name the leader."""
+
+    async def exchange_seeds(self, stage: gateway_lab.GatewayLab) -> None:
+        """Name three live keepers as seeds that don't lead, and lose the former leader."""
+        await stage.lose_keeper(find_leader(stage))
+        await asyncio.sleep(NEWCOMER_SECONDS * 2)
+        stage.set_seeds(list_followers(stage)[:3])
+
+    def test_newcomer_gets_the_lost_vote_though_the_leader_is_no_seed(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.exchange_seeds(stage)
+            stage.add_keeper(NEWCOMER)
+            await stage.start_keeper(NEWCOMER)
+            await asyncio.sleep(25)
+            leader = find_leader(stage)
+            self.assertIn(NEWCOMER, stage.keepers[leader].replica.voters)
+            wiped = [leader, next(name for name in list_followers(stage) if name != NEWCOMER)]
+            await self.check_serves_after_two_losses(stage, wiped)
+
+        self.play(scene)
+
+
+class TimeTest(ExchangeCase):
+    """Whoever is lost, the vote is the newcomer's when it counts as whole."""
+
+    def check(self, lost: str) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            name = find_leader(stage) if lost == "leader" else list_followers(stage)[-1]
+            await replace(stage, name)
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            leader = find_leader(stage)
+            wiped = [leader, next(name for name in list_followers(stage) if name != NEWCOMER)]
+            await self.check_serves_after_two_losses(stage, wiped)
+
+        self.play(scene)
+
+    def test_two_disks_may_be_lost_once_a_newcomer_counts_as_whole(self) -> None:
+        for lost in ("leader", "follower"):
+            with self.subTest(lost=lost):
+                self.check(lost)
+
+
+class LaterTermTest(ExchangeCase):
+    """A keeper that once asked for votes in vain knows a later term, and lacks what came since."""
+
+    def test_three_disks_on_record_elect_a_leader_whatever_terms_they_know(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            leader = find_leader(stage)
+            behind, first, second, third = list_followers(stage)
+            # What a candidate's disk holds that won its pre-vote while the leader paused, and was
+            # cut off before it could ask for votes.
+            stage.network.isolate(behind)
+            storage = stage.keepers[behind].replica.storage
+            storage.save_vote(storage.term + 1, behind)
+            await asyncio.sleep(1)
+            await stage.publish(leader, gateway_lab.build_document(2))
+            for name in (behind, first, second, third, leader):
+                await stage.kill_keeper(name, wipe=name in (leader, third))
+            stage.network.heal()
+            for name in stage.keeper_names:
+                await stage.start_keeper(name)
+            await asyncio.sleep(RECOVERY_SECONDS)
+            self.assertNotEqual(find_leader(stage), "")
+            self.assertEqual(stage.keepers[behind].replica.machine.published.version, 2)
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -98,6 +98,18 @@
         for name in self.entry_names:
             await self.start_entry(name)
 
+    def add_keeper(self, name: str) -> None:
+        """Give a keeper that is not there yet an address that no other one has had."""
+        number = len(self.network.names) + 1
+        self.network.names[f"10.0.2.{number}:7000"] = name
+        self.keeper_names.append(name)
+
+    def set_seeds(self, names: list[str]) -> None:
+        """Exchange the seeds, for all keepers that live and all daemons that start later."""
+        self.seeds = tuple(self.get_address(name) for name in names)
+        for daemon in self.keepers.values():
+            daemon.set_seeds(self.seeds)
+
     async def start_keeper(self, name: str, *, is_first: bool = False) -> control.Control:
         """Start a keeper, on the disk that it had before if any."""
         loop = asyncio.get_running_loop()
@@ -136,6 +148,19 @@
         else:
             self.disks[name].crash()
 
+    async def lose_keeper(self, name: str) -> None:
+        """Lose a keeper for good: its disk, its address and its place among the keepers."""
+        await self.kill_keeper(name, wipe=True)
+        self.keeper_names.remove(name)
+
+    async def lose_power(self, wiped: list[str]) -> None:
+        """Have all keepers lose power at once, and some of them their disks, and come back."""
+        for name in list(self.keepers):
+            await self.kill_keeper(name, wipe=name in wiped)
+        await asyncio.sleep(1.3)
+        for name in self.keeper_names:
+            await self.start_keeper(name)
+
     async def start_entry(self, name: str) -> entry.Entry:
         """Start an entry."""
         address = self.get_address(name)
