Speak to every keeper that is heard of, not only to seeds and voters

A leader that is no seed and a newcomer know each other from others only: each dialed, neither spoke. Change: the keepers known are a part of their own (keeper/contacts.py); all of them are spoken to, whoever told of them, until nobody has told of them for 30 s.

--- /dev/null
+++ b/tillerlane/keeper/contacts.py
@@ -0,0 +1,102 @@
+"""Which other keepers a keeper knows, and when it last heard of each from itself."""
+
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.peers import messages
+
+__all__ = ["KNOWN_SECONDS", "Contact", "Contacts"]
+
+KNOWN_SECONDS = 3.0
+"""How long a keeper counts as alive after its last announcement: seven of them."""
+FORGET_SECONDS = 30.0
+"""Silence after which a keeper without a vote is no longer dialed: its address may be another's."""
+
+
+@dataclasses.dataclass(slots=True)
+class Contact:
+    """Another keeper.
+
+    Attributes
+    ----------
+    seen : messages.KeeperSeen
+        What was told of it last.
+    heard_at : float or None
+        When it last told so itself; None while others only tell of it.
+    told_at : float
+        When it was last told of, by itself or by others.
+    """
+
+    seen: messages.KeeperSeen
+    heard_at: float | None
+    told_at: float
+
+
+class Contacts:
+    """The other keepers that one keeper knows.
+
+    Parameters
+    ----------
+    name : str
+        This keeper.
+    now : callable
+        Steady time in seconds.
+    """
+
+    def __init__(self, name: str, now: Callable[[], float]) -> None:
+        self._name = name
+        self._now = now
+        self._known: dict[str, Contact] = {}
+
+    def take(self, announced: messages.KeeperAnnounce) -> bool:
+        """Take an announcement; whether it names a keeper that was not known.
+
+        Only what a keeper says of itself shows that it lives; what it says of others is a reason
+        to speak to them.
+        """
+        if not announced.keepers:
+            return False
+        own_word, *others = announced.keepers
+        now = self._now()
+        former = self._known.get(own_word.name)
+        self._known[own_word.name] = Contact(own_word, now, now)
+        is_new = former is None or former.heard_at is None
+        for other in others:
+            if other.name == self._name:
+                continue
+            known = self._known.get(other.name)
+            if known is None:
+                self._known[other.name] = Contact(other, None, now)
+                is_new = True
+            else:
+                known.told_at = now
+        return is_new
+
+    def list_alive(self) -> list[messages.KeeperSeen]:
+        """Keepers that have told of themselves lately, by name."""
+        since = self._now() - KNOWN_SECONDS
+        alive = (
+            item.seen
+            for item in self._known.values()
+            if item.heard_at is not None and item.heard_at > since
+        )
+        return sorted(alive, key=lambda seen: seen.name)
+
+    def list_addresses(self) -> set[str]:
+        """Addresses of all keepers known, whoever told of them."""
+        return {item.seen.address for item in self._known.values()}
+
+    def list_silent_addresses(self) -> set[str]:
+        """Addresses of those known that have not told of themselves lately."""
+        return self.list_addresses() - {seen.address for seen in self.list_alive()}
+
+    def read_heard_at(self, name: str) -> float | None:
+        """When a keeper last told of itself; None if it never did."""
+        contact = self._known.get(name)
+        return contact.heard_at if contact is not None else None
+
+    def forget_gone(self) -> set[str]:
+        """Forget who has not been told of for long; gives their addresses."""
+        since = self._now() - FORGET_SECONDS
+        gone = [name for name, item in self._known.items() if item.told_at < since]
+        return {self._known.pop(name).seen.address for name in gone}
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -1,17 +1,18 @@
 """How keepers find each other from a few seed addresses, found their log and keep its size.
 
 Nobody tells a keeper how many others there are.  Each one dials the seeds and whoever it hears of,
-and says whom it knows.  On the very first start one of them, the lowest seed address, founds the
-log as soon as it knows enough fresh keepers; which they are then stands in the log.  Later the
-leader gives a vote to keepers that come, up to the wished number, and takes it from one that has
-been silent while a spare keeper lives.
+and says whom it knows.  Seeds are where it begins to ask, never the only ones that it speaks to:
+whoever leads must hear of a newcomer, wherever that one came in.  On the very first start one of
+them, the lowest seed address, founds the log as soon as it knows enough fresh keepers; which they
+are then stands in the log.  Later the leader gives a vote to keepers that come, up to the wished
+number, and takes it from one that has been silent while a spare keeper lives.
 """
 
 import asyncio
 import dataclasses
 
 from tillerlane.faults import core as faults
-from tillerlane.keeper import commands, quorum
+from tillerlane.keeper import commands, contacts, quorum
 from tillerlane.keeper import replica as replicas
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -22,10 +23,6 @@
 
 ANNOUNCE_SECONDS = 0.4
 """Pause between two announcements; they are small and only go between keepers."""
-KNOWN_SECONDS = 3.0
-"""How long a keeper counts as alive after its last announcement: seven of them."""
-FORGET_SECONDS = 30.0
-"""Silence after which a keeper without a vote is no longer dialed: its address may be another's."""
 REPLACE_SECONDS = 6.0
 """Silence of a voter after which a spare keeper takes its vote: above a restart of a machine
 (about 4 s), since each change of voters is a moment of smaller redundancy."""
@@ -53,12 +50,6 @@
     may_found: bool
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
-    seen: messages.KeeperSeen
-    heard_at: float
-
-
 class Formation:
     """The keepers that one keeper knows, and what it does about them.
 
@@ -82,7 +73,7 @@
         self._address = address
         self._node = node
         self._timeline = timeline
-        self._known: dict[str, _Known] = {}
+        self._contacts = contacts.Contacts(name, self._now)
         self._began_at = 0.0
         self._replica: replicas.Replica | None = None
         self._answered: dict[str, float] = {}
@@ -101,24 +92,24 @@
         return asyncio.get_running_loop().time()
 
     def list_addresses(self) -> set[str]:
-        """Peer addresses of all other keepers worth a link: seeds, voters and those heard of."""
-        found = set(self._plan.seeds)
-        found.update(item.seen.address for item in self._list_alive())
+        """Peer addresses of all other keepers worth a link: seeds, voters and those heard of.
+
+        Who is known from others only is spoken to as well.  A leader that is no seed and a newcomer
+        know each other just so; when each waited for the other's word, the newcomer never got the
+        vote of a keeper that was lost, and two more lost disks stopped the log.
+        """
+        found = set(self._plan.seeds) | self._contacts.list_addresses()
         if self._replica is not None:
             found.update(voter.address for voter in self._replica.voters.values())
         found.discard(self._address)
         return found
 
-    def _list_alive(self) -> list[_Known]:
-        now = self._now()
-        return [item for item in self._known.values() if now - item.heard_at < KNOWN_SECONDS]
-
     def list_founders(self) -> dict[str, str]:
         """First voters, name to address; empty while this keeper may not found the log."""
         if not self._plan.may_found:
             return {}
-        fresh = {item.seen.name: item.seen.address for item in self._list_alive()}
-        fresh = dict(sorted(fresh.items())[: self._plan.wished_voters - 1])
+        alive = self._contacts.list_alive()[: self._plan.wished_voters - 1]
+        fresh = {seen.name: seen.address for seen in alive}
         is_late = self._now() - self._began_at > FOUNDING_PATIENCE_SECONDS
         wanted = min(LEAST_FOUNDERS, self._plan.wished_voters) if is_late else None
         if len(fresh) + 1 < (wanted or self._plan.wished_voters):
@@ -126,37 +117,25 @@
         return {self._name: self._address, **fresh}
 
     def take(self, link: links.Link, announced: messages.KeeperAnnounce) -> None:
-        """Take a keeper's announcement; only what it says of itself shows that it lives."""
-        if not announced.keepers:
-            return
-        own_word, *others = announced.keepers
-        self._known[own_word.name] = _Known(own_word, self._now())
-        for other in others:
-            if other.name not in self._known and other.name != self._name:
-                # Known by hearsay: dialed, but not counted as alive.
-                self._known[other.name] = _Known(other, self._now() - KNOWN_SECONDS)
+        """Take a keeper's announcement."""
+        self._contacts.take(announced)
         self.dial_all()
 
     def dial_all(self) -> None:
         """Keep links to all keepers known."""
-        hearsay = {item.seen.address for item in self._known.values()}
-        for address in self.list_addresses() | hearsay - {self._address}:
+        for address in self.list_addresses():
             self._node.dial(address)
 
     def _forget_gone(self) -> None:
         """Stop dialing keepers that have not been heard of for long and have no vote."""
-        now = self._now()
-        for name, item in list(self._known.items()):
-            if now - item.heard_at > FORGET_SECONDS:
-                del self._known[name]
-                if item.seen.address not in self.list_addresses():
-                    self._node.hang_up(item.seen.address)
+        for address in self._contacts.forget_gone() - self.list_addresses():
+            self._node.hang_up(address)
 
     def _build_announcement(self) -> messages.KeeperAnnounce:
         assert self._replica is not None
         storage = self._replica.storage
         own = messages.KeeperSeen(self._name, self._address, storage.disk_id, storage.is_fresh)
-        return messages.KeeperAnnounce([own, *(item.seen for item in self._list_alive())])
+        return messages.KeeperAnnounce([own, *self._contacts.list_alive()])
 
     async def run(self) -> None:
         """Announce this keeper and look after the voters, until cancelled."""
@@ -177,7 +156,7 @@
         """Say whom this keeper counts and hears, when that changes."""
         own = self._replica
         assert own is not None
-        heard = {item.seen.name: item.seen.disk_id for item in self._list_alive()}
+        heard = {seen.name: seen.disk_id for seen in self._contacts.list_alive()}
         disk_id = own.storage.disk_id
         self.quorum.note(quorum.build_view(self._name, disk_id, own.leader, own.voters, heard))
 
@@ -192,8 +171,7 @@
         for name in own.voters:
             answered_at = own.read_answered_at(name)
             self._answered[name] = max(self._answered.get(name, now), answered_at)
-        alive = {item.seen.name: item.seen for item in self._list_alive()}
-        spare = [seen for name, seen in sorted(alive.items()) if name not in own.voters]
+        spare = [seen for seen in self._contacts.list_alive() if seen.name not in own.voters]
         silent = [
             name for name in own.voters if now - self._answered.get(name, now) > REPLACE_SECONDS
         ]
