Have a lost pre-vote teach the latest term

Change: a pre-vote that is not won tells the latest term met, and the candidate enters it, as after any other answer.

--- a/tillerlane/keeper/ballots.py
+++ b/tillerlane/keeper/ballots.py
@@ -75,13 +75,17 @@
     """Ask all other voters until `needed` votes, the own one included, are granted.
 
     Only the vote of the disk that the log has on record for a voter counts.  A later term ends
-    the vote, but for a pre-vote, which changes nothing.
+    the vote.  A pre-vote goes on, since others may grant it; one that is not won tells the later
+    term too.  A voter that once stood in vain keeps its later term for good; if its log is the
+    shorter one it can't lead, and it refuses all who ask in earlier terms: where its vote is
+    needed, nobody would ever lead unless they learn that term.
     """
     calls = {
         asyncio.create_task(ask(get_link, voter.address, request)): name
         for name, voter in others.items()
     }
     verdicts: dict[str, str] = dict.fromkeys(others, Verdict.OPEN.value)
+    latest_term = 0
     granted = 1
     pending = set(calls)
     try:
@@ -95,11 +99,13 @@
                     continue
                 if reply.term > request.term and not request.pre:
                     return Ballot(False, reply.term, verdicts)
+                latest_term = max(latest_term, reply.term)
                 granted += verdicts[name] == Verdict.GRANTED
     finally:
         for call in pending:
             call.cancel()
-    return Ballot(granted >= needed, 0, verdicts)
+    is_won = granted >= needed
+    return Ballot(is_won, 0 if is_won else latest_term, verdicts)
 
 
 def _judge(reply: messages.VoteReply | None, voter: commands.Voter) -> str:
