--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -180,7 +180,7 @@
             await self._remove(silent[0])
         elif spare and (silent or len(own.voters) < self._plan.wished_voters) and not surplus:
             seen = spare[0]
-            if seen.name not in own.learners:
+            if seen.name not in own.replication.learners:
                 self._timeline.record("keeper.learner", keeper=seen.name, silent=silent)
                 own.add_learner(seen.name, seen.address)
 
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -30,6 +30,7 @@
     machine,
     pending,
     proposals,
+    replication,
     snapshots,
 )
 from tillerlane.keeper import storage as storages
@@ -39,7 +40,6 @@
 
 __all__ = ["Replica", "Standing"]
 
-HEARTBEAT_SECONDS = 0.25
 ELECTION_SECONDS = (1.0, 1.6)
 """Silence of the leader after which a voter stands for election, drawn anew each time."""
 ELECTION_CHECK_SECONDS = 0.1
@@ -57,13 +57,11 @@
 COMMIT_SECONDS = 3.0
 """How long a proposal waits to be committed."""
 MAX_BATCH_ENTRIES = 512
-MAX_BATCH_BYTES = 512 * 1024
 SNAPSHOT_ENTRIES = 4_000
 """Entries behind the last snapshot after which a new one is made."""
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 """Bytes of commands behind the last snapshot after which a new one is made: a sixteenth of the
 smallest disk that a keeper has had (128 MB), and bounded memory for the entries held."""
-PIECE_BYTES = 256 * 1024
 LOST_ELECTION_SECONDS = 5.0
 """A keeper that can't win elections says so again after so long, though nothing has changed: often
 enough for a log that is cut to some lines, 720 lines an hour at most."""
@@ -138,15 +136,12 @@
         self.leader = ""
         self.commit = storage.snapshot.last_index
         self.applied = storage.snapshot.last_index
-        self.learners: dict[str, str] = {}
-        """Keepers to be brought up to date and made voters: name to address."""
         self._heard_at = -1e9
         self._election_at = 0.0
         self._began_at = math.inf
         """Time of the event loop at which its tasks began; until then it helps no leader."""
         self._write_lock = asyncio.Lock()
-        self._followers = followers.Followers(name)
-        self._peer_tasks: dict[str, asyncio.Task[None]] = {}
+        self.replication = replication.Replication(self, get_link)
         self._pending = pending.Pending()
         self._inbox = snapshots.Inbox()
         self._noop_index = 0
@@ -178,7 +173,7 @@
 
     async def stop(self) -> None:
         """End the keeper's tasks; what is synced stays."""
-        pending = {*self._tasks, *self._peer_tasks.values()}
+        pending = {*self._tasks, *self.replication.list_tasks()}
         while pending:
             # More than once: `asyncio.wait_for` of Python 3.11 drops a cancellation that comes
             # in the moment in which its work ends.
@@ -218,7 +213,7 @@
         """Whether a leader may hold a lease that rests on this keeper's word before its restart.
 
         A restarted voter has forgotten when it last answered its leader, but its disk names that
-        leader (`_follow_term`).  The lease has ended when `LEASE_SECONDS` have passed since the
+        leader (`follow_term`).  The lease has ended when `LEASE_SECONDS` have passed since the
         start, or when that leader stands for election itself.  Without this a voter that
         restarts helps a second leader while the first one still answers reads.
         """
@@ -276,7 +271,7 @@
 
     def _read_quorum_time(self) -> float | None:
         """When the latest requests were sent that a quorum has answered; None without one."""
-        return self._followers.read_quorum_time(self.voters, self._now())
+        return self.replication.read_quorum_time(self.voters)
 
     def read_confirmed_at(self) -> float | None:
         """Time of the event loop at which this keeper was surely the only leader.
@@ -292,7 +287,7 @@
         """When the last request was sent that another keeper has answered; leaders only."""
         if name == self.name:
             return self._now()
-        progress = self._followers.get(name)
+        progress = self.replication.get(name)
         return progress.acked_at if progress is not None else followers.NEVER
 
     def _stand_down(self, fault: faults.Fault) -> None:
@@ -379,7 +374,7 @@
         if not ballot.is_won:
             self._note_lost_election(request, needed, ballot)
         if ballot.later_term > self.storage.term:
-            await self._follow_term(ballot.later_term)
+            await self.follow_term(ballot.later_term)
         return ballot.is_won
 
     def _note_lost_election(
@@ -433,13 +428,12 @@
         self.standing = Standing.LEADER
         self.leader = self.name
         self._heard_at = self._now()
-        self._followers.clear()
         self._adding_voter = False
         self._timeline.record("keeper.lead", term=self.storage.term)
         self._pending.fail_all("a new term began")
         self._pending.add(commands.encode(commands.Noop()), first=True)
         self._noop_index = self.storage.last_index + 1
-        self._follow_peers()
+        self.replication.begin(self.voters)
         self.on_standing()
 
     def _become_follower(self, term: int, leader: str) -> None:
@@ -448,14 +442,12 @@
         self.leader = leader
         if was[0] is Standing.LEADER:
             self._timeline.record("keeper.follow", term=term, leader=leader)
-            for task in self._peer_tasks.values():
-                task.cancel()
-            self._peer_tasks = {}
+            self.replication.end()
             self._pending.fail_all("another keeper leads")
         if was != (self.standing, self.leader):
             self.on_standing()
 
-    async def _follow_term(self, term: int, leader: str = "") -> None:
+    async def follow_term(self, term: int, leader: str = "") -> None:
         """Enter a later term, or take its leader's name to the disk.
 
         The name is written before the leader gets its first answer, so that after a restart this
@@ -474,7 +466,7 @@
         self._check_disk()
         is_later = not request.pre and request.term > self.storage.term
         if is_later and not self._hears_leader(request.candidate):
-            await self._follow_term(request.term)
+            await self.follow_term(request.term)
         refusal = self._find_refusal(request)
         if refusal is None and not request.pre:
             async with self._write_lock:
@@ -564,19 +556,19 @@
             return
         if self.standing is Standing.LEADER:
             self._advance_commit()
-            self._followers.wake_all()
+            self.replication.wake_all()
 
     def _advance_commit(self) -> None:
         """Commit what a quorum of voters has synced, in this term."""
         if self.standing is not Standing.LEADER:
             return
-        index = self._followers.find_quorum_index(self.voters, self.storage.last_index)
+        index = self.replication.find_quorum_index(self.voters)
         if index is None:
             return
         if index > self.commit and self.storage.get_term(index) == self.storage.term:
             self.commit = index
             self._apply_committed()
-            self._followers.wake_all()
+            self.replication.wake_all()
 
     def _apply_committed(self) -> None:
         while self.applied < self.commit:
@@ -602,7 +594,7 @@
             if self.name not in self.voters:
                 self._become_follower(self.storage.term, "")
                 return
-            self._follow_peers()
+            self.replication.follow(self.voters)
         self.on_commit()
         behind = self.applied - self.storage.snapshot.last_index
         if behind >= SNAPSHOT_ENTRIES or self._bytes_behind_snapshot >= SNAPSHOT_BYTES:
@@ -630,112 +622,31 @@
 
     # The leader's side of replication
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether this keeper leads; it may have lost its lease."""
+        return self.standing is Standing.LEADER
+
     def add_learner(self, name: str, address: str) -> None:
         """Bring a keeper up to date and then make it a voter."""
-        self.learners[name] = address
-        if self.standing is Standing.LEADER:
-            self._follow_peers()
-
-    def _follow_peers(self) -> None:
-        """One task for each other keeper: voters, configured ones and learners."""
-        wanted = {name: voter.address for name, voter in self.voters.items()}
-        for name, address in self.learners.items():
-            wanted.setdefault(name, address)
-        wanted.pop(self.name, None)
-        for name, address in wanted.items():
-            if name not in self._peer_tasks:
-                self._followers.begin(name, self.storage.last_index + 1)
-                task = asyncio.create_task(self._replicate(name, address))
-                self._peer_tasks[name] = task
-        for name in set(self._peer_tasks) - set(wanted):
-            self._peer_tasks.pop(name).cancel()
-            self._followers.end(name)
-
-    async def _replicate(self, name: str, address: str) -> None:
-        progress = self._followers.get(name)
-        assert progress is not None
-        while self.standing is Standing.LEADER:
-            progress.wake.clear()
-            link = self._get_link(address)
-            if link is not None:
-                try:
-                    await self._send_next(progress, link)
-                except (links.LinkLost, faults.FaultError):
-                    await asyncio.sleep(HEARTBEAT_SECONDS)
-                    continue
-                self._consider_promotion(name, address, progress)
-            if progress.match_index >= self.storage.last_index or link is None:
-                try:
-                    await asyncio.wait_for(progress.wake.wait(), HEARTBEAT_SECONDS)
-                except TimeoutError:
-                    continue
-
-    async def _send_next(self, progress: followers.Progress, link: links.Link) -> None:
-        """Send one request and take its answer."""
-        prev_index = progress.next_index - 1
-        prev_term = self.storage.get_term(prev_index)
-        if prev_term is None:
-            await self._send_snapshot(progress, link)
-            return
-        entries = self.storage.get_entries(progress.next_index, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
-        term = self.storage.term
-        request = messages.AppendRequest(
-            term, self.name, prev_index, prev_term, self.commit, entries
-        )
-        sent_at = self._now()
-        reply = await link.call(request, ballots.CALL_SECONDS)
-        if not isinstance(reply, messages.AppendReply) or self.storage.term != term:
-            return
-        if reply.term > term:
-            await self._follow_term(reply.term)
-            return
-        progress.acked_at = sent_at
-        progress.disk_id = reply.disk_id
-        if reply.success:
-            progress.match_index = prev_index + len(entries)
-            progress.next_index = progress.match_index + 1
-            self._advance_commit()
-        else:
-            progress.match_index = 0
-            progress.next_index = max(1, min(reply.last_index + 1, progress.next_index - 1))
-
-    async def _send_snapshot(self, progress: followers.Progress, link: links.Link) -> None:
-        """Send the last snapshot in bounded pieces."""
-        snapshot = self.storage.snapshot
-        term = self.storage.term
-        offset = 0
-        while offset < len(snapshot.data):
-            piece = messages.SnapshotPiece(
-                term,
-                self.name,
-                snapshot.last_index,
-                snapshot.last_term,
-                offset,
-                len(snapshot.data),
-                snapshot.data[offset : offset + PIECE_BYTES],
-            )
-            sent_at = self._now()
-            reply = await link.call(piece, ballots.CALL_SECONDS * 4)
-            if not isinstance(reply, messages.SnapshotReply) or self.storage.term != term:
-                return
-            if reply.term > term:
-                await self._follow_term(reply.term)
-                return
-            progress.acked_at = sent_at
-            progress.disk_id = reply.disk_id
-            offset = reply.received
-        progress.match_index = snapshot.last_index
-        progress.next_index = snapshot.last_index + 1
+        self.replication.learners[name] = address
+        if self.is_leading:
+            self.replication.follow(self.voters)
 
-    def _consider_promotion(self, name: str, address: str, progress: followers.Progress) -> None:
-        """Give a keeper that has caught up its vote, for the disk that it has now.
+    def note_progress(self, name: str, address: str) -> None:
+        """Commit what a quorum holds now, and give a keeper that has caught up its vote.
 
-        The proposal runs beside the replication to that keeper, whose own acknowledgement may be
-        needed to commit it.  It needs a lease: a former leader may not give votes.
+        It is the vote of the disk that the keeper has now.  The proposal runs beside the
+        replication to that keeper, whose own acknowledgement may be needed to commit it.  It needs
+        a lease: a former leader may not give votes.
         """
+        self._advance_commit()
+        progress = self.replication.get(name)
+        if progress is None:
+            return
         voter = self.voters.get(name)
         if voter is not None and voter.disk_id == progress.disk_id:
-            self.learners.pop(name, None)
+            self.replication.learners.pop(name, None)
             return
         is_ready = progress.disk_id and progress.match_index >= max(self.commit, 1)
         is_changing = self._adding_voter or self._is_running("promote")
@@ -802,7 +713,7 @@
         if term < self.storage.term:
             return False
         if term > self.storage.term or self.storage.voted_for != leader:
-            await self._follow_term(term, leader)
+            await self.follow_term(term, leader)
         self._heard_at = self._now()
         self._election_at = self._heard_at + self._draw_timeout()
         if self.leader != leader or self.standing is not Standing.FOLLOWER:
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -122,7 +122,7 @@
             "has_lease": own.has_lease,
             "is_voter": own.is_voter,
             "voters": {name: voter.address for name, voter in own.voters.items()},
-            "learners": dict(own.learners),
+            "learners": dict(own.replication.learners),
             "disk_failed": own.failed.message if own.failed else None,
             "claims": len(own.machine.claims),
         }
