--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -153,7 +153,10 @@
             self.replica, self._get_link, lambda: [], lambda: int(self._around.now() * 1000)
         )
         self.freshness = freshness.KeeperFreshness(
-            self.replica, self._get_link, lambda: len(self._entries)
+            self.replica,
+            self._get_link,
+            lambda: len(self._entries),
+            self.formation.list_worth_asking,
         )
         state.published.listen(self._note_publication)
         state.store.listen(self._note_orders)
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -113,6 +113,16 @@
         found.discard(self._address)
         return found
 
+    def list_worth_asking(self) -> list[str]:
+        """Peer addresses that an entry may turn to: the voters, or who is heard of without a log.
+
+        A keeper that is new names others too.  An entry that starts knows its seeds only, and where
+        those are all new it would find no configuration.
+        """
+        if self._replica is not None and self._replica.voters:
+            return sorted(voter.address for voter in self._replica.voters.values())
+        return sorted(seen.address for seen in self._contacts.list_alive())
+
     def list_founders(self) -> dict[str, str]:
         """First voters, name to address; empty while this keeper may not found the log."""
         if not self._plan.may_found:
--- a/tillerlane/keeper/freshness.py
+++ b/tillerlane/keeper/freshness.py
@@ -80,6 +80,8 @@
         (address) gives the link to a keeper, or None.
     count_entries : callable
         Gives how many entries are known to be subscribed.
+    list_keepers : callable
+        Gives the peer addresses of keepers worth asking.
     """
 
     def __init__(
@@ -87,10 +89,12 @@
         replica: replicas.Replica,
         get_link: Callable[[str], links.Link | None],
         count_entries: Callable[[], int],
+        list_keepers: Callable[[], list[str]],
     ) -> None:
         self._replica = replica
         self._get_link = get_link
         self._count_entries = count_entries
+        self._list_keepers = list_keepers
         self._clock = FreshnessClock()
         self._waiting: set[asyncio.Event] = set()
         self._is_due = asyncio.Event()
@@ -150,7 +154,7 @@
             version=max(0, own.machine.published.version),
             age_ms=0 if age is None else min(int(age * 1000) + 1, 2**31),
             known=age is not None and own.machine.published.version >= 0,
-            keepers=sorted(voter.address for voter in own.voters.values()),
+            keepers=self._list_keepers(),
             entries=self._count_entries(),
             applied_index=own.applied,
             orders_version=own.machine.store.version,
--- a/tillerlane/keeper/tests/test_exchange.py
+++ b/tillerlane/keeper/tests/test_exchange.py
@@ -135,6 +135,46 @@
         self.play(scene)
 
 
+class SeedsWithoutVotesTest(ExchangeCase):
+    """Seeds are exchanged for keepers that have no vote, and an entry knows nobody else."""
+
+    async def add_spares(self, stage: gateway_lab.GatewayLab, count: int) -> list[str]:
+        """Start further keepers, empty, while five vote."""
+        names = [f"keeper-{number}" for number in range(6, 6 + count)]
+        for name in names:
+            stage.add_keeper(name)
+            await stage.start_keeper(name)
+        return names
+
+    def test_entry_that_starts_anew_serves(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "app")
+            stage.set_seeds(await self.add_spares(stage, 3))
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            stage.add_entry("entry-2")
+            await stage.start_entry("entry-2")
+            await asyncio.sleep(1)
+            self.assertEqual((await stage.call("entry-2", "order", "r1")).status, 200)
+
+        self.play(scene)
+
+    def test_entry_learns_who_votes_from_a_keeper_that_has_just_started(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.5)
+            # More than follow the log, so that the entry's seeds hold nothing themselves.
+            names = await self.add_spares(stage, 4 + 3)
+            await asyncio.sleep(1)
+            followed = stage.keepers[find_leader(stage)].replica.replication.standbys
+            stage.set_seeds([name for name in names if name not in followed])
+            stage.add_entry("entry-2")
+            await stage.start_entry("entry-2")
+            await asyncio.sleep(2)
+            self.assertEqual((await stage.call("entry-2", "order", "r1")).status, 200)
+
+        self.play(scene)
+
+
 class LaterTermTest(ExchangeCase):
     """A keeper that once asked for votes in vain knows a later term, and lacks what came since."""
 
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -104,6 +104,12 @@
         self.network.names[f"10.0.2.{number}:7000"] = name
         self.keeper_names.append(name)
 
+    def add_entry(self, name: str) -> None:
+        """Give an entry that is not there yet an address that no other one has had."""
+        number = len(self.network.names) + 1
+        self.network.names[f"10.0.1.{number}:7000"] = name
+        self.entry_names.append(name)
+
     def set_seeds(self, names: list[str]) -> None:
         """Exchange the seeds, for all keepers that live and all daemons that start later."""
         self.seeds = tuple(self.get_address(name) for name in names)
