--- /dev/null
+++ b/tillerlane/platform/tests/test_days.py
@@ -0,0 +1,44 @@
+"""The days of our own that every hunt plays: readable, and free of any one deployment's names."""
+
+import pathlib
+import tomllib
+import unittest
+
+FOLDER = pathlib.Path(__file__).resolve().parents[3] / "deploy" / "days"
+NAMED = ("service", "class", "zone", "to_zone")
+"""Fields that name something of a deployment; only its first one may be named, by a placeholder."""
+
+
+class DaysTest(unittest.TestCase):
+    """Each file of the folder."""
+
+    def list_days(self) -> list[tuple[pathlib.Path, dict]]:
+        """Files with their day."""
+        paths = sorted(FOLDER.glob("*.toml"))
+        self.assertGreater(len(paths), 0)
+        return [(path, tomllib.loads(path.read_text())["day"]) for path in paths]
+
+    def test_one_day_a_file_under_the_files_name(self) -> None:
+        for path, days in self.list_days():
+            self.assertEqual([day["name"] for day in days], [path.stem])
+            self.assertIsInstance(days[0]["seed"], int, path.name)
+
+    def test_first_line_says_what_the_day_guards(self) -> None:
+        for path in FOLDER.glob("*.toml"):
+            first = path.read_text().splitlines()[0]
+            self.assertTrue(first.startswith("# "), path.name)
+            self.assertGreater(len(first), 40, path.name)
+
+    def test_entries_have_a_time_and_a_kind_and_name_no_deployment(self) -> None:
+        for path, days in self.list_days():
+            entries = [*days[0].get("plan", []), *days[0].get("faults", [])]
+            self.assertGreater(len(entries), 0, path.name)
+            for entry in entries:
+                self.assertGreaterEqual(entry["at"], 0, path.name)
+                self.assertIsInstance(entry["kind"], str, path.name)
+                for field in set(entry) & set(NAMED):
+                    self.assertIn(entry[field], ("@c0", "@s0", "@z0"), path.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
