Split elections from the replica

Cause: replica.py held them beside proposals and a follower's part; it is the last large module that rules on voters go into. Behaviour as before.

--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -1,4 +1,6 @@
-"""One keeper's part in the replicated log: election, replication, commit.
+"""One keeper's part in the replicated log: proposals, commit, a follower's entries and snapshots.
+
+Elections (`keeper.elections`) and the leader's sending (`keeper.replication`) are parts of it.
 
 The algorithm is Raft with pre-vote and a leader lease.  What differs:
 
@@ -16,16 +18,14 @@
 
 import asyncio
 import enum
-import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from tillerlane.decisions import voters as voter_rules
 from tillerlane.faults import core as faults
 from tillerlane.keeper import (
-    ballots,
     commands,
+    elections,
     followers,
     machine,
     pending,
@@ -40,20 +40,6 @@
 
 __all__ = ["Replica", "Standing"]
 
-ELECTION_SECONDS = (1.0, 1.6)
-"""Silence of the leader after which a voter stands for election, drawn anew each time."""
-ELECTION_CHECK_SECONDS = 0.1
-LEAST_PAUSE_SECONDS = 0.005
-"""Shortest pause between two looks at elections, so that they never hold the event loop."""
-ELECTION_RETRY_SECONDS = (0.05, 0.15)
-"""Pause after an election that was not won: keepers that start together find the others' links
-missing or votes split, and each tenth of a second is one without service.  Pre-votes change
-nothing, so asking often costs a keeper that is cut off some 40 small messages a second at most."""
-LEASE_SECONDS = 0.8
-"""Shorter than the shortest election timeout, with room for clocks that drift."""
-START_TIMEOUT_SECONDS = (LEASE_SECONDS, LEASE_SECONDS + 0.3)
-"""After its start a voter that followed a leader stands once that leader's lease has surely ended,
-by lot, so that votes seldom split; the former leader itself stands at once."""
 COMMIT_SECONDS = 3.0
 """How long a proposal waits to be committed."""
 MAX_BATCH_ENTRIES = 512
@@ -62,9 +48,6 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 """Bytes of commands behind the last snapshot after which a new one is made: a sixteenth of the
 smallest disk that a keeper has had (128 MB), and bounded memory for the entries held."""
-LOST_ELECTION_SECONDS = 5.0
-"""A keeper that can't win elections says so again after so long, though nothing has changed: often
-enough for a log that is cut to some lines, 720 lines an hour at most."""
 CANCEL_SECONDS = 0.1
 """Pause before tasks that are still there are cancelled again."""
 STALL_SECONDS = 1.0
@@ -124,23 +107,24 @@
         list_founders: Callable[[], dict[str, str]] | None = None,
     ) -> None:
         self.name = name
-        self._list_founders = list_founders or self._list_configured
         self.machine = state
         self.storage = storage
         self._configured = configured
         self._timeline = timeline
-        self._get_link = get_link
         self._run_blocking = run_blocking
-        self._rng = rng
         self.standing = Standing.FOLLOWER
         self.leader = ""
         self.commit = storage.snapshot.last_index
         self.applied = storage.snapshot.last_index
-        self._heard_at = -1e9
-        self._election_at = 0.0
-        self._began_at = math.inf
-        """Time of the event loop at which its tasks began; until then it helps no leader."""
-        self._write_lock = asyncio.Lock()
+        self.elections = elections.Elections(
+            self,
+            len(configured),
+            get_link,
+            timeline,
+            rng,
+            list_founders or self._list_configured,
+        )
+        self.write_lock = asyncio.Lock()
         self.replication = replication.Replication(self, get_link)
         self._pending = pending.Pending()
         self._inbox = snapshots.Inbox()
@@ -152,9 +136,6 @@
         self._writing_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.failed: faults.Fault | None = None
-        self.lost_elections = 0
-        """Elections and pre-votes that this keeper stood in and did not win."""
-        self._told_lost_election: tuple[dict[str, str], float] | None = None
         self.on_standing: Callable[[], None] = lambda: None
         self.on_commit: Callable[[], None] = lambda: None
         if storage.snapshot.data:
@@ -164,10 +145,9 @@
 
     def begin(self) -> None:
         """Start the keeper's tasks."""
-        self._began_at = self._now()
-        self._election_at = self._began_at + self._draw_start_timeout()
+        self.elections.begin()
         self._tasks = [
-            asyncio.create_task(self._keep_elections()),
+            asyncio.create_task(self.elections.run()),
             asyncio.create_task(self._write_proposals()),
         ]
 
@@ -191,36 +171,6 @@
         self._tasks = [task for task in self._tasks if not task.done()]
         self._tasks.append(asyncio.create_task(work, name=name))
 
-    def _read_election_pause(self) -> float:
-        """Seconds until the next look at elections."""
-        until_election = self._election_at - self._now()
-        if until_election <= 0:
-            return ELECTION_CHECK_SECONDS
-        return min(ELECTION_CHECK_SECONDS, max(LEAST_PAUSE_SECONDS, until_election))
-
-    def _draw_timeout(self) -> float:
-        return self._rng.uniform(*ELECTION_SECONDS)
-
-    def _draw_start_timeout(self) -> float:
-        """Seconds from the start to the first election that this keeper stands in."""
-        if not self.voters and len(self._configured) > 1:
-            return self._draw_timeout()
-        if self.storage.voted_for in ("", self.name):
-            return self._rng.uniform(*ELECTION_RETRY_SECONDS)
-        return self._rng.uniform(*START_TIMEOUT_SECONDS)
-
-    def _may_support_leader(self, candidate: str) -> bool:
-        """Whether a leader may hold a lease that rests on this keeper's word before its restart.
-
-        A restarted voter has forgotten when it last answered its leader, but its disk names that
-        leader (`follow_term`).  The lease has ended when `LEASE_SECONDS` have passed since the
-        start, or when that leader stands for election itself.  Without this a voter that
-        restarts helps a second leader while the first one still answers reads.
-        """
-        if self._now() - self._began_at >= LEASE_SECONDS:
-            return False
-        return self.storage.voted_for not in ("", self.name, candidate)
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -259,7 +209,7 @@
         """Whether a leader was heard of lately."""
         if self.standing is Standing.LEADER:
             return self.has_lease
-        return bool(self.leader) and self._now() - self._heard_at < ELECTION_SECONDS[1]
+        return bool(self.leader) and self.elections.has_heard(elections.ELECTION_SECONDS[1])
 
     @property
     def has_lease(self) -> bool:
@@ -267,7 +217,7 @@
         if self.standing is not Standing.LEADER or self.failed is not None:
             return False
         confirmed_at = self._read_quorum_time()
-        return confirmed_at is not None and self._now() - confirmed_at < LEASE_SECONDS
+        return confirmed_at is not None and self._now() - confirmed_at < elections.LEASE_SECONDS
 
     def _read_quorum_time(self) -> float | None:
         """When the latest requests were sent that a quorum has answered; None without one."""
@@ -295,13 +245,13 @@
         if self.failed is None:
             self.failed = fault
             self._timeline.record("keeper.disk_failed", message=fault.message)
-            self._become_follower(self.storage.term, "")
+            self.become_follower(self.storage.term, "")
 
     def _check_disk(self) -> None:
         if self.failed is not None:
             raise faults.FaultError(self.failed)
 
-    async def _write(self, work: Callable[..., None], *arguments: Any) -> None:
+    async def write(self, work: Callable[..., None], *arguments: Any) -> None:
         """Run a blocking write of the storage; one at a time is the callers' lock."""
         self._writing_since = self._now()
         try:
@@ -318,116 +268,27 @@
         since = self._writing_since
         return since is not None and self._now() - since > STALL_SECONDS
 
-    # Elections
-
-    async def _keep_elections(self) -> None:
-        while True:
-            await asyncio.sleep(self._read_election_pause())
-            if self.failed is not None:
-                continue
-            if self.is_stalled:
-                if self.standing is Standing.LEADER:
-                    self._timeline.record("keeper.disk_stalled", term=self.storage.term)
-                    self._become_follower(self.storage.term, "")
-                continue
-            if self.standing is Standing.LEADER:
-                if self.has_lease:
-                    self._heard_at = self._now()
-                elif self._now() - self._heard_at > LEASE_SECONDS * 2:
-                    self._timeline.record("keeper.lease_lost", term=self.storage.term)
-                    self._become_follower(self.storage.term, "")
-                continue
-            if self._now() >= self._election_at:
-                try:
-                    await self._stand_for_election()
-                except faults.FaultError as error:
-                    self._timeline.record("keeper.no_election", reason=error.fault.message)
-                retry = self._now() + self._rng.uniform(*ELECTION_RETRY_SECONDS)
-                self._election_at = max(self._election_at, retry)
-
-    async def _stand_for_election(self) -> None:
-        if not self.voters:
-            await self._try_founding()
-            return
-        if not self.is_voter or self._may_support_leader(self.name):
-            return
-        if not await self._collect_votes(self.storage.term + 1, pre=True):
-            return
-        async with self._write_lock:
-            term = self.storage.term + 1
-            await self._write(self.storage.save_vote, term, self.name)
-        self.standing = Standing.CANDIDATE
-        self.leader = ""
-        if await self._collect_votes(term, pre=False) and self.storage.term == term:
-            self._become_leader()
-
-    def _build_vote_request(self, term: int, *, pre: bool) -> messages.VoteRequest:
-        storage = self.storage
-        return messages.VoteRequest(term, self.name, storage.last_index, storage.last_term, pre)
-
-    async def _collect_votes(self, term: int, *, pre: bool) -> bool:
-        """Ask all voters; whether a quorum granted."""
-        request = self._build_vote_request(term, pre=pre)
-        others = {name: voter for name, voter in self.voters.items() if name != self.name}
-        needed = voter_rules.count_quorum(len(self.voters))
-        ballot = await ballots.collect(self._get_link, request, others, needed)
-        if not ballot.is_won:
-            self._note_lost_election(request, needed, ballot)
-        if ballot.later_term > self.storage.term:
-            await self.follow_term(ballot.later_term)
-        return ballot.is_won
-
-    def _note_lost_election(
-        self, request: messages.VoteRequest, needed: int, ballot: ballots.Ballot
-    ) -> None:
-        """Say why an election was not won: once, and again when the reasons change.
-
-        A keeper without a quorum asks some ten times a second, and the answers are the same.
-        """
-        self.lost_elections += 1
-        told = (ballot.verdicts, self._now() // LOST_ELECTION_SECONDS)
-        if told == self._told_lost_election:
-            return
-        self._told_lost_election = told
-        self._timeline.record(
-            "keeper.not_elected",
-            term=request.term,
-            pre=request.pre,
-            last_index=request.last_index,
-            last_term=request.last_term,
-            needed=needed,
-            verdicts=ballot.verdicts,
-        )
+    async def take_vote_request(self, request: messages.VoteRequest) -> messages.VoteReply:
+        """Answer a candidate."""
+        self._check_disk()
+        return await self.elections.answer(request)
 
     def _list_configured(self) -> dict[str, str]:
         """All configured keepers, for the one of the lowest name: so two never found at once."""
         return self._configured if self.name == min(self._configured) else {}
 
-    async def _try_founding(self) -> None:
-        """Found the log, if every founder is there with a fresh disk."""
-        founders = self._list_founders() if self.storage.is_fresh else {}
-        if self.name not in founders:
-            return
-        request = self._build_vote_request(1, pre=True)
-        voters = {self.name: commands.Voter(founders[self.name], self.storage.disk_id)}
-        for name, address in founders.items():
-            if name == self.name:
-                continue
-            reply = await ballots.ask(self._get_link, address, request)
-            if reply is None or not reply.fresh:
-                return
-            voters[name] = commands.Voter(address, reply.disk_id)
-        async with self._write_lock:
-            await self._write(self.storage.save_vote, 1, self.name)
-            found = messages.LogEntry(1, 1, commands.encode(commands.Found(voters)))
-            await self._write(self.storage.append, [found])
-        self._timeline.record("keeper.found", voters=sorted(voters))
-        self._become_leader()
-
-    def _become_leader(self) -> None:
+    # Standing
+
+    def become_candidate(self) -> None:
+        """Stand for election in the term that the disk names."""
+        self.standing = Standing.CANDIDATE
+        self.leader = ""
+
+    def become_leader(self) -> None:
+        """Lead the term that the disk names; an entry of the term is the first to be committed."""
         self.standing = Standing.LEADER
         self.leader = self.name
-        self._heard_at = self._now()
+        self.elections.heard_at = self._now()
         self._adding_voter = False
         self._timeline.record("keeper.lead", term=self.storage.term)
         self._pending.fail_all("a new term began")
@@ -436,7 +297,8 @@
         self.replication.begin(self.voters)
         self.on_standing()
 
-    def _become_follower(self, term: int, leader: str) -> None:
+    def become_follower(self, term: int, leader: str) -> None:
+        """Lead no more, or follow another leader."""
         was = (self.standing, self.leader)
         self.standing = Standing.FOLLOWER
         self.leader = leader
@@ -454,59 +316,12 @@
         keeper knows whose lease may rest on its word.  It may stand in the place of a vote: once
         a term has a leader, no vote of that term matters.
         """
-        async with self._write_lock:
+        async with self.write_lock:
             is_later = term > self.storage.term
             is_unnamed = term == self.storage.term and leader not in ("", self.storage.voted_for)
             if is_later or is_unnamed:
-                await self._write(self.storage.save_vote, term, leader)
-        self._become_follower(term, leader)
-
-    async def take_vote_request(self, request: messages.VoteRequest) -> messages.VoteReply:
-        """Answer a candidate."""
-        self._check_disk()
-        is_later = not request.pre and request.term > self.storage.term
-        if is_later and not self._hears_leader(request.candidate):
-            await self.follow_term(request.term)
-        refusal = self._find_refusal(request)
-        if refusal is None and not request.pre:
-            async with self._write_lock:
-                refusal = self._find_refusal(request)
-                if refusal is None and self.storage.voted_for != request.candidate:
-                    await self._write(self.storage.save_vote, request.term, request.candidate)
-            if refusal is None:
-                self._election_at = self._now() + self._draw_timeout()
-        storage = self.storage
-        return messages.VoteReply(
-            storage.term,
-            refusal is None,
-            storage.disk_id,
-            storage.is_fresh,
-            refusal.value if refusal else "",
-        )
-
-    def _hears_leader(self, candidate: str) -> bool:
-        """Whether a leader lives or may live: then nobody else is helped to replace it."""
-        if self.standing is Standing.LEADER:
-            return self.has_lease
-        if self._may_support_leader(candidate):
-            return True
-        # A leader that stands for a later term leads no more.
-        has_other_leader = self.leader not in ("", candidate)
-        return has_other_leader and self._now() - self._heard_at < ELECTION_SECONDS[0]
-
-    def _find_refusal(self, request: messages.VoteRequest) -> ballots.Refusal | None:
-        """Why a candidate gets no vote here; None if it gets one."""
-        storage = self.storage
-        if self._hears_leader(request.candidate):
-            return ballots.Refusal.LEADER_LIVES
-        if (request.last_term, request.last_index) < (storage.last_term, storage.last_index):
-            return ballots.Refusal.SHORTER_LOG
-        is_in_term = request.term > storage.term if request.pre else request.term == storage.term
-        if not is_in_term:
-            return ballots.Refusal.OTHER_TERM
-        if not request.pre and storage.voted_for not in ("", request.candidate):
-            return ballots.Refusal.VOTE_GIVEN
-        return None
+                await self.write(self.storage.save_vote, term, leader)
+        self.become_follower(term, leader)
 
     # Proposals
 
@@ -537,7 +352,7 @@
             self._pending.queued.clear()
             if self.standing is not Standing.LEADER or not self._pending.has_queued:
                 continue
-            async with self._write_lock:
+            async with self.write_lock:
                 await self._append_batch()
 
     async def _append_batch(self) -> None:
@@ -551,7 +366,7 @@
             entries.append(messages.LogEntry(term, first + position, proposal.command))
             self._pending.note_appended(first + position, proposal)
         try:
-            await self._write(self.storage.append, entries)
+            await self.write(self.storage.append, entries)
         except faults.FaultError:
             return
         if self.standing is Standing.LEADER:
@@ -592,7 +407,7 @@
             self._adding_voter = False
         if self.standing is Standing.LEADER:
             if self.name not in self.voters:
-                self._become_follower(self.storage.term, "")
+                self.become_follower(self.storage.term, "")
                 return
             self.replication.follow(self.voters)
         self.on_commit()
@@ -611,9 +426,9 @@
         self._run_beside("snapshot", self._save_snapshot(snapshot))
 
     async def _save_snapshot(self, snapshot: storages.Snapshot) -> None:
-        async with self._write_lock:
+        async with self.write_lock:
             try:
-                await self._write(self.storage.save_snapshot, snapshot)
+                await self.write(self.storage.save_snapshot, snapshot)
             except faults.FaultError:
                 return
         self._timeline.record(
@@ -689,7 +504,7 @@
         self._check_disk()
         if not await self._take_leader(request.term, request.leader):
             return self._reply_append(False, self.storage.last_index)
-        async with self._write_lock:
+        async with self.write_lock:
             storage = self.storage
             if request.term < storage.term:
                 return self._reply_append(False, storage.last_index)
@@ -700,7 +515,7 @@
                 hint = min(storage.last_index, max(0, request.prev_index - 1))
                 return self._reply_append(False, hint)
             if request.entries:
-                await self._write(storage.append, request.entries)
+                await self.write(storage.append, request.entries)
         known = request.prev_index + len(request.entries)
         self.commit = max(self.commit, min(request.commit, known))
         self._apply_committed()
@@ -716,10 +531,9 @@
             return False
         if term > self.storage.term or self.storage.voted_for != leader:
             await self.follow_term(term, leader)
-        self._heard_at = self._now()
-        self._election_at = self._heard_at + self._draw_timeout()
+        self.elections.note_leader()
         if self.leader != leader or self.standing is not Standing.FOLLOWER:
-            self._become_follower(term, leader)
+            self.become_follower(term, leader)
         return True
 
     async def take_snapshot_piece(self, piece: messages.SnapshotPiece) -> messages.SnapshotReply:
@@ -736,8 +550,8 @@
     async def _install(self, snapshot: storages.Snapshot) -> None:
         if snapshot.last_index <= self.applied:
             return
-        async with self._write_lock:
-            await self._write(self.storage.save_snapshot, snapshot)
+        async with self.write_lock:
+            await self.write(self.storage.save_snapshot, snapshot)
         self.machine.load(snapshot.data)
         self.commit = max(self.commit, snapshot.last_index)
         self.applied = snapshot.last_index
