Take each start of a target for a target of its own, and refuse words that name none

Cause: a target's id was taken for its incarnation. One that said it left, or crashed at a high count, and started again under its id was not used; what ran on its former start waited for its deadline where connections fell silent. A word with an unknown state drained a target; a count above 2**64 broke the message that it was told in, other targets' words with it; an id with a line break went into the head of requests.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -12,7 +12,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, loads, meters, news
+from tillerlane.gateway import homes, incarnations, loads, meters, news
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -411,10 +411,13 @@
             return
         self._to_keepers.add(known, is_urgent=changed)
 
-    def take_leave(self, target_id: str) -> None:
-        """Take a target's word that it goes."""
-        if self.directory.mark_gone(target_id):
-            self._to_keepers.add(self.directory.targets[target_id])
+    def take_leave(self, name: str, born: int = 0) -> None:
+        """Take a target's word that it goes, of the start that it names or of the latest."""
+        known = self.directory.find(name)
+        if known is None or born not in (0, incarnations.split_id(known.target_id).born):
+            return
+        if self.directory.mark_gone(known.target_id):
+            self._to_keepers.add(known)
 
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         """Tell the entries of a change, whoever told it here."""
@@ -428,6 +431,12 @@
             age_ms=int((self._loop.time() - target.heard_at) * 1000),
             cold_ms=max(0, int((target.warm_at - self._loop.time()) * 1000)),
         )
+        if target.is_over and former is not None:
+            # Whoever hears of the present incarnation ends the former one, and first hears until
+            # when that one lived: entries are not told each heartbeat.
+            self._changed_since_whole.pop(target.target_id, None)
+            self._to_subscribers.add(dataclasses.replace(target, phase=former, is_over=False))
+            return
         self._changed_since_whole[target.target_id] = target
         self._to_subscribers.add(target)
 
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -1,7 +1,8 @@
 """Targets as their own heartbeats tell of them: soft state, merged from many tellers.
 
-Each start of a target is a new incarnation with an id of its own, so a state that says ``gone``
-is final for that id, and a later sequence number always wins, whoever tells it.
+Each start of a target is a new incarnation with an id of its own (`gateway.incarnations`), so a
+state that says ``gone`` is final for that id, and a later sequence number always wins, whoever
+tells it.  A later incarnation ends a former one of the same target, whose words are then too late.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
+from tillerlane.gateway import incarnations
 from tillerlane.peers import codec, messages
 
 __all__ = ["Directory", "Phase", "Target", "read_states", "write_states"]
@@ -59,6 +61,8 @@
         Time of the event loop of its last own word, as far as is known here.
     warm_at : float
         Until then it works slowly after its start.
+    is_over : bool
+        Whether it has started again, so that what ran there is lost; it is gone then.
     """
 
     target_id: str
@@ -70,6 +74,7 @@
     sequence: int
     heard_at: float
     warm_at: float = 0.0
+    is_over: bool = False
 
     @property
     def is_leaving(self) -> bool:
@@ -78,6 +83,7 @@
 
 
 _FINALITY = {Phase.READY: 0, Phase.SILENT: 0, Phase.DRAINING: 1, Phase.GONE: 2}
+_PHASES = {phase.value: phase for phase in Phase}
 Listener = Callable[[Target, Phase | None], None]
 
 
@@ -97,6 +103,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self._pools: dict[str, list[Target]] = {}
         """Targets of each pool that take work, until one of them changes."""
+        self._present: dict[str, str] = {}
+        """A target's own id to the id of its latest incarnation."""
         self._listeners: list[Listener] = []
 
     def listen(self, listener: Listener) -> None:
@@ -138,9 +146,8 @@
         """Merge one word about a target; whether anything but its time changed."""
         known = self.targets.get(told.target_id)
         if known is None:
-            if len(self.targets) >= MAX_TARGETS:
+            if not self._begin(told):
                 return False
-            self.targets[told.target_id] = told
             self._call(told, None)
             return True
         known.heard_at = max(known.heard_at, told.heard_at)
@@ -166,6 +173,33 @@
         self._call(known, former)
         return True
 
+    def _begin(self, told: Target) -> bool:
+        """Take an incarnation that was not known; False for one that is over already."""
+        told_of = incarnations.split_id(told.target_id)
+        present = self._present.get(told_of.name)
+        if present is not None:
+            if told_of.born < incarnations.split_id(present).born:
+                return False
+            self._end(present)
+        if len(self.targets) >= MAX_TARGETS:
+            return False
+        self._present[told_of.name] = told.target_id
+        self.targets[told.target_id] = told
+        return True
+
+    def _end(self, target_id: str) -> None:
+        """End an incarnation whose target has started again."""
+        former = self.targets.pop(target_id, None)
+        if former is None:
+            return
+        phase, former.phase, former.is_over = former.phase, Phase.GONE, True
+        self._call(former, phase)
+
+    def find(self, name: str) -> Target | None:
+        """The latest incarnation of a target, by the target's own id."""
+        target_id = self._present.get(name)
+        return self.targets.get(target_id) if target_id is not None else None
+
     def mark_gone(self, target_id: str) -> bool:
         """Take note that a target has said that it leaves now; whether that is new."""
         known = self.targets.get(target_id)
@@ -190,6 +224,7 @@
         for target_id, item in list(self.targets.items()):
             if item.phase is not Phase.READY and now - item.heard_at > FORGET_SECONDS:
                 del self.targets[target_id]
+                self._present.pop(incarnations.split_id(target_id).name, None)
                 self._pools.clear()
 
     def _call(self, target: Target, former: Phase | None) -> None:
@@ -233,13 +268,14 @@
         table.addresses,
         table.data_halls,
         table.slots,
-        (Phase(phase) for phase in table.phases),
+        (_PHASES.get(phase) for phase in table.phases),
         table.sequences,
         (now - age / 1000 for age in table.age_ms),
         (now + cold / 1000 if cold else 0.0 for cold in table.cold_ms),
         strict=True,
     )
-    return [Target(*row) for row in rows]
+    # A phase that a later version may tell names no target to use; the other rows hold.
+    return [Target(*row) for row in rows if row[5] is not None]
 
 
 def _unpack(message: messages.TargetStates) -> bytes:
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -152,7 +152,9 @@
             self.timeline,
             self._meters,
             self._startup,
+            self.directory,
         )
+        self.directory.listen(self._note_over)
         relayed = streams.Streams(
             sender, selector, self.usage, self._budget, self._mover, self.timeline, self._meters
         )
@@ -332,6 +334,19 @@
                 cold_ms=max(0, int((target.warm_at - now) * 1000)),
             )
 
+    def _note_over(self, target: directories.Target, former: directories.Phase | None) -> None:
+        """Forget what was learned of a target that has started again."""
+        if not target.is_over:
+            return
+        self.usage.forget_pace(target.address)
+        self.timeline.record(
+            "target.over",
+            target=target.target_id,
+            address=target.address,
+            phase=former.value if former else "",
+            age_ms=int((self._loop.time() - target.heard_at) * 1000),
+        )
+
     def _take_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
         """Take a keeper's sums, if it is the one that is told this entry's load."""
         if link is not self.homes.get_primary():
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 import httptools
 
@@ -64,6 +65,9 @@
         self._method = b""
         self._is_interrupted = False
         self._changed = asyncio.Event()
+        self.connected_at = 0.0
+        """Time of the event loop at which the connection came up."""
+        self.on_lost: Callable[[], None] = lambda: None
 
     # Sending
 
@@ -83,6 +87,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """End the connection at once, and have whoever waits for the answer learn why."""
+        self._break(reason)
+        self.abort()
+
     # Receiving
 
     async def read_head(self) -> http_head.AnswerHead:
@@ -163,6 +172,7 @@
         """Take the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.connected_at = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes) -> None:
         """Take bytes; what comes after a whole answer belongs to nobody."""
@@ -184,6 +194,7 @@
             self._is_whole = True
         self._break(f"connection ended: {error or 'closed'}")
         self._changed.set()
+        self.on_lost()
 
     # Called by the parser
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -135,7 +135,7 @@
     def add(self, run: Run) -> None:
         """Take a run that begins at a target."""
         self._runs[run.target.target_id].add(run)
-        if run.target.is_leaving:
+        if run.target.is_leaving and not run.target.is_over:
             self._start(run)
 
     def remove(self, run: Run) -> None:
@@ -159,7 +159,7 @@
     def move_again(self, run: Run) -> None:
         """Look for another destination after one did not take the run up."""
         self.give_up(run)
-        if run.target.is_leaving:
+        if run.target.is_leaving and not run.target.is_over:
             self._start(run)
 
     def note_evacuated(self) -> None:
@@ -172,7 +172,16 @@
         self._lose_backups(lambda backup: backup.target_id == target.target_id)
         runs = sorted(self._runs.get(target.target_id, ()), key=lambda run: run.tokens)
         for run in runs:
-            self._start(run)
+            if target.is_over:
+                self._stop_move(run)
+            else:
+                self._start(run)
+
+    def _stop_move(self, run: Run) -> None:
+        """Wait for no copy out of memory that is lost; one that is whole may still be used."""
+        if run.moving is not None and not run.moving.done():
+            run.moving.cancel()
+            run.moving = None
 
     def _lose_backups(self, is_lost: Callable[[directories.Target], bool]) -> None:
         for run in [run for runs in self._runs.values() for run in runs]:
@@ -185,7 +194,7 @@
         self._usage.add(run.backup.address, tokens=-run.tokens)
         run.backup = None
         self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
-        if run.target.is_leaving:
+        if run.target.is_leaving and not run.target.is_over:
             self._start(run)
 
     def _start(self, run: Run) -> None:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -13,7 +13,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, http_head, routes, selection
+from tillerlane.gateway import exchanges, http_client, http_head, routes, selection
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import usage as usages
@@ -142,6 +142,8 @@
         Counts outcomes.
     startup : startups.Startup
         Tells whether targets may still be unheard of.
+    directory : directories.Directory
+        Tells of targets that have started again.
     """
 
     def __init__(
@@ -153,6 +155,7 @@
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
         startup: startups.Startup,
+        directory: directories.Directory,
     ) -> None:
         self._startup = startup
         self._dialect = dialect
@@ -161,6 +164,7 @@
         self._budget = budget
         self._timeline = timeline
         self._meters = meters
+        self._exchanges = exchanges.Exchanges(directory)
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -189,6 +193,7 @@
         try:
             async with asyncio.timeout_at(until):
                 exchange = await http_client.connect(address, CONNECT_SECONDS)
+                self._exchanges.add(target, exchange)
                 problem = self._selector.note_send(asked.pool, target)
                 if problem:
                     return NotRun(problem, sent=False)
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -151,6 +151,10 @@
         if max(abs(tokens), abs(unread)) >= loads.URGENT_CHANGE_TOKENS:
             self.urgent.set()
 
+    def forget_pace(self, address: str) -> None:
+        """Forget how fast a target wrote that has started again."""
+        self._paces.pop(address, None)
+
     def note_events(self, address: str, events: int, seconds: float, now: float) -> None:
         """Count events of a stream that came from a target after a wait."""
         pace = self._paces.get(address)
--- a/tillerlane/platform/control_api.py
+++ b/tillerlane/platform/control_api.py
@@ -4,7 +4,7 @@
 import urllib.parse
 
 from tillerlane.faults import core as faults
-from tillerlane.gateway import control, http_head, http_server
+from tillerlane.gateway import control, http_head, http_server, incarnations
 from tillerlane.gateway import directory as directories
 from tillerlane.platform import wire
 
@@ -56,10 +56,11 @@
     argument = urllib.parse.unquote(argument)
     match request.head.method, name:
         case b"POST", "Instances.Heartbeat" if argument:
-            _take_heartbeat(keeper, argument, wire.read_heartbeat(request.body))
+            told = wire.read_heartbeat(request.body)
+            _take_heartbeat(keeper, wire.check_target_name(argument), told)
             return 200, b"{}"
         case b"POST", "Instances.Leave" if argument:
-            keeper.take_leave(argument)
+            keeper.take_leave(argument, wire.read_leave(request.body).born)
             return 200, b"{}"
         case b"POST", "Config.Put":
             return await _publish(keeper, request.body)
@@ -70,15 +71,15 @@
     return 404, b""
 
 
-def _take_heartbeat(keeper: control.Control, target_id: str, told: wire.Heartbeat) -> None:
+def _take_heartbeat(keeper: control.Control, name: str, told: wire.Heartbeat) -> None:
     now = asyncio.get_running_loop().time()
     target = directories.Target(
-        target_id=target_id,
+        target_id=incarnations.build_id(name, told.born),
         pool=told.service,
         address=told.addr,
         data_hall=told.zone,
         slots=told.slots,
-        phase=_PHASES.get(told.state, directories.Phase.DRAINING),
+        phase=_PHASES[told.state],
         sequence=told.seq,
         heard_at=now,
         warm_at=now + told.cold_left_ms / 1000 if told.cold_left_ms > 0 else 0.0,
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -1,18 +1,23 @@
 """The platform's headers and bodies, decoded once into the product's types and back."""
 
+import ipaddress
 import zlib
+from typing import Annotated, Literal
 
 import msgspec
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.gateway import dialect, http_head, routes
+from tillerlane.gateway import dialect, http_head, incarnations, routes
 
 __all__ = [
     "Heartbeat",
+    "Leave",
     "check_document",
+    "check_target_name",
     "read_answer",
     "read_heartbeat",
+    "read_leave",
     "read_request",
     "read_table",
     "write_forward",
@@ -31,6 +36,10 @@
 NOT_RUN = b"not-run"
 LONGEST_WAIT_MS = 24 * 3600 * 1000
 """Bound on a number that a caller sends."""
+MAX_NAME_LETTERS = 200
+"""Bound on names and addresses that targets tell; the longest met has 24."""
+MAX_COLD_MS = 3600 * 1000
+"""Bound on how long a target says that it works slowly; the longest met is some seconds."""
 
 _OURS = frozenset(
     name.lower()
@@ -87,7 +96,7 @@
 def write_forward(head: http_head.RequestHead, plan: dialect.ForwardPlan) -> http_head.RequestHead:
     """The head of a request for one target."""
     headers = http_head.list_end_to_end(head.headers, _OURS)
-    headers.append((TARGET_ID, plan.target_id.encode()))
+    headers.append((TARGET_ID, incarnations.split_id(plan.target_id).name.encode()))
     headers.append((DEADLINE, str(max(1, int(plan.wait_seconds * 1000))).encode()))
     if plan.workspace:
         headers.append((WORKSPACE, plan.workspace.encode()))
@@ -291,19 +300,52 @@
 # Targets
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LETTERS)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""What fits a column of the messages between our daemons."""
+
+
 class Heartbeat(msgspec.Struct):
-    """Body of a target's heartbeat; ``cold_left_ms`` is how much longer it works slowly."""
+    """Body of a target's heartbeat.
 
-    service: str
-    addr: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_left_ms: float = 0.0
-    seq: int = 0
+    What the target needs to be used must be there, of its type and within bounds: another writer's
+    word must neither be used nor keep others from being told.
+    """
+
+    service: _Name
+    addr: _Name
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(gt=0, lt=2**31)]
+    state: Literal["ready", "draining"]
+    seq: _Count
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    """How much longer it works slowly after its start."""
+    born: _Count = 0
+    """Unix milliseconds of its start; older targets don't tell."""
+
+
+class Leave(msgspec.Struct):
+    """Body of a target's word that it goes now; it may be empty."""
+
+    born: _Count = 0
 
 
 _decode_heartbeat = msgspec.json.Decoder(Heartbeat).decode
+_decode_leave = msgspec.json.Decoder(Leave).decode
+
+
+def check_target_name(name: str) -> str:
+    """A target's own id, as it goes into the head of each request for it.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request``.
+    """
+    if 0 < len(name) <= MAX_NAME_LETTERS and name.isascii() and name.isprintable():
+        return name
+    message = f"got target id {name[:MAX_NAME_LETTERS]!r}, expected printable ASCII"
+    raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
 
 
 def read_heartbeat(data: bytes) -> Heartbeat:
@@ -315,7 +357,34 @@
         Of kind ``bad_request``.
     """
     try:
-        return _decode_heartbeat(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        told = _decode_heartbeat(data)
+        _check_address(told.addr)
+        return told
+    except (msgspec.DecodeError, ValueError) as error:
         fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, f"no heartbeat: {error}")
         raise faults.FaultError(fault) from error
+
+
+def _check_address(address: str) -> None:
+    """Refuse what is no ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 2**16):
+        raise ValueError(f"got address {address[:MAX_NAME_LETTERS]!r}, expected IP:port")
+
+
+def read_leave(data: bytes) -> Leave:
+    """A target's word that it goes now.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request``.
+    """
+    if not data.strip():
+        return Leave()
+    try:
+        return _decode_leave(data)
+    except (msgspec.DecodeError, ValueError) as error:
+        fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, f"no word of leaving: {error}")
+        raise faults.FaultError(fault) from error
