Refuse a word under a target's id that names another pool

Cause: a well-formed word of another writer, under a target's id with a later start, ended what that target did. Change: a keeper answers 400 where the id is known for another pool. Figures: the new test got 200 and lost the target, now 400 and it serves on. Conclusion: kept; a forged word that names the same pool can't be told from the target's.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -404,7 +404,19 @@
     # Targets
 
     def take_heartbeat(self, target: directories.Target) -> None:
-        """Take a target's own word and spread it."""
+        """Take a target's own word and spread it.
+
+        Raises
+        ------
+        faults.FaultError
+            ``bad_request`` if a target of another pool has that id: then it is another writer's
+            word, which may not end what that target does.
+        """
+        name = incarnations.split_id(target.target_id).name
+        present = self.directory.find(name)
+        if present is not None and present.pool != target.pool:
+            message = f"got pool {target.pool!r} for {name}, expected {present.pool!r}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
         changed = self.directory.take(target)
         known = self.directory.targets.get(target.target_id)
         if known is None:
--- a/tillerlane/platform/tests/test_heartbeats.py
+++ b/tillerlane/platform/tests/test_heartbeats.py
@@ -307,6 +307,22 @@
 
         self.play(scene)
 
+    def test_other_service_under_a_targets_id_changes_nothing(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.begin(stage)
+            before = self.read_known(stage)
+            for service in ("nobody", "llm"):
+                status = await self.tell(
+                    stage, self.former, 1, FIRST_BORN + 9_000, "keeper-2", service=service
+                )
+                self.assertEqual(status, 400)
+            await asyncio.sleep(0.3)
+            self.assertEqual(self.read_known(stage), before)
+            self.present = self.former
+            await self.check_present_serves(stage, "r1")
+
+        self.play(scene)
+
     @profiles.choose(8)
     @given(strategies.lists(strategies.tuples(strategies.sampled_from(FIELDS), BAD), min_size=25))
     def test_mutated_words_lose_no_other_target(self, changes: list[tuple[str, Any]]) -> None:
