Dial no former seed that is gone

Cause: a keeper hung up on addresses that it had heard of only; a seed that never answered, named by former settings, was dialed for good, though its address may become another's. Change: whoever is neither seed nor voter nor known is dialed no more.

--- a/tillerlane/keeper/contacts.py
+++ b/tillerlane/keeper/contacts.py
@@ -96,8 +96,8 @@
         contact = self._known.get(name)
         return contact is not None and contact.heard_at is not None and contact.seen.leaving
 
-    def forget_gone(self) -> set[str]:
-        """Forget who has not been told of for long; gives their addresses."""
+    def forget_gone(self) -> None:
+        """Forget who has not been told of for long."""
         since = self._now() - FORGET_SECONDS
-        gone = [name for name, item in self._known.items() if item.told_at < since]
-        return {self._known.pop(name).seen.address for name in gone}
+        for name in [name for name, item in self._known.items() if item.told_at < since]:
+            del self._known[name]
--- a/tillerlane/keeper/formation.py
+++ b/tillerlane/keeper/formation.py
@@ -153,8 +153,9 @@
             self._node.dial(address)
 
     def _forget_gone(self) -> None:
-        """Stop dialing keepers that have not been heard of for long and have no vote."""
-        for address in self._contacts.forget_gone() - self.list_addresses():
+        """Stop dialing who is neither seed nor voter and has not been told of for long."""
+        self._contacts.forget_gone()
+        for address in self._node.get_dialed() - self.list_addresses():
             self._node.hang_up(address)
 
     def _build_announcement(self) -> messages.KeeperAnnounce:
--- a/tillerlane/keeper/tests/test_exchange.py
+++ b/tillerlane/keeper/tests/test_exchange.py
@@ -89,6 +89,23 @@
 
         self.play(scene)
 
+    def test_former_seed_that_is_gone_is_dialed_no_more(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            # It was down all the while, so nobody but the settings ever told of it.
+            stage.add_keeper("keeper-9")
+            address = stage.get_address("keeper-9")
+            stage.set_seeds(["keeper-9", "keeper-2", "keeper-3"])
+            await asyncio.sleep(1)
+            dialed = [item.node.get_dialed() for item in stage.keepers.values()]
+            self.assertTrue(all(address in found for found in dialed))
+            stage.set_seeds(["keeper-1", "keeper-2", "keeper-3"])
+            await asyncio.sleep(1)
+            dialed = [item.node.get_dialed() for item in stage.keepers.values()]
+            self.assertFalse(any(address in found for found in dialed))
+            self.assertTrue(all(len(found) == self.keepers - 1 for found in dialed), dialed)
+
+        self.play(scene)
+
 
 class TimeTest(ExchangeCase):
     """Whoever is lost, the vote is the newcomer's when it counts as whole."""
