--- a/tillerlane/gateway/tests/test_loads.py
+++ b/tillerlane/gateway/tests/test_loads.py
@@ -263,6 +263,12 @@
         use = self.usage.read(ADDRESS)
         self.assertEqual((use.events, use.event_ms), (40, 1_800))
 
+    def test_pace_of_a_target_that_started_again_is_told_no_more(self) -> None:
+        self.usage.note_events(ADDRESS, 10, 0.3, 0.0)
+        self.usage.forget_pace(ADDRESS)
+        rows = {row.address: row.events for row in self.usage.write(1, 0.0).uses}
+        self.assertEqual(rows.get(ADDRESS, 0), 0)
+
 
 class TableTest(unittest.TestCase):
     """Uses on the wire."""
