--- a/tillerlane/keeper/tests/test_exchange.py
+++ b/tillerlane/keeper/tests/test_exchange.py
@@ -29,15 +29,9 @@
 """How long keepers that are back may take until one leads: three elections."""
 
 
-def find_leader(stage: gateway_lab.GatewayLab) -> str:
-    """Name of the keeper that holds the lease; empty without one."""
-    leading = [name for name, item in stage.keepers.items() if item.replica.has_lease]
-    return leading[0] if leading else ""
-
-
 def list_followers(stage: gateway_lab.GatewayLab) -> list[str]:
     """Names of the live keepers that don't lead."""
-    return [name for name in stage.keepers if name != find_leader(stage)]
+    return [name for name in stage.keepers if name != stage.find_leader()]
 
 
 async def replace(stage: gateway_lab.GatewayLab, lost: str) -> None:
@@ -59,10 +53,10 @@
     ) -> None:
         """Acknowledge a change, lose two disks and all power, and read the change back."""
         version = max(item.replica.machine.published.version for item in stage.keepers.values())
-        await stage.publish(find_leader(stage), gateway_lab.build_document(version + 1))
+        await stage.publish(stage.find_leader(), gateway_lab.build_document(version + 1))
         await stage.lose_power(wiped)
         await asyncio.sleep(RECOVERY_SECONDS)
-        leader = find_leader(stage)
+        leader = stage.find_leader()
         self.assertNotEqual(leader, "", f"nobody leads without the disks of {wiped}")
         self.assertEqual(stage.keepers[leader].replica.machine.published.version, version + 1)
 
@@ -72,7 +66,7 @@
 
     async def exchange_seeds(self, stage: gateway_lab.GatewayLab) -> None:
         """Name three live keepers as seeds that don't lead, and lose the former leader."""
-        await stage.lose_keeper(find_leader(stage))
+        await stage.lose_keeper(stage.find_leader())
         await asyncio.sleep(NEWCOMER_SECONDS * 2)
         stage.set_seeds(list_followers(stage)[:3])
 
@@ -82,7 +76,7 @@
             stage.add_keeper(NEWCOMER)
             await stage.start_keeper(NEWCOMER)
             await asyncio.sleep(25)
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             self.assertIn(NEWCOMER, stage.keepers[leader].replica.voters)
             wiped = [leader, next(name for name in list_followers(stage) if name != NEWCOMER)]
             await self.check_serves_after_two_losses(stage, wiped)
@@ -112,10 +106,10 @@
 
     def check(self, lost: str) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            name = find_leader(stage) if lost == "leader" else list_followers(stage)[-1]
+            name = stage.find_leader() if lost == "leader" else list_followers(stage)[-1]
             await replace(stage, name)
             await asyncio.sleep(CATCH_UP_SECONDS)
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             wiped = [leader, next(name for name in list_followers(stage) if name != NEWCOMER)]
             await self.check_serves_after_two_losses(stage, wiped)
 
@@ -136,13 +130,13 @@
             await stage.start_keeper(NEWCOMER)
             await asyncio.sleep(CATCH_UP_SECONDS)
             followers = [name for name in list_followers(stage) if name != NEWCOMER]
-            stopped = find_leader(stage) if leads else followers[0]
+            stopped = stage.find_leader() if leads else followers[0]
             await stage.stop_keeper(stopped)
             stage.keeper_names.remove(stopped)
             wiped = [name for name in stage.keeper_names if name != NEWCOMER][:2]
             await stage.lose_power(wiped)
             await asyncio.sleep(RECOVERY_SECONDS)
-            self.assertNotEqual(find_leader(stage), "", f"nobody leads without {wiped}")
+            self.assertNotEqual(stage.find_leader(), "", f"nobody leads without {wiped}")
 
         self.play(scene)
 
@@ -169,9 +163,9 @@
                 await asyncio.sleep(0.5)
                 await stage.start_keeper(name)
                 await asyncio.sleep(CATCH_UP_SECONDS)
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             await self.check_serves_after_two_losses(stage, list_followers(stage)[:2])
-            self.assertEqual(len(stage.keepers[find_leader(stage)].replica.voters), 5, leader)
+            self.assertEqual(len(stage.keepers[stage.find_leader()].replica.voters), 5, leader)
 
         self.play(scene)
 
@@ -183,7 +177,7 @@
         """Wait until the voters on the leader's record are no longer five; gives the leader."""
         while True:
             await asyncio.sleep(0.001)
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             if leader and len(stage.keepers[leader].replica.voters) != self.wished_voters:
                 return leader
 
@@ -231,7 +225,7 @@
             # More than follow the log, so that the entry's seeds hold nothing themselves.
             names = await self.add_spares(stage, 4 + 3)
             await asyncio.sleep(1)
-            followed = stage.keepers[find_leader(stage)].replica.replication.standbys
+            followed = stage.keepers[stage.find_leader()].replica.replication.standbys
             stage.set_seeds([name for name in names if name not in followed])
             stage.add_entry("entry-2")
             await stage.start_entry("entry-2")
@@ -246,7 +240,7 @@
 
     def test_three_disks_on_record_elect_a_leader_whatever_terms_they_know(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             behind, first, second, third = list_followers(stage)
             # What a candidate's disk holds that won its pre-vote while the leader paused, and was
             # cut off before it could ask for votes.
@@ -261,7 +255,7 @@
             for name in stage.keeper_names:
                 await stage.start_keeper(name)
             await asyncio.sleep(RECOVERY_SECONDS)
-            self.assertNotEqual(find_leader(stage), "")
+            self.assertNotEqual(stage.find_leader(), "")
             self.assertEqual(stage.keepers[behind].replica.machine.published.version, 2)
 
         self.play(scene)
--- a/tillerlane/keeper/tests/test_restarts.py
+++ b/tillerlane/keeper/tests/test_restarts.py
@@ -13,11 +13,6 @@
     return sum(item.replica.has_lease for item in stage.keepers.values())
 
 
-def find_leader(stage: gateway_lab.GatewayLab) -> str:
-    """Name of the keeper that holds the lease."""
-    return next(name for name, item in stage.keepers.items() if item.replica.has_lease)
-
-
 async def wait_for_lease(stage: gateway_lab.GatewayLab, seconds: float) -> float:
     """Seconds until a keeper holds a lease; more than `seconds` if none does."""
     loop = asyncio.get_running_loop()
@@ -38,12 +33,12 @@
             for offset in range(20):
                 stage.network.heal()
                 await asyncio.sleep(4)
-                leader = find_leader(stage)
+                leader = stage.find_leader()
                 cut_off, restarted = [name for name in stage.keeper_names if name != leader]
                 stage.network.cut(leader, cut_off)
                 stage.network.cut(cut_off, leader)
                 await asyncio.sleep(2 + offset * 0.083)
-                self.assertEqual(find_leader(stage), leader)
+                self.assertEqual(stage.find_leader(), leader)
                 await stage.kill_keeper(restarted)
                 stage.network.cut(leader, restarted)
                 stage.network.cut(restarted, leader)
@@ -56,7 +51,7 @@
 
     def test_voter_that_followed_without_a_vote_remembers_its_leader(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             for item in stage.keepers.values():
                 self.assertEqual(item.replica.storage.voted_for, leader)
 
@@ -72,7 +67,7 @@
 
     async def stop_all(self, stage: gateway_lab.GatewayLab) -> str:
         """Kill every keeper; gives the one that led."""
-        leader = find_leader(stage)
+        leader = stage.find_leader()
         for name in stage.keeper_names:
             await stage.kill_keeper(name)
         return leader
@@ -83,7 +78,7 @@
             for name in stage.keeper_names:
                 await stage.start_keeper(name)
             self.assertLess(await wait_for_lease(stage, 5), 0.4)
-            self.assertEqual(find_leader(stage), leader)
+            self.assertEqual(stage.find_leader(), leader)
 
         self.play(scene)
 
@@ -99,7 +94,7 @@
 
     def test_leader_that_restarts_alone_leads_again_at_once(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            leader = find_leader(stage)
+            leader = stage.find_leader()
             await stage.kill_keeper(leader)
             await stage.start_keeper(leader)
             self.assertLess(await wait_for_lease(stage, 5), 0.5)
--- a/tillerlane/keeper/tests/test_turnover_stateful.py
+++ b/tillerlane/keeper/tests/test_turnover_stateful.py
@@ -69,8 +69,7 @@
 
     async def look_for_leader(self) -> str:
         """The same, within the loop."""
-        live = self.stage.keepers.items()
-        return next((name for name, item in live if item.replica.has_lease), "")
+        return self.stage.find_leader()
 
     # What happens
 
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -89,6 +89,11 @@
         """Peer address of a daemon."""
         return next(key for key, value in self.network.names.items() if value == name)
 
+    def find_leader(self) -> str:
+        """The keeper that holds the lease; empty without one."""
+        leading = (name for name, item in self.keepers.items() if item.replica.has_lease)
+        return next(leading, "")
+
     # Life
 
     async def start(self) -> None:
