Tell in the log which attempts are the same request, and whether a target ended

Cause: lines could not tell a request that ends its targets from targets that end for another reason: an id is another one at each attempt, and a break did not say whether the target or only the connection had ended. Change: each request has a fingerprint (method, host, path with query, workspace, body) in its lines; when a target that does not leave breaks off an answer, one new connection shows whether its host refuses it (target.broke_off, counter tillerlane_broken_answers). No decision goes by it.

--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -5,7 +5,7 @@
 
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import http_head, http_server, routes
+from tillerlane.gateway import fingerprints, http_head, http_server, routes
 
 __all__ = ["LONG_TOKENS", "RETRY_SECONDS", "Admission", "Gate", "Refusal"]
 
@@ -41,6 +41,8 @@
     ----------
     ends_at : float
         Time of the event loop by which it must be answered.
+    fingerprint : str
+        The same for each attempt of the same request (`gateway.fingerprints`).
     """
 
     request: http_server.Request
@@ -50,6 +52,7 @@
     workspace: routes.Workspace | None
     version: int
     ends_at: float
+    fingerprint: str = ""
 
     @property
     def tokens(self) -> int:
@@ -149,4 +152,8 @@
         wait = min([item for item in waits if item is not None], default=DEFAULT_WAIT_SECONDS)
         pool = table.pools[self._draw_pool(route)]
         ends_at = request.arrived + wait
-        return Admission(request, facts, route, pool, workspace, table.version, ends_at)
+        owner = workspace.name if workspace is not None else ""
+        fingerprint = fingerprints.compute(request.head, request.body, owner)
+        return Admission(
+            request, facts, route, pool, workspace, table.version, ends_at, fingerprint
+        )
--- /dev/null
+++ b/tillerlane/gateway/endings.py
@@ -0,0 +1,87 @@
+"""Whether a target ended when it broke off an answer, or only the connection did.
+
+A connection ends for many reasons: a reset on the way, an answer that a sound target loses or
+spoils, an idle connection.  Where the process has ended, its host refuses the next connection at
+once; that tells the two apart within a round trip, seconds before heartbeats are missed.
+"""
+
+import asyncio
+
+from tillerlane.gateway import admission as admissions
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import http_client
+from tillerlane.gateway import meters as entry_meters
+from tillerlane.gateway import usage as usages
+from tillerlane.timeline import core as timelines
+
+__all__ = ["Endings"]
+
+
+class Endings:
+    """Asks after targets that broke off answers of one entry.
+
+    Parameters
+    ----------
+    usage : usages.Usage
+        Tells what else was under way at a target.
+    timeline : timelines.Timeline
+        Takes what was found.
+    meters : entry_meters.EntryMeters
+        Counts it.
+    """
+
+    def __init__(
+        self,
+        usage: usages.Usage,
+        timeline: timelines.Timeline,
+        meters: entry_meters.EntryMeters,
+    ) -> None:
+        self._usage = usage
+        self._timeline = timeline
+        self._meters = meters
+        self._loop = asyncio.get_running_loop()
+        self._probing: dict[str, asyncio.Task[http_client.Reach]] = {}
+        """Probes under way by target: all answers that break off with one share it."""
+
+    async def learn(
+        self, asked: admissions.Admission, target: directories.Target, sent_at: float, events: int
+    ) -> None:
+        """Find out what became of a target that broke off a request's answer.
+
+        A target that leaves ends as planned, and with it what still runs there.
+
+        Parameters
+        ----------
+        asked : admissions.Admission
+            The request.
+        sent_at : float
+            Time of the event loop at which it was sent there.
+        events : int
+            Events of its stream that have come so far, from all of its runners.
+        """
+        if target.is_leaving and not target.is_over:
+            return
+        now = self._loop.time()
+        reach = await self._probe(target)
+        self._meters.broken_answers.labels(reach.value).inc()
+        self._timeline.record(
+            "target.broke_off",
+            request_id=asked.facts.request_id,
+            fingerprint=asked.fingerprint,
+            target=target.target_id,
+            address=target.address,
+            reach=reach.value,
+            ran_ms=int((now - sent_at) * 1000),
+            events=events,
+            requests_there=self._usage.read(target.address).requests,
+        )
+
+    async def _probe(self, target: directories.Target) -> http_client.Reach:
+        if target.is_over:
+            return http_client.Reach.REFUSED  # it has started again, so the former start has ended
+        task = self._probing.get(target.target_id)
+        if task is None:
+            task = self._loop.create_task(http_client.probe(target.address))
+            self._probing[target.target_id] = task
+            task.add_done_callback(lambda _: self._probing.pop(target.target_id))
+        return await asyncio.shield(task)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    endings,
     homes,
     http_head,
     http_server,
@@ -144,6 +145,7 @@
         self._startup = startup.Startup()
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
+        ends = endings.Endings(self.usage, self.timeline, self._meters)
         sender = sending.Sender(
             dialect,
             selector,
@@ -153,10 +155,18 @@
             self._meters,
             self._startup,
             self.directory,
+            ends,
         )
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
-            sender, selector, self.usage, self._budget, self._mover, self.timeline, self._meters
+            sender,
+            selector,
+            self.usage,
+            self._budget,
+            self._mover,
+            self.timeline,
+            self._meters,
+            ends,
         )
         self._relay = relay.Relay(
             self._gate,
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import enum
 from collections.abc import Callable
 
 import httptools
@@ -15,7 +16,7 @@
 from tillerlane.gateway import http_head
 from tillerlane.peers import node as nodes
 
-__all__ = ["AnswerBroken", "Exchange", "connect", "is_reachable"]
+__all__ = ["AnswerBroken", "Exchange", "Reach", "connect", "is_reachable", "probe"]
 
 REACH_SECONDS = 0.3
 """Longest wait for a connection that only shows whether somebody is there."""
@@ -40,6 +41,16 @@
         self.sent = sent
 
 
+class Reach(enum.StrEnum):
+    """What a new connection finds at an address."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    """The host answers, and nothing listens there."""
+    SILENT = "silent"
+    """No answer: the host is dark, cut off or overloaded."""
+
+
 class Exchange(asyncio.Protocol):
     """A request on its way and its answer.
 
@@ -47,10 +58,13 @@
     ----------
     sent : bool
         Whether any byte of the request was given to the connection.
+    sent_at : float
+        Time of the event loop at which it was; 0 before.
     """
 
     def __init__(self) -> None:
         self.sent = False
+        self.sent_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -76,6 +90,7 @@
         assert self._transport is not None
         self._method = head.method
         self.sent = True
+        self.sent_at = self._loop.time()
         headers = list(head.headers)
         if body or head.method not in _BODILESS_METHODS:
             headers.append((b"Content-Length", str(len(body)).encode()))
@@ -252,11 +267,17 @@
     return exchange
 
 
-async def is_reachable(address: str) -> bool:
-    """Whether a target takes connections."""
+async def probe(address: str) -> Reach:
+    """What a new connection finds at a target's address."""
     try:
         exchange = await connect(address, REACH_SECONDS)
-    except AnswerBroken:
-        return False
+    except AnswerBroken as error:
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return Reach.REFUSED if is_refused else Reach.SILENT
     exchange.abort()
-    return True
+    return Reach.OPEN
+
+
+async def is_reachable(address: str) -> bool:
+    """Whether a target takes connections."""
+    return await probe(address) is Reach.OPEN
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -32,6 +32,8 @@
     """Orders to copy a run, by outcome."""
     continuations: prometheus_client.Counter
     """Runs that went on at another runner, by whether it took them up."""
+    broken_answers: prometheus_client.Counter
+    """Answers that targets broke off, by what a new connection then found there."""
     lease_age: prometheus_client.Gauge
     version: prometheus_client.Gauge
     loads_age: prometheus_client.Gauge
@@ -64,6 +66,7 @@
         count("tillerlane_sends", "Sends to targets", "pool", "outcome"),
         count("tillerlane_moves", "Orders to copy a run", "outcome"),
         count("tillerlane_continuations", "Runs that went on elsewhere", "taken"),
+        count("tillerlane_broken_answers", "Answers that targets broke off", "reach"),
         gauge("tillerlane_lease_age_seconds", "Age of the word that the configuration is newest"),
         gauge("tillerlane_config_version", "Configuration in force"),
         gauge("tillerlane_loads_age_seconds", "Age of the word of other entries' loads"),
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -137,6 +137,7 @@
         self._timeline.record(
             "request.end",
             request_id=asked.facts.request_id,
+            fingerprint=asked.fingerprint,
             route=asked.route.name,
             version=asked.version,
             status=status,
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -13,6 +13,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway import endings as ends
 from tillerlane.gateway import exchanges, http_client, http_head, routes, selection
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
@@ -144,6 +145,8 @@
         Tells whether targets may still be unheard of.
     directory : directories.Directory
         Tells of targets that have started again.
+    endings : ends.Endings
+        Asks after targets that broke off.
     """
 
     def __init__(
@@ -156,7 +159,9 @@
         meters: entry_meters.EntryMeters,
         startup: startups.Startup,
         directory: directories.Directory,
+        endings: ends.Endings,
     ) -> None:
+        self._endings = endings
         self._startup = startup
         self._dialect = dialect
         self._selector = selector
@@ -214,6 +219,8 @@
             self._selector.caution.note_failure(target.target_id, self._loop.time())
             if not error.sent:
                 return NotRun(str(error), sent=False)
+            assert exchange is not None
+            await self._endings.learn(asked, target, exchange.sent_at, 0)
             return Unknown(f"{address}: {error}")
         finally:
             self._usage.add(address, unread=-unread)
@@ -404,6 +411,7 @@
         self._timeline.record(
             "request.send",
             request_id=asked.facts.request_id,
+            fingerprint=asked.fingerprint,
             target=target.target_id,
             address=target.address,
             phase=target.phase.value,
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -14,6 +14,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway import endings as ends
 from tillerlane.gateway import events, http_client, http_head, http_server, runs, selection, sending
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
@@ -34,6 +35,9 @@
 
     WHOLE = "whole"
     BROKEN = "broken"
+    """What came is no stream that goes on behind the last event."""
+    BROKEN_OFF = "broken_off"
+    """The runner ended it early, or can't be reached."""
     CAN_GO_ON = "can_go_on"
     """It has not ended; a copy of the run is ready elsewhere."""
 
@@ -95,7 +99,10 @@
                     return Stop.BROKEN
                 if self.run.read_continuation() is not None:
                     return Stop.CAN_GO_ON
-        except (http_client.AnswerBroken, ValueError) as error:
+        except http_client.AnswerBroken as error:
+            self.problem = str(error)
+            return Stop.BROKEN_OFF
+        except ValueError as error:
             self.problem = str(error)
             return Stop.BROKEN
         if self._splitter.has_part:
@@ -180,6 +187,8 @@
         Takes the decisions.
     meters : entry_meters.EntryMeters
         Counts outcomes.
+    endings : ends.Endings
+        Asks after runners that broke off.
     """
 
     def __init__(
@@ -191,7 +200,9 @@
         mover: runs.Mover,
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
+        endings: ends.Endings,
     ) -> None:
+        self._endings = endings
         self._sender = sender
         self._selector = selector
         self._usage = usage
@@ -274,6 +285,10 @@
                 await stream.responder.finish()
                 self._note_end(stream)
                 return
+            if stop is Stop.BROKEN_OFF:
+                assert stream.exchange is not None
+                sent_at = stream.exchange.sent_at
+                await self._endings.learn(stream.asked, stream.run.target, sent_at, stream.events)
             go_on = self._switch if stop is Stop.CAN_GO_ON else self._go_on_from_copy
             if await go_on(stream) or await self._run_anew(stream):
                 continue
@@ -395,6 +410,7 @@
         self._timeline.record(
             "stream.end",
             request_id=stream.asked.facts.request_id,
+            fingerprint=stream.asked.fingerprint,
             target=stream.run.target.target_id,
             events=stream.events,
             first_ms=_milliseconds(first_seconds),
@@ -408,6 +424,7 @@
         self._timeline.record(
             "stream.break",
             request_id=stream.asked.facts.request_id,
+            fingerprint=stream.asked.fingerprint,
             target=stream.run.target.target_id,
             phase=stream.run.target.phase.value,
             last_event=stream.last_event_id,
