--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,8 @@
 __all__ = ["PlatformRunner", "RanRequest", "build_event"]
 
 SEAL = b"Response-Seal"
+DEADLY_SECONDS = 0.08
+"""Time from the beginning of a deadly request's run to the end of its runner."""
 
 
 def build_event(request_id: str, number: int) -> bytes:
@@ -86,6 +89,10 @@
         Id of another request that it answers with.
     is_dark : bool
         Takes connections and never answers.
+    deadly : frozenset of bytes
+        Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
+    on_crash : callable
+        Called when one did.
     skips_event, breaks_at : int
         Number of an event that a stream leaves out, or at which it breaks off.
     """
@@ -122,6 +129,8 @@
         self.answers_for = ""
         self.loses_copies = False
         self.is_dark = False
+        self.deadly: frozenset[bytes] = frozenset()
+        self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.skips_event = 0
         self.breaks_at = 0
         self.dropped: list[str] = []
@@ -204,6 +213,7 @@
         if self.length:
             await self._stream(run, responder)
             return
+        await self._die_of(run)
         await asyncio.sleep(self.pace)
         run.ended = "whole"
         if self.loses_answer:
@@ -229,6 +239,7 @@
         head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
         await responder.begin(head)
         try:
+            await self._die_of(run)
             for number in range(run.first_event, self.length + 1):
                 if self.pace:
                     await asyncio.sleep(self.pace)
@@ -251,6 +262,14 @@
             run.ended = run.ended or "gone"
             run.ended_at = run.ended_at or asyncio.get_running_loop().time()
 
+    async def _die_of(self, run: RanRequest) -> None:
+        """End if the request is one that ends its runners."""
+        if run.body in self.deadly:
+            await asyncio.sleep(DEADLY_SECONDS)
+            self.crash()
+            self.on_crash(self)
+            await asyncio.sleep(3600)
+
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
