Send a request to no target under which three targets have ended

Cause: what an entry learned of a request ended with the attempt. A request that ends each target that runs it came again at any entry and was sent on as if it had never been seen (class: evidence scoped to an attempt, of a fault that belongs to the request). Change: entries tell keepers under which request (fingerprint) a target ended, and which of those ended well; keepers spread it to each other and, once two targets have ended, to entries; from three on every way to a target refuses it, and the leader has the log hold it back. A run that ends well takes all of it back. Orders are pushed by what changed.

--- a/tillerlane/config/store.py
+++ b/tillerlane/config/store.py
@@ -29,8 +29,10 @@
 """Kind of the entities that stand for drained targets."""
 EVACUATIONS = "evacuations"
 """Kind of the entities that stand for data halls whose targets get nothing new."""
-_ORDERS = frozenset({DRAINS, EVACUATIONS})
-"""Kinds that operators' orders put in force; they are not part of the document."""
+QUARANTINE = "quarantine"
+"""Kind of the entities that stand for requests, by fingerprint, that go to no target."""
+_ORDERS = frozenset({DRAINS, EVACUATIONS, QUARANTINE})
+"""Kinds that orders put in force; they are not part of the document."""
 
 
 def _get_kinds() -> dict[str, type[documents.Model]]:
--- /dev/null
+++ b/tillerlane/decisions/quarantine.py
@@ -0,0 +1,18 @@
+"""Which requests go to no target any more, since the targets that ran them ended.
+
+A request that ends each target that begins to run it is known as a query of death.  Its caller
+comes again, at any entry.  Load answered here: one such request, twice every few seconds, took all
+five runners of a pool down within two seconds each time that it came, and cut the long runs there.
+"""
+
+__all__ = ["LEAST_ENDED", "is_deadly"]
+
+LEAST_ENDED = 3
+"""Targets that have ended under a request, and no run of it that ended well, from which on it is
+held back.  It is the users' bound on what such a request may cost; with fewer, requests that only
+shared a target with it are held back more often."""
+
+
+def is_deadly(ended: int) -> bool:
+    """Whether a request is held back under which so many targets have ended."""
+    return ended >= LEAST_ENDED
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -12,7 +12,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, incarnations, loads, meters, news
+from tillerlane.gateway import homes, incarnations, loads, meters, news, suspects, verdicts
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -158,6 +158,17 @@
             lambda: len(self._entries),
             self.formation.list_worth_asking,
         )
+        self.verdicts = verdicts.Verdicts(
+            state.store,
+            lambda: self.replica.has_lease,
+            self.keeper.propose,
+            self._send_to_keepers,
+            self._send_to_subscribers,
+            lambda: int(self._around.now() * 1000),
+            self.timeline,
+        )
+        self._told_orders = 0
+        """Version of the orders that subscribers were told."""
         state.published.listen(self._note_publication)
         state.store.listen(self._note_orders)
         self.meters = meters.build_control_meters()
@@ -195,6 +206,7 @@
             self._loop.create_task(self.freshness.run()),
             self._loop.create_task(self._sweep()),
             self._loop.create_task(self._tell_loads()),
+            self._loop.create_task(self.verdicts.run()),
         ]
         self.timeline.record(
             "daemon.start",
@@ -294,12 +306,15 @@
             case messages.PassedLoads():
                 self._entries.update(dict.fromkeys(body.entries, self._loop.time()))
                 self._loads.take_passed(body, self._loop.time())
+            case messages.TargetEnds():
+                self.verdicts.take(suspects.read_ends(body))
 
     def _greet(self, link: links.Link) -> None:
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
         if link not in self._greeted:
             self._greeted.add(link)
             self._send_whole(link)
+            links.try_send(link, self.verdicts.write_for_keeper())
 
     def _note_down(self, link: links.Link) -> None:
         self._greeted.discard(link)
@@ -318,6 +333,7 @@
         self.timeline.record("entry.subscribed", entry=body.entry, version=body.have)
         # Orders go first: an entry may send requests as soon as it has a publication.
         links.try_send(link, self.replica.machine.store.build_delta(0))
+        links.try_send(link, self.verdicts.write_for_entry())
         self._send_publication(link)
         self._send_whole(link)
 
@@ -357,12 +373,16 @@
             self._send_publication(link)
 
     def _note_orders(self, store: stores.Store) -> None:
-        """Push all of the operators' orders, which are few, to all subscribers."""
+        """Push the orders that changed to all subscribers; who misses some asks for them."""
         halls = sorted(store.list_names(stores.EVACUATIONS))
-        self.timeline.record("evacuation.committed", version=store.version, halls=halls)
-        delta = store.build_delta(0)
+        held = len(store.list_names(stores.QUARANTINE))
+        self.timeline.record("orders.committed", version=store.version, halls=halls, held=held)
+        self._send_to_subscribers(store.build_delta(self._told_orders))
+        self._told_orders = store.version
+
+    def _send_to_subscribers(self, body: messages.Body) -> None:
         for link in list(self._subscribers):
-            links.try_send(link, delta)
+            links.try_send(link, body)
 
     async def _tell_loads(self) -> None:
         """Pass on to other keepers what entries told here, and tell subscribers the sums."""
@@ -453,9 +473,7 @@
         self._to_subscribers.add(target)
 
     def _tell_subscribers(self, targets: list[directories.Target]) -> None:
-        states = directories.write_states(targets)
-        for link in list(self._subscribers):
-            links.try_send(link, states)
+        self._send_to_subscribers(directories.write_states(targets))
 
     # Configuration
 
--- a/tillerlane/gateway/endings.py
+++ b/tillerlane/gateway/endings.py
@@ -9,7 +9,7 @@
 
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client
+from tillerlane.gateway import http_client, quarantine
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
@@ -24,6 +24,8 @@
     ----------
     usage : usages.Usage
         Tells what else was under way at a target.
+    quarantined : quarantine.Quarantine
+        Takes the requests under which targets ended.
     timeline : timelines.Timeline
         Takes what was found.
     meters : entry_meters.EntryMeters
@@ -33,10 +35,12 @@
     def __init__(
         self,
         usage: usages.Usage,
+        quarantined: quarantine.Quarantine,
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
     ) -> None:
         self._usage = usage
+        self._quarantine = quarantined
         self._timeline = timeline
         self._meters = meters
         self._loop = asyncio.get_running_loop()
@@ -75,6 +79,8 @@
             events=events,
             requests_there=self._usage.read(target.address).requests,
         )
+        if reach is http_client.Reach.REFUSED:
+            self._quarantine.note_end(asked.fingerprint, target)
 
     async def _probe(self, target: directories.Target) -> http_client.Reach:
         if target.is_over:
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -16,12 +16,14 @@
     http_head,
     http_server,
     meters,
+    quarantine,
     relay,
     runs,
     selection,
     sending,
     startup,
     streams,
+    suspects,
 )
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import cold as colds
@@ -143,9 +145,11 @@
             dialect, selector, self.usage, self.directory, self.timeline, self._meters
         )
         self._startup = startup.Startup()
+        self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
+        self.quarantine.tell = self._tell_ends
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
-        ends = endings.Endings(self.usage, self.timeline, self._meters)
+        ends = endings.Endings(self.usage, self.quarantine, self.timeline, self._meters)
         sender = sending.Sender(
             dialect,
             selector,
@@ -156,6 +160,7 @@
             self._startup,
             self.directory,
             ends,
+            self.quarantine,
         )
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
@@ -167,6 +172,7 @@
             self.timeline,
             self._meters,
             ends,
+            self.quarantine,
         )
         self._relay = relay.Relay(
             self._gate,
@@ -177,6 +183,7 @@
             self.timeline,
             self._meters,
             self._startup,
+            self.quarantine,
         )
         self.node = nodes.Node(
             self._build_local(clock), open_connection=open_connection, dialing=homes.DIALING
@@ -215,7 +222,7 @@
             on_peer_version=self._note_peer_version,
             serve=self._serve_peer,
             notify=self._take_message,
-            on_up=lambda link: self.homes.look_soon(),
+            on_up=self._note_up,
         )
 
     # Life
@@ -253,6 +260,8 @@
         self._meters.lease_age.set_function(lambda: self._clock.read_age(self._loop.time()))
         self._meters.loads_age.set_function(lambda: self.usage.read_age(self._loop.time()) or 0.0)
         self._meters.busy.set_function(self._front.count_busy)
+        self._meters.quarantined.set_function(self.quarantine.count_held)
+        self._meters.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._meters.evacuated.set_function(lambda: len(self.directory.evacuated))
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -281,11 +290,15 @@
             self._startup.note_ready()
 
     def _note_orders(self, orders: stores.Store) -> None:
-        """Put operators' orders on data halls in force."""
+        """Put orders in force: which data halls and which requests get to no target."""
+        self.quarantine.set_held(orders.list_names(stores.QUARANTINE))
         self.directory.set_evacuated(orders.list_names(stores.EVACUATIONS), self._loop.time())
         self._mover.note_evacuated()
         self.timeline.record(
-            "evacuation.in_force", version=orders.version, halls=sorted(self.directory.evacuated)
+            "orders.in_force",
+            version=orders.version,
+            halls=sorted(self.directory.evacuated),
+            held=self.quarantine.count_held(),
         )
         self.homes.ask_again()
 
@@ -311,6 +324,19 @@
 
     # Messages
 
+    def _note_up(self, link: links.Link) -> None:
+        """Follow a new link soon; a keeper that has started again knows no ends of targets."""
+        self.homes.look_soon()
+        ends = self.quarantine.suspects.list_all()
+        if ends:
+            links.try_send(link, suspects.write_ends(ends))
+
+    def _tell_ends(self, ends: list[suspects.End]) -> None:
+        """Tell all keepers listened to, since any of them may be cut off."""
+        message = suspects.write_ends(ends)
+        for link in self.homes.list_links():
+            links.try_send(link, message)
+
     async def _serve_peer(self, exchange: links.Exchange, body: messages.Body) -> None:
         return None
 
@@ -324,6 +350,8 @@
                 self._take_states(body)
             case messages.LoadDigest():
                 self._take_digest(link, body)
+            case messages.TargetEnds():
+                self.quarantine.take(suspects.read_ends(body))
 
     def _take_states(self, states: messages.TargetStates) -> None:
         """Take word of targets, and log what changed; of very many only how many they are."""
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -115,6 +115,10 @@
                 home.gives_loads = None
         self.look_soon()
 
+    def list_links(self) -> list[links.Link]:
+        """Links to all keepers listened to that are up."""
+        return [home.link for home in self._homes if home.link is not None]
+
     def list_addresses(self) -> list[str]:
         """Addresses of the keepers listened to at present."""
         return [home.address for home in self._homes]
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -41,6 +41,10 @@
     busy: prometheus_client.Gauge
     evacuated: prometheus_client.Gauge
     """Data halls whose targets get nothing new."""
+    quarantined: prometheus_client.Gauge
+    """Requests that the log holds back, by what is in force here."""
+    suspects: prometheus_client.Gauge
+    """Requests under which a target has ended."""
 
 
 def build_entry_meters() -> EntryMeters:
@@ -72,6 +76,8 @@
         gauge("tillerlane_loads_age_seconds", "Age of the word of other entries' loads"),
         gauge("tillerlane_busy_connections", "Connections with a request under way"),
         gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
+        gauge("tillerlane_quarantined_requests", "Requests that the log holds back"),
+        gauge("tillerlane_suspected_requests", "Requests under which a target has ended"),
     )
 
 
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -9,7 +9,7 @@
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import http_head, http_server, sending
+from tillerlane.gateway import http_head, http_server, quarantine, sending
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import streams as stream_relays
@@ -39,6 +39,8 @@
         Counts outcomes.
     startup : startups.Startup
         Has early requests wait for the configuration.
+    quarantined : quarantine.Quarantine
+        Takes note of requests that ended well.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
         startup: startups.Startup,
+        quarantined: quarantine.Quarantine,
     ) -> None:
+        self._quarantine = quarantined
         self._startup = startup
         self._gate = gate
         self._sender = sender
@@ -131,6 +135,8 @@
 
     def _note_answer(self, asked: admissions.Admission, status: int) -> None:
         """Note a whole answer that a target gave."""
+        if status < 400:
+            self._quarantine.note_good(asked.fingerprint)
         seconds = self._loop.time() - asked.request.arrived
         self._meters.requests.labels(asked.route.name, str(status)).inc()
         self._meters.seconds.labels(asked.route.name).observe(seconds)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -14,7 +14,7 @@
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import endings as ends
-from tillerlane.gateway import exchanges, http_client, http_head, routes, selection
+from tillerlane.gateway import exchanges, http_client, http_head, quarantine, routes, selection
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import usage as usages
@@ -44,6 +44,10 @@
 EVACUATED_RETRY_SECONDS = 1.0
 """When a caller may come back that found all data halls evacuated: such an order holds for seconds,
 so that coming back at once is in vain."""
+HELD_RETRY_SECONDS = 60.0
+"""When a caller may come back whose request is held back: only an operator lets it run again, so
+that coming back within its time is in vain.  It is told 503 and not 4xx, since the verdict is drawn
+from what happened to targets and not from the request, and may be taken back."""
 FIRST_SEND_SHARE = 0.5
 """Share of a request's time after which another target is asked, if it may run again."""
 SILENT_SECONDS = 0.25
@@ -147,6 +151,8 @@
         Tells of targets that have started again.
     endings : ends.Endings
         Asks after targets that broke off.
+    quarantined : quarantine.Quarantine
+        Tells which requests go to no target.
     """
 
     def __init__(
@@ -160,7 +166,9 @@
         startup: startups.Startup,
         directory: directories.Directory,
         endings: ends.Endings,
+        quarantined: quarantine.Quarantine,
     ) -> None:
+        self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
         self._dialect = dialect
@@ -185,6 +193,9 @@
         `tokens` is the memory that a run which goes on is counted with, `until` the loop's time
         at which the answer is no longer waited for.
         """
+        held_back = self.refuse_held(asked)
+        if held_back is not None:
+            return held_back
         began = self._loop.time()
         until = asked.ends_at - MARGIN_SECONDS if until is None else until
         address = target.address
@@ -199,6 +210,9 @@
             async with asyncio.timeout_at(until):
                 exchange = await http_client.connect(address, CONNECT_SECONDS)
                 self._exchanges.add(target, exchange)
+                held_back = self.refuse_held(asked)
+                if held_back is not None:
+                    return held_back
                 problem = self._selector.note_send(asked.pool, target)
                 if problem:
                     return NotRun(problem, sent=False)
@@ -229,6 +243,15 @@
                 if exchange is not None:
                     exchange.abort()
 
+    def refuse_held(self, asked: admissions.Admission) -> NotRun | None:
+        """Refuse a request under which targets ended; None if it may go to one.
+
+        Every way to a target asks this, and last when a connection to one is there: while that came
+        up, the third target may have ended elsewhere.
+        """
+        reason = self._quarantine.find_reason(asked.fingerprint)
+        return NotRun(reason, sent=False, retry_after=HELD_RETRY_SECONDS) if reason else None
+
     async def _read_answer(
         self, asked: admissions.Admission, exchange: http_client.Exchange
     ) -> Outcome:
@@ -305,6 +328,9 @@
         tried = Tried(NotRun("no target", sent=False))
         unsent = 0
         while unsent < UNSENT_TRIES:
+            held_back = self.refuse_held(asked)
+            if held_back is not None:
+                return tried if tried.sends else Tried(held_back)
             target = self._selector.choose(asked.pool, asked.work, excluded)
             if target is None and not excluded and self._may_wait_for_targets(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -15,7 +15,16 @@
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import endings as ends
-from tillerlane.gateway import events, http_client, http_head, http_server, runs, selection, sending
+from tillerlane.gateway import (
+    events,
+    http_client,
+    http_head,
+    http_server,
+    quarantine,
+    runs,
+    selection,
+    sending,
+)
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
@@ -189,6 +198,8 @@
         Counts outcomes.
     endings : ends.Endings
         Asks after runners that broke off.
+    quarantined : quarantine.Quarantine
+        Takes note of streams that ended well.
     """
 
     def __init__(
@@ -201,7 +212,9 @@
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
         endings: ends.Endings,
+        quarantined: quarantine.Quarantine,
     ) -> None:
+        self._quarantine = quarantined
         self._endings = endings
         self._sender = sender
         self._selector = selector
@@ -322,7 +335,10 @@
         assert continuation is not None and exchange is not None
         outcome = await self._take_up(stream, continuation)
         if isinstance(outcome, sending.NotRun):
-            self._mover.move_again(former)
+            if self._sender.refuse_held(stream.asked) is None:
+                self._mover.move_again(former)
+            else:
+                self._mover.give_up(former)  # nobody would take it up; it may end here yet
             return True
         if not isinstance(outcome, sending.Stream):
             stream.problem = f"copy may have been taken up: {outcome.reason}"
@@ -341,6 +357,10 @@
     async def _run_anew(self, stream: Relayed) -> bool:
         """Have another run go on behind the last event, where the route allows it."""
         asked = stream.asked
+        held_back = self._sender.refuse_held(asked)
+        if held_back is not None:
+            stream.problem = held_back.reason
+            return False
         if not asked.route.is_resumable or stream.runs_begun >= asked.route.max_attempts:
             return False
         if not self._budget.take(asked.pool.name, self._loop.time()):
@@ -403,6 +423,7 @@
 
     def _note_end(self, stream: Relayed) -> None:
         asked = stream.asked
+        self._quarantine.note_good(asked.fingerprint)
         self._meters.requests.labels(asked.route.name, "200").inc()
         first_seconds = stream.first_at - asked.request.arrived
         self._meters.seconds.labels(asked.route.name).observe(first_seconds)
--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -7,8 +7,14 @@
 caller came again at another entry, and that one did the same.  Seconds later the runners were back,
 and so was the caller.
 
-The suspected cause: what an attempt has shown of a request is forgotten with the attempt.  Each
-entry takes each coming of the same request for a first one, and nobody tells anybody.
+The cause: what an attempt has shown of a request was forgotten with the attempt.  Each entry took
+each coming of the same request for a first one, and nobody told anybody.
+
+The evidence: the users' record names one and the same request under which three runners had ended
+when it was sent on; no attempt of it reached more runners than its route allows, so that our own
+retries are not the cause; here, the lines `target.broke_off` show one fingerprint before all ends, at
+all entries, with `reach` saying that the processes had ended; and with nothing changed but that the
+fourth send is refused everywhere, the ends stop.
 """
 
 import asyncio
@@ -19,6 +25,7 @@
 DEADLY = b"a request that no runner survives"
 BACK_SECONDS = 3.0
 """How long a runner is away after it ended."""
+HEARTBEAT_SECONDS = 1.0
 REACTION_SECONDS = 3.0
 """Time after the third end from which sends are counted against `MOST_SENDS`."""
 MOST_SENDS = 3
@@ -40,7 +47,7 @@
         self._stage = stage
         self._name = name
         self._length = length
-        self._starting: set[asyncio.Task[None]] = set()
+        self._tasks = {asyncio.create_task(self._tell())}
 
     async def start_one(self) -> None:
         """Start one more runner."""
@@ -52,9 +59,15 @@
 
     def _note_crash(self, runner: platform_runner.PlatformRunner) -> None:
         self.ended_at.append(asyncio.get_running_loop().time())
-        task = asyncio.create_task(self._come_back())
-        self._starting.add(task)
-        task.add_done_callback(self._starting.discard)
+        self._tasks.add(asyncio.create_task(self._come_back()))
+
+    async def _tell(self) -> None:
+        """Send heartbeats of the runners that live."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for runner in self.runners:
+                if not runner.has_crashed:
+                    self._stage.beat(runner.target_id, self._name)
 
     async def _come_back(self) -> None:
         await asyncio.sleep(BACK_SECONDS)
--- a/tillerlane/keeper/commands.py
+++ b/tillerlane/keeper/commands.py
@@ -67,6 +67,17 @@
     at_ms: int
 
 
+class Quarantine(msgspec.Struct, frozen=True, tag="quarantine"):
+    """Holds a request back from all targets by its fingerprint, or lets it run again."""
+
+    fingerprint: str
+    held: bool
+    actor: str
+    at_ms: int
+    target_ids: list[str] = []
+    """Targets that ended under it: the evidence."""
+
+
 class ClaimOpen(msgspec.Struct, frozen=True, tag="claim_open"):
     """Claims a request that may not be repeated, before it is sent."""
 
@@ -179,6 +190,7 @@
     | Change
     | Drain
     | Evacuate
+    | Quarantine
     | ClaimOpen
     | ClaimMove
     | ClaimSettle
--- a/tillerlane/keeper/machine.py
+++ b/tillerlane/keeper/machine.py
@@ -19,6 +19,9 @@
 """Change ids whose first answer is remembered: over a week at 2,300 changes a day."""
 MAX_HISTORY = 1_000
 MAX_ORDERS_KEPT = 500
+MAX_QUARANTINED = 1_000
+"""Requests held back at most: all of them take an entry's link of 5 Mbit/s 0.2 s when it starts
+(132 bytes each).  Daemons hold back further ones by what they hear, until all of them stop."""
 FORMAT = 1
 
 
@@ -73,6 +76,8 @@
                 return self._answer_once(command.change_id, lambda: self._drain(command))
             case commands.Evacuate():
                 return self._evacuate(command)
+            case commands.Quarantine():
+                return self._quarantine(command)
             case commands.ClaimOpen():
                 return self.claims.open(command)
             case commands.ClaimMove():
@@ -148,6 +153,22 @@
         self._remember(command.actor, command.at_ms, "", note)
         return {"accepted": True, "version": version + 1}
 
+    def _quarantine(self, command: commands.Quarantine) -> dict[str, Any]:
+        version = self.store.version
+        held = self.store.list_names(stores.QUARANTINE)
+        if (command.fingerprint in held) == command.held:
+            return {"accepted": True, "version": version}
+        if command.held and len(held) >= MAX_QUARANTINED:
+            return {"accepted": False, "version": version}
+        key = (stores.QUARANTINE, command.fingerprint)
+        evidence = {"at_ms": command.at_ms, "target_ids": command.target_ids}
+        puts = {key: msgspec.json.encode(evidence).decode()} if command.held else {}
+        deletes = [] if command.held else [key]
+        self.store.apply_change(version + 1, puts, deletes)
+        verb = "hold back" if command.held else "let run again"
+        self._remember(command.actor, command.at_ms, "", f"{verb} {command.fingerprint}")
+        return {"accepted": True, "version": version + 1}
+
     def _remember(self, actor: str, at_ms: int, change_id: str, note: str) -> None:
         entry = {
             "version": self.store.version,
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -81,7 +81,7 @@
     messages.KeeperSeen,
 )
 """Dataclasses that stand in lists of a body."""
-_TABLES = (messages.UseTable, messages.StateTable)
+_TABLES = (messages.UseTable, messages.StateTable, messages.EndTable)
 """Dataclasses that stand in a body as bytes."""
 _PLANS: dict[type, tuple[_Field, ...]] = {
     cls: _plan_fields(cls) for cls in [*_BODIES.values(), *_ELEMENTS, *_TABLES]
@@ -116,10 +116,10 @@
     return cls(*values)
 
 
-Table = TypeVar("Table", messages.UseTable, messages.StateTable)
+Table = TypeVar("Table", messages.UseTable, messages.StateTable, messages.EndTable)
 
 
-def write_table(table: messages.UseTable | messages.StateTable) -> bytes:
+def write_table(table: messages.UseTable | messages.StateTable | messages.EndTable) -> bytes:
     """Write a table for those fields that carry one."""
     builder = getattr(_SCHEMA, type(table).__name__).new_message()
     _fill(builder, table)
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -39,6 +39,7 @@
     keeperAnnounce @33 :KeeperAnnounce;
     passedLoads @34 :PassedLoads;
     loadDigest @35 :LoadDigest;
+    targetEnds @36 :TargetEnds;
   }
 }
 
@@ -203,6 +204,12 @@
   whole @3 :Bool;
   table @4 :Data;
 }
+struct EndTable {
+  fingerprints @0 :List(Text);
+  targetIds @1 :List(Text);
+  cleared @2 :List(Bool);
+}
+struct TargetEnds { table @0 :Data; }
 struct FreshnessRequest { have @0 :UInt64; }
 struct FreshnessReply {
   version @0 :UInt64;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -456,6 +456,26 @@
     table: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class EndTable:
+    """Targets that ended while they had a request, in columns; it stands in messages as bytes.
+
+    A row is a request's fingerprint, a target, and whether that end counts no more, since the
+    request ended well elsewhere.
+    """
+
+    fingerprints: list[str]
+    target_ids: list[str]
+    cleared: list[bool]
+
+
+@dataclasses.dataclass(slots=True)
+class TargetEnds:
+    """What the sender knows anew of requests under which targets ended."""
+
+    table: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class FreshnessRequest:
     """Asks up to when a publication is known to be the newest."""
@@ -532,6 +552,7 @@
     | EntryLoads
     | PassedLoads
     | LoadDigest
+    | TargetEnds
     | FreshnessRequest
     | FreshnessReply
     | KeeperAnnounce
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -131,6 +131,7 @@
         self.is_dark = False
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
+        self.has_crashed = False
         self.skips_event = 0
         self.breaks_at = 0
         self.dropped: list[str] = []
@@ -147,6 +148,7 @@
 
     def crash(self) -> None:
         """End at once: every connection is reset."""
+        self.has_crashed = True
         self._server.stop_accepting()
         now = asyncio.get_running_loop().time()
         for run in self.ran:
