--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -12,9 +12,9 @@
 
 The evidence: the users' record names one and the same request under which three runners had ended
 when it was sent on; no attempt of it reached more runners than its route allows, so that our own
-retries are not the cause; here, the lines `target.broke_off` show one fingerprint before all ends, at
-all entries, with `reach` saying that the processes had ended; and with nothing changed but that the
-fourth send is refused everywhere, the ends stop.
+retries are not the cause; here, the lines `target.broke_off` show one fingerprint before all ends,
+at all entries, with `reach` saying that the processes had ended; and with nothing changed but that
+the fourth send is refused everywhere, the ends stop.
 """
 
 import asyncio
