Say "not run" only if no target may have begun the request

Cause: a request that may be repeated was answered by its last try; if that one did not run it, the caller was told 503, although the first target may have run it (found while reading the ways that must refuse a request that ends targets). Change: an outcome that leaves open whether the request ran stays over later tries that did not run it.

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -349,10 +349,11 @@
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
             excluded.add(target.target_id)
-            tried = await self._try_target(asked, target, tried.sends)
-            if isinstance(tried.outcome, NotRun) and not tried.outcome.sent:
+            latest = await self._try_target(asked, target, tried.sends)
+            tried = _keep_true(tried, latest)
+            if isinstance(latest.outcome, NotRun) and not latest.outcome.sent:
                 unsent += 1
-            elif not self._may_send_again(asked, tried):
+            elif not self._may_send_again(asked, latest):
                 return tried
         return tried
 
@@ -458,3 +459,14 @@
         retry_after = min(NO_ROOM_RETRY_SECONDS, left * NO_ROOM_RETRY_SHARE)
         reason = f"no memory: {asked.tokens} tokens beside those under way"
         return NotRun(reason, sent=False, retry_after=retry_after)
+
+
+def _keep_true(former: Tried, latest: Tried) -> Tried:
+    """What holds of a request after one more try.
+
+    That one target did not run it says nothing of a former one that may have, so a caller is told
+    that it has not run only if that holds of all of them.
+    """
+    if isinstance(latest.outcome, NotRun) and not isinstance(former.outcome, NotRun):
+        return dataclasses.replace(former, sends=latest.sends)
+    return latest
--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -227,5 +227,45 @@
         self.play(scene)
 
 
+class TruthTest(gateway_scenes.GatewayCase):
+    """ "Not run" is said only of a request that no target can have begun.
+
+    Callers of requests that may be repeated were told 503, which promises that the request has not
+    run, although the first target had begun it: it ended, and the others that were tried next could
+    not be reached or turned the request away.  The last outcome was answered, whatever the earlier
+    ones were.
+    """
+
+    def play_second_send(self, route: str, pool: str, length: int, *, gone: bool) -> None:
+        """Have a target lose an answer, and the others be out of reach or turn the request away."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{n}", pool, length=length) for n in range(4)]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.loses_answer = True
+            call = asyncio.create_task(stage.call("entry-1", route, "r1", Model="m"))
+            while not any(runner.ran for runner in runners):
+                await asyncio.sleep(0)
+            for runner in [item for item in runners if not item.ran]:
+                runner.refuses = True
+                if gone:
+                    runner.crash()
+            answer = await call
+            self.assertEqual(answer.status, 502)
+
+        self.play(scene)
+
+    def test_others_can_not_be_reached(self) -> None:
+        for route, pool, length in (("price", "app", 0), ("verdict", "llm", 4)):
+            with self.subTest(route):
+                self.play_second_send(route, pool, length, gone=True)
+
+    def test_others_turn_it_away(self) -> None:
+        for route, pool, length in (("price", "app", 0), ("verdict", "llm", 4)):
+            with self.subTest(route):
+                self.play_second_send(route, pool, length, gone=False)
+
+
 if __name__ == "__main__":
     unittest.main()
