--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -18,9 +18,19 @@
 """
 
 import asyncio
+import functools
+import random
 import unittest
+import unittest.mock
+from collections.abc import Awaitable, Callable
 
-from tillerlane.testing import gateway_lab, gateway_scenes, platform_runner
+from hypothesis import given, strategies
+
+from tillerlane.config import store as stores
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import fingerprints, http_client, http_head, suspects
+from tillerlane.keeper import commands, machine
+from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner, profiles
 
 DEADLY = b"a request that no runner survives"
 BACK_SECONDS = 3.0
@@ -66,11 +76,13 @@
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             for runner in self.runners:
-                if not runner.has_crashed:
+                if self._stage.keepers and not runner.has_crashed:
                     self._stage.beat(runner.target_id, self._name)
 
     async def _come_back(self) -> None:
         await asyncio.sleep(BACK_SECONDS)
+        while not self._stage.keepers:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
         await self.start_one()
 
     def count_late_sends(self, body: bytes = DEADLY) -> int:
@@ -123,5 +135,398 @@
                 self.play_coming_again(route, pool, length)
 
 
+def compute_fingerprint(route: str, body: bytes = DEADLY) -> str:
+    """The fingerprint of a call of `caller.call`."""
+    target = f"/{route}/x?q=1".encode()
+    head = http_head.RequestHead(b"POST", target, [(b"Host", caller.HOST.encode())])
+    return fingerprints.compute(head, body, "workspace-a")
+
+
+def end_targets(
+    stage: gateway_lab.GatewayLab, runners: list[platform_runner.PlatformRunner], pool: str
+) -> None:
+    """End targets at once; keepers hear of it 0.1 s later, so that nothing more is sent there."""
+    for runner in runners:
+        runner.crash()
+        tell = functools.partial(stage.beat, runner.target_id, pool, phase=directories.Phase.GONE)
+        asyncio.get_running_loop().call_later(0.1, tell)
+
+
+async def end_three(stage: gateway_lab.GatewayLab, pool: Pool) -> None:
+    """Have a deadly request end three targets."""
+    for number in range(2):
+        entry = stage.entry_names[number % len(stage.entry_names)]
+        await stage.call(entry, "price", f"deadly-{number}", body=DEADLY)
+    assert len(pool.ended_at) == 3
+
+
+class LastsTest(gateway_scenes.GatewayCase):
+    """A request stays held back whoever starts again."""
+
+    keepers = 5
+    entries = 3
+    wished_voters = 5
+
+    def play_after(
+        self, change: Callable[[gateway_lab.GatewayLab], Awaitable[None]], settle: float = 2.0
+    ) -> None:
+        """Have three targets end, change something, and have the request come everywhere."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            pool = Pool(stage, "app", 0)
+            for _ in range(5):
+                await pool.start_one()
+            await asyncio.sleep(0.5)
+            await end_three(stage, pool)
+            await asyncio.sleep(settle)
+            await change(stage)
+            for number, entry in enumerate(stage.entries):
+                answer = await stage.call(entry, "price", f"later-{number}", body=DEADLY)
+                self.assertEqual(answer.status, 503)
+                self.assertEqual((await stage.call(entry, "price", f"good-{number}")).status, 200)
+            self.assertEqual(len(pool.ended_at), 3)
+
+        self.play(scene)
+
+    def test_entries_replaced_one_after_another(self) -> None:
+        async def replace(stage: gateway_lab.GatewayLab) -> None:
+            for number, name in enumerate(list(stage.entry_names)):
+                stage.add_entry(f"new-{number}")
+                await stage.start_entry(f"new-{number}")
+                await asyncio.sleep(1.0)
+                await stage.entries.pop(name).stop()
+
+        self.play_after(replace)
+
+    def test_keepers_restarted_in_series(self) -> None:
+        async def restart(stage: gateway_lab.GatewayLab) -> None:
+            for name in list(stage.keeper_names):
+                await stage.stop_keeper(name)
+                await asyncio.sleep(0.5)
+                await stage.start_keeper(name)
+                await asyncio.sleep(3.0)
+
+        self.play_after(restart)
+
+    def test_all_power_lost_and_all_entries_new(self) -> None:
+        async def lose(stage: gateway_lab.GatewayLab) -> None:
+            for name in list(stage.entries):
+                await stage.entries.pop(name).stop()
+            await stage.lose_power([])
+            for number in range(3):
+                stage.add_entry(f"new-{number}")
+                await stage.start_entry(f"new-{number}")
+            await asyncio.sleep(5.0)
+
+        self.play_after(lose)
+
+    def test_leader_lost_at_the_third_end(self) -> None:
+        """The log has not taken it yet, and two keepers come back with empty disks."""
+
+        async def lose(stage: gateway_lab.GatewayLab) -> None:
+            leader = stage.find_leader()
+            await stage.kill_keeper(leader, wipe=True)
+            await asyncio.sleep(3.0)
+            await stage.start_keeper(leader)
+            await asyncio.sleep(3.0)
+
+        self.play_after(lose, settle=0.0)
+
+    def test_keepers_that_know_nothing_are_told_by_entries(self) -> None:
+        """All keepers start again before the log has taken it."""
+
+        async def restart(stage: gateway_lab.GatewayLab) -> None:
+            await stage.lose_power([])
+            await asyncio.sleep(5.0)
+            for keeper in stage.keepers.values():
+                held = keeper.replica.machine.store.list_names(stores.QUARANTINE)
+                self.assertEqual(held, {compute_fingerprint("price")})
+
+        self.play_after(restart, settle=0.0)
+
+
+class SpreadTest(gateway_scenes.GatewayCase):
+    """How soon all entries know."""
+
+    keepers = 3
+    entries = 12
+
+    def test_known_at_all_entries_within_a_second(self) -> None:
+        """The aim is 99 of 100 within a second; here all of them within 0.1 s."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            pool = Pool(stage, "app", 0)
+            for _ in range(5):
+                await pool.start_one()
+            await asyncio.sleep(0.5)
+            await end_three(stage, pool)
+            await asyncio.sleep(0.1)
+            fingerprint = compute_fingerprint("price")
+            for entry in stage.entries.values():
+                self.assertTrue(entry.quarantine.find_reason(fingerprint))
+
+        self.play(scene)
+
+
+class WaysTest(gateway_scenes.GatewayCase):
+    """Every way to a target refuses a request that is held back."""
+
+    def hold(self, stage: gateway_lab.GatewayLab, route: str, body: bytes = b"body") -> None:
+        """Have the only entry hold a request back from now on."""
+        held = frozenset({compute_fingerprint(route, body)})
+        stage.entries["entry-1"].quarantine.set_held(held)
+
+    def test_first_send_is_refused_at_once(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            self.hold(stage, "order")
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual((answer.status, answer.headers["retry-after"]), (503, "60.00"))
+            self.assertLess(answer.seconds, 0.05)
+            self.assertEqual(runner.ran, [])
+
+        self.play(scene)
+
+    def test_retry_says_that_it_may_have_run(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "app") for number in range(3)]
+            await asyncio.sleep(0.2)
+            for runner in runners:
+                runner.loses_answer = True
+            call = asyncio.create_task(stage.call("entry-1", "price", "r1"))
+            while not any(runner.ran for runner in runners):
+                await asyncio.sleep(0)
+            self.hold(stage, "price")
+            self.assertEqual((await call).status, 502)
+            self.assertEqual(sum(len(runner.ran) for runner in runners), 1)
+
+        self.play(scene)
+
+    def test_connection_that_was_on_its_way(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            connect = http_client.connect
+
+            async def connect_slowly(address: str, seconds: float) -> http_client.Exchange:
+                exchange = await connect(address, seconds)
+                self.hold(stage, "order")
+                return exchange
+
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            with unittest.mock.patch.object(http_client, "connect", connect_slowly):
+                answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual((answer.status, runner.ran), (503, []))
+
+        self.play(scene)
+
+    def test_stream_begun_anew(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "llm", length=30) for number in (1, 2)]
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1", Model="m"))
+            await asyncio.sleep(0.4)
+            self.hold(stage, "verdict")
+            next(item for item in runners if item.ran).crash()
+            self.assertFalse((await call).is_whole)
+            self.assertEqual(sum(len(runner.ran) for runner in runners), 1)
+
+        self.play(scene)
+
+    def play_copy(self, *, crash: bool) -> None:
+        """Have a run with a copy elsewhere be held back, and its runner leave or end."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=60)
+            await asyncio.sleep(0.2)
+            call = stage.call("entry-1", "record", "r1", **gateway_scenes.LONG)
+            task = asyncio.create_task(call)
+            await asyncio.sleep(0.3)
+            second = await stage.add_runner("t2", "llm", length=60)
+            await asyncio.sleep(0.2)
+            self.hold(stage, "record")
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.2)
+            if crash:
+                first.crash()
+            answer = await task
+            self.assertEqual(answer.is_whole, not crash)
+            self.assertEqual(second.ran, [])
+            self.assertLessEqual(len(first.copied), 1)
+
+        self.play(scene)
+
+    def test_run_with_a_copy_goes_on_where_it_is(self) -> None:
+        self.play_copy(crash=False)
+
+    def test_copy_is_not_gone_on_with(self) -> None:
+        self.play_copy(crash=True)
+
+
+class InnocentTest(gateway_scenes.GatewayCase):
+    """Requests that only were there when targets ended."""
+
+    entries = 4
+
+    def test_others_differ_in_body_path_or_workspace(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            workspaces = [
+                {"name": "workspace-a", "api_keys": [caller.KEY]},
+                {"name": "workspace-b", "api_keys": ["other"]},
+            ]
+            document = gateway_lab.build_document(2, tenants=workspaces)
+            await stage.publish("keeper-1", document)
+            pool = Pool(stage, "app", 0)
+            for _ in range(5):
+                await pool.start_one()
+            await asyncio.sleep(0.5)
+            await end_three(stage, pool)
+            await asyncio.sleep(BACK_SECONDS + 1.0)
+            for runner in pool.runners:
+                runner.deadly = frozenset()
+            answers = [
+                await stage.call("entry-1", "price", "r1", body=DEADLY),
+                await stage.call("entry-1", "price", "r2", body=DEADLY + b"."),
+                await stage.call("entry-1", "order", "r3", body=DEADLY),
+                await stage.call("entry-1", "price", "r4", body=DEADLY, Credential="other"),
+            ]
+            self.assertEqual([answer.status for answer in answers], [503, 200, 200, 200])
+
+        self.play(scene)
+
+    def test_often_repeated_request_on_targets_that_lose_power_is_served(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "app", pace=0.3) for number in range(8)]
+            await asyncio.sleep(0.2)
+            for entry in stage.entry_names:
+                answer = await stage.call(entry, "price", f"before-{entry}")
+                self.assertEqual(answer.status, 200)
+            calls = [
+                asyncio.create_task(
+                    stage.call(stage.entry_names[number % 4], "price", f"r{number}")
+                )
+                for number in range(24)
+            ]
+            await asyncio.sleep(0.15)
+            end_targets(stage, runners[:6], "app")
+            await asyncio.gather(*calls)
+            for entry in stage.entry_names:
+                answer = await stage.call(entry, "price", f"after-{entry}")
+                self.assertEqual(answer.status, 200)
+
+        self.play(scene)
+
+    def test_verdict_is_taken_back_when_a_run_of_it_ends_well(self) -> None:
+        """Three targets end under a request that nobody has seen; a run of it elsewhere goes on."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{number}", "app", pace=2.0) for number in range(4)]
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call(stage.entry_names[number % 4], "order", f"r{number}")
+                )
+                for number in range(16)
+            ]
+            await asyncio.sleep(0.2)
+            end_targets(stage, runners[:3], "app")
+            await asyncio.sleep(1.0)
+            self.assertEqual((await stage.call("entry-1", "order", "now")).status, 503)
+            store = stage.keepers["keeper-1"].replica.machine.store
+            self.assertTrue(store.list_names(stores.QUARANTINE))
+            answers = await asyncio.gather(*calls)
+            self.assertIn(200, [answer.status for answer in answers])
+            await asyncio.sleep(1.0)
+            self.assertEqual(store.list_names(stores.QUARANTINE), frozenset())
+            for entry in stage.entry_names:
+                self.assertEqual((await stage.call(entry, "order", f"{entry}")).status, 200)
+
+        self.play(scene)
+
+
+class MachineTest(unittest.TestCase):
+    """The replicated state alone."""
+
+    def apply(self, state: machine.Machine, fingerprint: str, held: bool) -> bool:
+        """Apply a verdict; whether it was accepted."""
+        command = commands.Quarantine(fingerprint, held, "keepers", 0, ["t1"])
+        return state.apply(1, 1, command)["accepted"]
+
+    def test_told_again_it_changes_nothing(self) -> None:
+        state = machine.Machine()
+        for held in (True, True, False, False):
+            self.assertTrue(self.apply(state, "f", held))
+        self.assertEqual(state.store.version, 2)
+
+    def test_snapshot_keeps_it_and_documents_have_none(self) -> None:
+        state = machine.Machine()
+        self.apply(state, "f", True)
+        restored = machine.Machine()
+        restored.load(state.dump())
+        self.assertEqual(restored.store.list_names(stores.QUARANTINE), {"f"})
+        self.assertEqual(stores.build_document(restored.store.get_bodies()), {})
+
+    def test_bounded(self) -> None:
+        state = machine.Machine()
+        for number in range(machine.MAX_QUARANTINED):
+            self.assertTrue(self.apply(state, f"f{number}", True))
+        self.assertFalse(self.apply(state, "one more", True))
+        self.assertTrue(self.apply(state, "f0", False))
+        self.assertTrue(self.apply(state, "one more", True))
+
+
+WORDS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("fgh"), strategies.sampled_from("abcd"), strategies.booleans()
+    ),
+    max_size=20,
+)
+
+
+class TableTest(unittest.TestCase):
+    """The table that daemons merge."""
+
+    @profiles.choose(200)
+    @given(WORDS, strategies.randoms(use_true_random=False))
+    def test_order_and_repetition_make_no_difference(
+        self, words: list[tuple[str, str, bool]], rng: random.Random
+    ) -> None:
+        ends = [suspects.End(*word) for word in words]
+        again = ends + ends[: len(ends) // 2]
+        rng.shuffle(again)
+        tables = [suspects.Suspects(), suspects.Suspects()]
+        tables[0].take(ends)
+        for end in again:
+            tables[1].take(suspects.read_ends(suspects.write_ends([end])))
+        self.assertEqual(set(tables[0].list_all()), set(tables[1].list_all()))
+        cleared = {(end.fingerprint, end.target_id) for end in ends if end.is_cleared}
+        for fingerprint in "fgh":
+            expected = {end.target_id for end in ends if end.fingerprint == fingerprint}
+            expected -= {target for other, target in cleared if other == fingerprint}
+            self.assertEqual(set(tables[0].list_targets(fingerprint)), expected)
+
+    def test_only_what_is_new_is_told(self) -> None:
+        table = suspects.Suspects()
+        end = suspects.End("f", "a")
+        self.assertEqual(table.take([end, end]), [end])
+        cleared = table.clear("f")
+        self.assertEqual(cleared, [suspects.End("f", "a", True)])
+        self.assertEqual((table.clear("f"), table.take([end])), ([], []))
+
+    def test_bounded_and_the_least_suspected_go_first(self) -> None:
+        table = suspects.Suspects()
+        table.take([suspects.End("guilty", f"t{number}") for number in range(100)])
+        self.assertEqual(table.count("guilty"), suspects.MAX_ENDS)
+        table.take([suspects.End(f"f{number}", "t") for number in range(100_000)])
+        self.assertEqual(len(table), suspects.MAX_REQUESTS)
+        self.assertEqual(table.count("guilty"), suspects.MAX_ENDS)
+        self.assertEqual((table.count("f0"), table.count("f99999")), (0, 1))
+
+    def test_rows_that_name_nothing_are_passed_over(self) -> None:
+        rows = [suspects.End("", "t"), suspects.End("f", ""), suspects.End("f" * 300, "t")]
+        good = suspects.End("f", "t")
+        self.assertEqual(suspects.read_ends(suspects.write_ends([*rows, good])), [good])
+
+
 if __name__ == "__main__":
     unittest.main()
