--- a/tillerlane/gateway/tests/test_evacuation.py
+++ b/tillerlane/gateway/tests/test_evacuation.py
@@ -202,10 +202,11 @@
 
             async def connect_slowly(address: str, seconds: float) -> http_client.Exchange:
                 exchange = await connect(address, seconds)
-                entry.directory.set_evacuated(frozenset({HALL}), 0.0)
+                if address == there.address:
+                    entry.directory.set_evacuated(frozenset({HALL}), 0.0)
                 return exchange
 
-            await stage.add_runner("there", "app", HALL)
+            there = await stage.add_runner("there", "app", HALL)
             await asyncio.sleep(0.2)
             with unittest.mock.patch.object(http_client, "connect", connect_slowly):
                 answer = await stage.call("entry-1", "order", "r1")
--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -309,7 +309,8 @@
 
             async def connect_slowly(address: str, seconds: float) -> http_client.Exchange:
                 exchange = await connect(address, seconds)
-                self.hold(stage, "order")
+                if address == runner.address:
+                    self.hold(stage, "order")
                 return exchange
 
             runner = await stage.add_runner("t1", "app")
