Add two failing tests of suspended hosts

Cause: all reckoning goes by the event loop's time, which is the steady clock; it stands still while a host is suspended. Change: processes of the platform run with a steady clock that does not count the time of a stop signal.

--- /dev/null
+++ b/tillerlane/platform/tests/test_suspension.py
@@ -0,0 +1,205 @@
+"""Hosts that are suspended: the steady clock stands still, all else goes on.
+
+A suspended process wakes with what it believed before.  Nothing tells it how long it was away but
+a clock that has gone on; by the steady one a lease that ended seconds ago elsewhere looks fresh, so
+that an entry would honour a key that was taken away, and a former leader would answer as if it
+led.  The programs run here as processes that are stopped and whose steady clock is put behind.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+
+from tillerlane.testing import (
+    caller,
+    forwarder,
+    gateway_lab,
+    platform_fleet,
+    platform_runner,
+    platform_soak,
+)
+
+AWAY_SECONDS = float(os.environ.get("TILLERLANE_AWAY_SECONDS", "6"))
+"""How long a host is suspended: more than the 5 s for which a former key may be honoured."""
+UP_SECONDS = 30.0
+NET = 230
+TAKEN = "key-that-is-taken-away"
+
+
+def build_document(version: int, keys: list[str]) -> bytes:
+    """A configuration with these keys."""
+    tenants = [{"name": "workspace-a", "api_keys": keys}]
+    return json.dumps(gateway_lab.build_document(version, tenants=tenants)).encode()
+
+
+class Stage:
+    """A fleet of processes and a stand-in target.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings, data and logs.
+    net, keepers, entries : int
+        As of `platform_fleet.PlatformFleet`.
+    """
+
+    def __init__(self, folder: pathlib.Path, net: int, keepers: int, entries: int) -> None:
+        rng = random.Random(1)
+        self.fleet = platform_fleet.PlatformFleet(folder, net, keepers, entries, rng)
+        self.fleet.program = "tillerlane.testing.suspended_program"
+        self.keepers = self.fleet.list_role("keeper")
+        self.entries = self.fleet.list_role("entry")
+        self.target = platform_runner.PlatformRunner("t1", f"127.{net + 2}.1.1:9000", {})
+        self._sequence = 0
+
+    async def await_good(self, work: Callable[[], Awaitable[bool]]) -> None:
+        """Try something until it succeeds."""
+        async with asyncio.timeout(UP_SECONDS):
+            while not await work():
+                await asyncio.sleep(0.1)
+
+    async def publish(self, document: bytes, skipped: str = "") -> bool:
+        """Publish a configuration at any keeper but one."""
+        for keeper in self.keepers:
+            if keeper.name != skipped:
+                call = platform_soak.fetch(keeper.control, b"POST", "/Config.Put", document)
+                if (await call)[0] == 200:
+                    return True
+        return False
+
+    async def tell(self) -> None:
+        """Send the target's heartbeats, until cancelled."""
+        while True:
+            self._sequence += 1
+            values = {
+                "service": "app",
+                "addr": self.target.address,
+                "zone": "hall-a",
+                "slots": 48,
+                "state": "ready",
+                "seq": self._sequence,
+            }
+            for keeper in self.keepers:
+                body = json.dumps(values).encode()
+                await platform_soak.fetch(keeper.control, b"POST", "/Instances.Heartbeat/t1", body)
+            await asyncio.sleep(0.5)
+
+    async def call(self, key: str, request_id: str) -> int:
+        """Send a request to the only entry; the answer's status."""
+        front = self.entries[0].front
+        answer = await caller.call(front, "order", request_id, Credential=key)
+        return answer.status
+
+    def suspend(self, daemon: platform_fleet.Daemon) -> None:
+        """Suspend a daemon's host."""
+        self.fleet.send(daemon, signal.SIGSTOP)
+
+    def wake(self, daemon: platform_fleet.Daemon) -> None:
+        """Have a suspended host go on, with no way to any keeper."""
+        self.do(forwarder.Harm.SILENCE)
+        self.fleet.send(daemon, signal.SIGCONT)
+
+    def do(self, harm: forwarder.Harm) -> None:
+        """Do harm to all connections to keepers."""
+        for keeper in self.keepers:
+            keeper.way_in.do(harm)
+
+    def reset(self) -> None:
+        """Reset all connections to keepers, so that none holds what a suspended host was told."""
+        self.do(forwarder.Harm.RESET)
+        self.do(forwarder.Harm.NONE)
+
+
+class SuspensionTest(unittest.TestCase):
+    """One host is suspended for `AWAY_SECONDS`."""
+
+    def play(
+        self, net: int, keepers: int, entries: int, scene: Callable[[Stage], Awaitable[None]]
+    ) -> None:
+        """Start a fleet and play a scene."""
+
+        async def run(folder: str) -> None:
+            stage = Stage(pathlib.Path(folder) / "fleet", net, keepers, entries)
+            telling: asyncio.Task[None] | None = None
+            try:
+                await stage.fleet.start_all()
+                await stage.target.start()
+                telling = asyncio.create_task(stage.tell())
+                await stage.await_good(
+                    lambda: stage.publish(build_document(1, [caller.KEY, TAKEN]))
+                )
+                await scene(stage)
+            finally:
+                if telling is not None:
+                    telling.cancel()
+                stage.target.crash()
+                stage.fleet.kill_all()
+                await asyncio.sleep(0.1)
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(run(folder))
+
+    def test_entry_honours_no_key_that_was_taken_away_meanwhile(self) -> None:
+        async def scene(stage: Stage) -> None:
+            entry = stage.entries[0]
+
+            async def is_served() -> bool:
+                return await stage.call(TAKEN, "before") == 200
+
+            await stage.await_good(is_served)
+            stage.suspend(entry)
+            stage.reset()
+            document = build_document(2, [caller.KEY])
+            await stage.await_good(lambda: stage.publish(document))
+            await asyncio.sleep(AWAY_SECONDS)
+            late = asyncio.create_task(stage.call(TAKEN, "late"))
+            await asyncio.sleep(0.1)
+            stage.wake(entry)
+            self.assertIn(await late, (401, 503))
+            self.assertNotIn("late", [run.request_id for run in stage.target.ran])
+            stage.do(forwarder.Harm.NONE)
+
+            async def is_back() -> bool:
+                return await stage.call(caller.KEY, "after") == 200
+
+            await stage.await_good(is_back)
+            self.assertEqual(await stage.call(TAKEN, "never"), 401)
+
+        self.play(NET, 3, 1, scene)
+
+    def test_former_leader_answers_nothing_of_before(self) -> None:
+        async def scene(stage: Stage) -> None:
+            async def find_leader() -> bool:
+                nonlocal leader
+                for keeper in stage.keepers:
+                    _, text = await platform_soak.fetch(keeper.metrics, b"GET", "/metrics")
+                    if b"\ntillerlane_leader 1.0" in text:
+                        leader = keeper
+                        return True
+                return False
+
+            leader: platform_fleet.Daemon | None = None
+            await stage.await_good(find_leader)
+            assert leader is not None
+            stage.suspend(leader)
+            name = leader.name
+            await asyncio.sleep(AWAY_SECONDS)
+            document = build_document(2, [caller.KEY])
+            await stage.await_good(lambda: stage.publish(document, name))
+            asked = asyncio.create_task(platform_soak.fetch(leader.control, b"GET", "/Config.Get"))
+            await asyncio.sleep(0.1)
+            stage.wake(leader)
+            status, body = await asked
+            self.assertNotEqual((status, json.loads(body or b"{}").get("version")), (200, 1))
+
+        self.play(NET + 4, 3, 0, scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -106,6 +106,8 @@
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
         self.net = net
+        self.program = "tillerlane.platform.main"
+        """Module that daemons run."""
         self.daemons: dict[str, Daemon] = {}
         self._seeds = [f"127.{net}.1.{number}" for number in range(1, min(keepers, 3) + 1)]
         for role, kind, number in (("keeper", 1, keepers), ("entry", 2, entries)):
@@ -151,7 +153,7 @@
         environment = {**os.environ, "TILLERLANE_SETTINGS": str(path), "PYTHONPATH": str(ROOT)}
         with open(daemon.folder / "log", "ab") as output:
             daemon.process = subprocess.Popen(
-                [sys.executable, "-m", "tillerlane.platform.main", daemon.role],
+                [sys.executable, "-m", self.program, daemon.role],
                 stdout=output,
                 stderr=output,
                 env=environment,
