Have the event loop's clock count the time for which a host was suspended

Cause: leases, ages and deadlines are all reckoned in the loop's time, the steady clock, which a suspension stops. Conclusion: mended for what rests on the loop's time.

--- a/tillerlane/daemon/main.py
+++ b/tillerlane/daemon/main.py
@@ -17,6 +17,7 @@
 from tillerlane.config import settings
 from tillerlane.daemon import core, http, tls
 from tillerlane.faults import core as faults
+from tillerlane.timeline import loops
 
 __all__ = ["main"]
 
@@ -90,7 +91,8 @@
         return
     set_up_logs(outcome.ok_value.log_file)
     try:
-        asyncio.run(run(outcome.ok_value))
+        with asyncio.Runner(loop_factory=loops.new_loop) as runner:
+            runner.run(run(outcome.ok_value))
     except faults.FaultError as error:
         fault = error.fault
         print(f"tillerlaned: {fault.kind}: {fault.message}", file=sys.stderr)
--- a/tillerlane/platform/programs.py
+++ b/tillerlane/platform/programs.py
@@ -16,6 +16,7 @@
 
 from tillerlane.faults import core as faults
 from tillerlane.platform import early, settings
+from tillerlane.timeline import loops
 
 __all__ = ["main"]
 
@@ -121,7 +122,8 @@
             return
         sink.set_up(sys.stdout.fileno())
         is_entry = arguments.role == "entry"
-        asyncio.run(run_entry(own, listener) if is_entry else run_keeper(own))
+        with asyncio.Runner(loop_factory=loops.new_loop) as runner:
+            runner.run(run_entry(own, listener) if is_entry else run_keeper(own))
     except faults.FaultError as error:
         print(f"tillerlane: {error.fault.kind}: {error.fault.message}", file=sys.stderr)
         sys.exit(error.fault.answer.exit_code)
--- /dev/null
+++ b/tillerlane/timeline/tests/test_loops.py
@@ -0,0 +1,77 @@
+"""The event loop whose clock counts the time for which the host was suspended."""
+
+import asyncio
+import time
+import unittest
+
+from tillerlane.timeline import loops
+
+
+class _Host:
+    """A host whose steady clock is the machine's, and which can have been suspended."""
+
+    def __init__(self) -> None:
+        self._away = 0.0
+
+    def read_clock(self) -> float:
+        return time.monotonic() + self._away
+
+    def suspend(self, seconds: float) -> None:
+        """Have been suspended for so long."""
+        self._away += seconds
+
+
+class LoopTest(unittest.TestCase):
+    """Times that are reckoned in the loop's time."""
+
+    def test_age_is_true_before_any_timer_has_run(self) -> None:
+        host = _Host()
+
+        async def run() -> float:
+            loop = asyncio.get_running_loop()
+            heard_at = loop.time()
+            host.suspend(6.0)
+            return loop.time() - heard_at
+
+        with asyncio.Runner(loop_factory=lambda: loops.new_loop(host.read_clock)) as runner:
+            self.assertGreaterEqual(runner.run(run()), 6.0)
+
+    def test_timers_that_came_due_meanwhile_run_with_the_next_event(self) -> None:
+        host = _Host()
+
+        async def run() -> list[str]:
+            loop = asyncio.get_running_loop()
+            done: list[str] = []
+            loop.call_later(5.0, done.append, "lease ended")
+            loop.call_later(7.0, done.append, "too early")
+            host.suspend(6.0)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            return done
+
+        with asyncio.Runner(loop_factory=lambda: loops.new_loop(host.read_clock)) as runner:
+            self.assertEqual(runner.run(run()), ["lease ended"])
+
+    def test_time_limit_that_ended_meanwhile_holds(self) -> None:
+        host = _Host()
+
+        async def run() -> None:
+            async with asyncio.timeout(5.0):
+                host.suspend(6.0)
+                await asyncio.sleep(1.0)
+
+        with asyncio.Runner(loop_factory=lambda: loops.new_loop(host.read_clock)) as runner:
+            self.assertRaises(TimeoutError, runner.run, run())
+
+    def test_clock_by_default_is_the_one_that_counts_suspensions(self) -> None:
+        loop = loops.new_loop()
+        try:
+            before = time.clock_gettime(time.CLOCK_BOOTTIME)
+            found = loop.time()
+            self.assertTrue(before <= found <= time.clock_gettime(time.CLOCK_BOOTTIME))
+        finally:
+            loop.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
