--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -30,71 +30,20 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import fingerprints, http_client, http_head, suspects
 from tillerlane.keeper import commands, machine
-from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner, profiles
+from tillerlane.testing import (
+    caller,
+    deadly_pool,
+    gateway_lab,
+    gateway_scenes,
+    platform_runner,
+    profiles,
+)
 
 DEADLY = b"a request that no runner survives"
-BACK_SECONDS = 3.0
-"""How long a runner is away after it ended."""
-HEARTBEAT_SECONDS = 1.0
-REACTION_SECONDS = 3.0
-"""Time after the third end from which sends are counted against `MOST_SENDS`."""
 MOST_SENDS = 3
 """Sends that such a request may still get over the whole fleet, whoever sends."""
 
 
-class Pool:
-    """Runners that end under a deadly request and come back under new ids.
-
-    Attributes
-    ----------
-    ended_at : list of float
-        Times of the event loop at which one ended.
-    """
-
-    def __init__(self, stage: gateway_lab.GatewayLab, name: str, length: int) -> None:
-        self.ended_at: list[float] = []
-        self.runners: list[platform_runner.PlatformRunner] = []
-        self._stage = stage
-        self._name = name
-        self._length = length
-        self._tasks = {asyncio.create_task(self._tell())}
-
-    async def start_one(self) -> None:
-        """Start one more runner."""
-        target_id = f"{self._name}-{len(self.runners) + 1}"
-        runner = await self._stage.add_runner(target_id, self._name, length=self._length)
-        runner.deadly = frozenset({DEADLY})
-        runner.on_crash = self._note_crash
-        self.runners.append(runner)
-
-    def _note_crash(self, runner: platform_runner.PlatformRunner) -> None:
-        self.ended_at.append(asyncio.get_running_loop().time())
-        self._tasks.add(asyncio.create_task(self._come_back()))
-
-    async def _tell(self) -> None:
-        """Send heartbeats of the runners that live."""
-        while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-            for runner in self.runners:
-                if self._stage.keepers and not runner.has_crashed:
-                    self._stage.beat(runner.target_id, self._name)
-
-    async def _come_back(self) -> None:
-        await asyncio.sleep(BACK_SECONDS)
-        while not self._stage.keepers:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-        await self.start_one()
-
-    def count_late_sends(self, body: bytes = DEADLY) -> int:
-        """Sends of a request that began later than the reaction time after the third end."""
-        if len(self.ended_at) < 3:
-            return 0
-        until = self.ended_at[2] + REACTION_SECONDS
-        return sum(
-            run.began > until and run.body == body for runner in self.runners for run in runner.ran
-        )
-
-
 class ComesAgainTest(gateway_scenes.GatewayCase):
     """The caller comes again at any entry for forty seconds."""
 
@@ -104,7 +53,7 @@
         """Have a deadly request come every two seconds, twice each time, beside others."""
 
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runners = Pool(stage, pool, length)
+            runners = deadly_pool.DeadlyPool(stage, {DEADLY}, pool, length)
             for _ in range(5):
                 await runners.start_one()
             await asyncio.sleep(0.5)
@@ -118,7 +67,7 @@
                 await asyncio.sleep(1.7)
                 entry = stage.entry_names[number % 4]
                 others.append(await stage.call(entry, route, f"other-{number}", Model="m"))
-            self.assertLessEqual(runners.count_late_sends(), MOST_SENDS)
+            self.assertLessEqual(runners.count_late_sends(DEADLY), MOST_SENDS)
             self.assertTrue(all(answer.is_whole for answer in others[3:]))
             self.assertEqual({answer.status for answer in others[3:]}, {200})
 
@@ -152,12 +101,12 @@
         asyncio.get_running_loop().call_later(0.1, tell)
 
 
-async def end_three(stage: gateway_lab.GatewayLab, pool: Pool) -> None:
+async def end_three(stage: gateway_lab.GatewayLab, pool: deadly_pool.DeadlyPool) -> None:
     """Have a deadly request end three targets."""
     for number in range(2):
         entry = stage.entry_names[number % len(stage.entry_names)]
         await stage.call(entry, "price", f"deadly-{number}", body=DEADLY)
-    assert len(pool.ended_at) == 3
+    assert len(pool.list_ends(DEADLY)) == 3
 
 
 class LastsTest(gateway_scenes.GatewayCase):
@@ -173,7 +122,7 @@
         """Have three targets end, change something, and have the request come everywhere."""
 
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            pool = Pool(stage, "app", 0)
+            pool = deadly_pool.DeadlyPool(stage, {DEADLY}, "app", 0)
             for _ in range(5):
                 await pool.start_one()
             await asyncio.sleep(0.5)
@@ -184,7 +133,7 @@
                 answer = await stage.call(entry, "price", f"later-{number}", body=DEADLY)
                 self.assertEqual(answer.status, 503)
                 self.assertEqual((await stage.call(entry, "price", f"good-{number}")).status, 200)
-            self.assertEqual(len(pool.ended_at), 3)
+            self.assertEqual(len(pool.list_ends(DEADLY)), 3)
 
         self.play(scene)
 
@@ -255,7 +204,7 @@
         """The aim is 99 of 100 within a second; here all of them within 0.1 s."""
 
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            pool = Pool(stage, "app", 0)
+            pool = deadly_pool.DeadlyPool(stage, {DEADLY}, "app", 0)
             for _ in range(5):
                 await pool.start_one()
             await asyncio.sleep(0.5)
@@ -377,13 +326,13 @@
             ]
             document = gateway_lab.build_document(2, tenants=workspaces)
             await stage.publish("keeper-1", document)
-            pool = Pool(stage, "app", 0)
+            pool = deadly_pool.DeadlyPool(stage, {DEADLY}, "app", 0)
             for _ in range(5):
                 await pool.start_one()
             await asyncio.sleep(0.5)
             await end_three(stage, pool)
-            await asyncio.sleep(BACK_SECONDS + 1.0)
-            for runner in pool.runners:
+            await asyncio.sleep(deadly_pool.BACK_SECONDS + 1.0)
+            for runner in pool.targets:
                 runner.deadly = frozenset()
             answers = [
                 await stage.call("entry-1", "price", "r1", body=DEADLY),
