--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -220,7 +220,7 @@
     def _set_gauges(self) -> None:
         """Have the gauges read what they show when they are asked."""
         own = self.replica
-        self.meters.is_leader.set_function(lambda: own.standing is replica.Standing.LEADER)
+        self.meters.is_leader.set_function(lambda: own.is_leading)
         self.meters.term.set_function(lambda: own.storage.term)
         self.meters.version.set_function(lambda: own.machine.published.version)
         self.meters.fresh_age.set_function(lambda: self.freshness.read_age() or 0.0)
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -81,6 +81,11 @@
         """Whether it drains or is gone, so that what runs there has to go elsewhere."""
         return self.phase in (Phase.DRAINING, Phase.GONE)
 
+    @property
+    def is_winding_down(self) -> bool:
+        """Whether it leaves and what runs there still goes on: it has not started again."""
+        return self.is_leaving and not self.is_over
+
 
 _FINALITY = {Phase.READY: 0, Phase.SILENT: 0, Phase.DRAINING: 1, Phase.GONE: 2}
 _PHASES = {phase.value: phase for phase in Phase}
--- a/tillerlane/gateway/endings.py
+++ b/tillerlane/gateway/endings.py
@@ -63,7 +63,7 @@
         events : int
             Events of its stream that have come so far, from all of its runners.
         """
-        if target.is_leaving and not target.is_over:
+        if target.is_winding_down:
             return
         now = self._loop.time()
         reach = await self._probe(target)
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -135,7 +135,7 @@
     def add(self, run: Run) -> None:
         """Take a run that begins at a target."""
         self._runs[run.target.target_id].add(run)
-        if run.target.is_leaving and not run.target.is_over:
+        if run.target.is_winding_down:
             self._start(run)
 
     def remove(self, run: Run) -> None:
@@ -159,7 +159,7 @@
     def move_again(self, run: Run) -> None:
         """Look for another destination after one did not take the run up."""
         self.give_up(run)
-        if run.target.is_leaving and not run.target.is_over:
+        if run.target.is_winding_down:
             self._start(run)
 
     def note_evacuated(self) -> None:
@@ -194,7 +194,7 @@
         self._usage.add(run.backup.address, tokens=-run.tokens)
         run.backup = None
         self._usage.add(run.target.address, unsaved=run.unsaved_tokens)
-        if run.target.is_leaving and not run.target.is_over:
+        if run.target.is_winding_down:
             self._start(run)
 
     def _start(self, run: Run) -> None:
--- a/tillerlane/keeper/replica.py
+++ b/tillerlane/keeper/replica.py
@@ -207,14 +207,14 @@
     @property
     def has_leader(self) -> bool:
         """Whether a leader was heard of lately."""
-        if self.standing is Standing.LEADER:
+        if self.is_leading:
             return self.has_lease
         return bool(self.leader) and self.elections.has_heard(elections.ELECTION_SECONDS[1])
 
     @property
     def has_lease(self) -> bool:
         """Whether no other keeper can be leader yet: a quorum answered lately."""
-        if self.standing is not Standing.LEADER or self.failed is not None:
+        if not self.is_leading or self.failed is not None:
             return False
         confirmed_at = self._read_quorum_time()
         return confirmed_at is not None and self._now() - confirmed_at < elections.LEASE_SECONDS
@@ -350,13 +350,13 @@
         while True:
             await self._pending.queued.wait()
             self._pending.queued.clear()
-            if self.standing is not Standing.LEADER or not self._pending.has_queued:
+            if not self.is_leading or not self._pending.has_queued:
                 continue
             async with self.write_lock:
                 await self._append_batch()
 
     async def _append_batch(self) -> None:
-        if self.standing is not Standing.LEADER:
+        if not self.is_leading:
             return
         batch = self._pending.take_batch(MAX_BATCH_ENTRIES)
         term = self.storage.term
@@ -369,13 +369,13 @@
             await self.write(self.storage.append, entries)
         except faults.FaultError:
             return
-        if self.standing is Standing.LEADER:
+        if self.is_leading:
             self._advance_commit()
             self.replication.wake_all()
 
     def _advance_commit(self) -> None:
         """Commit what a quorum of voters has synced, in this term."""
-        if self.standing is not Standing.LEADER:
+        if not self.is_leading:
             return
         index = self.replication.find_quorum_index(self.voters)
         if index is None:
@@ -405,7 +405,7 @@
     def _after_apply(self) -> None:
         if self.voters == self.machine.voters:
             self._adding_voter = False
-        if self.standing is Standing.LEADER:
+        if self.is_leading:
             if self.name not in self.voters:
                 self.become_follower(self.storage.term, "")
                 return
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -84,7 +84,7 @@
             ``no_quorum`` if there is no leader, or its answer got lost (``ran: unknown``).
         """
         own = self.replica
-        if own.standing is replica.Standing.LEADER and own.has_lease:
+        if own.is_leading and own.has_lease:
             return await self._propose_here(command)
         leader = own.voters.get(own.leader)
         link = self._get_link(leader.address) if leader and own.leader != own.name else None
