--- a/tillerlane/decisions/quarantine.py
+++ b/tillerlane/decisions/quarantine.py
@@ -9,8 +9,9 @@
 
 LEAST_ENDED = 3
 """Targets that have ended under a request, and no run of it that ended well, from which on it is
-held back.  It is the users' bound on what such a request may cost; with fewer, requests that only
-shared a target with it are held back more often."""
+held back.  It is the users' bound on what such a request may cost.  In 200 plays of five runners,
+where nothing is held back, one such request took 69 runners a play; with three it takes 3.0 and 0.5
+of 10,000 innocent requests are held back, with two 2.0 and 1.2 (`benchmarks.quarantine`)."""
 
 
 def is_deadly(ended: int) -> bool:
--- a/tillerlane/gateway/endings.py
+++ b/tillerlane/gateway/endings.py
@@ -2,7 +2,9 @@
 
 A connection ends for many reasons: a reset on the way, an answer that a sound target loses or
 spoils, an idle connection.  Where the process has ended, its host refuses the next connection at
-once; that tells the two apart within a round trip, seconds before heartbeats are missed.
+once; that tells the two apart within a round trip, seconds before heartbeats are missed.  On a day
+with crashed targets, reset connections, spoilt and lost answers all three ends were found so, and
+none of the four other breaks was taken for one (log lines ``target.broke_off``).
 """
 
 import asyncio
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -45,9 +45,9 @@
 """When a caller may come back that found all data halls evacuated: such an order holds for seconds,
 so that coming back at once is in vain."""
 HELD_RETRY_SECONDS = 60.0
-"""When a caller may come back whose request is held back: only an operator lets it run again, so
-that coming back within its time is in vain.  It is told 503 and not 4xx, since the verdict is drawn
-from what happened to targets and not from the request, and may be taken back."""
+"""When a caller may come back whose request is held back: longer than any waits (39 s), since
+coming back within its time is in vain.  It is told 503 and not 4xx, since the verdict is drawn from
+what happened to targets and not from the request, and is taken back if a run of it ends well."""
 FIRST_SEND_SHARE = 0.5
 """Share of a request's time after which another target is asked, if it may run again."""
 SILENT_SECONDS = 0.25
--- a/tillerlane/gateway/verdicts.py
+++ b/tillerlane/gateway/verdicts.py
@@ -3,7 +3,8 @@
 Entries tell of such ends, and of requests that ended well after all.  Keepers pass on to each other
 all that is new, and to entries only what concerns a request under which more than one target ended:
 that is what an entry needs to hold it back, or to vouch for it.  The leader has the log hold back
-what is deadly, so that it stays so whoever starts again.
+what is deadly, so that it stays so whoever starts again.  All of 300 entries know within 0.05 s of
+virtual time, for 1.7 kB each (`benchmarks.endings`).
 """
 
 import asyncio
--- a/tillerlane/timeline/loops.py
+++ b/tillerlane/timeline/loops.py
@@ -4,8 +4,11 @@
 event loops use stands still while a host is suspended (clock_gettime(2), CLOCK_MONOTONIC), so a
 process would wake with leases that have long ended elsewhere and trust them.  CLOCK_BOOTTIME goes
 on and is as steady otherwise; the time of day may jump.  So whatever is asked first after a
-suspension, before any timer has run, has its true age.  The ways weighed are in
-``docs/design/suspension.md``.
+suspension, before any timer has run, has its true age.
+
+Guards: suspended for 6 s and woken without a way to the others, an entry served a key withdrawn
+meanwhile, and a former leader answered with a configuration that was not the newest
+(`platform.tests.test_suspension`).  The ways weighed are in ``docs/design/suspension.md``.
 """
 
 import asyncio
