--- a/benchmarks/endings.py
+++ b/benchmarks/endings.py
@@ -81,9 +81,7 @@
     before = read_sent()
     await _end_targets(stage, targets)
     ended_at = loop.time()
-    target = b"/price/x?q=1"
-    head = http_head.RequestHead(b"POST", target, [(b"Host", caller.HOST.encode())])
-    fingerprint = fingerprints.compute(head, DEADLY, "workspace-a")
+    fingerprint = caller.compute_fingerprint("price", DEADLY)
     known: dict[str, float] = {}
     while len(known) < entries and loop.time() < ended_at + LIMIT_SECONDS:
         for name, entry in stage.entries.items():
--- a/tillerlane/gateway/tests/test_quarantine_stateful.py
+++ b/tillerlane/gateway/tests/test_quarantine_stateful.py
@@ -18,7 +18,6 @@
 from hypothesis import stateful, strategies
 
 from tillerlane.config import store as stores
-from tillerlane.gateway import fingerprints, http_head
 from tillerlane.testing import caller, deadly_pool, gateway_lab, lab, profiles
 
 KEEPERS, ENTRIES, TARGETS = 3, 3, 6
@@ -39,12 +38,6 @@
 )
 
 
-def compute_fingerprint(body: bytes) -> str:
-    """The fingerprint of a call of `caller.call`."""
-    head = http_head.RequestHead(b"POST", b"/price/x?q=1", [(b"Host", caller.HOST.encode())])
-    return fingerprints.compute(head, body, "workspace-a")
-
-
 class QuarantineMachine(stateful.RuleBasedStateMachine):
     """Random comings of requests, and random trouble."""
 
@@ -123,7 +116,7 @@
         """Have a request come that ends nothing."""
         CASES["good"] += 1
         body = f"good {next(self.numbers)}".encode()
-        self.good.append(compute_fingerprint(body))
+        self.good.append(caller.compute_fingerprint("price", body))
         self.run(self.call(self.list_entries()[number], body))
 
     async def call(self, entry: str, body: bytes) -> int:
@@ -186,7 +179,7 @@
 
     def check_held(self, body: bytes) -> None:
         """What any entry holds back, all refuse, and all keepers have in the log."""
-        fingerprint = compute_fingerprint(body)
+        fingerprint = caller.compute_fingerprint("price", body)
         entries = self.stage.entries.values()
         if not any(entry.quarantine.find_reason(fingerprint) for entry in entries):
             return
--- /dev/null
+++ b/tillerlane/gateway/tests/test_suspects.py
@@ -0,0 +1,99 @@
+"""What is kept of requests under which targets ended: the daemons' table and the log's state."""
+
+import random
+import unittest
+
+from hypothesis import given, strategies
+
+from tillerlane.config import store as stores
+from tillerlane.gateway import suspects
+from tillerlane.keeper import commands, machine
+from tillerlane.testing import profiles
+
+
+class MachineTest(unittest.TestCase):
+    """The replicated state alone."""
+
+    def apply(self, state: machine.Machine, fingerprint: str, held: bool) -> bool:
+        """Apply a verdict; whether it was accepted."""
+        command = commands.Quarantine(fingerprint, held, "keepers", 0, ["t1"])
+        return state.apply(1, 1, command)["accepted"]
+
+    def test_told_again_it_changes_nothing(self) -> None:
+        state = machine.Machine()
+        for held in (True, True, False, False):
+            self.assertTrue(self.apply(state, "f", held))
+        self.assertEqual(state.store.version, 2)
+
+    def test_snapshot_keeps_it_and_documents_have_none(self) -> None:
+        state = machine.Machine()
+        self.apply(state, "f", True)
+        restored = machine.Machine()
+        restored.load(state.dump())
+        self.assertEqual(restored.store.list_names(stores.QUARANTINE), {"f"})
+        self.assertEqual(stores.build_document(restored.store.get_bodies()), {})
+
+    def test_bounded(self) -> None:
+        state = machine.Machine()
+        for number in range(machine.MAX_QUARANTINED):
+            self.assertTrue(self.apply(state, f"f{number}", True))
+        self.assertFalse(self.apply(state, "one more", True))
+        self.assertTrue(self.apply(state, "f0", False))
+        self.assertTrue(self.apply(state, "one more", True))
+
+
+WORDS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("fgh"), strategies.sampled_from("abcd"), strategies.booleans()
+    ),
+    max_size=20,
+)
+
+
+class TableTest(unittest.TestCase):
+    """The table that daemons merge."""
+
+    @profiles.choose(200)
+    @given(WORDS, strategies.randoms(use_true_random=False))
+    def test_order_and_repetition_make_no_difference(
+        self, words: list[tuple[str, str, bool]], rng: random.Random
+    ) -> None:
+        ends = [suspects.End(*word) for word in words]
+        again = ends + ends[: len(ends) // 2]
+        rng.shuffle(again)
+        tables = [suspects.Suspects(), suspects.Suspects()]
+        tables[0].take(ends)
+        for end in again:
+            tables[1].take(suspects.read_ends(suspects.write_ends([end])))
+        self.assertEqual(set(tables[0].list_all()), set(tables[1].list_all()))
+        cleared = {(end.fingerprint, end.target_id) for end in ends if end.is_cleared}
+        for fingerprint in "fgh":
+            expected = {end.target_id for end in ends if end.fingerprint == fingerprint}
+            expected -= {target for other, target in cleared if other == fingerprint}
+            self.assertEqual(set(tables[0].list_targets(fingerprint)), expected)
+
+    def test_only_what_is_new_is_told(self) -> None:
+        table = suspects.Suspects()
+        end = suspects.End("f", "a")
+        self.assertEqual(table.take([end, end]), [end])
+        cleared = table.clear("f")
+        self.assertEqual(cleared, [suspects.End("f", "a", True)])
+        self.assertEqual((table.clear("f"), table.take([end])), ([], []))
+
+    def test_bounded_and_the_least_suspected_go_first(self) -> None:
+        table = suspects.Suspects()
+        table.take([suspects.End("guilty", f"t{number}") for number in range(100)])
+        self.assertEqual(table.count("guilty"), suspects.MAX_ENDS)
+        table.take([suspects.End(f"f{number}", "t") for number in range(100_000)])
+        self.assertEqual(len(table), suspects.MAX_REQUESTS)
+        self.assertEqual(table.count("guilty"), suspects.MAX_ENDS)
+        self.assertEqual((table.count("f0"), table.count("f99999")), (0, 1))
+
+    def test_rows_that_name_nothing_are_passed_over(self) -> None:
+        rows = [suspects.End("", "t"), suspects.End("f", ""), suspects.End("f" * 300, "t")]
+        good = suspects.End("f", "t")
+        self.assertEqual(suspects.read_ends(suspects.write_ends([*rows, good])), [good])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/caller.py
+++ b/tillerlane/testing/caller.py
@@ -3,11 +3,13 @@
 import asyncio
 import dataclasses
 
-from tillerlane.gateway import http_client, http_head
+from tillerlane.gateway import fingerprints, http_client, http_head
 
-__all__ = ["HOST", "KEY", "CallerAnswer", "call"]
+__all__ = ["HOST", "KEY", "WORKSPACE", "CallerAnswer", "call", "compute_fingerprint"]
 
 KEY = "key-of-workspace-a"
+WORKSPACE = "workspace-a"
+"""The one that has the key."""
 HOST = "shop.example"
 CONNECT_SECONDS = 5.0
 
@@ -54,7 +56,7 @@
     }
     head = http_head.RequestHead(
         method,
-        f"/{route}/x?q=1".encode(),
+        _write_target(route),
         [(name.encode(), value.encode()) for name, value in found.items()],
     )
     loop = asyncio.get_running_loop()
@@ -76,3 +78,13 @@
         exchange.abort()
     answer.seconds = loop.time() - began
     return answer
+
+
+def _write_target(route: str) -> bytes:
+    return f"/{route}/x?q=1".encode()
+
+
+def compute_fingerprint(route: str, body: bytes) -> str:
+    """The fingerprint that entries give a request of `call`."""
+    head = http_head.RequestHead(b"POST", _write_target(route), [(b"Host", HOST.encode())])
+    return fingerprints.compute(head, body, WORKSPACE)
