--- a/tillerlane/gateway/suspects.py
+++ b/tillerlane/gateway/suspects.py
@@ -98,6 +98,10 @@
         """
         return any(end.is_cleared for end in self._find(fingerprint).values())
 
+    def is_repeated(self, fingerprint: str) -> bool:
+        """Whether more than one target has ended under a request."""
+        return fingerprint in self._more
+
     def list_repeated(self) -> list[str]:
         """Requests under which more than one target has ended."""
         return list(self._more)
--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -79,6 +79,17 @@
                 self.play_coming_again(route, pool, length)
 
 
+def begin_calls(
+    stage: gateway_lab.GatewayLab, route: str, count: int
+) -> list[asyncio.Task[caller.CallerAnswer]]:
+    """Send the same request so many times at once, to all entries in turn."""
+    names = stage.entry_names
+    return [
+        asyncio.create_task(stage.call(names[number % len(names)], route, f"r{number}"))
+        for number in range(count)
+    ]
+
+
 def end_targets(
     stage: gateway_lab.GatewayLab, runners: list[platform_runner.PlatformRunner], pool: str
 ) -> None:
@@ -339,12 +350,7 @@
             for entry in stage.entry_names:
                 answer = await stage.call(entry, "price", f"before-{entry}")
                 self.assertEqual(answer.status, 200)
-            calls = [
-                asyncio.create_task(
-                    stage.call(stage.entry_names[number % 4], "price", f"r{number}")
-                )
-                for number in range(24)
-            ]
+            calls = begin_calls(stage, "price", 24)
             await asyncio.sleep(0.15)
             end_targets(stage, runners[:6], "app")
             await asyncio.gather(*calls)
@@ -360,12 +366,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = [await stage.add_runner(f"t{number}", "app", pace=2.0) for number in range(4)]
             await asyncio.sleep(0.2)
-            calls = [
-                asyncio.create_task(
-                    stage.call(stage.entry_names[number % 4], "order", f"r{number}")
-                )
-                for number in range(16)
-            ]
+            calls = begin_calls(stage, "order", 16)
             await asyncio.sleep(0.2)
             end_targets(stage, runners[:3], "app")
             await asyncio.sleep(1.0)
--- a/tillerlane/gateway/verdicts.py
+++ b/tillerlane/gateway/verdicts.py
@@ -84,8 +84,8 @@
         self._timer = None
         new, self._new = self._new, []
         self._tell_keepers(suspects.write_ends(new))
-        repeated = set(self.suspects.list_repeated())
-        concerned = dict.fromkeys(end.fingerprint for end in new if end.fingerprint in repeated)
+        told = dict.fromkeys(end.fingerprint for end in new)
+        concerned = [item for item in told if self.suspects.is_repeated(item)]
         if not concerned:
             return
         for fingerprint in concerned:
--- a/tillerlane/keeper/replication.py
+++ b/tillerlane/keeper/replication.py
@@ -149,11 +149,8 @@
         reply = await link.call(request, ballots.CALL_SECONDS)
         if not isinstance(reply, messages.AppendReply) or storage.term != term:
             return
-        if reply.term > term:
-            await self._leader.follow_term(reply.term)
+        if not await self._note_answer(progress, reply, term, sent_at):
             return
-        progress.acked_at = sent_at
-        progress.disk_id = reply.disk_id
         if reply.success:
             progress.match_index = prev_index + len(entries)
             progress.next_index = progress.match_index + 1
@@ -161,6 +158,21 @@
             progress.match_index = 0
             progress.next_index = max(1, min(reply.last_index + 1, progress.next_index - 1))
 
+    async def _note_answer(
+        self,
+        progress: followers.Progress,
+        reply: messages.AppendReply | messages.SnapshotReply,
+        term: int,
+        sent_at: float,
+    ) -> bool:
+        """Take what each answer of a follower tells; False if a later term has begun."""
+        if reply.term > term:
+            await self._leader.follow_term(reply.term)
+            return False
+        progress.acked_at = sent_at
+        progress.disk_id = reply.disk_id
+        return True
+
     async def _send_snapshot(self, progress: followers.Progress, link: links.Link) -> None:
         """Send the last snapshot in bounded pieces."""
         storage = self._leader.storage
@@ -181,11 +193,8 @@
             reply = await link.call(piece, ballots.CALL_SECONDS * 4)
             if not isinstance(reply, messages.SnapshotReply) or storage.term != term:
                 return
-            if reply.term > term:
-                await self._leader.follow_term(reply.term)
+            if not await self._note_answer(progress, reply, term, sent_at):
                 return
-            progress.acked_at = sent_at
-            progress.disk_id = reply.disk_id
             offset = reply.received
         progress.match_index = snapshot.last_index
         progress.next_index = snapshot.last_index + 1
