--- a/tillerlane/keeper/machine.py
+++ b/tillerlane/keeper/machine.py
@@ -20,8 +20,9 @@
 MAX_HISTORY = 1_000
 MAX_ORDERS_KEPT = 500
 MAX_QUARANTINED = 1_000
-"""Requests held back at most: all of them take an entry's link of 5 Mbit/s 0.2 s when it starts
-(132 bytes each).  Daemons hold back further ones by what they hear, until all of them stop."""
+"""Requests held back at most: all of them, written as one delta, are 248 kB, which an entry's link
+of 5 Mbit/s carries in 0.4 s when it starts.  Daemons hold back further ones by what they hear,
+until all of them stop."""
 FORMAT = 1
 
 
