Tell which runner a run left and why, and that a caller left

Cause: a run that goes on elsewhere left no word of its former runner, of the reason, or of how long the other one's answer took, so that a former runner that worked on beside the next one can't be told from one that was thought lost. A caller that left before or within an answer left no line at all. Change: run.go_on has former, cause and took_ms; request.leave, and stream.break with the reason 'caller left'.

--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -76,7 +76,11 @@
             await self._refuse(facts.request_id, "", responder, asked)
             return
         self._budget.note_request(asked.pool.name, self._loop.time())
-        tried = await self._sender.try_targets(asked)
+        try:
+            tried = await self._sender.try_targets(asked)
+        except asyncio.CancelledError:
+            self._note_left(asked)
+            raise
         if isinstance(tried.outcome, sending.Stream):
             await self._streams.serve(asked, responder, tried)
         else:
@@ -133,6 +137,18 @@
             refusal = admissions.Refusal(status, outcome.reason)
             await self._refuse(request_id, asked.route.name, responder, refusal)
 
+    def _note_left(self, asked: admissions.Admission) -> None:
+        """Note a caller that left before it got anything."""
+        self._meters.requests.labels(asked.route.name, "left").inc()
+        self._timeline.record(
+            "request.leave",
+            request_id=asked.facts.request_id,
+            fingerprint=asked.fingerprint,
+            route=asked.route.name,
+            version=asked.version,
+            waited_ms=int((self._loop.time() - asked.request.arrived) * 1000),
+        )
+
     def _note_answer(self, asked: admissions.Admission, status: int) -> None:
         """Note a whole answer that a target gave."""
         if status < 400:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -253,6 +253,9 @@
                 await self._relay_runs(stream)
         except TimeoutError:
             self._note_broken(stream, "out of time")
+        except asyncio.CancelledError:
+            self._note_broken(stream, "caller left")
+            raise
         finally:
             self._drop(stream)
             if not responder.is_done:
@@ -402,12 +405,16 @@
     ) -> sending.Outcome:
         """Send the request to another runner; the stream goes on with its answer if it is one."""
         run = stream.run
+        began = self._loop.time()
         outcome = await self._sender.send(stream.asked, target, plan, run.tokens)
         taken = isinstance(outcome, sending.Stream)
         self._meters.continuations.labels(str(taken).lower()).inc()
         self._timeline.record(
             "run.go_on",
             request_id=stream.asked.facts.request_id,
+            former=run.target.target_id,
+            cause=stream.problem or "moved",
+            took_ms=_milliseconds(self._loop.time() - began),
             target=target.target_id,
             copy=plan.copy.handle if plan.copy is not None else "",
             backup=plan.backup_address,
