--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -98,11 +98,25 @@
 
     async def start(self) -> None:
         """Start all daemons, on empty disks."""
+        self._hold_connections()
         for name in self.keeper_names:
             await self.start_keeper(name, is_first=True)
         for name in self.entry_names:
             await self.start_entry(name)
 
+    def _hold_connections(self) -> None:
+        """Have new connections to a target that is cut off wait for ever, as lost packets do."""
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def create_connection(factory: Any, host: Any = None, port: Any = None) -> Any:
+            runner = self._by_address.get(f"{host}:{port}")
+            if runner is not None and runner.is_cut_off:
+                await asyncio.sleep(3600)
+            return await connect(factory, host, port)
+
+        loop.create_connection = create_connection  # type: ignore[method-assign]
+
     def add_keeper(self, name: str) -> None:
         """Give a keeper that is not there yet an address that no other one has had."""
         number = len(self.network.names) + 1
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -89,6 +89,14 @@
         Id of another request that it answers with.
     is_dark : bool
         Takes connections and never answers.
+    is_cut_off : bool
+        It works on, and nothing passes between it and anybody else.
+    is_mute : bool
+        It works on what it gets and sends nothing of it.
+    works_on : bool
+        It works on when the connection of a stream closes.
+    names_no_request : bool
+        Its refusals don't say which request they answer.
     deadly : frozenset of bytes
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
     on_crash : callable
@@ -129,6 +137,10 @@
         self.answers_for = ""
         self.loses_copies = False
         self.is_dark = False
+        self.is_cut_off = False
+        self.is_mute = False
+        self.works_on = False
+        self.names_no_request = False
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
@@ -137,6 +149,12 @@
         self.dropped: list[str] = []
         self._link = asyncio.Lock()
         """Copies are made one after another."""
+        self._ordered: dict[tuple[str, str], str] = {}
+        """Handle by request and destination: a repeated order names the same copy."""
+        self._streams: dict[str, http_server.Responder] = {}
+        """Streams under way by request."""
+        self._working: set[asyncio.Task[None]] = set()
+        """Runs whose connections have closed."""
         self.copied: list[str] = []
         self._handles = itertools.count(1)
         limits = http_server.ServerLimits()
@@ -157,6 +175,12 @@
         self._server.abort_all()
         self.others.pop(self.address, None)
 
+    def reset_connections(self, request_id: str = "") -> None:
+        """Reset the connections of a request's stream, or of all requests; the runs may go on."""
+        for run_id, responder in list(self._streams.items()):
+            if run_id == (request_id or run_id):
+                responder.abort()
+
     def go_dark(self) -> None:
         """Fall silent: connections stay, nothing is sent, nobody gets through any more."""
         self._server.stop_accepting()
@@ -164,7 +188,7 @@
 
     async def _serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in request.head.headers}
-        if self.is_dark:
+        if self.is_dark or self.is_cut_off:
             await asyncio.sleep(3600)
         path = request.head.target.decode()
         if path == "/kv-move":
@@ -181,6 +205,8 @@
     ) -> None:
         self.turned_away.append(request_id)
         extra = [(b"Not-Run", b"1")] if status == 503 else [(b"Instance-Id", b"other")]
+        if not self.names_no_request:
+            extra.append((b"Request-Id", request_id.encode()))
         await responder.send_whole(http_head.AnswerHead(status, extra), b"")
 
     async def _run(
@@ -239,30 +265,53 @@
         if self.reading_seconds:
             await asyncio.sleep(self.reading_seconds)
         head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
-        await responder.begin(head)
+        if not self.is_mute:
+            await responder.begin(head)
+        self._streams[run.request_id] = responder
         try:
             await self._die_of(run)
-            for number in range(run.first_event, self.length + 1):
-                if self.pace:
-                    await asyncio.sleep(self.pace)
-                if self.is_dark:
-                    await asyncio.sleep(3600)
-                if run.is_stopped:
-                    run.ended = "stopped"
-                    responder.abort()
-                    return
-                if number == self.breaks_at:
-                    responder.abort()
-                    return
-                if number != self.skips_event:
-                    await responder.write(build_event(run.request_id, number))
-                run.events = number
-                self._grow_copy(run)
-            run.ended = "whole"
-            await responder.finish()
+            if await self._write_events(run, responder):
+                await responder.finish()
+        except asyncio.CancelledError:
+            if self.works_on or self.is_cut_off:
+                task = asyncio.get_running_loop().create_task(self._write_events(run, None))
+                self._working.add(task)
+                task.add_done_callback(self._working.discard)
+            else:
+                self._note_end(run, "gone")
+            raise
+        except Exception:
+            self._note_end(run, "gone")
+            raise
         finally:
-            run.ended = run.ended or "gone"
-            run.ended_at = run.ended_at or asyncio.get_running_loop().time()
+            self._streams.pop(run.request_id, None)
+
+    async def _write_events(self, run: RanRequest, responder: http_server.Responder | None) -> bool:
+        """Work on a run to its end, and tell a caller of it if there is one; False if cut short."""
+        for number in range(run.events + 1, self.length + 1):
+            if self.pace:
+                await asyncio.sleep(self.pace)
+            if self.is_dark:
+                await asyncio.sleep(3600)
+            if run.is_stopped:
+                self._note_end(run, "stopped")
+            elif number == self.breaks_at:
+                self._note_end(run, "gone")
+            if run.ended:
+                if responder is not None:
+                    responder.abort()
+                return False
+            is_heard = not self.is_mute and not self.is_cut_off and number != self.skips_event
+            if responder is not None and is_heard:
+                await responder.write(build_event(run.request_id, number))
+            run.events = number
+            self._grow_copy(run)
+        self._note_end(run, "whole")
+        return not self.is_mute and not self.is_cut_off
+
+    def _note_end(self, run: RanRequest, ended: str) -> None:
+        run.ended = run.ended or ended
+        run.ended_at = run.ended_at or asyncio.get_running_loop().time()
 
     async def _die_of(self, run: RanRequest) -> None:
         """End if the request is one that ends its runners."""
@@ -290,7 +339,8 @@
             await responder.send_whole(http_head.AnswerHead(404, []), b"")
             return
         destination = self.others.get(str(order["target_version"]))
-        handle = f"h{next(self._handles)}-{self.target_id}"
+        place = (run.request_id, str(order["target_version"]))
+        handle = self._ordered.setdefault(place, f"h{next(self._handles)}-{self.target_id}")
         if order.get("last"):
             run.is_stopped = True
         self.copied.append(run.request_id)
