Hand a run over only behind an event that its caller has

Cause: a run that had made no event yet, or whose first event had not come, went on at another runner with the copy's name and no last event. It is the same run only with both; without, what runs there is another run of the request. Change: a move waits for the first event, and a run that broke off before it does not go on from a copy.

--- a/tillerlane/decisions/handover.py
+++ b/tillerlane/decisions/handover.py
@@ -38,10 +38,11 @@
     return evidence in _LET_GO
 
 
-def may_go_on(evidence: Evidence) -> bool:
+def may_go_on(evidence: Evidence, last_event_id: str) -> bool:
     """Whether a run may go on elsewhere with a copy of its memory.
 
     It may also where nobody reaches the former runner: most of these have ended, and a caller would
     wait for nothing.  The order to stop is then given for as long as that one could work on.
+    Without an event to go on behind, it would be another run.
     """
-    return has_let_go(evidence) or evidence is Evidence.OUT_OF_REACH
+    return bool(last_event_id) and (has_let_go(evidence) or evidence is Evidence.OUT_OF_REACH)
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -140,8 +140,9 @@
         return Stop.WHOLE
 
     def _can_go_on(self) -> bool:
-        """Whether the run can be handed over: a copy is ready elsewhere."""
-        return self.run.read_continuation() is not None and self.stopping is None
+        """Whether the run can be handed over: a copy is ready, and there is an event to follow."""
+        is_ready = self.run.read_continuation() is not None
+        return is_ready and self.stopping is None and bool(self.last_event_id)
 
     async def _pass_on(self, data: bytes) -> bool:
         """Pass on whole events; False if one does not follow the last."""
@@ -391,7 +392,7 @@
         if continuation is None:
             return False
         evidence = await self._learn_end(stream, continuation.target)
-        if not handover.may_go_on(evidence):
+        if not handover.may_go_on(evidence, stream.last_event_id):
             stream.problem += f"; nothing goes on with it: {evidence.value}"
             return False
         stopping = stream.stopping
