Add a failing test: a refusal that names no request is taken for a target's word

Cause: a target's answer that says 'not run' and not which request it answers is taken for the word on this one, and the caller is told that it has not run. Conclusion: every answer of a target carries the request's id, so one without proves nothing.

--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -234,6 +234,9 @@
     run, although the first target had begun it: it ended, and the others that were tried next could
     not be reached or turned the request away.  The last outcome was answered, whatever the earlier
     ones were.
+
+    Callers of requests that may not be repeated were told 503 on a refusal that did not say which
+    request it answered: an answer of a target without that belongs to nobody.
     """
 
     def play_second_send(self, route: str, pool: str, length: int, *, gone: bool) -> None:
@@ -261,6 +264,17 @@
             with self.subTest(route):
                 self.play_second_send(route, pool, length, gone=True)
 
+    def test_refusal_that_names_no_request_proves_nothing(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.2)
+            runner.denies_runs = runner.names_no_request = True
+            answer = await stage.call("entry-1", "order", "r1")
+            self.assertEqual(len(runner.ran), 1)
+            self.assertEqual(answer.status, 502)
+
+        self.play(scene)
+
     def test_others_turn_it_away(self) -> None:
         for route, pool, length in (("price", "app", 0), ("verdict", "llm", 4)):
             with self.subTest(route):
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -99,6 +99,8 @@
         It works on when the connection of a stream closes.
     names_no_request : bool
         Its refusals don't say which request they answer.
+    denies_runs : bool
+        Runs a plain request and refuses it then as not run.
     deadly : frozenset of bytes
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
     on_crash : callable
@@ -143,6 +145,7 @@
         self.is_mute = False
         self.works_on = False
         self.names_no_request = False
+        self.denies_runs = False
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
@@ -250,6 +253,9 @@
         if self.loses_answer:
             responder.abort()
             return
+        if self.denies_runs:
+            await self._turn_away(503, request_id, responder)
+            return
         head = http_head.AnswerHead(
             self.answer_status,
             [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
