Take no answer for a target's that does not name its request

Cause: the id of an answer was compared only where it had one, so that a refusal without one was taken for the target's word that this request has not run. Change: an answer without the request's id is nobody's, as is one with another id: what became of the request is unknown (502).

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -257,8 +257,10 @@
     ) -> Outcome:
         head = await exchange.read_head()
         facts = self._dialect.read_answer(head)
-        if facts.request_id and facts.request_id != asked.facts.request_id:
-            raise http_client.AnswerBroken("answer to another request", sent=True)
+        if facts.request_id != asked.facts.request_id:
+            # Each answer of a target names its request; what does not is nobody's word on this one.
+            named = facts.request_id or "none"
+            raise http_client.AnswerBroken(f"answer to another request: {named}", sent=True)
         if not facts.did_run:
             return NotRun(f"turned away, status {head.status}", True, facts.is_other_target)
         if asked.is_stream and head.status == 200:
