Share the tries to reach a runner among the orders to stop its runs

Cause: each run left at a runner out of reach tried a connection of its own every 0.35 s, for as long as the run could last (39 s): a dark rack would cost a thin entry hundreds of tries a second. Change: orders for one address share one loop of tries; test with it. Conclusion: the load goes by runners out of reach, not by runs.

--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -4,8 +4,8 @@
 
 from tillerlane.decisions import handover
 from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import http_client, runs
 from tillerlane.gateway import meters as entry_meters
-from tillerlane.gateway import runs
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Handovers", "Stopping"]
@@ -118,6 +118,8 @@
         self._meters = meters
         self._loop = asyncio.get_running_loop()
         self._orders: set[asyncio.Task[None]] = set()
+        self._reaching: dict[str, asyncio.Task[None]] = {}
+        """Tries to reach a runner, by its address: all orders for it share them."""
 
     def stop(
         self,
@@ -161,6 +163,21 @@
             self._orders.add(task)
             task.add_done_callback(self._orders.discard)
 
+    async def _await_reach(self, address: str, ends_at: float) -> None:
+        """Wait until a connection to a runner comes about, or is refused."""
+        task = self._reaching.get(address)
+        if task is None:
+            task = self._loop.create_task(self._try_to_reach(address, ends_at))
+            self._reaching[address] = task
+            task.add_done_callback(lambda _: self._reaching.pop(address))
+        await asyncio.shield(task)
+
+    async def _try_to_reach(self, address: str, ends_at: float) -> None:
+        while self._loop.time() < ends_at:
+            if await http_client.probe(address) is not http_client.Reach.SILENT:
+                return
+            await asyncio.sleep(AGAIN_SECONDS)
+
     async def _order(
         self, stopping: Stopping, run: runs.Run, destination: str, ends_at: float
     ) -> None:
@@ -172,7 +189,9 @@
         result = dialects.MoveResult(dialects.MoveOutcome.LOST)
         try:
             while not handover.has_let_go(evidence):
-                if orders:
+                if evidence is handover.Evidence.OUT_OF_REACH:
+                    await self._await_reach(source, ends_at)
+                elif orders:
                     await asyncio.sleep(AGAIN_SECONDS)
                 if self._loop.time() >= ends_at:
                     evidence = handover.Evidence.EXPIRED
--- a/tillerlane/gateway/tests/test_handover.py
+++ b/tillerlane/gateway/tests/test_handover.py
@@ -49,16 +49,19 @@
         return first, call
 
     async def begin_with_copies(
-        self, stage: gateway_lab.GatewayLab
+        self, stage: gateway_lab.GatewayLab, number_of_runs: int = 6, number_of_runners: int = 2
     ) -> tuple[list[platform_runner.PlatformRunner], dict[str, asyncio.Task], list[str]]:
         """Runs at two runners, and those that have a copy at the other one while they grow."""
-        runners = [await stage.add_runner(f"t{number}", "llm", length=LENGTH) for number in (1, 2)]
+        runners = [
+            await stage.add_runner(f"t{number}", "llm", length=LENGTH)
+            for number in range(number_of_runners)
+        ]
         await asyncio.sleep(0.2)
         calls = {
             f"r{number}": asyncio.create_task(
                 stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
             )
-            for number in range(6)
+            for number in range(number_of_runs)
         }
         await asyncio.sleep(0.6)
         backed = [run.request_id for run in runners[0].ran if "kv-backup" in run.headers]
@@ -148,6 +151,19 @@
 
         self.play(scene)
 
+    def test_orders_for_one_runner_out_of_reach_share_the_tries_to_reach_it(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await self.begin_with_copies(stage, 18, 3)
+            self.assertGreaterEqual(len(backed), 2)
+            runners[0].is_cut_off = True
+            await asyncio.sleep(5.0)
+            # Three looks for each run, and then one try for all of them each 0.35 s.
+            self.assertLessEqual(stage.lost_connections, 3 * len(backed) + 5.0 / 0.35)
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
+
     def test_run_goes_on_elsewhere_only_behind_an_event(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first = await stage.add_runner("t1", "llm", length=LENGTH, pace=0.4)
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -77,6 +77,8 @@
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self._by_address: dict[str, platform_runner.PlatformRunner] = {}
         self._sequences: dict[str, int] = {}
+        self.lost_connections = 0
+        """Connections that were tried to targets that are cut off."""
         self._wished = wished_voters
         self.keeper_names = [f"keeper-{number}" for number in range(1, keepers + 1)]
         self.entry_names = [f"entry-{number}" for number in range(1, entries + 1)]
@@ -112,6 +114,7 @@
         async def create_connection(factory: Any, host: Any = None, port: Any = None) -> Any:
             runner = self._by_address.get(f"{host}:{port}")
             if runner is not None and runner.is_cut_off:
+                self.lost_connections += 1
                 await asyncio.sleep(3600)
             return await connect(factory, host, port)
 
