--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -156,6 +156,8 @@
         """Copies are made one after another."""
         self._ordered: dict[tuple[str, str], str] = {}
         """Handle by request and destination: a repeated order names the same copy."""
+        self._carrying: set[str] = set()
+        """Requests whose memory is being copied."""
         self._streams: dict[str, http_server.Responder] = {}
         """Streams under way by request."""
         self._working: set[asyncio.Task[None]] = set()
@@ -200,12 +202,18 @@
         if path == "/kv-move":
             await self._move(msgspec.json.decode(request.body), responder)
         elif path.startswith("/kv-handle/"):
-            self.dropped.append(path.rpartition("/")[2])
-            self.copies.pop(path.rpartition("/")[2], None)
+            self._drop_copy(path.rpartition("/")[2])
             await responder.send_whole(http_head.AnswerHead(200, []), b"")
         else:
             await self._run(request, headers, responder)
 
+    def _drop_copy(self, handle: str) -> None:
+        """Free a copy; at the runner that made it, that frees both ends."""
+        self.dropped.append(handle)
+        is_source = handle in self._ordered.values()
+        for runner in list(self.others.values()) if is_source else [self]:
+            runner.copies.pop(handle, None)
+
     async def _turn_away(
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
@@ -268,7 +276,8 @@
         copy = self.copies.pop(handle, None)
         if self.loses_copies or copy is None or copy.request_id != request_id:
             return False
-        copy.source.copies.pop(handle, None)
+        for runner in list(self.others.values()):
+            runner.copies.pop(handle, None)  # it serves once, at one of its ends
         return True
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
@@ -303,9 +312,7 @@
                 await asyncio.sleep(self.pace)
             if self.is_dark:
                 await asyncio.sleep(3600)
-            if run.is_stopped:
-                self._note_end(run, "stopped")
-            elif number == self.breaks_at:
+            if number == self.breaks_at:
                 self._note_end(run, "gone")
             if run.ended:
                 if responder is not None:
@@ -343,22 +350,40 @@
                 return run
         return None
 
+    def _find_memory(self, request_id: str) -> RanRequest | None:
+        """The run of a request whose memory is here: one that goes on, or was stopped."""
+        stopped = (run for run in self.ran if run.request_id == request_id and run.is_stopped)
+        return self.find_run(request_id) or next(stopped, None)
+
+    def _stop(self, run: RanRequest) -> None:
+        """Stop a run at once and close its stream without its end."""
+        run.is_stopped = True
+        self._note_end(run, "stopped")
+        self.stopped.append(run.request_id)
+        responder = self._streams.get(run.request_id)
+        if responder is not None:
+            responder.abort()
+
     async def _move(self, order: dict[str, object], responder: http_server.Responder) -> None:
-        run = self.find_run(str(order["id"]))
-        if run is None:
-            await responder.send_whole(http_head.AnswerHead(404, []), b"")
+        run = self._find_memory(str(order["id"]))
+        if run is None or run.request_id in self._carrying:
+            status = 404 if run is None else 409
+            await responder.send_whole(http_head.AnswerHead(status, []), b"")
             return
         destination = self.others.get(str(order["target_version"]))
         place = (run.request_id, str(order["target_version"]))
         is_repeated = place in self._ordered
         handle = self._ordered.setdefault(place, f"h{next(self._handles)}-{self.target_id}")
         if order.get("last"):
-            run.is_stopped = True
-            self.stopped.append(run.request_id)
+            self._stop(run)
         else:
             self.copied.append(run.request_id)
-        async with self._link:
-            await asyncio.sleep(NEW_PART_SECONDS if is_repeated else self.copy_seconds)
+        self._carrying.add(run.request_id)
+        try:
+            async with self._link:
+                await asyncio.sleep(NEW_PART_SECONDS if is_repeated else self.copy_seconds)
+        finally:
+            self._carrying.discard(run.request_id)
         answer = {"handle": handle, "made": run.events}
         copy = _Copy(run.request_id, run.events, self)
         status = 200
