--- a/tillerlane/decisions/handover.py
+++ b/tillerlane/decisions/handover.py
@@ -7,32 +7,68 @@
 
 import enum
 
-__all__ = ["Evidence", "has_let_go", "may_go_on"]
+__all__ = ["Evidence", "Word", "has_let_go", "judge", "may_go_on"]
+
+
+class Word(enum.StrEnum):
+    """What came of one order to a runner to stop a run."""
+
+    STOPPED = "stopped"
+    """It names the run's memory as it was when it stopped."""
+    NO_RUN = "no_run"
+    """It works on no such run now."""
+    ORDER_UNDER_WAY = "order_under_way"
+    """An order for this run is being carried out already."""
+    REFUSED = "refused"
+    """Its host is there and refuses connections to it."""
+    UNREACHABLE = "unreachable"
+    """No connection to it came about."""
+    NOTHING = "nothing"
+    """No clear answer."""
 
 
 class Evidence(enum.StrEnum):
     """What is known of whether a former runner still works on a run."""
 
     NONE = "none"
-    """It can be reached and has not said, or its answer was lost."""
+    """It can be reached and has not said."""
     STOPPED = "stopped"
-    """Its own word: it has stopped the run, as it was told to."""
-    CLOSED = "closed"
-    """It ended the run's stream after it was told to stop.  The order is given again until it is
-    answered, so that a stream which broke just then by itself means some 0.1 s at most."""
+    """It has stopped the run."""
     NO_RUN = "no_run"
-    """Its own word: it works on no such run."""
+    """It had no such run when its stream had ended."""
     PROCESS_ENDED = "process_ended"
-    """Its host is there and refuses connections to it."""
     EXPIRED = "expired"
     """The time limit that it was sent with the run has passed."""
     OUT_OF_REACH = "out_of_reach"
-    """No connection to it comes about, so that it can be told nothing."""
+    """It can't be told anything."""
 
 
 _LET_GO = frozenset(Evidence) - {Evidence.NONE, Evidence.OUT_OF_REACH}
 
 
+def judge(word: Word, *, is_stream_open: bool, may_be_copying: bool) -> Evidence:
+    """What a runner's word on an order to stop a run proves.
+
+    Parameters
+    ----------
+    is_stream_open : bool
+        Whether the run's stream had not ended when the order was given.  A run that is pushed
+        aside for memory is none that a runner works on, and goes on later.
+    may_be_copying : bool
+        Whether the order under way may be one to copy the run while it goes on, and not to stop it.
+    """
+    if word is Word.NO_RUN:
+        return Evidence.NONE if is_stream_open else Evidence.NO_RUN
+    if word is Word.ORDER_UNDER_WAY:
+        return Evidence.NONE if may_be_copying else Evidence.STOPPED
+    return {
+        Word.STOPPED: Evidence.STOPPED,
+        Word.REFUSED: Evidence.PROCESS_ENDED,
+        Word.UNREACHABLE: Evidence.OUT_OF_REACH,
+        Word.NOTHING: Evidence.NONE,
+    }[word]
+
+
 def has_let_go(evidence: Evidence) -> bool:
     """Whether a former runner certainly works on a run no more."""
     return evidence in _LET_GO
--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -109,11 +109,18 @@
     """The runner's host refuses connections to it: its process has ended."""
     UNREACHABLE = "unreachable"
     """No connection to it came about."""
+    NOT_UNDERSTOOD = "not_understood"
+    """What answers there knows no such order."""
 
     @property
     def is_without_answer(self) -> bool:
-        """Whether the runner has not answered."""
-        return self in (MoveOutcome.LOST, MoveOutcome.REFUSED, MoveOutcome.UNREACHABLE)
+        """Whether the runner has not answered so that anything is known of its runs."""
+        return self not in (
+            MoveOutcome.COPIED,
+            MoveOutcome.NO_RUN,
+            MoveOutcome.BUSY,
+            MoveOutcome.NO_ROOM,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -75,6 +75,8 @@
     heard_at: float
     warm_at: float = 0.0
     is_over: bool = False
+    leaving_at: float = 0.0
+    """Time of the event loop of its word that it leaves, as far as is known here; 0 before."""
 
     @property
     def is_leaving(self) -> bool:
@@ -175,6 +177,7 @@
         if not is_newer and not is_final and told.phase is Phase.READY:
             return False
         known.phase = told.phase
+        _note_leaving(known, told.heard_at)
         self._call(known, former)
         return True
 
@@ -189,6 +192,7 @@
         if len(self.targets) >= MAX_TARGETS:
             return False
         self._present[told_of.name] = told.target_id
+        _note_leaving(told, told.heard_at)
         self.targets[told.target_id] = told
         return True
 
@@ -238,6 +242,11 @@
             listener(target, former)
 
 
+def _note_leaving(target: Target, told_at: float) -> None:
+    if target.is_leaving and not target.leaving_at:
+        target.leaving_at = told_at
+
+
 def write_states(targets: Iterable[Target], *, whole: bool = False) -> messages.TargetStates:
     """Targets as a message; ages are those of the moment of writing."""
     now = asyncio.get_running_loop().time()
--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -1,6 +1,7 @@
 """Orders that stop a run at its runner, so that another one may go on with it."""
 
 import asyncio
+from collections.abc import Callable
 
 from tillerlane.decisions import handover
 from tillerlane.gateway import dialect as dialects
@@ -11,76 +12,112 @@
 __all__ = ["Handovers", "Stopping"]
 
 AGAIN_SECONDS = 0.05
-"""Pause before an order that was not answered is given again.  With the time in which a connection
-comes about or not (0.3 s) it stays below the 0.4 s that two runners may work on one run: a runner
-that can be reached again is told within that time."""
+"""Pause before an order without a clear answer is given again, for the first time.  With the time
+in which a connection comes about or not (0.3 s) it stays below the 0.4 s that two runners may work
+on one run: one that can be reached again is told within that time."""
+LONGEST_AGAIN_SECONDS = 1.0
+"""Pause before the later ones, each of which is twice the one before."""
+ANSWER_SECONDS = 0.15
+"""Time after which an order counts as not answered and is given anew; its answer is still taken.
+A runner stops a run at once, and tells whoever asks again that an order is under way."""
 ORDER_SECONDS = 4.0
-"""Longest wait for an answer: a runner stops at once and answers when its link, which makes copies
-one after another, has had this one's turn (0.02 to 0.72 s on a day with many moves)."""
-
-_EVIDENCE = {
-    dialects.MoveOutcome.COPIED: handover.Evidence.STOPPED,
-    dialects.MoveOutcome.NO_RUN: handover.Evidence.NO_RUN,
-    dialects.MoveOutcome.BUSY: handover.Evidence.NONE,
-    dialects.MoveOutcome.LOST: handover.Evidence.NONE,
-    dialects.MoveOutcome.REFUSED: handover.Evidence.PROCESS_ENDED,
-    dialects.MoveOutcome.UNREACHABLE: handover.Evidence.OUT_OF_REACH,
+"""Longest wait for an order's own answer.  It comes when the runner's link, which makes copies one
+after another, has carried the run's memory: 0.02 to 0.8 s on a day with many moves."""
+
+_WORDS = {
+    dialects.MoveOutcome.COPIED: handover.Word.STOPPED,
+    dialects.MoveOutcome.NO_RUN: handover.Word.NO_RUN,
+    dialects.MoveOutcome.BUSY: handover.Word.ORDER_UNDER_WAY,
+    dialects.MoveOutcome.REFUSED: handover.Word.REFUSED,
+    dialects.MoveOutcome.UNREACHABLE: handover.Word.UNREACHABLE,
 }
 
+_NOT_TAKEN = frozenset(
+    (
+        dialects.MoveOutcome.NO_RUN,
+        dialects.MoveOutcome.BUSY,
+        dialects.MoveOutcome.REFUSED,
+        dialects.MoveOutcome.UNREACHABLE,
+        dialects.MoveOutcome.NOT_UNDERSTOOD,
+    )
+)
+"""What comes of an order that the runner certainly does not carry out."""
 
-def _judge(result: dialects.MoveResult) -> handover.Evidence:
-    """What an answer to an order to stop proves.
 
-    A runner without room for the copy has stopped too, if it names the memory that it keeps.
-    """
-    if result.outcome is dialects.MoveOutcome.NO_ROOM:
-        return handover.Evidence.STOPPED if result.handle else handover.Evidence.NONE
-    return _EVIDENCE[result.outcome]
+def _read_word(result: dialects.MoveResult) -> handover.Word:
+    """What a runner said; without room for a copy, it names the memory that it keeps."""
+    if result.outcome is dialects.MoveOutcome.NO_ROOM and result.handle:
+        return handover.Word.STOPPED
+    return _WORDS.get(result.outcome, handover.Word.NOTHING)
 
 
 class Stopping:
-    """An order to stop a run, given until it is answered.
+    """A run that its runner is told to stop, until it has.
 
     Attributes
     ----------
+    run : runs.Run
+    destination : str
+        Address of the runner that the run's memory goes to.
+    ends_at : float
+        Time of the event loop at which the run is over anyway, by the limit that it was sent with.
     evidence : handover.Evidence
-        What is known by now.
+        What is known by now; what proves that the runner has let go stays.
     copy : dialects.MemoryCopy or None
-        The run's memory as it was when it stopped, if the runner has said so.
+        The run's memory as it was when it stopped, if the runner has named it.
     is_at_destination : bool
         Whether that lies at the destination too, and not only where the run stopped.
+    is_stream_open : bool
+        Whether the run's stream has not ended here.
+    is_understood : bool
+        Whether the runner's address knows such orders.
     is_over : bool
         Whether the order is given no more.
     is_needed : bool
         Whether the run may still go on with what the order copies.
+    orders, unanswered : int
+        How often the order was given, and how many of these the runner may be carrying out.
+    on_let_go : callable
+        Called when the runner has let go.
     """
 
-    def __init__(self, evidence: handover.Evidence) -> None:
-        self.evidence = evidence
+    def __init__(
+        self, run: runs.Run, destination: str, ends_at: float, *, is_stream_open: bool
+    ) -> None:
+        self.run = run
+        self.destination = destination
+        self.ends_at = ends_at
+        self.evidence = handover.Evidence.NONE
         self.copy: dialects.MemoryCopy | None = None
         self.is_at_destination = False
+        self.is_stream_open = is_stream_open
+        self.is_understood = True
         self.is_over = False
         self.is_needed = True
-        self._changed = asyncio.Event()
-        if evidence is not handover.Evidence.NONE:
-            self._changed.set()
+        self.orders = 0
+        self.unanswered = 0
+        self.on_let_go: Callable[[], None] = lambda: None
+        self._known = asyncio.Event()
+
+    @property
+    def has_let_go(self) -> bool:
+        """Whether the runner certainly works on the run no more."""
+        return handover.has_let_go(self.evidence)
 
     def note(self, evidence: handover.Evidence) -> None:
         """Take what is known now."""
+        if self.has_let_go or evidence is handover.Evidence.NONE:
+            return
         self.evidence = evidence
-        if evidence is not handover.Evidence.NONE:
-            self._changed.set()
-
-    def note_closed(self) -> None:
-        """Take the end of the run's stream behind the order."""
-        if not handover.has_let_go(self.evidence):
-            self.note(handover.Evidence.CLOSED)
+        self._known.set()
+        if self.has_let_go:
+            self.on_let_go()
 
     async def wait(self, seconds: float) -> handover.Evidence:
         """Wait until something is known; what is known then."""
         try:
             async with asyncio.timeout(seconds):
-                await self._changed.wait()
+                await self._known.wait()
         except TimeoutError:
             return handover.Evidence.NONE
         return self.evidence
@@ -89,7 +126,7 @@
         """Wait for the memory of the run as it stopped; None if there is none."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
-        while self.copy is None and not self.is_over and loop.time() < until:
+        while self.copy is None and loop.time() < until:
             await asyncio.sleep(AGAIN_SECONDS)
         return self.copy
 
@@ -117,57 +154,111 @@
         self._timeline = timeline
         self._meters = meters
         self._loop = asyncio.get_running_loop()
-        self._orders: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._reaching: dict[str, asyncio.Task[None]] = {}
         """Tries to reach a runner, by its address: all orders for it share them."""
 
     def stop(
-        self,
-        run: runs.Run,
-        destination: str,
-        ends_at: float,
-        known: handover.Evidence = handover.Evidence.NONE,
+        self, run: runs.Run, destination: str, ends_at: float, *, is_stream_open: bool
     ) -> Stopping:
-        """Have a run's runner stop it, and go on saying so until it has answered.
-
-        Parameters
-        ----------
-        run : runs.Run
-            The run; nobody waits here for the answer.
-        destination : str
-            Address of the runner that the run's memory goes to.
-        ends_at : float
-            Time of the event loop at which the run is over anyway, by the limit that it was sent
-            with.
-        known : handover.Evidence
-            What is known beforehand.
-        """
-        stopping = Stopping(known)
-        task = self._loop.create_task(self._order(stopping, run, destination, ends_at))
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
+        """Have a run's runner stop it, and go on saying so until it has let go."""
+        stopping = Stopping(run, destination, ends_at, is_stream_open=is_stream_open)
+        self._begin(self._insist(stopping))
         return stopping
 
+    def note_closed(self, stopping: Stopping) -> None:
+        """Take the end of the run's stream, and ask at once what that means.
+
+        It may have ended because of the order, or just then by itself.
+        """
+        if not stopping.is_stream_open:
+            return
+        stopping.is_stream_open = False
+        if not stopping.has_let_go:
+            self._begin(self._order(stopping))
+
     def release(self, stopping: Stopping, *, is_copy_used: bool) -> None:
         """Need no memory of an order any more: the run goes on elsewhere, or not at all.
 
         What is copied after that lies there for nobody, and takes a place and memory for seconds.
         """
-        stopping.is_needed = False
-        if stopping.is_over and not is_copy_used:
+        if not stopping.is_needed:
+            return
+        stopping.is_needed = stopping.is_stream_open = False
+        if not is_copy_used:
             self._drop_copy(stopping)
 
+    def _begin(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     def _drop_copy(self, stopping: Stopping) -> None:
         if stopping.copy is not None:
-            task = self._loop.create_task(self._dialect.drop_copy(stopping.copy))
-            self._orders.add(task)
-            task.add_done_callback(self._orders.discard)
+            self._begin(self._dialect.drop_copy(stopping.copy))
+
+    async def _order(self, stopping: Stopping) -> None:
+        """Give the order once, and take its answer whenever it comes."""
+        run = stopping.run
+        is_stream_open = stopping.is_stream_open
+        may_be_copying = run.may_be_copying or not stopping.unanswered
+        stopping.orders += 1
+        stopping.unanswered += 1
+        result = await self._dialect.stop_run(
+            run.target.address, run.request_id, stopping.destination, ORDER_SECONDS
+        )
+        if result.outcome in _NOT_TAKEN:
+            stopping.unanswered -= 1
+        if result.outcome is dialects.MoveOutcome.NOT_UNDERSTOOD:
+            stopping.is_understood = False
+        if result.handle:
+            stopping.copy = dialects.MemoryCopy(run.target.address, result.handle)
+            stopping.is_at_destination = result.outcome is dialects.MoveOutcome.COPIED
+            if not stopping.is_needed:
+                self._drop_copy(stopping)
+        stopping.note(
+            handover.judge(
+                _read_word(result), is_stream_open=is_stream_open, may_be_copying=may_be_copying
+            )
+        )
 
-    async def _await_reach(self, address: str, ends_at: float) -> None:
-        """Wait until a connection to a runner comes about, or is refused."""
+    async def _insist(self, stopping: Stopping) -> None:
+        """Give the order until the runner has let go."""
+        began = self._loop.time()
+        pause = AGAIN_SECONDS
+        while not stopping.has_let_go and stopping.is_understood:
+            if self._loop.time() >= stopping.ends_at:
+                stopping.note(handover.Evidence.EXPIRED)
+                break
+            await asyncio.wait({self._begin(self._order(stopping))}, timeout=ANSWER_SECONDS)
+            if stopping.has_let_go:
+                break
+            if stopping.evidence is handover.Evidence.OUT_OF_REACH:
+                await self._await_reach(stopping)
+                continue
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_AGAIN_SECONDS)
+        stopping.is_over = True
+        self._note_over(stopping, began)
+
+    def _note_over(self, stopping: Stopping, began: float) -> None:
+        self._meters.stops.labels(stopping.evidence.value).inc()
+        self._timeline.record(
+            "run.stop",
+            request_id=stopping.run.request_id,
+            source=stopping.run.target.target_id,
+            evidence=stopping.evidence.value,
+            orders=stopping.orders,
+            took_ms=int((self._loop.time() - began) * 1000),
+        )
+
+    async def _await_reach(self, stopping: Stopping) -> None:
+        """Wait until a connection to a run's runner comes about, or is refused."""
+        address = stopping.run.target.address
         task = self._reaching.get(address)
         if task is None:
-            task = self._loop.create_task(self._try_to_reach(address, ends_at))
+            task = self._begin(self._try_to_reach(address, stopping.ends_at))
             self._reaching[address] = task
             task.add_done_callback(lambda _: self._reaching.pop(address))
         await asyncio.shield(task)
@@ -177,47 +268,3 @@
             if await http_client.probe(address) is not http_client.Reach.SILENT:
                 return
             await asyncio.sleep(AGAIN_SECONDS)
-
-    async def _order(
-        self, stopping: Stopping, run: runs.Run, destination: str, ends_at: float
-    ) -> None:
-        """Give the order until the runner is known to have let go, and free what it left."""
-        source = run.target.address
-        began = self._loop.time()
-        orders = 0
-        evidence = handover.Evidence.NONE
-        result = dialects.MoveResult(dialects.MoveOutcome.LOST)
-        try:
-            while not handover.has_let_go(evidence):
-                if evidence is handover.Evidence.OUT_OF_REACH:
-                    await self._await_reach(source, ends_at)
-                elif orders:
-                    await asyncio.sleep(AGAIN_SECONDS)
-                if self._loop.time() >= ends_at:
-                    evidence = handover.Evidence.EXPIRED
-                    break
-                orders += 1
-                result = await self._dialect.stop_run(
-                    source, run.request_id, destination, ORDER_SECONDS
-                )
-                evidence = _judge(result)
-                if evidence is handover.Evidence.OUT_OF_REACH:
-                    stopping.note(evidence)
-            if result.handle:
-                stopping.copy = dialects.MemoryCopy(source, result.handle)
-                stopping.is_at_destination = result.outcome is dialects.MoveOutcome.COPIED
-            stopping.note(evidence)
-        finally:
-            stopping.is_over = True
-            if not stopping.is_needed:
-                self._drop_copy(stopping)
-        self._meters.stops.labels(evidence.value).inc()
-        self._timeline.record(
-            "run.stop",
-            request_id=run.request_id,
-            source=run.target.target_id,
-            evidence=evidence.value,
-            orders=orders,
-            took_ms=int((self._loop.time() - began) * 1000),
-            events=result.events,
-        )
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -75,7 +75,8 @@
         self._paused = False
         self._is_whole = False
         self._broken: str | None = None
-        self._ends_by_close = False
+        self.ends_by_close = False
+        """Whether the answer has no length, so that its end is its connection's."""
         self._method = b""
         self._is_interrupted = False
         self._changed = asyncio.Event()
@@ -205,7 +206,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Take the end; an answer without a length is whole only if it was closed in order."""
-        if self._ends_by_close and error is None and self._broken is None:
+        if self.ends_by_close and error is None and self._broken is None:
             self._is_whole = True
         self._break(f"connection ended: {error or 'closed'}")
         self._changed.set()
@@ -234,7 +235,7 @@
         if self._method == b"HEAD" or status in _NO_BODY:
             self._is_whole = True
         elif not has_length and not is_chunked:
-            self._ends_by_close = True
+            self.ends_by_close = True
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
@@ -244,7 +245,7 @@
 
     def on_message_complete(self) -> None:
         """Take the end of the body."""
-        if self._head is not None and not self._ends_by_close:
+        if self._head is not None and not self.ends_by_close:
             self._is_whole = True
 
 
--- /dev/null
+++ b/tillerlane/gateway/relayed.py
@@ -0,0 +1,185 @@
+"""A stream on its way to a caller: one runner's events after another's, whole and in order."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from tillerlane.gateway import admission as admissions
+from tillerlane.gateway import events, handovers, http_client, http_server, runs
+
+__all__ = ["Relayed", "Stop"]
+
+SILENCE_SECONDS = 0.7
+"""Pause after which a runner is asked whether it can be reached at all: four times the longest
+pause that is still in time (180 ms), so that it costs nothing on a good day."""
+
+
+class _OutOfReach(http_client.AnswerBroken):
+    """A runner is silent and can't be reached, so that nothing is known of its end."""
+
+
+class Stop(enum.Enum):
+    """Why the relay of one runner's events stopped."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    """What came does not go on behind the last event, or the runner is out of reach."""
+    BROKEN_OFF = "broken_off"
+    """The runner ended it early."""
+    CAN_GO_ON = "can_go_on"
+    """It has not ended; a copy of the run is ready elsewhere."""
+    LET_GO = "let_go"
+    """The runner has stopped the run, though the end of its stream has not come."""
+
+
+class Relayed:
+    """A stream on its way to the caller.
+
+    Attributes
+    ----------
+    last_event_id : str
+        Id of the last event that the caller was sent.
+    runs_begun : int
+        Runners that may have begun a run of the request; one that goes on counts once.
+    runners : int
+        Runners that the stream came from.
+    problem : str
+        Why it broke off, if it did.
+    is_out_of_reach : bool
+        Whether it broke off since its runner is silent and no connection to it comes about.
+    stopping : handovers.Stopping or None
+        The order to its runner to stop the run.
+    """
+
+    def __init__(
+        self,
+        asked: admissions.Admission,
+        responder: http_server.Responder,
+        run: runs.Run,
+        exchange: http_client.Exchange,
+    ) -> None:
+        self.asked = asked
+        self.responder = responder
+        self.run = run
+        self.exchange: http_client.Exchange | None = exchange
+        self.last_event_id = asked.facts.last_event_id
+        self.events = 0
+        self.runs_begun = 1
+        self.runners = 1
+        self.first_at = 0.0
+        self.longest_pause = 0.0
+        self.paused_at = ""
+        """Last event before the longest pause."""
+        self._wrote_at = 0.0
+        self._splitter = events.Splitter()
+        self.problem = ""
+        self.is_out_of_reach = False
+        self.stopping: handovers.Stopping | None = None
+        self._heard_at = 0.0
+        """When the present runner's last event came; 0 before its first."""
+        self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
+        self.on_events: Callable[[runs.Run, int, float], None] = lambda run, events, seconds: None
+
+    def take_exchange(self, exchange: http_client.Exchange) -> None:
+        """Go on with what another runner sends behind the last event."""
+        self.exchange = exchange
+        self.problem = ""
+        self.is_out_of_reach = False
+        self.stopping = None
+        self._splitter = events.Splitter()
+        self._heard_at = 0.0
+
+    async def relay(self) -> Stop:
+        """Relay one runner's events until they end or the run can go on elsewhere."""
+        assert self.exchange is not None
+        try:
+            while (data := await self._read_chunk(self.exchange)) is not None:
+                if not await self._pass_on(data):
+                    return Stop.BROKEN
+                if self.stopping is not None and self.stopping.has_let_go:
+                    return Stop.LET_GO
+                if self._can_go_on():
+                    return Stop.CAN_GO_ON
+        except (_OutOfReach, ValueError) as error:
+            self.problem = str(error)
+            self.is_out_of_reach = isinstance(error, _OutOfReach)
+            return Stop.BROKEN
+        except http_client.AnswerBroken as error:
+            self.problem = str(error)
+            return Stop.BROKEN_OFF
+        if self._splitter.has_part:
+            self.problem = "ended within an event"
+            return Stop.BROKEN
+        if self.stopping is not None and self.exchange.ends_by_close:
+            # A stopped stream ends by its connection's close too, and is not whole then.
+            self.problem = "closed after it was to stop"
+            return Stop.BROKEN_OFF
+        return Stop.WHOLE
+
+    def _can_go_on(self) -> bool:
+        """Whether the run can be handed over: a copy is ready, and there is an event to follow."""
+        is_ready = self.run.read_continuation() is not None
+        return is_ready and self.stopping is None and bool(self.last_event_id)
+
+    def _could_go_on(self) -> bool:
+        """Whether there is a way on if the runner can't be reached."""
+        has_copy = self.run.backup is not None or self.run.read_continuation() is not None
+        return has_copy or self.asked.route.is_resumable
+
+    async def _pass_on(self, data: bytes) -> bool:
+        """Pass on whole events; False if one does not follow the last."""
+        before = self.last_event_id
+        good, self.problem = self._take_in_order(self._splitter.feed(data))
+        if good:
+            self._note_times(before, len(good))
+            self._count_memory()
+            await self.responder.write(b"".join(good))
+        return not self.problem
+
+    async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
+        """Read on; a silent runner is given up only if it is out of reach and the run can go on.
+
+        Silence alone ends nothing: a run that was pushed aside at its runner goes on there later.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    return await exchange.read_chunk()
+            except TimeoutError as error:
+                if self._could_go_on() and not await http_client.is_reachable(
+                    self.run.target.address
+                ):
+                    raise _OutOfReach("silent and out of reach", sent=True) from error
+
+    def _take_in_order(self, found: list[bytes]) -> tuple[list[bytes], str]:
+        """Take the events up to the first that does not follow; and what is wrong with that."""
+        for position, event in enumerate(found):
+            event_id = events.read_event_id(event)
+            if event_id.isdigit() and self.last_event_id.isdigit():
+                expected = int(self.last_event_id) + 1
+                if int(event_id) != expected:
+                    return found[:position], f"got event {event_id}, expected {expected}"
+            self.last_event_id = event_id or self.last_event_id
+            self.events += 1
+        return found, ""
+
+    def _count_memory(self) -> None:
+        engine = self.run.pool.engine
+        if engine is None:
+            return
+        written = self.events * engine.event_tokens
+        tokens = self.asked.facts.prompt_tokens + written
+        self.run.events_left = self.asked.count_events_left(self.events)
+        self.on_growth(self.run, tokens + self.asked.count_growth(written))
+
+    def _note_times(self, event_before: str, events_now: int) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._heard_at:
+            self.on_events(self.run, events_now, now - self._heard_at)
+        self._heard_at = now
+        if not self._wrote_at:
+            self.first_at = now
+        elif now - self._wrote_at > self.longest_pause:
+            self.longest_pause = now - self._wrote_at
+            self.paused_at = event_before
+        self._wrote_at = now
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -28,7 +28,8 @@
 """Time from a runner's notice after which a destination is asked that is full by our own count;
 the shortest notice met is 1.5 s."""
 NOTICE_SECONDS = 1.5
-"""Shortest time met from a runner's notice to its end."""
+"""Shortest time met from a runner's notice to its end, and the time for which a run may still go to
+it."""
 LINK_CHECK_SECONDS = 0.03
 """Pause of a run that waits for the link: a fifth of the shortest copy seen, so that little of its
 time is lost."""
@@ -80,6 +81,15 @@
     on_copied: Callable[[], None] = lambda: None
     refused_by: frozenset[str] = frozenset()
     """Runners that did not take it up."""
+    may_be_copying: bool = False
+    """Whether its runner may be carrying out an order to copy it, of which nobody has an answer."""
+
+    def may_go_to(self, target: directories.Target) -> bool:
+        """Whether the run may go on at a target, as far as that one's leaving goes."""
+        if not target.is_leaving:
+            return True
+        now = asyncio.get_running_loop().time()
+        return target.is_winding_down and now - target.leaving_at < NOTICE_SECONDS
 
     @property
     def unsaved_tokens(self) -> int:
@@ -311,9 +321,11 @@
     async def _order(self, run: Run, destination: directories.Target) -> dialects.MoveResult:
         loop = asyncio.get_running_loop()
         began = loop.time()
+        run.may_be_copying = True
         result = await self._dialect.copy_run(
             run.target.address, run.request_id, destination.address, COPY_SECONDS
         )
+        run.may_be_copying = result.outcome.is_without_answer
         self._meters.moves.labels(result.outcome.value).inc()
         self._timeline.record(
             "run.move",
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -243,19 +243,21 @@
 
         One that has begun to leave gets it: it serves on for a while, and may have a run's copy.
         """
-        problem = self.find_refusal(pool, target)
-        if not problem:
-            self._cold.note_sent(target, self._now())
-        return problem
-
-    def find_refusal(self, pool: routes.Pool, target: directories.Target) -> str:
-        """Why a request may not go out to a target now; empty if it may."""
-        if target.data_hall in self._directory.evacuated:
+        if self.is_evacuated(target):
             return f"{target.data_hall} was evacuated meanwhile"
-        if not self._bears_more(pool, target, self._now()):
+        if self.is_cold(pool, target):
             return f"{target.address} is cold and has this entry's share"
+        self._cold.note_sent(target, self._now())
         return ""
 
+    def is_cold(self, pool: routes.Pool, target: directories.Target) -> bool:
+        """Whether a target is cold and has got this entry's share."""
+        return not self._bears_more(pool, target, self._now())
+
+    def is_evacuated(self, target: directories.Target) -> bool:
+        """Whether a target's data hall gets nothing new."""
+        return target.data_hall in self._directory.evacuated
+
     def _bears_more(self, pool: routes.Pool, target: directories.Target, now: float) -> bool:
         return self._cold.may_send(pool, target, self._usage.entries, now)
 
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import dataclasses
-import enum
-from collections.abc import Callable
 
 from tillerlane.decisions import handover
 from tillerlane.gateway import admission as admissions
@@ -17,12 +15,12 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import endings as ends
 from tillerlane.gateway import (
-    events,
     handovers,
-    http_client,
     http_head,
     http_server,
     quarantine,
+    relayed,
+    routes,
     runs,
     selection,
     sending,
@@ -40,166 +38,9 @@
 that ended, or that has no such run, says so within a round trip, others once their link has copied
 the run's memory."""
 
-SILENCE_SECONDS = 0.7
-"""Pause after which a runner is asked whether it can be reached at all: four times the longest
-pause that is still in time (180 ms), so that it costs nothing on a good day."""
-
-
-class _OutOfReach(http_client.AnswerBroken):
-    """A runner is silent and can't be reached, so that nothing is known of its end."""
-
-
-class Stop(enum.Enum):
-    """Why the relay of one runner's events stopped."""
-
-    WHOLE = "whole"
-    BROKEN = "broken"
-    """What came does not go on behind the last event, or the runner is out of reach."""
-    BROKEN_OFF = "broken_off"
-    """The runner ended it early."""
-    CAN_GO_ON = "can_go_on"
-    """It has not ended; a copy of the run is ready elsewhere."""
-
-
-class Relayed:
-    """A stream on its way to the caller.
-
-    Attributes
-    ----------
-    last_event_id : str
-        Id of the last event that the caller was sent.
-    runs_begun : int
-        Runners that may have begun a run of the request; one that goes on counts once.
-    runners : int
-        Runners that the stream came from.
-    problem : str
-        Why it broke off, if it did.
-    is_out_of_reach : bool
-        Whether it broke off since its runner is silent and no connection to it comes about.
-    stopping : handovers.Stopping or None
-        The order to its runner to stop the run.
-    """
-
-    def __init__(
-        self,
-        asked: admissions.Admission,
-        responder: http_server.Responder,
-        run: runs.Run,
-        exchange: http_client.Exchange,
-    ) -> None:
-        self.asked = asked
-        self.responder = responder
-        self.run = run
-        self.exchange: http_client.Exchange | None = exchange
-        self.last_event_id = asked.facts.last_event_id
-        self.events = 0
-        self.runs_begun = 1
-        self.runners = 1
-        self.first_at = 0.0
-        self.longest_pause = 0.0
-        self.paused_at = ""
-        """Last event before the longest pause."""
-        self._wrote_at = 0.0
-        self._splitter = events.Splitter()
-        self.problem = ""
-        self.is_out_of_reach = False
-        self.stopping: handovers.Stopping | None = None
-        self._heard_at = 0.0
-        """When the present runner's last event came; 0 before its first."""
-        self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
-        self.on_events: Callable[[runs.Run, int, float], None] = lambda run, events, seconds: None
-
-    def take_exchange(self, exchange: http_client.Exchange) -> None:
-        """Go on with what another runner sends behind the last event."""
-        self.exchange = exchange
-        self.problem = ""
-        self.is_out_of_reach = False
-        self.stopping = None
-        self._splitter = events.Splitter()
-        self._heard_at = 0.0
-
-    async def relay(self) -> Stop:
-        """Relay one runner's events until they end or the run can go on elsewhere."""
-        assert self.exchange is not None
-        try:
-            while (data := await self._read_chunk(self.exchange)) is not None:
-                if not await self._pass_on(data):
-                    return Stop.BROKEN
-                if self._can_go_on():
-                    return Stop.CAN_GO_ON
-        except (_OutOfReach, ValueError) as error:
-            self.problem = str(error)
-            self.is_out_of_reach = isinstance(error, _OutOfReach)
-            return Stop.BROKEN
-        except http_client.AnswerBroken as error:
-            self.problem = str(error)
-            return Stop.BROKEN_OFF
-        if self._splitter.has_part:
-            self.problem = "ended within an event"
-            return Stop.BROKEN
-        return Stop.WHOLE
-
-    def _can_go_on(self) -> bool:
-        """Whether the run can be handed over: a copy is ready, and there is an event to follow."""
-        is_ready = self.run.read_continuation() is not None
-        return is_ready and self.stopping is None and bool(self.last_event_id)
-
-    async def _pass_on(self, data: bytes) -> bool:
-        """Pass on whole events; False if one does not follow the last."""
-        before = self.last_event_id
-        good, self.problem = self._take_in_order(self._splitter.feed(data))
-        if good:
-            self._note_times(before, len(good))
-            self._count_memory()
-            await self.responder.write(b"".join(good))
-        return not self.problem
-
-    async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
-        """Read on; a silent runner is given up only if it is out of reach and the run can go on.
-
-        Silence alone ends nothing: a run that was pushed aside at its runner goes on there later.
-        """
-        while True:
-            try:
-                async with asyncio.timeout(SILENCE_SECONDS):
-                    return await exchange.read_chunk()
-            except TimeoutError as error:
-                can_go_on = self.run.backup is not None or self.asked.route.is_resumable
-                if can_go_on and not await http_client.is_reachable(self.run.target.address):
-                    raise _OutOfReach("silent and out of reach", sent=True) from error
-
-    def _take_in_order(self, found: list[bytes]) -> tuple[list[bytes], str]:
-        """Take the events up to the first that does not follow; and what is wrong with that."""
-        for position, event in enumerate(found):
-            event_id = events.read_event_id(event)
-            if event_id.isdigit() and self.last_event_id.isdigit():
-                expected = int(self.last_event_id) + 1
-                if int(event_id) != expected:
-                    return found[:position], f"got event {event_id}, expected {expected}"
-            self.last_event_id = event_id or self.last_event_id
-            self.events += 1
-        return found, ""
-
-    def _count_memory(self) -> None:
-        engine = self.run.pool.engine
-        if engine is None:
-            return
-        written = self.events * engine.event_tokens
-        tokens = self.asked.facts.prompt_tokens + written
-        self.run.events_left = self.asked.count_events_left(self.events)
-        self.on_growth(self.run, tokens + self.asked.count_growth(written))
-
-    def _note_times(self, event_before: str, events_now: int) -> None:
-        now = asyncio.get_running_loop().time()
-        if self._heard_at:
-            self.on_events(self.run, events_now, now - self._heard_at)
-        self._heard_at = now
-        if not self._wrote_at:
-            self.first_at = now
-        elif now - self._wrote_at > self.longest_pause:
-            self.longest_pause = now - self._wrote_at
-            self.paused_at = event_before
-        self._wrote_at = now
+WARMTH_CHECK_SECONDS = 0.05
+COLD_WAIT_SHARE = 0.5
+"""Share of the time for which a copy is kept that a run waits for a cold runner that has it."""
 
 
 class Streams:
@@ -266,7 +107,7 @@
         run = runs.Run(asked.facts.request_id, asked.pool, target, asked.tokens, tried.backup)
         run.is_long = asked.is_long
         run.events_left = asked.count_events_left(0)
-        stream = Relayed(asked, responder, run, outcome.exchange)
+        stream = relayed.Relayed(asked, responder, run, outcome.exchange)
         stream.runs_begun = tried.sends
         stream.on_growth = self._note_growth
         stream.on_events = self._note_events
@@ -282,11 +123,13 @@
             self._note_broken(stream, "caller left")
             raise
         finally:
+            if stream.stopping is not None:
+                self._handovers.release(stream.stopping, is_copy_used=False)
             self._drop(stream)
             if not responder.is_done:
                 responder.abort()
 
-    def _hold(self, stream: Relayed) -> None:
+    def _hold(self, stream: relayed.Relayed) -> None:
         """Take a run that has begun, and count its copy elsewhere while it goes on."""
         run = stream.run
         assert stream.exchange is not None
@@ -309,7 +152,7 @@
         if run.backup is not None:
             self._usage.add(run.backup.address, tokens=grown)
 
-    def _drop(self, stream: Relayed) -> None:
+    def _drop(self, stream: relayed.Relayed) -> None:
         """Let go of the run that a stream comes from."""
         if stream.exchange is not None:
             stream.exchange.abort()
@@ -322,19 +165,19 @@
                 self._usage.add(run.backup.address, tokens=-run.tokens)
         self._mover.remove(stream.run)
 
-    async def _relay_runs(self, stream: Relayed) -> None:
+    async def _relay_runs(self, stream: relayed.Relayed) -> None:
         """Relay a stream over as many runners as its run is moved to."""
         while True:
             stop = await stream.relay()
-            if stop is Stop.WHOLE:
+            if stop is relayed.Stop.WHOLE:
                 await stream.responder.finish()
                 self._note_end(stream)
                 return
-            if stop is Stop.BROKEN_OFF:
+            if stop is relayed.Stop.BROKEN_OFF:
                 assert stream.exchange is not None
                 sent_at = stream.exchange.sent_at
                 await self._endings.learn(stream.asked, stream.run.target, sent_at, stream.events)
-            if stop is Stop.CAN_GO_ON:
+            if stop is relayed.Stop.CAN_GO_ON:
                 self._hand_over(stream)
                 continue
             if await self._go_on_from_copy(stream) or await self._run_anew(stream):
@@ -345,11 +188,9 @@
     async def _await_move(self, run: runs.Run) -> runs.Continuation | None:
         if run.moving is None:
             return None
-        try:
-            async with asyncio.timeout(HANDOVER_SECONDS):
-                return await asyncio.shield(run.moving)
-        except TimeoutError:
-            return None
+        # The order may be given up meanwhile, which ends its task and not this one.
+        await asyncio.wait({run.moving}, timeout=HANDOVER_SECONDS)
+        return run.read_continuation()
 
     def _find_backup(self, run: runs.Run) -> runs.Continuation | None:
         """Where a run that broke off can go on from the copy made while it grew."""
@@ -358,35 +199,45 @@
             return None
         return runs.Continuation(backup, dialects.MemoryCopy(backup.address, run.request_id))
 
-    def _hand_over(self, stream: Relayed) -> None:
+    def _hand_over(self, stream: relayed.Relayed) -> None:
         """Have the runner stop a run whose copy is ready elsewhere.
 
-        Its stream is relayed until the runner ends it behind the last event that it made, and only
-        then the run goes on with the copy: two runners never work on it, however late the other
-        one's answer or this entry is, and whether or not a runner notices a closed connection.
+        Its stream is relayed until the runner has let go of the run, and only then the run goes on
+        with the copy: two runners never work on it, however late the other one's answer or this
+        entry is, and whether or not a runner notices a closed connection.
         """
         run = stream.run
         continuation = run.read_continuation()
         assert continuation is not None
+        target = continuation.target
         if self._sender.refuse_held(stream.asked) is not None:
             self._mover.give_up(run)  # nobody would take it up; it may end here yet
-        elif not self._may_take_up(run, continuation.target):
+        elif self._selector.is_evacuated(target) or not run.may_go_to(target):
             self._mover.move_again(run)
+        elif self._selector.is_cold(run.pool, target):
+            self._loop.call_later(WARMTH_CHECK_SECONDS, run.on_copied)  # cold; look again then
         else:
-            stream.stopping = self._order_stop(stream, continuation.target)
+            stream.stopping = self._order_stop(stream, target)
 
-    def _may_take_up(self, run: runs.Run, target: directories.Target) -> bool:
-        return not target.is_leaving and not self._selector.find_refusal(run.pool, target)
-
-    def _order_stop(self, stream: Relayed, destination: directories.Target) -> handovers.Stopping:
-        known = handover.Evidence.NONE
-        if stream.is_out_of_reach:
-            known = handover.Evidence.OUT_OF_REACH
-        ends_at = stream.asked.ends_at
-        return self._handovers.stop(stream.run, destination.address, ends_at, known)
+    def _order_stop(
+        self,
+        stream: relayed.Relayed,
+        destination: directories.Target,
+        *,
+        is_stream_open: bool = True,
+    ) -> handovers.Stopping:
+        stopping = self._handovers.stop(
+            stream.run,
+            destination.address,
+            stream.asked.ends_at,
+            is_stream_open=is_stream_open,
+        )
+        if stream.exchange is not None:
+            stopping.on_let_go = stream.exchange.interrupt
+        return stopping
 
-    async def _go_on_from_copy(self, stream: Relayed) -> bool:
-        """Go on with a copy after the run's own runner ended its stream, or broke off."""
+    async def _go_on_from_copy(self, stream: relayed.Relayed) -> bool:
+        """Go on with a copy after the run's own runner let go of it, or broke off."""
         continuation = await self._await_move(stream.run)
         continuation = continuation or self._find_backup(stream.run)
         if continuation is None:
@@ -401,32 +252,35 @@
             continuation = runs.Continuation(continuation.target, stopping.copy)
         outcome = await self._take_up(stream, continuation)
         if isinstance(outcome, sending.NotRun):
-            outcome = await self._return_to_source(stream, stopping, continuation.target)
-        self._handovers.release(stopping, is_copy_used=isinstance(outcome, sending.Stream))
-        return isinstance(outcome, sending.Stream)
+            if outcome.sent:
+                stream.run.refused_by |= {continuation.target.target_id}
+            outcome = await self._return_to_source(stream, stopping)
+        is_taken = isinstance(outcome, sending.Stream)
+        self._handovers.release(stopping, is_copy_used=is_taken)
+        return is_taken
 
     async def _learn_end(
-        self, stream: Relayed, destination: directories.Target
+        self, stream: relayed.Relayed, destination: directories.Target
     ) -> handover.Evidence:
         """Whether the former runner still works on a run whose stream has ended here."""
-        if stream.stopping is not None:
-            stream.stopping.note_closed()
-            return stream.stopping.evidence
-        stream.stopping = self._order_stop(stream, destination)
+        if stream.stopping is None:
+            stream.stopping = self._order_stop(stream, destination, is_stream_open=False)
+        self._handovers.note_closed(stream.stopping)
+        if stream.is_out_of_reach and not stream.stopping.has_let_go:
+            return handover.Evidence.OUT_OF_REACH
         return await stream.stopping.wait(STOP_SECONDS)
 
     async def _return_to_source(
-        self, stream: Relayed, stopping: handovers.Stopping, refused_by: directories.Target
+        self, stream: relayed.Relayed, stopping: handovers.Stopping
     ) -> sending.Outcome:
         """Have a run go on where it stopped, since nobody else took it up."""
         run = stream.run
         copy = await stopping.wait_for_copy(HANDOVER_SECONDS)
-        if copy is None:
-            return sending.NotRun("no memory of the run is left", sent=False)
-        run.refused_by |= {refused_by.target_id}
+        if copy is None or not run.may_go_to(run.target):
+            return sending.NotRun("no memory of the run is left where it may go", sent=False)
         return await self._take_up(stream, runs.Continuation(run.target, copy))
 
-    async def _run_anew(self, stream: Relayed) -> bool:
+    async def _run_anew(self, stream: relayed.Relayed) -> bool:
         """Have another run go on behind the last event, where the route allows it."""
         asked = stream.asked
         held_back = self._sender.refuse_held(asked)
@@ -444,15 +298,34 @@
             return False
         if stream.stopping is None:
             # The former runner may work on; the new run need not wait for its word.
-            stopping = self._order_stop(stream, target)
-            self._handovers.release(stopping, is_copy_used=False)
+            stream.stopping = self._order_stop(stream, target, is_stream_open=False)
+        self._handovers.release(stream.stopping, is_copy_used=False)
         plan = self._sender.plan(asked, target, last_event_id=stream.last_event_id)
         stream.runs_begun += 1
         outcome = await self._send_on(stream, target, plan, None)
         return isinstance(outcome, sending.Stream)
 
-    async def _take_up(self, stream: Relayed, continuation: runs.Continuation) -> sending.Outcome:
-        """Have the run go on with a copy of its memory."""
+    async def _take_up(
+        self, stream: relayed.Relayed, continuation: runs.Continuation
+    ) -> sending.Outcome:
+        """Have the run go on with a copy of its memory, as soon as a cold runner bears it."""
+        target = continuation.target
+        engine = stream.run.pool.engine
+        hold_seconds = engine.hold_seconds if engine is not None else 0.0
+        until = self._loop.time() + hold_seconds * COLD_WAIT_SHARE
+        while True:
+            await self._await_warmth(stream.run.pool, target, until)
+            if not stream.run.may_go_to(target):
+                return sending.NotRun(f"{target.target_id} leaves too", sent=False)
+            outcome = await self._send_copy(stream, continuation)
+            is_refused_here = isinstance(outcome, sending.NotRun) and not outcome.sent
+            is_cold = self._selector.is_cold(stream.run.pool, target)
+            if not is_refused_here or not is_cold or self._loop.time() >= until:
+                return outcome
+
+    async def _send_copy(
+        self, stream: relayed.Relayed, continuation: runs.Continuation
+    ) -> sending.Outcome:
         asked, target = stream.asked, continuation.target
         backup = self._sender.choose_backup(asked, target)
         plan = self._sender.plan(
@@ -465,9 +338,16 @@
         self._budget.note_repeat(asked.pool.name, self._loop.time())
         return await self._send_on(stream, target, plan, backup)
 
+    async def _await_warmth(
+        self, pool: routes.Pool, target: directories.Target, until: float
+    ) -> None:
+        """Wait while a target is cold and has this entry's share."""
+        while self._selector.is_cold(pool, target) and self._loop.time() < until:
+            await asyncio.sleep(WARMTH_CHECK_SECONDS)
+
     async def _send_on(
         self,
-        stream: Relayed,
+        stream: relayed.Relayed,
         target: directories.Target,
         plan: dialects.ForwardPlan,
         backup: directories.Target | None,
@@ -497,11 +377,13 @@
         self._drop(stream)
         stream.take_exchange(outcome.exchange)
         stream.runners += 1
-        stream.run = dataclasses.replace(run, target=target, backup=backup, moving=None)
+        stream.run = dataclasses.replace(
+            run, target=target, backup=backup, moving=None, may_be_copying=False
+        )
         self._hold(stream)
         return outcome
 
-    def _note_end(self, stream: Relayed) -> None:
+    def _note_end(self, stream: relayed.Relayed) -> None:
         asked = stream.asked
         self._quarantine.note_good(asked.fingerprint)
         self._meters.requests.labels(asked.route.name, "200").inc()
@@ -520,7 +402,7 @@
             runners=stream.runners,
         )
 
-    def _note_broken(self, stream: Relayed, reason: str) -> None:
+    def _note_broken(self, stream: relayed.Relayed, reason: str) -> None:
         self._meters.requests.labels(stream.asked.route.name, "broken").inc()
         self._timeline.record(
             "stream.break",
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -28,6 +28,9 @@
     503: dialect.MoveOutcome.NO_ROOM,
 }
 
+_LATER = frozenset({408, 425, 429})
+"""Statuses that say nothing of the order itself."""
+
 
 async def _call(
     address: str, method: bytes, path: bytes, body: bytes, seconds: float
@@ -89,15 +92,25 @@
         status, body = await _call(
             source, b"POST", b"/kv-move", msgspec.json.encode(order), seconds
         )
-        moved = msgspec.json.decode(body, type=_Moved) if body else _Moved()
     except http_client.AnswerBroken as error:
         return dialect.MoveResult(_judge_broken(error))
+    outcome = _judge_status(status)
+    if outcome not in (dialect.MoveOutcome.COPIED, dialect.MoveOutcome.NO_ROOM):
+        return dialect.MoveResult(outcome)
+    try:
+        moved = msgspec.json.decode(body, type=_Moved) if body else _Moved()
     except msgspec.DecodeError:
         return dialect.MoveResult(dialect.MoveOutcome.LOST)
-    outcome = _OUTCOMES.get(status, dialect.MoveOutcome.LOST)
     return dialect.MoveResult(outcome, moved.handle, moved.made)
 
 
+def _judge_status(status: int) -> dialect.MoveOutcome:
+    if status in _OUTCOMES:
+        return _OUTCOMES[status]
+    is_refusal = 400 <= status < 500 and status not in _LATER
+    return dialect.MoveOutcome.NOT_UNDERSTOOD if is_refusal else dialect.MoveOutcome.LOST
+
+
 def _judge_broken(error: http_client.AnswerBroken) -> dialect.MoveOutcome:
     """What it says of a runner that it gave no answer."""
     if error.sent:
