--- /dev/null
+++ b/tillerlane/entry/tests/test_at_most_once.py
@@ -0,0 +1,339 @@
+"""What may run once runs once, and is said not to have run only if it truly did not.
+
+Each way by which a target may begin or go on with such a request; the table of them is
+``docs/design/at-most-once.md``.
+"""
+
+import asyncio
+import unittest
+import unittest.mock
+from typing import Any
+
+from tillerlane.agent import execution, scheduling
+from tillerlane.faults import kinds
+from tillerlane.testing import lab, scenes
+
+LENGTH = 3_000
+"""Tokens of a run that outlasts each scene's disturbance; it takes about a minute."""
+
+
+def count_runs(stage: lab.Lab) -> int:
+    """Generations that any engine has seen."""
+    return sum(len(engine.sequences) for engine in stage.engines.values() if engine is not None)
+
+
+def build_long_document(**fleet: Any) -> dict[str, Any]:
+    """Runs of the class ``once`` are long."""
+    document = scenes.build_document(once={"repeatable": False, "max_tokens": LENGTH})
+    return {**document, "fleet": fleet}
+
+
+class OnceCase(scenes.SceneCase):
+    """Scenes with long runs that may not be repeated, each under a key."""
+
+    def play_long(self, scene: Any, **fleet: Any) -> None:
+        """Play with three keepers, so that one may be lost."""
+        document = build_long_document(**fleet)
+        self.play(scene, document, keepers=3, get_length=lambda *words: LENGTH)
+
+    async def begin_once(self, stage: lab.Lab) -> tuple[lab.Answer, "asyncio.Task[lab.Answer]"]:
+        """A claimed call of which some tokens have come."""
+        answer, task = stage.begin_call("katalog", "once", "refund", key="k1")
+        while not answer.texts:
+            await asyncio.sleep(0.02)
+        return answer, task
+
+    async def begin_stalled(
+        self, stage: lab.Lab
+    ) -> tuple[str, lab.Answer, "asyncio.Task[lab.Answer]"]:
+        """A claimed call that its runner holds and has written nothing of; and that runner."""
+        for engine in stage.engines.values():
+            engine.stalled = True
+        answer, task = stage.begin_call("katalog", "once", "refund", key="k1")
+        await asyncio.sleep(0.5)
+        return self.find_holder(stage), answer, task
+
+    def find_holder(self, stage: lab.Lab) -> str:
+        """The one runner that holds a generation."""
+        (name,) = [name for name, engine in stage.engines.items() if engine.sequences]
+        return name
+
+    async def resend(self, stage: lab.Lab) -> lab.Answer:
+        """The same request again, at another entry."""
+        return await stage.call("katalog", "once", "refund", key="k1", entry="entry-2")
+
+
+class AgentTest(OnceCase):
+    """The agent forgets what its runner works on, or the link to it is lost."""
+
+    def test_agent_that_started_again_without_the_class_says_nothing_of_not_run(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            document = build_long_document()
+            del document["classes"]["once"]
+            await stage.apply(document, 1, "c-without-it")
+            await stage.settle(2.0)
+            await stage.restart(stage.find_agent(answer.generation_ids[0]))
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            await stage.apply(build_long_document(), 2, "c-with-it-again")
+            await stage.settle(2.0)
+            again = await self.resend(stage)
+            self.assertEqual(again.fault.kind, kinds.ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_nothing_was_written_yet_and_the_class_is_gone(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            holder, answer, task = await self.begin_stalled(stage)
+            document = build_long_document()
+            del document["classes"]["once"]
+            await stage.apply(document, 1, "c-without-it")
+            await stage.settle(2.0)
+            await stage.restart(stage.find_agent(f"{holder}~c~x"))
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_agent_that_started_again_serves_another_target(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            agent = stage.find_agent(answer.generation_ids[0])
+            plan = stage.plans[agent]
+            stage.plans[agent] = plan.model_copy(update={"targets": {}})
+            await stage.restart(agent)
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            again = await self.resend(stage)
+            self.assertEqual(again.fault.kind, kinds.ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_agent_that_started_again_goes_on_with_the_run_it_finds(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            await stage.restart(stage.find_agent(answer.generation_ids[0]))
+            self.check_whole(await task)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_agent_that_dies_with_the_request_in_its_queue(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            for daemon in stage.daemons.values():
+                for executor in daemon.agent.executors.values() if daemon.agent else ():
+                    executor._decide = lambda state, now: []
+            answer, task = stage.begin_call("katalog", "once", "refund", key="k1")
+            await asyncio.sleep(0.5)
+            sent = stage.daemons["entry-1"].timeline.read()[-1]
+            await stage.restart(stage.find_agent(sent.generation_id))
+            await task
+            self.assertEqual(answer.fault.kind, kinds.ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+    def test_request_on_a_link_that_is_cut_runs_once_or_not_at_all(self) -> None:
+        """What was written into the cut may arrive when it heals, so nobody says "not run"."""
+
+        async def scene(stage: lab.Lab) -> None:
+            for agent in ("agent-hall-a", "agent-hall-b"):
+                stage.network.cut("entry-1", agent)
+            answer, task = stage.begin_call("katalog", "once", "refund", key="k1")
+            await asyncio.sleep(0.5)
+            stage.network.heal()
+            await task
+            self.assertLessEqual(count_runs(stage), 1)
+            if answer.fault is not None:
+                self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            await self.resend(stage)
+            self.assertLessEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_lost_link_is_no_reason_to_ask_another_runner(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            holder, answer, task = await self.begin_stalled(stage)
+            stage.network.isolate(stage.find_agent(f"{holder}~c~x"))
+            await task
+            self.assertEqual(answer.fault.kind, kinds.ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+
+class CancelTest(OnceCase):
+    """A run is ended early, or meant to be."""
+
+    def test_what_was_ended_before_its_start_is_not_started(self) -> None:
+        """A cancel arrives between a request's admission and the start of its run."""
+
+        async def scene(stage: lab.Lab) -> None:
+            executors: list[execution.Executor] = [
+                executor
+                for daemon in stage.daemons.values()
+                for executor in (daemon.agent.executors.values() if daemon.agent else ())
+            ]
+            for executor in executors:
+                self._cancel_at_admission(executor)
+            answer, task = stage.begin_call("katalog", "record", "a report")
+            await task
+            self.assertEqual(answer.fault.kind, kinds.ErrorKind.CANCELLED)
+            self.assertEqual(answer.fault.ran, kinds.Ran.NO)
+            await asyncio.sleep(1.0)
+            self.assertEqual(count_runs(stage), 0)
+            self.assertEqual([executor.state.running for executor in executors], [[], []])
+
+        self.play_long(scene)
+
+    def _cancel_at_admission(self, executor: execution.Executor) -> None:
+        decide = executor._decide
+
+        def decide_and_cancel(state: Any, now: float) -> list[scheduling.Action]:
+            actions = decide(state, now)
+            for action in actions:
+                asyncio.get_running_loop().call_soon(
+                    executor.cancel, action.generation, kinds.ErrorKind.CANCELLED, "left"
+                )
+            return actions
+
+        executor._decide = decide_and_cancel
+
+    def test_second_reader_that_leaves_ends_nothing(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            _, joined = stage.begin_call("katalog", "once", "refund", key="k1", entry="entry-2")
+            await asyncio.sleep(0.5)
+            joined.cancel()
+            self.check_whole(await task)
+            self.assertEqual(len(answer.texts), LENGTH)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_caller_that_left_meets_the_run_that_goes_on(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            task.cancel()
+            await asyncio.sleep(1.0)
+            again = await self.resend(stage)
+            self.check_whole(again)
+            self.assertEqual(again.generation_ids, answer.generation_ids)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+
+class RunnerTest(OnceCase):
+    """The runner starts again, sets runs aside, or its stream breaks."""
+
+    def test_runner_that_started_again_under_its_name_runs_nothing_anew(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            runner = answer.generation_ids[0].split("~")[0]
+            stage.kill_engine(runner)
+            stage.start_engine(runner)
+            await task
+            self.assertEqual(answer.fault.ran, kinds.Ran.YES)
+            again = await self.resend(stage)
+            self.assertEqual(again.fault.kind, kinds.ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+    def test_runner_that_started_again_before_the_first_token(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            holder, answer, task = await self.begin_stalled(stage)
+            stage.kill_engine(holder)
+            for engine in stage.engines.values():
+                if engine is not None:
+                    engine.stalled = False
+            stage.start_engine(holder)
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+    def test_run_that_was_set_aside_goes_on_as_the_same(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            runner = answer.generation_ids[0].split("~")[0]
+            engine = stage.engines[runner]
+            self.assertTrue(engine.pause(answer.generation_ids[0]))
+            await asyncio.sleep(1.0)
+            self.assertTrue(engine.unpause(answer.generation_ids[0]))
+            self.check_whole(await task)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+
+class EntryTest(OnceCase):
+    """The entry dies, stands still, or its claim is older than it thinks."""
+
+    def test_caller_that_resumes_at_another_entry_begins_nothing(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            task.cancel()
+            await stage.kill("entry-1")
+            await stage.restart(stage.find_agent(answer.generation_ids[0]))
+            await stage.settle(1.5)
+            await stage.call("katalog", "once", "refund", entry="entry-2", answer=answer)
+            self.check_whole(answer)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_caller_that_resumes_what_is_gone_begins_nothing(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            task.cancel()
+            runner = answer.generation_ids[0].split("~")[0]
+            stage.kill_engine(runner)
+            stage.start_engine(runner)
+            await stage.call("katalog", "once", "refund", entry="entry-2", answer=answer)
+            self.assertEqual(answer.fault.ran, kinds.Ran.YES)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+    def test_claim_outlives_the_run_that_it_is_for(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            loop = asyncio.get_running_loop()
+            with unittest.mock.patch("time.time", lambda: lab.WALL_BEGIN + loop.time()):
+                answer, task = await self.begin_once(stage)
+                await asyncio.sleep(10)
+                again = await self.resend(stage)
+                await task
+            self.check_whole(answer)
+            self.assertEqual(again.generation_ids, answer.generation_ids)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene, claim_seconds=5)
+
+    def test_entry_that_stood_still_past_the_deadline_sends_nothing(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            dispatcher = stage.daemons["entry-1"].callers.dispatcher
+            propose = dispatcher._propose
+
+            async def propose_and_stand_still(command: Any) -> dict[str, Any]:
+                granted = await propose(command)
+                await asyncio.sleep(200)
+                return granted
+
+            dispatcher._propose = propose_and_stand_still
+            answer = await stage.call("katalog", "once", "refund", key="k1")
+            self.assertEqual(answer.fault.kind, kinds.ErrorKind.DEADLINE_EXPIRED)
+            self.assertEqual(answer.fault.ran, kinds.Ran.NO)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tillerlane/peers/tests/test_link.py
@@ -0,0 +1,80 @@
+"""What a link says of a message that it did not send is true."""
+
+import asyncio
+import types
+import unittest
+from typing import Any
+
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.testing import lab
+from tillerlane.timeline import clock as clocks
+
+
+class FullWriter:
+    """A writer whose peer reads nothing, with `unsent` bytes before it."""
+
+    def __init__(self, unsent: int) -> None:
+        self.unsent = unsent
+        self.written = b""
+        self.transport = types.SimpleNamespace(get_write_buffer_size=lambda: self.unsent)
+
+    def write(self, data: bytes) -> None:
+        """Take bytes; they go out even if the connection is closed after that."""
+        self.written += data
+        self.unsent += len(data)
+
+    def close(self) -> None:
+        """Close once everything is out, as transports do."""
+
+
+def build_link(writer: Any) -> links.Link:
+    """A link on a writer."""
+
+    async def serve(exchange: links.Exchange, body: messages.Body) -> None:
+        raise AssertionError(body)
+
+    local = links.Local(
+        daemon_id="entry-1",
+        fleet="f",
+        address="10.0.1.1:7000",
+        incarnation=1,
+        clock=clocks.HybridClock(lambda: 1.0),
+        get_config_version=lambda: 1,
+        on_peer_version=lambda link, version: None,
+        serve=serve,
+        notify=lambda link, body: None,
+    )
+    return links.Link(asyncio.StreamReader(), writer, local, dialed=True)
+
+
+class FullLinkTest(unittest.TestCase):
+    """The peer has left so much unread that the link ends."""
+
+    def test_message_that_ends_the_link_is_not_written(self) -> None:
+        """An entry takes the error for the proof that its request can't have run."""
+        writer = FullWriter(links.MAX_UNSENT_BYTES)
+
+        async def run() -> None:
+            link = build_link(writer)
+            with self.assertRaises(links.LinkLost):
+                link.open(messages.Query("subject", "{}"))
+            self.assertFalse(link.is_open)
+
+        lab.run_virtual(run())
+        self.assertEqual(writer.written, b"")
+
+    def test_message_that_fits_is_written(self) -> None:
+        writer = FullWriter(links.MAX_UNSENT_BYTES // 2)
+
+        async def run() -> None:
+            link = build_link(writer)
+            link.open(messages.Query("subject", "{}"))
+            self.assertTrue(link.is_open)
+
+        lab.run_virtual(run())
+        self.assertIn(b"subject", writer.written)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tillerlane/runners/tests/test_sse_runner.py
@@ -0,0 +1,81 @@
+"""What the adapter of model runners says of a start that went wrong."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+from tillerlane.runners import core, sse_runner
+
+JOB = core.Job("r1~c~1", "katalog", "m", b"prompt", 1, 1, 50)
+REQUEST_END = b"\r\n\r\n"
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A target that answers a start in ways of its own."""
+
+    async def start_at(self, answer: Callable[[int], bytes]) -> tuple[core.TargetBroken, int]:
+        """Start a job at a server; the error, and how many starts reached the server.
+
+        `answer` is given the server's port.
+        """
+        starts = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal starts
+            await reader.readuntil(REQUEST_END)
+            starts += 1
+            writer.write(answer(server.sockets[0].getsockname()[1]))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = sse_runner.connect(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        try:
+            with self.assertRaises(core.TargetBroken) as caught:
+                async for _ in client.start(JOB):
+                    pass
+        finally:
+            await client.close()
+            server.close()
+        return caught.exception, starts
+
+    async def check_reached(self, answer: Callable[[int], bytes]) -> None:
+        """One start went out, and the error does not say that none did."""
+        error, starts = await self.start_at(answer)
+        self.assertEqual(starts, 1)
+        self.assertTrue(error.reached, str(error))
+
+    async def test_start_is_not_sent_on_to_another_place(self) -> None:
+        await self.check_reached(
+            lambda port: (
+                f"HTTP/1.1 307 Elsewhere\r\nLocation: http://127.0.0.1:{port}/v1/generations\r\n"
+                "Content-Length: 0\r\nConnection: close\r\n\r\n"
+            ).encode()
+        )
+
+    async def test_place_that_can_not_be_reached_says_nothing_of_the_first(self) -> None:
+        await self.check_reached(
+            lambda port: (
+                b"HTTP/1.1 307 Elsewhere\r\nLocation: http://127.0.0.1:1/v1/generations\r\n"
+                b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+        )
+
+    async def test_closed_without_an_answer(self) -> None:
+        await self.check_reached(lambda port: b"")
+
+    async def test_status_of_its_own(self) -> None:
+        await self.check_reached(
+            lambda port: b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+
+    async def test_nobody_listens(self) -> None:
+        client = sse_runner.connect("http://127.0.0.1:1")
+        with self.assertRaises(core.TargetBroken) as caught:
+            async for _ in client.start(JOB):
+                pass
+        await client.close()
+        self.assertFalse(caught.exception.reached)
+
+
+if __name__ == "__main__":
+    unittest.main()
