Take no refusal of an attach for the word that a request did not run

Cause: an entry whose link to an agent broke asks it, or its successor, to attach to the generation.

Change: a refusal to attach tells only that the generation was not found: "yes" once tokens came, else "unknown". "Not run" comes with a first send or as the end of a generation that the agent holds.

Conclusion: the claim stays, a second arrival learns that the outcome is unknown.

--- a/tillerlane/entry/relay.py
+++ b/tillerlane/entry/relay.py
@@ -24,6 +24,8 @@
 """How long a repeatable request of which nothing came is looked for at a lost agent."""
 OVERTIME_SECONDS = 2.0
 """How long after the deadline the agent's own word on it is waited for."""
+_OF_THE_ASKER = frozenset({kinds.ErrorKind.NOT_FOUND, kinds.ErrorKind.INTERNAL})
+"""Kinds of refusals to attach that say something of who asks, or of a fault of our own."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,12 +224,18 @@
         return Ending(self.generation_id, end.reason, end.tokens, end.prompt_tokens)
 
     def _read_refusal(self, refusal: messages.Refusal) -> faults.Fault:
+        """The fault of a refusal, as far as it is the word of somebody who can know.
+
+        An agent refuses to attach because it does not find the generation or does not know its
+        terms: that says nothing of what the target, or a former process of the agent, did with it.
+        """
         fault = links.read_fault(refusal.fault)
         if not self.attach:
             return fault
-        if fault.kind is kinds.ErrorKind.GENERATION_LOST:
-            return self._describe_loss(fault.message)
-        return fault
+        if fault.kind in _OF_THE_ASKER:
+            ran = kinds.Ran.YES if self.offset else kinds.Ran.UNKNOWN
+            return dataclasses.replace(fault, ran=ran)
+        return self._describe_loss(fault.message)
 
 
 def _cancel(exchange: links.Exchange) -> None:
