Write nothing of a message that a link says it did not send

Cause: a link whose peer leaves more than 8 MB unread ended after it had written the message, and said that it was lost. Closing it sends what it still holds. An entry takes that error, on a first send, for the proof that nothing was written, tells "not run" and asks another target.

Change: the bound is looked at, with the message's length, before it is written.

Conclusion: from a link, "lost" at a send means not written, as the entry has taken it all along.

--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import struct
@@ -257,7 +258,7 @@
         Raises
         ------
         LinkLost
-            If the link has ended, or ends because the peer reads too slowly.
+            If the link has ended or ends since the peer reads too slowly; nothing was written.
         """
         if self._closed:
             raise LinkLost(f"link to {self.peer_id} ended")
@@ -270,13 +271,14 @@
         self._sent_version = local.get_config_version()
         envelope = messages.Envelope(local.clock.tick(), self._sent_version, exchange, body)
         data = codec.encode(envelope)
+        # Before the message is written: what a closed connection still holds goes out all the same.
+        if self._writer.transport.get_write_buffer_size() + len(data) > MAX_UNSENT_BYTES:
+            self.close()
+            raise LinkLost(f"{self.peer_id} left more than {MAX_UNSENT_BYTES} bytes unread")
         self._writer.write(_LENGTH.pack(len(data)) + data)
         self.bytes_out += len(data) + _LENGTH.size
         self.messages_out += 1
         self._last_sent = asyncio.get_running_loop().time()
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self.close()
-            raise LinkLost(f"{self.peer_id} left more than {MAX_UNSENT_BYTES} bytes unread")
 
     def send_run(self, run: messages.Run) -> None:
         """Send tokens together with those that other streams send in the same moment."""
@@ -293,10 +295,8 @@
             self._flush = None
         if self._runs and not self._closed:
             runs, self._runs = self._runs, []
-            try:
+            with contextlib.suppress(LinkLost):
                 self._write(messages.Tokens.gather(runs), 0)
-            except LinkLost:
-                return
 
     def open(self, body: messages.Body) -> Exchange:
         """Open an exchange with its first message."""
@@ -473,10 +473,8 @@
             self.messages_out += 1
             self._last_sent = now
             return
-        try:
+        with contextlib.suppress(LinkLost):
             self._write(messages.Heartbeat(), 0)
-        except LinkLost:
-            return
 
     def close(self) -> None:
         """End the link at once; every open exchange learns of it."""
