Follow no redirect of a model runner

Cause: the adapter's HTTP client follows redirects by itself. A start that was answered 307 or 308 went on, body and all, to wherever the answer named; and where nobody listened there, the error read "cannot connect", which is taken for the proof that the request reached nobody, though the runner asked first had it.

Change: calls of runners follow no redirect; such a status is one that the runner should not give, after it was reached.

Conclusion: one start of a job leaves an agent, and "not reached" speaks of its own target only.

--- a/tillerlane/runners/sse_runner.py
+++ b/tillerlane/runners/sse_runner.py
@@ -77,8 +77,12 @@
     async def open_stream(
         method: str, path: str, **extra: Any
     ) -> AsyncIterator[aiohttp.ClientResponse]:
+        # A redirect is no answer of a runner: followed, a start would go on to another place, and
+        # what became of it there would be taken for what became of it here.
         try:
-            async with get_session().request(method, path, **extra) as answer:
+            async with get_session().request(
+                method, path, allow_redirects=False, **extra
+            ) as answer:
                 if answer.status == 404:
                     raise core.UnknownGeneration(path)
                 if answer.status != 200:
@@ -94,7 +98,9 @@
         """Status and body of a short call."""
         timeout = aiohttp.ClientTimeout(total=CALL_SECONDS, sock_connect=CONNECT_SECONDS)
         try:
-            async with get_session().request(method, path, timeout=timeout, **extra) as answer:
+            async with get_session().request(
+                method, path, timeout=timeout, allow_redirects=False, **extra
+            ) as answer:
                 return answer.status, await answer.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise core.TargetBroken(f"cannot connect: {error!r}", reached=False) from error
