Start no generation that was ended between its admission and its start

Cause: an admitted generation's run begins in a task of its own, a turn of the event loop later. A cancel that arrived in that turn ended it with "ran: no", as nothing had been asked of the target, and the task then started it there all the same: it ran to its end and nobody read it.

Change: the task looks first whether the generation has ended.

Conclusion: what an agent ended as not run is never started.

--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -262,6 +262,8 @@
         self._spawn(self._run(generation))
 
     async def _run(self, generation: generations.Generation) -> None:
+        if generation.end is not None and not generation.started:
+            return  # ended between its admission and now; its reader was told that it did not run
         try:
             fault = await self._read_to_end(generation)
         finally:
