Keep a claim until its request's time is over, and its age from there

Cause: a claim expired "claim_seconds" after it was opened, whatever its run was doing. With fewer seconds than a run may last, the same request, sent again, was claimed anew and ran beside the first.

Change: the age begins with the end of the request's own time, at which its agent ends the run.

Conclusion: safe for runs that end by their deadline. The age is still reckoned by the clocks of entries: one that is ahead by more than the age drops claims (docs/design/at-most-once.md).

--- a/tillerlane/config/documents.py
+++ b/tillerlane/config/documents.py
@@ -207,7 +207,7 @@
     detached_seconds: Seconds = 15
     """How long a generation runs on after its entry is lost."""
     claim_seconds: Seconds = 86_400
-    """How long the end of a request that may not be repeated is remembered."""
+    """How long a request that may not be repeated is remembered after the end of its time."""
     max_body_bytes: Annotated[int, pydantic.Field(gt=0, le=16 * 1024 * 1024)] = 1024 * 1024
     weight_load_seconds: Seconds = 20
     """Least time between two orders to load weights: the weight store's rate."""
--- a/tillerlane/entry/dispatch.py
+++ b/tillerlane/entry/dispatch.py
@@ -303,7 +303,10 @@
         """Claim the request for a generation, before anything is sent."""
         now_ms = int(time.time() * 1000)
         if claim.attempt == 0:
-            keep_ms = int(self._store.current.fleet.claim_seconds * 1000)
+            # Its age begins with the end of the request's time: a run that may still be under way
+            # must not have lost its claim.
+            left = max(0.0, request.deadline - asyncio.get_running_loop().time())
+            keep_ms = int((self._store.current.fleet.claim_seconds + left) * 1000)
             command: commands.Command = commands.ClaimOpen(
                 workspace=request.workspace,
                 key=claim.key,
