Send nothing for the first time after a request's deadline

Cause: an entry that stood still between its claim and its first send sent the request when it woke, whatever the time was; the agent then gave it 0.25 s of its own. The claim may be gone by then, and the request run elsewhere.

Change: the relay looks at the deadline right before a first send; "not run" is true there.

Conclusion: with the age of claims behind the deadline, no first send comes after its claim. A send that the network or a stopped agent holds back is not covered: its time counts from its arrival.

--- a/tillerlane/entry/relay.py
+++ b/tillerlane/entry/relay.py
@@ -133,6 +133,7 @@
 
     async def _read_link(self) -> AsyncIterator[Piece | Ending]:
         link = await self.record.peer.wait_link(DIAL_WAIT_SECONDS)
+        self._check_time()
         exchange = link.open(self._build_start())
         exchange.expire_at(self.request.deadline + OVERTIME_SECONDS)
         self.sent = True
@@ -162,6 +163,16 @@
                 _cancel(exchange)
             exchange.close()
 
+    def _check_time(self) -> None:
+        """Begin nothing after the deadline, as an entry would that stood still meanwhile.
+
+        By then the request's claim may be gone, and the request run elsewhere.
+        """
+        if not self.attach and asyncio.get_running_loop().time() >= self.request.deadline:
+            message = "the deadline passed before it was sent"
+            fault = faults.new_fault(kinds.ErrorKind.DEADLINE_EXPIRED, message, ran=kinds.Ran.NO)
+            raise faults.FaultError(fault)
+
     async def _receive(self, exchange: links.Exchange) -> messages.Body | messages.Run:
         try:
             return await exchange.receive()
