--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -97,6 +97,12 @@
         It works on when the connection of a stream closes.
     names_no_request : bool
         Its refusals don't say which request they answer.
+    denies_status : int
+        Status with which it says "not run" of a request that it did run; 0 for never.
+    turn_away_seconds : float
+        Time that it takes to turn a request away.
+    preface, surplus : bytes
+        What it sends before and behind each whole answer.
     deadly : frozenset of bytes
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
     on_crash : callable
@@ -141,6 +147,10 @@
         self.is_mute = False
         self.works_on = False
         self.names_no_request = False
+        self.denies_status = 0
+        self.turn_away_seconds = 0.0
+        self.preface = b""
+        self.surplus = b""
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
@@ -204,9 +214,15 @@
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
         self.turned_away.append(request_id)
-        extra = [(b"Not-Run", b"1")] if status == 503 else [(b"Instance-Id", b"other")]
+        await asyncio.sleep(self.turn_away_seconds)
+        await self._send_refusal(status, request_id, responder)
+
+    async def _send_refusal(
+        self, status: int, request_id: str, responder: http_server.Responder
+    ) -> None:
+        extra = [(b"Instance-Id", b"other")] if status == 421 else [(b"Not-Run", b"1")]
         if not self.names_no_request:
-            extra.append((b"Request-Id", request_id.encode()))
+            extra.append((b"Request-Id", (self.answers_for or request_id).encode()))
         await responder.send_whole(http_head.AnswerHead(status, extra), b"")
 
     async def _run(
@@ -238,6 +254,10 @@
             run.ended = "lost"
             responder.abort()
             return
+        if self.denies_status:
+            run.ended = "denied"
+            await self._send_refusal(self.denies_status, request_id, responder)
+            return
         if self.length:
             await self._stream(run, responder)
             return
@@ -251,7 +271,10 @@
             self.answer_status,
             [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
         )
+        connection = responder._connection  # a sound server offers no way to write such bytes
+        await connection.write(self.preface)
         await responder.send_whole(head, b"answer to " + request_id.encode())
+        await connection.write(self.surplus)
 
     def _take_copy(self, copy_from: str, request_id: str) -> bool:
         """Use a copy that lies here: by handle, or one that grew with the run."""
