Ask a runner to end a run until it has answered

Cause: an agent that ended a run early asked its runner once and counted the run as over whatever came of that. A call that was lost, or that overtook the run's own start, left the runner at work to the run's end for nobody; after a deadline also beyond the time that its claim is kept for.

Change: the reader is told at once, as before; the runner is asked again, eight times over 25 s, until it says that it ended the run, or does not know it and nothing of it is on its way.

Conclusion: a run is over at its runner's word. A runner out of reach for over 25 s is left alone; its run ends there by itself. A plain service has no cancel: its call goes on.

--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -29,6 +29,8 @@
 """A target that writes nothing for this long while it should is not healthy."""
 RESUME_DELAYS = (0.0, 0.1, 0.2, 0.4, 0.8, 1.0)
 """Seconds before each try to resume a stream that broke off."""
+CANCEL_DELAYS = (0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+"""Seconds before each time that a target is asked again to end a run; then it is left alone."""
 MAX_ENDED_KEPT = 2_000
 
 
@@ -226,15 +228,28 @@
     async def _cancel_started(
         self, generation: generations.Generation, kind: kinds.ErrorKind, reason: str
     ) -> None:
-        try:
-            started = await self.state.client.cancel(generation.id)
-        except runners.TargetBroken:
-            started = None
+        """Tell the reader at once, and ask the target until it has said that it ended the run."""
+        word, started = await self._ask_to_end(generation)
         if started is None:
             ran = kinds.Ran.YES if generation.texts else kinds.Ran.UNKNOWN
         else:
             ran = kinds.Ran.YES if started or generation.texts else kinds.Ran.NO
         self._finish_cancelled(generation, kind, reason, ran)
+        for delay in CANCEL_DELAYS:
+            if started is not None or (word and not generation.is_read):
+                return
+            await asyncio.sleep(delay)
+            word, started = await self._ask_to_end(generation)
+
+    async def _ask_to_end(self, generation: generations.Generation) -> tuple[bool, bool | None]:
+        """Whether the target answered, and whether it had begun the run that it ended.
+
+        None where it does not know the run: its start may still be on its way.
+        """
+        try:
+            return True, await self.state.client.cancel(generation.id)
+        except runners.TargetBroken:
+            return False, None
 
     def _finish_cancelled(
         self,
@@ -264,9 +279,11 @@
     async def _run(self, generation: generations.Generation) -> None:
         if generation.end is not None and not generation.started:
             return  # ended between its admission and now; its reader was told that it did not run
+        generation.is_read = True
         try:
             fault = await self._read_to_end(generation)
         finally:
+            generation.is_read = False
             self.state.release(generation)
             self.wake()
         now = asyncio.get_running_loop().time()
--- a/tillerlane/agent/generation.py
+++ b/tillerlane/agent/generation.py
@@ -39,6 +39,8 @@
     length_model: lengths.LengthModel
     state: State = State.WAITING
     started: bool = False
+    is_read: bool = False
+    """Whether its stream is being read or asked for at the target."""
     texts: list[str] = dataclasses.field(default_factory=list)
     end: messages.End | None = None
     ended_at: float = 0.0
--- a/tillerlane/entry/tests/test_at_most_once.py
+++ b/tillerlane/entry/tests/test_at_most_once.py
@@ -5,12 +5,15 @@
 """
 
 import asyncio
+import dataclasses
 import unittest
 import unittest.mock
+from collections.abc import AsyncIterator
 from typing import Any
 
 from tillerlane.agent import execution, scheduling
 from tillerlane.faults import kinds
+from tillerlane.runners import core as runners
 from tillerlane.testing import lab, scenes
 
 LENGTH = 3_000
@@ -173,11 +176,7 @@
         """A cancel arrives between a request's admission and the start of its run."""
 
         async def scene(stage: lab.Lab) -> None:
-            executors: list[execution.Executor] = [
-                executor
-                for daemon in stage.daemons.values()
-                for executor in (daemon.agent.executors.values() if daemon.agent else ())
-            ]
+            executors = self.list_executors(stage)
             for executor in executors:
                 self._cancel_at_admission(executor)
             answer, task = stage.begin_call("katalog", "record", "a report")
@@ -203,6 +202,71 @@
 
         executor._decide = decide_and_cancel
 
+    def list_executors(self, stage: lab.Lab) -> list[execution.Executor]:
+        """The executors of all targets."""
+        agents = [daemon.agent for daemon in stage.daemons.values() if daemon.agent is not None]
+        return [executor for agent in agents for executor in agent.executors.values()]
+
+    def list_running(self, stage: lab.Lab) -> list[str]:
+        """Generations that any engine works on."""
+        engines = [engine for engine in stage.engines.values() if engine is not None]
+        return [sequence.id for engine in engines for sequence in engine.running]
+
+    def test_cancel_that_is_lost_is_sent_again(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            _, task = stage.begin_call("katalog", "record", "a report")
+            await asyncio.sleep(0.5)
+            self.assertEqual(len(self.list_running(stage)), 1)
+            lost = 0
+
+            async def lose(generation_id: str) -> bool | None:
+                nonlocal lost
+                lost += 1
+                raise runners.TargetBroken("broke off", reached=False)
+
+            states = [executor.state for executor in self.list_executors(stage)]
+            sound = [state.client for state in states]
+            for state in states:
+                state.client = dataclasses.replace(state.client, cancel=lose)
+            task.cancel()
+            await asyncio.sleep(0.5)
+            self.assertGreater(lost, 0)
+            for state, client in zip(states, sound, strict=True):
+                state.client = client
+            await asyncio.sleep(1.0)
+            self.assertEqual(self.list_running(stage), [])
+
+        self.play_record(scene)
+
+    def test_cancel_that_overtakes_the_start_is_sent_again(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            for executor in self.list_executors(stage):
+                self._delay_start(executor)
+            _, task = stage.begin_call("katalog", "record", "a report")
+            await asyncio.sleep(0.3)
+            self.assertEqual(count_runs(stage), 0)
+            task.cancel()
+            await asyncio.sleep(1.5)
+            self.assertEqual(count_runs(stage), 1)
+            self.assertEqual(self.list_running(stage), [])
+
+        self.play_record(scene)
+
+    def _delay_start(self, executor: execution.Executor) -> None:
+        client = executor.state.client
+
+        async def start(job: runners.Job) -> AsyncIterator[runners.Chunk | runners.Finish]:
+            await asyncio.sleep(0.5)
+            async for item in client.start(job):
+                yield item
+
+        executor.state.client = dataclasses.replace(client, start=start)
+
+    def play_record(self, scene: Any) -> None:
+        """Play with long runs that end when their caller leaves."""
+        document = scenes.build_document(record={"max_tokens": LENGTH})
+        self.play(scene, document, get_length=lambda *words: LENGTH)
+
     def test_second_reader_that_leaves_ends_nothing(self) -> None:
         async def scene(stage: lab.Lab) -> None:
             answer, task = await self.begin_once(stage)
