Reckon the age of claims in the leader's steady time

Cause: the leader stamps claims with its wall clock. A step of that clock by more than their age made all claims old, and a request sent again ran beside its first run.

Change: a keeper takes the wall clock once, when it begins, and goes on from there in the event loop's time.

Conclusion: left is a keeper that begins with a clock that is ahead by more than the age and then leads.

--- a/tillerlane/entry/tests/test_at_most_once.py
+++ b/tillerlane/entry/tests/test_at_most_once.py
@@ -7,17 +7,21 @@
 import asyncio
 import dataclasses
 import unittest
-import unittest.mock
 from collections.abc import AsyncIterator
 from typing import Any
 
+import msgspec
+
 from tillerlane.agent import execution, scheduling
 from tillerlane.faults import kinds
+from tillerlane.keeper import commands
 from tillerlane.runners import core as runners
 from tillerlane.testing import lab, scenes
 
 LENGTH = 3_000
 """Tokens of a run that outlasts each scene's disturbance; it takes about a minute."""
+AHEAD_MS = 600_000
+"""How far a daemon's clock is ahead: more than a request's time and the age of claims."""
 
 
 def count_runs(stage: lab.Lab) -> int:
@@ -368,18 +372,52 @@
 
     def test_claim_outlives_the_run_that_it_is_for(self) -> None:
         async def scene(stage: lab.Lab) -> None:
-            loop = asyncio.get_running_loop()
-            with unittest.mock.patch("time.time", lambda: lab.WALL_BEGIN + loop.time()):
-                answer, task = await self.begin_once(stage)
-                await asyncio.sleep(10)
-                again = await self.resend(stage)
-                await task
+            answer, task = await self.begin_once(stage)
+            await asyncio.sleep(10)
+            again = await self.resend(stage)
+            await task
             self.check_whole(answer)
             self.assertEqual(again.generation_ids, answer.generation_ids)
             self.assertEqual(count_runs(stage), 1)
 
         self.play_long(scene, claim_seconds=5)
 
+    def test_leader_whose_clock_is_ahead_drops_no_claim(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            for name in stage.list_role("keeper"):
+                keeper = stage.daemons[name].keeper
+                keeper._now_ms = lambda now_ms=keeper._now_ms: now_ms() + AHEAD_MS
+            again = await self.resend(stage)
+            await task
+            self.assertEqual(again.generation_ids, answer.generation_ids)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene, claim_seconds=60)
+
+    def test_entry_whose_clock_is_ahead_drops_no_claim(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            answer, task = await self.begin_once(stage)
+            dispatcher = stage.daemons["entry-2"].callers.dispatcher
+            propose = dispatcher._propose
+
+            async def propose_ahead(command: Any) -> dict[str, Any]:
+                if isinstance(command, commands.ClaimOpen):
+                    command = msgspec.structs.replace(
+                        command,
+                        at_ms=command.at_ms + AHEAD_MS,
+                        expires_ms=command.expires_ms + AHEAD_MS,
+                    )
+                return await propose(command)
+
+            dispatcher._propose = propose_ahead
+            again = await self.resend(stage)
+            await task
+            self.assertEqual(again.generation_ids, answer.generation_ids)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene, claim_seconds=60)
+
     def test_entry_that_stood_still_past_the_deadline_sends_nothing(self) -> None:
         async def scene(stage: lab.Lab) -> None:
             dispatcher = stage.daemons["entry-1"].callers.dispatcher
--- a/tillerlane/keeper/server.py
+++ b/tillerlane/keeper/server.py
@@ -29,7 +29,8 @@
     get_subscribers : callable
         Links of daemons that hear of each new configuration.
     now_ms : callable
-        Wall time in milliseconds, for the age of claims.
+        Wall time in milliseconds; the age of claims goes on from it in steady time, so that no
+        step of the clock makes a claim old.
     """
 
     def __init__(
@@ -43,10 +44,13 @@
         self._get_link = get_link
         self._get_subscribers = get_subscribers
         self._now_ms = now_ms
+        self._began_ms = 0.0
+        """Wall time less the event loop's time, in milliseconds, when the keeper began."""
         node_replica.machine.store.listen(self._push)
 
     def begin(self) -> None:
         """Start the keeper."""
+        self._began_ms = self._now_ms() - asyncio.get_running_loop().time() * 1000
         self.replica.begin()
 
     async def stop(self) -> None:
@@ -105,7 +109,7 @@
 
     def _restamp(self, command: commands.ClaimOpen) -> commands.ClaimOpen:
         """Give a claim the leader's time, so that entries' clocks do not matter."""
-        now = self._now_ms()
+        now = int(self._began_ms + asyncio.get_running_loop().time() * 1000)
         age = command.expires_ms - command.at_ms
         return msgspec.structs.replace(command, at_ms=now, expires_ms=now + age)
 
