Try a denial whose status says that the request ran; it is believed

Cause: an answer with the mark of "not run" may bear a status that counts as run (200, 500, 504): the protocol gives the mark with 400, 408, 421, 429 and 503 only.

Change: a scene with each of the three at a target that ran the order. Nothing of the product.

Conclusion: spoilt evidence is no evidence; to be mended with the denial that names no request.

--- a/tillerlane/gateway/tests/test_at_most_once.py
+++ b/tillerlane/gateway/tests/test_at_most_once.py
@@ -96,6 +96,20 @@
 
         self.play(scene)
 
+    def test_denial_with_a_status_that_counts_as_run(self) -> None:
+        """An answer that says both speaks for neither."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_two(stage)
+            for status in (200, 500, 504):
+                for runner in runners:
+                    runner.denies_status = status
+                request_id = f"r{status}"
+                answer = await stage.call("entry-1", "order", request_id)
+                self.check_once(stage, request_id, answer.status)
+
+        self.play(scene)
+
     def test_refusal_that_names_the_request_lets_another_target_run_it(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = await self.add_two(stage)
