--- a/tillerlane/entry/tests/test_at_most_once.py
+++ b/tillerlane/entry/tests/test_at_most_once.py
@@ -341,6 +341,46 @@
         self.play_long(scene)
 
 
+class WithoutKeyTest(OnceCase):
+    """A request without a key is claimed nowhere and is sent once all the same."""
+
+    def test_runner_that_dies_before_the_first_token(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            for engine in stage.engines.values():
+                engine.stalled = True
+            answer, task = stage.begin_call("katalog", "once", "refund")
+            await asyncio.sleep(0.5)
+            stage.kill_engine(self.find_holder(stage))
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            self.assertEqual(count_runs(stage), 0)
+
+        self.play_long(scene)
+
+    def test_agent_that_dies_before_the_first_token(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            for engine in stage.engines.values():
+                engine.stalled = True
+            answer, task = stage.begin_call("katalog", "once", "refund")
+            await asyncio.sleep(0.5)
+            await stage.kill(stage.find_agent(f"{self.find_holder(stage)}~c~x"))
+            await task
+            self.assertNotEqual(answer.fault.ran, kinds.Ran.NO)
+            self.assertEqual(count_runs(stage), 1)
+
+        self.play_long(scene)
+
+    def test_runner_that_is_gone_before_the_start_is_passed_over(self) -> None:
+        async def scene(stage: lab.Lab) -> None:
+            stage.kill_engine("r1")
+            answers = [await stage.call("katalog", "once", f"refund {n}") for n in range(2)]
+            for answer in answers:
+                self.check_whole(answer)
+            self.assertEqual(count_runs(stage), 2)
+
+        self.play_long(scene)
+
+
 class EntryTest(OnceCase):
     """The entry dies, stands still, or its claim is older than it thinks."""
 
--- a/tillerlane/gateway/tests/test_at_most_once.py
+++ b/tillerlane/gateway/tests/test_at_most_once.py
@@ -4,47 +4,18 @@
 """
 
 import asyncio
-import itertools
 import unittest
 from typing import Any
 
-from tillerlane.gateway import directory as directories
 from tillerlane.gateway import http_head
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
 
 LENGTH = 90
 SURPLUS = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: r2\r\nContent-Length: 0\r\n\r\n"
 """An answer to a request that nobody has sent yet."""
-PROMISES = (408, 421, 429, 503)
-"""Statuses that promise a caller that its request has not run and never will."""
 
 
-def list_runs(stage: gateway_lab.GatewayLab, request_id: str) -> list[platform_runner.RanRequest]:
-    """All runs of a request, at any runner."""
-    runs = [run for runner in stage.runners.values() for run in runner.ran]
-    return [run for run in runs if run.request_id == request_id]
-
-
-class OnceCase(gateway_scenes.GatewayCase):
-    """Scenes with two targets of the service that may not be asked twice."""
-
-    async def add_two(
-        self, stage: gateway_lab.GatewayLab, pool: str = "app", **more: Any
-    ) -> list[platform_runner.PlatformRunner]:
-        """Two targets that are known to the entry."""
-        runners = [await stage.add_runner(name, pool, **more) for name in ("t1", "t2")]
-        await asyncio.sleep(0.2)
-        return runners
-
-    def check_once(self, stage: gateway_lab.GatewayLab, request_id: str, status: int) -> None:
-        """A request ran at most once, and is not promised not to have run if it did."""
-        runs = list_runs(stage, request_id)
-        self.assertLessEqual(len(runs), 1)
-        if runs:
-            self.assertNotIn(status, PROMISES)
-
-
-class WordOfTargetTest(OnceCase):
+class WordOfTargetTest(gateway_scenes.OnceCase):
     """A target's "not run" is believed only if it speaks of this request and of no other."""
 
     def play_denials(self, route: str, pool: str, status: int, **more: Any) -> None:
@@ -121,13 +92,41 @@
             await asyncio.sleep(1.0)
             answer = await stage.call("entry-1", "order", "r1")
             self.assertEqual(answer.status, 503)
-            self.assertEqual(list_runs(stage, "r1"), [])
+            self.assertEqual(gateway_scenes.list_runs(stage, "r1"), [])
             self.assertEqual(sorted(len(item.turned_away) for item in runners), [1, 1])
 
         self.play(scene)
 
 
-class ConnectionTest(OnceCase):
+class UnsentTest(gateway_scenes.OnceCase):
+    """Nothing of the request was written to a target."""
+
+    def test_target_where_nobody_listens_costs_no_attempt(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_two(stage)
+            runners[0].crash()
+            for number in range(4):
+                answer = await stage.call("entry-1", "order", f"r{number}")
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(len(gateway_scenes.list_runs(stage, f"r{number}")), 1)
+
+        self.play(scene)
+
+    def test_time_that_ends_while_nobody_can_be_reached_is_a_true_refusal(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            for runner in await self.add_two(stage):
+                runner.is_cut_off = True
+            answer = await stage.call("entry-1", "order", "r1", wait_ms=200)
+            self.assertEqual(answer.status, 503)
+            for runner in stage.runners.values():
+                runner.is_cut_off = False
+            await asyncio.sleep(2.0)
+            self.assertEqual(gateway_scenes.list_runs(stage, "r1"), [])
+
+        self.play(scene)
+
+
+class ConnectionTest(gateway_scenes.OnceCase):
     """What stands on a connection before, behind and beside a request."""
 
     def test_bytes_behind_a_whole_answer_belong_to_no_request(self) -> None:
@@ -138,7 +137,7 @@
                 answer = await stage.call("entry-1", "order", f"r{number}")
                 self.assertEqual(answer.status, 200)
                 self.assertEqual(answer.body, f"answer to r{number}".encode())
-                self.assertEqual(len(list_runs(stage, f"r{number}")), 1)
+                self.assertEqual(len(gateway_scenes.list_runs(stage, f"r{number}")), 1)
 
         self.play(scene)
 
@@ -162,7 +161,7 @@
             statuses, heard = await self.send_on_one_connection(stage, ["r1", "r2", "r3"])
             self.assertEqual(len(heard), len(statuses))
             for request_id in ("r1", "r2", "r3"):
-                self.assertLessEqual(len(list_runs(stage, request_id)), 1)
+                self.assertLessEqual(len(gateway_scenes.list_runs(stage, request_id)), 1)
             self.assertTrue(all(status == 502 for status in statuses), statuses)
 
         self.play(scene)
@@ -174,7 +173,7 @@
             self.assertEqual(statuses, [200, 200, 200])
             self.assertEqual(bodies, [f"answer to r{number}".encode() for number in (1, 2, 3)])
             for request_id in ("r1", "r2", "r3"):
-                self.assertEqual(len(list_runs(stage, request_id)), 1)
+                self.assertEqual(len(gateway_scenes.list_runs(stage, request_id)), 1)
 
         self.play(scene)
 
@@ -209,7 +208,7 @@
         return statuses, bodies
 
 
-class IncarnationTest(OnceCase):
+class IncarnationTest(gateway_scenes.OnceCase):
     """A target starts again under its address while a request is at its former start."""
 
     def test_order_at_a_target_that_starts_again_at_its_address(self) -> None:
@@ -235,7 +234,7 @@
             await self.start_again(stage, first)
             answer = await call
             self.assertFalse(answer.is_whole)
-            self.assertEqual(len(list_runs(stage, "r1")), 1)
+            self.assertEqual(len(gateway_scenes.list_runs(stage, "r1")), 1)
 
         self.play(scene)
 
@@ -254,7 +253,7 @@
         await asyncio.sleep(0.2)
 
 
-class ConfigurationTest(OnceCase):
+class ConfigurationTest(gateway_scenes.OnceCase):
     """The kind of a route changes while a request waits or runs."""
 
     def build_document(self, version: int, kind: str) -> dict[str, Any]:
@@ -312,7 +311,7 @@
             first.crash()
             answer = await call
             self.assertFalse(answer.is_whole)
-            self.assertEqual(len(list_runs(stage, "r1")), 1)
+            self.assertEqual(len(gateway_scenes.list_runs(stage, "r1")), 1)
 
         self.play(scene)
 
@@ -330,150 +329,12 @@
             await stage.publish("keeper-1", document)
             answer = await call
             self.assertEqual(answer.status, 502)
-            self.assertLessEqual(len(list_runs(stage, "r1")), 2)
-
-        self.play(scene)
-
-
-class ResumptionTest(OnceCase):
-    """A caller comes back with the id of the last event that it has."""
-
-    def test_run_has_ended_before_its_caller_resumes_it_at_another_entry(self) -> None:
-        """A stream that may be resumed; the caller's new attempt is a request of its own."""
-
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            await self.add_two(stage, "llm", length=LENGTH)
-            stage.add_entry("entry-2")
-            await stage.start_entry("entry-2")
-            await asyncio.sleep(3.0)
-            first = await stage.call("entry-1", "verdict", "r1", leave_after=0.6)
-            self.assertFalse(first.is_whole)
-            last = first.body.count(b"id: ")
-            self.assertGreater(last, 0)
-            again = await stage.call("entry-2", "verdict", "r2", Last_Event_Id=str(last))
-            self.assertEqual(again.body, gateway_scenes.build_stream("r2", LENGTH, last + 1))
-            (former,) = list_runs(stage, "r1")
-            (present,) = list_runs(stage, "r2")
-            self.assertEqual(former.ended, "gone")
-            self.assertLessEqual(former.ended_at - present.began, 0.4)
-
-        self.play(scene)
-
-    def test_run_that_may_not_be_resumed_ends_with_its_caller(self) -> None:
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runners = await self.add_two(stage, "llm", length=LENGTH)
-            await stage.call("entry-1", "record", "r1", leave_after=0.6, **gateway_scenes.LONG)
-            await asyncio.sleep(0.5)
-            (run,) = list_runs(stage, "r1")
-            self.assertEqual(run.ended, "gone")
-            stage.beat(runners[0].target_id, "llm", phase=directories.Phase.DRAINING)
-            stage.beat(runners[1].target_id, "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(2.0)
-            self.assertEqual(len(list_runs(stage, "r1")), 1)
-
-        self.play(scene)
-
-    def test_headers_of_copies_are_not_the_callers_to_set(self) -> None:
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            await self.add_two(stage, "llm", length=5)
-            given = {"Kv_From": "10.0.9.2:9000/h1", "Kv_Backup": "10.0.9.2:9000"}
-            await stage.call("entry-1", "record", "r1", **given, **gateway_scenes.LONG)
-            (run,) = list_runs(stage, "r1")
-            self.assertNotIn("kv-from", run.headers)
-            self.assertNotEqual(run.headers.get("kv-backup"), run.headers.get("host"))
-
-        self.play(scene)
-
-
-class MoveTest(OnceCase):
-    """A run moves more than once, or finds a copy of an earlier start of its own."""
-
-    def test_run_that_moves_twice_is_at_one_runner_at_a_time(self) -> None:
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            await stage.add_runner("t1", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
-            await asyncio.sleep(0.4)
-            for former, present in (("t1", "t2"), ("t2", "t3")):
-                await stage.add_runner(present, "llm", length=LENGTH)
-                await asyncio.sleep(0.2)
-                stage.beat(former, "llm", phase=directories.Phase.DRAINING)
-                await asyncio.sleep(0.6)
-            answer = await call
-            self.assertEqual(answer.body, gateway_scenes.build_stream("r1", LENGTH))
-            runs = sorted(list_runs(stage, "r1"), key=lambda run: run.began)
-            self.assertEqual(len(runs), 3)
-            for former, present in itertools.pairwise(runs):
-                self.assertLessEqual(former.ended_at - present.began, 0.4)
-
-        self.play(scene)
-
-    async def begin_with_copies(
-        self, stage: gateway_lab.GatewayLab
-    ) -> tuple[list[platform_runner.PlatformRunner], dict[str, asyncio.Task], list[str]]:
-        """Runs at two runners; those at the first that have a copy at the other one."""
-        runners = await self.add_two(stage, "llm", length=LENGTH)
-        calls = {
-            f"r{number}": asyncio.create_task(
-                stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
-            )
-            for number in range(6)
-        }
-        await asyncio.sleep(0.6)
-        backed = [run.request_id for run in runners[0].ran if "kv-backup" in run.headers]
-        self.assertTrue(backed)
-        return runners, calls, backed
-
-    def test_copy_that_is_behind_the_callers_last_event_repeats_none(self) -> None:
-        """What a former runner of the run left there is old; the run goes on all the same."""
-
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runners, calls, backed = await self.begin_with_copies(stage)
-            for request_id in backed:
-                runners[1].copies[request_id].events = 1
-            runners[0].crash()
-            await asyncio.gather(*calls.values())
-            for request_id in backed:
-                body = calls[request_id].result().body
-                self.assertEqual(body, gateway_scenes.build_stream(request_id, LENGTH))
-                former, present = sorted(list_runs(stage, request_id), key=lambda run: run.began)
-                self.assertEqual((former.ended, present.first_event > 2), ("crashed", True))
-
-        self.play(scene)
-
-    def test_copy_that_is_gone_begins_no_other_run(self) -> None:
-        """Its runner says "not run"; a run that may not be repeated ends there."""
-
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runners, calls, backed = await self.begin_with_copies(stage)
-            runners[1].loses_copies = True
-            runners[0].crash()
-            await asyncio.gather(*calls.values())
-            for request_id in backed:
-                self.assertFalse(calls[request_id].result().is_whole)
-                self.assertEqual(len(list_runs(stage, request_id)), 1)
-
-        self.play(scene)
-
-    def test_copy_whose_taking_up_is_lost_is_taken_up_nowhere_else(self) -> None:
-        """The runner that was asked may work on it, so that nobody else is asked."""
-
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runners, calls, backed = await self.begin_with_copies(stage)
-            await stage.add_runner("t3", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            runners[1].loses_answer = True
-            runners[0].crash()
-            await asyncio.gather(*calls.values())
-            for request_id in backed:
-                self.assertFalse(calls[request_id].result().is_whole)
-                self.assertEqual(len(list_runs(stage, request_id)), 2)
-                self.assertEqual(len([r for r in runners[1].ran if r.request_id == request_id]), 1)
+            self.assertLessEqual(len(gateway_scenes.list_runs(stage, "r1")), 2)
 
         self.play(scene)
 
 
-class EntryTest(OnceCase):
+class EntryTest(gateway_scenes.OnceCase):
     """The entry goes away while a request that may run once is at a target."""
 
     def test_order_at_an_entry_that_ends_runs_nowhere_else(self) -> None:
@@ -488,7 +349,7 @@
             await stage.start_entry("entry-2")
             await asyncio.sleep(15.0)
             self.check_once(stage, "r1", answer.status)
-            self.assertEqual(len(list_runs(stage, "r1")), 1)
+            self.assertEqual(len(gateway_scenes.list_runs(stage, "r1")), 1)
 
         self.play(scene)
 
--- /dev/null
+++ b/tillerlane/runners/tests/test_http_service.py
@@ -0,0 +1,67 @@
+"""What the adapter of plain services says of a call that went wrong."""
+
+import asyncio
+import unittest
+
+from tillerlane.runners import core, http_service
+
+CALL = http_service.write_call("POST", "/orders", {}, b"order")
+JOB = core.Job("s1~c~1", "katalog", "", CALL, 0, 1, 50)
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """A service that answers a call in ways of its own."""
+
+    async def call_at(self, answer: bytes) -> tuple[list[object], core.TargetBroken | None, int]:
+        """Call a service; what came, the error, and how many calls reached the service."""
+        calls = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            await reader.readuntil(b"order")
+            calls += 1
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = http_service.connect(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        items: list[object] = []
+        broken = None
+        try:
+            async for item in client.start(JOB):
+                items.append(item)
+        except core.TargetBroken as error:
+            broken = error
+        finally:
+            await client.close()
+            server.close()
+        return items, broken, calls
+
+    async def test_closed_without_an_answer_may_have_run(self) -> None:
+        items, broken, calls = await self.call_at(b"")
+        self.assertEqual((items, calls), ([], 1))
+        self.assertTrue(broken.reached)
+
+    async def test_answer_that_breaks_off_may_have_run(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf"
+        _, broken, calls = await self.call_at(head)
+        self.assertEqual(calls, 1)
+        self.assertTrue(broken.reached)
+
+    async def test_redirect_is_the_callers_to_follow(self) -> None:
+        head = b"HTTP/1.1 307 Elsewhere\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"
+        items, broken, calls = await self.call_at(head)
+        self.assertEqual((broken, calls), (None, 1))
+        self.assertIn("307", items[0].texts[0])
+
+    async def test_nobody_listens(self) -> None:
+        client = http_service.connect("http://127.0.0.1:1")
+        with self.assertRaises(core.TargetBroken) as caught:
+            async for _ in client.start(JOB):
+                pass
+        await client.close()
+        self.assertFalse(caught.exception.reached)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/testing/gateway_scenes.py
+++ b/tillerlane/testing/gateway_scenes.py
@@ -3,15 +3,26 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import structlog
 
 from tillerlane.testing import gateway_lab, lab, platform_runner
 
-__all__ = ["LONG", "GatewayCase", "build_stream", "drop_log_lines"]
+__all__ = [
+    "LONG",
+    "PROMISES",
+    "GatewayCase",
+    "OnceCase",
+    "build_stream",
+    "drop_log_lines",
+    "list_runs",
+]
 
 LONG = {"Token_Counts": "3000,2000", "Length_Hint": "1000", "Model": "m"}
 """Headers of a generation that is worth a copy."""
+PROMISES = (408, 421, 429, 503)
+"""Statuses that promise a caller that its request has not run and never will."""
 
 
 def build_stream(request_id: str, length: int, first: int = 1) -> bytes:
@@ -46,6 +57,31 @@
         lab.run_virtual(run())
 
 
+def list_runs(stage: gateway_lab.GatewayLab, request_id: str) -> list[platform_runner.RanRequest]:
+    """All runs of a request, at any runner."""
+    runs = [run for runner in stage.runners.values() for run in runner.ran]
+    return [run for run in runs if run.request_id == request_id]
+
+
+class OnceCase(GatewayCase):
+    """Scenes with two targets of the service that may not be asked twice."""
+
+    async def add_two(
+        self, stage: gateway_lab.GatewayLab, pool: str = "app", **more: Any
+    ) -> list[platform_runner.PlatformRunner]:
+        """Two targets that are known to the entry."""
+        runners = [await stage.add_runner(name, pool, **more) for name in ("t1", "t2")]
+        await asyncio.sleep(0.2)
+        return runners
+
+    def check_once(self, stage: gateway_lab.GatewayLab, request_id: str, status: int) -> None:
+        """A request ran at most once, and is not promised not to have run if it did."""
+        runs = list_runs(stage, request_id)
+        self.assertLessEqual(len(runs), 1)
+        if runs:
+            self.assertNotIn(status, PROMISES)
+
+
 def drop_log_lines() -> None:
     """Keep log lines out of a test's output."""
     structlog.configure(processors=[_drop])
