Try a run whose runner leaves out an event; a runner that outlives its connection works on

Cause: events that do not follow the last one end the relay of a runner that is sound and at work; the run goes on with its copy, and the former runner is left by closing its connection only.

Nothing of the product.

--- a/tillerlane/gateway/tests/test_going_on.py
+++ b/tillerlane/gateway/tests/test_going_on.py
@@ -122,6 +122,29 @@
 
         self.play(scene)
 
+    def play_gap(self, *, works_on: bool) -> None:
+        """Have a runner leave out an event of runs that have a copy, and check who works on."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await self.begin_with_copies(stage)
+            runners[0].works_on = works_on
+            runners[0].skips_event = 30
+            await asyncio.gather(*calls.values())
+            for request_id in backed:
+                body = calls[request_id].result().body
+                self.assertEqual(body, gateway_scenes.build_stream(request_id, LENGTH))
+                runs = gateway_scenes.list_runs(stage, request_id)
+                former, present = sorted(runs, key=lambda run: run.began)
+                self.assertLessEqual(former.ended_at - present.began, 0.4)
+
+        self.play(scene)
+
+    def test_runner_that_left_out_an_event_is_left_for_the_copy(self) -> None:
+        self.play_gap(works_on=False)
+
+    def test_runner_that_left_out_an_event_is_stopped_before_the_copy_goes_on(self) -> None:
+        self.play_gap(works_on=True)
+
     def test_copy_that_is_gone_begins_no_other_run(self) -> None:
         """Its runner says "not run"; a run that may not be repeated ends there."""
 
