Give the scenes of a changed route attempts that it could misuse

Cause: with one attempt, or as many as targets were asked, nothing could have been sent again, so that three of four scenes of ConfigurationTest passed whatever the entry went by.

Change: the routes have more attempts than they use, before and after the change; three targets where one turns the request away.

Conclusion: an entry goes by the table in force when it admitted the request.

--- a/tillerlane/gateway/tests/test_at_most_once.py
+++ b/tillerlane/gateway/tests/test_at_most_once.py
@@ -257,9 +257,9 @@
     """The kind of a route changes while a request waits or runs."""
 
     def build_document(self, version: int, kind: str) -> dict[str, Any]:
-        """The route of orders with another kind and two attempts."""
+        """The route of orders with another kind, and more attempts than there are targets."""
         document = gateway_lab.build_document(version)
-        document["routes"][2].update(kind=kind, max_attempts=2)
+        document["routes"][2].update(kind=kind, max_attempts=4)
         return document
 
     def test_order_whose_route_becomes_repeatable_while_it_runs(self) -> None:
@@ -267,9 +267,11 @@
             runners = await self.add_two(stage, pace=1.5)
             for runner in runners:
                 runner.loses_answer = True
+            await stage.publish("keeper-1", self.build_document(2, "non_idempotent"))
+            await asyncio.sleep(1.0)
             call = asyncio.create_task(stage.call("entry-1", "order", "r1"))
             await asyncio.sleep(0.3)
-            await stage.publish("keeper-1", self.build_document(2, "idempotent"))
+            await stage.publish("keeper-1", self.build_document(3, "idempotent"))
             answer = await call
             self.check_once(stage, "r1", answer.status)
             self.assertEqual(answer.status, 502)
@@ -280,7 +282,9 @@
         """It was taken as one that may run once, and stays one."""
 
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            for runner in await self.add_two(stage, pace=0.5):
+            await stage.add_runner("t0", "app", pace=0.5)
+            await self.add_two(stage, pace=0.5)
+            for runner in stage.runners.values():
                 runner.refuses = True
                 runner.turn_away_seconds = 1.0
                 runner.loses_answer = True
@@ -300,11 +304,14 @@
     def test_stream_whose_route_becomes_resumable_while_it_runs(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first = await stage.add_runner("t1", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
+            document = gateway_lab.build_document(2)
+            document["routes"][0].update(max_attempts=2)
+            await stage.publish("keeper-1", document)
+            await asyncio.sleep(1.0)
             call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
             await asyncio.sleep(0.5)
             await stage.add_runner("t2", "llm", length=LENGTH)
-            document = gateway_lab.build_document(2)
+            document = gateway_lab.build_document(3)
             document["routes"][0].update(resumable=True, max_attempts=2)
             await stage.publish("keeper-1", document)
             await asyncio.sleep(1.0)
