Give the scenes of copies attempts that they could misuse

Cause: as with the changed routes, one attempt forbade a run anew whatever else the entry went by.

Change: four attempts on the route of runs that may not be repeated.

Conclusion: none beside.

--- a/tillerlane/gateway/tests/test_going_on.py
+++ b/tillerlane/gateway/tests/test_going_on.py
@@ -91,6 +91,10 @@
         self, stage: gateway_lab.GatewayLab
     ) -> tuple[list[platform_runner.PlatformRunner], dict[str, asyncio.Task], list[str]]:
         """Runs at two runners; those at the first that have a copy at the other one."""
+        document = gateway_lab.build_document(2)
+        document["routes"][0].update(max_attempts=4)  # which nothing may use
+        await stage.publish("keeper-1", document)
+        await asyncio.sleep(1.0)
         runners = await self.add_two(stage, "llm", length=LENGTH)
         calls = {
             f"r{number}": asyncio.create_task(
