--- a/tillerlane/gateway/tests/test_relay.py
+++ b/tillerlane/gateway/tests/test_relay.py
@@ -268,7 +268,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "app")
             await asyncio.sleep(0.2)
-            runner.denies_runs = runner.names_no_request = True
+            runner.denies_status, runner.names_no_request = 503, True
             answer = await stage.call("entry-1", "order", "r1")
             self.assertEqual(len(runner.ran), 1)
             self.assertEqual(answer.status, 502)
