Take no answer for a refusal whose status says that the request ran

Cause: 'not run' was believed of any status, also of a success and of a target's own 500 or 504, which say that it ran the request: its caller was told 503. Change: only a 4xx or a 503 can say so; others are answered as they came.

--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -116,7 +116,9 @@
     """Facts of a target's answer."""
     request_id = http_head.get_header(head.headers, REQUEST_ID.lower())
     is_other = head.status == 421
-    refused = http_head.get_header(head.headers, NOT_RUN) is not None
+    # A success or a failure of its own says that it ran the request, whatever else stands there.
+    may_refuse = 400 <= head.status < 500 or head.status == 503
+    refused = may_refuse and http_head.get_header(head.headers, NOT_RUN) is not None
     return dialect.AnswerFacts(
         request_id=(request_id or b"").strip().decode("latin-1"),
         did_run=not refused and not is_other,
