Free the copy that an order to stop made, if the run goes on with another one

Cause: by reading in the review: after a run went on with the copy that grew elsewhere, the memory that the order to stop had copied was kept for seconds, and a run that is held back waited for memory that nobody would take up. Change: what is freed is whatever is not the copy in use; a held-back request waits for none.

--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -177,15 +177,15 @@
         if not stopping.has_let_go:
             self._begin(self._order(stopping))
 
-    def release(self, stopping: Stopping, *, is_copy_used: bool) -> None:
-        """Need no memory of an order any more: the run goes on elsewhere, or not at all.
+    def release(self, stopping: Stopping, *, used: dialects.MemoryCopy | None) -> None:
+        """Need no memory of an order any more: the run goes on with `used`, or not at all.
 
-        What is copied after that lies there for nobody, and takes a place and memory for seconds.
+        What is copied besides lies there for nobody, and takes a place and memory for seconds.
         """
         if not stopping.is_needed:
             return
         stopping.is_needed = stopping.is_stream_open = False
-        if not is_copy_used:
+        if stopping.copy != used:
             self._drop_copy(stopping)
 
     def _begin(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -32,7 +32,7 @@
 __all__ = ["Streams"]
 
 HANDOVER_SECONDS = 5.0
-"""Longest wait for a move of a run whose stream has ended: above the order's own limits."""
+"""Longest wait for a copy of a run whose stream has ended: above the order's own limits."""
 STOP_SECONDS = 2.0
 """Longest wait for the word of a runner whose connection broke that it works on a run no more.  One
 that ended, or that has no such run, says so within a round trip, others once their link has copied
@@ -124,7 +124,7 @@
             raise
         finally:
             if stream.stopping is not None:
-                self._handovers.release(stream.stopping, is_copy_used=False)
+                self._handovers.release(stream.stopping, used=None)
             self._drop(stream)
             if not responder.is_done:
                 responder.abort()
@@ -256,7 +256,7 @@
                 stream.run.refused_by |= {continuation.target.target_id}
             outcome = await self._return_to_source(stream, stopping)
         is_taken = isinstance(outcome, sending.Stream)
-        self._handovers.release(stopping, is_copy_used=is_taken)
+        self._handovers.release(stopping, used=continuation.copy if is_taken else None)
         return is_taken
 
     async def _learn_end(
@@ -275,6 +275,9 @@
     ) -> sending.Outcome:
         """Have a run go on where it stopped, since nobody else took it up."""
         run = stream.run
+        refused = self._sender.refuse_held(stream.asked)
+        if refused is not None:
+            return refused
         copy = await stopping.wait_for_copy(HANDOVER_SECONDS)
         if copy is None or not run.may_go_to(run.target):
             return sending.NotRun("no memory of the run is left where it may go", sent=False)
@@ -299,7 +302,7 @@
         if stream.stopping is None:
             # The former runner may work on; the new run need not wait for its word.
             stream.stopping = self._order_stop(stream, target, is_stream_open=False)
-        self._handovers.release(stream.stopping, is_copy_used=False)
+        self._handovers.release(stream.stopping, used=None)
         plan = self._sender.plan(asked, target, last_event_id=stream.last_event_id)
         stream.runs_begun += 1
         outcome = await self._send_on(stream, target, plan, None)
