Follow a run at two runners by its request's id in a test

Cause: the new way of OPERATIONS.md was not played. Change: a scene with a runner out of reach for a while, read by the id alone.

--- a/tillerlane/gateway/tests/test_operations.py
+++ b/tillerlane/gateway/tests/test_operations.py
@@ -72,6 +72,36 @@
 
         self.play(scene)
 
+    def test_generation_that_two_runners_may_have_worked_on(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = [await stage.add_runner(f"t{n}", "llm", length=120) for n in (1, 2)]
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "record", f"r{n}", **gateway_scenes.LONG))
+                for n in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            backed = [run.request_id for run in runners[0].ran if "kv-backup" in run.headers]
+            runners[0].is_cut_off = True
+            await asyncio.sleep(2.0)
+            runners[0].is_cut_off = False
+            await asyncio.sleep(1.0)
+            lines = {line["event"]: line for line in read_lines(stage, backed[0])}
+            went, stopped = lines["run.go_on"], lines["run.stop"]
+            self.assertEqual((went["former"], went["target"]), ("t1", "t2"))
+            self.assertEqual(went["cause"], "silent and out of reach")
+            self.assertEqual((stopped["source"], stopped["evidence"]), ("t1", "stopped"))
+            # For this long both may have worked: from the last look to the first way there.
+            self.assertGreater(stopped["took_ms"], 900)
+            self.assertGreater(stopped["orders"], 1)
+            for call in calls:
+                call.cancel()
+            await asyncio.sleep(0.1)
+            (left,) = [line for line in read_lines(stage, backed[0]) if "reason" in line][-1:]
+            self.assertEqual((left["event"], left["reason"]), ("stream.break", "caller left"))
+
+        self.play(scene)
+
 
 class PageTest(unittest.TestCase):
     """The page names only lines that the programs write."""
