Take refused connections for a runner's end only once the run's stream has ended

Cause: a runner that leaves may take no more connections and go on with what it has; its refusal was taken for the end of its process while the run's stream was open, and the run went on elsewhere beside it. Found by reading, as two smaller faults: memory that a run had just gone on with at its own runner was freed, and a run that waited for a cold runner set a timer with each of its events. Change: the order's refusal counts as 'no such run' does, after the stream's end; what is freed is what is not in use; a waiting run is looked at with its events. Conclusion: evidence from outside a run counts only behind the run's own last sign.

--- a/tillerlane/decisions/handover.py
+++ b/tillerlane/decisions/handover.py
@@ -53,16 +53,18 @@
     ----------
     is_stream_open : bool
         Whether the run's stream had not ended when the order was given.  A run that is pushed
-        aside for memory is none that a runner works on, and goes on later.
+        aside for memory is none that a runner works on, and goes on later; a runner that leaves may
+        take no more connections and go on with what it has.
     may_be_copying : bool
         Whether the order under way may be one to copy the run while it goes on, and not to stop it.
     """
-    if word is Word.NO_RUN:
-        return Evidence.NONE if is_stream_open else Evidence.NO_RUN
+    if is_stream_open and word in (Word.NO_RUN, Word.REFUSED):
+        return Evidence.NONE
     if word is Word.ORDER_UNDER_WAY:
         return Evidence.NONE if may_be_copying else Evidence.STOPPED
     return {
         Word.STOPPED: Evidence.STOPPED,
+        Word.NO_RUN: Evidence.NO_RUN,
         Word.REFUSED: Evidence.PROCESS_ENDED,
         Word.UNREACHABLE: Evidence.OUT_OF_REACH,
         Word.NOTHING: Evidence.NONE,
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -214,9 +214,7 @@
             self._mover.give_up(run)  # nobody would take it up; it may end here yet
         elif self._selector.is_evacuated(target) or not run.may_go_to(target):
             self._mover.move_again(run)
-        elif self._selector.is_cold(run.pool, target):
-            self._loop.call_later(WARMTH_CHECK_SECONDS, run.on_copied)  # cold; look again then
-        else:
+        elif not self._selector.is_cold(run.pool, target):  # else again with its next event
             stream.stopping = self._order_stop(stream, target)
 
     def _order_stop(
@@ -250,13 +248,14 @@
         assert stopping is not None
         if stopping.copy is not None and stopping.is_at_destination:
             continuation = runs.Continuation(continuation.target, stopping.copy)
-        outcome = await self._take_up(stream, continuation)
+        outcome, used = await self._take_up(stream, continuation), continuation.copy
         if isinstance(outcome, sending.NotRun):
             if outcome.sent:
                 stream.run.refused_by |= {continuation.target.target_id}
             outcome = await self._return_to_source(stream, stopping)
+            used = stopping.copy
         is_taken = isinstance(outcome, sending.Stream)
-        self._handovers.release(stopping, used=continuation.copy if is_taken else None)
+        self._handovers.release(stopping, used=used if is_taken else None)
         return is_taken
 
     async def _learn_end(
--- a/tillerlane/gateway/tests/test_handover_orders.py
+++ b/tillerlane/gateway/tests/test_handover_orders.py
@@ -415,3 +415,25 @@
                 call.cancel()
 
         self.play(scene)
+
+    def test_runner_that_takes_no_more_connections_may_go_on_with_what_it_has(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first, call = await self.begin(stage)
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            copy = first._move
+
+            async def take(order: Order, responder: http_server.Responder) -> bool:
+                await copy(order, responder)
+                first._server.stop_accepting()
+                return True
+
+            intercept(first, take)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.0)
+            self.assertEqual(first.copied, ["r1"])
+            self.assertEqual(first.ran[0].ended, "")
+            self.assertEqual(second.ran, [])
+            call.cancel()
+
+        self.play(scene)
