Let what is known of a runner out of reach lapse when it is reached

That a runner was out of reach stayed known after it was reached: orders followed one another without a pause (196 in a second), and a stream that broke later went on elsewhere beside a runner at work. An order to a former runner was given on when the run had come back to it, and stopped it there. A run that nobody took up waited five seconds for the memory of a runner that had ended. Change: 'out of reach' holds until the runner is reached, and nothing of before counts when a stream ends; answers of older orders change nothing but a proof; an order is called off where its run goes on again; memory is waited for only of a runner that said it stopped.

--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -73,6 +73,8 @@
         Whether the runner's address knows such orders.
     is_over : bool
         Whether the order is given no more.
+    is_called_off : bool
+        Whether the run goes on at this runner again, so that it is not to be stopped there.
     is_needed : bool
         Whether the run may still go on with what the order copies.
     orders, unanswered : int
@@ -96,6 +98,8 @@
         self.is_needed = True
         self.orders = 0
         self.unanswered = 0
+        self.is_called_off = False
+        self._latest_answered = 0
         self.on_let_go: Callable[[], None] = lambda: None
         self._known = asyncio.Event()
 
@@ -105,14 +109,23 @@
         return handover.has_let_go(self.evidence)
 
     def note(self, evidence: handover.Evidence) -> None:
-        """Take what is known now."""
-        if self.has_let_go or evidence is handover.Evidence.NONE:
+        """Take what is known now; that a runner was out of reach holds until it is reached."""
+        if self.has_let_go:
             return
         self.evidence = evidence
-        self._known.set()
+        if evidence is handover.Evidence.NONE:
+            self._known.clear()
+        else:
+            self._known.set()
         if self.has_let_go:
             self.on_let_go()
 
+    def note_answer(self, number: int, evidence: handover.Evidence) -> None:
+        """Take what an order's answer proves; what does not prove an end may be out of date."""
+        if number >= self._latest_answered or handover.has_let_go(evidence):
+            self._latest_answered = max(number, self._latest_answered)
+            self.note(evidence)
+
     async def wait(self, seconds: float) -> handover.Evidence:
         """Wait until something is known; what is known then."""
         try:
@@ -175,6 +188,7 @@
             return
         stopping.is_stream_open = False
         if not stopping.has_let_go:
+            stopping.note(handover.Evidence.NONE)  # of before
             self._begin(self._order(stopping))
 
     def release(self, stopping: Stopping, *, used: dialects.MemoryCopy | None) -> None:
@@ -204,6 +218,7 @@
         is_stream_open = stopping.is_stream_open
         may_be_copying = run.may_be_copying or not stopping.unanswered
         stopping.orders += 1
+        number = stopping.orders
         stopping.unanswered += 1
         result = await self._dialect.stop_run(
             run.target.address, run.request_id, stopping.destination, ORDER_SECONDS
@@ -217,17 +232,16 @@
             stopping.is_at_destination = result.outcome is dialects.MoveOutcome.COPIED
             if not stopping.is_needed:
                 self._drop_copy(stopping)
-        stopping.note(
-            handover.judge(
-                _read_word(result), is_stream_open=is_stream_open, may_be_copying=may_be_copying
-            )
+        evidence = handover.judge(
+            _read_word(result), is_stream_open=is_stream_open, may_be_copying=may_be_copying
         )
+        stopping.note_answer(number, evidence)
 
     async def _insist(self, stopping: Stopping) -> None:
         """Give the order until the runner has let go."""
         began = self._loop.time()
         pause = AGAIN_SECONDS
-        while not stopping.has_let_go and stopping.is_understood:
+        while not stopping.has_let_go and stopping.is_understood and not stopping.is_called_off:
             if self._loop.time() >= stopping.ends_at:
                 stopping.note(handover.Evidence.EXPIRED)
                 break
@@ -236,6 +250,7 @@
                 break
             if stopping.evidence is handover.Evidence.OUT_OF_REACH:
                 await self._await_reach(stopping)
+                stopping.note(handover.Evidence.NONE)
                 continue
             await asyncio.sleep(pause)
             pause = min(2 * pause, LONGEST_AGAIN_SECONDS)
--- a/tillerlane/gateway/relayed.py
+++ b/tillerlane/gateway/relayed.py
@@ -49,6 +49,8 @@
         Whether it broke off since its runner is silent and no connection to it comes about.
     stopping : handovers.Stopping or None
         The order to its runner to stop the run.
+    left : list of handovers.Stopping
+        Those to the runners that the run has left.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.problem = ""
         self.is_out_of_reach = False
         self.stopping: handovers.Stopping | None = None
+        self.left: list[handovers.Stopping] = []
         self._heard_at = 0.0
         """When the present runner's last event came; 0 before its first."""
         self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
@@ -85,6 +88,8 @@
         self.exchange = exchange
         self.problem = ""
         self.is_out_of_reach = False
+        if self.stopping is not None:
+            self.left.append(self.stopping)
         self.stopping = None
         self._splitter = events.Splitter()
         self._heard_at = 0.0
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -277,7 +277,8 @@
         refused = self._sender.refuse_held(stream.asked)
         if refused is not None:
             return refused
-        copy = await stopping.wait_for_copy(HANDOVER_SECONDS)
+        has_copy = stopping.evidence is handover.Evidence.STOPPED
+        copy = await stopping.wait_for_copy(HANDOVER_SECONDS) if has_copy else None
         if copy is None or not run.may_go_to(run.target):
             return sending.NotRun("no memory of the run is left where it may go", sent=False)
         return await self._take_up(stream, runs.Continuation(run.target, copy))
@@ -357,6 +358,8 @@
         """Send the request to another runner; the stream goes on with its answer if it is one."""
         run = stream.run
         began = self._loop.time()
+        for stopping in stream.left:
+            stopping.is_called_off |= stopping.run.target.target_id == target.target_id
         outcome = await self._sender.send(stream.asked, target, plan, run.tokens)
         taken = isinstance(outcome, sending.Stream)
         self._meters.continuations.labels(str(taken).lower()).inc()
--- /dev/null
+++ b/tillerlane/gateway/tests/test_handover_second_look.py
@@ -0,0 +1,335 @@
+"""Runs that are handed over, looked at a second time: what an entry does without need or end.
+
+Callers would wait seconds for memory that nobody has, a run would go on beside a runner that works
+on it, since that one was out of reach some time before, and a runner in trouble would get thousands
+of orders a second.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+from tillerlane.gateway import dialect, handovers, http_head, http_server, relayed
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway.tests import test_handover, test_handover_orders
+from tillerlane.testing import gateway_lab, gateway_scenes, lab, platform_runner
+
+LENGTH = 240
+Order = test_handover_orders.Order
+
+
+def answer_stops(
+    runner: platform_runner.PlatformRunner, status: int, seconds: float
+) -> list[Order]:
+    """Have a runner answer orders to stop with a status for a while; gives a list of them."""
+    asked: list[Order] = []
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+
+    async def take(order: Order, responder: http_server.Responder) -> bool:
+        if not order.get("last") or loop.time() > until:
+            return False
+        asked.append(order)
+        await asyncio.sleep(0.005)
+        await responder.send_whole(http_head.AnswerHead(status, []), b"")
+        return True
+
+    test_handover_orders.intercept(runner, take)
+    return asked
+
+
+class OrdersTest(gateway_scenes.GatewayCase):
+    """Orders to stop a run, and what is known of its runner."""
+
+    begin = test_handover_orders.OrdersTest.begin
+    check_overlap = test_handover_orders.OrdersTest.check_overlap
+
+    async def begin_with_copies(self, stage: gateway_lab.GatewayLab) -> Any:
+        return await test_handover.HandoverTest.begin_with_copies(self, stage)
+
+    def test_runner_that_is_reached_again_and_busy_is_not_asked_without_a_pause(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await self.begin_with_copies(stage)
+            runners[0].length = LENGTH
+            runners[0].is_cut_off = True
+            await asyncio.sleep(2.0)
+            asked = answer_stops(runners[0], 429, 1.0)
+            runners[0].is_cut_off = False
+            await asyncio.sleep(1.0)
+            self.assertTrue(asked)
+            self.assertLessEqual(len(asked), 20 * len(backed))
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
+
+    def test_runner_that_was_out_of_reach_for_a_moment_is_heard_later(self) -> None:
+        """The order finds no connection while events come; once it does, the runner is at work."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first, call = await self.begin(stage)
+            first.works_on = True
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            loop = asyncio.get_running_loop()
+            connect = loop.create_connection
+            until = loop.time() + 0.6
+
+            async def lose(factory: Any, host: Any = None, port: Any = None) -> Any:
+                if f"{host}:{port}" == first.address and first.copied and loop.time() < until:
+                    await asyncio.sleep(3600)
+                return await connect(factory, host, port)
+
+            loop.create_connection = lose  # type: ignore[method-assign]
+            asked = answer_stops(first, 429, 2.5)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.2)
+            self.assertTrue(asked)
+            self.assertEqual(len(second.ran), 0)
+            first.reset_connections("r1")
+            await asyncio.sleep(3.0)
+            self.check_overlap(stage)
+            call.cancel()
+
+        self.play(scene)
+
+    def test_run_that_came_back_is_not_stopped_by_the_order_for_the_former_one(self) -> None:
+        """The order was carried out and its answers are lost, so that it is given on and on."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await self.begin_with_copies(stage)
+            runners[0].is_cut_off = True
+            await asyncio.sleep(1.5)
+            answer_stops(runners[0], 500, 0.8)
+            for run in list(runners[0].ran):
+                runners[0]._stop(run)
+            runners[0].is_cut_off = False
+            await asyncio.sleep(0.5)
+            runners[1].crash()
+            answers = {name: await call for name, call in calls.items()}
+            came_back = [run.request_id for run in runners[0].ran if "kv-from" in run.headers]
+            self.assertLessEqual(set(backed), set(came_back))
+            for request_id in backed:
+                self.assertTrue(answers[request_id].is_whole, request_id)
+
+        self.play(scene)
+
+    def test_run_whose_end_has_come_is_whole_though_its_runner_ended_then(self) -> None:
+        """A caller reads slowly; its run's last events lie here when the order is refused."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=32)
+            second = await stage.add_runner("t2", "llm", length=32)
+            stage.beat("t2", "llm", phase=directories.Phase.SILENT)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            await asyncio.sleep(0.8)
+            stage.beat("t2", "llm")
+            second.loses_copies = True
+            lost = test_handover_orders.lose_first_stop(first)
+            pass_on = relayed.Relayed._pass_on
+
+            async def pass_on_slowly(stream: relayed.Relayed, data: bytes) -> bool:
+                good = await pass_on(stream, data)
+                if stream.events > 29:
+                    await asyncio.sleep(0.5)
+                return good
+
+            with mock.patch.object(relayed.Relayed, "_pass_on", pass_on_slowly):
+                stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+                while not first.ran[0].ended:
+                    await asyncio.sleep(0.005)
+                first._server.stop_accepting()
+                answer = await call
+            self.assertEqual((len(lost), first.ran[0].ended), (1, "whole"))
+            self.assertTrue(answer.is_whole)
+
+        self.play(scene)
+
+
+class WaitsTest(gateway_scenes.GatewayCase):
+    """What an entry waits for, and how often it looks."""
+
+    def test_memory_of_a_runner_that_has_ended_is_not_waited_for(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await test_handover.HandoverTest.begin_with_copies(self, stage)
+            runners[1].loses_copies = True
+            runners[0].crash()
+            _, waiting = await asyncio.wait({calls[name] for name in backed}, timeout=2.0)
+            self.assertEqual(len(waiting), 0, "callers wait for memory that nobody has")
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
+
+    def test_run_that_waits_for_a_cold_destination_looks_at_a_steady_rate(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            document = gateway_lab.build_document(2)
+            document["services"][0]["cold_per_s"] = 1.0
+            await stage.publish("keeper-1", document)
+            await asyncio.sleep(1.0)
+            await stage.add_runner("t1", "llm", length=LENGTH, pace=0.0317)
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{n}", wait_ms=15_000, **gateway_scenes.LONG)
+                )
+                for n in range(8)
+            ]
+            await asyncio.sleep(0.5)
+            selector = stage.entries["entry-1"]._relay._streams._selector
+            looks: list[float] = []
+            is_cold = selector.is_cold
+
+            def count(pool: Any, target: Any) -> bool:
+                looks.append(asyncio.get_running_loop().time())
+                return is_cold(pool, target)
+
+            selector.is_cold = count  # type: ignore[method-assign]
+            await stage.add_runner("t2", "llm", length=LENGTH)
+            stage.beat("t2", "llm", cold_seconds=4.0)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            began = asyncio.get_running_loop().time()
+            await asyncio.sleep(3.0)
+            self.assertTrue(looks)
+            # Each run each 50 ms, and with each of the 32 events that come in a second.
+            most = max(collections.Counter(int(at - began) for at in looks).values())
+            self.assertLessEqual(most, len(calls) * (20 + 32))
+            for call in calls:
+                call.cancel()
+
+        self.play(scene)
+
+
+class WordTest(gateway_scenes.GatewayCase):
+    """What a runner's word on an order proves, and what it doesn't."""
+
+    begin = test_handover_orders.OrdersTest.begin
+    check_overlap = test_handover_orders.OrdersTest.check_overlap
+
+    def play_silent(self, status: int) -> None:
+        """A runner whose connection breaks works on, and has no clear word on it."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await test_handover.HandoverTest.begin_with_copies(self, stage)
+            runners[0].works_on = True
+            asked = answer_stops(runners[0], status, 4.0)
+            runners[0].reset_connections()
+            await asyncio.sleep(2.6)
+            self.assertTrue(asked)
+            taken = [run.request_id for run in runners[1].ran if "kv-from" in run.headers]
+            self.assertEqual(taken, [])
+            for request_id in backed:
+                self.assertTrue(calls[request_id].done(), "told that its run is lost")
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
+
+    def test_run_goes_on_nowhere_without_a_word_of_its_runner(self) -> None:
+        self.play_silent(429)
+
+    def test_call_under_way_that_is_no_order_of_ours_stops_no_run(self) -> None:
+        self.play_silent(409)
+
+    def judge_orders(self, *outcomes: dialect.MoveOutcome, may_be_copying: bool) -> str:
+        """What is known after orders with these outcomes, the last of which stays so."""
+        left = list(outcomes)
+
+        async def stop_run(*order: Any) -> dialect.MoveResult:
+            return dialect.MoveResult(left.pop(0) if len(left) > 1 else left[0])
+
+        async def run() -> str:
+            orders = handovers.Handovers(
+                mock.Mock(stop_run=stop_run), mock.MagicMock(), mock.MagicMock()
+            )
+            target = mock.Mock(address="10.0.9.1:9000")
+            moved = mock.Mock(target=target, request_id="r1", may_be_copying=may_be_copying)
+            stopping = orders.stop(moved, "10.0.9.2:9000", 100.0, is_stream_open=True)
+            await asyncio.sleep(3.0)
+            return stopping.evidence.value
+
+        return lab.run_virtual(run())
+
+    def test_order_under_way_is_ours_only_if_one_is_unanswered_and_no_copy_is(self) -> None:
+        lost, busy = dialect.MoveOutcome.LOST, dialect.MoveOutcome.BUSY
+        self.assertEqual(self.judge_orders(lost, busy, may_be_copying=False), "stopped")
+        self.assertEqual(self.judge_orders(lost, busy, may_be_copying=True), "none")
+        self.assertEqual(self.judge_orders(busy, may_be_copying=False), "none")
+
+
+class DestinationTest(gateway_scenes.GatewayCase):
+    """Where a run goes whose copy is ready, and what is left of copies."""
+
+    begin = test_handover_orders.OrdersTest.begin
+
+    def play_lost_destination(
+        self, lose: Callable[[gateway_lab.GatewayLab], Awaitable[None]]
+    ) -> None:
+        """A destination that can't be used any more when a run's copy is there."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first, call = await self.begin(stage, copy_seconds=2.0)
+            second = await stage.add_runner("t2", "llm", "hall-b", length=LENGTH)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.2)
+            self.assertEqual(first.copied, ["r1"])
+            await lose(stage)
+            third = await stage.add_runner("t3", "llm", length=LENGTH)
+            await asyncio.sleep(1.8)
+            self.assertEqual(first.stopped, [])
+            answer = await call
+            self.assertEqual(answer.body, gateway_scenes.build_stream("r1", LENGTH))
+            self.assertEqual((len(first.ran), len(second.ran), len(third.ran)), (1, 0, 1))
+
+        self.play(scene)
+
+    def test_run_is_not_stopped_for_a_destination_that_drained_during_the_copy(self) -> None:
+        async def lose(stage: gateway_lab.GatewayLab) -> None:
+            stage.beat("t2", "llm", "hall-b", phase=directories.Phase.DRAINING)
+
+        self.play_lost_destination(lose)
+
+    def test_run_is_not_stopped_for_a_destination_that_was_evacuated_during_the_copy(self) -> None:
+        async def lose(stage: gateway_lab.GatewayLab) -> None:
+            await stage.keepers["keeper-1"].evacuate("hall-b", True)
+
+        self.play_lost_destination(lose)
+
+    def test_copy_that_comes_after_the_run_went_on_is_freed(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await test_handover.HandoverTest.begin_with_copies(self, stage)
+            runners[0].works_on = True
+            runners[0].copy_seconds = 0.5
+            runners[0].reset_connections()
+            await asyncio.sleep(2.0)
+            taken = [run.request_id for run in runners[1].ran if "kv-from" in run.headers]
+            self.assertEqual(sorted(taken), sorted(backed))
+            left = [handle for runner in runners for handle in runner.copies if handle[0] == "h"]
+            self.assertEqual(left, [])
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
+
+    def test_runner_is_stopped_whose_run_begins_anew_and_no_copy_is_left(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1", wait_ms=15_000))
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            first.works_on = True
+            first.reset_connections("r1")
+            await asyncio.sleep(1.0)
+            self.assertEqual(first.ran[0].ended, "stopped")
+            self.assertEqual(len(second.ran), 1)
+            self.assertEqual((first.copies, second.copies), ({}, {}))
+            self.assertTrue((await call).is_whole)
+
+        self.play(scene)
