End a stream whose first event is missing as unfinished

Cause: the first event of a stream was compared with nothing, so that a stream whose beginning was lost was passed on as a whole answer. Change: runners number events from 1, and the first one has to be it. Figures: the scene fails on the code before (whole, beginning with event 2).

--- a/tillerlane/gateway/relayed.py
+++ b/tillerlane/gateway/relayed.py
@@ -9,6 +9,8 @@
 
 __all__ = ["Relayed", "Stop"]
 
+BEFORE_FIRST_ID = "0"
+"""Runners number events from 1; a stream that begins with a later one has lost its beginning."""
 SILENCE_SECONDS = 0.7
 """Pause after which a runner is asked whether it can be reached at all: four times the longest
 pause that is still in time (180 ms), so that it costs nothing on a good day."""
@@ -160,8 +162,9 @@
         """Take the events up to the first that does not follow; and what is wrong with that."""
         for position, event in enumerate(found):
             event_id = events.read_event_id(event)
-            if event_id.isdigit() and self.last_event_id.isdigit():
-                expected = int(self.last_event_id) + 1
+            former_id = self.last_event_id or BEFORE_FIRST_ID
+            if event_id.isdigit() and former_id.isdigit():
+                expected = int(former_id) + 1
                 if int(event_id) != expected:
                     return found[:position], f"got event {event_id}, expected {expected}"
             self.last_event_id = event_id or self.last_event_id
--- a/tillerlane/gateway/tests/test_streams.py
+++ b/tillerlane/gateway/tests/test_streams.py
@@ -30,6 +30,19 @@
 
         self.play(scene)
 
+    def test_missing_first_event_ends_the_stream_unfinished(self) -> None:
+        """A runner that said nothing for a while at first went on in the middle of its stream."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            runner.skips_event = 1
+            await asyncio.sleep(0.2)
+            answer = await stage.call("entry-1", "record", "r1", **gateway_scenes.LONG)
+            self.assertFalse(answer.is_whole)
+            self.assertEqual(answer.body, b"")
+
+        self.play(scene)
+
     def test_gap_within_a_chunk_loses_nothing_of_a_resumable_stream(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = [
