Give up waiting for an address that knows no orders, and take the rest of the second look's tests

Cause: an order answered with 'no room' and without a handle counted as one that may be carried out; the word of an address that knows no such orders was waited for.

--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -36,12 +36,13 @@
     (
         dialects.MoveOutcome.NO_RUN,
         dialects.MoveOutcome.BUSY,
+        dialects.MoveOutcome.NO_ROOM,
         dialects.MoveOutcome.REFUSED,
         dialects.MoveOutcome.UNREACHABLE,
         dialects.MoveOutcome.NOT_UNDERSTOOD,
     )
 )
-"""What comes of an order that the runner certainly does not carry out."""
+"""What comes of an order that the runner does not carry out, if it names no memory of the run."""
 
 
 def _read_word(result: dialects.MoveResult) -> handover.Word:
@@ -126,6 +127,11 @@
             self._latest_answered = max(number, self._latest_answered)
             self.note(evidence)
 
+    def note_not_understood(self) -> None:
+        """Take that nothing more will be known."""
+        self.is_understood = False
+        self._known.set()
+
     async def wait(self, seconds: float) -> handover.Evidence:
         """Wait until something is known; what is known then."""
         try:
@@ -223,10 +229,10 @@
         result = await self._dialect.stop_run(
             run.target.address, run.request_id, stopping.destination, ORDER_SECONDS
         )
-        if result.outcome in _NOT_TAKEN:
+        if result.outcome in _NOT_TAKEN and not result.handle:
             stopping.unanswered -= 1
         if result.outcome is dialects.MoveOutcome.NOT_UNDERSTOOD:
-            stopping.is_understood = False
+            stopping.note_not_understood()
         if result.handle:
             stopping.copy = dialects.MemoryCopy(run.target.address, result.handle)
             stopping.is_at_destination = result.outcome is dialects.MoveOutcome.COPIED
--- a/tillerlane/gateway/tests/test_handover_second_look.py
+++ b/tillerlane/gateway/tests/test_handover_second_look.py
@@ -260,6 +260,32 @@
         self.assertEqual(self.judge_orders(lost, busy, may_be_copying=True), "none")
         self.assertEqual(self.judge_orders(busy, may_be_copying=False), "none")
 
+    def test_order_that_was_answered_is_none_that_may_be_carried_out(self) -> None:
+        """An answer of 503 that names no memory says that the run was not stopped."""
+        no_room, busy = dialect.MoveOutcome.NO_ROOM, dialect.MoveOutcome.BUSY
+        self.assertEqual(self.judge_orders(no_room, busy, may_be_copying=False), "none")
+
+    def test_no_run_said_to_an_order_from_before_the_streams_end_proves_nothing(self) -> None:
+        outcomes = [dialect.MoveOutcome.NO_RUN, dialect.MoveOutcome.LOST]
+
+        async def stop_run(*order: Any) -> dialect.MoveResult:
+            outcome = outcomes.pop(0) if len(outcomes) > 1 else outcomes[0]
+            await asyncio.sleep(0.1)
+            return dialect.MoveResult(outcome)
+
+        async def run() -> str:
+            orders = handovers.Handovers(
+                mock.Mock(stop_run=stop_run), mock.MagicMock(), mock.MagicMock()
+            )
+            moved = mock.Mock(target=mock.Mock(address="10.0.9.1:9000"), request_id="r1")
+            stopping = orders.stop(moved, "10.0.9.2:9000", 100.0, is_stream_open=True)
+            await asyncio.sleep(0.05)
+            orders.note_closed(stopping)
+            await asyncio.sleep(0.5)
+            return stopping.evidence.value
+
+        self.assertEqual(lab.run_virtual(run()), "none")
+
 
 class DestinationTest(gateway_scenes.GatewayCase):
     """Where a run goes whose copy is ready, and what is left of copies."""
@@ -333,3 +359,88 @@
             self.assertTrue((await call).is_whole)
 
         self.play(scene)
+
+    def test_run_goes_to_no_destination_whose_time_to_drain_passed_while_it_was_stopped(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first, call = await self.begin(stage)
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            asked = answer_stops(first, 429, 2.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.2)
+            self.assertTrue(asked)
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await call
+            self.assertEqual(first.stopped[:1], ["r1"])
+            self.assertEqual(second.ran, [])
+
+        self.play(scene)
+
+    def test_run_without_an_event_is_taken_to_no_copy(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            more = {"length": 20, "pace": 0.6}
+            runners = [await stage.add_runner(name, "llm", **more) for name in ("t1", "t2")]
+            await asyncio.sleep(0.2)
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{number}", **gateway_scenes.LONG)
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.3)
+            backed = [run.request_id for run in runners[0].ran if "kv-backup" in run.headers]
+            self.assertTrue(backed)
+            runners[0].crash()
+            await asyncio.sleep(1.0)
+            self.assertEqual(runners[1].turned_away, [])
+            for request_id in backed:
+                self.assertEqual(len(gateway_scenes.list_runs(stage, request_id)), 1)
+            for call in calls:
+                call.cancel()
+
+        self.play(scene)
+
+    def test_copy_that_a_run_goes_on_with_is_not_freed(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first, call = await self.begin(stage)
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            await asyncio.sleep(0.2)
+            orders: list[Order] = []
+
+            async def take(order: Order, responder: http_server.Responder) -> bool:
+                """Only the first order to stop is carried out."""
+                if order.get("last"):
+                    orders.append(order)
+                if len(orders) > 1:
+                    await responder.send_whole(http_head.AnswerHead(429, []), b"")
+                return len(orders) > 1
+
+            test_handover_orders.intercept(first, take)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.0)
+            self.assertEqual((len(second.ran), first.stopped), (1, ["r1"]))
+            self.assertEqual(first.dropped + second.dropped, [])
+            call.cancel()
+
+        self.play(scene)
+
+    def test_copy_that_a_run_goes_back_with_is_not_freed(self) -> None:
+        """Its runner names the copy late, and the one that grew elsewhere is gone."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, calls, backed = await test_handover.HandoverTest.begin_with_copies(self, stage)
+            runners[0].works_on = True
+            runners[0].copy_seconds = 0.5
+            runners[1].loses_copies = True
+            runners[0].reset_connections()
+            await asyncio.sleep(2.0)
+            back = [run for run in runners[0].ran if "kv-from" in run.headers]
+            self.assertEqual(sorted(run.request_id for run in back), sorted(backed))
+            used = [run.headers["kv-from"].rpartition("/")[2] for run in back]
+            self.assertEqual([handle for handle in runners[0].dropped if handle in used], [])
+            for call in calls.values():
+                call.cancel()
+
+        self.play(scene)
