Drop what nobody reads of an order to stop, and name its types

Cause: a newcomer's read: an attribute that nothing reads, a private type of a library, a constant and a parameter without a word. Change: these.

--- a/tillerlane/gateway/handovers.py
+++ b/tillerlane/gateway/handovers.py
@@ -1,7 +1,8 @@
 """Orders that stop a run at its runner, so that another one may go on with it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from tillerlane.decisions import handover
 from tillerlane.gateway import dialect as dialects
@@ -58,6 +59,7 @@
     Attributes
     ----------
     run : runs.Run
+        The run, at the runner that is to stop it.
     destination : str
         Address of the runner that the run's memory goes to.
     ends_at : float
@@ -72,8 +74,6 @@
         Whether the run's stream has not ended here.
     is_understood : bool
         Whether the runner's address knows such orders.
-    is_over : bool
-        Whether the order is given no more.
     is_called_off : bool
         Whether the run goes on at this runner again, so that it is not to be stopped there.
     is_needed : bool
@@ -95,7 +95,6 @@
         self.is_at_destination = False
         self.is_stream_open = is_stream_open
         self.is_understood = True
-        self.is_over = False
         self.is_needed = True
         self.orders = 0
         self.unanswered = 0
@@ -208,7 +207,7 @@
         if stopping.copy != used:
             self._drop_copy(stopping)
 
-    def _begin(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
+    def _begin(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -260,7 +259,6 @@
                 continue
             await asyncio.sleep(pause)
             pause = min(2 * pause, LONGEST_AGAIN_SECONDS)
-        stopping.is_over = True
         self._note_over(stopping, began)
 
     def _note_over(self, stopping: Stopping, began: float) -> None:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -39,6 +39,7 @@
 the run's memory."""
 
 WARMTH_CHECK_SECONDS = 0.05
+"""Pause between looks at a cold runner that has a run's copy."""
 COLD_WAIT_SHARE = 0.5
 """Share of the time for which a copy is kept that a run waits for a cold runner that has it."""
 
