Soak runs on two runners: judge each former runner by the way to it alone

Cause: the soak passed over every overlap with any harm near it, did to targets only a short delay and resets of both ends of a connection, and its stand-in targets ended a run as soon as its connection closed. So it could not see a former runner that works on.

Change: half of the runners work on when a connection closes. Ways to targets are delayed past 400 ms, silenced, cut one way (new connections hang then, as lost packets make them); connections break at the target's end, or at the callers' end only with the target not told; targets answer late, wrongly or not at all for a while; runners leave while they, the way to them or the others are harmed. The checker measures, from the targets' records, the longest unbroken time that a former runner worked beside the next one while the way to that runner was sound and the call's entry ran. It replaces the former span "any harm within -3..+1 s", which excused more. A run with a copy but without a last event counts as begun anew. Plain runs note when they end; before, their end was taken to be their target's. The soak's targets and the harm to them are a module of their own.

--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Iterator
 
 from tillerlane.testing import caller, platform_runner
 
@@ -13,9 +14,12 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that say that a request has not run and never will."""
 OVERLAP_SECONDS = 0.4
-"""How long a run's former runner may work on after another one has gone on with it."""
+"""How long a run's former runner may work on after another one has gone on with it, while the
+entry's machine reaches it."""
 LAST_SEND_SECONDS = 3.0
 """Until so long after an entry was told to stop it takes requests that may outlast it."""
+Span = tuple[float, float]
+"""Times of the event loop, in seconds."""
 MOST_LATE = 3
 """Requests that may reach a leaving runner late, as each may cross its word on the way."""
 
@@ -80,6 +84,12 @@
         Keeper to the version read there at the end; None if it gave none.
     harmed : list of (float, float)
         Spans with a fault that is not planned work.
+    ways_harmed : dict
+        Target id to the spans in which the way to it was harmed, or its process was paused.
+    entries_paused : dict
+        Entry to the spans in which its process was paused.
+    entries_ended : dict
+        Entry to the times at which a process of it ended; what it held is known to nobody then.
     planned_only : bool
         Whether nothing else was done: then nothing may fail.
     """
@@ -94,13 +104,22 @@
     sent: list[int] = dataclasses.field(default_factory=list)
     in_force: dict[tuple[str, int], list[int]] = dataclasses.field(default_factory=dict)
     read_back: dict[str, int | None] = dataclasses.field(default_factory=dict)
-    harmed: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    harmed: list[Span] = dataclasses.field(default_factory=list)
+    ways_harmed: dict[str, list[Span]] = dataclasses.field(default_factory=dict)
+    entries_paused: dict[str, list[Span]] = dataclasses.field(default_factory=dict)
+    entries_ended: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     planned_only: bool = False
 
     def was_harmed(self, since: float, until: float) -> bool:
         """Whether a fault fell into a span."""
         return any(begin < until and end > since for begin, end in self.harmed)
 
+    def list_out_of_reach(self, target_id: str, call: Call) -> list[Span]:
+        """Spans in which the entry of a call could not reach a target, in order."""
+        spans = self.ways_harmed.get(target_id, []) + self.entries_paused.get(call.entry, [])
+        ends = [at for at in self.entries_ended.get(call.entry, []) if at >= call.sent_at]
+        return sorted(spans + [(at, float("inf")) for at in ends])
+
 
 def check(seen: Observations, drain_seconds: float, revoke_seconds: float) -> list[str]:
     """Every promise that was broken; empty if none."""
@@ -177,20 +196,38 @@
     revoke_seconds: float,
 ) -> list[str]:
     problems = []
-    begun = [run for run in runs if "kv-from" not in run.headers]
+    begun = [run for run in runs if not run.goes_on]
     if call.route in ("order", "record") and len(begun) > 1:
         problems.append(f"{call.request_id}: ran {len(begun)} times, may run once")
-    for former, later in itertools.pairwise(runs):
-        is_harmed = seen.was_harmed(later.began - 3.0, later.began + 1.0)
-        overlap = former.ended_at - later.began
-        if call.route == "record" and overlap > OVERLAP_SECONDS and not is_harmed:
-            problems.append(f"{call.request_id}: two runners worked on it for {overlap:.2f} s")
+    if call.route == "record":
+        problems += [
+            f"{call.request_id}: two runners worked on it for {seconds:.2f} s, "
+            f"{former.target_id} ({former.ended}) beside {later.target_id}, from {later.began:.2f}"
+            for former, later, seconds in _list_overlaps(seen, call, runs)
+            if seconds > OVERLAP_SECONDS
+        ]
     revoked_at = seen.revoked.get(call.key)
     if revoked_at is not None and runs and call.sent_at > revoked_at + revoke_seconds:
         problems.append(f"{call.request_id}: ran with a key taken away long before")
     return problems
 
 
+def _list_overlaps(
+    seen: Observations, call: Call, runs: list[platform_runner.RanRequest]
+) -> Iterator[tuple[platform_runner.RanRequest, platform_runner.RanRequest, float]]:
+    """Each former runner of a request, the next one, and how long the former one worked on.
+
+    That is the longest unbroken time in seconds in which the call's entry could reach it.
+    """
+    for former, later in itertools.pairwise(runs):
+        longest, since = 0.0, later.began
+        for begin, end in seen.list_out_of_reach(former.target_id, call):
+            if end > since:
+                longest = max(longest, min(begin, former.ended_at) - since)
+                since = end
+        yield former, later, max(longest, former.ended_at - since)
+
+
 def _check_leaving(seen: Observations, drain_seconds: float) -> list[str]:
     problems = []
     for leaving in seen.leavings:
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    target_id : str
+        Where it ran.
     events : int
         Events written.
     ended : str
@@ -48,6 +50,12 @@
     ended_at: float = 0.0
     is_stopped: bool = False
     prompt_tokens: int = 0
+    target_id: str = ""
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether it is a run that goes on here: with a copy, behind an event that was sent."""
+        return bool(self.headers.get("kv-from") and self.headers.get("last-event-id"))
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,10 +240,11 @@
             asyncio.get_running_loop().time(),
             first,
             first - 1,
+            target_id=self.target_id,
         )
         self.ran.append(run)
         if self.loses_answer and self.length:
-            run.ended = "lost"
+            self._note_end(run, "lost")
             responder.abort()
             return
         if self.length:
@@ -243,7 +252,7 @@
             return
         await self._die_of(run)
         await asyncio.sleep(self.pace)
-        run.ended = "whole"
+        self._note_end(run, "whole")
         if self.loses_answer:
             responder.abort()
             return
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -24,28 +24,20 @@
     gateway_lab,
     platform_checker,
     platform_fleet,
-    platform_runner,
+    platform_targets,
 )
 
 __all__ = ["PlatformSoak", "run_seed"]
 
 KEEPERS = 5
 ENTRIES = 4
-RUNNERS = 4
-SERVICES = 3
-STREAM_LENGTH = 80
-STREAM_PACE = 0.03
 STREAM_TOKENS = "1500,320"
-BEAT_SECONDS = 1.2
-"""The platform's usual pause between heartbeats."""
 CALL_SECONDS = 1.0
 """How long a target or an operator waits for a keeper's answer."""
 BALANCER_SECONDS = 1.0
 BALANCER_MISSES = 2
 """The platform's balancer asks each second and takes an entry out after two misses."""
 CHANGE_SECONDS = 1.5
-NOTICE_SECONDS = 2.0
-"""Time from a runner's word that it drains to its end."""
 FAULT_PAUSE_SECONDS = (0.3, 2.0)
 OUTLASTING_SHARE = 5 / 6
 """Share of its time to stop after which an entry may cut what a target still works on; the
@@ -77,35 +69,6 @@
             exchange.abort()
 
 
-class _Target:
-    """A stand-in target with its forwarder and its heartbeats."""
-
-    def __init__(
-        self, target_id: str, pool: str, hall: str, runner: platform_runner.PlatformRunner
-    ) -> None:
-        self.target_id = target_id
-        self.pool = pool
-        self.hall = hall
-        self.runner = runner
-        self.state = "ready"
-        self.sequence = 0
-        self.way_in: forwarder.Forwarder | None = None
-        self.beating: asyncio.Task[None] | None = None
-
-    def write_heartbeat(self) -> bytes:
-        self.sequence += 1
-        values = {
-            "service": self.pool,
-            "addr": self.runner.address,
-            "zone": self.hall,
-            "slots": 48,
-            "state": self.state,
-            "cold_left_ms": 0,
-            "seq": self.sequence,
-        }
-        return json.dumps(values).encode()
-
-
 class PlatformSoak:
     """One run.
 
@@ -119,15 +82,16 @@
 
     def __init__(self, folder: pathlib.Path, seed: int) -> None:
         self._rng = random.Random(seed)
-        self._net = 20 + 4 * (seed % 50)
+        net = 20 + 4 * (seed % 50)
         self.fleet = platform_fleet.PlatformFleet(
-            folder, self._net, KEEPERS, ENTRIES, random.Random(seed)
+            folder, net, KEEPERS, ENTRIES, random.Random(seed)
         )
-        self.seen = platform_checker.Observations(STREAM_LENGTH, planned_only=seed % 3 == 0)
+        self.seen = platform_checker.Observations(
+            platform_targets.STREAM_LENGTH, planned_only=seed % 3 == 0
+        )
+        self.targets = platform_targets.Targets(net, self.seen, self._tell, self._rng)
         self.done: dict[str, int] = {}
         """Faults done, by name."""
-        self._targets: dict[str, _Target] = {}
-        self._by_address: dict[str, platform_runner.PlatformRunner] = {}
         self._number = 0
         self._version = 0
         self._ending = asyncio.Event()
@@ -141,35 +105,7 @@
         self._number += 1
         return self._number
 
-    # Targets
-
-    async def _add_target(self, pool: str) -> None:
-        number = self._next()
-        hall = platform_fleet.HALLS[number % 4]
-        told = f"127.{self._net + 2}.{number // 200}.{1 + number % 200}:9000"
-        listens = told.replace(f"127.{self._net + 2}.", f"127.{self._net + 3}.", 1)
-        is_runner = pool == "llm"
-        runner = platform_runner.PlatformRunner(
-            f"i-{number}",
-            told,
-            self._by_address,
-            length=STREAM_LENGTH if is_runner else 0,
-            pace=STREAM_PACE,
-            copy_seconds=0.1,
-            listen_address=listens,
-        )
-        target = _Target(runner.target_id, pool, hall, runner)
-        target.way_in = forwarder.Forwarder(told, listens, self._rng)
-        await runner.start()
-        await target.way_in.start()
-        self._targets[target.target_id] = target
-        self.seen.ran[target.target_id] = runner.ran
-        target.beating = self._begin(self._beat(target))
-
-    async def _beat(self, target: _Target) -> None:
-        while target.target_id in self._targets:
-            await self._tell(f"/Instances.Heartbeat/{target.target_id}", target.write_heartbeat)
-            await asyncio.sleep(BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+    # Callers
 
     async def _tell(self, path: str, write: Callable[[], bytes]) -> bool:
         """Tell keepers something, one after another, until one acknowledges it."""
@@ -180,15 +116,6 @@
                 return True
         return False
 
-    def _end_target(self, target: _Target) -> None:
-        if self._targets.pop(target.target_id, None) is None:
-            return
-        target.runner.crash()
-        if target.way_in is not None:
-            target.way_in.stop()
-
-    # Callers
-
     async def _balance(self) -> None:
         """Ask the entries each second, as the platform's balancer does."""
         misses: dict[str, int] = {}
@@ -281,7 +208,11 @@
 
     async def _do_faults(self) -> None:
         """Faults in series; each goes on by itself, so that they overlap."""
-        planned: list[Callable[[], Awaitable[None]]] = [self._stop_entry, self._reload, self._drain]
+        planned: list[Callable[[], Awaitable[None]]] = [
+            self._stop_entry,
+            self._reload,
+            self.targets.drain,
+        ]
         unplanned = [
             self._kill,
             self._kill,
@@ -291,8 +222,13 @@
             self._tear,
             self._harm_link,
             self._harm_link,
-            self._harm_target,
-            self._crash_target,
+            self.targets.harm_way,
+            self.targets.harm_way,
+            self.targets.break_connections,
+            self.targets.misbehave,
+            self.targets.leave_badly,
+            self.targets.leave_badly,
+            self.targets.crash,
         ]
         kinds = planned if self.seen.planned_only else planned + unplanned
         while not self._ending.is_set():
@@ -319,12 +255,17 @@
         """Kill a process and start it again; False if it does not run."""
         if not daemon.is_running:
             return False
+        self._note_entry_end(daemon)
         self.fleet.send(daemon, signal.SIGKILL)
         await self._await_end(daemon)
         await asyncio.sleep(seconds)
         self.fleet.start(daemon)
         return True
 
+    def _note_entry_end(self, daemon: platform_fleet.Daemon) -> None:
+        if daemon.role == "entry":
+            self.seen.entries_ended.setdefault(daemon.name, []).append(self._loop.time())
+
     async def _await_end(self, daemon: platform_fleet.Daemon) -> None:
         while daemon.is_running:
             await asyncio.sleep(0.02)
@@ -339,9 +280,13 @@
 
     async def _pause(self) -> None:
         daemon = self._draw_daemon()
+        spans = self.seen.entries_paused.setdefault(daemon.name, [])
+        began, place = self._loop.time(), len(spans)
+        spans.append((began, float("inf")))
         self.fleet.send(daemon, signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(0.2, 3.0))
         self.fleet.send(daemon, signal.SIGCONT)
+        spans[place] = (began, self._loop.time())
 
     async def _wipe(self) -> None:
         if self._loop.time() - self._wiped_at < WIPE_PAUSE_SECONDS:
@@ -369,17 +314,6 @@
     async def _harm_link(self) -> None:
         await self._harm(self._draw_daemon().way_in, list(forwarder.Harm)[1:])
 
-    async def _harm_target(self) -> None:
-        target = self._rng.choice(list(self._targets.values()))
-        assert target.way_in is not None
-        await self._harm(target.way_in, [forwarder.Harm.DELAY, forwarder.Harm.RESET])
-
-    async def _crash_target(self) -> None:
-        target = self._rng.choice(list(self._targets.values()))
-        self._end_target(target)
-        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
-        await self._add_target(target.pool)
-
     # Planned work
 
     async def _stop_entry(self) -> None:
@@ -392,6 +326,7 @@
         self.seen.stops.append(platform_checker.PlannedStop(entry.name, now, outlasted_at))
         self.fleet.send(entry, signal.SIGTERM)
         await self._await_end(entry)
+        self._note_entry_end(entry)
         self.fleet.start(entry)
 
     async def _reload(self) -> None:
@@ -400,26 +335,6 @@
         self.fleet.write_seeds(daemon, self._rng.sample(keepers, 3))
         self.fleet.send(daemon, signal.SIGHUP)
 
-    async def _drain(self) -> None:
-        """A new target comes, then one of its pool drains, serves on for a while and ends."""
-        target = self._rng.choice(list(self._targets.values()))
-        await self._add_target(target.pool)
-        if target.state != "ready":
-            return
-        target.state = "draining"
-        path = f"/Instances.Heartbeat/{target.target_id}"
-        if await self._tell(path, target.write_heartbeat):
-            leaving = platform_checker.Leaving(target.target_id, self._loop.time())
-            self.seen.leavings.append(leaving)
-        until = self._loop.time() + NOTICE_SECONDS
-        while self._loop.time() < until or (self.seen.planned_only and self._is_busy(target)):
-            await asyncio.sleep(0.05)
-        await self._tell(f"/Instances.Leave/{target.target_id}", lambda: b"")
-        self._end_target(target)
-
-    def _is_busy(self, target: _Target) -> bool:
-        return any(not run.ended for run in target.runner.ran)
-
     # The run
 
     def _begin(self, work: Awaitable[None]) -> asyncio.Task[None]:
@@ -430,9 +345,7 @@
 
     async def _become_ready(self) -> None:
         """Have a configuration in force at all entries and all targets known."""
-        for pool, number in (("llm", RUNNERS), ("app", SERVICES)):
-            for _ in range(number):
-                await self._add_target(pool)
+        await self.targets.start()
         until = self._loop.time() + READY_SECONDS
         while not await self._send_change():
             if self._loop.time() > until:
@@ -443,7 +356,7 @@
                 if self._loop.time() > until:
                     raise TimeoutError(f"{entry.name} is not ready")
                 await asyncio.sleep(0.1)
-        await asyncio.sleep(2 * BEAT_SECONDS)
+        await asyncio.sleep(2 * platform_targets.BEAT_SECONDS)
 
     async def run(self, seconds: float, rest_seconds: float) -> list[str]:
         """Run everything, let it come to rest, and give what was broken."""
@@ -464,8 +377,7 @@
             for task in list(self._work):
                 task.cancel()
             self.fleet.kill_all()
-            for target in list(self._targets.values()):
-                self._end_target(target)
+            self.targets.end_all()
             await asyncio.sleep(END_SECONDS)
         bounds = platform_fleet.BOUNDS
         return platform_checker.check(self.seen, bounds.drain, bounds.revoke)
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -1,11 +1,13 @@
 """The soak of the platform's programs: its checker finds planted faults; a short seeded run."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import tempfile
 import unittest
 
+from tillerlane.peers import node as nodes
 from tillerlane.testing import (
     caller,
     forwarder,
@@ -49,7 +51,7 @@
 
 def build_sound() -> platform_checker.Observations:
     """A run in which every promise was kept."""
-    return platform_checker.Observations(
+    seen = platform_checker.Observations(
         stream_length=LENGTH,
         ran={
             "t1": [
@@ -57,7 +59,7 @@
                 build_run("b", 10.0, 10.5),
                 build_run("c", 10.0, 10.1),
             ],
-            "t2": [build_run("a", 11.0, 12.0, kv_from="t1/h")],
+            "t2": [build_run("a", 11.0, 12.0, kv_from="t1/h", last_event_id="2")],
         },
         calls=[
             build_call("a", "record", 200, build_stream("a")),
@@ -71,6 +73,10 @@
         in_force={("entry-1", 1): [1, 1, 3], ("entry-1", 2): [1]},
         read_back={"keeper-1": 3, "keeper-2": None},
     )
+    for target_id, runs in seen.ran.items():
+        for run in runs:
+            run.target_id = target_id
+    return seen
 
 
 class CheckerTest(unittest.TestCase):
@@ -174,21 +180,46 @@
         self.seen.calls[1].sent_at = 12.5
         self.assert_found("cut by planned work")
 
+    def test_copy_without_a_last_event_begins_anew(self) -> None:
+        del self.seen.ran["t2"][0].headers["last-event-id"]
+        self.assert_found("may run once")
+
     def test_harm_excuses_only_what_it_touched(self) -> None:
         self.seen.ran["t1"][0].ended_at = 11.5
-        self.seen.harmed = [(100.0, 101.0)]
-        self.assert_found("two runners worked on it")
-        self.seen.harmed = [(10.5, 10.6)]
+        self.seen.calls[0].entry = "entry-1"
+        self.seen.harmed = [(0.0, 100.0)]
+        self.seen.ways_harmed = {"t1": [(10.0, 11.0)], "t2": [(0.0, 100.0)]}
+        self.seen.entries_paused = {"entry-2": [(0.0, 100.0)]}
+        self.seen.entries_ended = {"entry-1": [5.0], "entry-2": [11.0]}
+        self.assert_found("two runners worked on it for 0.50 s")
+        self.seen.ways_harmed["t1"] = [(11.0, 11.2)]
         self.assertEqual(self.check(), [])
 
+    def test_paused_or_ended_entry_stops_no_runner(self) -> None:
+        self.seen.ran["t1"][0].ended_at = 11.9
+        self.seen.calls[0].entry = "entry-1"
+        self.seen.entries_paused = {"entry-1": [(10.5, 11.6)]}
+        self.assertEqual(self.check(), [])
+        self.seen.entries_paused = {"entry-1": [(11.1, 11.2), (11.3, 11.4)]}
+        self.assert_found("two runners worked on it for 0.50 s")
+        self.seen.entries_paused = {}
+        self.seen.entries_ended = {"entry-1": [11.2]}
+        self.assertEqual(self.check(), [])
+        self.seen.entries_ended = {"entry-1": [11.5]}
+        self.assert_found("two runners worked on it for 0.50 s")
+
 
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
     """What a forwarder does to connections."""
 
     async def asyncSetUp(self) -> None:
+        self.left = 0
+
         async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while data := await reader.read(100):
-                writer.write(data)
+            with contextlib.suppress(ConnectionResetError):
+                while data := await reader.read(100):
+                    writer.write(data)
+            self.left += 1
             writer.close()
 
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
@@ -218,6 +249,32 @@
         self.way.do(forwarder.Harm.NONE)
         self.assertEqual(await self.reader.readexactly(4), b"word")
 
+    async def test_silence_lets_no_connection_come_about(self) -> None:
+        host, port = nodes.split_address(self.way.address)
+        for harm in (forwarder.Harm.SILENCE, forwarder.Harm.CUT_IN, forwarder.Harm.CUT_OUT):
+            self.way.do(harm)
+            await asyncio.sleep(0.05)
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(asyncio.open_connection(host, port), 0.3)
+            self.way.do(forwarder.Harm.NONE)
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"word")
+            self.assertEqual(await asyncio.wait_for(reader.readexactly(4), 1.0), b"word")
+            writer.close()
+            await writer.wait_closed()
+
+    async def test_orphans_process_is_not_told(self) -> None:
+        self.writer.write(b"word")
+        await self.reader.readexactly(4)
+        self.way.orphan()
+        with contextlib.suppress(ConnectionResetError):
+            self.assertEqual(await self.reader.read(4), b"")
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.left, 0)
+        self.way.do(forwarder.Harm.RESET)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.left, 1)
+
     async def test_reset(self) -> None:
         self.writer.write(b"word")
         await self.reader.readexactly(4)
