Run the soak's targets as processes that keep a record which outlives them

Cause: the soak's stand-in targets ran in its own event loop. They could not stand still or be killed by themselves, nor start again under their id, and what they had run was known only from their own memory.

Change: each target is a process (platform_target) behind its forwarder. Before it goes on it writes each beginning, event and end with the request's id to a file (platform_record); a run that was killed ends with its last line. Copies of runs go to other targets over the network. Targets can now also be paused, be killed and start again under their id (telling when), write a second answer, answer in another request's name, leave out an event, break off, and fall silent on plain requests; a plain request whose connection closes is noted as ended. The checker reads runs per request, overlaps and refusals whose request ran from these records alone.

--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -16,7 +16,7 @@
 
 from tillerlane.testing import forwarder
 
-__all__ = ["BOUNDS", "Daemon", "PlatformFleet"]
+__all__ = ["BOUNDS", "ROOT", "Daemon", "PlatformFleet"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PEER_PORT = 7000
@@ -105,6 +105,7 @@
     ) -> None:
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
+        self.folder = folder
         self.net = net
         self.program = "tillerlane.platform.main"
         """Module that daemons run."""
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -13,7 +13,7 @@
 
 from tillerlane.gateway import http_head, http_server
 
-__all__ = ["PlatformRunner", "RanRequest", "build_event"]
+__all__ = ["MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
 SEAL = b"Response-Seal"
 DEADLY_SECONDS = 0.08
@@ -59,7 +59,9 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Copy:
+class MemoryCopy:
+    """A run's memory, as it lies at a runner."""
+
     request_id: str
     events: int
     source: "PlatformRunner"
@@ -103,6 +105,8 @@
         It works on what it gets and sends nothing of it.
     works_on : bool
         It works on when the connection of a stream closes.
+    writes_twice : bool
+        It writes a second answer behind each whole one.
     names_no_request : bool
         Its refusals don't say which request they answer.
     deadly : frozenset of bytes
@@ -138,7 +142,7 @@
         self.reading_seconds = reading_seconds
         self.ran: list[RanRequest] = []
         self.turned_away: list[str] = []
-        self.copies: dict[str, _Copy] = {}
+        self.copies: dict[str, MemoryCopy] = {}
         self.answer_status = 200
         self.refuses = False
         self.loses_answer = False
@@ -148,6 +152,7 @@
         self.is_cut_off = False
         self.is_mute = False
         self.works_on = False
+        self.writes_twice = False
         self.names_no_request = False
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
@@ -251,8 +256,14 @@
             await self._stream(run, responder)
             return
         await self._die_of(run)
-        await asyncio.sleep(self.pace)
+        try:
+            await asyncio.sleep(self.pace)
+        except asyncio.CancelledError:
+            self._note_end(run, "gone")
+            raise
         self._note_end(run, "whole")
+        if self.is_mute:
+            await asyncio.sleep(3600)
         if self.loses_answer:
             responder.abort()
             return
@@ -261,6 +272,13 @@
             [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
         )
         await responder.send_whole(head, b"answer to " + request_id.encode())
+        await self._write_again(responder, request_id)
+
+    async def _write_again(self, responder: http_server.Responder, request_id: str) -> None:
+        """Write a second answer, where the runner does that."""
+        if self.writes_twice:
+            head = http_head.AnswerHead(200, [(b"Request-Id", request_id.encode())])
+            await responder.send_whole(head, b"second answer")
 
     def _take_copy(self, copy_from: str, request_id: str) -> bool:
         """Use a copy that lies here: by handle, or one that grew with the run."""
@@ -281,6 +299,7 @@
             await self._die_of(run)
             if await self._write_events(run, responder):
                 await responder.finish()
+                await self._write_again(responder, run.request_id)
         except asyncio.CancelledError:
             if self.works_on or self.is_cut_off:
                 task = asyncio.get_running_loop().create_task(self._write_events(run, None))
@@ -333,7 +352,7 @@
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
-            backup.copies[run.request_id] = _Copy(run.request_id, run.events, self)
+            backup.copies[run.request_id] = MemoryCopy(run.request_id, run.events, self)
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """The run of a request that still goes on."""
@@ -356,7 +375,7 @@
         async with self._link:
             await asyncio.sleep(self.copy_seconds)
         answer = {"handle": handle, "made": run.events}
-        copy = _Copy(run.request_id, run.events, self)
+        copy = MemoryCopy(run.request_id, run.events, self)
         status = 200
         if destination is None or destination.refuses:
             status = 503
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -1,10 +1,12 @@
 """A randomized soak of the platform's programs: real processes, faults from outside them.
 
-Callers, operators and targets run here and write down what they see; `platform_checker` decides.
-A seed decides on the faults; every third seed does planned work only, under which nothing may
-fail.  Clocks: the programs reckon on the steady clock, and the wall clock only stamps their logs,
-so its jumps are tested in virtual time (`gateway_lab`), not here.  Storage: disks are emptied, and
-half-written ends are left behind, while a process does not run.
+Callers and operators run here and write down what they see, targets are processes that keep records
+of their own (`platform_targets`); `platform_checker` decides.  A seed decides on the faults; of
+three seeds in a row one does planned work only, under which nothing may fail, and one harms targets
+and the ways to them only, so that many runs are moved meanwhile.  Clocks: the programs reckon on
+the steady clock, and the wall clock only stamps their logs, so its jumps are tested in virtual time
+(`gateway_lab`), not here.  Storage: disks are emptied, and half-written ends are left behind, while
+a process does not run.
 """
 
 import argparse
@@ -49,6 +51,7 @@
 READY_SECONDS = 60.0
 END_SECONDS = 0.2
 """For the tasks of connections that were ended to come to their end."""
+Fault = Callable[[], Awaitable[None]]
 _VERSION = re.compile(r"^tillerlane_config_version (\S+)$", re.MULTILINE)
 
 
@@ -89,7 +92,10 @@
         self.seen = platform_checker.Observations(
             platform_targets.STREAM_LENGTH, planned_only=seed % 3 == 0
         )
-        self.targets = platform_targets.Targets(net, self.seen, self._tell, self._rng)
+        self.targets = platform_targets.Targets(
+            self.fleet.folder, net, self.seen, self._tell, self._rng
+        )
+        self._harms_targets_only = seed % 3 == 2
         self.done: dict[str, int] = {}
         """Faults done, by name."""
         self._number = 0
@@ -208,12 +214,31 @@
 
     async def _do_faults(self) -> None:
         """Faults in series; each goes on by itself, so that they overlap."""
-        planned: list[Callable[[], Awaitable[None]]] = [
-            self._stop_entry,
-            self._reload,
-            self.targets.drain,
+        planned, unplanned = self._list_faults()
+        kinds = planned if self.seen.planned_only else planned + unplanned
+        while not self._ending.is_set():
+            await asyncio.sleep(self._rng.uniform(*FAULT_PAUSE_SECONDS))
+            kind = self._rng.choice(kinds)
+            name = kind.__qualname__.replace("PlatformSoak.", "").strip("_")
+            self.done[name] = self.done.get(name, 0) + 1
+            self._begin(kind() if kind in planned else self._note_harm(kind))
+
+    def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
+        """Planned work, and what else is done."""
+        targets = [
+            self.targets.harm_way,
+            self.targets.harm_way,
+            self.targets.break_connections,
+            self.targets.misbehave,
+            self.targets.leave_badly,
+            self.targets.leave_badly,
+            self.targets.crash,
+            self.targets.start_again,
+            self.targets.pause,
         ]
-        unplanned = [
+        if self._harms_targets_only:
+            return [self.targets.drain], targets
+        daemons = [
             self._kill,
             self._kill,
             self._kill_keepers,
@@ -222,23 +247,10 @@
             self._tear,
             self._harm_link,
             self._harm_link,
-            self.targets.harm_way,
-            self.targets.harm_way,
-            self.targets.break_connections,
-            self.targets.misbehave,
-            self.targets.leave_badly,
-            self.targets.leave_badly,
-            self.targets.crash,
         ]
-        kinds = planned if self.seen.planned_only else planned + unplanned
-        while not self._ending.is_set():
-            await asyncio.sleep(self._rng.uniform(*FAULT_PAUSE_SECONDS))
-            kind = self._rng.choice(kinds)
-            name = kind.__name__.strip("_")
-            self.done[name] = self.done.get(name, 0) + 1
-            self._begin(kind() if kind in planned else self._note_harm(kind))
+        return [self._stop_entry, self._reload, self.targets.drain], daemons + targets
 
-    async def _note_harm(self, kind: Callable[[], Awaitable[None]]) -> None:
+    async def _note_harm(self, kind: Fault) -> None:
         began = self._loop.time()
         span = len(self.seen.harmed)
         self.seen.harmed.append((began, float("inf")))
@@ -407,9 +419,12 @@
     calls = soak.seen.calls
     whole = sum(call.answer.status == 200 and call.answer.is_whole for call in calls)
     refused = sum(call.answer.status in platform_checker.PROMISES for call in calls)
+    runs = [run for ran in soak.seen.ran.values() for run in ran]
+    gone_on = sum(run.goes_on for run in runs)
     faults = ", ".join(f"{name} {number}" for name, number in sorted(soak.done.items()))
     return (
         f"calls {len(calls)}, whole {whole}, refused {refused}; "
+        f"runs {len(runs) - gone_on}, gone on elsewhere {gone_on}; "
         f"versions {len(soak.seen.acknowledged)} of {len(soak.seen.sent)}; {faults}"
     )
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -1,15 +1,31 @@
-"""The soak's stand-in targets: each behind a forwarder, with heartbeats, and the harm done to them.
+"""The soak's stand-in targets: processes behind forwarders, and the harm done to them.
 
 Harm of the way to a target is noted for the checker, with its times; what a target does wrong by
 itself excuses nothing.
 """
 
 import asyncio
+import contextlib
 import json
+import os
+import pathlib
 import random
+import signal
+import subprocess
+import sys
+import time
 from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
-from tillerlane.testing import forwarder, platform_checker, platform_fleet, platform_runner
+import msgspec
+
+from tillerlane.testing import (
+    forwarder,
+    platform_checker,
+    platform_fleet,
+    platform_record,
+    platform_target,
+)
 
 __all__ = ["STREAM_LENGTH", "Target", "Targets"]
 
@@ -17,6 +33,7 @@
 SERVICES = 3
 STREAM_LENGTH = 80
 STREAM_PACE = 0.03
+COPY_SECONDS = 0.1
 BEAT_SECONDS = 1.2
 """The platform's usual pause between heartbeats."""
 NOTICE_SECONDS = 2.0
@@ -24,48 +41,135 @@
 WORKS_ON_SHARE = 0.5
 """Share of the targets that work on when a connection closes."""
 HARM_SECONDS = (0.2, 4.0)
-LATE_SECONDS = (0.2, 2.0)
-"""Time from a request to the head of its answer at a runner that answers late."""
 BREAK_SECONDS = (0.0, 0.6)
 """Time from a runner's word that it drains to the break of its connections."""
-MISDEEDS = ("is_mute", "loses_answer", "loses_copies", "names_no_request", "refuses")
+MISDEEDS: tuple[dict[str, Any], ...] = (
+    {"is_mute": True},
+    {"loses_answer": True},
+    {"loses_copies": True},
+    {"refuses": True},
+    {"refuses": True, "names_no_request": True},
+    {"writes_twice": True},
+    {"answers_for": "another"},
+    {"skips_event": STREAM_LENGTH // 2},
+    {"breaks_at": STREAM_LENGTH // 2},
+    {"reading_seconds": 0.5},
+    {"reading_seconds": 2.0},
+)
+"""What a target does wrong for a while, as fields of `platform_runner.PlatformRunner`."""
+START_SECONDS = 20.0
+START_CHECK_SECONDS = 0.02
 
 Tell = Callable[[str, Callable[[], bytes]], Awaitable[bool]]
 
 
 class Target:
-    """A stand-in target with its forwarder and its heartbeats."""
+    """A stand-in target: a process with its record, behind a forwarder.
+
+    Parameters
+    ----------
+    orders : platform_target.Orders
+        What its process is started with.
+    pool, hall : str
+        What it serves, and its data hall.
+    way_in : forwarder.Forwarder
+        Where entries and other targets reach it.
+    """
 
     def __init__(
-        self, target_id: str, pool: str, hall: str, runner: platform_runner.PlatformRunner
+        self, orders: platform_target.Orders, pool: str, hall: str, way_in: forwarder.Forwarder
     ) -> None:
-        self.target_id = target_id
+        self.target_id = orders.target_id
         self.pool = pool
         self.hall = hall
-        self.runner = runner
+        self.way_in = way_in
         self.state = "ready"
-        self.sequence = 0
-        self.way_in: forwarder.Forwarder | None = None
+        self.is_running = False
+        """Whether its process has begun to listen and has not ended."""
+        self.is_paused = False
         self.beating: asyncio.Task[None] | None = None
+        self.record = platform_record.Reader(pathlib.Path(orders.record), orders.target_id)
+        self._orders = orders
+        self._sequence = 0
+        self._born = 0
+        self._process: subprocess.Popen[bytes] | None = None
+
+    async def start(self) -> None:
+        """Start its process and wait until it listens, or has been ended."""
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        starts = self.record.starts
+        self._begin_process()
+        async with asyncio.timeout(START_SECONDS):
+            while self._process is not None and self.record.starts == starts:
+                await asyncio.sleep(START_CHECK_SECONDS)
+                self.record.read()
+        if self._process is not None:
+            await self.way_in.start()
+            self.is_running = True
+
+    def _begin_process(self) -> None:
+        orders = msgspec.json.encode(self._orders).decode()
+        with open(pathlib.Path(self._orders.record).with_suffix(".log"), "ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", platform_target.__name__, orders],
+                stdin=subprocess.PIPE,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONPATH": str(platform_fleet.ROOT)},
+            )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether it works on a request."""
+        self.record.read()
+        return self.record.is_busy
 
     def write_heartbeat(self) -> bytes:
         """The next word of its load."""
-        self.sequence += 1
+        self._sequence += 1
         values = {
             "service": self.pool,
-            "addr": self.runner.address,
+            "addr": self._orders.address,
             "zone": self.hall,
             "slots": 48,
             "state": self.state,
             "cold_left_ms": 0,
-            "seq": self.sequence,
+            "seq": self._sequence,
+            "born": self._born,
         }
         return json.dumps(values).encode()
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether it works on a request."""
-        return any(not run.ended for run in self.runner.ran)
+    def write_leave(self) -> bytes:
+        """Its word that it goes now."""
+        return json.dumps({"born": self._born}).encode()
+
+    def switch(self, switches: platform_target.Switches) -> None:
+        """Switch faults of its process on or off."""
+        if self._process is not None and self._process.stdin is not None:
+            with contextlib.suppress(BrokenPipeError):
+                self._process.stdin.write(msgspec.json.encode(switches) + b"\n")
+                self._process.stdin.flush()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to its process, if it runs."""
+        if self._process is not None:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End its process at once, with its connections, and take what it wrote down."""
+        self.way_in.stop()
+        self.is_running = False
+        if self._process is None:
+            return
+        self._process.kill()
+        self._process.wait()
+        if self._process.stdin is not None:
+            with contextlib.suppress(BrokenPipeError):
+                self._process.stdin.close()
+        self._process = None
+        self.record.read()
+        self.record.note_crash()
 
 
 class Targets:
@@ -73,6 +177,8 @@
 
     Parameters
     ----------
+    folder : pathlib.Path
+        For records and logs.
     net : int
         Second byte of the fleet's addresses; targets use the two behind it.
     seen : platform_checker.Observations
@@ -84,61 +190,68 @@
     """
 
     def __init__(
-        self, net: int, seen: platform_checker.Observations, tell: Tell, rng: random.Random
+        self,
+        folder: pathlib.Path,
+        net: int,
+        seen: platform_checker.Observations,
+        tell: Tell,
+        rng: random.Random,
     ) -> None:
+        self._folder = folder
         self._net = net
         self._seen = seen
         self._tell = tell
         self._rng = rng
         self._targets: dict[str, Target] = {}
-        self._by_address: dict[str, platform_runner.PlatformRunner] = {}
         self._number = 0
         self._loop = asyncio.get_running_loop()
 
     async def start(self) -> None:
         """Start as many as each pool has."""
-        for pool, number in (("llm", RUNNERS), ("app", SERVICES)):
-            for _ in range(number):
-                await self.add(pool)
+        pools = ["llm"] * RUNNERS + ["app"] * SERVICES
+        await asyncio.gather(*(self.add(pool) for pool in pools))
 
     async def add(self, pool: str) -> None:
         """Start a target."""
         self._number += 1
         number = self._number
-        hall = platform_fleet.HALLS[number % 4]
         place = f"{number // 200}.{1 + number % 200}:9000"
         told, listens = f"127.{self._net + 2}.{place}", f"127.{self._net + 3}.{place}"
         is_runner = pool == "llm"
-        runner = platform_runner.PlatformRunner(
+        orders = platform_target.Orders(
             f"i-{number}",
             told,
-            self._by_address,
+            listens,
+            str(self._folder / f"i-{number}.record"),
             length=STREAM_LENGTH if is_runner else 0,
             pace=STREAM_PACE,
-            copy_seconds=0.1,
-            listen_address=listens,
+            copy_seconds=COPY_SECONDS,
         )
-        runner.works_on = is_runner and self._rng.random() < WORKS_ON_SHARE
-        target = Target(runner.target_id, pool, hall, runner)
-        target.way_in = forwarder.Forwarder(told, listens, self._rng)
-        await runner.start()
-        await target.way_in.start()
+        hall = platform_fleet.HALLS[number % 4]
+        way_in = forwarder.Forwarder(told, listens, self._rng)
+        target = Target(orders, pool, hall, way_in)
+        works_on = is_runner and self._rng.random() < WORKS_ON_SHARE
         self._targets[target.target_id] = target
-        self._seen.ran[target.target_id] = runner.ran
+        self._seen.ran[target.target_id] = target.record.ran
+        await target.start()
+        target.switch(platform_target.Switches({"works_on": works_on}))
         target.beating = self._loop.create_task(self._beat(target))
 
     async def _beat(self, target: Target) -> None:
         while target.target_id in self._targets:
-            await self._tell(f"/Instances.Heartbeat/{target.target_id}", target.write_heartbeat)
+            if target.is_running and not target.is_paused:
+                path = f"/Instances.Heartbeat/{target.target_id}"
+                await self._tell(path, target.write_heartbeat)
             await asyncio.sleep(BEAT_SECONDS * self._rng.uniform(0.9, 1.1))
 
     def end(self, target: Target) -> None:
         """End a target at once, if it has not ended."""
-        if self._targets.pop(target.target_id, None) is None:
-            return
-        target.runner.crash()
-        if target.way_in is not None:
-            target.way_in.stop()
+        if self._targets.pop(target.target_id, None) is not None:
+            target.kill()
+
+    def list_running(self) -> list[str]:
+        """Ids of the targets that have not ended."""
+        return list(self._targets)
 
     def end_all(self) -> None:
         """End all targets."""
@@ -148,7 +261,8 @@
                 target.beating.cancel()
 
     def _draw(self, pool: str = "") -> Target:
-        found = [item for item in self._targets.values() if pool in ("", item.pool)]
+        running = [item for item in self._targets.values() if item.is_running]
+        found = [item for item in running if pool in ("", item.pool)]
         return self._rng.choice(found)
 
     # Planned work
@@ -169,7 +283,7 @@
         until = self._loop.time() + NOTICE_SECONDS
         while self._loop.time() < until or (self._seen.planned_only and target.is_busy):
             await asyncio.sleep(0.05)
-        await self._tell(f"/Instances.Leave/{target.target_id}", lambda: b"")
+        await self._tell(f"/Instances.Leave/{target.target_id}", target.write_leave)
         self.end(target)
 
     # Harm
@@ -181,47 +295,67 @@
         await asyncio.sleep(self._rng.uniform(0.1, 2.0))
         await self.add(target.pool)
 
+    async def start_again(self) -> None:
+        """A target ends, and starts again under its id."""
+        target = self._draw()
+        if target.state != "ready":
+            return
+        target.kill()
+        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
+        if target.target_id in self._targets:
+            await target.start()
+
+    async def pause(self) -> None:
+        """A target's process stands still for a while."""
+        target = self._draw()
+        with self._note_harm(target):
+            target.is_paused = True
+            target.send(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(*HARM_SECONDS))
+            target.send(signal.SIGCONT)
+            target.is_paused = False
+
     async def harm_way(self) -> None:
         """The way to a target is harmed."""
         await self._harm_way(self._draw())
 
     async def _harm_way(self, target: Target) -> None:
-        assert target.way_in is not None
+        with self._note_harm(target):
+            target.way_in.do(self._rng.choice(list(forwarder.Harm)[1:]))
+            await asyncio.sleep(self._rng.uniform(*HARM_SECONDS))
+            target.way_in.do(forwarder.Harm.NONE)
+
+    @contextlib.contextmanager
+    def _note_harm(self, target: Target) -> Iterator[None]:
+        """Note a span in which entries do not reach a target."""
         spans = self._seen.ways_harmed.setdefault(target.target_id, [])
         began, place = self._loop.time(), len(spans)
         spans.append((began, float("inf")))
-        target.way_in.do(self._rng.choice(list(forwarder.Harm)[1:]))
-        await asyncio.sleep(self._rng.uniform(*HARM_SECONDS))
-        target.way_in.do(forwarder.Harm.NONE)
-        spans[place] = (began, self._loop.time())
+        try:
+            yield
+        finally:
+            spans[place] = (began, self._loop.time())
 
     async def break_connections(self) -> None:
         """The connections to a runner break, and new ones come about."""
         self._break_connections(self._draw("llm"))
 
     def _break_connections(self, target: Target) -> None:
-        assert target.way_in is not None
         if self._rng.random() < 0.5:
             target.way_in.orphan()
         else:
-            target.runner.reset_connections()
+            target.switch(platform_target.Switches(resets=True))
 
     async def misbehave(self) -> None:
         """A target answers wrongly, late or not at all for a while."""
-        await self._misbehave(self._draw(), self._rng.choice((*MISDEEDS, "")))
+        await self._misbehave(self._draw(), self._rng.choice(MISDEEDS))
 
-    async def _misbehave(self, target: Target, name: str) -> None:
-        """Switch one of a target's faults on for a while; without a name it answers late."""
-        runner = target.runner
-        if name:
-            setattr(runner, name, True)
-        else:
-            runner.reading_seconds = self._rng.uniform(*LATE_SECONDS)
+    async def _misbehave(self, target: Target, fields: dict[str, Any]) -> None:
+        """Set fields of a target for a while, then set them back to nothing."""
+        target.switch(platform_target.Switches(fields))
         await asyncio.sleep(self._rng.uniform(*HARM_SECONDS))
-        if name:
-            setattr(runner, name, False)
-        else:
-            runner.reading_seconds = 0.0
+        back = {name: type(value)() for name, value in fields.items()}
+        target.switch(platform_target.Switches(back))
 
     async def leave_badly(self) -> None:
         """A runner leaves while it, the way to it or the runners that stay are harmed."""
@@ -235,10 +369,10 @@
         await asyncio.gather(*tasks)
 
     def _harm_others(self, leaves: Target) -> Iterator[Awaitable[None]]:
-        name = self._rng.choice(("", "is_mute", "loses_answer"))
+        fields = self._rng.choice(({"is_mute": True}, {"reading_seconds": 1.5}))
         for target in list(self._targets.values()):
             if target is not leaves and target.pool == leaves.pool:
-                yield self._misbehave(target, name)
+                yield self._misbehave(target, fields)
 
     def _harm_leaving(self, leaves: Target) -> Iterator[Awaitable[None]]:
         yield self._harm_way(leaves)
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -20,6 +20,7 @@
 LENGTH = 5
 DRAIN_SECONDS = 2.0
 REVOKE_SECONDS = 5.0
+HARMED_TARGETS_SEED = 2
 
 
 def build_run(request_id: str, began: float, ended: float, **headers: str):
@@ -288,15 +289,27 @@
 class SeededRunTest(unittest.TestCase):
     """A few seconds of the real programs, under faults."""
 
-    def test_short_run_breaks_nothing(self) -> None:
+    def check_run(self, seed: int, seconds: float) -> platform_soak.PlatformSoak:
+        """Run a seed; it must break nothing and leave no process."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "run"
-            soak, problems = asyncio.run(platform_soak.run_seed(path, 1, 5.0, rest_seconds=6.0))
+            run = platform_soak.run_seed(path, seed, seconds, rest_seconds=6.0)
+            soak, problems = asyncio.run(run)
             self.assertEqual(problems, [])
             self.assertGreater(len(soak.seen.calls), 0)
             self.assertTrue(soak.done)
             running = [item.name for item in soak.fleet.daemons.values() if item.is_running]
             self.assertEqual(running, [])
+            self.assertEqual(soak.targets.list_running(), [])
+            return soak
+
+    def test_short_run_breaks_nothing(self) -> None:
+        self.check_run(1, 5.0)
+
+    def test_short_run_with_harmed_targets_runs_nothing_twice(self) -> None:
+        soak = self.check_run(HARMED_TARGETS_SEED, 10.0)
+        runs = [run for ran in soak.seen.ran.values() for run in ran]
+        self.assertTrue(any(run.goes_on for run in runs))
 
     def test_overlapping_faults_start_one_process(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
--- /dev/null
+++ b/tillerlane/testing/tests/test_platform_target.py
@@ -0,0 +1,165 @@
+"""Stand-in targets as processes, and the record that outlives them."""
+
+import asyncio
+import json
+import pathlib
+import random
+import tempfile
+import unittest
+
+from tillerlane.gateway import http_client, http_head
+from tillerlane.testing import (
+    forwarder,
+    platform_record,
+    platform_runner,
+    platform_target,
+    platform_targets,
+)
+
+LENGTH = 20
+PACE_SECONDS = 0.02
+
+
+def build_run(request_id: str, **headers: str) -> platform_runner.RanRequest:
+    """A run that begins at second 1."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return platform_runner.RanRequest(request_id, named, "", b"", 1.0)
+
+
+class RecordTest(unittest.TestCase):
+    """What a reader makes of a record."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "t1.record"
+        self.reader = platform_record.Reader(self.path, "t1")
+        self.reader.read()
+        self.writer = platform_record.Writer(self.path)
+        self.addCleanup(self.writer.close)
+        self.writer.note_start(0.5)
+
+    def test_run_that_ends(self) -> None:
+        run = build_run("a", kv_from="t2/h", last_event_id="4", credential="key")
+        self.writer.note_begin(run)
+        run.events = 5
+        self.writer.note_event(run, 2.0)
+        self.reader.read()
+        self.assertTrue(self.reader.is_busy)
+        run.ended, run.ended_at = "whole", 3.0
+        self.writer.note_end(run)
+        self.reader.read()
+        [found] = self.reader.ran
+        self.assertEqual((found.request_id, found.target_id, found.events), ("a", "t1", 5))
+        self.assertEqual((found.began, found.ended_at, found.ended), (1.0, 3.0, "whole"))
+        self.assertTrue(found.goes_on)
+        self.assertFalse(self.reader.is_busy)
+
+    def test_run_of_a_process_that_was_killed_ends_with_its_last_event(self) -> None:
+        run = build_run("a")
+        self.writer.note_begin(run)
+        self.writer.note_event(run, 2.0)
+        self.writer.note_start(9.0)
+        later = build_run("a")
+        self.writer.note_begin(later)
+        self.reader.read()
+        former, present = self.reader.ran
+        self.assertEqual((former.ended, former.ended_at), ("crashed", 2.0))
+        self.assertEqual(present.ended, "")
+        self.assertEqual(self.reader.starts, 2)
+        self.reader.note_crash()
+        self.assertEqual(present.ended, "crashed")
+
+    def test_half_a_line_is_left_for_later(self) -> None:
+        self.writer.note_begin(build_run("a"))
+        whole = self.path.read_bytes()
+        self.path.write_bytes(whole[:-5])
+        self.reader.read()
+        self.assertEqual(self.reader.ran, [])
+        self.path.write_bytes(whole)
+        self.reader.read()
+        self.assertEqual(len(self.reader.ran), 1)
+
+
+class TargetTest(unittest.IsolatedAsyncioTestCase):
+    """Two runners that are processes."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.targets: list[platform_targets.Target] = []
+        self.addAsyncCleanup(self.end)
+        for number in (1, 2):
+            address = f"127.15.0.{number}:9000"
+            orders = platform_target.Orders(
+                f"t{number}",
+                address,
+                f"127.15.1.{number}:9000",
+                str(pathlib.Path(folder.name) / f"t{number}.record"),
+                LENGTH,
+                PACE_SECONDS,
+                0.01,
+            )
+            way_in = forwarder.Forwarder(address, orders.listen_address, random.Random(1))
+            self.targets.append(platform_targets.Target(orders, "llm", "hall-a", way_in))
+        await asyncio.gather(*(target.start() for target in self.targets))
+
+    async def end(self) -> None:
+        """End the processes, and let the connections' tasks come to their end."""
+        for target in self.targets:
+            target.kill()
+        await asyncio.sleep(0.1)
+
+    async def send(self, number: int, method: bytes, path: bytes, body: bytes, **headers: str):
+        """Begin an exchange with a target."""
+        target = self.targets[number]
+        exchange = await http_client.connect(target.way_in.address, 1.0)
+        named = [(name.replace("_", "-").encode(), text.encode()) for name, text in headers.items()]
+        exchange.send(http_head.RequestHead(method, path, named), body)
+        return exchange
+
+    async def test_record_outlives_a_killed_process(self) -> None:
+        exchange = await self.send(0, b"POST", b"/x", b"", Request_Id="a")
+        await exchange.read_head()
+        await exchange.read_chunk()
+        self.targets[0].kill()
+        [run] = self.targets[0].record.ran
+        self.assertEqual((run.request_id, run.ended), ("a", "crashed"))
+        self.assertGreater(run.events, 0)
+        self.assertLess(run.events, LENGTH)
+        await self.targets[0].start()
+        exchange = await self.send(0, b"POST", b"/x", b"", Request_Id="b")
+        await exchange.read_body(10_000)
+        self.assertFalse(self.targets[0].is_busy)
+        self.assertEqual([run.ended for run in self.targets[0].record.ran], ["crashed", "whole"])
+
+    async def test_target_that_works_on_behind_its_connection(self) -> None:
+        self.targets[0].switch(platform_target.Switches({"works_on": True}))
+        exchange = await self.send(0, b"POST", b"/x", b"", Request_Id="a")
+        await exchange.read_chunk()
+        exchange.abort()
+        await asyncio.sleep(LENGTH * PACE_SECONDS + 0.5)
+        self.assertFalse(self.targets[0].is_busy)
+        [run] = self.targets[0].record.ran
+        self.assertEqual((run.events, run.ended), (LENGTH, "whole"))
+
+    async def test_run_goes_on_in_another_process(self) -> None:
+        exchange = await self.send(0, b"POST", b"/x", b"", Request_Id="a")
+        await exchange.read_chunk()
+        order = f'{{"id": "a", "target_version": "{self.targets[1].way_in.address}"}}'.encode()
+        moved = await self.send(0, b"POST", b"/kv-move", order)
+        self.assertEqual((await moved.read_head()).status, 200)
+        handle = json.loads(await moved.read_body(1000))["handle"]
+        await asyncio.sleep(0.2)
+        source = self.targets[0].way_in.address
+        headers = {"Request_Id": "a", "Kv_From": f"{source}/{handle}", "Last_Event_Id": "1"}
+        taken = await self.send(1, b"POST", b"/x", b"", **headers)
+        self.assertEqual((await taken.read_head()).status, 200)
+        again = await self.send(1, b"POST", b"/x", b"", **headers)
+        self.assertEqual((await again.read_head()).status, 503)
+        self.assertTrue(self.targets[1].is_busy)
+        self.assertTrue(self.targets[1].record.ran[0].goes_on)
+
+
+if __name__ == "__main__":
+    unittest.main()
