Have a stand-in runner stop while it reads a prompt, and note its end then

Cause: a runner that answers late slept through an order to stop, so it would have counted as at work on a stopped run, and noted no end when the connection closed meanwhile.

Change: the pause before the head ends with an order to stop, and a closed connection in it ends the run.

--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -18,6 +18,7 @@
 SEAL = b"Response-Seal"
 NEW_PART_SECONDS = 0.01
 """Time of a repeated copy, which has only what is new to carry."""
+READING_CHECK_SECONDS = 0.05
 DEADLY_SECONDS = 0.08
 """Time from the beginning of a deadly request's run to the end of its runner."""
 
@@ -299,13 +300,12 @@
         return True
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
-        if self.reading_seconds:
-            await asyncio.sleep(self.reading_seconds)
         head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
-        if not self.is_mute:
-            await responder.begin(head)
         self._streams[run.request_id] = responder
         try:
+            await self._read_prompt(run)
+            if not self.is_mute:
+                await responder.begin(head)
             await self._die_of(run)
             if await self._write_events(run, responder):
                 await responder.finish()
@@ -324,6 +324,14 @@
         finally:
             self._streams.pop(run.request_id, None)
 
+    async def _read_prompt(self, run: RanRequest) -> None:
+        """Take the time that a request needs before its first event; a stop ends it."""
+        left = self.reading_seconds
+        while left > 0 and not run.is_stopped:
+            pause = min(READING_CHECK_SECONDS, left)
+            await asyncio.sleep(pause)
+            left -= pause
+
     async def _write_events(self, run: RanRequest, responder: http_server.Responder | None) -> bool:
         """Work on a run to its end, and tell a caller of it if there is one; False if cut short."""
         for number in range(run.events + 1, self.length + 1):
