Drain a runner first in seeds that harm targets only

Change: such a seed begins with a runner that drains, with nothing else harmed yet, and draws that kind of work later too.

--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -216,9 +216,10 @@
         """Faults in series; each goes on by itself, so that they overlap."""
         planned, unplanned = self._list_faults()
         kinds = planned if self.seen.planned_only else planned + unplanned
+        due = [self.targets.drain_runner] if self._harms_targets_only else []
         while not self._ending.is_set():
             await asyncio.sleep(self._rng.uniform(*FAULT_PAUSE_SECONDS))
-            kind = self._rng.choice(kinds)
+            kind = due.pop() if due else self._rng.choice(kinds)
             name = kind.__qualname__.replace("PlatformSoak.", "").strip("_")
             self.done[name] = self.done.get(name, 0) + 1
             self._begin(kind() if kind in planned else self._note_harm(kind))
@@ -237,7 +238,7 @@
             self.targets.pause,
         ]
         if self._harms_targets_only:
-            return [self.targets.drain], targets
+            return [self.targets.drain, self.targets.drain_runner], targets
         daemons = [
             self._kill,
             self._kill,
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -269,7 +269,13 @@
 
     async def drain(self) -> None:
         """A new target comes, then one of its pool drains, serves on for a while and ends."""
-        target = self._draw()
+        await self._drain(self._draw())
+
+    async def drain_runner(self) -> None:
+        """The same with a runner, so that runs move."""
+        await self._drain(self._draw("llm"))
+
+    async def _drain(self, target: Target) -> None:
         await self.add(target.pool)
         if target.state == "ready":
             await self._leave(target)
