--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -52,6 +52,7 @@
     ended: str = ""
     ended_at: float = 0.0
     is_stopped: bool = False
+    is_mute: bool = False
     prompt_tokens: int = 0
     target_id: str = ""
 
@@ -105,15 +106,17 @@
     is_cut_off : bool
         It works on, and nothing passes between it and anybody else.
     is_mute : bool
-        It works on what it gets and sends nothing of it.
+        It works on what it gets and sends nothing of it; a run that was mute stays so.
     works_on : bool
         It works on when the connection of a stream closes.
-    writes_twice : bool
-        It writes a second answer behind each whole one.
     names_no_request : bool
         Its refusals don't say which request they answer.
-    denies_runs : bool
-        Runs a plain request and refuses it then as not run.
+    denies_status : int
+        Status with which it says "not run" of a request that it did run; 0 for never.
+    turn_away_seconds : float
+        Time that it takes to turn a request away.
+    preface, surplus : bytes
+        What it sends before and behind each whole answer.
     deadly : frozenset of bytes
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
     on_crash : callable
@@ -157,9 +160,11 @@
         self.is_cut_off = False
         self.is_mute = False
         self.works_on = False
-        self.writes_twice = False
         self.names_no_request = False
-        self.denies_runs = False
+        self.denies_status = 0
+        self.turn_away_seconds = 0.0
+        self.preface = b""
+        self.surplus = b""
         self.deadly: frozenset[bytes] = frozenset()
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
@@ -232,9 +237,15 @@
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
         self.turned_away.append(request_id)
-        extra = [(b"Not-Run", b"1")] if status == 503 else [(b"Instance-Id", b"other")]
+        await asyncio.sleep(self.turn_away_seconds)
+        await self._send_refusal(status, request_id, responder)
+
+    async def _send_refusal(
+        self, status: int, request_id: str, responder: http_server.Responder
+    ) -> None:
+        extra = [(b"Instance-Id", b"other")] if status == 421 else [(b"Not-Run", b"1")]
         if not self.names_no_request:
-            extra.append((b"Request-Id", request_id.encode()))
+            extra.append((b"Request-Id", (self.answers_for or request_id).encode()))
         await responder.send_whole(http_head.AnswerHead(status, extra), b"")
 
     async def _run(
@@ -267,6 +278,10 @@
             self._note_end(run, "lost")
             responder.abort()
             return
+        if self.denies_status:
+            self._note_end(run, "denied")
+            await self._send_refusal(self.denies_status, request_id, responder)
+            return
         if self.length:
             await self._stream(run, responder)
             return
@@ -282,21 +297,14 @@
         if self.loses_answer:
             responder.abort()
             return
-        if self.denies_runs:
-            await self._turn_away(503, request_id, responder)
-            return
         head = http_head.AnswerHead(
             self.answer_status,
             [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
         )
+        connection = responder._connection  # a sound server offers no way to write such bytes
+        await connection.write(self.preface)
         await responder.send_whole(head, b"answer to " + request_id.encode())
-        await self._write_again(responder, request_id)
-
-    async def _write_again(self, responder: http_server.Responder, request_id: str) -> None:
-        """Write a second answer, where the runner does that."""
-        if self.writes_twice:
-            head = http_head.AnswerHead(200, [(b"Request-Id", request_id.encode())])
-            await responder.send_whole(head, b"second answer")
+        await connection.write(self.surplus)
 
     def _take_copy(self, copy_from: str, request_id: str) -> bool:
         """Use a copy that lies here: by handle, or one that grew with the run."""
@@ -313,12 +321,13 @@
         self._streams[run.request_id] = responder
         try:
             await self._read_prompt(run)
-            if not self.is_mute:
+            run.is_mute = self.is_mute
+            if not run.is_mute:
                 await responder.begin(head)
             await self._die_of(run)
             if await self._write_events(run, responder):
                 await responder.finish()
-                await self._write_again(responder, run.request_id)
+                await responder._connection.write(self.surplus)
         except asyncio.CancelledError:
             if self.works_on or self.is_cut_off:
                 task = asyncio.get_running_loop().create_task(self._write_events(run, None))
@@ -354,13 +363,14 @@
                 if responder is not None:
                     responder.abort()
                 return False
-            is_heard = not self.is_mute and not self.is_cut_off and number != self.skips_event
+            run.is_mute = run.is_mute or self.is_mute
+            is_heard = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_heard:
                 await responder.write(build_event(run.request_id, number))
             run.events = number
             self._grow_copy(run)
         self._note_end(run, "whole")
-        return not self.is_mute and not self.is_cut_off
+        return not run.is_mute and not self.is_cut_off
 
     def _note_end(self, run: RanRequest, ended: str) -> None:
         run.ended = run.ended or ended
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -171,7 +171,8 @@
     def take(self, switches: Switches) -> None:
         """Switch faults on and off."""
         for name, value in switches.fields.items():
-            setattr(self, name, value)
+            is_bytes = isinstance(getattr(self, name), bytes)
+            setattr(self, name, value.encode() if is_bytes else value)
         if switches.resets:
             self.reset_connections()
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -43,13 +43,15 @@
 HARM_SECONDS = (0.2, 4.0)
 BREAK_SECONDS = (0.0, 0.6)
 """Time from a runner's word that it drains to the break of its connections."""
+SECOND_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
 MISDEEDS: tuple[dict[str, Any], ...] = (
     {"is_mute": True},
     {"loses_answer": True},
     {"loses_copies": True},
     {"refuses": True},
     {"refuses": True, "names_no_request": True},
-    {"writes_twice": True},
+    {"surplus": SECOND_ANSWER},
+    {"preface": SECOND_ANSWER},
     {"answers_for": "another"},
     {"skips_event": STREAM_LENGTH // 2},
     {"breaks_at": STREAM_LENGTH // 2},
