--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -214,9 +214,7 @@
             self._mover.give_up(run)  # nobody would take it up; it may end here yet
         elif self._selector.is_evacuated(target) or not run.may_go_to(target):
             self._mover.move_again(run)
-        elif self._selector.is_cold(run.pool, target):
-            self._loop.call_later(WARMTH_CHECK_SECONDS, run.on_copied)  # cold; look again then
-        else:
+        elif not self._selector.is_cold(run.pool, target):  # else again with its next event
             stream.stopping = self._order_stop(stream, target)
 
     def _order_stop(
@@ -250,13 +248,14 @@
         assert stopping is not None
         if stopping.copy is not None and stopping.is_at_destination:
             continuation = runs.Continuation(continuation.target, stopping.copy)
-        outcome = await self._take_up(stream, continuation)
+        outcome, used = await self._take_up(stream, continuation), continuation.copy
         if isinstance(outcome, sending.NotRun):
             if outcome.sent:
                 stream.run.refused_by |= {continuation.target.target_id}
             outcome = await self._return_to_source(stream, stopping)
+            used = stopping.copy
         is_taken = isinstance(outcome, sending.Stream)
-        self._handovers.release(stopping, used=continuation.copy if is_taken else None)
+        self._handovers.release(stopping, used=used if is_taken else None)
         return is_taken
 
     async def _learn_end(
@@ -278,7 +277,8 @@
         refused = self._sender.refuse_held(stream.asked)
         if refused is not None:
             return refused
-        copy = await stopping.wait_for_copy(HANDOVER_SECONDS)
+        has_copy = stopping.evidence is handover.Evidence.STOPPED
+        copy = await stopping.wait_for_copy(HANDOVER_SECONDS) if has_copy else None
         if copy is None or not run.may_go_to(run.target):
             return sending.NotRun("no memory of the run is left where it may go", sent=False)
         return await self._take_up(stream, runs.Continuation(run.target, copy))
@@ -358,6 +358,8 @@
         """Send the request to another runner; the stream goes on with its answer if it is one."""
         run = stream.run
         began = self._loop.time()
+        for stopping in stream.left:
+            stopping.is_called_off |= stopping.run.target.target_id == target.target_id
         outcome = await self._sender.send(stream.asked, target, plan, run.tokens)
         taken = isinstance(outcome, sending.Stream)
         self._meters.continuations.labels(str(taken).lower()).inc()
