--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -13,11 +13,12 @@
 
 from tillerlane.gateway import http_head, http_server
 
-__all__ = ["PlatformRunner", "RanRequest", "build_event"]
+__all__ = ["MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
 SEAL = b"Response-Seal"
 NEW_PART_SECONDS = 0.01
 """Time of a repeated copy, which has only what is new to carry."""
+READING_CHECK_SECONDS = 0.05
 DEADLY_SECONDS = 0.08
 """Time from the beginning of a deadly request's run to the end of its runner."""
 
@@ -33,6 +34,8 @@
 
     Attributes
     ----------
+    target_id : str
+        Where it ran.
     events : int
         Events written.
     ended : str
@@ -49,11 +52,20 @@
     ended: str = ""
     ended_at: float = 0.0
     is_stopped: bool = False
+    is_mute: bool = False
     prompt_tokens: int = 0
+    target_id: str = ""
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether it is a run that goes on here: with a copy, behind an event that was sent."""
+        return bool(self.headers.get("kv-from") and self.headers.get("last-event-id"))
 
 
 @dataclasses.dataclass(slots=True)
-class _Copy:
+class MemoryCopy:
+    """A run's memory, as it lies at a runner."""
+
     request_id: str
     events: int
     source: "PlatformRunner"
@@ -94,7 +106,7 @@
     is_cut_off : bool
         It works on, and nothing passes between it and anybody else.
     is_mute : bool
-        It works on what it gets and sends nothing of it.
+        It works on what it gets and sends nothing of it; a run that was mute stays so.
     works_on : bool
         It works on when the connection of a stream closes.
     names_no_request : bool
@@ -138,7 +150,7 @@
         self.reading_seconds = reading_seconds
         self.ran: list[RanRequest] = []
         self.turned_away: list[str] = []
-        self.copies: dict[str, _Copy] = {}
+        self.copies: dict[str, MemoryCopy] = {}
         self.answer_status = 200
         self.refuses = False
         self.loses_answer = False
@@ -259,22 +271,29 @@
             asyncio.get_running_loop().time(),
             first,
             first - 1,
+            target_id=self.target_id,
         )
         self.ran.append(run)
         if self.loses_answer and self.length:
-            run.ended = "lost"
+            self._note_end(run, "lost")
             responder.abort()
             return
         if self.denies_status:
-            run.ended = "denied"
+            self._note_end(run, "denied")
             await self._send_refusal(self.denies_status, request_id, responder)
             return
         if self.length:
             await self._stream(run, responder)
             return
         await self._die_of(run)
-        await asyncio.sleep(self.pace)
-        run.ended = "whole"
+        try:
+            await asyncio.sleep(self.pace)
+        except asyncio.CancelledError:
+            self._note_end(run, "gone")
+            raise
+        self._note_end(run, "whole")
+        if self.is_mute:
+            await asyncio.sleep(3600)
         if self.loses_answer:
             responder.abort()
             return
@@ -298,16 +317,17 @@
         return True
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
-        if self.reading_seconds:
-            await asyncio.sleep(self.reading_seconds)
         head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
-        if not self.is_mute:
-            await responder.begin(head)
         self._streams[run.request_id] = responder
         try:
+            await self._read_prompt(run)
+            run.is_mute = self.is_mute
+            if not run.is_mute:
+                await responder.begin(head)
             await self._die_of(run)
             if await self._write_events(run, responder):
                 await responder.finish()
+                await responder._connection.write(self.surplus)
         except asyncio.CancelledError:
             if self.works_on or self.is_cut_off:
                 task = asyncio.get_running_loop().create_task(self._write_events(run, None))
@@ -322,6 +342,14 @@
         finally:
             self._streams.pop(run.request_id, None)
 
+    async def _read_prompt(self, run: RanRequest) -> None:
+        """Take the time that a request needs before its first event; a stop ends it."""
+        left = self.reading_seconds
+        while left > 0 and not run.is_stopped:
+            pause = min(READING_CHECK_SECONDS, left)
+            await asyncio.sleep(pause)
+            left -= pause
+
     async def _write_events(self, run: RanRequest, responder: http_server.Responder | None) -> bool:
         """Work on a run to its end, and tell a caller of it if there is one; False if cut short."""
         for number in range(run.events + 1, self.length + 1):
@@ -335,13 +363,14 @@
                 if responder is not None:
                     responder.abort()
                 return False
-            is_heard = not self.is_mute and not self.is_cut_off and number != self.skips_event
+            run.is_mute = run.is_mute or self.is_mute
+            is_heard = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_heard:
                 await responder.write(build_event(run.request_id, number))
             run.events = number
             self._grow_copy(run)
         self._note_end(run, "whole")
-        return not self.is_mute and not self.is_cut_off
+        return not run.is_mute and not self.is_cut_off
 
     def _note_end(self, run: RanRequest, ended: str) -> None:
         run.ended = run.ended or ended
@@ -358,7 +387,7 @@
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
-            backup.copies[run.request_id] = _Copy(run.request_id, run.events, self)
+            backup.copies[run.request_id] = MemoryCopy(run.request_id, run.events, self)
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """The run of a request that still goes on."""
@@ -402,7 +431,7 @@
         finally:
             self._carrying.discard(run.request_id)
         answer = {"handle": handle, "made": run.events}
-        copy = _Copy(run.request_id, run.events, self)
+        copy = MemoryCopy(run.request_id, run.events, self)
         status = 200
         if destination is None or destination.refuses:
             status = 503
