Have the folder of a test's keeper outlast the keeper's last write

Cause: test_trust failed once in tear-down, beside a load of over 40: 'directory not empty'. A keeper that stops leaves a write that is under way to its thread, and the test deleted the folder meanwhile. Change: the test waits for the loop's threads before it deletes the folder. Conclusion: the test's mistake; what a keeper leaves half written is torn, which its next start cuts.

--- a/tillerlane/daemon/tests/test_trust.py
+++ b/tillerlane/daemon/tests/test_trust.py
@@ -47,6 +47,9 @@
         }
         self.keeper = core.Daemon(settings.Settings.model_validate(values))
         await self.keeper.start()
+        # A write that was under way goes on in its thread; the folder must outlast it.
+        loop = asyncio.get_running_loop()
+        self.addAsyncCleanup(loop.shutdown_default_executor)
         self.addAsyncCleanup(self.keeper.stop)
 
     async def link_as(
