Have one copy of how a scene's run begins to move

Cause: five scenes of orders wrote the same four lines. Change: a method of their class. Conclusion: tests only; their assertions stay.

--- a/tillerlane/gateway/tests/test_handover_orders.py
+++ b/tillerlane/gateway/tests/test_handover_orders.py
@@ -65,6 +65,16 @@
         await asyncio.sleep(0.5)
         return first, call
 
+    async def move_to_second(
+        self, stage: gateway_lab.GatewayLab, seconds: float
+    ) -> platform_runner.PlatformRunner:
+        """Have another runner come and the first one leave, and wait so many seconds."""
+        second = await stage.add_runner("t2", "llm", length=LENGTH)
+        await asyncio.sleep(0.2)
+        stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+        await asyncio.sleep(seconds)
+        return second
+
     def check_overlap(self, stage: gateway_lab.GatewayLab) -> None:
         overlap = test_handover.measure_overlap(stage, "r1")
         self.assertLessEqual(overlap, test_handover.OVERLAP_SECONDS)
@@ -74,10 +84,7 @@
             first, call = await self.begin(stage)
             first.works_on = True
             lost = lose_first_stop(first)
-            second = await stage.add_runner("t2", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(0.2)
+            second = await self.move_to_second(stage, 0.2)
             self.assertEqual(len(lost), 1)
             first.reset_connections("r1")
             await asyncio.sleep(6.0)
@@ -120,10 +127,7 @@
                 return True
 
             intercept(first, take)
-            second = await stage.add_runner("t2", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(0.2)
+            second = await self.move_to_second(stage, 0.2)
             self.assertTrue(pushed_aside)
             before = first.ran[0].events
             await asyncio.sleep(0.5)
@@ -149,10 +153,7 @@
                 return True
 
             intercept(first, take)
-            second = await stage.add_runner("t2", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(1.5)
+            second = await self.move_to_second(stage, 1.5)
             self.assertEqual(len(second.ran), 1, "the run stays at the runner that leaves")
             call.cancel()
 
@@ -176,10 +177,7 @@
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first, call = await self.begin(stage)
             lost = lose_first_stop(first)
-            second = await stage.add_runner("t2", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(0.2)
+            second = await self.move_to_second(stage, 0.2)
             self.assertEqual(len(lost), 1)
             stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
             drained_at = asyncio.get_running_loop().time()
@@ -229,10 +227,7 @@
                 stage.call("entry-1", "record", "r1", wait_ms=15_000, **gateway_scenes.LONG)
             )
             await asyncio.sleep(0.5)
-            second = await stage.add_runner("t2", "llm", length=LENGTH)
-            await asyncio.sleep(0.2)
-            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
-            await asyncio.sleep(4.0)
+            second = await self.move_to_second(stage, 4.0)
             self.assertEqual(first.ran[0].ended, "stopped")
             self.assertEqual(len(second.ran), 1, "the runner said that it stopped the run")
             call.cancel()
