Log the limits that targets name, and which target ended a request well

An entry now records target.limit when an answer's limit is news, target.limit_unread when what is named is no number, and request.end names the target, so that the sends to a target behind its word can be counted per entry. A limit is taken from an answer that names this request and is no 421. Nothing is decided by it yet.

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -89,11 +89,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFacts:
-    """What a target's head says, decoded; `did_run` is False only where the target vouches."""
+    """What a target's head says, decoded.
+
+    Attributes
+    ----------
+    did_run : bool
+        False only where the target vouches.
+    rate_limit : float or None
+        Requests a second that the target takes from all entries together; None if it names no limit
+        that can be read.
+    unread_limit : str
+        What it names as its limit, if that can't be read.
+    """
 
     request_id: str
     did_run: bool
     is_other_target: bool
+    rate_limit: float | None = None
+    unread_limit: str = ""
 
 
 class MoveOutcome(enum.StrEnum):
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -16,6 +16,7 @@
     homes,
     http_head,
     http_server,
+    limits,
     meters,
     quarantine,
     relay,
@@ -148,6 +149,7 @@
         self._startup = startup.Startup()
         self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
         self.quarantine.tell = self._tell_ends
+        self.limits = limits.Limits()
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
         ends = endings.Endings(self.usage, self.quarantine, self.timeline, self._meters)
@@ -162,6 +164,7 @@
             self.directory,
             ends,
             self.quarantine,
+            self.limits,
         )
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
@@ -281,11 +284,11 @@
             self.timeline.record("config.unreadable", message=error.fault.message)
             return
         self._gate.table = table
-        limits = table.limits
-        self._limits.header_bytes = limits.max_header_bytes
-        self._limits.body_bytes = limits.max_body_bytes
-        self._limits.header_seconds = limits.header_seconds
-        self._limits.idle_seconds = limits.idle_seconds
+        bounds = table.limits
+        self._limits.header_bytes = bounds.max_header_bytes
+        self._limits.body_bytes = bounds.max_body_bytes
+        self._limits.header_seconds = bounds.header_seconds
+        self._limits.idle_seconds = bounds.idle_seconds
         self.timeline.record("config.in_force", version=table.version, routes=len(table.routes))
         self.homes.ask_again()
         if not table.workspaces:
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -84,7 +84,7 @@
         if isinstance(tried.outcome, sending.Stream):
             await self._streams.serve(asked, responder, tried)
         else:
-            await self._answer(asked, responder, tried.outcome)
+            await self._answer(asked, responder, tried)
 
     async def _wait_ready(self, request: http_server.Request) -> None:
         """Have a request that came before the configuration wait for it a while."""
@@ -119,15 +119,16 @@
         self,
         asked: admissions.Admission,
         responder: http_server.Responder,
-        outcome: sending.Outcome,
+        tried: sending.Tried,
     ) -> None:
         """Answer a caller who has got nothing yet."""
+        outcome = tried.outcome
         request_id = asked.facts.request_id
         if isinstance(outcome, sending.Whole):
             headers = http_head.list_end_to_end(outcome.head.headers)
             head = http_head.AnswerHead(outcome.head.status, headers)
             await responder.send_whole(head, outcome.body)
-            self._note_answer(asked, outcome.head.status)
+            self._note_answer(asked, tried, outcome.head.status)
         elif isinstance(outcome, sending.NotRun):
             refusal = admissions.Refusal(503, outcome.reason, outcome.retry_after)
             await self._refuse(request_id, asked.route.name, responder, refusal)
@@ -149,7 +150,7 @@
             waited_ms=int((self._loop.time() - asked.request.arrived) * 1000),
         )
 
-    def _note_answer(self, asked: admissions.Admission, status: int) -> None:
+    def _note_answer(self, asked: admissions.Admission, tried: sending.Tried, status: int) -> None:
         """Note a whole answer that a target gave."""
         if status < 400:
             self._quarantine.note_good(asked.fingerprint)
@@ -162,6 +163,7 @@
             fingerprint=asked.fingerprint,
             route=asked.route.name,
             version=asked.version,
+            target=tried.target.target_id if tried.target is not None else "",
             status=status,
             took_ms=int(seconds * 1000),
         )
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -14,7 +14,15 @@
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import endings as ends
-from tillerlane.gateway import exchanges, http_client, http_head, quarantine, routes, selection
+from tillerlane.gateway import (
+    exchanges,
+    http_client,
+    http_head,
+    limits,
+    quarantine,
+    routes,
+    selection,
+)
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import usage as usages
@@ -153,6 +161,8 @@
         Asks after targets that broke off.
     quarantined : quarantine.Quarantine
         Tells which requests go to no target.
+    named_limits : limits.Limits
+        Takes the limits that targets name.
     """
 
     def __init__(
@@ -167,7 +177,9 @@
         directory: directories.Directory,
         endings: ends.Endings,
         quarantined: quarantine.Quarantine,
+        named_limits: limits.Limits,
     ) -> None:
+        self._limits = named_limits
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
@@ -218,7 +230,7 @@
                     return NotRun(problem, sent=False)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
-                outcome = await self._read_answer(asked, exchange)
+                outcome = await self._read_answer(asked, target, exchange)
             keep = isinstance(outcome, Stream)
             self._judge(target, outcome)
             return outcome
@@ -253,11 +265,17 @@
         return NotRun(reason, sent=False, retry_after=HELD_RETRY_SECONDS) if reason else None
 
     async def _read_answer(
-        self, asked: admissions.Admission, exchange: http_client.Exchange
+        self,
+        asked: admissions.Admission,
+        target: directories.Target,
+        exchange: http_client.Exchange,
     ) -> Outcome:
         head = await exchange.read_head()
         facts = self._dialect.read_answer(head)
-        if facts.request_id != asked.facts.request_id:
+        is_of_request = facts.request_id == asked.facts.request_id
+        if is_of_request and not facts.is_other_target:
+            self._note_limit(asked, target, facts)
+        if not is_of_request:
             # Each answer of a target names its request; what does not is nobody's word on this one.
             named = facts.request_id or "none"
             raise http_client.AnswerBroken(f"answer to another request: {named}", sent=True)
@@ -271,6 +289,32 @@
             return Unknown(f"status {head.status} without a promise")
         return Whole(head, body)
 
+    def _note_limit(
+        self,
+        asked: admissions.Admission,
+        target: directories.Target,
+        facts: dialects.AnswerFacts,
+    ) -> None:
+        """Keep what a target's answer names as its limit; what can't be read changes nothing."""
+        if facts.unread_limit:
+            self._timeline.record(
+                "target.limit_unread",
+                request_id=asked.facts.request_id,
+                target=target.target_id,
+                named=facts.unread_limit,
+            )
+            return
+        word = self._limits.note_answer(target.target_id, facts.rate_limit, self._loop.time())
+        if word is not None:
+            self._timeline.record(
+                "target.limit",
+                request_id=asked.facts.request_id,
+                target=target.target_id,
+                address=target.address,
+                limit=word.limit,
+                is_named=word.bare_since is None,
+            )
+
     def _judge(self, target: directories.Target, outcome: Outcome) -> None:
         """Keep whether a target is worth another request."""
         if not isinstance(outcome, NotRun):
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -148,6 +148,27 @@
         self.assertFalse(read_answer(421))
         self.assertTrue(read_answer(429))
 
+    def read_limit(self, *values: bytes) -> tuple[float | None, str]:
+        """Limit, and what could not be read, of an answer that names these values."""
+        headers = [(b"server-limit", value) for value in values]
+        facts = wire.read_answer(http_head.AnswerHead(200, headers))
+        return facts.rate_limit, facts.unread_limit
+
+    def test_limit_that_a_target_names_is_a_plain_decimal_number(self) -> None:
+        self.assertEqual(self.read_limit(), (None, ""))
+        for value, limit in ((b"1.9", 1.9), (b" 12 ", 12.0), (b"0", 0.0), (b"0.25", 0.25)):
+            self.assertEqual(self.read_limit(value), (limit, ""))
+        self.assertEqual(self.read_limit(b"1.9", b"1.9"), (1.9, ""))
+
+    def test_limit_that_is_no_number_is_not_taken(self) -> None:
+        bad = (b"-1", b"+2", b"nan", b"inf", b"", b" ", b"1e308", b"1e3", b"0x1f", b"1_0", b"1.")
+        for value in (*bad, b"9" * 10_000, b"1,9", "\u0661".encode()):
+            with self.subTest(value=value[:20]):
+                limit, unread = self.read_limit(value)
+                self.assertIsNone(limit)
+                self.assertLessEqual(len(unread), wire.MAX_NAME_LETTERS)
+        self.assertEqual(self.read_limit(b"1.9", b"2.5"), (None, "1.9, 2.5"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -119,6 +119,8 @@
         What it sends before and behind each whole answer.
     deadly : frozenset of bytes
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
+    limit : str
+        Requests a second that it names as its limit in each answer; empty for none.
     on_crash : callable
         Called when one did.
     skips_event, breaks_at : int
@@ -166,6 +168,7 @@
         self.preface = b""
         self.surplus = b""
         self.deadly: frozenset[bytes] = frozenset()
+        self.limit = ""
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
         self.skips_event = 0
@@ -244,6 +247,7 @@
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
         extra = [(b"Instance-Id", b"other")] if status == 421 else [(b"Not-Run", b"1")]
+        extra += self._list_limit()
         if not self.names_no_request:
             extra.append((b"Request-Id", (self.answers_for or request_id).encode()))
         await responder.send_whole(http_head.AnswerHead(status, extra), b"")
@@ -299,13 +303,20 @@
             return
         head = http_head.AnswerHead(
             self.answer_status,
-            [(b"Request-Id", (self.answers_for or request_id).encode()), (SEAL, b"s.1")],
+            [
+                (b"Request-Id", (self.answers_for or request_id).encode()),
+                (SEAL, b"s.1"),
+                *self._list_limit(),
+            ],
         )
         connection = responder._connection  # a sound server offers no way to write such bytes
         await connection.write(self.preface)
         await responder.send_whole(head, b"answer to " + request_id.encode())
         await connection.write(self.surplus)
 
+    def _list_limit(self) -> http_head.Headers:
+        return [(b"Server-Limit", self.limit.encode())] if self.limit else []
+
     def _take_copy(self, copy_from: str, request_id: str) -> bool:
         """Use a copy that lies here: by handle, or one that grew with the run."""
         handle = copy_from.rpartition("/")[2]
@@ -317,7 +328,8 @@
         return True
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
-        head = http_head.AnswerHead(200, [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2")])
+        headers = [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2"), *self._list_limit()]
+        head = http_head.AnswerHead(200, headers)
         self._streams[run.request_id] = responder
         try:
             await self._read_prompt(run)
