Keep to the limits that targets name, over all entries together

Reading it at each entry alone would not do: four entries that each keep to 1.9 a second send 7.6. The class is a limit that holds for the sum and is kept by parts that each see their own share.

Change: entries tell the word to the keepers, these to all entries, merged by the time of the answer (gateway/limits.py). The leader of the log gives permits from a bucket for each target, an entry asks while requests could use them (gateway/grants.py, gateway/permits.py); what is saved up, given out and held for a while fits below the limit and 5 requests in any 4 s (decisions/limits.py, which also has the shares by lot of cold targets, formerly decisions/cold.py). While no leader gives any, entries keep to shares by lot of half the limit. Every way to a target asks at the send. Where all targets left are limited, what exceeds is refused at once, and callers are told to come back one after another.

News of targets is generic, so that limits share its pacing.

--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -10,7 +10,7 @@
 import timeit
 
 from tillerlane.decisions import placing
-from tillerlane.gateway import cold, loads, routes, selection
+from tillerlane.gateway import cold, limits, loads, permits, routes, selection
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import codec, messages
@@ -67,7 +67,10 @@
     for _ in range(REQUESTS):
         usage.note_request("llm", 0.0)
     sends = cold.ColdSends("entry-0", cold.ColdBounds(1.5, 5.0))
-    return selection.Selector(directory, usage, sends, "hall-a", random.Random(1), lambda: 0.0)
+    permitted = permits.Permits("entry-0", limits.Limits(), lambda: 0.0)
+    return selection.Selector(
+        directory, usage, sends, permitted, "hall-a", random.Random(1), lambda: 0.0
+    )
 
 
 def measure_choice(entries: int, targets: int) -> float:
--- a/tillerlane/gateway/cold.py
+++ b/tillerlane/gateway/cold.py
@@ -2,9 +2,8 @@
 
 import collections
 import dataclasses
-import hashlib
 
-from tillerlane.decisions import cold
+from tillerlane.decisions import limits
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import routes
 
@@ -45,8 +44,9 @@
         if target.warm_at <= now or pool.cold_rate <= 0:
             return True
         most = pool.cold_rate * self._bounds.over + self._bounds.slack
-        rate = cold.Rate(pool.cold_rate, most)
-        share = cold.count_share(rate, entries, self._draw_lot(target.target_id))
+        rate = limits.Rate(pool.cold_rate, most)
+        lot = limits.draw_lot(self._entry, target.target_id)
+        share = limits.count_share(rate, entries, lot)
         sent = self._sent.get(target.target_id, ())
         return sum(at > now - WINDOW_SECONDS for at in sent) < share
 
@@ -59,7 +59,3 @@
         times.append(now)
         while times[0] <= now - WINDOW_SECONDS:
             times.popleft()
-
-    def _draw_lot(self, target_id: str) -> float:
-        digest = hashlib.blake2b(f"{self._entry}:{target_id}".encode(), digest_size=4).digest()
-        return int.from_bytes(digest) / 2**32
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -12,7 +12,17 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, incarnations, loads, meters, news, suspects, verdicts
+from tillerlane.gateway import (
+    grants,
+    homes,
+    incarnations,
+    limits,
+    loads,
+    meters,
+    news,
+    suspects,
+    verdicts,
+)
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -123,6 +133,8 @@
             lambda targets: self._send_to_keepers(directories.write_states(targets)),
         )
         self._to_subscribers = news.News(NEWS_SECONDS, self._tell_subscribers)
+        self.limits = limits.Limits()
+        self._limits_to_tell = news.News(SPREAD_SECONDS, self._tell_limits)
         self._whole: messages.TargetStates | None = None
         self._whole_at = 0.0
         self._changed_since_whole: dict[str, directories.Target] = {}
@@ -167,6 +179,9 @@
             lambda: int(self._around.now() * 1000),
             self.timeline,
         )
+        self.grants = grants.Grants(
+            self.limits, self._read_leading_term, self._get_leader, self._loop.time
+        )
         self._told_orders = 0
         """Version of the orders that subscribers were told."""
         state.published.listen(self._note_publication)
@@ -193,6 +208,17 @@
     def _get_link(self, address: str) -> links.Link | None:
         return self.node.dial(address).link
 
+    def _read_leading_term(self) -> int | None:
+        """The term in which this keeper leads; None without the lease."""
+        is_leading = self.replica.is_leading and self.replica.has_lease
+        return self.replica.storage.term if is_leading else None
+
+    def _get_leader(self) -> links.Link | None:
+        """Link to the keeper that leads; None without one, or if it is this one."""
+        leader = self.replica.voters.get(self.replica.leader)
+        is_own = self.replica.leader == self._own.name
+        return self._get_link(leader.address) if leader is not None and not is_own else None
+
     # Life
 
     async def start(self) -> None:
@@ -270,6 +296,7 @@
             now = self._loop.time()
             self.directory.mark_silent(now - self._own.silent_seconds)
             self.directory.forget_old(now)
+            self.limits.forget_unknown(self.directory.targets, now)
             subscribed = {item.entry for item in self._subscribers.values()}
             for entry, heard_at in list(self._entries.items()):
                 if now - heard_at > ENTRY_SECONDS and entry not in subscribed:
@@ -282,6 +309,8 @@
             await self.freshness.wait_known()
             self._push_publication()
             exchange.send(self.freshness.build_reply())
+        elif isinstance(body, messages.PermitRequest):
+            exchange.send(await self.grants.serve(body))
         elif not await self.keeper.serve(exchange, body):
             message = f"keepers serve no {type(body).__name__}"
             raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
@@ -308,6 +337,15 @@
                 self._loads.take_passed(body, self._loop.time())
             case messages.TargetEnds():
                 self.verdicts.take(suspects.read_ends(body))
+            case messages.TargetLimits():
+                for word in self.limits.take(limits.read_words(body)):
+                    self._limits_to_tell.add(word)
+
+    def _tell_limits(self, words: list[limits.Word]) -> None:
+        """Tell other keepers and the entries what targets have named."""
+        message = limits.write_words(words)
+        self._send_to_keepers(message)
+        self._send_to_subscribers(message)
 
     def _greet(self, link: links.Link) -> None:
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
@@ -315,6 +353,7 @@
             self._greeted.add(link)
             self._send_whole(link)
             links.try_send(link, self.verdicts.write_for_keeper())
+            links.try_send(link, limits.write_words(self.limits.list_all()))
 
     def _note_down(self, link: links.Link) -> None:
         self._greeted.discard(link)
@@ -334,6 +373,7 @@
         # Orders go first: an entry may send requests as soon as it has a publication.
         links.try_send(link, self.replica.machine.store.build_delta(0))
         links.try_send(link, self.verdicts.write_for_entry())
+        links.try_send(link, limits.write_words(self.limits.list_all()))
         self._send_publication(link)
         self._send_whole(link)
 
@@ -463,6 +503,8 @@
             age_ms=int((self._loop.time() - target.heard_at) * 1000),
             cold_ms=max(0, int((target.warm_at - self._loop.time()) * 1000)),
         )
+        if target.phase is directories.Phase.GONE:
+            self.limits.forget(target.target_id)
         if target.is_over and former is not None:
             # Whoever hears of the present incarnation ends the former one, and first hears until
             # when that one lived: entries are not told each heartbeat.
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -18,6 +18,7 @@
     http_server,
     limits,
     meters,
+    permits,
     quarantine,
     relay,
     runs,
@@ -134,10 +135,15 @@
         self.directory = directories.Directory()
         self.usage = usages.Usage(own.name)
         self._budget = budgets.RetryBudget(own.retries)
+        self.limits = limits.Limits()
+        self.permits = permits.Permits(own.name, self.limits, self._loop.time)
+        self.permits.ask = self._ask_permits
+        self.permits.on_answered = self._note_permits
         selector = selection.Selector(
             self.directory,
             self.usage,
             colds.ColdSends(own.name, own.cold),
+            self.permits,
             own.data_hall,
             rng or random.Random(),
             self._loop.time,
@@ -149,7 +155,6 @@
         self._startup = startup.Startup()
         self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
         self.quarantine.tell = self._tell_ends
-        self.limits = limits.Limits()
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
         ends = endings.Endings(self.usage, self.quarantine, self.timeline, self._meters)
@@ -166,6 +171,7 @@
             self.quarantine,
             self.limits,
         )
+        sender.tell_limit = self._tell_limit
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
             sender,
@@ -240,6 +246,7 @@
         self._tasks = [
             self._loop.create_task(self.homes.run()),
             self._loop.create_task(self._tell_loads()),
+            self._loop.create_task(self.permits.run()),
         ]
         self.timeline.record("daemon.start", role="entry", seeds=list(self._own.seeds))
 
@@ -266,6 +273,8 @@
         self._meters.loads_age.set_function(lambda: self.usage.read_age(self._loop.time()) or 0.0)
         self._meters.busy.set_function(self._front.count_busy)
         self._meters.quarantined.set_function(self.quarantine.count_held)
+        self._meters.limits.set_function(lambda: self.limits.count_in_force(self._loop.time()))
+        self._meters.unused_permits.set_function(lambda: self.permits.unused)
         self._meters.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._meters.evacuated.set_function(lambda: len(self.directory.evacuated))
 
@@ -321,6 +330,7 @@
     def _note_entries(self, number: int) -> None:
         self._budget.entries = number
         self.usage.entries = number
+        self.permits.entries = number
 
     def _note_peer_version(self, link: links.Link, version: int) -> None:
         """Pull the publication from a peer that is ahead."""
@@ -342,6 +352,30 @@
         for link in self.homes.list_links():
             links.try_send(link, message)
 
+    def _tell_limit(self, word: limits.Word) -> None:
+        """Tell all keepers listened to what a target has named."""
+        message = limits.write_words([word])
+        for link in self.homes.list_links():
+            links.try_send(link, message)
+
+    def _note_permits(self, is_answered: bool, reason: str) -> None:
+        self.timeline.record("permits.owner", answers=is_answered, reason=reason)
+
+    async def _ask_permits(self, wishes: list[messages.PermitWish]) -> list[messages.PermitGrant]:
+        """Ask for permits through the keeper that is told this entry's load.
+
+        Raises
+        ------
+        links.LinkLost, faults.FaultError
+            Without an answer.
+        """
+        link = self.homes.get_primary()
+        if link is None:
+            raise links.LinkLost("no keeper to ask for permits")
+        reply = await link.call(messages.PermitRequest(wishes), permits.ANSWER_SECONDS)
+        assert isinstance(reply, messages.PermitReply)
+        return reply.grants
+
     async def _serve_peer(self, exchange: links.Exchange, body: messages.Body) -> None:
         return None
 
@@ -357,6 +391,8 @@
                 self._take_digest(link, body)
             case messages.TargetEnds():
                 self.quarantine.take(suspects.read_ends(body))
+            case messages.TargetLimits():
+                self._take_limits(limits.read_words(body))
 
     def _take_states(self, states: messages.TargetStates) -> None:
         """Take word of targets, and log what changed; of very many only how many they are."""
@@ -377,8 +413,22 @@
                 cold_ms=max(0, int((target.warm_at - now) * 1000)),
             )
 
+    def _take_limits(self, words: list[limits.Word]) -> None:
+        """Take what keepers tell of limits that targets have named."""
+        for word in self.limits.take(words):
+            self.timeline.record(
+                "target.limit",
+                target=word.target_id,
+                limit=word.limit,
+                is_named=word.bare_since is None,
+                age_ms=int((self._loop.time() - word.named_at) * 1000),
+            )
+
     def _note_over(self, target: directories.Target, former: directories.Phase | None) -> None:
-        """Forget what was learned of a target that has started again."""
+        """Forget what was learned of a target that has ended or started again."""
+        if target.phase is directories.Phase.GONE:
+            self.limits.forget(target.target_id)
+            self.permits.forget(target.target_id)
         if not target.is_over:
             return
         self.usage.forget_pace(target.address)
@@ -408,6 +458,7 @@
             await self._pause_loads()
             now = self._loop.time()
             self.directory.forget_old(now)
+            self.limits.forget_unknown(self.directory.targets, now)
             if self.usage.forget_others(now):
                 self.timeline.record("loads.lost", after_s=usages.OTHERS_SECONDS)
             link = self.homes.get_primary()
--- a/tillerlane/gateway/limits.py
+++ b/tillerlane/gateway/limits.py
@@ -5,10 +5,14 @@
 any order, over any way and more than once come to the same table.
 """
 
+import asyncio
 import dataclasses
+import math
 from collections.abc import Iterable
 
-__all__ = ["LIFT_SECONDS", "Limits", "Word"]
+from tillerlane.peers import codec, messages
+
+__all__ = ["LIFT_SECONDS", "Limits", "Word", "read_words", "write_words"]
 
 LIFT_SECONDS = 1.0
 """How long a target's answers must name no limit until it counts as lifted: answers overtake each
@@ -17,6 +21,13 @@
 """How much later a naming must be to be news where its value has not changed."""
 FORGET_SECONDS = 60.0
 """How long the word of a target that is not known is kept."""
+MAX_LETTERS = 200
+"""Bound on a target's id, in letters; the longest met has 25."""
+MAX_WORDS = 20_000
+"""Bound on memory, as on targets."""
+MAX_AGE_MS = 2**31
+_NOT_BARE = -1
+"""Age told of a target whose latest answer named its limit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +81,10 @@
     def __len__(self) -> int:
         return len(self._words)
 
+    def count_in_force(self, now: float) -> int:
+        """Targets whose limits hold."""
+        return sum(word.is_in_force(now) for word in self._words.values())
+
     def find(self, target_id: str, now: float) -> float | None:
         """A target's limit in requests a second; None without one in force."""
         word = self._words.get(target_id)
@@ -97,6 +112,8 @@
         return self._put(word.merge(known) if known is not None else word)
 
     def _put(self, word: Word) -> Word | None:
+        if word.target_id not in self._words and len(self._words) >= MAX_WORDS:
+            return None
         self._words[word.target_id] = word
         shared = self._shared.get(word.target_id)
         if shared is not None and not word.is_news_after(shared):
@@ -115,7 +132,49 @@
 
     def forget_unknown(self, known: Iterable[str], now: float) -> None:
         """Drop old words of targets that are not among the known ones."""
+        if not self._words:
+            return
         kept = frozenset(known)
         for word in self.list_all():
             if word.target_id not in kept and now - word.named_at > FORGET_SECONDS:
                 self.forget(word.target_id)
+
+
+def write_words(words: Iterable[Word]) -> messages.TargetLimits:
+    """Words as a message; ages are those of the moment of writing."""
+    now = asyncio.get_running_loop().time()
+    rows = list(words)
+
+    def read_age(at: float) -> int:
+        return min(max(0, round((now - at) * 1000)), MAX_AGE_MS)
+
+    table = messages.LimitTable(
+        [word.target_id for word in rows],
+        [word.limit for word in rows],
+        [read_age(word.named_at) for word in rows],
+        [_NOT_BARE if word.bare_since is None else read_age(word.bare_since) for word in rows],
+    )
+    return messages.TargetLimits(codec.write_table(table))
+
+
+def read_words(message: messages.TargetLimits) -> list[Word]:
+    """Words from a message; rows that name no target, or no limit that can be, are passed over.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if it can't be read.
+    """
+    now = asyncio.get_running_loop().time()
+    table = codec.read_table(message.table, messages.LimitTable)
+    rows = zip(table.target_ids, table.limits, table.named_ms, table.bare_ms, strict=True)
+    return [
+        Word(
+            target_id,
+            limit,
+            now - named_ms / 1000,
+            None if bare_ms == _NOT_BARE else now - bare_ms / 1000,
+        )
+        for target_id, limit, named_ms, bare_ms in rows
+        if 0 < len(target_id) <= MAX_LETTERS and math.isfinite(limit) and limit >= 0
+    ]
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -47,6 +47,10 @@
     """Requests that the log holds back, by what is in force here."""
     suspects: prometheus_client.Gauge
     """Requests under which a target has ended."""
+    limits: prometheus_client.Gauge
+    """Targets whose named limits are in force here."""
+    unused_permits: prometheus_client.Gauge
+    """Permits for such targets that ended unused, since the start."""
 
 
 def build_entry_meters() -> EntryMeters:
@@ -81,6 +85,8 @@
         gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
         gauge("tillerlane_quarantined_requests", "Requests that the log holds back"),
         gauge("tillerlane_suspected_requests", "Requests under which a target has ended"),
+        gauge("tillerlane_named_limits", "Targets whose named limits are in force"),
+        gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
     )
 
 
--- a/tillerlane/gateway/news.py
+++ b/tillerlane/gateway/news.py
@@ -2,16 +2,23 @@
 
 import asyncio
 from collections.abc import Callable
-
-from tillerlane.gateway import directory as directories
+from typing import Generic, Protocol, TypeVar
 
 __all__ = ["News"]
 
-Send = Callable[[list[directories.Target]], None]
+
+class _OfTarget(Protocol):
+    """What is told of one target."""
+
+    @property
+    def target_id(self) -> str: ...
+
+
+Item = TypeVar("Item", bound=_OfTarget)
 
 
-class News:
-    """Targets of which there is something to tell.
+class News(Generic[Item]):
+    """What there is to tell of targets, the latest of each.
 
     Guards against a fleet's common start: with 3,001 targets heard of within a second and 118
     subscribers a keeper, a message for each target and subscriber took a keeper 5 s of a core, and
@@ -22,19 +29,19 @@
     pause : float
         Least seconds between two messages, and longest that something waits.
     send : callable
-        Tells of some targets.
+        Tells of some items.
     """
 
-    def __init__(self, pause: float, send: Send) -> None:
+    def __init__(self, pause: float, send: Callable[[list[Item]], None]) -> None:
         self._pause = pause
         self._send = send
-        self._targets: dict[str, directories.Target] = {}
+        self._items: dict[str, Item] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = -pause
 
-    def add(self, target: directories.Target, *, is_urgent: bool = True) -> None:
+    def add(self, item: Item, *, is_urgent: bool = True) -> None:
         """Tell of a target: if it is urgent as soon as the last message is a pause old."""
-        self._targets[target.target_id] = target
+        self._items[item.target_id] = item
         now = asyncio.get_running_loop().time()
         due = max(now, self._sent_at + self._pause) if is_urgent else now + self._pause
         if self._timer is not None:
@@ -46,5 +53,5 @@
     def _flush(self) -> None:
         self._timer = None
         self._sent_at = asyncio.get_running_loop().time()
-        targets, self._targets = list(self._targets.values()), {}
-        self._send(targets)
+        items, self._items = list(self._items.values()), {}
+        self._send(items)
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -312,7 +312,7 @@
         """The least loaded runner with room for the run; in the end any, whose word it is."""
         hall = run.target.data_hall
         work = placing.Work(run.tokens, events=run.events_left)
-        found = self._selector.choose(run.pool, work, excluded, hall)
+        found = self._selector.choose(run.pool, work, excluded, hall, is_sent_now=False)
         if found is None or self._selector.has_room(run.pool, found, run.tokens, 1.0):
             return found
         waited = asyncio.get_running_loop().time() - run.leaving_since
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -7,7 +7,7 @@
 from tillerlane.decisions import placing
 from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import loads, routes
+from tillerlane.gateway import loads, permits, routes
 from tillerlane.gateway import usage as usages
 
 __all__ = ["Caution", "Selector"]
@@ -37,8 +37,8 @@
 """Seconds of waiting that a target still slow from its start counts as."""
 POOL_PACE_SECONDS = 1.0
 """How long a pool's pace is used before it is read again; it is smoothed over 20 s."""
-FIRST_RANK = (False, False, False)
-"""Neither silent nor avoided nor full."""
+FIRST_RANK = (False, False, False, False)
+"""Neither silent nor avoided nor limited nor full."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +84,8 @@
         What is under way at each.
     cold : colds.ColdSends
         What this entry has sent to cold ones.
+    permitted : permits.Permits
+        What it may send to those that have named limits.
     data_hall : str
         This entry's data hall.
     rng : random.Random
@@ -97,6 +99,7 @@
         directory: directories.Directory,
         usage: usages.Usage,
         cold: colds.ColdSends,
+        permitted: permits.Permits,
         data_hall: str,
         rng: random.Random,
         now: Callable[[], float],
@@ -105,6 +108,7 @@
         self._directory = directory
         self._usage = usage
         self._cold = cold
+        self._permits = permitted
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
@@ -124,10 +128,13 @@
         work: placing.Work,
         excluded: Collection[str],
         source_hall: str | None = None,
+        *,
+        is_sent_now: bool = True,
     ) -> directories.Target | None:
         """The target at which work costs least, of some that are not `excluded` (ids).
 
-        None without any.  Silent, avoided and full targets come last, in that order.
+        None without any.  Silent, avoided, limited and full targets come last, in that order; those
+        whose limit leaves nothing to this entry are left out of what `is_sent_now`.
 
         With `source_hall` it is a run whose memory has to be copied, which takes longer between
         halls.
@@ -141,7 +148,7 @@
             unheard += self._count_moving(pool, source_hall)
             near = [target for target in listed if target.data_hall == source_hall]
             groups = [near, [target for target in listed if target.data_hall != source_hall]]
-        found = self._draw_best(pool, work, groups, excluded, unheard, now)
+        found = self._draw_best(pool, work, groups, excluded, unheard, is_sent_now)
         if not found:
             return None
         pace = self._read_pace(pool, listed, now)
@@ -172,11 +179,13 @@
         groups: list[list[directories.Target]],
         excluded: Collection[str],
         unheard: float,
-        now: float,
+        is_sent_now: bool,
     ) -> list[tuple[directories.Target, loads.Use]]:
         """Draw some targets of each group, with what is under way at each; the best rank only."""
+        now = self._now()
         found: list[tuple[directories.Target, loads.Use]] = []
-        best = (True, True, True)
+        best = (True, True, True, True)
+        wishes = permits.MOST_WISHES if is_sent_now else 0
         for group in groups:
             wished = placing.count_candidates(len(group), unheard)
             drawn = 0
@@ -187,10 +196,17 @@
                     continue
                 if not self._bears_more(pool, target, now):
                     continue
+                is_limited = not self._permits.may_send(target.target_id)
+                if is_limited and wishes > 0:
+                    self._permits.wish(target.target_id)
+                    wishes -= 1
+                if is_limited and is_sent_now:
+                    continue
                 use = self._usage.read(target.address)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     self.caution.is_avoided(target.target_id, now),
+                    is_limited,
                     not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
                 )
                 if rank > best:
@@ -245,14 +261,25 @@
         """
         if self.is_evacuated(target):
             return f"{target.data_hall} was evacuated meanwhile"
-        if self.is_cold(pool, target):
+        if not self._bears_more(pool, target, self._now()):
             return f"{target.address} is cold and has this entry's share"
+        if not self._permits.may_send(target.target_id):
+            return f"{target.address} has named a limit, and no permit is held for it"
         self._cold.note_sent(target, self._now())
+        self._permits.note_sent(target.target_id)
         return ""
 
-    def is_cold(self, pool: routes.Pool, target: directories.Target) -> bool:
-        """Whether a target is cold and has got this entry's share."""
-        return not self._bears_more(pool, target, self._now())
+    def is_held_up(self, pool: routes.Pool, target: directories.Target) -> bool:
+        """Whether a target is cold or limited and gets nothing of this entry now.
+
+        Permits are asked for where that would help.
+        """
+        if not self._bears_more(pool, target, self._now()):
+            return True
+        is_limited = not self._permits.may_send(target.target_id)
+        if is_limited:
+            self._permits.wish(target.target_id)
+        return is_limited
 
     def is_evacuated(self, target: directories.Target) -> bool:
         """Whether a target's data hall gets nothing new."""
@@ -267,6 +294,15 @@
         listed = self._directory.list_pool(pool.name)
         return min((item.warm_at - now for item in listed if item.warm_at > now), default=0.0)
 
+    def read_limit(self, target: directories.Target) -> float | None:
+        """What a target has named as its limit, in requests a second; None without one in force."""
+        return self._permits.find_limit(target.target_id)
+
+    def list_limits(self, pool: routes.Pool) -> list[float]:
+        """Limits in force of a pool's targets that take work, in requests a second."""
+        limits = [self.read_limit(target) for target in self._directory.list_pool(pool.name)]
+        return [limit for limit in limits if limit is not None]
+
     def list_evacuated(self) -> list[str]:
         """Data halls whose targets get nothing new."""
         return sorted(self._directory.evacuated)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
+from tillerlane.decisions import limits as decisions
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
@@ -163,6 +165,11 @@
         Tells which requests go to no target.
     named_limits : limits.Limits
         Takes the limits that targets name.
+
+    Attributes
+    ----------
+    tell_limit : callable
+        Tells the keepers of a limit that is news.
     """
 
     def __init__(
@@ -180,6 +187,9 @@
         named_limits: limits.Limits,
     ) -> None:
         self._limits = named_limits
+        self.tell_limit: Callable[[limits.Word], None] = lambda word: None
+        self._returns: dict[str, float] = {}
+        """When the caller that was refused last for limits may come back, by pool."""
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
@@ -306,6 +316,7 @@
             return
         word = self._limits.note_answer(target.target_id, facts.rate_limit, self._loop.time())
         if word is not None:
+            self.tell_limit(word)
             self._timeline.record(
                 "target.limit",
                 request_id=asked.facts.request_id,
@@ -350,7 +361,9 @@
             return None
         if self._selector.read_evacuation(asked.pool, target) < EVACUATION_SECONDS:
             return None
-        backup = self._selector.choose(asked.pool, placing.Work(asked.tokens), {target.target_id})
+        backup = self._selector.choose(
+            asked.pool, placing.Work(asked.tokens), {target.target_id}, is_sent_now=False
+        )
         if backup is None:
             return None
         has_room = self._selector.has_room(asked.pool, backup, asked.tokens, BACKUP_MEMORY_SHARE)
@@ -362,12 +375,24 @@
         if cold_seconds > 0:
             reason = "no target but cold ones that have this entry's share"
             return NotRun(reason, sent=False, retry_after=cold_seconds)
+        limits_named = self._selector.list_limits(asked.pool)
+        if limits_named:
+            return self._build_limited(asked, limits_named)
         halls = self._selector.list_evacuated()
         if not halls:
             return NotRun("no target", sent=False)
         reason = f"no target outside the evacuated data halls {halls}"
         return NotRun(reason, sent=False, retry_after=EVACUATED_RETRY_SECONDS)
 
+    def _build_limited(self, asked: admissions.Admission, limits_named: list[float]) -> NotRun:
+        """Refuse a request since all targets left have named limits; callers return in turn."""
+        now = self._loop.time()
+        rate = sum(limits_named) / max(1, self._usage.entries)
+        booked_at = self._returns.get(asked.pool.name, now)
+        self._returns[asked.pool.name] = decisions.book_return(booked_at, now, rate)
+        reason = f"no target but {len(limits_named)} whose limits leave no room"
+        return NotRun(reason, sent=False, retry_after=self._returns[asked.pool.name] - now)
+
     async def try_targets(self, asked: admissions.Admission) -> Tried:
         """Send a request until it is answered or may not be sent again."""
         excluded: set[str] = set()
@@ -381,7 +406,7 @@
             if target is None and not excluded and self._may_wait_for_targets(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
-            if target is None and self._may_wait_for_warmth(asked):
+            if target is None and self._may_wait_for_bearing(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
@@ -428,10 +453,12 @@
         arrived = asked.request.arrived
         return self._startup.may_wait_for_targets(arrived, asked.ends_at - arrived)
 
-    def _may_wait_for_warmth(self, asked: admissions.Admission) -> bool:
-        """Whether a cold target may take a request in time, or be warm by then."""
-        left = self._read_patience(asked) - self._loop.time()
-        return left > 0 and self._selector.read_cold_seconds(asked.pool) > 0
+    def _may_wait_for_bearing(self, asked: admissions.Admission) -> bool:
+        """Whether a cold or limited target may take a request in time."""
+        if self._loop.time() >= self._read_patience(asked):
+            return False
+        is_any_cold = self._selector.read_cold_seconds(asked.pool) > 0
+        return is_any_cold or bool(self._selector.list_limits(asked.pool))
 
     def _read_patience(self, asked: admissions.Admission) -> float:
         """Until when a request waits for memory; then the caller is told when to come back."""
@@ -481,6 +508,7 @@
         use = self._usage.read(target.address)
         reason = getattr(outcome, "reason", "")
         status = outcome.head.status if isinstance(outcome, Whole | Stream) else 0
+        limit = self._selector.read_limit(target)
         self._timeline.record(
             "request.send",
             request_id=asked.facts.request_id,
@@ -497,6 +525,7 @@
             requests_there=use.requests,
             tokens_there=use.tokens,
             tokens=asked.tokens,
+            limit=limit,
             reason=reason,
         )
 
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -38,10 +38,10 @@
 that ended, or that has no such run, says so within a round trip, others once their link has copied
 the run's memory."""
 
-WARMTH_CHECK_SECONDS = 0.05
-"""Pause between looks at a cold runner that has a run's copy."""
-COLD_WAIT_SHARE = 0.5
-"""Share of the time for which a copy is kept that a run waits for a cold runner that has it."""
+BEARING_CHECK_SECONDS = 0.05
+"""Pause between looks at a cold or limited runner that has a run's copy."""
+BEARING_WAIT_SHARE = 0.5
+"""Share of the time for which a copy is kept that a run waits for such a runner."""
 
 
 class Streams:
@@ -215,7 +215,7 @@
             self._mover.give_up(run)  # nobody would take it up; it may end here yet
         elif self._selector.is_evacuated(target) or not run.may_go_to(target):
             self._mover.move_again(run)
-        elif not self._selector.is_cold(run.pool, target):  # else again with its next event
+        elif not self._selector.is_held_up(run.pool, target):  # else again with its next event
             stream.stopping = self._order_stop(stream, target)
 
     def _order_stop(
@@ -312,19 +312,19 @@
     async def _take_up(
         self, stream: relayed.Relayed, continuation: runs.Continuation
     ) -> sending.Outcome:
-        """Have the run go on with a copy of its memory, as soon as a cold runner bears it."""
+        """Have the run go on with a copy of its memory, as soon as its runner bears one more."""
         target = continuation.target
         engine = stream.run.pool.engine
         hold_seconds = engine.hold_seconds if engine is not None else 0.0
-        until = self._loop.time() + hold_seconds * COLD_WAIT_SHARE
+        until = self._loop.time() + hold_seconds * BEARING_WAIT_SHARE
         while True:
-            await self._await_warmth(stream.run.pool, target, until)
+            await self._await_bearing(stream.run.pool, target, until)
             if not stream.run.may_go_to(target):
                 return sending.NotRun(f"{target.target_id} leaves too", sent=False)
             outcome = await self._send_copy(stream, continuation)
             is_refused_here = isinstance(outcome, sending.NotRun) and not outcome.sent
-            is_cold = self._selector.is_cold(stream.run.pool, target)
-            if not is_refused_here or not is_cold or self._loop.time() >= until:
+            is_held_up = self._selector.is_held_up(stream.run.pool, target)
+            if not is_refused_here or not is_held_up or self._loop.time() >= until:
                 return outcome
 
     async def _send_copy(
@@ -342,12 +342,12 @@
         self._budget.note_repeat(asked.pool.name, self._loop.time())
         return await self._send_on(stream, target, plan, backup)
 
-    async def _await_warmth(
+    async def _await_bearing(
         self, pool: routes.Pool, target: directories.Target, until: float
     ) -> None:
-        """Wait while a target is cold and has this entry's share."""
-        while self._selector.is_cold(pool, target) and self._loop.time() < until:
-            await asyncio.sleep(WARMTH_CHECK_SECONDS)
+        """Wait while a target is cold or limited and gets nothing of this entry."""
+        while self._selector.is_held_up(pool, target) and self._loop.time() < until:
+            await asyncio.sleep(BEARING_CHECK_SECONDS)
 
     async def _send_on(
         self,
--- a/tillerlane/gateway/tests/test_cold.py
+++ b/tillerlane/gateway/tests/test_cold.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from tillerlane.decisions.tests import test_cold as cold_plays
+from tillerlane.decisions.tests import test_limits as limit_plays
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, lab
 
 RATE = 5.0
@@ -58,7 +58,7 @@
         for runner in stage.runners.values():
             times = [run.began for run in runner.ran if began < run.began]
             cold = [at for at in times if at < began + COLD_SECONDS - 0.2]
-            self.assertLessEqual(cold_plays.count_most(cold), BOUND)
+            self.assertLessEqual(limit_plays.count_most(cold), BOUND)
             total += len(cold)
         return total
 
--- a/tillerlane/gateway/tests/test_handover_second_look.py
+++ b/tillerlane/gateway/tests/test_handover_second_look.py
@@ -181,13 +181,13 @@
             await asyncio.sleep(0.5)
             selector = stage.entries["entry-1"]._relay._streams._selector
             looks: list[float] = []
-            is_cold = selector.is_cold
+            is_held_up = selector.is_held_up
 
             def count(pool: Any, target: Any) -> bool:
                 looks.append(asyncio.get_running_loop().time())
-                return is_cold(pool, target)
+                return is_held_up(pool, target)
 
-            selector.is_cold = count  # type: ignore[method-assign]
+            selector.is_held_up = count  # type: ignore[method-assign]
             await stage.add_runner("t2", "llm", length=LENGTH)
             stage.beat("t2", "llm", cold_seconds=4.0)
             await asyncio.sleep(0.2)
--- a/tillerlane/gateway/tests/test_rules.py
+++ b/tillerlane/gateway/tests/test_rules.py
@@ -10,7 +10,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import events, loads, routes, selection
+from tillerlane.gateway import events, limits, loads, permits, routes, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import messages
 from tillerlane.testing import profiles
@@ -100,7 +100,13 @@
         self.usage = usages.Usage("entry-2")
         sends = colds.ColdSends("entry-2", colds.ColdBounds(1.5, 5.0))
         self.selector = selection.Selector(
-            self.directory, self.usage, sends, "hall-a", random.Random(1), lambda: 10.0
+            self.directory,
+            self.usage,
+            sends,
+            permits.Permits("entry-2", limits.Limits(), lambda: 10.0),
+            "hall-a",
+            random.Random(1),
+            lambda: 10.0,
         )
         for number in (1, 2, 3):
             target = directories.Target(
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -7,7 +7,7 @@
 from tillerlane.decisions import placing
 from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import routes, selection, usage
+from tillerlane.gateway import limits, permits, routes, selection, usage
 
 PROMPT_TOKENS = 3_000
 WORK = placing.Work(PROMPT_TOKENS, PROMPT_TOKENS)
@@ -57,7 +57,13 @@
         for _ in range(prompts):
             self.usage.note_request("llm", self.now)
         selector = selection.Selector(
-            self.directory, self.usage, COLD, "hall-a", random.Random(1), lambda: self.now
+            self.directory,
+            self.usage,
+            COLD,
+            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
+            "hall-a",
+            random.Random(1),
+            lambda: self.now,
         )
         chosen: collections.Counter[str] = collections.Counter()
         for _ in range(200):
@@ -100,7 +106,13 @@
             if is_near:
                 self.usage.add(f"10.0.9.{number}:9000", requests=6, tokens=7_000)
         selector = selection.Selector(
-            self.directory, self.usage, COLD, "hall-b", random.Random(1), lambda: self.now
+            self.directory,
+            self.usage,
+            COLD,
+            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
+            "hall-b",
+            random.Random(1),
+            lambda: self.now,
         )
         chosen = selector.choose(self.pool, placing.Work(PROMPT_TOKENS), (), source_hall="hall-a")
         assert chosen is not None
@@ -114,7 +126,13 @@
         leaving.phase = directories.Phase.DRAINING
         self.usage.add(leaving.address, requests=8)
         selector = selection.Selector(
-            self.directory, self.usage, COLD, "hall-a", random.Random(1), lambda: self.now
+            self.directory,
+            self.usage,
+            COLD,
+            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
+            "hall-a",
+            random.Random(1),
+            lambda: self.now,
         )
         work = placing.Work(PROMPT_TOKENS, events=100)
         chosen: collections.Counter[str] = collections.Counter()
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -79,9 +79,11 @@
     messages.LogEntry,
     messages.TargetUse,
     messages.KeeperSeen,
+    messages.PermitWish,
+    messages.PermitGrant,
 )
 """Dataclasses that stand in lists of a body."""
-_TABLES = (messages.UseTable, messages.StateTable, messages.EndTable)
+_TABLES = (messages.UseTable, messages.StateTable, messages.EndTable, messages.LimitTable)
 """Dataclasses that stand in a body as bytes."""
 _PLANS: dict[type, tuple[_Field, ...]] = {
     cls: _plan_fields(cls) for cls in [*_BODIES.values(), *_ELEMENTS, *_TABLES]
@@ -116,10 +118,13 @@
     return cls(*values)
 
 
-Table = TypeVar("Table", messages.UseTable, messages.StateTable, messages.EndTable)
+AnyTable = messages.UseTable | messages.StateTable | messages.EndTable | messages.LimitTable
+Table = TypeVar(
+    "Table", messages.UseTable, messages.StateTable, messages.EndTable, messages.LimitTable
+)
 
 
-def write_table(table: messages.UseTable | messages.StateTable | messages.EndTable) -> bytes:
+def write_table(table: AnyTable) -> bytes:
     """Write a table for those fields that carry one."""
     builder = getattr(_SCHEMA, type(table).__name__).new_message()
     _fill(builder, table)
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -50,6 +50,7 @@
     messages.AppendRequest,
     messages.SnapshotPiece,
     messages.FreshnessRequest,
+    messages.PermitRequest,
 )
 """Bodies that may open an exchange; any other one for an unknown exchange came too late."""
 
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -40,6 +40,9 @@
     passedLoads @34 :PassedLoads;
     loadDigest @35 :LoadDigest;
     targetEnds @36 :TargetEnds;
+    targetLimits @37 :TargetLimits;
+    permitRequest @38 :PermitRequest;
+    permitReply @39 :PermitReply;
   }
 }
 
@@ -210,6 +213,17 @@
   cleared @2 :List(Bool);
 }
 struct TargetEnds { table @0 :Data; }
+struct LimitTable {
+  targetIds @0 :List(Text);
+  limits @1 :List(Float64);
+  namedMs @2 :List(Int64);
+  bareMs @3 :List(Int64);
+}
+struct TargetLimits { table @0 :Data; }
+struct PermitWish { targetId @0 :Text; count @1 :UInt32; limit @2 :Float64; }
+struct PermitRequest { wishes @0 :List(PermitWish); hops @1 :UInt8; }
+struct PermitGrant { targetId @0 :Text; count @1 :UInt32; holdMs @2 :UInt32; }
+struct PermitReply { grants @0 :List(PermitGrant); }
 struct FreshnessRequest { have @0 :UInt64; }
 struct FreshnessReply {
   version @0 :UInt64;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -476,6 +476,60 @@
     table: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class LimitTable:
+    """Limits that targets name, in columns; it stands in messages as bytes.
+
+    ``limits`` are requests a second, ``named_ms`` the age of the answer that named it last,
+    ``bare_ms`` that of the first one behind it that named none; -1 if there is none.
+    """
+
+    target_ids: list[str]
+    limits: list[float]
+    named_ms: list[int]
+    bare_ms: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLimits:
+    """What the sender knows anew of limits that targets name."""
+
+    table: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class PermitWish:
+    """Permits that an entry could use for a target, whose limit it takes to be so many a second."""
+
+    target_id: str
+    count: int
+    limit: float
+
+
+@dataclasses.dataclass(slots=True)
+class PermitRequest:
+    """Asks the leader of the log, directly or through another keeper, for permits."""
+
+    wishes: list[PermitWish]
+    hops: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PermitGrant:
+    """So many requests may be sent to a target within ``hold_ms`` of the asking."""
+
+    target_id: str
+    count: int
+    hold_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class PermitReply:
+    """Permits given; targets that get none now are left out."""
+
+    grants: list[PermitGrant]
+
+
 @dataclasses.dataclass(slots=True)
 class FreshnessRequest:
     """Asks up to when a publication is known to be the newest."""
@@ -553,6 +607,9 @@
     | PassedLoads
     | LoadDigest
     | TargetEnds
+    | TargetLimits
+    | PermitRequest
+    | PermitReply
     | FreshnessRequest
     | FreshnessReply
     | KeeperAnnounce
--- a/tillerlane/testing/limit_scenes.py
+++ b/tillerlane/testing/limit_scenes.py
@@ -14,6 +14,8 @@
 TOLD_SECONDS = 0.5
 """Time by which all entries have to know a limit."""
 HEARTBEAT_SECONDS = 1.0
+SETTLE_SECONDS = 2.0
+"""Time after their start in which entries wait for targets that are unheard of."""
 
 
 def count_most(times: Iterable[float], seconds: float = WINDOW_SECONDS) -> int:
@@ -38,7 +40,7 @@
         for position in range(1, number + 1):
             await stage.add_runner(f"{pool}-{position}", pool, pace=0.02, **more)
         self.heartbeats = asyncio.create_task(self._beat(stage, pool))
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(SETTLE_SECONDS)
 
     async def _beat(self, stage: gateway_lab.GatewayLab, pool: str) -> None:
         while True:
@@ -53,6 +55,7 @@
         rates: Mapping[str, float],
         seconds: float,
         route: str = "order",
+        wait_ms: int = 1_000,
         **more: str,
     ) -> list[caller.CallerAnswer]:
         """Have callers ask so many times a second at each entry; gives their answers."""
@@ -67,7 +70,7 @@
             while loop.time() < until:
                 number += 1
                 request_id = f"{name}-{int(loop.time() * 1000)}-{number}"
-                call = stage.call(name, route, request_id, wait_ms=1_000, **more)
+                call = stage.call(name, route, request_id, wait_ms=wait_ms, **more)
                 calls.append(asyncio.create_task(call))
                 await asyncio.sleep(1 / rate)
 
