Order words of limits by version, and have unused permits given back

Words were merged by the time of the answer, told as an age. Each hop makes a word look later by its own time, so two values named within some ms of each other could replace each other for ever, each telling being news again. A word now has a version, which rises with whatever is news of its target; two that arose at once are settled for the lower limit. A keeper whose link is new is told all that an entry knows, so that words outlive a restart of keepers.

A target that lost its permit between choice and send no longer counts as one that can't be reached, of which three end a request's tries. The whole check runs a module for each core.

--- a/tillerlane/decisions/limits.py
+++ b/tillerlane/decisions/limits.py
@@ -43,8 +43,8 @@
 slack bears them."""
 FIRST_BURST, BURST_SECONDS = 2.0, 0.1
 """Permits that may be saved up: so many, and those of so many seconds of the limit."""
-MOST_HOLD_SECONDS = 2.0
-"""Longest time for which a permit is held."""
+MOST_HOLD_SECONDS = 0.6
+"""Longest time for which a permit holds: what an entry with little traffic holds, another wants."""
 MOST_RETURN_SECONDS = 5.0
 """Longest time after which a refused caller is told to come back."""
 
@@ -126,9 +126,12 @@
         return dataclasses.replace(self, permits=self.permits - given), given
 
 
-def refill(bucket: Bucket, limit: float, now: float) -> Bucket:
-    """The bucket with what has become free since, for a limit in requests a second."""
-    gained = (now - bucket.at) * _read_permit_rate(limit)
+def refill(bucket: Bucket, limit: float, now: float, returned: int = 0) -> Bucket:
+    """The bucket with what has become free since, for a limit in requests a second.
+
+    `returned` are permits given back before their time was over.
+    """
+    gained = returned + (now - bucket.at) * _read_permit_rate(limit)
     return Bucket(min(_read_burst(limit), bucket.permits + gained), now)
 
 
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -338,8 +338,19 @@
             case messages.TargetEnds():
                 self.verdicts.take(suspects.read_ends(body))
             case messages.TargetLimits():
-                for word in self.limits.take(limits.read_words(body)):
-                    self._limits_to_tell.add(word)
+                self._take_limits(limits.read_words(body))
+
+    def _take_limits(self, words: list[limits.Word]) -> None:
+        """Take what an entry or another keeper tells of limits, and pass on what is news."""
+        for word in self.limits.take(words):
+            self._limits_to_tell.add(word)
+            self.timeline.record(
+                "target.limit",
+                target=word.target_id,
+                limit=word.limit,
+                version=word.version,
+                is_named=word.bare_since is None,
+            )
 
     def _tell_limits(self, words: list[limits.Word]) -> None:
         """Tell other keepers and the entries what targets have named."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -340,11 +340,13 @@
     # Messages
 
     def _note_up(self, link: links.Link) -> None:
-        """Follow a new link soon; a keeper that has started again knows no ends of targets."""
+        """Follow a new link soon; a keeper that has started again knows nothing of targets."""
         self.homes.look_soon()
         ends = self.quarantine.suspects.list_all()
         if ends:
             links.try_send(link, suspects.write_ends(ends))
+        if len(self.limits):
+            links.try_send(link, limits.write_words(self.limits.list_all()))
 
     def _tell_ends(self, ends: list[suspects.End]) -> None:
         """Tell all keepers listened to, since any of them may be cut off."""
@@ -420,6 +422,7 @@
                 "target.limit",
                 target=word.target_id,
                 limit=word.limit,
+                version=word.version,
                 is_named=word.bare_since is None,
                 age_ms=int((self._loop.time() - word.named_at) * 1000),
             )
--- a/tillerlane/gateway/grants.py
+++ b/tillerlane/gateway/grants.py
@@ -91,7 +91,7 @@
 
     def _take(self, wish: messages.PermitWish, limit: float, now: float) -> int:
         bucket = self._buckets.pop(wish.target_id, decisions.Bucket(0.0, now))
-        filled = decisions.refill(bucket, limit, now)
+        filled = decisions.refill(bucket, limit, now, wish.returned)
         self._buckets[wish.target_id], given = filled.take(wish.count)
         return given
 
--- a/tillerlane/gateway/limits.py
+++ b/tillerlane/gateway/limits.py
@@ -1,8 +1,9 @@
 """Limits that targets name in their answers, as one daemon knows them.
 
-A target in need says how many requests a second it takes from all entries together.  Each row holds
-when it last said so and since when its answers have said nothing, so daemons that hear of rows in
-any order, over any way and more than once come to the same table.
+A target in need says how many requests a second it takes from all entries together.  Each word has
+a version, which rises with whatever is news of that target, so daemons that hear of words in any
+order, over any way and more than once come to the same table.  Times of answers would not do for
+that: each way to another daemon moves them by the time that it takes.
 """
 
 import asyncio
@@ -17,8 +18,6 @@
 LIFT_SECONDS = 1.0
 """How long a target's answers must name no limit until it counts as lifted: answers overtake each
 other, and a target may leave it off some of them."""
-REFRESH_SECONDS = 0.5
-"""How much later a naming must be to be news where its value has not changed."""
 FORGET_SECONDS = 60.0
 """How long the word of a target that is not known is kept."""
 MAX_LETTERS = 200
@@ -38,14 +37,17 @@
     ----------
     limit : float
         Requests a second that it takes from all entries together, as it named it last.
+    version : int
+        The word replaces those of lower versions.
     named_at : float
-        When an answer that named it came last.
+        When an answer that named it came, the last time that this was news.
     bare_since : float or None
         When an answer that named none came first after that; None if none did.
     """
 
     target_id: str
     limit: float
+    version: int
     named_at: float
     bare_since: float | None = None
 
@@ -53,21 +55,22 @@
         """Whether the limit still holds."""
         return self.bare_since is None or now - self.bare_since < LIFT_SECONDS
 
-    def merge(self, other: "Word") -> "Word":
-        """What both say together: the later naming, and the first bare answer behind it."""
-        latest = other if other.named_at > self.named_at else self
-        bare = [
-            word.bare_since
-            for word in (self, other)
-            if word.bare_since is not None and word.bare_since > latest.named_at
-        ]
-        return dataclasses.replace(latest, bare_since=min(bare, default=None))
+    def replaces(self, other: "Word") -> bool:
+        """Whether it is the later word; of two that arose at once, the one that allows less."""
+        return self._rank() > other._rank()
 
-    def is_news_after(self, former: "Word") -> bool:
-        """Whether others who know a former word have to hear of this one."""
-        is_changed = self.limit != former.limit
-        is_turned = (self.bare_since is None) != (former.bare_since is None)
-        return is_changed or is_turned or self.named_at - former.named_at > REFRESH_SECONDS
+    def _rank(self) -> tuple[int, bool, float]:
+        return self.version, self.bare_since is None, -self.limit
+
+    def follow(self, limit: float | None, now: float) -> "Word | None":
+        """The word after one more answer of the target; None if that is no news."""
+        if limit is None:
+            if self.bare_since is not None:
+                return None
+            return dataclasses.replace(self, version=self.version + 1, bare_since=now)
+        if limit == self.limit and self.bare_since is None:
+            return None
+        return Word(self.target_id, limit, self.version + 1, now)
 
 
 class Limits:
@@ -75,8 +78,6 @@
 
     def __init__(self) -> None:
         self._words: dict[str, Word] = {}
-        self._shared: dict[str, Word] = {}
-        """What other daemons know, as far as it came by here."""
 
     def __len__(self) -> int:
         return len(self._words)
@@ -97,29 +98,24 @@
     def note_answer(self, target_id: str, limit: float | None, now: float) -> Word | None:
         """Take note of a target's answer; the word to tell others, None if that is no news."""
         known = self._words.get(target_id)
-        if limit is not None:
-            return self._put(Word(target_id, limit, now))
-        if known is None:
-            return None
-        return self._put(known.merge(dataclasses.replace(known, bare_since=now)))
+        if known is not None:
+            word = known.follow(limit, now)
+        else:
+            word = None if limit is None else Word(target_id, limit, 1, now)
+        return word if word is not None and self._take(word) else None
 
     def take(self, words: Iterable[Word]) -> list[Word]:
         """Merge what is heard; gives what was news."""
-        return [news for news in map(self._take, words) if news is not None]
+        return [word for word in words if self._take(word)]
 
-    def _take(self, word: Word) -> Word | None:
+    def _take(self, word: Word) -> bool:
         known = self._words.get(word.target_id)
-        return self._put(word.merge(known) if known is not None else word)
-
-    def _put(self, word: Word) -> Word | None:
-        if word.target_id not in self._words and len(self._words) >= MAX_WORDS:
-            return None
+        if known is None and len(self._words) >= MAX_WORDS:
+            return False
+        if known is not None and not word.replaces(known):
+            return False
         self._words[word.target_id] = word
-        shared = self._shared.get(word.target_id)
-        if shared is not None and not word.is_news_after(shared):
-            return None
-        self._shared[word.target_id] = word
-        return word
+        return True
 
     def list_all(self) -> list[Word]:
         """All that is known."""
@@ -128,7 +124,6 @@
     def forget(self, target_id: str) -> None:
         """Drop the word of a target that has ended."""
         self._words.pop(target_id, None)
-        self._shared.pop(target_id, None)
 
     def forget_unknown(self, known: Iterable[str], now: float) -> None:
         """Drop old words of targets that are not among the known ones."""
@@ -151,6 +146,7 @@
     table = messages.LimitTable(
         [word.target_id for word in rows],
         [word.limit for word in rows],
+        [word.version for word in rows],
         [read_age(word.named_at) for word in rows],
         [_NOT_BARE if word.bare_since is None else read_age(word.bare_since) for word in rows],
     )
@@ -167,14 +163,22 @@
     """
     now = asyncio.get_running_loop().time()
     table = codec.read_table(message.table, messages.LimitTable)
-    rows = zip(table.target_ids, table.limits, table.named_ms, table.bare_ms, strict=True)
+    rows = zip(
+        table.target_ids,
+        table.limits,
+        table.versions,
+        table.named_ms,
+        table.bare_ms,
+        strict=True,
+    )
     return [
         Word(
             target_id,
             limit,
+            version,
             now - named_ms / 1000,
             None if bare_ms == _NOT_BARE else now - bare_ms / 1000,
         )
-        for target_id, limit, named_ms, bare_ms in rows
+        for target_id, limit, version, named_ms, bare_ms in rows
         if 0 < len(target_id) <= MAX_LETTERS and math.isfinite(limit) and limit >= 0
     ]
--- a/tillerlane/gateway/permits.py
+++ b/tillerlane/gateway/permits.py
@@ -1,13 +1,13 @@
 """Permits of one entry to send to targets that have named limits.
 
-An entry asks for permits when a request could have used one, and asks again as long as requests do.
-Permits are given by the leader of the keepers' log (`gateway.grants`), to which the keeper that is
-asked passes the wishes on.  While nobody gives any, the entry keeps to its share by lot.
+An entry asks for permits when a request could have used one, and gives back those that nobody used
+soon.  They are given by the leader of the keepers' log (`gateway.grants`), to which the keeper that
+is asked passes the wishes on.  While nobody gives any, the entry keeps to its share by lot.
 """
 
 import asyncio
 import collections
-import dataclasses
+import contextlib
 import math
 from collections.abc import Awaitable, Callable
 
@@ -20,30 +20,17 @@
 __all__ = ["Permits"]
 
 ASK_SECONDS = 0.05
-"""Least pause between two requests for permits."""
-MOST_REQUESTS = 1_000
-"""Requests for permits that all entries together make a second at most; the pause grows for it."""
+"""Least pause between two requests for permits; an entry makes one at a time."""
 ANSWER_SECONDS = 0.3
 """Longest wait for permits; an exchange within a region takes milliseconds."""
+USE_SHARE = 0.5
+"""Share of the time for which a permit holds in which it is used; in the rest it is given back."""
 MOST_WISHES = 2
 """Targets that one request wishes for at most: it needs one of them."""
 
 Ask = Callable[[list[messages.PermitWish]], Awaitable[list[messages.PermitGrant]]]
 
 
-@dataclasses.dataclass(slots=True)
-class _Held:
-    """Permits held for a target: until when each may be used, the first to end first."""
-
-    until: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
-
-    def drop_ended(self, now: float) -> int:
-        """Drop those whose time is over; how many were dropped."""
-        ended = sum(at <= now for at in self.until)
-        self.until = collections.deque(at for at in self.until if at > now)
-        return ended
-
-
 class Permits:
     """What one entry may send to targets that have named limits.
 
@@ -77,11 +64,16 @@
         self._entry = entry
         self._limits = named_limits
         self._now = now
-        self._held: dict[str, _Held] = collections.defaultdict(_Held)
+        self._held: dict[str, collections.deque[float]] = collections.defaultdict(collections.deque)
+        """Until when each permit is to be used, by target, the first to end first."""
+        self._returned: collections.Counter[str] = collections.Counter()
+        """Permits to be given back."""
         self._sent: dict[str, collections.deque[float]] = collections.defaultdict(collections.deque)
         """Times of this entry's latest sends to limited targets, no older than a window."""
         self._wishes: collections.Counter[str] = collections.Counter()
         self._wished = asyncio.Event()
+        self._next_answer: asyncio.Future[None] | None = None
+        """What requests wait for that found no permit."""
         self._is_answered = True
         """Whether the last request for permits had an answer."""
         self.ask: Ask = _have_nobody_to_ask
@@ -117,21 +109,23 @@
         now = self._now()
         if self._limits.find(target_id, now) is None:
             return
+        self._count_sent(target_id, now)
         self._sent[target_id].append(now)
         if self._has_permit(target_id, now):
-            self._held[target_id].until.popleft()
+            self._held[target_id].popleft()
 
     def forget(self, target_id: str) -> None:
         """Drop what is kept of a target that has ended."""
-        for kept in (self._held, self._sent, self._wishes):
+        for kept in (self._held, self._sent, self._wishes, self._returned):
             kept.pop(target_id, None)
 
     def _has_permit(self, target_id: str, now: float) -> bool:
         held = self._held.get(target_id)
-        if held is None:
-            return False
-        self.unused += held.drop_ended(now)
-        return bool(held.until)
+        while held and held[0] <= now:
+            held.popleft()
+            self._returned[target_id] += 1
+            self.unused += 1
+        return bool(held)
 
     def _count_sent(self, target_id: str, now: float) -> int:
         times = self._sent[target_id]
@@ -145,18 +139,37 @@
 
     # Asking
 
+    async def wait_for_answer(self, seconds: float) -> None:
+        """Wait until permits that were asked for have come, or were denied; so long at most."""
+        if self._next_answer is None:
+            self._next_answer = asyncio.get_running_loop().create_future()
+        await asyncio.wait({self._next_answer}, timeout=seconds)
+
     async def run(self) -> None:
-        """Ask for what is wished for, until cancelled."""
+        """Ask for what is wished for and give back what is not used, until cancelled."""
         while True:
-            await self._wished.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self._read_next_end()):
+                    await self._wished.wait()
             self._wished.clear()
             await self._ask()
-            await asyncio.sleep(max(ASK_SECONDS, self.entries / MOST_REQUESTS))
+            self._wake_waiting()
+            await asyncio.sleep(ASK_SECONDS)
+
+    def _read_next_end(self) -> float | None:
+        """When the first permit held has to be given back; None without any."""
+        return min((held[0] for held in self._held.values() if held), default=None)
+
+    def _wake_waiting(self) -> None:
+        if self._next_answer is not None and not self._next_answer.done():
+            self._next_answer.set_result(None)
+        self._next_answer = None
 
     async def _ask(self) -> None:
         asked_at = self._now()
         wishes = self._list_wishes(asked_at)
         self._wishes.clear()
+        self._returned.clear()
         if not wishes:
             return
         try:
@@ -166,18 +179,21 @@
             return
         self._note_answered(True, "")
         for grant in grants:
-            until = asked_at + grant.hold_ms / 1000
-            self._held[grant.target_id].until.extend([until] * grant.count)
+            until = asked_at + grant.hold_ms / 1000 * USE_SHARE
+            self._held[grant.target_id].extend([until] * grant.count)
 
     def _list_wishes(self, now: float) -> list[messages.PermitWish]:
-        """What to ask for: no more than the limit allows until the next time."""
-        pause = max(ASK_SECONDS, self.entries / MOST_REQUESTS)
+        """What to ask for, no more than the limit allows until the next time, and to give back."""
+        for target_id in self._held:
+            self._has_permit(target_id, now)
         found = []
-        for target_id, count in self._wishes.items():
+        for target_id in {*self._wishes, *self._returned}:
             limit = self._limits.find(target_id, now)
             if limit is not None:
-                most = max(1, math.ceil(limit * pause))
-                found.append(messages.PermitWish(target_id, min(count, most), limit))
+                most = max(1, math.ceil(limit * ASK_SECONDS))
+                count = min(self._wishes[target_id], most)
+                returned = self._returned[target_id]
+                found.append(messages.PermitWish(target_id, count, limit, returned))
         return found
 
     def _note_answered(self, is_answered: bool, reason: str) -> None:
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -294,6 +294,10 @@
         listed = self._directory.list_pool(pool.name)
         return min((item.warm_at - now for item in listed if item.warm_at > now), default=0.0)
 
+    async def wait_for_permits(self, seconds: float) -> None:
+        """Wait until permits that were asked for have come, or were denied; so long at most."""
+        await self._permits.wait_for_answer(seconds)
+
     def read_limit(self, target: directories.Target) -> float | None:
         """What a target has named as its limit, in requests a second; None without one in force."""
         return self._permits.find_limit(target.target_id)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -98,6 +98,8 @@
     sent: bool
     is_other_target: bool = False
     """Whether the address has gone to another target."""
+    is_held_up: bool = False
+    """Whether the target may get nothing of this entry now, which says nothing of its reach."""
     retry_after: float = admissions.RETRY_SECONDS
 
 
@@ -237,7 +239,7 @@
                     return held_back
                 problem = self._selector.note_send(asked.pool, target)
                 if problem:
-                    return NotRun(problem, sent=False)
+                    return NotRun(problem, sent=False, is_held_up=True)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, target, exchange)
@@ -323,6 +325,7 @@
                 target=target.target_id,
                 address=target.address,
                 limit=word.limit,
+                version=word.version,
                 is_named=word.bare_since is None,
             )
 
@@ -407,7 +410,7 @@
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
             if target is None and self._may_wait_for_bearing(asked):
-                await asyncio.sleep(ROOM_CHECK_SECONDS)
+                await self._selector.wait_for_permits(ROOM_CHECK_SECONDS)
                 continue
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
                 return tried if tried.target else Tried(self._build_no_target(asked))
@@ -423,7 +426,7 @@
             latest = await self._try_target(asked, target, tried.sends)
             tried = _keep_true(tried, latest)
             if isinstance(latest.outcome, NotRun) and not latest.outcome.sent:
-                unsent += 1
+                unsent += not latest.outcome.is_held_up
             elif not self._may_send_again(asked, latest):
                 return tried
         return tried
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -216,11 +216,17 @@
 struct LimitTable {
   targetIds @0 :List(Text);
   limits @1 :List(Float64);
-  namedMs @2 :List(Int64);
-  bareMs @3 :List(Int64);
+  versions @2 :List(UInt64);
+  namedMs @3 :List(Int64);
+  bareMs @4 :List(Int64);
 }
 struct TargetLimits { table @0 :Data; }
-struct PermitWish { targetId @0 :Text; count @1 :UInt32; limit @2 :Float64; }
+struct PermitWish {
+  targetId @0 :Text;
+  count @1 :UInt32;
+  limit @2 :Float64;
+  returned @3 :UInt32;
+}
 struct PermitRequest { wishes @0 :List(PermitWish); hops @1 :UInt8; }
 struct PermitGrant { targetId @0 :Text; count @1 :UInt32; holdMs @2 :UInt32; }
 struct PermitReply { grants @0 :List(PermitGrant); }
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -486,6 +486,7 @@
 
     target_ids: list[str]
     limits: list[float]
+    versions: list[int]
     named_ms: list[int]
     bare_ms: list[int]
 
@@ -499,11 +500,15 @@
 
 @dataclasses.dataclass(slots=True)
 class PermitWish:
-    """Permits that an entry could use for a target, whose limit it takes to be so many a second."""
+    """Permits that an entry could use for a target, whose limit it takes to be so many a second.
+
+    ``returned`` are those given before that it gives back.
+    """
 
     target_id: str
     count: int
     limit: float
+    returned: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -24,7 +24,7 @@
 MODULE_SECONDS = 240
 INTERRUPT_SECONDS = 10
 """How long a module that took too long may clean up."""
-WORKERS = 4
+WORKERS = max(4, os.cpu_count() or 1)
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 _FAILURE = re.compile(r"^(?:FAIL|ERROR): \w+ \(([\w.]+)\)", re.MULTILINE)
