--- a/tillerlane/gateway/tests/test_operations.py
+++ b/tillerlane/gateway/tests/test_operations.py
@@ -46,6 +46,23 @@
 
         self.play(scene)
 
+    def test_refusal_for_limits_that_targets_named(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            runner.limit = "0"
+            await asyncio.sleep(2.0)
+            await stage.call("entry-1", "order", "r1")
+            answer = await stage.call("entry-1", "order", "r2")
+            (line,) = read_lines(stage, "r2")
+            self.assertEqual((answer.status, line["status"]), (503, 503))
+            self.assertIn("no target but 1 whose limits", line["reason"])
+            named, ended = read_lines(stage, "r1")
+            self.assertEqual((named["event"], named["target"]), ("target.limit", "t1"))
+            self.assertEqual((named["limit"], named["is_named"]), (0.0, True))
+            self.assertEqual((ended["event"], ended["target"]), ("request.end", "t1"))
+
+        self.play(scene)
+
     def test_refusal_for_memory(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await stage.add_runner("t1", "llm", length=90)
