Have the soak's targets name limits, and check what they got from their records

The checker goes by the users' rule: from 3 s on, within any 4 s no more than one and a half times the limit and 5, without entries that were paused or ended and targets whose way was harmed within 3 s before. Three tests plant the fault, its absence and the excuse.

--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -7,9 +7,9 @@
 import itertools
 from collections.abc import Iterator
 
-from tillerlane.testing import caller, platform_runner
+from tillerlane.testing import caller, limit_scenes, platform_runner
 
-__all__ = ["Call", "Leaving", "Observations", "PlannedStop", "check"]
+__all__ = ["Call", "Leaving", "NamedLimit", "Observations", "PlannedStop", "check"]
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that say that a request has not run and never will."""
@@ -18,6 +18,11 @@
 entry's machine reaches it."""
 LAST_SEND_SECONDS = 3.0
 """Until so long after an entry was told to stop it takes requests that may outlast it."""
+CONTACT_SECONDS = 3.0
+"""Time after which a limit binds that a target has begun to name, and for which an entry that was
+paused or has started is excused."""
+LIMIT_STRETCH = 1.5
+"""How far above its limit the users let a target get, beside the slack."""
 Span = tuple[float, float]
 """Times of the event loop, in seconds."""
 MOST_LATE = 3
@@ -64,6 +69,16 @@
     outlasted_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A limit that a target named from one time of the event loop to another."""
+
+    target_id: str
+    limit: float
+    began: float
+    ended: float
+
+
 @dataclasses.dataclass(slots=True)
 class Observations:
     """Everything that was seen.
@@ -90,6 +105,8 @@
         Entry to the spans in which its process was paused.
     entries_ended : dict
         Entry to the times at which a process of it ended; what it held is known to nobody then.
+    limits : list of NamedLimit
+        Limits that targets named.
     planned_only : bool
         Whether nothing else was done: then nothing may fail.
     """
@@ -108,6 +125,7 @@
     ways_harmed: dict[str, list[Span]] = dataclasses.field(default_factory=dict)
     entries_paused: dict[str, list[Span]] = dataclasses.field(default_factory=dict)
     entries_ended: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     planned_only: bool = False
 
     def was_harmed(self, since: float, until: float) -> bool:
@@ -136,6 +154,7 @@
     known = {call.request_id for call in seen.calls}
     problems += [f"{item}: run, but nobody asked" for item in runs if item not in known]
     problems += _check_leaving(seen, drain_seconds)
+    problems += _check_limits(seen)
     problems += _check_configuration(seen)
     return problems
 
@@ -242,6 +261,39 @@
     return problems
 
 
+def _check_limits(seen: Observations) -> list[str]:
+    entries = {call.request_id: call.entry for call in seen.calls}
+    problems = []
+    for named in seen.limits:
+        times = [
+            run.began
+            for run in seen.ran.get(named.target_id, [])
+            if named.began + CONTACT_SECONDS <= run.began <= named.ended
+            and not _is_excused(seen, entries.get(run.request_id, ""), run.began)
+            and not _was_held_up(seen, named.target_id, run.began)
+        ]
+        most = limit_scenes.count_most(times)
+        borne = LIMIT_STRETCH * named.limit * limit_scenes.WINDOW_SECONDS
+        if most > borne + limit_scenes.BOUND_SLACK:
+            span = f"from {named.began:.2f} to {named.ended:.2f}"
+            text = f"got {most} requests in 4 s with a limit of {named.limit} a second"
+            problems.append(f"{named.target_id}: {text}, {span}")
+    return problems
+
+
+def _is_excused(seen: Observations, entry: str, at: float) -> bool:
+    """Whether an entry was paused or has ended shortly before."""
+    since = at - CONTACT_SECONDS
+    paused = any(begin < at and end > since for begin, end in seen.entries_paused.get(entry, []))
+    return paused or any(since < ended < at for ended in seen.entries_ended.get(entry, []))
+
+
+def _was_held_up(seen: Observations, target_id: str, at: float) -> bool:
+    """Whether requests may have waited on the way to a target, and come together."""
+    since = at - CONTACT_SECONDS
+    return any(begin < at and end > since for begin, end in seen.ways_harmed.get(target_id, []))
+
+
 def _check_configuration(seen: Observations) -> list[str]:
     problems = []
     for (daemon, start), versions in seen.in_force.items():
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -41,6 +41,8 @@
 """The platform's balancer asks each second and takes an entry out after two misses."""
 CHANGE_SECONDS = 1.5
 FAULT_PAUSE_SECONDS = (0.3, 2.0)
+LIMIT_PAUSE_SECONDS = (1.0, 4.0)
+"""Pause between the limits that targets name one after another."""
 OUTLASTING_SHARE = 5 / 6
 """Share of its time to stop after which an entry may cut what a target still works on; the
 platform's pages count such a request as too long, not as cut."""
@@ -107,6 +109,9 @@
         self._wiped_at = -WIPE_PAUSE_SECONDS
         self._work: set[asyncio.Task[None]] = set()
 
+        self._limit_rng = random.Random(f"limits of {seed}")
+        """Of its own, so that the faults of a seed do not hang on it."""
+
     def _next(self) -> int:
         self._number += 1
         return self._number
@@ -224,6 +229,12 @@
             self.done[name] = self.done.get(name, 0) + 1
             self._begin(kind() if kind in planned else self._note_harm(kind))
 
+    async def _name_limits(self) -> None:
+        """Have targets name limits, one after another; callers press on."""
+        while not self._ending.is_set():
+            await asyncio.sleep(self._limit_rng.uniform(*LIMIT_PAUSE_SECONDS))
+            await self.targets.name_limit(self._limit_rng)
+
     def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
         """Planned work, and what else is done."""
         targets = [
@@ -377,7 +388,7 @@
         try:
             await self._become_ready()
             work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
-            work.append(self._balance())
+            work += [self._balance(), self._name_limits()]
             work += [self._send_calls() for _ in range(16)]
             callers = [asyncio.ensure_future(item) for item in work]
             faults = asyncio.ensure_future(self._do_faults())
@@ -426,7 +437,8 @@
     return (
         f"calls {len(calls)}, whole {whole}, refused {refused}; "
         f"runs {len(runs) - gone_on}, gone on elsewhere {gone_on}; "
-        f"versions {len(soak.seen.acknowledged)} of {len(soak.seen.sent)}; {faults}"
+        f"versions {len(soak.seen.acknowledged)} of {len(soak.seen.sent)}; "
+        f"limits {len(soak.seen.limits)}; {faults}"
     )
 
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -41,6 +41,10 @@
 WORKS_ON_SHARE = 0.5
 """Share of the targets that work on when a connection closes."""
 HARM_SECONDS = (0.2, 4.0)
+NAMED_LIMITS = ("1.5", "3", "6")
+"""Limits that targets name, in requests a second."""
+LIMIT_SECONDS = (6.0, 12.0)
+"""How long a target names one: longer than the time until it binds and the span that is checked."""
 BREAK_SECONDS = (0.0, 0.6)
 """Time from a runner's word that it drains to the break of its connections."""
 SECOND_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
@@ -294,6 +298,24 @@
         await self._tell(f"/Instances.Leave/{target.target_id}", target.write_leave)
         self.end(target)
 
+    # Limits
+
+    async def name_limit(self, rng: random.Random) -> None:
+        """A target of the plain service names a limit for a while."""
+        found = [item for item in self._targets.values() if item.is_running and item.pool == "app"]
+        target, limit = rng.choice(found), rng.choice(NAMED_LIMITS)
+        starts = target.record.starts
+        target.switch(platform_target.Switches({"limit": limit}))
+        began = self._loop.time()
+        until = began + rng.uniform(*LIMIT_SECONDS)
+        while self._loop.time() < until and target.is_running and target.record.starts == starts:
+            await asyncio.sleep(0.05)
+        named = platform_checker.NamedLimit(
+            target.target_id, float(limit), began, self._loop.time()
+        )
+        self._seen.limits.append(named)
+        target.switch(platform_target.Switches({"limit": ""}))
+
     # Harm
 
     async def crash(self) -> None:
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -147,6 +147,29 @@
             )
         self.assert_found("after it had drained")
 
+    def send_limited(self, seconds: float) -> None:
+        """Have a target that names 1 request a second get 12 within a span, from 20.0 on."""
+        self.seen.limits.append(platform_checker.NamedLimit("t2", 1.0, 16.0, 30.0))
+        for number in range(12):
+            request_id, at = f"limited-{number}", 20.0 + seconds * number / 12
+            self.seen.ran["t2"].append(build_run(request_id, at, at + 0.1))
+            answer = b"answer to " + request_id.encode()
+            self.seen.calls.append(build_call(request_id, "order", 200, answer))
+            self.seen.calls[-1].entry = "entry-1"
+
+    def test_more_than_the_limit_that_a_target_names(self) -> None:
+        self.send_limited(4.0)
+        self.assert_found("got 12 requests in 4 s with a limit of 1.0")
+
+    def test_limit_that_is_kept(self) -> None:
+        self.send_limited(6.0)
+        self.assertEqual(self.check(), [])
+
+    def test_limit_excuses_entries_that_were_paused(self) -> None:
+        self.send_limited(4.0)
+        self.seen.entries_paused["entry-1"] = [(18.0, 19.9)]
+        self.assertEqual(self.check(), [])
+
     def test_version_that_goes_back(self) -> None:
         self.seen.in_force["entry-1", 1].append(2)
         self.assert_found("went back from 3 to 2")
