Split refusals and the keeper's news of limits from the modules that had grown

A limit that answers name no more is unnamed_since, in place of a word of our own. Behaviour and assertions as before.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -16,7 +16,7 @@
     grants,
     homes,
     incarnations,
-    limits,
+    limit_news,
     loads,
     meters,
     news,
@@ -133,8 +133,7 @@
             lambda targets: self._send_to_keepers(directories.write_states(targets)),
         )
         self._to_subscribers = news.News(NEWS_SECONDS, self._tell_subscribers)
-        self.limits = limits.Limits()
-        self._limits_to_tell = news.News(SPREAD_SECONDS, self._tell_limits)
+        self.limits = limit_news.LimitNews(SPREAD_SECONDS, self._send_to_all, self.timeline)
         self._whole: messages.TargetStates | None = None
         self._whole_at = 0.0
         self._changed_since_whole: dict[str, directories.Target] = {}
@@ -180,7 +179,7 @@
             self.timeline,
         )
         self.grants = grants.Grants(
-            self.limits, self._read_leading_term, self._get_leader, self._loop.time
+            self.limits.table, self._read_leading_term, self._get_leader, self._loop.time
         )
         self._told_orders = 0
         """Version of the orders that subscribers were told."""
@@ -296,7 +295,7 @@
             now = self._loop.time()
             self.directory.mark_silent(now - self._own.silent_seconds)
             self.directory.forget_old(now)
-            self.limits.forget_unknown(self.directory.targets, now)
+            self.limits.table.forget_unknown(self.directory.targets, now)
             subscribed = {item.entry for item in self._subscribers.values()}
             for entry, heard_at in list(self._entries.items()):
                 if now - heard_at > ENTRY_SECONDS and entry not in subscribed:
@@ -338,25 +337,7 @@
             case messages.TargetEnds():
                 self.verdicts.take(suspects.read_ends(body))
             case messages.TargetLimits():
-                self._take_limits(limits.read_words(body))
-
-    def _take_limits(self, words: list[limits.Word]) -> None:
-        """Take what an entry or another keeper tells of limits, and pass on what is news."""
-        for word in self.limits.take(words):
-            self._limits_to_tell.add(word)
-            self.timeline.record(
-                "target.limit",
-                target=word.target_id,
-                limit=word.limit,
-                version=word.version,
-                is_named=word.bare_since is None,
-            )
-
-    def _tell_limits(self, words: list[limits.Word]) -> None:
-        """Tell other keepers and the entries what targets have named."""
-        message = limits.write_words(words)
-        self._send_to_keepers(message)
-        self._send_to_subscribers(message)
+                self.limits.take(body)
 
     def _greet(self, link: links.Link) -> None:
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
@@ -364,7 +345,7 @@
             self._greeted.add(link)
             self._send_whole(link)
             links.try_send(link, self.verdicts.write_for_keeper())
-            links.try_send(link, limits.write_words(self.limits.list_all()))
+            links.try_send(link, self.limits.write_all())
 
     def _note_down(self, link: links.Link) -> None:
         self._greeted.discard(link)
@@ -384,7 +365,7 @@
         # Orders go first: an entry may send requests as soon as it has a publication.
         links.try_send(link, self.replica.machine.store.build_delta(0))
         links.try_send(link, self.verdicts.write_for_entry())
-        links.try_send(link, limits.write_words(self.limits.list_all()))
+        links.try_send(link, self.limits.write_all())
         self._send_publication(link)
         self._send_whole(link)
 
@@ -431,6 +412,11 @@
         self._send_to_subscribers(store.build_delta(self._told_orders))
         self._told_orders = store.version
 
+    def _send_to_all(self, body: messages.Body) -> None:
+        """Send a message to all other keepers and all subscribers."""
+        self._send_to_keepers(body)
+        self._send_to_subscribers(body)
+
     def _send_to_subscribers(self, body: messages.Body) -> None:
         for link in list(self._subscribers):
             links.try_send(link, body)
@@ -515,7 +501,7 @@
             cold_ms=max(0, int((target.warm_at - self._loop.time()) * 1000)),
         )
         if target.phase is directories.Phase.GONE:
-            self.limits.forget(target.target_id)
+            self.limits.table.forget(target.target_id)
         if target.is_over and former is not None:
             # Whoever hears of the present incarnation ends the former one, and first hears until
             # when that one lived: entries are not told each heartbeat.
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -423,7 +423,7 @@
                 target=word.target_id,
                 limit=word.limit,
                 version=word.version,
-                is_named=word.bare_since is None,
+                is_named=word.unnamed_since is None,
                 age_ms=int((self._loop.time() - word.named_at) * 1000),
             )
 
--- a/tillerlane/gateway/limits.py
+++ b/tillerlane/gateway/limits.py
@@ -21,11 +21,12 @@
 FORGET_SECONDS = 60.0
 """How long the word of a target that is not known is kept."""
 MAX_LETTERS = 200
-"""Bound on a target's id, in letters; the longest met has 25."""
+"""Bound on a target's id, in letters."""
 MAX_WORDS = 20_000
 """Bound on memory, as on targets."""
 MAX_AGE_MS = 2**31
-_NOT_BARE = -1
+"""Longest age that is told; an older word says no more."""
+_STILL_NAMED = -1
 """Age told of a target whose latest answer named its limit."""
 
 
@@ -41,7 +42,7 @@
         The word replaces those of lower versions.
     named_at : float
         When an answer that named it came, the last time that this was news.
-    bare_since : float or None
+    unnamed_since : float or None
         When an answer that named none came first after that; None if none did.
     """
 
@@ -49,26 +50,26 @@
     limit: float
     version: int
     named_at: float
-    bare_since: float | None = None
+    unnamed_since: float | None = None
 
     def is_in_force(self, now: float) -> bool:
         """Whether the limit still holds."""
-        return self.bare_since is None or now - self.bare_since < LIFT_SECONDS
+        return self.unnamed_since is None or now - self.unnamed_since < LIFT_SECONDS
 
     def replaces(self, other: "Word") -> bool:
         """Whether it is the later word; of two that arose at once, the one that allows less."""
         return self._rank() > other._rank()
 
     def _rank(self) -> tuple[int, bool, float]:
-        return self.version, self.bare_since is None, -self.limit
+        return self.version, self.unnamed_since is None, -self.limit
 
     def follow(self, limit: float | None, now: float) -> "Word | None":
         """The word after one more answer of the target; None if that is no news."""
         if limit is None:
-            if self.bare_since is not None:
+            if self.unnamed_since is not None:
                 return None
-            return dataclasses.replace(self, version=self.version + 1, bare_since=now)
-        if limit == self.limit and self.bare_since is None:
+            return dataclasses.replace(self, version=self.version + 1, unnamed_since=now)
+        if limit == self.limit and self.unnamed_since is None:
             return None
         return Word(self.target_id, limit, self.version + 1, now)
 
@@ -148,7 +149,10 @@
         [word.limit for word in rows],
         [word.version for word in rows],
         [read_age(word.named_at) for word in rows],
-        [_NOT_BARE if word.bare_since is None else read_age(word.bare_since) for word in rows],
+        [
+            _STILL_NAMED if word.unnamed_since is None else read_age(word.unnamed_since)
+            for word in rows
+        ],
     )
     return messages.TargetLimits(codec.write_table(table))
 
@@ -168,7 +172,7 @@
         table.limits,
         table.versions,
         table.named_ms,
-        table.bare_ms,
+        table.unnamed_ms,
         strict=True,
     )
     return [
@@ -177,8 +181,8 @@
             limit,
             version,
             now - named_ms / 1000,
-            None if bare_ms == _NOT_BARE else now - bare_ms / 1000,
+            None if unnamed_ms == _STILL_NAMED else now - unnamed_ms / 1000,
         )
-        for target_id, limit, version, named_ms, bare_ms in rows
+        for target_id, limit, version, named_ms, unnamed_ms in rows
         if 0 < len(target_id) <= MAX_LETTERS and math.isfinite(limit) and limit >= 0
     ]
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -9,7 +9,7 @@
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import http_head, http_server, quarantine, sending
+from tillerlane.gateway import http_head, http_server, quarantine, refusals, sending
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import streams as stream_relays
@@ -129,7 +129,7 @@
             head = http_head.AnswerHead(outcome.head.status, headers)
             await responder.send_whole(head, outcome.body)
             self._note_answer(asked, tried, outcome.head.status)
-        elif isinstance(outcome, sending.NotRun):
+        elif isinstance(outcome, refusals.NotRun):
             refusal = admissions.Refusal(503, outcome.reason, outcome.retry_after)
             await self._refuse(request_id, asked.route.name, responder, refusal)
         else:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -9,7 +9,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from tillerlane.decisions import limits as decisions
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
@@ -22,6 +21,7 @@
     http_head,
     limits,
     quarantine,
+    refusals,
     routes,
     selection,
 )
@@ -30,16 +30,11 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
 
-__all__ = ["NotRun", "Outcome", "Sender", "Stream", "Tried", "Unknown", "Whole"]
+__all__ = ["Outcome", "Sender", "Stream", "Tried", "Unknown", "Whole"]
 
 CONNECT_SECONDS = 0.3
 """A connection within a region takes milliseconds; a target that is dark never answers."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-NO_ROOM_RETRY_SECONDS = 3.0
-"""When a caller may come back that found no memory: a full pool stays full for seconds, since a
-long run takes some 8 s and a runner that left is replaced after 4 s."""
-NO_ROOM_RETRY_SHARE = 0.3
-"""Share of its time left that a caller may be told to wait; callers obey up to a third of it."""
 ROOM_WAIT_SHARE = 0.2
 """Share of the time within which an answer is in time that a request waits for memory, and is then
 told when to come back.  Where memory is short, those who wait for longer take what later requests
@@ -51,9 +46,6 @@
 difference to the others (means of four plays of days with load: 0.70 and 0.71 of the long runs'
 credit against 0.69, 0.79 and 0.78 of the short ones' against 0.78)."""
 ROOM_CHECK_SECONDS = 0.03
-EVACUATED_RETRY_SECONDS = 1.0
-"""When a caller may come back that found all data halls evacuated: such an order holds for seconds,
-so that coming back at once is in vain."""
 HELD_RETRY_SECONDS = 60.0
 """When a caller may come back whose request is held back: longer than any waits (39 s), since
 coming back within its time is in vain.  It is told 503 and not 4xx, since the verdict is drawn from
@@ -90,19 +82,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
-    """The target vouches that it did not run the request, or it was never sent."""
-
-    reason: str
-    sent: bool
-    is_other_target: bool = False
-    """Whether the address has gone to another target."""
-    is_held_up: bool = False
-    """Whether the target may get nothing of this entry now, which says nothing of its reach."""
-    retry_after: float = admissions.RETRY_SECONDS
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
     """The target may have run the request, and there is no answer of it."""
@@ -119,7 +98,7 @@
     exchange: http_client.Exchange
 
 
-Outcome = Whole | NotRun | Unknown | Stream
+Outcome = Whole | refusals.NotRun | Unknown | Stream
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,14 +169,13 @@
     ) -> None:
         self._limits = named_limits
         self.tell_limit: Callable[[limits.Word], None] = lambda word: None
-        self._returns: dict[str, float] = {}
-        """When the caller that was refused last for limits may come back, by pool."""
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
         self._dialect = dialect
         self._selector = selector
         self._usage = usage
+        self._refusals = refusals.Refusals(selector, usage)
         self._budget = budget
         self._timeline = timeline
         self._meters = meters
@@ -239,7 +217,7 @@
                     return held_back
                 problem = self._selector.note_send(asked.pool, target)
                 if problem:
-                    return NotRun(problem, sent=False, is_held_up=True)
+                    return refusals.NotRun(problem, sent=False, is_held_up=True)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, target, exchange)
@@ -249,14 +227,14 @@
         except TimeoutError:
             sent = exchange is not None and exchange.sent
             if not sent:
-                return NotRun(f"{address}: out of time before it was sent", sent=False)
+                return refusals.NotRun(f"{address}: out of time before it was sent", sent=False)
             if self._loop.time() - began > SILENT_SECONDS:
                 self._selector.caution.note_failure(target.target_id, self._loop.time())
             return Unknown(f"{address}: no answer in time", is_late=True)
         except http_client.AnswerBroken as error:
             self._selector.caution.note_failure(target.target_id, self._loop.time())
             if not error.sent:
-                return NotRun(str(error), sent=False)
+                return refusals.NotRun(str(error), sent=False)
             assert exchange is not None
             await self._endings.learn(asked, target, exchange.sent_at, 0)
             return Unknown(f"{address}: {error}")
@@ -267,14 +245,16 @@
                 if exchange is not None:
                     exchange.abort()
 
-    def refuse_held(self, asked: admissions.Admission) -> NotRun | None:
+    def refuse_held(self, asked: admissions.Admission) -> refusals.NotRun | None:
         """Refuse a request under which targets ended; None if it may go to one.
 
         Every way to a target asks this, and last when a connection to one is there: while that came
         up, the third target may have ended elsewhere.
         """
         reason = self._quarantine.find_reason(asked.fingerprint)
-        return NotRun(reason, sent=False, retry_after=HELD_RETRY_SECONDS) if reason else None
+        return (
+            refusals.NotRun(reason, sent=False, retry_after=HELD_RETRY_SECONDS) if reason else None
+        )
 
     async def _read_answer(
         self,
@@ -292,7 +272,9 @@
             named = facts.request_id or "none"
             raise http_client.AnswerBroken(f"answer to another request: {named}", sent=True)
         if not facts.did_run:
-            return NotRun(f"turned away, status {head.status}", True, facts.is_other_target)
+            return refusals.NotRun(
+                f"turned away, status {head.status}", True, facts.is_other_target
+            )
         if asked.is_stream and head.status == 200:
             return Stream(head, exchange)
         body = await exchange.read_body(MAX_ANSWER_BYTES)
@@ -326,12 +308,12 @@
                 address=target.address,
                 limit=word.limit,
                 version=word.version,
-                is_named=word.bare_since is None,
+                is_named=word.unnamed_since is None,
             )
 
     def _judge(self, target: directories.Target, outcome: Outcome) -> None:
         """Keep whether a target is worth another request."""
-        if not isinstance(outcome, NotRun):
+        if not isinstance(outcome, refusals.NotRun):
             self._selector.caution.note_success(target.target_id)
         elif outcome.is_other_target:
             self._selector.caution.note_failure(target.target_id, self._loop.time())
@@ -372,34 +354,10 @@
         has_room = self._selector.has_room(asked.pool, backup, asked.tokens, BACKUP_MEMORY_SHARE)
         return backup if has_room else None
 
-    def _build_no_target(self, asked: admissions.Admission) -> NotRun:
-        """Refuse a request that no target takes now, and say why."""
-        cold_seconds = self._selector.read_cold_seconds(asked.pool)
-        if cold_seconds > 0:
-            reason = "no target but cold ones that have this entry's share"
-            return NotRun(reason, sent=False, retry_after=cold_seconds)
-        limits_named = self._selector.list_limits(asked.pool)
-        if limits_named:
-            return self._build_limited(asked, limits_named)
-        halls = self._selector.list_evacuated()
-        if not halls:
-            return NotRun("no target", sent=False)
-        reason = f"no target outside the evacuated data halls {halls}"
-        return NotRun(reason, sent=False, retry_after=EVACUATED_RETRY_SECONDS)
-
-    def _build_limited(self, asked: admissions.Admission, limits_named: list[float]) -> NotRun:
-        """Refuse a request since all targets left have named limits; callers return in turn."""
-        now = self._loop.time()
-        rate = sum(limits_named) / max(1, self._usage.entries)
-        booked_at = self._returns.get(asked.pool.name, now)
-        self._returns[asked.pool.name] = decisions.book_return(booked_at, now, rate)
-        reason = f"no target but {len(limits_named)} whose limits leave no room"
-        return NotRun(reason, sent=False, retry_after=self._returns[asked.pool.name] - now)
-
     async def try_targets(self, asked: admissions.Admission) -> Tried:
         """Send a request until it is answered or may not be sent again."""
         excluded: set[str] = set()
-        tried = Tried(NotRun("no target", sent=False))
+        tried = Tried(refusals.NotRun("no target", sent=False))
         unsent = 0
         while unsent < UNSENT_TRIES:
             held_back = self.refuse_held(asked)
@@ -413,19 +371,19 @@
                 await self._selector.wait_for_permits(ROOM_CHECK_SECONDS)
                 continue
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
-                return tried if tried.target else Tried(self._build_no_target(asked))
+                return tried if tried.target else Tried(self._refusals.build_no_target(asked))
             if not self._has_room(asked, target):
                 if self._loop.time() < self._read_patience(asked):
                     await asyncio.sleep(ROOM_CHECK_SECONDS)
                     continue
-                return tried if tried.sends else Tried(self._build_no_room(asked))
+                return tried if tried.sends else Tried(self._refusals.build_no_room(asked))
             if not self._may_begin(asked, target):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
             excluded.add(target.target_id)
             latest = await self._try_target(asked, target, tried.sends)
             tried = _keep_true(tried, latest)
-            if isinstance(latest.outcome, NotRun) and not latest.outcome.sent:
+            if isinstance(latest.outcome, refusals.NotRun) and not latest.outcome.sent:
                 unsent += not latest.outcome.is_held_up
             elif not self._may_send_again(asked, latest):
                 return tried
@@ -440,7 +398,7 @@
         began = self._loop.time()
         outcome = await self.send(asked, target, plan, until=until)
         self._note_send(asked, target, outcome, sends, began - asked.request.arrived)
-        was_sent = not isinstance(outcome, NotRun) or outcome.sent
+        was_sent = not isinstance(outcome, refusals.NotRun) or outcome.sent
         return Tried(outcome, target, backup, sends + was_sent)
 
     def _read_limit(self, asked: admissions.Admission, sends: int) -> float | None:
@@ -492,7 +450,7 @@
         if isinstance(outcome, Whole) and outcome.head.status < 500:
             return False
         # A failure of the target's own, or none of its word: another one may do better.
-        if not isinstance(outcome, NotRun) and not asked.route.is_repeatable:
+        if not isinstance(outcome, refusals.NotRun) and not asked.route.is_repeatable:
             return False
         return self._budget.take(asked.pool.name, self._loop.time())
 
@@ -532,12 +490,6 @@
             reason=reason,
         )
 
-    def _build_no_room(self, asked: admissions.Admission) -> NotRun:
-        left = max(0.0, asked.ends_at - self._loop.time())
-        retry_after = min(NO_ROOM_RETRY_SECONDS, left * NO_ROOM_RETRY_SHARE)
-        reason = f"no memory: {asked.tokens} tokens beside those under way"
-        return NotRun(reason, sent=False, retry_after=retry_after)
-
 
 def _keep_true(former: Tried, latest: Tried) -> Tried:
     """What holds of a request after one more try.
@@ -545,6 +497,8 @@
     That one target did not run it says nothing of a former one that may have, so a caller is told
     that it has not run only if that holds of all of them.
     """
-    if isinstance(latest.outcome, NotRun) and not isinstance(former.outcome, NotRun):
+    if isinstance(latest.outcome, refusals.NotRun) and not isinstance(
+        former.outcome, refusals.NotRun
+    ):
         return dataclasses.replace(former, sends=latest.sends)
     return latest
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -19,6 +19,7 @@
     http_head,
     http_server,
     quarantine,
+    refusals,
     relayed,
     routes,
     runs,
@@ -250,7 +251,7 @@
         if stopping.copy is not None and stopping.is_at_destination:
             continuation = runs.Continuation(continuation.target, stopping.copy)
         outcome, used = await self._take_up(stream, continuation), continuation.copy
-        if isinstance(outcome, sending.NotRun):
+        if isinstance(outcome, refusals.NotRun):
             if outcome.sent:
                 stream.run.refused_by |= {continuation.target.target_id}
             outcome = await self._return_to_source(stream, stopping)
@@ -281,7 +282,7 @@
         has_copy = stopping.evidence is handover.Evidence.STOPPED
         copy = await stopping.wait_for_copy(HANDOVER_SECONDS) if has_copy else None
         if copy is None or not run.may_go_to(run.target):
-            return sending.NotRun("no memory of the run is left where it may go", sent=False)
+            return refusals.NotRun("no memory of the run is left where it may go", sent=False)
         return await self._take_up(stream, runs.Continuation(run.target, copy))
 
     async def _run_anew(self, stream: relayed.Relayed) -> bool:
@@ -320,9 +321,9 @@
         while True:
             await self._await_bearing(stream.run.pool, target, until)
             if not stream.run.may_go_to(target):
-                return sending.NotRun(f"{target.target_id} leaves too", sent=False)
+                return refusals.NotRun(f"{target.target_id} leaves too", sent=False)
             outcome = await self._send_copy(stream, continuation)
-            is_refused_here = isinstance(outcome, sending.NotRun) and not outcome.sent
+            is_refused_here = isinstance(outcome, refusals.NotRun) and not outcome.sent
             is_held_up = self._selector.is_held_up(stream.run.pool, target)
             if not is_refused_here or not is_held_up or self._loop.time() >= until:
                 return outcome
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -218,7 +218,7 @@
   limits @1 :List(Float64);
   versions @2 :List(UInt64);
   namedMs @3 :List(Int64);
-  bareMs @4 :List(Int64);
+  unnamedMs @4 :List(Int64);
 }
 struct TargetLimits { table @0 :Data; }
 struct PermitWish {
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -481,14 +481,14 @@
     """Limits that targets name, in columns; it stands in messages as bytes.
 
     ``limits`` are requests a second, ``named_ms`` the age of the answer that named it last,
-    ``bare_ms`` that of the first one behind it that named none; -1 if there is none.
+    ``unnamed_ms`` that of the first one behind it that named none; -1 if there is none.
     """
 
     target_ids: list[str]
     limits: list[float]
     versions: list[int]
     named_ms: list[int]
-    bare_ms: list[int]
+    unnamed_ms: list[int]
 
 
 @dataclasses.dataclass(slots=True)
