Play permits with late and lost answers, lost owners, and entries that save them up

gateway/tests/test_permits.py has the entries' and the keepers' parts in virtual time without HTTP, against the count of sends: the limit and 5 in any 4 s with late answers, one and a half times the limit and 5 where owners change and answers get lost.

--- /dev/null
+++ b/tillerlane/gateway/tests/test_permits.py
@@ -0,0 +1,187 @@
+"""Permits given out and used, with answers that are late or lost and owners that change."""
+
+import asyncio
+import dataclasses
+import random
+import unittest
+
+from hypothesis import example, given, strategies
+
+from tillerlane.gateway import grants, limits, permits
+from tillerlane.peers import link as links
+from tillerlane.peers import messages
+from tillerlane.testing import lab, limit_scenes, profiles
+
+TARGET = "t1"
+SECONDS = 15.0
+KEEPERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trouble:
+    """What goes wrong: shares of askings, and owners lost a second."""
+
+    late: float = 0.0
+    lost: float = 0.0
+    changes: float = 0.0
+    saves: bool = False
+    """Whether entries save permits up, and use them at moments that all know."""
+
+
+class Fleet:
+    """Entries that press, and keepers of which one at most gives permits.
+
+    Parameters
+    ----------
+    entries : int
+        How many.
+    limit : float
+        What the target has named, in requests a second.
+    trouble : Trouble
+        What goes wrong.
+    rng : random.Random
+        Decides on it.
+    """
+
+    def __init__(self, entries: int, limit: float, trouble: Trouble, rng: random.Random) -> None:
+        self.sent: list[float] = []
+        self._loop = asyncio.get_running_loop()
+        self._trouble = trouble
+        self._rng = rng
+        self._limit = limit
+        self._entries = entries
+        self._leader: int | None = 0
+        self._term = 1
+        self._keepers = [self._build_keeper(number) for number in range(KEEPERS)]
+        self._tasks = [self._loop.create_task(self._press(number)) for number in range(entries)]
+        self._tasks.append(self._loop.create_task(self._change_leaders()))
+
+    def _build_keeper(self, number: int) -> grants.Grants:
+        def read_term() -> int | None:
+            return self._term if self._leader == number else None
+
+        return grants.Grants(limits.Limits(), read_term, lambda: None, self._loop.time)
+
+    async def _change_leaders(self) -> None:
+        while self._trouble.changes:
+            await asyncio.sleep(self._rng.expovariate(self._trouble.changes))
+            self._leader = None
+            await asyncio.sleep(self._rng.uniform(0.1, 6.0))
+            self._term += 1
+            self._leader = self._rng.randrange(KEEPERS)
+
+    async def _ask(self, wishes: list[messages.PermitWish]) -> list[messages.PermitGrant]:
+        leader = self._leader
+        if leader is None:
+            raise links.LinkLost("no leader")
+        if self._rng.random() < self._trouble.late:
+            await asyncio.sleep(self._rng.uniform(0.0, permits.ANSWER_SECONDS))
+        reply = await self._keepers[leader].serve(messages.PermitRequest(wishes))
+        if self._rng.random() < self._trouble.lost:
+            raise links.LinkLost("the answer got lost")
+        return reply.grants
+
+    def _start_entry(self, number: int) -> permits.Permits:
+        table = limits.Limits()
+        table.take([limits.Word(TARGET, self._limit, 1, self._loop.time())])
+        entry = permits.Permits(f"entry-{number}", table, self._loop.time)
+        entry.ask = self._ask
+        entry.entries = self._entries
+        self._tasks.append(self._loop.create_task(entry.run()))
+        return entry
+
+    async def _press(self, number: int) -> None:
+        """Have more requests come to an entry than it may send; they wait for one answer."""
+        entry = self._start_entry(number)
+        while True:
+            await asyncio.sleep(self._rng.expovariate(3 * self._limit / self._entries))
+            if not entry.may_send(TARGET):
+                entry.wish(TARGET)
+                await entry.wait_for_answer(0.1)
+            is_held_back = self._trouble.saves and self._loop.time() % 3.0 > 0.5
+            if is_held_back:
+                entry.wish(TARGET)
+            while entry.may_send(TARGET) and not is_held_back:
+                entry.note_sent(TARGET)
+                self.sent.append(self._loop.time())
+                is_held_back = not self._trouble.saves
+
+    def stop(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+
+
+def play(entries: int, limit: float, trouble: Trouble, seed: int) -> list[float]:
+    """Times of all sends."""
+
+    async def run() -> list[float]:
+        fleet = Fleet(entries, limit, trouble, random.Random(seed))
+        await asyncio.sleep(SECONDS)
+        fleet.stop()
+        return fleet.sent
+
+    return lab.run_virtual(run())
+
+
+class PermitsTest(unittest.TestCase):
+    """What all entries send within any window."""
+
+    @profiles.choose(15)
+    @given(
+        strategies.integers(1, 30),
+        strategies.sampled_from([0.5, 1.9, 6.0, 20.0]),
+        strategies.integers(0, 10**6),
+    )
+    @example(6, 20.0, 1)
+    @example(1, 20.0, 1)
+    def test_answers_late_or_lost_break_no_bound(
+        self, entries: int, limit: float, seed: int
+    ) -> None:
+        for saves in (False, True):
+            sent = play(entries, limit, Trouble(late=0.2, saves=saves), seed)
+            self.assertLessEqual(limit_scenes.count_most(sent), limit * 4 + 5)
+
+    @profiles.choose(15)
+    @given(
+        strategies.integers(1, 30),
+        strategies.sampled_from([0.5, 1.9, 6.0, 20.0]),
+        strategies.integers(0, 10**6),
+    )
+    @example(6, 20.0, 1)
+    @example(1, 20.0, 1)
+    def test_owners_that_change_and_answers_lost_keep_to_the_users_bound(
+        self, entries: int, limit: float, seed: int
+    ) -> None:
+        sent = play(entries, limit, Trouble(late=0.2, lost=0.1, changes=0.3), seed)
+        self.assertLessEqual(limit_scenes.count_most(sent), 1.5 * limit * 4 + 5)
+
+    def test_most_of_the_limit_is_used(self) -> None:
+        for entries in (1, 6, 40):
+            for limit in (1.9, 20.0):
+                with self.subTest(entries=entries, limit=limit):
+                    sent = play(entries, limit, Trouble(), 1)
+                    self.assertGreater(len(sent), 0.85 * limit * (SECONDS - 1.0))
+
+    def test_permits_that_nobody_uses_are_given_back(self) -> None:
+        async def scene() -> tuple[int, int]:
+            fleet = Fleet(0, 2.0, Trouble(), random.Random(1))
+            idle, busy = fleet._start_entry(1), fleet._start_entry(2)
+            used = 0
+            for _ in range(200):
+                idle.wish(TARGET)
+                busy.wish(TARGET)
+                await asyncio.sleep(0.05)
+                if busy.may_send(TARGET):
+                    busy.note_sent(TARGET)
+                    used += 1
+            fleet.stop()
+            return used, idle.unused
+
+        used, unused = lab.run_virtual(scene())
+        self.assertGreater(unused, 0)
+        self.assertGreater(used, 0.5 * 2.0 * 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
