Have the demo show the last lines of a process that ended badly

Now the status and the end of the log and output of each such process are printed. The cause is not traced.

--- a/tillerlane/testing/demo.py
+++ b/tillerlane/testing/demo.py
@@ -115,6 +115,8 @@
         statuses = fleet.stop_all()
         bad = {name: status for name, status in statuses.items() if status not in (0, -15)}
         print(f"{len(statuses)} processes ended" + (f", badly: {bad}" if bad else " cleanly"))
+        for name, status in bad.items():
+            print(f"{name} ended with {status} after:", *fleet.read_last_lines(name), sep="\n  ")
         if bad:
             raise SystemExit(1)
     finally:
--- a/tillerlane/testing/deployment.py
+++ b/tillerlane/testing/deployment.py
@@ -26,6 +26,8 @@
 OPERATOR_KEY = "example-operator"
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
+LAST_LINES = 8
+"""Lines that are shown of a process that ended badly."""
 
 
 def free_ports(count: int) -> list[int]:
@@ -237,6 +239,14 @@
                     statuses[name] = process.wait()
         return statuses
 
+    def read_last_lines(self, name: str) -> list[str]:
+        """The end of what a process wrote: to its log, if it has one, and to its output."""
+        found = []
+        for path in (self.folder / f"{name}.log", self.folder / f"{name}.out"):
+            if path.exists():
+                found += path.read_text(errors="replace").splitlines()[-LAST_LINES:]
+        return found
+
     def kill_all(self) -> None:
         """Kill whatever still runs."""
         for name in list(self._running):
