--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -22,6 +22,8 @@
 TOPS = ("benchmarks", "tillerlane")
 """Folders with tests; the longest first."""
 MODULE_SECONDS = 240
+LONGEST = ("soak", "_scale")
+"""Parts of the names of modules that are begun first, as the others would wait for them."""
 INTERRUPT_SECONDS = 10
 """How long a module that took too long may clean up."""
 WORKERS = max(4, os.cpu_count() or 1)
@@ -118,7 +120,8 @@
     """Test modules, all of them or those whose name contains one of `names`."""
     paths = sorted(path for top in TOPS for path in ROOT.glob(f"{top}/**/tests/test_*.py"))
     modules = [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
-    return [item for item in modules if not names or any(name in item for name in names)]
+    found = [item for item in modules if not names or any(name in item for name in names)]
+    return sorted(found, key=lambda item: not any(part in item for part in LONGEST))
 
 
 def main() -> None:
