Log the back-off that targets ask for, and what they say that can't be read

Callers saw: requests refused by a target that had asked to be left alone; the line of the refused send did not say that it had, nor for how long. Change: answers' Retry-After (503) is decoded and logged (target.backoff); target.limit_unread becomes target.unread, with the word and its text. An empty limit now counts as unread, as design/limits.md says; it counted as naming none, which lifts a limit. The test of unread limits asks for the word as well as the texts. Nothing obeys a back-off yet. Conclusion: the sends of an entry within each back-off can be counted from its lines.

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -17,6 +17,7 @@
     "MoveOutcome",
     "MoveResult",
     "RequestFacts",
+    "Unread",
 ]
 
 
@@ -87,6 +88,14 @@
     backup_address: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unread:
+    """Something that a target says of itself and that can't be read: which word, and its text."""
+
+    word: str
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What a target's head says, decoded.
@@ -98,15 +107,22 @@
     rate_limit : float or None
         Requests a second that the target takes from all entries together; None if it names no limit
         that can be read.
-    unread_limit : str
-        What it names as its limit, if that can't be read.
+    backoff_seconds : float or None
+        How long the target wants nothing more from this entry; None if it does not say so.
+    unread : tuple of Unread
+        What it says of itself and can't be read.
     """
 
     request_id: str
     did_run: bool
     is_other_target: bool
     rate_limit: float | None = None
-    unread_limit: str = ""
+    backoff_seconds: float | None = None
+    unread: tuple[Unread, ...] = ()
+
+    def has_unread(self, word: str) -> bool:
+        """Whether the target says something by a word that can't be read."""
+        return any(item.word == word for item in self.unread)
 
 
 class MoveOutcome(enum.StrEnum):
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -266,7 +266,7 @@
         facts = self._dialect.read_answer(head)
         is_of_request = facts.request_id == asked.facts.request_id
         if is_of_request and not facts.is_other_target:
-            self._note_limit(asked, target, facts)
+            self._note_advice(asked, target, facts)
         if not is_of_request:
             # Each answer of a target names its request; what does not is nobody's word on this one.
             named = facts.request_id or "none"
@@ -283,22 +283,36 @@
             return Unknown(f"status {head.status} without a promise")
         return Whole(head, body)
 
-    def _note_limit(
+    def _note_advice(
         self,
         asked: admissions.Admission,
         target: directories.Target,
         facts: dialects.AnswerFacts,
     ) -> None:
-        """Keep what a target's answer names as its limit; what can't be read changes nothing."""
-        if facts.unread_limit:
+        """Keep what a target's answer says of the target; what can't be read changes nothing."""
+        for unread in facts.unread:
             self._timeline.record(
-                "target.limit_unread",
+                "target.unread",
                 request_id=asked.facts.request_id,
                 target=target.target_id,
-                named=facts.unread_limit,
+                word=unread.word,
+                text=unread.text,
             )
-            return
-        word = self._limits.note_answer(target.target_id, facts.rate_limit, self._loop.time())
+        if not facts.has_unread("limit"):
+            self._note_limit(asked, target, facts.rate_limit)
+        if facts.backoff_seconds is not None:
+            self._timeline.record(
+                "target.backoff",
+                request_id=asked.facts.request_id,
+                target=target.target_id,
+                address=target.address,
+                seconds=facts.backoff_seconds,
+            )
+
+    def _note_limit(
+        self, asked: admissions.Admission, target: directories.Target, limit: float | None
+    ) -> None:
+        word = self._limits.note_answer(target.target_id, limit, self._loop.time())
         if word is not None:
             self.tell_limit(word)
             self._timeline.record(
--- a/tillerlane/gateway/tests/test_named_limits.py
+++ b/tillerlane/gateway/tests/test_named_limits.py
@@ -214,10 +214,9 @@
                 runner.limit = named
                 await self.ask(stage, {"entry-1": 4.0}, 2.0)
                 self.assertEqual(entry.permits.find_limit("app-1"), limit)
-            unread = [
-                event for event in entry.timeline.read() if event.name == "target.limit_unread"
-            ]
-            self.assertEqual({event.fields["named"] for event in unread}, {"nan", "-1", "1e308"})
+            unread = [event for event in entry.timeline.read() if event.name == "target.unread"]
+            self.assertEqual({event.fields["text"] for event in unread}, {"nan", "-1", "1e308"})
+            self.assertEqual({event.fields["word"] for event in unread}, {"limit"})
 
         self.play(scene)
 
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -148,17 +148,18 @@
         self.assertFalse(read_answer(421))
         self.assertTrue(read_answer(429))
 
-    def read_limit(self, *values: bytes) -> tuple[float | None, str]:
+    def read_limit(self, *values: bytes) -> tuple[float | None, str | None]:
         """Limit, and what could not be read, of an answer that names these values."""
         headers = [(b"server-limit", value) for value in values]
         facts = wire.read_answer(http_head.AnswerHead(200, headers))
-        return facts.rate_limit, facts.unread_limit
+        texts = [unread.text for unread in facts.unread if unread.word == "limit"]
+        return facts.rate_limit, texts[0] if texts else None
 
     def test_limit_that_a_target_names_is_a_plain_decimal_number(self) -> None:
-        self.assertEqual(self.read_limit(), (None, ""))
+        self.assertEqual(self.read_limit(), (None, None))
         for value, limit in ((b"1.9", 1.9), (b" 12 ", 12.0), (b"0", 0.0), (b"0.25", 0.25)):
-            self.assertEqual(self.read_limit(value), (limit, ""))
-        self.assertEqual(self.read_limit(b"1.9", b"1.9"), (1.9, ""))
+            self.assertEqual(self.read_limit(value), (limit, None))
+        self.assertEqual(self.read_limit(b"1.9", b"1.9"), (1.9, None))
 
     def test_limit_that_is_no_number_is_not_taken(self) -> None:
         bad = (b"-1", b"+2", b"nan", b"inf", b"", b" ", b"1e308", b"1e3", b"0x1f", b"1_0", b"1.")
@@ -166,9 +167,30 @@
             with self.subTest(value=value[:20]):
                 limit, unread = self.read_limit(value)
                 self.assertIsNone(limit)
-                self.assertLessEqual(len(unread), wire.MAX_NAME_LETTERS)
+                self.assertIsNotNone(unread)
+                self.assertLessEqual(len(unread or ""), wire.MAX_NAME_LETTERS)
         self.assertEqual(self.read_limit(b"1.9", b"2.5"), (None, "1.9, 2.5"))
 
+    def read_backoff(self, status: int, *values: bytes) -> tuple[float | None, bool]:
+        """Back-off of an answer that asks for these values, and whether it could not be read."""
+        headers = [(b"Retry-After", value) for value in values]
+        facts = wire.read_answer(http_head.AnswerHead(status, headers))
+        return facts.backoff_seconds, facts.has_unread("backoff")
+
+    def test_only_a_503_asks_for_backoff(self) -> None:
+        self.assertEqual(self.read_backoff(503), (None, False))
+        for value, seconds in ((b"3", 3.0), (b" 0.5", 0.5), (b"0", 0.0)):
+            self.assertEqual(self.read_backoff(503, value), (seconds, False))
+        for status in (200, 421, 429, 500, 502, 504):
+            self.assertEqual(self.read_backoff(status, b"3"), (None, False))
+
+    def test_backoff_that_is_no_number_is_not_taken(self) -> None:
+        date = b"Thu, 03 Dec 2026 09:54:01 GMT"
+        for value in (b"-1", b"nan", b"inf", b"", b"1e9", b"3 s", date, b"9" * 30):
+            with self.subTest(value=value):
+                self.assertEqual(self.read_backoff(503, value), (None, True))
+        self.assertEqual(self.read_backoff(503, b"3", b"4"), (None, True))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -36,12 +36,13 @@
 BACKUP = b"Kv-Backup"
 NOT_RUN = b"not-run"
 RATE_LIMIT = b"server-limit"
+RETRY_AFTER = b"retry-after"
 LONGEST_WAIT_MS = 24 * 3600 * 1000
 """Bound on a number that a caller sends."""
 MAX_NAME_LETTERS = 200
 """Bound on names and addresses that targets tell; the longest met has 24."""
-MAX_LIMIT_LETTERS = 20
-"""Bound on the number that names a limit."""
+MAX_NUMBER_LETTERS = 20
+"""Bound on a number that a target tells."""
 MAX_COLD_MS = 3600 * 1000
 """Bound on how long a target says that it works slowly; the longest met is some seconds."""
 
@@ -124,27 +125,30 @@
     # A success or a failure of its own says that it ran the request, whatever else stands there.
     may_refuse = 400 <= head.status < 500 or head.status == 503
     refused = may_refuse and http_head.get_header(head.headers, NOT_RUN) is not None
-    named = _list_values(head.headers, RATE_LIMIT)
-    limit = _read_limit(named)
+    limit = _read_decimal(head.headers, RATE_LIMIT)
+    backoff = _read_decimal(head.headers, RETRY_AFTER) if head.status == 503 else None
+    words = {"limit": limit, "backoff": backoff}
     return dialect.AnswerFacts(
         request_id=(request_id or b"").strip().decode("latin-1"),
         did_run=not refused and not is_other,
         is_other_target=is_other,
-        rate_limit=limit,
-        unread_limit=", ".join(named)[:MAX_NAME_LETTERS] if named and limit is None else "",
+        rate_limit=limit if isinstance(limit, float) else None,
+        backoff_seconds=backoff if isinstance(backoff, float) else None,
+        unread=tuple(
+            dialect.Unread(word, value) for word, value in words.items() if isinstance(value, str)
+        ),
     )
 
 
-def _list_values(headers: http_head.Headers, name: bytes) -> list[str]:
-    """Values of a header that may stand more than once."""
-    return [value.strip().decode("latin-1") for known, value in headers if known.lower() == name]
-
-
-def _read_limit(values: list[str]) -> float | None:
-    """A limit in requests a second; None if none is named, or what is named is no one number."""
-    if len(set(values)) != 1 or len(values[0]) > MAX_LIMIT_LETTERS:
+def _read_decimal(headers: http_head.Headers, name: bytes) -> float | str | None:
+    """A header that holds one plain decimal number; its text if it does not, None without one."""
+    values = [value.strip().decode("latin-1") for known, value in headers if known.lower() == name]
+    if not values:
         return None
-    return float(values[0]) if _DECIMAL.fullmatch(values[0]) else None
+    is_one = len(set(values)) == 1 and len(values[0]) <= MAX_NUMBER_LETTERS
+    if is_one and _DECIMAL.fullmatch(values[0]):
+        return float(values[0])
+    return ", ".join(values)[:MAX_NAME_LETTERS]
 
 
 def write_refusal(status: int, retry_after: float | None) -> http_head.AnswerHead:
