--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -13,7 +13,7 @@
 
 from tillerlane.gateway import http_head, http_server
 
-__all__ = ["MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
+__all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
 SEAL = b"Response-Seal"
 NEW_PART_SECONDS = 0.01
@@ -62,6 +62,24 @@
         return bool(self.headers.get("kv-from") and self.headers.get("last-event-id"))
 
 
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request that reached a runner, run or not; times are of the event loop.
+
+    Attributes
+    ----------
+    turned_away_at : float
+        When it was turned away; 0 if it was not.
+    backoff : float
+        Seconds of back-off that were asked for then.
+    """
+
+    request_id: str
+    at: float
+    turned_away_at: float = 0.0
+    backoff: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class MemoryCopy:
     """A run's memory, as it lies at a runner."""
@@ -121,6 +139,12 @@
         Bodies of requests that end it, `DEADLY_SECONDS` after it began to run them.
     limit : str
         Requests a second that it names as its limit in each answer; empty for none.
+    backoff : str
+        Seconds for which it wants nothing more from whom it turns away with 503; empty for none.
+    leaving : str
+        What it says of its leaving in each answer; empty for nothing.
+    arrived : list of Arrival
+        Requests that reached it, in order; none that were meant for another incarnation.
     on_crash : callable
         Called when one did.
     skips_event, breaks_at : int
@@ -169,6 +193,9 @@
         self.surplus = b""
         self.deadly: frozenset[bytes] = frozenset()
         self.limit = ""
+        self.backoff = ""
+        self.leaving = ""
+        self.arrived: list[Arrival] = []
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
         self.skips_event = 0
@@ -247,7 +274,7 @@
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
         extra = [(b"Instance-Id", b"other")] if status == 421 else [(b"Not-Run", b"1")]
-        extra += self._list_limit()
+        extra += self._list_advice(status)
         if not self.names_no_request:
             extra.append((b"Request-Id", (self.answers_for or request_id).encode()))
         await responder.send_whole(http_head.AnswerHead(status, extra), b"")
@@ -262,10 +289,14 @@
         if headers.get("expect-instance", self.target_id) != self.target_id:
             await self._turn_away(421, request_id, responder)
             return
+        arrival = Arrival(request_id, asyncio.get_running_loop().time())
+        self.arrived.append(arrival)
         first = int(headers.get("last-event-id", "0")) + 1
         copy_from = headers.get("kv-from", "")
         if self.refuses or (copy_from and not self._take_copy(copy_from, request_id)):
             await self._turn_away(503, request_id, responder)
+            arrival.turned_away_at = asyncio.get_running_loop().time()
+            arrival.backoff = float(self.backoff or 0)
             return
         run = RanRequest(
             request_id,
@@ -306,7 +337,7 @@
             [
                 (b"Request-Id", (self.answers_for or request_id).encode()),
                 (SEAL, b"s.1"),
-                *self._list_limit(),
+                *self._list_advice(self.answer_status),
             ],
         )
         connection = responder._connection  # a sound server offers no way to write such bytes
@@ -314,8 +345,14 @@
         await responder.send_whole(head, b"answer to " + request_id.encode())
         await connection.write(self.surplus)
 
-    def _list_limit(self) -> http_head.Headers:
-        return [(b"Server-Limit", self.limit.encode())] if self.limit else []
+    def _list_advice(self, status: int) -> http_head.Headers:
+        """What an answer says of this runner."""
+        words = {
+            b"Server-Limit": self.limit,
+            b"Server-Leaving": self.leaving,
+            b"Retry-After": self.backoff if status == 503 else "",
+        }
+        return [(name, text.encode()) for name, text in words.items() if text]
 
     def _take_copy(self, copy_from: str, request_id: str) -> bool:
         """Use a copy that lies here: by handle, or one that grew with the run."""
@@ -328,7 +365,11 @@
         return True
 
     async def _stream(self, run: RanRequest, responder: http_server.Responder) -> None:
-        headers = [(b"Request-Id", run.request_id.encode()), (SEAL, b"s.2"), *self._list_limit()]
+        headers = [
+            (b"Request-Id", run.request_id.encode()),
+            (SEAL, b"s.2"),
+            *self._list_advice(200),
+        ]
         head = http_head.AnswerHead(200, headers)
         self._streams[run.request_id] = responder
         try:
