Keep to the back-off that targets ask for, on every way to a target

Callers saw: a target that had turned an entry away with 503 and Retry-After: 3 got up to 9 requests of that entry in those 3 s; whoever was sent there was refused. Cause: no entry read the word. Change: gateway/backoff.py keeps each target's back-off at an entry; gateway/availability.py is the one place that says whether a request may go to a target (leaving, evacuated, back-off, cold, limit), asked at the choice and again when the connection is there, by first and second sends, runs that go on, and refusals. After the back-off one request goes as a probe. Where nobody else is left, callers are told to come back in turn after its end. Why it works: nothing that sends can reach a target without asking the same question at the moment of the send.

--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -10,10 +10,11 @@
 import timeit
 
 from tillerlane.decisions import placing
-from tillerlane.gateway import cold, limits, loads, permits, routes, selection
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway import loads, routes, selection
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import codec, messages
+from tillerlane.testing import selectors
 
 __all__ = ["measure_choice", "measure_digest"]
 
@@ -66,11 +67,7 @@
     usage.entries = entries + 1
     for _ in range(REQUESTS):
         usage.note_request("llm", 0.0)
-    sends = cold.ColdSends("entry-0", cold.ColdBounds(1.5, 5.0))
-    permitted = permits.Permits("entry-0", limits.Limits(), lambda: 0.0)
-    return selection.Selector(
-        directory, usage, sends, permitted, "hall-a", random.Random(1), lambda: 0.0
-    )
+    return selectors.build_selector(directory, usage, "hall-a", 0.0)
 
 
 def measure_choice(entries: int, targets: int) -> float:
--- /dev/null
+++ b/tillerlane/gateway/availability.py
@@ -0,0 +1,193 @@
+"""Whether an entry may send one more request to a target, by what targets say of themselves.
+
+Every way to a target asks `Availability`, and nothing else.  A word about a target belongs to one
+incarnation of it and ends with that one.
+
+============ ===================== ============ ==================================
+word         source                holds at     ends
+============ ===================== ============ ==================================
+leaving      heartbeats            all entries  with the incarnation
+evacuated    operators' orders     all entries  with the order
+back-off     answers               this entry   after the time that it names
+cold         heartbeats            all entries  after the time that it names
+limit        answers               all entries  when answers name it no more
+============ ===================== ============ ==================================
+"""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Collection
+
+from tillerlane.gateway import backoff as backoffs
+from tillerlane.gateway import cold as colds
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import permits, routes
+from tillerlane.gateway import usage as usages
+
+__all__ = ["Availability", "Cause", "Obstacle"]
+
+
+class Cause(enum.StrEnum):
+    """Why a target gets nothing from this entry now."""
+
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    BACKOFF = "backoff"
+    COLD = "cold"
+    LIMITED = "limited"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obstacle:
+    """What keeps a request from a target.
+
+    Attributes
+    ----------
+    until : float
+        Time of the event loop at which it may be gone: infinite if it does not end by itself.
+    """
+
+    cause: Cause
+    until: float
+
+    @property
+    def is_hard(self) -> bool:
+        """Whether the target is no choice either for what is sent there later, as a run's copy."""
+        return self.cause not in (Cause.BACKOFF, Cause.LIMITED)
+
+
+_LEAVING = Obstacle(Cause.LEAVING, float("inf"))
+_EVACUATED = Obstacle(Cause.EVACUATED, float("inf"))
+# Shares and permits of one entry come back at any moment.
+_COLD = Obstacle(Cause.COLD, 0.0)
+_LIMITED = Obstacle(Cause.LIMITED, 0.0)
+
+
+class Availability:
+    """What one entry may send to each target.
+
+    Parameters
+    ----------
+    directory : directories.Directory
+        Targets that leave, and evacuated data halls.
+    usage : usages.Usage
+        Knows how many entries there are.
+    cold : colds.ColdSends
+        What this entry has sent to cold targets.
+    permitted : permits.Permits
+        What it may send to those that have named limits.
+    in_backoff : backoffs.Backoffs
+        Those that have asked it for back-off.
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        usage: usages.Usage,
+        cold: colds.ColdSends,
+        permitted: permits.Permits,
+        in_backoff: backoffs.Backoffs,
+        now: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._usage = usage
+        self._cold = cold
+        self._permits = permitted
+        self._backoffs = in_backoff
+        self._now = now
+
+    def find_obstacle(
+        self, pool: routes.Pool, target: directories.Target, *, goes_on: bool = False
+    ) -> Obstacle | None:
+        """What keeps one more request from a target now; None if it may be sent.
+
+        A run that `goes_on` with a copy of its memory may go to a target that has begun to leave.
+        """
+        if target.data_hall in self._directory.evacuated:
+            return _EVACUATED
+        if target.is_leaving and not goes_on:
+            return _LEAVING
+        backoff_until = self._backoffs.find_end(target.target_id)
+        if backoff_until is not None:
+            return Obstacle(Cause.BACKOFF, backoff_until)
+        if not self._cold.may_send(pool, target, self._usage.entries, self._now()):
+            return _COLD
+        if not self._permits.may_send(target.target_id):
+            return _LIMITED
+        return None
+
+    def take(
+        self, pool: routes.Pool, target: directories.Target, *, goes_on: bool = False
+    ) -> Obstacle | None:
+        """Count a request that goes out to a target now, unless something keeps it from there."""
+        obstacle = self.find_obstacle(pool, target, goes_on=goes_on)
+        if obstacle is None:
+            self._cold.note_sent(target, self._now())
+            self._permits.note_sent(target.target_id)
+            self._backoffs.note_sent(target.target_id)
+        return obstacle
+
+    def is_held_up(self, pool: routes.Pool, target: directories.Target) -> bool:
+        """Whether a run that goes on has to wait for a target, which may soon get more.
+
+        Permits are asked for where that would help.
+        """
+        obstacle = self.find_obstacle(pool, target, goes_on=True)
+        if obstacle is not None and obstacle.cause is Cause.LIMITED:
+            self._permits.wish(target.target_id)
+        return obstacle is not None and obstacle.cause is not Cause.EVACUATED
+
+    def is_evacuated(self, target: directories.Target) -> bool:
+        """Whether a target's data hall gets nothing new."""
+        return target.data_hall in self._directory.evacuated
+
+    def list_backoff_ends(self, pool: routes.Pool) -> list[float]:
+        """Times of the event loop at which the back-off of a pool's targets that take work ends."""
+        ends = [
+            self._backoffs.find_end(target.target_id)
+            for target in self._directory.list_pool(pool.name)
+        ]
+        return [until for until in ends if until is not None]
+
+    def read_opening(self, pool: routes.Pool, excluded: Collection[str] = ()) -> float:
+        """Time of the event loop from which a target of a pool may take a request.
+
+        Infinite if none will by itself; targets that are `excluded` (ids) don't count.
+        """
+        now = self._now()
+        first = float("inf")
+        for target in self._directory.list_pool(pool.name):
+            if target.target_id in excluded:
+                continue
+            obstacle = self.find_obstacle(pool, target)
+            first = min(first, max(now, obstacle.until) if obstacle is not None else now)
+        return first
+
+    def read_cold_seconds(self, pool: routes.Pool) -> float:
+        """Seconds until the first cold target of a pool is warm; 0 if none is cold."""
+        now = self._now()
+        listed = self._directory.list_pool(pool.name)
+        return min((item.warm_at - now for item in listed if item.warm_at > now), default=0.0)
+
+    async def wait_for_permits(self, seconds: float) -> None:
+        """Wait until permits that were asked for have come, or were denied; so long at most."""
+        await self._permits.wait_for_answer(seconds)
+
+    def wish(self, target: directories.Target) -> None:
+        """Have permits asked for, since a request could have gone to a target with one."""
+        self._permits.wish(target.target_id)
+
+    def read_limit(self, target: directories.Target) -> float | None:
+        """What a target has named as its limit, in requests a second; None without one in force."""
+        return self._permits.find_limit(target.target_id)
+
+    def list_limits(self, pool: routes.Pool) -> list[float]:
+        """Limits in force of a pool's targets that take work, in requests a second."""
+        limits = [self.read_limit(target) for target in self._directory.list_pool(pool.name)]
+        return [limit for limit in limits if limit is not None]
+
+    def list_evacuated(self) -> list[str]:
+        """Data halls whose targets get nothing new."""
+        return sorted(self._directory.evacuated)
--- /dev/null
+++ b/tillerlane/gateway/backoff.py
@@ -0,0 +1,99 @@
+"""Back-off that targets ask one entry for, and how the entry comes back afterwards.
+
+A target that turns a request away may say for how long it wants nothing more from that entry.  When
+that time is over the entry sends one request as a probe, and others once the target has not turned
+it away (a circuit breaker that is half open).
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+__all__ = ["PROBE_SECONDS", "Backoffs", "Word"]
+
+MOST_SECONDS = 600.0
+"""Longest back-off that is obeyed, so that one wrong word does not take a target out for days."""
+PROBE_SECONDS = 0.1
+"""Least pause between probes: a target turns a request away within milliseconds, while a good
+answer may take long."""
+
+
+@dataclasses.dataclass(slots=True)
+class Word:
+    """A target's latest back-off; times are of the event loop.
+
+    Attributes
+    ----------
+    told_at, until : float
+        When an answer asked for it last, and its end.
+    request_id : str
+        Whose answer set the end.
+    probed_at : float
+        When a request went out after the end; 0 before.
+    """
+
+    target_id: str
+    told_at: float
+    until: float
+    request_id: str
+    probed_at: float = 0.0
+
+
+class Backoffs:
+    """The back-off of all targets at one entry.
+
+    Parameters
+    ----------
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._words: dict[str, Word] = {}
+
+    def note(self, target_id: str, seconds: float, request_id: str) -> Word | None:
+        """Take note that a target asks for back-off; gives the word if that moves its end."""
+        now = self._now()
+        until = now + min(seconds, MOST_SECONDS)
+        known = self._words.get(target_id)
+        if until <= now or (known is not None and until <= known.until):
+            return None
+        word = Word(target_id, now, until, request_id)
+        self._words[target_id] = word
+        return word
+
+    def note_sent(self, target_id: str) -> None:
+        """Count a request that goes out to a target now."""
+        word = self._words.get(target_id)
+        if word is not None and word.until <= self._now():
+            word.probed_at = self._now()
+
+    def note_taken(self, target_id: str, sent_at: float) -> Word | None:
+        """Take note that a target did not turn a request away; gives the word that this ends."""
+        word = self._words.get(target_id)
+        if word is None or sent_at < word.until:
+            return None
+        return self._words.pop(target_id)
+
+    def find_end(self, target_id: str) -> float | None:
+        """Until when a target gets nothing from this entry; None if it may get a request now."""
+        if not self._words:
+            return None
+        word = self._words.get(target_id)
+        if word is None:
+            return None
+        until = max(word.until, word.probed_at + PROBE_SECONDS)
+        return until if until > self._now() else None
+
+    def forget(self, target_id: str) -> None:
+        """Drop the word of a target that has ended."""
+        self._words.pop(target_id, None)
+
+    def count_in_force(self) -> int:
+        """Targets that are in back-off."""
+        now = self._now()
+        return sum(word.until > now for word in self._words.values())
+
+    def list_all(self) -> list[Word]:
+        """Words of all targets that have not taken a request since."""
+        return list(self._words.values())
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    availability,
     endings,
     handovers,
     homes,
@@ -28,6 +29,7 @@
     streams,
     suspects,
 )
+from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import cold as colds
 from tillerlane.gateway import dialect as dialects
@@ -139,11 +141,19 @@
         self.permits = permits.Permits(own.name, self.limits, self._loop.time)
         self.permits.ask = self._ask_permits
         self.permits.on_answered = self._note_permits
-        selector = selection.Selector(
+        self.backoffs = backoffs.Backoffs(self._loop.time)
+        available = availability.Availability(
             self.directory,
             self.usage,
             colds.ColdSends(own.name, own.cold),
             self.permits,
+            self.backoffs,
+            self._loop.time,
+        )
+        selector = selection.Selector(
+            self.directory,
+            self.usage,
+            available,
             own.data_hall,
             rng or random.Random(),
             self._loop.time,
@@ -161,6 +171,8 @@
         sender = sending.Sender(
             dialect,
             selector,
+            available,
+            self.backoffs,
             self.usage,
             self._budget,
             self.timeline,
@@ -176,6 +188,7 @@
         relayed = streams.Streams(
             sender,
             selector,
+            available,
             self.usage,
             self._budget,
             self._mover,
@@ -274,6 +287,7 @@
         self._meters.busy.set_function(self._front.count_busy)
         self._meters.quarantined.set_function(self.quarantine.count_held)
         self._meters.limits.set_function(lambda: self.limits.count_in_force(self._loop.time()))
+        self._meters.in_backoff.set_function(self.backoffs.count_in_force)
         self._meters.unused_permits.set_function(lambda: self.permits.unused)
         self._meters.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._meters.evacuated.set_function(lambda: len(self.directory.evacuated))
@@ -432,6 +446,7 @@
         if target.phase is directories.Phase.GONE:
             self.limits.forget(target.target_id)
             self.permits.forget(target.target_id)
+            self.backoffs.forget(target.target_id)
         if not target.is_over:
             return
         self.usage.forget_pace(target.address)
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -51,6 +51,10 @@
     """Targets whose named limits are in force here."""
     unused_permits: prometheus_client.Gauge
     """Permits for such targets that ended unused, since the start."""
+    backoffs: prometheus_client.Counter
+    """Answers that asked for back-off, by pool."""
+    in_backoff: prometheus_client.Gauge
+    """Targets that get nothing of this entry since they asked for that."""
 
 
 def build_entry_meters() -> EntryMeters:
@@ -87,6 +91,8 @@
         gauge("tillerlane_suspected_requests", "Requests under which a target has ended"),
         gauge("tillerlane_named_limits", "Targets whose named limits are in force"),
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
+        count("tillerlane_backoffs", "Answers that asked for back-off", "pool"),
+        gauge("tillerlane_targets_in_backoff", "Targets that asked this entry for back-off"),
     )
 
 
--- a/tillerlane/gateway/refusals.py
+++ b/tillerlane/gateway/refusals.py
@@ -5,7 +5,8 @@
 
 from tillerlane.decisions import limits
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import selection
+from tillerlane.gateway import availability, routes
+from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import usage as usages
 
 __all__ = ["NotRun", "Refusals"]
@@ -38,42 +39,71 @@
 
     Parameters
     ----------
-    selector : selection.Selector
+    available : availability.Availability
         Knows why targets get nothing.
     usage : usages.Usage
         Knows how many entries there are.
     """
 
-    def __init__(self, selector: selection.Selector, usage: usages.Usage) -> None:
-        self._selector = selector
+    def __init__(self, available: availability.Availability, usage: usages.Usage) -> None:
+        self._available = available
         self._usage = usage
         self._loop = asyncio.get_running_loop()
-        self._returns: dict[str, float] = {}
-        """When the caller that was refused last for limits may come back, by pool."""
+        self._returns: dict[tuple[str, availability.Cause], float] = {}
+        """When the caller that was refused last may come back, by pool and what kept it away."""
 
     def build_no_target(self, asked: admissions.Admission) -> NotRun:
         """Refuse a request that no target takes now, and say why."""
-        cold_seconds = self._selector.read_cold_seconds(asked.pool)
-        if cold_seconds > 0:
-            reason = "no target but cold ones that have this entry's share"
-            return NotRun(reason, sent=False, retry_after=cold_seconds)
-        limits_named = self._selector.list_limits(asked.pool)
-        if limits_named:
-            return self._build_limited(asked, limits_named)
-        halls = self._selector.list_evacuated()
+        found = [
+            *self._list_cold(asked.pool),
+            *self._list_limited(asked.pool),
+            *self._list_in_backoff(asked.pool),
+        ]
+        if found:
+            seconds, reason = min(found)
+            return NotRun(reason, sent=False, retry_after=seconds)
+        halls = self._available.list_evacuated()
         if not halls:
             return NotRun("no target", sent=False)
         reason = f"no target outside the evacuated data halls {halls}"
         return NotRun(reason, sent=False, retry_after=EVACUATED_RETRY_SECONDS)
 
-    def _build_limited(self, asked: admissions.Admission, limits_named: list[float]) -> NotRun:
-        """Refuse a request since all targets left have named limits; callers return in turn."""
-        now = self._loop.time()
+    def set_return(self, asked: admissions.Admission, refused: NotRun) -> NotRun:
+        """Have a caller whom targets turned away come back no sooner than one may take more."""
+        found = self._list_in_backoff(asked.pool)
+        if not found or self._available.read_opening(asked.pool) <= self._loop.time():
+            return refused
+        return dataclasses.replace(refused, retry_after=found[0][0])
+
+    def _list_cold(self, pool: routes.Pool) -> list[tuple[float, str]]:
+        """Seconds and reason to tell callers if cold targets keep them away; none if they don't."""
+        seconds = self._available.read_cold_seconds(pool)
+        return [(seconds, "no target but cold ones that have this entry's share")][: seconds > 0]
+
+    def _list_limited(self, pool: routes.Pool) -> list[tuple[float, str]]:
+        limits_named = self._available.list_limits(pool)
+        if not limits_named:
+            return []
         rate = sum(limits_named) / max(1, self._usage.entries)
-        booked_at = self._returns.get(asked.pool.name, now)
-        self._returns[asked.pool.name] = limits.book_return(booked_at, now, rate)
-        reason = f"no target but {len(limits_named)} whose limits leave no room"
-        return NotRun(reason, sent=False, retry_after=self._returns[asked.pool.name] - now)
+        seconds = self._book(pool, availability.Cause.LIMITED, self._loop.time(), rate)
+        return [(seconds, f"no target but {len(limits_named)} whose limits leave no room")]
+
+    def _list_in_backoff(self, pool: routes.Pool) -> list[tuple[float, str]]:
+        ends = self._available.list_backoff_ends(pool)
+        if not ends:
+            return []
+        cause = availability.Cause.BACKOFF
+        seconds = self._book(pool, cause, min(ends), 1 / backoffs.PROBE_SECONDS)
+        return [(seconds, f"no target but {len(ends)} that asked for back-off")]
+
+    def _book(
+        self, pool: routes.Pool, cause: availability.Cause, first_at: float, rate: float
+    ) -> float:
+        """Seconds until one more caller may come back, in turn, `first_at` or later."""
+        key = (pool.name, cause)
+        booked_at = self._returns.get(key, first_at)
+        self._returns[key] = limits.book_return(booked_at, first_at, rate)
+        return self._returns[key] - self._loop.time()
 
     def build_no_room(self, asked: admissions.Admission) -> NotRun:
         left = max(0.0, asked.ends_at - self._loop.time())
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable, Collection, Iterator
 
 from tillerlane.decisions import placing
-from tillerlane.gateway import cold as colds
+from tillerlane.gateway import availability, loads, permits, routes
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import loads, permits, routes
 from tillerlane.gateway import usage as usages
 
 __all__ = ["Caution", "Selector"]
@@ -38,7 +37,7 @@
 POOL_PACE_SECONDS = 1.0
 """How long a pool's pace is used before it is read again; it is smoothed over 20 s."""
 FIRST_RANK = (False, False, False, False)
-"""Neither silent nor avoided nor limited nor full."""
+"""Neither silent nor avoided nor held up nor full."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,10 +81,8 @@
         Targets known.
     usage : usages.Usage
         What is under way at each.
-    cold : colds.ColdSends
-        What this entry has sent to cold ones.
-    permitted : permits.Permits
-        What it may send to those that have named limits.
+    available : availability.Availability
+        Tells what keeps requests from a target.
     data_hall : str
         This entry's data hall.
     rng : random.Random
@@ -98,8 +95,7 @@
         self,
         directory: directories.Directory,
         usage: usages.Usage,
-        cold: colds.ColdSends,
-        permitted: permits.Permits,
+        available: availability.Availability,
         data_hall: str,
         rng: random.Random,
         now: Callable[[], float],
@@ -107,8 +103,7 @@
         self.caution = Caution()
         self._directory = directory
         self._usage = usage
-        self._cold = cold
-        self._permits = permitted
+        self._available = available
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
@@ -133,8 +128,9 @@
     ) -> directories.Target | None:
         """The target at which work costs least, of some that are not `excluded` (ids).
 
-        None without any.  Silent, avoided, limited and full targets come last, in that order; those
-        whose limit leaves nothing to this entry are left out of what `is_sent_now`.
+        None without any.  Silent, avoided, held up and full targets come last, in that order; those
+        that are held up (in back-off, or with a limit that leaves nothing to this entry) are left
+        out of what `is_sent_now`.
 
         With `source_hall` it is a run whose memory has to be copied, which takes longer between
         halls.
@@ -192,21 +188,21 @@
             for target in _draw_in_turn(group, self._rng):
                 if drawn >= wished and best == FIRST_RANK:
                     break
-                if target.target_id in excluded or not self._directory.takes_work(target):
+                if target.target_id in excluded:
                     continue
-                if not self._bears_more(pool, target, now):
+                obstacle = self._available.find_obstacle(pool, target)
+                if obstacle is not None and obstacle.is_hard:
                     continue
-                is_limited = not self._permits.may_send(target.target_id)
-                if is_limited and wishes > 0:
-                    self._permits.wish(target.target_id)
+                if obstacle is not None and obstacle.cause is availability.Cause.LIMITED and wishes:
+                    self._available.wish(target)
                     wishes -= 1
-                if is_limited and is_sent_now:
+                if obstacle is not None and is_sent_now:
                     continue
                 use = self._usage.read(target.address)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     self.caution.is_avoided(target.target_id, now),
-                    is_limited,
+                    obstacle is not None,
                     not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
                 )
                 if rank > best:
@@ -254,63 +250,6 @@
             cost += COLD_COST
         return cost
 
-    def note_send(self, pool: routes.Pool, target: directories.Target) -> str:
-        """Count a request that goes out to a target now; why it may not, or an empty text.
-
-        One that has begun to leave gets it: it serves on for a while, and may have a run's copy.
-        """
-        if self.is_evacuated(target):
-            return f"{target.data_hall} was evacuated meanwhile"
-        if not self._bears_more(pool, target, self._now()):
-            return f"{target.address} is cold and has this entry's share"
-        if not self._permits.may_send(target.target_id):
-            return f"{target.address} has named a limit, and no permit is held for it"
-        self._cold.note_sent(target, self._now())
-        self._permits.note_sent(target.target_id)
-        return ""
-
-    def is_held_up(self, pool: routes.Pool, target: directories.Target) -> bool:
-        """Whether a target is cold or limited and gets nothing of this entry now.
-
-        Permits are asked for where that would help.
-        """
-        if not self._bears_more(pool, target, self._now()):
-            return True
-        is_limited = not self._permits.may_send(target.target_id)
-        if is_limited:
-            self._permits.wish(target.target_id)
-        return is_limited
-
-    def is_evacuated(self, target: directories.Target) -> bool:
-        """Whether a target's data hall gets nothing new."""
-        return target.data_hall in self._directory.evacuated
-
-    def _bears_more(self, pool: routes.Pool, target: directories.Target, now: float) -> bool:
-        return self._cold.may_send(pool, target, self._usage.entries, now)
-
-    def read_cold_seconds(self, pool: routes.Pool) -> float:
-        """Seconds until the first cold target of a pool is warm; 0 if none is cold."""
-        now = self._now()
-        listed = self._directory.list_pool(pool.name)
-        return min((item.warm_at - now for item in listed if item.warm_at > now), default=0.0)
-
-    async def wait_for_permits(self, seconds: float) -> None:
-        """Wait until permits that were asked for have come, or were denied; so long at most."""
-        await self._permits.wait_for_answer(seconds)
-
-    def read_limit(self, target: directories.Target) -> float | None:
-        """What a target has named as its limit, in requests a second; None without one in force."""
-        return self._permits.find_limit(target.target_id)
-
-    def list_limits(self, pool: routes.Pool) -> list[float]:
-        """Limits in force of a pool's targets that take work, in requests a second."""
-        limits = [self.read_limit(target) for target in self._directory.list_pool(pool.name)]
-        return [limit for limit in limits if limit is not None]
-
-    def list_evacuated(self) -> list[str]:
-        """Data halls whose targets get nothing new."""
-        return sorted(self._directory.evacuated)
-
     def read_evacuation(self, pool: routes.Pool, target: directories.Target) -> float:
         """Seconds that a runner's link needs to copy all runs that have no copy yet."""
         use = self._usage.read(target.address)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -11,11 +11,8 @@
 
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import directory as directories
-from tillerlane.gateway import endings as ends
 from tillerlane.gateway import (
+    availability,
     exchanges,
     http_client,
     http_head,
@@ -25,6 +22,11 @@
     routes,
     selection,
 )
+from tillerlane.gateway import backoff as backoffs
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import endings as ends
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import usage as usages
@@ -128,6 +130,10 @@
         How targets speak.
     selector : selection.Selector
         Chooses targets.
+    available : availability.Availability
+        Tells what keeps requests from a target.
+    in_backoff : backoffs.Backoffs
+        Takes the back-off that targets ask for.
     usage : usages.Usage
         Counts what is under way.
     budget : budgets.RetryBudget
@@ -157,6 +163,8 @@
         self,
         dialect: dialects.Dialect,
         selector: selection.Selector,
+        available: availability.Availability,
+        in_backoff: backoffs.Backoffs,
         usage: usages.Usage,
         budget: budgets.RetryBudget,
         timeline: timelines.Timeline,
@@ -174,8 +182,10 @@
         self._startup = startup
         self._dialect = dialect
         self._selector = selector
+        self._available = available
+        self._backoffs = in_backoff
         self._usage = usage
-        self._refusals = refusals.Refusals(selector, usage)
+        self._refusals = refusals.Refusals(available, usage)
         self._budget = budget
         self._timeline = timeline
         self._meters = meters
@@ -215,9 +225,10 @@
                 held_back = self.refuse_held(asked)
                 if held_back is not None:
                     return held_back
-                problem = self._selector.note_send(asked.pool, target)
-                if problem:
-                    return refusals.NotRun(problem, sent=False, is_held_up=True)
+                obstacle = self._available.take(asked.pool, target, goes_on=plan.copy is not None)
+                if obstacle is not None:
+                    reason = f"{address} gets nothing of this entry now: {obstacle.cause.value}"
+                    return refusals.NotRun(reason, sent=False, is_held_up=True)
                 head = self._dialect.write_forward(asked.request.head, plan)
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, target, exchange)
@@ -266,7 +277,7 @@
         facts = self._dialect.read_answer(head)
         is_of_request = facts.request_id == asked.facts.request_id
         if is_of_request and not facts.is_other_target:
-            self._note_advice(asked, target, facts)
+            self._note_advice(asked, target, facts, exchange.sent_at)
         if not is_of_request:
             # Each answer of a target names its request; what does not is nobody's word on this one.
             named = facts.request_id or "none"
@@ -288,6 +299,7 @@
         asked: admissions.Admission,
         target: directories.Target,
         facts: dialects.AnswerFacts,
+        sent_at: float,
     ) -> None:
         """Keep what a target's answer says of the target; what can't be read changes nothing."""
         for unread in facts.unread:
@@ -300,13 +312,36 @@
             )
         if not facts.has_unread("limit"):
             self._note_limit(asked, target, facts.rate_limit)
+        if facts.did_run:
+            self._note_taken(asked, target, sent_at)
         if facts.backoff_seconds is not None:
+            self._note_backoff(asked, target, facts.backoff_seconds)
+
+    def _note_backoff(
+        self, asked: admissions.Admission, target: directories.Target, seconds: float
+    ) -> None:
+        word = self._backoffs.note(target.target_id, seconds, asked.facts.request_id)
+        self._meters.backoffs.labels(asked.pool.name).inc()
+        self._timeline.record(
+            "target.backoff",
+            request_id=asked.facts.request_id,
+            target=target.target_id,
+            address=target.address,
+            seconds=seconds,
+            is_news=word is not None,
+        )
+
+    def _note_taken(
+        self, asked: admissions.Admission, target: directories.Target, sent_at: float
+    ) -> None:
+        word = self._backoffs.note_taken(target.target_id, sent_at)
+        if word is not None:
             self._timeline.record(
-                "target.backoff",
+                "target.backoff_over",
                 request_id=asked.facts.request_id,
                 target=target.target_id,
-                address=target.address,
-                seconds=facts.backoff_seconds,
+                asked_by=word.request_id,
+                after_ms=int((self._loop.time() - word.told_at) * 1000),
             )
 
     def _note_limit(
@@ -381,11 +416,11 @@
             if target is None and not excluded and self._may_wait_for_targets(asked):
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
-            if target is None and self._may_wait_for_bearing(asked):
-                await self._selector.wait_for_permits(ROOM_CHECK_SECONDS)
+            if target is None and self._may_wait_for_bearing(asked, excluded):
+                await self._available.wait_for_permits(ROOM_CHECK_SECONDS)
                 continue
             if target is None or self._loop.time() + LEAST_SEND_SECONDS > asked.ends_at:
-                return tried if tried.target else Tried(self._refusals.build_no_target(asked))
+                return self._finish(asked, tried)
             if not self._has_room(asked, target):
                 if self._loop.time() < self._read_patience(asked):
                     await asyncio.sleep(ROOM_CHECK_SECONDS)
@@ -400,7 +435,16 @@
             if isinstance(latest.outcome, refusals.NotRun) and not latest.outcome.sent:
                 unsent += not latest.outcome.is_held_up
             elif not self._may_send_again(asked, latest):
-                return tried
+                break
+        return self._finish(asked, tried)
+
+    def _finish(self, asked: admissions.Admission, tried: Tried) -> Tried:
+        """Have callers of requests that no target takes come back when one may."""
+        if tried.target is None:
+            return Tried(self._refusals.build_no_target(asked))
+        if isinstance(tried.outcome, refusals.NotRun):
+            outcome = self._refusals.set_return(asked, tried.outcome)
+            return dataclasses.replace(tried, outcome=outcome)
         return tried
 
     async def _try_target(
@@ -428,12 +472,12 @@
         arrived = asked.request.arrived
         return self._startup.may_wait_for_targets(arrived, asked.ends_at - arrived)
 
-    def _may_wait_for_bearing(self, asked: admissions.Admission) -> bool:
-        """Whether a cold or limited target may take a request in time."""
-        if self._loop.time() >= self._read_patience(asked):
+    def _may_wait_for_bearing(self, asked: admissions.Admission, excluded: set[str]) -> bool:
+        """Whether a target that gets nothing now may take a request in time."""
+        patience = self._read_patience(asked)
+        if self._loop.time() >= patience:
             return False
-        is_any_cold = self._selector.read_cold_seconds(asked.pool) > 0
-        return is_any_cold or bool(self._selector.list_limits(asked.pool))
+        return self._available.read_opening(asked.pool, excluded) <= patience
 
     def _read_patience(self, asked: admissions.Admission) -> float:
         """Until when a request waits for memory; then the caller is told when to come back."""
@@ -483,7 +527,7 @@
         use = self._usage.read(target.address)
         reason = getattr(outcome, "reason", "")
         status = outcome.head.status if isinstance(outcome, Whole | Stream) else 0
-        limit = self._selector.read_limit(target)
+        limit = self._available.read_limit(target)
         self._timeline.record(
             "request.send",
             request_id=asked.facts.request_id,
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -10,11 +10,8 @@
 
 from tillerlane.decisions import handover
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import directory as directories
-from tillerlane.gateway import endings as ends
 from tillerlane.gateway import (
+    availability,
     handovers,
     http_head,
     http_server,
@@ -26,6 +23,10 @@
     selection,
     sending,
 )
+from tillerlane.gateway import budget as budgets
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import endings as ends
 from tillerlane.gateway import meters as entry_meters
 from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
@@ -40,7 +41,7 @@
 the run's memory."""
 
 BEARING_CHECK_SECONDS = 0.05
-"""Pause between looks at a cold or limited runner that has a run's copy."""
+"""Pause between looks at a runner that has a run's copy and gets nothing of this entry now."""
 BEARING_WAIT_SHARE = 0.5
 """Share of the time for which a copy is kept that a run waits for such a runner."""
 
@@ -54,6 +55,8 @@
         Sends requests.
     selector : selection.Selector
         Chooses runners.
+    available : availability.Availability
+        Tells what keeps requests from a runner.
     usage : usages.Usage
         Counts what is under way.
     budget : budgets.RetryBudget
@@ -76,6 +79,7 @@
         self,
         sender: sending.Sender,
         selector: selection.Selector,
+        available: availability.Availability,
         usage: usages.Usage,
         budget: budgets.RetryBudget,
         mover: runs.Mover,
@@ -90,6 +94,7 @@
         self._endings = endings
         self._sender = sender
         self._selector = selector
+        self._available = available
         self._usage = usage
         self._budget = budget
         self._mover = mover
@@ -214,9 +219,9 @@
         target = continuation.target
         if self._sender.refuse_held(stream.asked) is not None:
             self._mover.give_up(run)  # nobody would take it up; it may end here yet
-        elif self._selector.is_evacuated(target) or not run.may_go_to(target):
+        elif self._available.is_evacuated(target) or not run.may_go_to(target):
             self._mover.move_again(run)
-        elif not self._selector.is_held_up(run.pool, target):  # else again with its next event
+        elif not self._available.is_held_up(run.pool, target):  # else again with its next event
             stream.stopping = self._order_stop(stream, target)
 
     def _order_stop(
@@ -324,7 +329,7 @@
                 return refusals.NotRun(f"{target.target_id} leaves too", sent=False)
             outcome = await self._send_copy(stream, continuation)
             is_refused_here = isinstance(outcome, refusals.NotRun) and not outcome.sent
-            is_held_up = self._selector.is_held_up(stream.run.pool, target)
+            is_held_up = self._available.is_held_up(stream.run.pool, target)
             if not is_refused_here or not is_held_up or self._loop.time() >= until:
                 return outcome
 
@@ -346,8 +351,8 @@
     async def _await_bearing(
         self, pool: routes.Pool, target: directories.Target, until: float
     ) -> None:
-        """Wait while a target is cold or limited and gets nothing of this entry."""
-        while self._selector.is_held_up(pool, target) and self._loop.time() < until:
+        """Wait while a target gets nothing of this entry: cold, limited or in back-off."""
+        while self._available.is_held_up(pool, target) and self._loop.time() < until:
             await asyncio.sleep(BEARING_CHECK_SECONDS)
 
     async def _send_on(
--- /dev/null
+++ b/tillerlane/gateway/tests/test_backoff_words.py
@@ -0,0 +1,61 @@
+"""What one entry keeps of the back-off that targets ask for."""
+
+import unittest
+
+from tillerlane.gateway import backoff
+
+
+class BackoffsTest(unittest.TestCase):
+    """One target, at times that the test sets."""
+
+    def setUp(self) -> None:
+        """An entry at a moment."""
+        self.now = 100.0
+        self.backoffs = backoff.Backoffs(lambda: self.now)
+
+    def test_shorter_backoff_does_not_end_a_longer_one(self) -> None:
+        self.backoffs.note("t1", 3.0, "r1")
+        self.now += 1.0
+        self.assertIsNone(self.backoffs.note("t1", 0.5, "r2"))
+        self.assertEqual(self.backoffs.find_end("t1"), 103.0)
+        self.assertIsNotNone(self.backoffs.note("t1", 4.0, "r3"))
+        self.assertEqual(self.backoffs.find_end("t1"), 105.0)
+
+    def test_answer_of_a_request_sent_earlier_does_not_end_it(self) -> None:
+        self.backoffs.note("t1", 3.0, "r1")
+        self.now += 0.1
+        self.assertIsNone(self.backoffs.note_taken("t1", 99.9))
+        self.assertEqual(self.backoffs.find_end("t1"), 103.0)
+
+    def test_one_probe_goes_first_when_it_is_over(self) -> None:
+        self.backoffs.note("t1", 3.0, "r1")
+        self.now = 103.0
+        self.assertIsNone(self.backoffs.find_end("t1"))
+        self.backoffs.note_sent("t1")
+        self.assertEqual(self.backoffs.find_end("t1"), 103.0 + backoff.PROBE_SECONDS)
+        self.now += 0.02
+        self.assertIsNotNone(self.backoffs.note_taken("t1", 103.0))
+        self.assertIsNone(self.backoffs.find_end("t1"))
+
+    def test_probe_without_an_answer_does_not_keep_the_target_away(self) -> None:
+        self.backoffs.note("t1", 3.0, "r1")
+        self.now = 103.0
+        self.backoffs.note_sent("t1")
+        self.now += backoff.PROBE_SECONDS
+        self.assertIsNone(self.backoffs.find_end("t1"))
+
+    def test_word_of_no_time_or_of_days_is_bounded(self) -> None:
+        self.assertIsNone(self.backoffs.note("t1", 0.0, "r1"))
+        self.assertIsNone(self.backoffs.find_end("t1"))
+        self.backoffs.note("t1", 1e9, "r2")
+        self.assertEqual(self.backoffs.find_end("t1"), 100.0 + backoff.MOST_SECONDS)
+
+    def test_word_ends_with_its_target(self) -> None:
+        self.backoffs.note("t1", 3.0, "r1")
+        self.backoffs.forget("t1")
+        self.assertIsNone(self.backoffs.find_end("t1"))
+        self.assertEqual(self.backoffs.list_all(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/tests/test_rules.py
+++ b/tillerlane/gateway/tests/test_rules.py
@@ -1,19 +1,17 @@
 """Small rules: the routing table's checks, the retry budget, load and events."""
 
 import dataclasses
-import random
 import unittest
 
 from hypothesis import given, strategies
 
 from tillerlane.decisions import placing
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import events, limits, loads, permits, routes, selection
+from tillerlane.gateway import events, loads, routes
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import messages
-from tillerlane.testing import profiles
+from tillerlane.testing import profiles, selectors
 
 ENGINE = routes.Engine(48, 34_000, 131_072, 19_000, 4, True, True, 5.0)
 POOL = routes.Pool("pool", "/health", 100, ENGINE)
@@ -98,16 +96,7 @@
         """Three targets."""
         self.directory = directories.Directory()
         self.usage = usages.Usage("entry-2")
-        sends = colds.ColdSends("entry-2", colds.ColdBounds(1.5, 5.0))
-        self.selector = selection.Selector(
-            self.directory,
-            self.usage,
-            sends,
-            permits.Permits("entry-2", limits.Limits(), lambda: 10.0),
-            "hall-a",
-            random.Random(1),
-            lambda: 10.0,
-        )
+        self.selector = selectors.build_selector(self.directory, self.usage, "hall-a", 10.0)
         for number in (1, 2, 3):
             target = directories.Target(
                 f"t{number}", "pool", f"a{number}", "hall-a", 48, directories.Phase.READY, 1, 10.0
--- a/tillerlane/gateway/tests/test_selection.py
+++ b/tillerlane/gateway/tests/test_selection.py
@@ -1,18 +1,16 @@
 """Which runner gets a prompt, with word of other entries that is old or fresh."""
 
 import collections
-import random
 import unittest
 
 from tillerlane.decisions import placing
-from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import limits, permits, routes, selection, usage
+from tillerlane.gateway import routes, usage
+from tillerlane.testing import selectors
 
 PROMPT_TOKENS = 3_000
 WORK = placing.Work(PROMPT_TOKENS, PROMPT_TOKENS)
 RUNNERS = 10
-COLD = colds.ColdSends("entry-0", colds.ColdBounds(1.5, 5.0))
 ENGINE = routes.Engine(
     slots=24,
     memory_tokens=34_000,
@@ -56,15 +54,7 @@
         self.usage.note_request("llm", self.now - 60.0)  # it has run for long
         for _ in range(prompts):
             self.usage.note_request("llm", self.now)
-        selector = selection.Selector(
-            self.directory,
-            self.usage,
-            COLD,
-            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
-            "hall-a",
-            random.Random(1),
-            lambda: self.now,
-        )
+        selector = selectors.build_selector(self.directory, self.usage, "hall-a", self.now)
         chosen: collections.Counter[str] = collections.Counter()
         for _ in range(200):
             target = selector.choose(self.pool, WORK, ())
@@ -105,15 +95,7 @@
             self.directory.targets[f"t{number}"].data_hall = "hall-a" if is_near else "hall-b"
             if is_near:
                 self.usage.add(f"10.0.9.{number}:9000", requests=6, tokens=7_000)
-        selector = selection.Selector(
-            self.directory,
-            self.usage,
-            COLD,
-            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
-            "hall-b",
-            random.Random(1),
-            lambda: self.now,
-        )
+        selector = selectors.build_selector(self.directory, self.usage, "hall-b", self.now)
         chosen = selector.choose(self.pool, placing.Work(PROMPT_TOKENS), (), source_hall="hall-a")
         assert chosen is not None
         return chosen.data_hall
@@ -125,15 +107,7 @@
         leaving = self.directory.targets["t9"]
         leaving.phase = directories.Phase.DRAINING
         self.usage.add(leaving.address, requests=8)
-        selector = selection.Selector(
-            self.directory,
-            self.usage,
-            COLD,
-            permits.Permits("entry-1", limits.Limits(), lambda: self.now),
-            "hall-a",
-            random.Random(1),
-            lambda: self.now,
-        )
+        selector = selectors.build_selector(self.directory, self.usage, "hall-a", self.now)
         work = placing.Work(PROMPT_TOKENS, events=100)
         chosen: collections.Counter[str] = collections.Counter()
         for _ in range(200):
