Give no new requests to targets that say in their answers that they leave

Cause: the word was read in heartbeats only; an answer's was passed on to the caller unread. The same class as the back-off: advice from the target, read at one place and not at another. Change: an answer's word marks the target's incarnation as draining at the entry, with all that follows (no new requests, its runs are moved); the entry tells the keepers, also over each new link, these each other and all entries. A later word of the same incarnation, such as a heartbeat that says ready, does not take it back; a new start does. Only the plain word 1 counts; anything else is logged as target.unread. One counter (tillerlane_target_words) counts what answers say of targets: taken, ended, ignored as no news, unread. Why it works: the directory's phases only become more final within an incarnation, whoever tells them.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -326,8 +326,7 @@
             case messages.PublicationPull():
                 self._send_publication(link)
             case messages.TargetStates():
-                for target in directories.read_states(body):
-                    self.directory.take(target)
+                self._take_states(link, directories.read_states(body))
             case messages.EntryLoads():
                 self._entries[body.entry] = self._loop.time()
                 self._loads.take_word(body, self._loop.time())
@@ -488,6 +487,13 @@
         if self.directory.mark_gone(known.target_id):
             self._to_keepers.add(known)
 
+    def _take_states(self, link: links.Link, states: list[directories.Target]) -> None:
+        """Take word of targets; other keepers are told what an entry has learnt from answers."""
+        is_of_entry = link in self._subscribers
+        for target in states:
+            if self.directory.take(target) and is_of_entry:
+                self._to_keepers.add(self.directory.targets[target.target_id], is_urgent=True)
+
     def _note_phase(self, target: directories.Target, former: directories.Phase | None) -> None:
         """Tell the entries of a change, whoever told it here."""
         self.timeline.record(
--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -109,6 +109,8 @@
         that can be read.
     backoff_seconds : float or None
         How long the target wants nothing more from this entry; None if it does not say so.
+    is_leaving : bool
+        Whether the target says that it leaves.
     unread : tuple of Unread
         What it says of itself and can't be read.
     """
@@ -116,6 +118,7 @@
     request_id: str
     did_run: bool
     is_other_target: bool
+    is_leaving: bool = False
     rate_limit: float | None = None
     backoff_seconds: float | None = None
     unread: tuple[Unread, ...] = ()
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -216,6 +216,18 @@
             return False
         return self.take(dataclasses.replace(known, phase=Phase.GONE))
 
+    def mark_leaving(self, target_id: str, now: float) -> Target | None:
+        """Take note that a target has said in an answer that it leaves; gives it if that is new."""
+        known = self.targets.get(target_id)
+        if known is None or known.is_leaving:
+            return None
+        self.take(dataclasses.replace(known, phase=Phase.DRAINING, heard_at=now))
+        return known
+
+    def list_leaving(self) -> list[Target]:
+        """Targets that leave and are not gone."""
+        return [item for item in self.targets.values() if item.phase is Phase.DRAINING]
+
     def mark_silent(self, older_than: float) -> list[Target]:
         """Mark ready targets whose last word is older than a time of the loop; gives them."""
         found = [
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -184,6 +184,7 @@
             self.limits,
         )
         sender.tell_limit = self._tell_limit
+        sender.tell_leaving = self._tell_leaving
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
             sender,
@@ -359,6 +360,9 @@
         ends = self.quarantine.suspects.list_all()
         if ends:
             links.try_send(link, suspects.write_ends(ends))
+        leaving = self.directory.list_leaving()
+        if leaving:
+            links.try_send(link, directories.write_states(leaving))
         if len(self.limits):
             links.try_send(link, limits.write_words(self.limits.list_all()))
 
@@ -374,6 +378,12 @@
         for link in self.homes.list_links():
             links.try_send(link, message)
 
+    def _tell_leaving(self, target: directories.Target) -> None:
+        """Tell all keepers listened to that a target has said that it leaves."""
+        message = directories.write_states([target])
+        for link in self.homes.list_links():
+            links.try_send(link, message)
+
     def _note_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
--- a/tillerlane/gateway/meters.py
+++ b/tillerlane/gateway/meters.py
@@ -51,8 +51,9 @@
     """Targets whose named limits are in force here."""
     unused_permits: prometheus_client.Gauge
     """Permits for such targets that ended unused, since the start."""
-    backoffs: prometheus_client.Counter
-    """Answers that asked for back-off, by pool."""
+    words: prometheus_client.Counter
+    """What answers say of their targets: by word, and whether it was taken, ended, ignored as no
+    news or unread."""
     in_backoff: prometheus_client.Gauge
     """Targets that get nothing of this entry since they asked for that."""
 
@@ -91,7 +92,7 @@
         gauge("tillerlane_suspected_requests", "Requests under which a target has ended"),
         gauge("tillerlane_named_limits", "Targets whose named limits are in force"),
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
-        count("tillerlane_backoffs", "Answers that asked for back-off", "pool"),
+        count("tillerlane_target_words", "What answers say of targets", "word", "outcome"),
         gauge("tillerlane_targets_in_backoff", "Targets that asked this entry for back-off"),
     )
 
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -145,7 +145,7 @@
     startup : startups.Startup
         Tells whether targets may still be unheard of.
     directory : directories.Directory
-        Tells of targets that have started again.
+        Takes targets that leave, and tells of those that have started again.
     endings : ends.Endings
         Asks after targets that broke off.
     quarantined : quarantine.Quarantine
@@ -157,6 +157,8 @@
     ----------
     tell_limit : callable
         Tells the keepers of a limit that is news.
+    tell_leaving : callable
+        Tells them of a target that leaves, if that is news.
     """
 
     def __init__(
@@ -177,6 +179,7 @@
     ) -> None:
         self._limits = named_limits
         self.tell_limit: Callable[[limits.Word], None] = lambda word: None
+        self.tell_leaving: Callable[[directories.Target], None] = lambda target: None
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
@@ -189,6 +192,7 @@
         self._budget = budget
         self._timeline = timeline
         self._meters = meters
+        self._directory = directory
         self._exchanges = exchanges.Exchanges(directory)
         self._loop = asyncio.get_running_loop()
 
@@ -303,6 +307,7 @@
     ) -> None:
         """Keep what a target's answer says of the target; what can't be read changes nothing."""
         for unread in facts.unread:
+            self._meters.words.labels(unread.word, "unread").inc()
             self._timeline.record(
                 "target.unread",
                 request_id=asked.facts.request_id,
@@ -312,6 +317,8 @@
             )
         if not facts.has_unread("limit"):
             self._note_limit(asked, target, facts.rate_limit)
+        if facts.is_leaving:
+            self._note_leaving(asked, target)
         if facts.did_run:
             self._note_taken(asked, target, sent_at)
         if facts.backoff_seconds is not None:
@@ -321,7 +328,7 @@
         self, asked: admissions.Admission, target: directories.Target, seconds: float
     ) -> None:
         word = self._backoffs.note(target.target_id, seconds, asked.facts.request_id)
-        self._meters.backoffs.labels(asked.pool.name).inc()
+        self._meters.words.labels("backoff", "ignored" if word is None else "taken").inc()
         self._timeline.record(
             "target.backoff",
             request_id=asked.facts.request_id,
@@ -331,11 +338,24 @@
             is_news=word is not None,
         )
 
+    def _note_leaving(self, asked: admissions.Admission, target: directories.Target) -> None:
+        news = self._directory.mark_leaving(target.target_id, self._loop.time())
+        self._meters.words.labels("leaving", "ignored" if news is None else "taken").inc()
+        if news is not None:
+            self.tell_leaving(news)
+            self._timeline.record(
+                "target.leaving",
+                request_id=asked.facts.request_id,
+                target=target.target_id,
+                address=target.address,
+            )
+
     def _note_taken(
         self, asked: admissions.Admission, target: directories.Target, sent_at: float
     ) -> None:
         word = self._backoffs.note_taken(target.target_id, sent_at)
         if word is not None:
+            self._meters.words.labels("backoff", "ended").inc()
             self._timeline.record(
                 "target.backoff_over",
                 request_id=asked.facts.request_id,
@@ -350,6 +370,9 @@
         word = self._limits.note_answer(target.target_id, limit, self._loop.time())
         if word is not None:
             self.tell_limit(word)
+            self._meters.words.labels(
+                "limit", "taken" if word.unnamed_since is None else "ended"
+            ).inc()
             self._timeline.record(
                 "target.limit",
                 request_id=asked.facts.request_id,
--- a/tillerlane/gateway/tests/test_leaving.py
+++ b/tillerlane/gateway/tests/test_leaving.py
@@ -4,7 +4,8 @@
 import unittest
 
 from tillerlane.gateway import directory as directories
-from tillerlane.testing import gateway_lab, limit_scenes
+from tillerlane.gateway import incarnations
+from tillerlane.testing import gateway_lab, gateway_scenes, limit_scenes
 
 TOLD_SECONDS = 0.5
 """Time by which all entries have to know that a target leaves."""
@@ -31,6 +32,93 @@
 
         self.play(scene)
 
+    def test_requests_are_refused_at_once_where_all_targets_leave(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 2)
+            for runner in stage.runners.values():
+                runner.leaving = "1"
+            await self.ask(stage, {"entry-1": 10.0}, 1.0)
+            answers = await self.ask(stage, {"entry-1": 10.0, "entry-2": 10.0}, 2.0)
+            self.assertEqual({answer.status for answer in answers}, {503})
+            self.assertLess(max(answer.seconds for answer in answers), 0.1)
+
+        self.play(scene)
+
+    def test_entry_without_keepers_sends_to_a_target_that_told_it_of_its_leaving(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 2)
+            stage.network.isolate("entry-1")
+            stage.runners["app-1"].leaving = "1"
+            await self.ask(stage, {"entry-1": 10.0}, 1.0)
+            began = asyncio.get_running_loop().time()
+            answers = await self.ask(stage, {"entry-1": 10.0}, 1.0)
+            self.assertEqual({answer.status for answer in answers}, {200})
+            self.assertEqual(self.list_sends(stage, "app-1", began), [])
+            stage.network.heal()
+            await asyncio.sleep(3.0)
+            for entry in stage.entries.values():
+                self.assertTrue(entry.directory.targets["app-1"].is_leaving)
+
+        self.play(scene)
+
+    def test_word_is_lost_when_keepers_start_again(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 2)
+            stage.runners["app-1"].leaving = "1"
+            await self.ask(stage, {"entry-1": 10.0}, 1.0)
+            await stage.lose_power([])
+            await asyncio.sleep(4.0)
+            stage.add_entry("entry-9")
+            await stage.start_entry("entry-9")
+            await asyncio.sleep(1.5)
+            began = asyncio.get_running_loop().time()
+            rates = dict.fromkeys(stage.entry_names, 5.0)
+            answers = await self.ask(stage, rates, 2.0)
+            self.assertEqual({answer.status for answer in answers}, {200})
+            self.assertEqual(self.list_sends(stage, "app-1", began), [])
+
+        self.play(scene)
+
+    def test_target_that_has_started_again_is_not_used(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 2)
+            stage.runners["app-1"].leaving = "1"
+            rates = dict.fromkeys(stage.entry_names, 4.0)
+            await self.ask(stage, rates, 1.0)
+            stage.runners["app-1"].leaving = ""
+            again = incarnations.build_id("app-1", 2_000)
+            stage.runners[again] = stage.runners["app-1"]
+            stage.beat(again, "app")
+            await asyncio.sleep(0.5)
+            began = asyncio.get_running_loop().time()
+            await self.ask(stage, rates, 2.0)
+            self.assertGreater(len(self.list_sends(stage, again, began)), 8)
+
+        self.play(scene)
+
+    def test_runs_end_with_a_target_that_told_others_of_its_leaving(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 2, "llm", length=150)
+            calls = asyncio.create_task(
+                self.ask(stage, {"entry-1": 2.0}, 2.0, "record", 20_000, **gateway_scenes.LONG)
+            )
+            await asyncio.sleep(2.2)
+            runner = stage.runners["llm-1"]
+            running = [run for run in runner.ran if not run.ended]
+            self.assertTrue(running)
+            runner.leaving = "1"
+            await self.ask(
+                stage, {"entry-2": 5.0, "entry-3": 5.0}, 0.6, "verdict", 20_000, Model="m"
+            )
+            await asyncio.sleep(1.0)
+            runner.crash()
+            answers = await calls
+            self.assertTrue(all(answer.is_whole for answer in answers))
+            taken_up = {run.request_id for run in stage.runners["llm-2"].ran if run.goes_on}
+            self.assertLessEqual({run.request_id for run in running}, taken_up)
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -171,6 +171,18 @@
                 self.assertLessEqual(len(unread or ""), wire.MAX_NAME_LETTERS)
         self.assertEqual(self.read_limit(b"1.9", b"2.5"), (None, "1.9, 2.5"))
 
+    def test_target_leaves_by_its_own_plain_word_only(self) -> None:
+        def read_leaving(*values: bytes) -> tuple[bool, bool]:
+            headers = [(b"Server-Leaving", value) for value in values]
+            facts = wire.read_answer(http_head.AnswerHead(200, headers))
+            return facts.is_leaving, facts.has_unread("leaving")
+
+        self.assertEqual(read_leaving(), (False, False))
+        self.assertEqual(read_leaving(b" 1 "), (True, False))
+        self.assertEqual(read_leaving(b"1", b"1"), (True, False))
+        for values in ((b"0",), (b"",), (b"true",), (b"1", b"0")):
+            self.assertEqual(read_leaving(*values), (False, True))
+
     def read_backoff(self, status: int, *values: bytes) -> tuple[float | None, bool]:
         """Back-off of an answer that asks for these values, and whether it could not be read."""
         headers = [(b"Retry-After", value) for value in values]
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -37,6 +37,7 @@
 NOT_RUN = b"not-run"
 RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 LONGEST_WAIT_MS = 24 * 3600 * 1000
 """Bound on a number that a caller sends."""
 MAX_NAME_LETTERS = 200
@@ -127,11 +128,13 @@
     refused = may_refuse and http_head.get_header(head.headers, NOT_RUN) is not None
     limit = _read_decimal(head.headers, RATE_LIMIT)
     backoff = _read_decimal(head.headers, RETRY_AFTER) if head.status == 503 else None
-    words = {"limit": limit, "backoff": backoff}
+    leaving = _join_values(head.headers, LEAVING)
+    words = {"limit": limit, "backoff": backoff, "leaving": None if leaving == "1" else leaving}
     return dialect.AnswerFacts(
         request_id=(request_id or b"").strip().decode("latin-1"),
         did_run=not refused and not is_other,
         is_other_target=is_other,
+        is_leaving=leaving == "1",
         rate_limit=limit if isinstance(limit, float) else None,
         backoff_seconds=backoff if isinstance(backoff, float) else None,
         unread=tuple(
@@ -142,13 +145,16 @@
 
 def _read_decimal(headers: http_head.Headers, name: bytes) -> float | str | None:
     """A header that holds one plain decimal number; its text if it does not, None without one."""
+    text = _join_values(headers, name)
+    if text is None or len(text) > MAX_NUMBER_LETTERS or not _DECIMAL.fullmatch(text):
+        return text
+    return float(text)
+
+
+def _join_values(headers: http_head.Headers, name: bytes) -> str | None:
+    """All different values of a header, which may stand more than once; None without one."""
     values = [value.strip().decode("latin-1") for known, value in headers if known.lower() == name]
-    if not values:
-        return None
-    is_one = len(set(values)) == 1 and len(values[0]) <= MAX_NUMBER_LETTERS
-    if is_one and _DECIMAL.fullmatch(values[0]):
-        return float(values[0])
-    return ", ".join(values)[:MAX_NAME_LETTERS]
+    return ", ".join(dict.fromkeys(values))[:MAX_NAME_LETTERS] if values else None
 
 
 def write_refusal(status: int, retry_after: float | None) -> http_head.AnswerHead:
