Send requests that a target turned away to another one, whatever their attempts

Cause: a route's attempts were counted by sends. A target that turns a request away vouches that it has not run, so nothing speaks against another target, and the users' rule counts runs. Change: attempts count targets that may have run the request; three targets at most may turn it away; each send beyond the first is taken from the retry budget as before. Why it works: with back-off kept, a resting target costs an entry one such send in each of its back-offs.

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -60,6 +60,8 @@
 """With less than this left a target could not answer."""
 UNSENT_TRIES = 3
 """Targets that may turn out unreachable before a request is refused."""
+MOST_TURNED_AWAY = 3
+"""Targets that may turn a request away before it is refused."""
 EVACUATION_SECONDS = 0.45
 """A runner whose runs can all be copied in this time needs no copies beforehand.  One more run
 (0.4 s) and what all write meanwhile come on top; together they must stay below the shortest notice
@@ -111,14 +113,15 @@
     ----------
     target, backup : directories.Target or None
         Where it was sent last, and the runner that gets its run's memory.
-    sends : int
-        Targets that it reached.
+    sends, runs : int
+        Targets that it reached, and those among them that may have run it.
     """
 
     outcome: Outcome
     target: directories.Target | None = None
     backup: directories.Target | None = None
     sends: int = 0
+    runs: int = 0
 
 
 class Sender:
@@ -453,7 +456,7 @@
                 await asyncio.sleep(ROOM_CHECK_SECONDS)
                 continue
             excluded.add(target.target_id)
-            latest = await self._try_target(asked, target, tried.sends)
+            latest = await self._try_target(asked, target, tried)
             tried = _keep_true(tried, latest)
             if isinstance(latest.outcome, refusals.NotRun) and not latest.outcome.sent:
                 unsent += not latest.outcome.is_held_up
@@ -471,22 +474,23 @@
         return tried
 
     async def _try_target(
-        self, asked: admissions.Admission, target: directories.Target, sends: int
+        self, asked: admissions.Admission, target: directories.Target, former: Tried
     ) -> Tried:
         backup = self.choose_backup(asked, target)
         plan = self.plan(asked, target, last_event_id=asked.facts.last_event_id, backup=backup)
-        until = self._read_limit(asked, sends)
+        until = self._read_limit(asked, former.runs)
         began = self._loop.time()
         outcome = await self.send(asked, target, plan, until=until)
-        self._note_send(asked, target, outcome, sends, began - asked.request.arrived)
-        was_sent = not isinstance(outcome, refusals.NotRun) or outcome.sent
-        return Tried(outcome, target, backup, sends + was_sent)
+        self._note_send(asked, target, outcome, former.sends, began - asked.request.arrived)
+        may_have_run = not isinstance(outcome, refusals.NotRun)
+        was_sent = may_have_run or outcome.sent
+        return Tried(outcome, target, backup, former.sends + was_sent, former.runs + may_have_run)
 
-    def _read_limit(self, asked: admissions.Admission, sends: int) -> float | None:
+    def _read_limit(self, asked: admissions.Admission, runs: int) -> float | None:
         """Until when an answer is waited for, where another target may be asked after it."""
         if asked.route.repeat is not routes.Repeat.FREELY:
             return None
-        if sends + 1 >= asked.route.max_attempts:
+        if runs + 1 >= asked.route.max_attempts:
             return None
         now = self._loop.time()
         return now + (asked.ends_at - now) * FIRST_SEND_SHARE
@@ -526,7 +530,9 @@
 
     def _may_send_again(self, asked: admissions.Admission, tried: Tried) -> bool:
         outcome = tried.outcome
-        if tried.sends >= asked.route.max_attempts or isinstance(outcome, Stream):
+        if tried.runs >= asked.route.max_attempts or isinstance(outcome, Stream):
+            return False
+        if tried.sends - tried.runs >= MOST_TURNED_AWAY:
             return False
         if isinstance(outcome, Whole) and outcome.head.status < 500:
             return False
@@ -581,5 +587,5 @@
     if isinstance(latest.outcome, refusals.NotRun) and not isinstance(
         former.outcome, refusals.NotRun
     ):
-        return dataclasses.replace(former, sends=latest.sends)
+        return dataclasses.replace(former, sends=latest.sends, runs=latest.runs)
     return latest
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -115,7 +115,7 @@
         run.is_long = asked.is_long
         run.events_left = asked.count_events_left(0)
         stream = relayed.Relayed(asked, responder, run, outcome.exchange)
-        stream.runs_begun = tried.sends
+        stream.runs_begun = tried.runs
         stream.on_growth = self._note_growth
         stream.on_events = self._note_events
         self._hold(stream)
