Show that a target that names a generous limit is used no more, as a test that fails

Callers saw nothing while the others had room; the pool lost the target for good. In virtual time, 6 entries with 10 requests a second together and 3 targets, one of which names 20 or 5 a second: it got 1 request in 12 s, where a third of 120 would go there.

--- a/tillerlane/gateway/tests/test_named_limits.py
+++ b/tillerlane/gateway/tests/test_named_limits.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 
 from tillerlane.gateway import directory as directories
 from tillerlane.testing import gateway_lab, gateway_scenes, limit_scenes
 
+FAIR_SHARE = 0.8
+"""Least part that a target is to get of what it would get without a limit above that."""
+
 
 class FewEntriesTest(limit_scenes.LimitCase):
     """As many entries as a small deployment has."""
@@ -134,6 +138,35 @@
         self.play(scene)
 
 
+class ThinTrafficTest(limit_scenes.LimitCase):
+    """Each entry seldom sends, so that it holds no permit when a request comes."""
+
+    entries = 6
+
+    def test_targets_that_name_generous_limits_are_used_no_more(self) -> None:
+        for limit in ("20", "5"):
+            with self.subTest(limit=limit):
+                self.play(self._build_scene(limit))
+
+    def _build_scene(self, limit: str) -> Callable[[gateway_lab.GatewayLab], Awaitable[None]]:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3)
+            runner = stage.runners["app-1"]
+            runner.limit = limit
+            rates = dict.fromkeys(stage.entry_names, 10 / 6)
+            began = asyncio.get_running_loop().time()
+            await self.ask(stage, rates, 12.0)
+            self.assert_limit_kept(stage, "app-1", float(limit), began)
+            self.assertGreater(len(self.list_sends(stage, "app-1", began)), FAIR_SHARE * 120 / 3)
+            runner.limit = ""
+            await self.ask(stage, rates, 3.0)
+            began = asyncio.get_running_loop().time()
+            await self.ask(stage, rates, 6.0)
+            self.assertGreater(len(self.list_sends(stage, "app-1", began)), FAIR_SHARE * 60 / 3)
+
+        return scene
+
+
 class KindsTest(limit_scenes.LimitCase):
     """Each way in which a target gets requests."""
 
