Tell other entries which targets turn requests away, and test every way to a target in back-off

Callers saw: at 68 entries with little traffic each, 55 of 239 requests refused while one of three targets asked for back-off: each entry has to be turned away once in each back-off, and its part of the retry budget allows less than one more send in 10 s. Change: an entry that is turned away tells a keeper, keepers tell each other and all entries; while that back-off lasts, others prefer other targets. It is a hint: it keeps nobody from the target, may be lost, and ends by itself. Weighed: a budget shared by lot allows each second entry one send more, which 3 turned-away requests an entry in 10 s still exceed; growing pauses at each entry make the target's return as slow at many entries as at one.

--- a/tillerlane/gateway/availability.py
+++ b/tillerlane/gateway/availability.py
@@ -118,6 +118,10 @@
             return _LIMITED
         return None
 
+    def is_busy_elsewhere(self, target: directories.Target) -> bool:
+        """Whether a target turns other entries away."""
+        return self._backoffs.is_hinted(target.target_id)
+
     def take(
         self, pool: routes.Pool, target: directories.Target, *, goes_on: bool = False
     ) -> Obstacle | None:
--- a/tillerlane/gateway/backoff.py
+++ b/tillerlane/gateway/backoff.py
@@ -3,18 +3,26 @@
 A target that turns a request away may say for how long it wants nothing more from that entry.  When
 that time is over the entry sends one request as a probe, and others once the target has not turned
 it away (a circuit breaker that is half open).
+
+A target that turns one entry away is likely to do so with all.  So the others are told, and prefer
+other targets meanwhile, though they may still send there.
 """
 
+import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+from tillerlane.peers import messages
 
-__all__ = ["PROBE_SECONDS", "Backoffs", "Word"]
+__all__ = ["PROBE_SECONDS", "Backoffs", "Word", "read_hints", "write_hints"]
 
 MOST_SECONDS = 600.0
 """Longest back-off that is obeyed, so that one wrong word does not take a target out for days."""
 PROBE_SECONDS = 0.1
 """Least pause between probes: a target turns a request away within milliseconds, while a good
 answer may take long."""
+MAX_HINTS = 20_000
+"""Bound on memory, as on targets."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +58,22 @@
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
         self._words: dict[str, Word] = {}
+        self._hints: dict[str, float] = {}
+        """Until when targets have asked other entries for back-off."""
+
+    def take_hints(self, hints: Iterable[tuple[str, float]]) -> None:
+        """Take what keepers tell: targets, and until when they asked other entries for back-off."""
+        now = self._now()
+        for target_id, until in list(self._hints.items()):
+            if until <= now:
+                del self._hints[target_id]
+        for target_id, until in hints:
+            if len(self._hints) < MAX_HINTS:
+                self._hints[target_id] = max(until, self._hints.get(target_id, 0.0))
+
+    def is_hinted(self, target_id: str) -> bool:
+        """Whether a target turns other entries away, so that other targets come first."""
+        return bool(self._hints) and self._hints.get(target_id, 0.0) > self._now()
 
     def note(self, target_id: str, seconds: float, request_id: str) -> Word | None:
         """Take note that a target asks for back-off; gives the word if that moves its end."""
@@ -73,6 +97,7 @@
         word = self._words.get(target_id)
         if word is None or sent_at < word.until:
             return None
+        self._hints.pop(target_id, None)
         return self._words.pop(target_id)
 
     def find_end(self, target_id: str) -> float | None:
@@ -88,6 +113,7 @@
     def forget(self, target_id: str) -> None:
         """Drop the word of a target that has ended."""
         self._words.pop(target_id, None)
+        self._hints.pop(target_id, None)
 
     def count_in_force(self) -> int:
         """Targets that are in back-off."""
@@ -97,3 +123,19 @@
     def list_all(self) -> list[Word]:
         """Words of all targets that have not taken a request since."""
         return list(self._words.values())
+
+
+def write_hints(words: Iterable[tuple[str, float]]) -> messages.TargetBackoffs:
+    """Targets, and until when they asked for back-off, as a message."""
+    now = asyncio.get_running_loop().time()
+    rows = [(target_id, max(0, round((until - now) * 1000))) for target_id, until in words]
+    return messages.TargetBackoffs([row[0] for row in rows], [row[1] for row in rows])
+
+
+def read_hints(message: messages.TargetBackoffs) -> list[tuple[str, float]]:
+    """Targets, and until when they asked for back-off, from a message."""
+    now = asyncio.get_running_loop().time()
+    return [
+        (target_id, now + min(left_ms / 1000, MOST_SECONDS))
+        for target_id, left_ms in zip(message.target_ids, message.left_ms, strict=False)
+    ]
--- /dev/null
+++ b/tillerlane/gateway/backoff_news.py
@@ -0,0 +1,58 @@
+"""A keeper's part in making known which targets turn entries away."""
+
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.gateway import backoff, news
+from tillerlane.peers import messages
+
+__all__ = ["BackoffNews"]
+
+LEAST_NEWS_SECONDS = 0.3
+"""How much later a back-off must end to be told again: each entry that probes a target in vain is
+given one of its own."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hint:
+    target_id: str
+    until: float
+
+
+class BackoffNews:
+    """Back-off that entries were asked for, as one keeper knows it and passes it on.
+
+    Parameters
+    ----------
+    pause : float
+        Least seconds between two messages.
+    send : callable
+        Sends a message to all other keepers and all subscribed entries.
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        pause: float,
+        send: Callable[[messages.TargetBackoffs], None],
+        now: Callable[[], float],
+    ) -> None:
+        self._known: dict[str, float] = {}
+        self._now = now
+        self._to_tell: news.News[_Hint] = news.News(
+            pause,
+            lambda hints: send(backoff.write_hints((item.target_id, item.until) for item in hints)),
+        )
+
+    def take(self, message: messages.TargetBackoffs) -> None:
+        """Take what an entry or another keeper tells, and pass on what is news."""
+        now = self._now()
+        for target_id, until in list(self._known.items()):
+            if until <= now:
+                del self._known[target_id]
+        for target_id, until in backoff.read_hints(message):
+            is_news = until > self._known.get(target_id, now) + LEAST_NEWS_SECONDS
+            if is_news and len(self._known) < backoff.MAX_HINTS:
+                self._known[target_id] = until
+                self._to_tell.add(_Hint(target_id, until))
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -11,8 +11,8 @@
 from tillerlane.config import store as stores
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.gateway import directory as directories
 from tillerlane.gateway import (
+    backoff_news,
     grants,
     homes,
     incarnations,
@@ -23,6 +23,7 @@
     suspects,
     verdicts,
 )
+from tillerlane.gateway import directory as directories
 from tillerlane.keeper import commands, formation, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import machine as machines
@@ -133,6 +134,9 @@
             lambda targets: self._send_to_keepers(directories.write_states(targets)),
         )
         self._to_subscribers = news.News(NEWS_SECONDS, self._tell_subscribers)
+        self._backoffs = backoff_news.BackoffNews(
+            SPREAD_SECONDS, self._send_to_all, self._loop.time
+        )
         self.limits = limit_news.LimitNews(SPREAD_SECONDS, self._send_to_all, self.timeline)
         self._whole: messages.TargetStates | None = None
         self._whole_at = 0.0
@@ -337,6 +341,8 @@
                 self.verdicts.take(suspects.read_ends(body))
             case messages.TargetLimits():
                 self.limits.take(body)
+            case messages.TargetBackoffs():
+                self._backoffs.take(body)
 
     def _greet(self, link: links.Link) -> None:
         """Tell a keeper whose link is new all that is known; it may have been cut off."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -185,6 +185,7 @@
         )
         sender.tell_limit = self._tell_limit
         sender.tell_leaving = self._tell_leaving
+        sender.tell_backoff = self._tell_backoff
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
             sender,
@@ -384,6 +385,12 @@
         for link in self.homes.list_links():
             links.try_send(link, message)
 
+    def _tell_backoff(self, word: backoffs.Word) -> None:
+        """Tell one keeper that a target turned a request away; a hint may be lost."""
+        link = self.homes.get_primary()
+        if link is not None:
+            links.try_send(link, backoffs.write_hints([(word.target_id, word.until)]))
+
     def _note_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
@@ -419,6 +426,8 @@
                 self.quarantine.take(suspects.read_ends(body))
             case messages.TargetLimits():
                 self._take_limits(limits.read_words(body))
+            case messages.TargetBackoffs():
+                self.backoffs.take_hints(backoffs.read_hints(body))
 
     def _take_states(self, states: messages.TargetStates) -> None:
         """Take word of targets, and log what changed; of very many only how many they are."""
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -207,7 +207,7 @@
                 use = self._usage.read(target.address)
                 rank = (
                     target.phase is directories.Phase.SILENT,
-                    self.caution.is_avoided(target.target_id, now),
+                    self._is_avoided(target, now),
                     obstacle is not None,
                     not _has_room(pool, use, work.memory_tokens, FULL_SHARE),
                 )
@@ -219,6 +219,12 @@
                 drawn += 1
         return found
 
+    def _is_avoided(self, target: directories.Target, now: float) -> bool:
+        """Whether a target has failed this entry lately, or turns others away."""
+        return self.caution.is_avoided(target.target_id, now) or self._available.is_busy_elsewhere(
+            target
+        )
+
     def _read_pace(self, pool: routes.Pool, listed: list[directories.Target], now: float) -> float:
         """Seconds an event over all runners of a pool, looked up now and then."""
         known = self._paces.get(pool.name)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -166,6 +166,8 @@
         Tells the keepers of a limit that is news.
     tell_leaving : callable
         Tells them of a target that leaves, if that is news.
+    tell_backoff : callable
+        Tells one of a target's back-off.
     """
 
     def __init__(
@@ -187,6 +189,7 @@
         self._limits = named_limits
         self.tell_limit: Callable[[limits.Word], None] = lambda word: None
         self.tell_leaving: Callable[[directories.Target], None] = lambda target: None
+        self.tell_backoff: Callable[[backoffs.Word], None] = lambda word: None
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
@@ -336,6 +339,8 @@
     ) -> None:
         word = self._backoffs.note(target.target_id, seconds, asked.facts.request_id)
         self._meters.words.labels("backoff", "ignored" if word is None else "taken").inc()
+        if word is not None:
+            self.tell_backoff(word)
         self._timeline.record(
             "target.backoff",
             request_id=asked.facts.request_id,
--- a/tillerlane/gateway/tests/test_backoff.py
+++ b/tillerlane/gateway/tests/test_backoff.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 
-from tillerlane.testing import gateway_lab, limit_scenes
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import incarnations
+from tillerlane.testing import gateway_lab, gateway_scenes, limit_scenes
 
 UNDER_WAY_SECONDS = 0.5
 """Time after an answer in which requests that were under way may still arrive."""
@@ -71,6 +73,128 @@
 
         self.play(scene)
 
+    def test_callers_are_told_to_come_back_before_the_only_targets_backoff_ends(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1)
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff = True, "3"
+            await self.ask(stage, {"entry-1": 20.0}, 0.1)
+            answers = await self.ask(stage, {"entry-1": 20.0}, 2.0)
+            ends_at = runner.arrived[0].turned_away_at + 3.0
+            now = asyncio.get_running_loop().time()
+            self.assertEqual({answer.status for answer in answers}, {503})
+            self.assertLess(max(answer.seconds for answer in answers), 0.02)
+            waits = [float(answer.headers["retry-after"]) for answer in answers]
+            self.assertGreaterEqual(now + min(waits), ends_at - 0.1)
+            self.assertGreater(len(set(waits)), len(waits) // 2)
+            self.assertEqual(len(runner.arrived), 1)
+
+        self.play(scene)
+
+    def test_short_backoff_is_waited_for(self) -> None:
+        """The route's aim is 0.5 s, a fifth of which a request may wait."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1)
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff = True, "0.08"
+            await self.ask(stage, {"entry-1": 1.0}, 0.01)
+            runner.refuses = False
+            answers = await self.ask(stage, {"entry-1": 1.0}, 0.01)
+            self.assertEqual([answer.status for answer in answers], [200])
+
+        self.play(scene)
+
+    def test_requests_under_way_send_more_when_they_are_turned_away_late(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3)
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff, runner.turn_away_seconds = True, "3", 0.3
+            answers = await self.ask(stage, dict.fromkeys(stage.entry_names, 20.0), 7.0)
+            self.assertEqual({answer.status for answer in answers}, {200})
+            self.assertLessEqual(self.count_most_in_backoff(stage, "app-1"), 0)
+
+        self.play(scene)
+
+    def test_backoff_ends_with_the_target_that_asked_for_it(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1)
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff = True, "60"
+            await self.ask(stage, {"entry-1": 5.0}, 0.5)
+            runner.refuses = False
+            again = incarnations.build_id("app-1", 2_000)
+            stage.runners[again] = runner
+            stage.beat(again, "app")
+            await asyncio.sleep(0.5)
+            answers = await self.ask(stage, {"entry-1": 5.0}, 1.0)
+            self.assertEqual({answer.status for answer in answers}, {200})
+
+        self.play(scene)
+
+
+class KindsTest(BackoffCase):
+    """Each way in which a target gets requests."""
+
+    entries = 2
+
+    def test_second_sends_go_to_targets_in_backoff(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3)
+            stage.runners["app-3"].answer_status = 500
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff = True, "3"
+            await self.ask(stage, dict.fromkeys(stage.entry_names, 8.0), 8.0, "price")
+            self.assertGreater(len(runner.arrived), 0)
+            self.assertLessEqual(self.count_most_in_backoff(stage, "app-1"), 0)
+
+        self.play(scene)
+
+    def test_streams_go_to_runners_in_backoff(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3, "llm", length=20)
+            runner = stage.runners["llm-1"]
+            runner.refuses, runner.backoff = True, "2"
+            rates = dict.fromkeys(stage.entry_names, 3.0)
+            for route in ("record", "verdict"):
+                answers = await self.ask(stage, rates, 5.0, route, **gateway_scenes.LONG)
+                served = sum(answer.status == 200 for answer in answers)
+                self.assertGreaterEqual(served, 0.98 * len(answers))
+            self.assertLessEqual(self.count_most_in_backoff(stage, "llm-1"), 0)
+
+        self.play(scene)
+
+    def test_runs_are_moved_to_a_runner_in_backoff(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3, "llm", length=150)
+            rates = {"entry-1": 8.0}
+            calls = asyncio.create_task(
+                self.ask(stage, rates, 2.0, "record", 20_000, **gateway_scenes.LONG)
+            )
+            await asyncio.sleep(0.5)
+            resting = stage.runners["llm-2"]
+            resting.refuses, resting.backoff = True, "4"
+            await asyncio.sleep(1.6)
+            self.assertGreater(len(resting.turned_away), 0)
+            self.heartbeats.cancel()
+            stage.beat("llm-1", "llm", phase=directories.Phase.DRAINING)
+            answers = await calls
+            self.assertTrue(all(item.is_whole for item in answers if item.status == 200))
+            self.assertTrue(any(run.goes_on for run in stage.runners["llm-3"].ran))
+            self.assertLessEqual(self.count_most_in_backoff(stage, "llm-2"), 0)
+
+        self.play(scene)
+
+    def test_answer_to_another_request_asks_for_no_backoff(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1)
+            runner = stage.runners["app-1"]
+            runner.refuses, runner.backoff, runner.answers_for = True, "30", "another"
+            await self.ask(stage, {"entry-1": 5.0}, 0.5)
+            self.assertEqual(stage.entries["entry-1"].backoffs.list_all(), [])
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -43,6 +43,7 @@
     targetLimits @37 :TargetLimits;
     permitRequest @38 :PermitRequest;
     permitReply @39 :PermitReply;
+    targetBackoffs @40 :TargetBackoffs;
   }
 }
 
@@ -221,6 +222,10 @@
   unnamedMs @4 :List(Int64);
 }
 struct TargetLimits { table @0 :Data; }
+struct TargetBackoffs {
+  targetIds @0 :List(Text);
+  leftMs @1 :List(UInt32);
+}
 struct PermitWish {
   targetId @0 :Text;
   count @1 :UInt32;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -498,6 +498,14 @@
     table: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class TargetBackoffs:
+    """Targets that have asked some entry for back-off, and how much of it is left (ms)."""
+
+    target_ids: list[str]
+    left_ms: list[int]
+
+
 @dataclasses.dataclass(slots=True)
 class PermitWish:
     """Permits that an entry could use for a target, whose limit it takes to be so many a second.
@@ -613,6 +621,7 @@
     | LoadDigest
     | TargetEnds
     | TargetLimits
+    | TargetBackoffs
     | PermitRequest
     | PermitReply
     | FreshnessRequest
