Have the soak's targets ask for back-off and leave by answers, and check what they got

Change: targets of the soak turn requests away for a while with Retry-After, and say in answers only that they leave; their records name what they turned away. The checker finds more than two requests of one entry in a back-off, and requests sent 2 s or more after their entry had an answer that says the target leaves; entries that were paused or have started, and ways that were harmed, are excused as the users' pages say. A planted fault of each.

--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -21,6 +21,10 @@
 CONTACT_SECONDS = 3.0
 """Time after which a limit binds that a target has begun to name, and for which an entry that was
 paused or has started is excused."""
+UNDER_WAY_SECONDS = 0.5
+"""Time after a refusal in which requests that were under way may reach a target."""
+MOST_IN_BACKOFF = 2
+"""Requests of one entry that may reach a target in a back-off that it asked for."""
 LIMIT_STRETCH = 1.5
 """How far above its limit the users let a target get, beside the slack."""
 Span = tuple[float, float]
@@ -107,6 +111,12 @@
         Entry to the times at which a process of it ended; what it held is known to nobody then.
     limits : list of NamedLimit
         Limits that targets named.
+    turned_away : dict
+        Target id to the requests that it turned away.
+    backoffs : int
+        Spans in which targets asked for back-off.
+    told_in_answers : list of Leaving
+        Targets that say in their answers that they leave, and since when.
     planned_only : bool
         Whether nothing else was done: then nothing may fail.
     """
@@ -126,6 +136,9 @@
     entries_paused: dict[str, list[Span]] = dataclasses.field(default_factory=dict)
     entries_ended: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     limits: list[NamedLimit] = dataclasses.field(default_factory=list)
+    turned_away: dict[str, list[platform_runner.Arrival]] = dataclasses.field(default_factory=dict)
+    backoffs: int = 0
+    told_in_answers: list[Leaving] = dataclasses.field(default_factory=list)
     planned_only: bool = False
 
     def was_harmed(self, since: float, until: float) -> bool:
@@ -155,6 +168,8 @@
     problems += [f"{item}: run, but nobody asked" for item in runs if item not in known]
     problems += _check_leaving(seen, drain_seconds)
     problems += _check_limits(seen)
+    problems += _check_backoffs(seen)
+    problems += _check_told_in_answers(seen, drain_seconds)
     problems += _check_configuration(seen)
     return problems
 
@@ -281,6 +296,51 @@
     return problems
 
 
+def _check_backoffs(seen: Observations) -> list[str]:
+    """In each back-off, what reached the target from the entry that it had turned away."""
+    entries = {call.request_id: call.entry for call in seen.calls}
+    problems = []
+    for target_id, turned_away in seen.turned_away.items():
+        ran = [(run.began, run.request_id) for run in seen.ran.get(target_id, [])]
+        arrivals = ran + [(item.at, item.request_id) for item in turned_away]
+        for refused in turned_away:
+            entry = entries.get(refused.request_id, "")
+            since = refused.turned_away_at + UNDER_WAY_SECONDS
+            found = [
+                at
+                for at, request_id in arrivals
+                if since < at < refused.turned_away_at + refused.backoff
+                and entries.get(request_id) == entry
+                and not _is_excused(seen, entry, at)
+                and not _was_held_up(seen, target_id, at)
+            ]
+            if len(found) > MOST_IN_BACKOFF:
+                text = f"asked {entry} for {refused.backoff} s of back-off"
+                at = f"at {refused.turned_away_at:.2f}"
+                problems.append(f"{target_id}: {text} {at}, got {len(found)} requests")
+    return problems
+
+
+def _check_told_in_answers(seen: Observations, drain_seconds: float) -> list[str]:
+    """Requests sent long after their entry had an answer that says that the target leaves."""
+    calls = {call.request_id: call for call in seen.calls}
+    problems = []
+    for leaving in seen.told_in_answers:
+        answered: dict[str, float] = {}
+        for run in sorted(seen.ran.get(leaving.target_id, []), key=lambda run: run.began):
+            call = calls.get(run.request_id)
+            if call is None or run.began < leaving.acknowledged_at:
+                continue
+            told_at = answered.get(call.entry)
+            is_late = told_at is not None and call.sent_at > told_at + drain_seconds
+            if is_late and not _is_excused(seen, call.entry, run.began):
+                text = f"got a request of {call.entry} sent at {call.sent_at:.2f}"
+                problems.append(f"{leaving.target_id}: {text}, told to leave at {told_at:.2f}")
+            if run.ended == "whole" and call.answer.status == 200 and call.answer.is_whole:
+                answered.setdefault(call.entry, call.ended_at)
+    return problems
+
+
 def _is_excused(seen: Observations, entry: str, at: float) -> bool:
     """Whether an entry was paused or has ended shortly before."""
     since = at - CONTACT_SECONDS
--- a/tillerlane/testing/platform_record.py
+++ b/tillerlane/testing/platform_record.py
@@ -18,13 +18,14 @@
     """One thing that a target did; `at` is in seconds on the machine's steady clock."""
 
     at: float
-    what: Literal["start", "begin", "event", "end"]
+    what: Literal["start", "begin", "event", "end", "refuse"]
     request_id: str = ""
     run: str = ""
     """Names the run among all of the target's."""
     headers: dict[str, str] = {}
     event: int = 0
     ended: str = ""
+    backoff: float = 0.0
 
 
 _HEADERS = ("kv-from", "last-event-id", "kv-backup")
@@ -66,6 +67,11 @@
         name = self._runs[id(run)]
         self._write(_Line(now, "event", run.request_id, name, event=run.events))
 
+    def note_turned_away(self, arrival: platform_runner.Arrival) -> None:
+        """A request was turned away."""
+        at, seconds = arrival.turned_away_at, arrival.backoff
+        self._write(_Line(at, "refuse", arrival.request_id, backoff=seconds))
+
     def note_end(self, run: platform_runner.RanRequest) -> None:
         """A run has ended."""
         name = self._runs[id(run)]
@@ -86,6 +92,8 @@
     ----------
     ran : list of platform_runner.RanRequest
         All runs; one without an end has `ended_at` at the last line that tells of it.
+    turned_away : list of platform_runner.Arrival
+        Requests that were turned away.
     starts : int
         How often the target has begun to listen.
     """
@@ -96,6 +104,7 @@
         self._place = 0
         self._under_way: dict[str, platform_runner.RanRequest] = {}
         self.ran: list[platform_runner.RanRequest] = []
+        self.turned_away: list[platform_runner.Arrival] = []
         self.starts = 0
 
     @property
@@ -137,6 +146,9 @@
             )
             self.ran.append(run)
             self._under_way[line.run] = run
+        elif line.what == "refuse":
+            arrival = platform_runner.Arrival(line.request_id, line.at, line.at, line.backoff)
+            self.turned_away.append(arrival)
         else:
             self._note_work(line)
 
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -270,6 +270,10 @@
         await asyncio.sleep(self.turn_away_seconds)
         await self._send_refusal(status, request_id, responder)
 
+    def _note_turned_away(self, arrival: Arrival) -> None:
+        arrival.turned_away_at = asyncio.get_running_loop().time()
+        arrival.backoff = float(self.backoff or 0)
+
     async def _send_refusal(
         self, status: int, request_id: str, responder: http_server.Responder
     ) -> None:
@@ -295,8 +299,7 @@
         copy_from = headers.get("kv-from", "")
         if self.refuses or (copy_from and not self._take_copy(copy_from, request_id)):
             await self._turn_away(503, request_id, responder)
-            arrival.turned_away_at = asyncio.get_running_loop().time()
-            arrival.backoff = float(self.backoff or 0)
+            self._note_turned_away(arrival)
             return
         run = RanRequest(
             request_id,
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -43,6 +43,8 @@
 FAULT_PAUSE_SECONDS = (0.3, 2.0)
 LIMIT_PAUSE_SECONDS = (1.0, 4.0)
 """Pause between the limits that targets name one after another."""
+ADVICE_PAUSE_SECONDS = (2.0, 5.0)
+"""Pause between targets that ask for back-off or say in answers that they leave."""
 OUTLASTING_SHARE = 5 / 6
 """Share of its time to stop after which an entry may cut what a target still works on; the
 platform's pages count such a request as too long, not as cut."""
@@ -111,6 +113,7 @@
 
         self._limit_rng = random.Random(f"limits of {seed}")
         """Of its own, so that the faults of a seed do not hang on it."""
+        self._advice_rng = random.Random(f"advice of {seed}")
 
     def _next(self) -> int:
         self._number += 1
@@ -235,6 +238,13 @@
             await asyncio.sleep(self._limit_rng.uniform(*LIMIT_PAUSE_SECONDS))
             await self.targets.name_limit(self._limit_rng)
 
+    async def _give_advice(self) -> None:
+        """Have targets ask for back-off, and say in answers that they leave."""
+        while not self._ending.is_set():
+            await asyncio.sleep(self._advice_rng.uniform(*ADVICE_PAUSE_SECONDS))
+            kinds = (self.targets.ask_backoff, self.targets.leave_by_answers)
+            self._begin(self._advice_rng.choice(kinds)(self._advice_rng))
+
     def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
         """Planned work, and what else is done."""
         targets = [
@@ -388,7 +398,7 @@
         try:
             await self._become_ready()
             work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
-            work += [self._balance(), self._name_limits()]
+            work += [self._balance(), self._name_limits(), self._give_advice()]
             work += [self._send_calls() for _ in range(16)]
             callers = [asyncio.ensure_future(item) for item in work]
             faults = asyncio.ensure_future(self._do_faults())
@@ -438,7 +448,8 @@
         f"calls {len(calls)}, whole {whole}, refused {refused}; "
         f"runs {len(runs) - gone_on}, gone on elsewhere {gone_on}; "
         f"versions {len(soak.seen.acknowledged)} of {len(soak.seen.sent)}; "
-        f"limits {len(soak.seen.limits)}; {faults}"
+        f"limits {len(soak.seen.limits)}, back-offs {soak.seen.backoffs}, "
+        f"leavings in answers {len(soak.seen.told_in_answers)}; {faults}"
     )
 
 
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -162,6 +162,10 @@
         self._record.note_event(run, time.monotonic())
         super()._grow_copy(run)
 
+    def _note_turned_away(self, arrival: platform_runner.Arrival) -> None:
+        super()._note_turned_away(arrival)
+        self._record.note_turned_away(arrival)
+
     def _note_end(self, run: platform_runner.RanRequest, ended: str) -> None:
         had_ended = bool(run.ended)
         super()._note_end(run, ended)
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -45,6 +45,10 @@
 """Limits that targets name, in requests a second."""
 LIMIT_SECONDS = (6.0, 12.0)
 """How long a target names one: longer than the time until it binds and the span that is checked."""
+BACKOFFS = ("1", "2.5", "4")
+"""Seconds of back-off that targets ask for."""
+BACKOFF_SECONDS = (1.0, 8.0)
+"""How long a target turns requests away."""
 BREAK_SECONDS = (0.0, 0.6)
 """Time from a runner's word that it drains to the break of its connections."""
 SECOND_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
@@ -139,7 +143,7 @@
             "addr": self._orders.address,
             "zone": self.hall,
             "slots": 48,
-            "state": self.state,
+            "state": "draining" if self.state == "draining" else "ready",
             "cold_left_ms": 0,
             "seq": self._sequence,
             "born": self._born,
@@ -239,6 +243,7 @@
         works_on = is_runner and self._rng.random() < WORKS_ON_SHARE
         self._targets[target.target_id] = target
         self._seen.ran[target.target_id] = target.record.ran
+        self._seen.turned_away[target.target_id] = target.record.turned_away
         await target.start()
         target.switch(platform_target.Switches({"works_on": works_on}))
         target.beating = self._loop.create_task(self._beat(target))
@@ -316,6 +321,34 @@
         self._seen.limits.append(named)
         target.switch(platform_target.Switches({"limit": ""}))
 
+    # Back-off and leaving, told in answers
+
+    async def ask_backoff(self, rng: random.Random) -> None:
+        """A target turns all requests away for a while, and asks for back-off."""
+        target = rng.choice([item for item in self._targets.values() if item.is_running])
+        backoff = rng.choice(BACKOFFS)
+        target.switch(platform_target.Switches({"refuses": True, "backoff": backoff}))
+        await asyncio.sleep(rng.uniform(*BACKOFF_SECONDS))
+        target.switch(platform_target.Switches({"refuses": False, "backoff": ""}))
+        self._seen.backoffs += 1
+
+    async def leave_by_answers(self, rng: random.Random) -> None:
+        """A new target comes; another one says in answers only that it leaves, and ends."""
+        ready = [
+            item for item in self._targets.values() if item.is_running and item.state == "ready"
+        ]
+        target = rng.choice(ready)
+        target.state = "leaving by answers"
+        await self.add(target.pool)
+        told = platform_checker.Leaving(target.target_id, self._loop.time())
+        self._seen.told_in_answers.append(told)
+        target.switch(platform_target.Switches({"leaving": "1"}))
+        until = self._loop.time() + 2 * NOTICE_SECONDS
+        while self._loop.time() < until or (self._seen.planned_only and target.is_busy):
+            await asyncio.sleep(0.05)
+        await self._tell(f"/Instances.Leave/{target.target_id}", target.write_leave)
+        self.end(target)
+
     # Harm
 
     async def crash(self) -> None:
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -170,6 +170,47 @@
         self.seen.entries_paused["entry-1"] = [(18.0, 19.9)]
         self.assertEqual(self.check(), [])
 
+    def send_in_backoff(self, requests: int) -> None:
+        """Have a target ask an entry for 3 s of back-off at 20.0, and get more in that time."""
+        away = self.seen.turned_away.setdefault("t2", [])
+        for number in range(requests + 1):
+            request_id, at = f"away-{number}", 20.0 + 0.7 * number
+            seconds = 3.0 if number == 0 else 0.0
+            away.append(platform_runner.Arrival(request_id, at, at, seconds))
+            self.seen.calls.append(build_call(request_id, "order", 503, b""))
+            self.seen.calls[-1].entry = "entry-1"
+
+    def test_requests_in_backoff(self) -> None:
+        self.send_in_backoff(3)
+        self.assert_found("asked entry-1 for 3.0 s of back-off at 20.00, got 3 requests")
+
+    def test_backoff_that_is_kept(self) -> None:
+        self.send_in_backoff(2)
+        self.assertEqual(self.check(), [])
+
+    def test_backoff_excuses_entries_that_have_started_again(self) -> None:
+        self.send_in_backoff(3)
+        self.seen.entries_ended["entry-1"] = [20.5]
+        self.assertEqual(self.check(), [])
+
+    def send_to_leaving(self, sent_at: float) -> None:
+        """Have a target that told an entry at 20.1 that it leaves get one more of its requests."""
+        self.seen.told_in_answers.append(platform_checker.Leaving("t2", 19.0))
+        for request_id, at in (("told", 20.0), ("late", sent_at)):
+            self.seen.ran["t2"].append(build_run(request_id, at, at + 0.1))
+            answer = b"answer to " + request_id.encode()
+            self.seen.calls.append(build_call(request_id, "order", 200, answer))
+            call = self.seen.calls[-1]
+            call.entry, call.sent_at, call.ended_at = "entry-1", at, at + 0.1
+
+    def test_request_after_an_answer_that_says_the_target_leaves(self) -> None:
+        self.send_to_leaving(22.5)
+        self.assert_found("got a request of entry-1 sent at 22.50, told to leave at 20.10")
+
+    def test_request_soon_after_an_answer_that_says_the_target_leaves(self) -> None:
+        self.send_to_leaving(22.0)
+        self.assertEqual(self.check(), [])
+
     def test_version_that_goes_back(self) -> None:
         self.seen.in_force["entry-1", 1].append(2)
         self.assert_found("went back from 3 to 2")
