--- a/tillerlane/gateway/tests/test_operations.py
+++ b/tillerlane/gateway/tests/test_operations.py
@@ -46,6 +46,51 @@
 
         self.play(scene)
 
+    def test_refusal_for_backoff_that_a_target_asked_for(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            runner.refuses, runner.backoff = True, "3"
+            await asyncio.sleep(2.0)
+            await stage.call("entry-1", "order", "r1")
+            answer = await stage.call("entry-1", "order", "r2")
+            (line,) = read_lines(stage, "r2")
+            self.assertEqual((answer.status, line["status"]), (503, 503))
+            self.assertIn("no target but 1 that asked for back-off", line["reason"])
+            told, sent, refused = read_lines(stage, "r1")
+            self.assertEqual((told["event"], told["target"]), ("target.backoff", "t1"))
+            self.assertEqual((told["seconds"], told["is_news"]), (3.0, True))
+            self.assertEqual((sent["event"], sent["target"]), ("request.send", "t1"))
+            self.assertEqual(refused["event"], "request.refuse")
+            self.assertGreater(refused["retry_after"], 2.9)
+
+        self.play(scene)
+
+    def test_request_served_elsewhere_after_a_target_turned_it_away(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "app")
+            runner.refuses, runner.backoff = True, "1"
+            await stage.add_runner("t2", "app")
+            await asyncio.sleep(2.0)
+            number = 0
+            while not runner.arrived:
+                number += 1
+                await stage.call("entry-1", "order", f"r{number}")
+            told, sent, ended = read_lines(stage, f"r{number}")
+            self.assertEqual((told["event"], told["target"]), ("target.backoff", "t1"))
+            self.assertIn("turned away", sent["reason"])
+            self.assertEqual((ended["event"], ended["target"]), ("request.end", "t2"))
+            runner.refuses = False
+            await asyncio.sleep(1.1)
+            while len(runner.arrived) == 1:
+                await stage.call("entry-1", "order", f"later-{number}")
+            over = read_lines(stage, f"later-{number}")
+            self.assertIn(
+                ("target.backoff_over", f"r{number}"),
+                {(line["event"], line.get("asked_by")) for line in over},
+            )
+
+        self.play(scene)
+
     def test_refusal_for_limits_that_targets_named(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "app")
