Have tests wait for processes that start slowly beside others, and give up at once one that has ended

Cause, traced: a fleet is 9 processes, each of which needs 1.6 s of a core before it answers; keeper-1 is just the first that is asked. Time until all of a fleet answer, on 5 cores: one fleet at load 9, 5.3 s; five that start at once, 17 to 18 s; nine, 29 to 32 s. Fresh clones add nothing (1.57 against 1.52 s without and with compiled modules). Change: the bound is 120 s, half of a module's time; no test asserts a start's time. A process that has ended fails the wait at once, with its last lines, which the former wait took 30 s to notice and did not show: a port that was taken meanwhile would show now.

--- a/tillerlane/testing/deployment.py
+++ b/tillerlane/testing/deployment.py
@@ -24,7 +24,9 @@
 __all__ = ["Fleet", "Plan", "free_ports", "plan"]
 
 OPERATOR_KEY = "example-operator"
-START_SECONDS = 30.0
+START_SECONDS = 120.0
+"""Longest wait for a process that has not ended: each needs 1.6 s of a core before it answers, and
+several fleets may start at once beside other work."""
 STOP_SECONDS = 20.0
 LAST_LINES = 8
 """Lines that are shown of a process that ended badly."""
@@ -265,15 +267,23 @@
         urls |= {name: url + "/test/record" for name, url in self.plan.urls.items()}
         for name in names or list(urls):
             while not _answers(urls[name]):
+                self._check_runs(name)
                 if time.monotonic() > until:
                     raise TimeoutError(f"{name} does not answer")
                 time.sleep(0.05)
 
+    def _check_runs(self, name: str) -> None:
+        """Give up a process that was started here and has ended."""
+        if name in self._running and not self.is_running(name):
+            lines = "\n".join(self.read_last_lines(name))
+            raise ChildProcessError(f"{name} has ended:\n{lines}")
+
     def wait_ready(self) -> None:
         """Wait until every entry is ready."""
         until = time.monotonic() + START_SECONDS
         for name in self.plan.list_role("entry"):
             while not _answers(self.plan.get_http(name) + "/readyz"):
+                self._check_runs(name)
                 if time.monotonic() > until:
                     raise TimeoutError(f"{name} is not ready")
                 time.sleep(0.05)
