--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    advice,
     availability,
     endings,
     handovers,
@@ -167,12 +168,23 @@
         self.quarantine.tell = self._tell_ends
         self._gate = admission.Gate(dialect, selector.draw_pool)
         self._gate.is_fresh = self._is_fresh
+        taken = advice.Advice(
+            self.directory,
+            self.limits,
+            self.backoffs,
+            self.timeline,
+            self._meters,
+            self._loop.time,
+        )
+        taken.tell_limit = self._tell_limit
+        taken.tell_leaving = self._tell_leaving
+        taken.tell_backoff = self._tell_backoff
         ends = endings.Endings(self.usage, self.quarantine, self.timeline, self._meters)
         sender = sending.Sender(
             dialect,
             selector,
             available,
-            self.backoffs,
+            taken,
             self.usage,
             self._budget,
             self.timeline,
@@ -181,11 +193,7 @@
             self.directory,
             ends,
             self.quarantine,
-            self.limits,
         )
-        sender.tell_limit = self._tell_limit
-        sender.tell_leaving = self._tell_leaving
-        sender.tell_backoff = self._tell_backoff
         self.directory.listen(self._note_over)
         relayed = streams.Streams(
             sender,
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -7,22 +7,20 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
+    advice,
     availability,
     exchanges,
     http_client,
     http_head,
-    limits,
     quarantine,
     refusals,
     routes,
     selection,
 )
-from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
@@ -139,8 +137,8 @@
         Chooses targets.
     available : availability.Availability
         Tells what keeps requests from a target.
-    in_backoff : backoffs.Backoffs
-        Takes the back-off that targets ask for.
+    taken : advice.Advice
+        Takes what answers say of their targets.
     usage : usages.Usage
         Counts what is under way.
     budget : budgets.RetryBudget
@@ -152,22 +150,11 @@
     startup : startups.Startup
         Tells whether targets may still be unheard of.
     directory : directories.Directory
-        Takes targets that leave, and tells of those that have started again.
+        Tells of targets that have started again.
     endings : ends.Endings
         Asks after targets that broke off.
     quarantined : quarantine.Quarantine
         Tells which requests go to no target.
-    named_limits : limits.Limits
-        Takes the limits that targets name.
-
-    Attributes
-    ----------
-    tell_limit : callable
-        Tells the keepers of a limit that is news.
-    tell_leaving : callable
-        Tells them of a target that leaves, if that is news.
-    tell_backoff : callable
-        Tells one of a target's back-off.
     """
 
     def __init__(
@@ -175,7 +162,7 @@
         dialect: dialects.Dialect,
         selector: selection.Selector,
         available: availability.Availability,
-        in_backoff: backoffs.Backoffs,
+        taken: advice.Advice,
         usage: usages.Usage,
         budget: budgets.RetryBudget,
         timeline: timelines.Timeline,
@@ -184,25 +171,19 @@
         directory: directories.Directory,
         endings: ends.Endings,
         quarantined: quarantine.Quarantine,
-        named_limits: limits.Limits,
     ) -> None:
-        self._limits = named_limits
-        self.tell_limit: Callable[[limits.Word], None] = lambda word: None
-        self.tell_leaving: Callable[[directories.Target], None] = lambda target: None
-        self.tell_backoff: Callable[[backoffs.Word], None] = lambda word: None
         self._quarantine = quarantined
         self._endings = endings
         self._startup = startup
         self._dialect = dialect
         self._selector = selector
         self._available = available
-        self._backoffs = in_backoff
+        self._advice = taken
         self._usage = usage
         self._refusals = refusals.Refusals(available, usage)
         self._budget = budget
         self._timeline = timeline
         self._meters = meters
-        self._directory = directory
         self._exchanges = exchanges.Exchanges(directory)
         self._loop = asyncio.get_running_loop()
 
@@ -291,7 +272,7 @@
         facts = self._dialect.read_answer(head)
         is_of_request = facts.request_id == asked.facts.request_id
         if is_of_request and not facts.is_other_target:
-            self._note_advice(asked, target, facts, exchange.sent_at)
+            self._advice.take(asked.facts.request_id, target, facts, exchange.sent_at)
         if not is_of_request:
             # Each answer of a target names its request; what does not is nobody's word on this one.
             named = facts.request_id or "none"
@@ -308,93 +289,6 @@
             return Unknown(f"status {head.status} without a promise")
         return Whole(head, body)
 
-    def _note_advice(
-        self,
-        asked: admissions.Admission,
-        target: directories.Target,
-        facts: dialects.AnswerFacts,
-        sent_at: float,
-    ) -> None:
-        """Keep what a target's answer says of the target; what can't be read changes nothing."""
-        for unread in facts.unread:
-            self._meters.words.labels(unread.word, "unread").inc()
-            self._timeline.record(
-                "target.unread",
-                request_id=asked.facts.request_id,
-                target=target.target_id,
-                word=unread.word,
-                text=unread.text,
-            )
-        if not facts.has_unread("limit"):
-            self._note_limit(asked, target, facts.rate_limit)
-        if facts.is_leaving:
-            self._note_leaving(asked, target)
-        if facts.did_run:
-            self._note_taken(asked, target, sent_at)
-        if facts.backoff_seconds is not None:
-            self._note_backoff(asked, target, facts.backoff_seconds)
-
-    def _note_backoff(
-        self, asked: admissions.Admission, target: directories.Target, seconds: float
-    ) -> None:
-        word = self._backoffs.note(target.target_id, seconds, asked.facts.request_id)
-        self._meters.words.labels("backoff", "ignored" if word is None else "taken").inc()
-        if word is not None:
-            self.tell_backoff(word)
-        self._timeline.record(
-            "target.backoff",
-            request_id=asked.facts.request_id,
-            target=target.target_id,
-            address=target.address,
-            seconds=seconds,
-            is_news=word is not None,
-        )
-
-    def _note_leaving(self, asked: admissions.Admission, target: directories.Target) -> None:
-        news = self._directory.mark_leaving(target.target_id, self._loop.time())
-        self._meters.words.labels("leaving", "ignored" if news is None else "taken").inc()
-        if news is not None:
-            self.tell_leaving(news)
-            self._timeline.record(
-                "target.leaving",
-                request_id=asked.facts.request_id,
-                target=target.target_id,
-                address=target.address,
-            )
-
-    def _note_taken(
-        self, asked: admissions.Admission, target: directories.Target, sent_at: float
-    ) -> None:
-        word = self._backoffs.note_taken(target.target_id, sent_at)
-        if word is not None:
-            self._meters.words.labels("backoff", "ended").inc()
-            self._timeline.record(
-                "target.backoff_over",
-                request_id=asked.facts.request_id,
-                target=target.target_id,
-                asked_by=word.request_id,
-                after_ms=int((self._loop.time() - word.told_at) * 1000),
-            )
-
-    def _note_limit(
-        self, asked: admissions.Admission, target: directories.Target, limit: float | None
-    ) -> None:
-        word = self._limits.note_answer(target.target_id, limit, self._loop.time())
-        if word is not None:
-            self.tell_limit(word)
-            self._meters.words.labels(
-                "limit", "taken" if word.unnamed_since is None else "ended"
-            ).inc()
-            self._timeline.record(
-                "target.limit",
-                request_id=asked.facts.request_id,
-                target=target.target_id,
-                address=target.address,
-                limit=word.limit,
-                version=word.version,
-                is_named=word.unnamed_since is None,
-            )
-
     def _judge(self, target: directories.Target, outcome: Outcome) -> None:
         """Keep whether a target is worth another request."""
         if not isinstance(outcome, refusals.NotRun):
