--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -228,7 +228,7 @@
                 exchange.send(head, asked.request.body)
                 outcome = await self._read_answer(asked, target, exchange)
             keep = isinstance(outcome, Stream)
-            self._judge(target, outcome)
+            self._judge(target, outcome, goes_on=plan.copy is not None)
             return outcome
         except TimeoutError:
             sent = exchange is not None and exchange.sent
@@ -289,13 +289,16 @@
             return Unknown(f"status {head.status} without a promise")
         return Whole(head, body)
 
-    def _judge(self, target: directories.Target, outcome: Outcome) -> None:
-        """Keep whether a target is worth another request."""
+    def _judge(self, target: directories.Target, outcome: Outcome, *, goes_on: bool) -> None:
+        """Keep whether a target is worth another request.
+
+        One that has no copy of a run that `goes_on` may have room for others.
+        """
         if not isinstance(outcome, refusals.NotRun):
             self._selector.caution.note_success(target.target_id)
         elif outcome.is_other_target:
             self._selector.caution.note_failure(target.target_id, self._loop.time())
-        elif outcome.sent:
+        elif outcome.sent and not goes_on:
             self._selector.caution.note_turned_away(target.target_id, self._loop.time())
 
     def plan(
--- a/tillerlane/gateway/tests/test_backoff.py
+++ b/tillerlane/gateway/tests/test_backoff.py
@@ -198,6 +198,27 @@
 
         self.play(scene)
 
+    def test_runner_without_a_copy_counts_as_one_that_turns_requests_away(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1, "llm", length=150)
+            call = asyncio.create_task(
+                stage.call("entry-1", "record", "r1", wait_ms=20_000, **gateway_scenes.LONG)
+            )
+            await asyncio.sleep(0.5)
+            self.heartbeats.cancel()
+            other = await stage.add_runner("llm-9", "llm", length=150)
+            other.loses_copies = True
+            await asyncio.sleep(0.2)
+            stage.beat("llm-1", "llm", phase=directories.Phase.DRAINING)
+            while not other.turned_away:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.02)
+            caution = stage.entries["entry-1"]._relay._sender._selector.caution
+            self.assertFalse(caution.is_avoided("llm-9", asyncio.get_running_loop().time()))
+            call.cancel()
+
+        self.play(scene)
+
     def test_answer_to_another_request_asks_for_no_backoff(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_targets(stage, 1)
