--- a/tillerlane/gateway/refusals.py
+++ b/tillerlane/gateway/refusals.py
@@ -70,15 +70,17 @@
 
     def set_return(self, asked: admissions.Admission, refused: NotRun) -> NotRun:
         """Have a caller whom targets turned away come back no sooner than one may take more."""
-        found = self._list_in_backoff(asked.pool)
-        if not found or self._available.read_opening(asked.pool) <= self._loop.time():
+        if self._available.read_opening(asked.pool) <= self._loop.time():
             return refused
-        return dataclasses.replace(refused, retry_after=found[0][0])
+        found = self._list_in_backoff(asked.pool)
+        return dataclasses.replace(refused, retry_after=found[0][0]) if found else refused
 
     def _list_cold(self, pool: routes.Pool) -> list[tuple[float, str]]:
         """Seconds and reason to tell callers if cold targets keep them away; none if they don't."""
         seconds = self._available.read_cold_seconds(pool)
-        return [(seconds, "no target but cold ones that have this entry's share")][: seconds > 0]
+        if seconds <= 0:
+            return []
+        return [(seconds, "no target but cold ones that have this entry's share")]
 
     def _list_limited(self, pool: routes.Pool) -> list[tuple[float, str]]:
         limits_named = self._available.list_limits(pool)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -229,9 +229,9 @@
 
     def _is_avoided(self, target: directories.Target, now: float) -> bool:
         """Whether a target has failed this entry lately, or turns others away."""
-        return self.caution.is_avoided(target.target_id, now) or self._available.is_busy_elsewhere(
-            target
-        )
+        if self.caution.is_avoided(target.target_id, now):
+            return True
+        return self._available.is_busy_elsewhere(target)
 
     def _read_pace(self, pool: routes.Pool, listed: list[directories.Target], now: float) -> float:
         """Seconds an event over all runners of a pool, looked up now and then."""
