Leave the fixed part of the retry budget to entries that know how many share it

Cause: an entry that has not heard how many entries there are counted itself as the only one. 20 that start at once may make 600 repeats in 10 s (30 asked for each), where the fleet's fixed part is 50. Change: until an entry has heard the number it takes the part of its own requests only.

--- a/tillerlane/gateway/budget.py
+++ b/tillerlane/gateway/budget.py
@@ -40,15 +40,22 @@
 class RetryBudget:
     """One entry's part of the budget.
 
+    Parameters
+    ----------
+    bounds : RetryBounds
+        The fleet's bound.
+    entries : int
+        Entries that share the allowance; 0 where that is not known, which leaves none of it.
+
     Attributes
     ----------
     entries : int
-        Entries that share the allowance, as last heard.
+        The same, as last heard.
     """
 
-    def __init__(self, bounds: RetryBounds) -> None:
+    def __init__(self, bounds: RetryBounds, entries: int = 1) -> None:
         self._bounds = bounds
-        self.entries = 1
+        self.entries = entries
         self._firsts: dict[str, _Window] = collections.defaultdict(_Window)
         self._repeats: dict[str, _Window] = collections.defaultdict(_Window)
 
@@ -64,7 +71,7 @@
         """Count a retry if the budget allows it; whether it does."""
         bounds = self._bounds
         since = now - bounds.window_seconds
-        allowance = bounds.allowance / max(1, self.entries)
+        allowance = bounds.allowance / self.entries if self.entries else 0.0
         most = SAFETY * (bounds.ratio * self._firsts[pool].count(since) + allowance)
         if self._repeats[pool].count(since) + 1 > most:
             return False
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -137,7 +137,7 @@
         self.orders.listen(self._note_orders)
         self.directory = directories.Directory()
         self.usage = usages.Usage(own.name)
-        self._budget = budgets.RetryBudget(own.retries)
+        self._budget = budgets.RetryBudget(own.retries, entries=0)
         self.limits = limits.Limits()
         self.permits = permits.Permits(own.name, self.limits, self._loop.time)
         self.permits.ask = self._ask_permits
