Come back to targets with fewer requests than they shed at, so that load does not collapse

Callers would see: four targets that shed by their own load and ask for 3 s of back-off, a pulse of twice the capacity for 10 s with callers that repeat: 0 to 0.7 of the capacity served during the pulse, and still 0 to 0.7 of the 0.6 offered for the 12 s after it, with no end in sight (a metastable failure: all back-off ends together, all callers come back together, the targets shed again). Change: after a back-off an entry has at most 0.75 of the requests under way at a target that it had when it was turned away, or of its even share of the target's slots if that is more, and one at least; 5 in 100 more each second, for 20 s. Stand-in targets can have slots, a queue and times that grow with load.

--- a/tillerlane/gateway/advice.py
+++ b/tillerlane/gateway/advice.py
@@ -7,6 +7,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import limits
 from tillerlane.gateway import meters as entry_meters
+from tillerlane.gateway import usage as usages
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Advice"]
@@ -23,6 +24,8 @@
         Takes the limits that they name.
     in_backoff : backoffs.Backoffs
         Takes the back-off that they ask for.
+    usage : usages.Usage
+        Counts what this entry has under way at each.
     timeline : timelines.Timeline
         Takes each word.
     meters : entry_meters.EntryMeters
@@ -45,6 +48,7 @@
         directory: directories.Directory,
         named_limits: limits.Limits,
         in_backoff: backoffs.Backoffs,
+        usage: usages.Usage,
         timeline: timelines.Timeline,
         meters: entry_meters.EntryMeters,
         now: Callable[[], float],
@@ -52,6 +56,7 @@
         self._directory = directory
         self._limits = named_limits
         self._backoffs = in_backoff
+        self._usage = usage
         self._timeline = timeline
         self._meters = meters
         self._now = now
@@ -119,7 +124,11 @@
         )
 
     def _take_backoff(self, request_id: str, target: directories.Target, seconds: float) -> None:
-        word = self._backoffs.note(target.target_id, seconds, request_id)
+        # The request that was turned away is still counted.
+        under_way = self._usage.count_own_at(target.address) - 1
+        even_share = target.slots / max(1, self._usage.entries)
+        borne = max(under_way, even_share)
+        word = self._backoffs.note(target.target_id, seconds, request_id, borne)
         self._meters.words.labels("backoff", "ignored" if word is None else "taken").inc()
         if word is not None:
             self.tell_backoff(word)
--- a/tillerlane/gateway/availability.py
+++ b/tillerlane/gateway/availability.py
@@ -99,17 +99,24 @@
         self._now = now
 
     def find_obstacle(
-        self, pool: routes.Pool, target: directories.Target, *, goes_on: bool = False
+        self,
+        pool: routes.Pool,
+        target: directories.Target,
+        *,
+        goes_on: bool = False,
+        is_counted: bool = False,
     ) -> Obstacle | None:
         """What keeps one more request from a target now; None if it may be sent.
 
         A run that `goes_on` with a copy of its memory may go to a target that has begun to leave.
+        With `is_counted` the request is among those under way there already.
         """
         if target.data_hall in self._directory.evacuated:
             return _EVACUATED
         if target.is_leaving and not goes_on:
             return _LEAVING
-        backoff_until = self._backoffs.find_end(target.target_id)
+        under_way = self._usage.count_own_at(target.address) - is_counted
+        backoff_until = self._backoffs.find_end(target.target_id, under_way)
         if backoff_until is not None:
             return Obstacle(Cause.BACKOFF, backoff_until)
         if not self._cold.may_send(pool, target, self._usage.entries, self._now()):
@@ -126,7 +133,7 @@
         self, pool: routes.Pool, target: directories.Target, *, goes_on: bool = False
     ) -> Obstacle | None:
         """Count a request that goes out to a target now, unless something keeps it from there."""
-        obstacle = self.find_obstacle(pool, target, goes_on=goes_on)
+        obstacle = self.find_obstacle(pool, target, goes_on=goes_on, is_counted=True)
         if obstacle is None:
             self._cold.note_sent(target, self._now())
             self._permits.note_sent(target.target_id)
@@ -150,7 +157,7 @@
     def list_backoff_ends(self, pool: routes.Pool) -> list[float]:
         """Times of the event loop at which the back-off of a pool's targets that take work ends."""
         ends = [
-            self._backoffs.find_end(target.target_id)
+            self._backoffs.find_end(target.target_id, self._usage.count_own_at(target.address))
             for target in self._directory.list_pool(pool.name)
         ]
         return [until for until in ends if until is not None]
--- a/tillerlane/gateway/backoff.py
+++ b/tillerlane/gateway/backoff.py
@@ -2,7 +2,9 @@
 
 A target that turns a request away may say for how long it wants nothing more from that entry.  When
 that time is over the entry sends one request as a probe, and others once the target has not turned
-it away (a circuit breaker that is half open).
+it away (a circuit breaker that is half open).  For a while it then has fewer requests under way
+there than when it was turned away (multiplicative decrease, slow increase): many entries whose
+back-off ends together would otherwise overload the target again, and again after that.
 
 A target that turns one entry away is likely to do so with all.  So the others are told, and prefer
 other targets meanwhile, though they may still send there.
@@ -21,6 +23,14 @@
 PROBE_SECONDS = 0.1
 """Least pause between probes: a target turns a request away within milliseconds, while a good
 answer may take long."""
+PLACES_SHARE = 0.75
+"""Part of the requests under way at which a target turned one away that it gets afterwards."""
+GROWTH = 0.05
+"""Increase of that number in a second, as a part of it."""
+RAMP_SECONDS = 20.0
+"""How long after a back-off the number is bounded."""
+PLACE_SECONDS = 0.05
+"""Time after which to look again for a place at a target that has as many as it gets."""
 MAX_HINTS = 20_000
 """Bound on memory, as on targets."""
 
@@ -35,6 +45,8 @@
         When an answer asked for it last, and its end.
     request_id : str
         Whose answer set the end.
+    places : float
+        This entry's requests that may be under way there when it is over.
     probed_at : float
         When a request went out after the end; 0 before.
     """
@@ -43,7 +55,10 @@
     told_at: float
     until: float
     request_id: str
+    places: float
     probed_at: float = 0.0
+    is_over: bool = False
+    """Whether the target has taken a request since."""
 
 
 class Backoffs:
@@ -75,14 +90,20 @@
         """Whether a target turns other entries away, so that other targets come first."""
         return bool(self._hints) and self._hints.get(target_id, 0.0) > self._now()
 
-    def note(self, target_id: str, seconds: float, request_id: str) -> Word | None:
-        """Take note that a target asks for back-off; gives the word if that moves its end."""
+    def note(
+        self, target_id: str, seconds: float, request_id: str, borne: float = 0.0
+    ) -> Word | None:
+        """Take note that a target asks for back-off; gives the word if that moves its end.
+
+        `borne` is how many of this entry's requests the target bears at least: those that it has
+        under way, or its even share of the target's slots.
+        """
         now = self._now()
         until = now + min(seconds, MOST_SECONDS)
         known = self._words.get(target_id)
         if until <= now or (known is not None and until <= known.until):
             return None
-        word = Word(target_id, now, until, request_id)
+        word = Word(target_id, now, until, request_id, max(1.0, PLACES_SHARE * borne))
         self._words[target_id] = word
         return word
 
@@ -95,20 +116,31 @@
     def note_taken(self, target_id: str, sent_at: float) -> Word | None:
         """Take note that a target did not turn a request away; gives the word that this ends."""
         word = self._words.get(target_id)
-        if word is None or sent_at < word.until:
+        if word is None or sent_at < word.until or word.is_over:
             return None
+        word.is_over = True
         self._hints.pop(target_id, None)
-        return self._words.pop(target_id)
+        return word
+
+    def find_end(self, target_id: str, under_way: int) -> float | None:
+        """Until when a target gets nothing from this entry; None if it may get a request now.
 
-    def find_end(self, target_id: str) -> float | None:
-        """Until when a target gets nothing from this entry; None if it may get a request now."""
+        `under_way` are this entry's requests there.
+        """
         if not self._words:
             return None
         word = self._words.get(target_id)
         if word is None:
             return None
-        until = max(word.until, word.probed_at + PROBE_SECONDS)
-        return until if until > self._now() else None
+        now = self._now()
+        until = word.until if word.is_over else max(word.until, word.probed_at + PROBE_SECONDS)
+        if until > now:
+            return until
+        seconds = now - word.until
+        if seconds > RAMP_SECONDS:
+            del self._words[target_id]
+            return None
+        return now + PLACE_SECONDS if under_way >= word.places * (1 + GROWTH * seconds) else None
 
     def forget(self, target_id: str) -> None:
         """Drop the word of a target that has ended."""
@@ -121,7 +153,7 @@
         return sum(word.until > now for word in self._words.values())
 
     def list_all(self) -> list[Word]:
-        """Words of all targets that have not taken a request since."""
+        """Words of all targets that are in back-off, or were lately."""
         return list(self._words.values())
 
 
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -172,6 +172,7 @@
             self.directory,
             self.limits,
             self.backoffs,
+            self.usage,
             self.timeline,
             self._meters,
             self._loop.time,
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -170,6 +170,11 @@
         """What this entry has under way at a target."""
         return dataclasses.replace(self._own.get(address, _NOTHING))
 
+    def count_own_at(self, address: str) -> int:
+        """This entry's requests under way at a target."""
+        own = self._own.get(address)
+        return own.requests if own is not None else 0
+
     def count_own(self) -> int:
         """This entry's requests under way."""
         return sum(use.requests for use in self._own.values())
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -254,7 +254,7 @@
             pool,
             self.runners[target_id].address,
             hall,
-            48,
+            self.runners[target_id].slots or 48,
             phase,
             sequence,
             asyncio.get_running_loop().time(),
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -102,6 +102,11 @@
         Events of each stream; 0 for a plain service.
     reading_seconds : float
         Time from a stream's request to its head.
+    slots, queue : int
+        Plain requests that it works on at a time, and that wait there; more are turned away with
+        503.  Unbounded with 0 slots.
+    slowdown : float
+        How much longer a plain request takes when all slots are taken, as a part of its time.
 
     Attributes
     ----------
@@ -164,6 +169,9 @@
         copy_seconds: float = 0.05,
         reading_seconds: float = 0.0,
         listen_address: str = "",
+        slots: int = 0,
+        queue: int = 0,
+        slowdown: float = 0.0,
     ) -> None:
         self.target_id = target_id
         self.address = address
@@ -195,6 +203,12 @@
         self.limit = ""
         self.backoff = ""
         self.leaving = ""
+        self.slots = slots
+        self.queue = queue
+        self.slowdown = slowdown
+        self._present = 0
+        """Plain requests that are here."""
+        self._free_slots = asyncio.Semaphore(slots)
         self.arrived: list[Arrival] = []
         self.on_crash: Callable[[PlatformRunner], None] = lambda runner: None
         self.has_crashed = False
@@ -297,7 +311,8 @@
         self.arrived.append(arrival)
         first = int(headers.get("last-event-id", "0")) + 1
         copy_from = headers.get("kv-from", "")
-        if self.refuses or (copy_from and not self._take_copy(copy_from, request_id)):
+        is_full = self.slots > 0 and self._present >= self.slots + self.queue
+        if self.refuses or is_full or (copy_from and not self._take_copy(copy_from, request_id)):
             await self._turn_away(503, request_id, responder)
             self._note_turned_away(arrival)
             return
@@ -325,7 +340,7 @@
             return
         await self._die_of(run)
         try:
-            await asyncio.sleep(self.pace)
+            await self._work(run)
         except asyncio.CancelledError:
             self._note_end(run, "gone")
             raise
@@ -348,6 +363,20 @@
         await responder.send_whole(head, b"answer to " + request_id.encode())
         await connection.write(self.surplus)
 
+    async def _work(self, run: RanRequest) -> None:
+        """Take the time of a plain request, in one of the slots if they are bounded."""
+        if not self.slots:
+            await asyncio.sleep(self.pace)
+            return
+        self._present += 1
+        try:
+            async with self._free_slots:
+                run.began = asyncio.get_running_loop().time()
+                share = min(1.0, self._present / self.slots)
+                await asyncio.sleep(self.pace * (1 + self.slowdown * share))
+        finally:
+            self._present -= 1
+
     def _list_advice(self, status: int) -> http_head.Headers:
         """What an answer says of this runner."""
         words = {
