Answer requests whose connection crosses the close of an entry's listener

Neither request is in the entry's log, so neither was read. Cause: the kernel completes connections that the program has not accepted, and resets them when the listener closes; and a connection that was accepted, but whose first bytes had not come, was closed as idle. Change: what waits at the listener is accepted before it closes, and a new connection has 0.3 s for its first request; the entry counts it as busy meanwhile.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -21,6 +21,8 @@
 HIGH_BYTES = 64 * 1024
 """Unsent bytes of an answer above which its writer waits for the caller."""
 MAX_PIPELINED = 8
+FIRST_SECONDS = 0.3
+"""How long a new connection has for its first request when the server ends its connections."""
 BACKLOG = 1_024
 
 
@@ -93,6 +95,8 @@
         self._writable.set()
         self._dead = False
         self.closing = False
+        self._has_begun = False
+        """Whether anything of a request has come."""
 
     # Life
 
@@ -103,6 +107,8 @@
         transport.set_write_buffer_limits(high=HIGH_BYTES)
         self._server.connections.add(self)
         self._set_timer(self._server.limits.idle_seconds)
+        if self._server.is_closing:
+            self.close_if_idle()
 
     def connection_lost(self, error: Exception | None) -> None:
         """The caller has gone: whatever runs for it is cancelled."""
@@ -144,10 +150,22 @@
         return self._incoming is None and self._task is None and not self._ready
 
     def close_if_idle(self) -> None:
-        """End a resting connection; a busy one ends behind its answer."""
+        """End a resting connection; a busy one ends behind its answer.
+
+        A new one is given time for its first request, which may be on its way.
+        """
         self.closing = True
-        if self.is_idle and self.transport is not None:
+        if not self.is_idle or self.transport is None:
+            return
+        if self._has_begun:
             self.transport.close()
+        else:
+            self._set_timer(FIRST_SECONDS)
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether a connection that is to end may still get its first request."""
+        return self.closing and not self._has_begun
 
     # Reading
 
@@ -155,6 +173,7 @@
         """Take bytes."""
         if self._dead or (self.closing and self._task is not None):
             return
+        self._has_begun = True
         if self._incoming is not None and not self._incoming.arrived:
             self._incoming.head_bytes += len(data)
         try:
@@ -361,12 +380,17 @@
         self.limits = limits
         self.note_error = note_error
         self.connections: set[Connection] = set()
+        self.is_closing = False
+        """Whether connections end as soon as they rest."""
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._accepted: set[asyncio.Task[object]] = set()
 
     async def listen(self, address: str, listener: socket.socket | None = None) -> None:
         """Accept connections at ``IP:port``, or at a socket that listens there already."""
         loop = asyncio.get_running_loop()
         if listener is not None:
+            self._listener = listener
             self._server = await loop.create_server(
                 lambda: Connection(self), sock=listener, backlog=BACKLOG
             )
@@ -377,18 +401,36 @@
         )
 
     def stop_accepting(self) -> None:
-        """Take no new connections."""
+        """Take no new connections, but those that wait at the listener already."""
+        if self._listener is not None:
+            self._accept_waiting(self._listener)
         if self._server is not None:
             self._server.close()
 
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        """Accept what would be reset when the listener closes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                caller, _ = listener.accept()
+            except OSError:
+                return  # nobody waits, or there is no descriptor for whoever does
+            caller.setblocking(False)
+            made = loop.connect_accepted_socket(lambda: Connection(self), caller)
+            task = loop.create_task(made)
+            self._accepted.add(task)
+            task.add_done_callback(self._accepted.discard)
+
     def close_idle(self) -> None:
         """Have every connection end as soon as it rests."""
+        self.is_closing = True
         for connection in list(self.connections):
             connection.close_if_idle()
 
     def count_busy(self) -> int:
-        """Connections with a request that is being read or served."""
-        return sum(not connection.is_idle for connection in self.connections)
+        """Connections with a request that is being read or served, or may be on its way."""
+        busy = sum(not item.is_idle or item.is_awaited for item in self.connections)
+        return busy + len(self._accepted)
 
     def abort_all(self) -> None:
         """End every connection at once."""
