Have runs that go on with a copy take no place of those left after a back-off

Found by reading the change again. Cause: a run with a copy asked as any request, though its copy holds memory and a slot at that runner already. Change: such runs are bound by the back-off itself, and not by what is under way after it. The test failed before (2 of 6).

--- a/tillerlane/gateway/availability.py
+++ b/tillerlane/gateway/availability.py
@@ -108,14 +108,15 @@
     ) -> Obstacle | None:
         """What keeps one more request from a target now; None if it may be sent.
 
-        A run that `goes_on` with a copy of its memory may go to a target that has begun to leave.
+        A run that `goes_on` with a copy of its memory may go to a target that has begun to leave,
+        and takes no further place of those left after a back-off: its copy holds one there.
         With `is_counted` the request is among those under way there already.
         """
         if target.data_hall in self._directory.evacuated:
             return _EVACUATED
         if target.is_leaving and not goes_on:
             return _LEAVING
-        under_way = self._usage.count_own_at(target.address) - is_counted
+        under_way = 0 if goes_on else self._usage.count_own_at(target.address) - is_counted
         backoff_until = self._backoffs.find_end(target.target_id, under_way)
         if backoff_until is not None:
             return Obstacle(Cause.BACKOFF, backoff_until)
--- a/tillerlane/gateway/tests/test_backoff.py
+++ b/tillerlane/gateway/tests/test_backoff.py
@@ -198,6 +198,30 @@
 
         self.play(scene)
 
+    def test_run_with_a_copy_waits_for_a_place_after_a_backoff(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 1, "llm", length=120)
+            entry = stage.entries["entry-1"]
+            calls = [
+                asyncio.create_task(
+                    stage.call("entry-1", "record", f"r{n}", wait_ms=20_000, **gateway_scenes.LONG)
+                )
+                for n in range(6)
+            ]
+            await asyncio.sleep(0.5)
+            self.heartbeats.cancel()
+            await stage.add_runner("llm-9", "llm", length=120)
+            await asyncio.sleep(0.2)
+            entry.backoffs.note("llm-9", 0.1, "r0", 1.0)
+            stage.beat("llm-1", "llm", phase=directories.Phase.DRAINING)
+            answers = await asyncio.gather(*calls)
+            self.assertTrue(all(answer.is_whole for answer in answers))
+            taken_up = [run for run in stage.runners["llm-9"].ran if run.goes_on]
+            self.assertEqual(len(taken_up), 6)
+            self.assertLess(max(run.began for run in taken_up), taken_up[0].began + 1.5)
+
+        self.play(scene)
+
     def test_runner_without_a_copy_counts_as_one_that_turns_requests_away(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_targets(stage, 1, "llm", length=150)
