Log why a waiting connection was not accepted, and tell keepers in one place

Change: such an error goes to the server's note_error; entry._tell_keepers serves all three; availability calls its own is_evacuated and wish. Nothing else behaves otherwise.

--- a/tillerlane/gateway/availability.py
+++ b/tillerlane/gateway/availability.py
@@ -112,7 +112,7 @@
         and takes no further place of those left after a back-off: its copy holds one there.
         With `is_counted` the request is among those under way there already.
         """
-        if target.data_hall in self._directory.evacuated:
+        if self.is_evacuated(target):
             return _EVACUATED
         if target.is_leaving and not goes_on:
             return _LEAVING
@@ -148,7 +148,7 @@
         """
         obstacle = self.find_obstacle(pool, target, goes_on=True)
         if obstacle is not None and obstacle.cause is Cause.LIMITED:
-            self._permits.wish(target.target_id)
+            self.wish(target)
         return obstacle is not None and obstacle.cause is not Cause.EVACUATED
 
     def is_evacuated(self, target: directories.Target) -> bool:
@@ -197,7 +197,7 @@
 
     async def ask_permit(self, target: directories.Target, seconds: float) -> bool:
         """Ask for a permit and wait for the answer, so long at most; whether one is held then."""
-        self._permits.wish(target.target_id)
+        self.wish(target)
         await self._permits.wait_for_answer(seconds)
         return not self.needs_permit(target)
 
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -378,19 +378,17 @@
 
     def _tell_ends(self, ends: list[suspects.End]) -> None:
         """Tell all keepers listened to, since any of them may be cut off."""
-        message = suspects.write_ends(ends)
-        for link in self.homes.list_links():
-            links.try_send(link, message)
+        self._tell_keepers(suspects.write_ends(ends))
 
     def _tell_limit(self, word: limits.Word) -> None:
         """Tell all keepers listened to what a target has named."""
-        message = limits.write_words([word])
-        for link in self.homes.list_links():
-            links.try_send(link, message)
+        self._tell_keepers(limits.write_words([word]))
 
     def _tell_leaving(self, target: directories.Target) -> None:
         """Tell all keepers listened to that a target has said that it leaves."""
-        message = directories.write_states([target])
+        self._tell_keepers(directories.write_states([target]))
+
+    def _tell_keepers(self, message: messages.Body) -> None:
         for link in self.homes.list_links():
             links.try_send(link, message)
 
--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -413,8 +413,11 @@
         while True:
             try:
                 caller, _ = listener.accept()
-            except OSError:
-                return  # nobody waits, or there is no descriptor for whoever does
+            except BlockingIOError:
+                return  # nobody waits
+            except OSError as error:
+                self.note_error(error)
+                return
             caller.setblocking(False)
             made = loop.connect_accepted_socket(lambda: Connection(self), caller)
             task = loop.create_task(made)
