Wait for a soak target while its process is starting, on addresses of its own

A target that was still importing its modules on a busy machine was given up after 20 s (seen with a load average of 41 on 12 cores; importing takes 0.3 s of a core). The wait now ends when the process exits, at once and with its status and last lines, or after half of a test module's time limit. An exit was not noticed before: also a process that found its address in use was waited for.

Two runs of one seed on a host bound the same addresses. A run now reserves its range of loopback addresses, and takes the next one if it is in use.

--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -24,6 +24,7 @@
     caller,
     forwarder,
     gateway_lab,
+    loopback,
     platform_checker,
     platform_fleet,
     platform_targets,
@@ -85,12 +86,13 @@
     folder : pathlib.Path
         Folder for settings, data and logs.
     seed : int
-        Determines faults, callers and addresses.
+        Determines faults and callers, and which addresses are used if they are free.
     """
 
     def __init__(self, folder: pathlib.Path, seed: int) -> None:
         self._rng = random.Random(seed)
-        net = 20 + 4 * (seed % 50)
+        self._addresses = loopback.reserve(seed)
+        net = self._addresses.net
         self.fleet = platform_fleet.PlatformFleet(
             folder, net, KEEPERS, ENTRIES, random.Random(seed)
         )
@@ -395,8 +397,8 @@
 
     async def run(self, seconds: float, rest_seconds: float) -> list[str]:
         """Run the soak, wait `rest_seconds` for recovery, and return the broken guarantees."""
-        await self.fleet.start_all()
         try:
+            await self.fleet.start_all()
             await self._wait_until_ready()
             work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
             work += [self._poll_readiness(), self._announce_limits(), self._send_feedback()]
@@ -414,6 +416,7 @@
             self.fleet.kill_all()
             self.targets.end_all()
             await asyncio.sleep(TASK_SHUTDOWN_SECONDS)
+            self._addresses.release()
         bounds = platform_fleet.BOUNDS
         return platform_checker.check(self.seen, bounds.drain, bounds.revoke)
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from tillerlane.testing import (
+    check,
     forwarder,
     platform_checker,
     platform_fleet,
@@ -68,8 +69,13 @@
     {"reading_seconds": 2.0},
 )
 """Temporary faults of a target, as attributes of `platform_runner.PlatformRunner`."""
-START_SECONDS = 20.0
+START_SECONDS = check.MODULE_TIMEOUT_SECONDS / 2
+"""Longest wait for a process that is still starting.  Importing its modules takes 0.3 s of a core,
+and on a machine with several times as many runnable processes as cores it may get that only after
+20 s.  Half of a test module's time limit leaves the module time to report the failure itself."""
 START_CHECK_SECONDS = 0.02
+LOG_TAIL_BYTES = 2_000
+"""Bound on the part of an exited target's log that is reported."""
 
 Notify = Callable[[str, Callable[[], bytes]], Awaitable[bool]]
 
@@ -106,7 +112,15 @@
         self._process: subprocess.Popen[bytes] | None = None
 
     async def start(self) -> None:
-        """Start its process and wait until it listens or has been killed."""
+        """Start its process and wait until it listens or has been killed.
+
+        Raises
+        ------
+        RuntimeError
+            If the process exits before it listens.
+        TimeoutError
+            If it is still starting after `START_SECONDS`.
+        """
         self._started_ms = int(time.time() * 1000)
         self._sequence = 0
         starts = self.record.starts
@@ -114,14 +128,27 @@
         async with asyncio.timeout(START_SECONDS):
             while self._process is not None and self.record.starts == starts:
                 await asyncio.sleep(START_CHECK_SECONDS)
+                self._check_process()
                 self.record.read()
         if self._process is not None:
             await self.proxy.start()
             self.is_running = True
 
+    @property
+    def _log(self) -> pathlib.Path:
+        return pathlib.Path(self._orders.record).with_suffix(".log")
+
+    def _check_process(self) -> None:
+        """Fail if its process has exited by itself."""
+        status = self._process.poll() if self._process is not None else None
+        if status is not None:
+            lines = self._log.read_bytes()[-LOG_TAIL_BYTES:].decode(errors="replace")
+            message = f"{self.target_id} exited with status {status} while starting:\n{lines}"
+            raise RuntimeError(message)
+
     def _start_process(self) -> None:
         orders = msgspec.json.encode(self._orders).decode()
-        with open(pathlib.Path(self._orders.record).with_suffix(".log"), "ab") as output:
+        with open(self._log, "ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", platform_target.__name__, orders],
                 stdin=subprocess.PIPE,
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -11,6 +11,7 @@
 from tillerlane.testing import (
     caller,
     forwarder,
+    loopback,
     platform_checker,
     platform_fleet,
     platform_runner,
@@ -354,6 +355,20 @@
             pass
 
 
+class AddressesTest(unittest.TestCase):
+    """Addresses of runs at the same time."""
+
+    def test_two_runs_of_a_seed_use_different_addresses(self) -> None:
+        """Guards against two runs on a host that bind the same addresses: both then fail."""
+        first, second = loopback.reserve(7), loopback.reserve(7)
+        self.addCleanup(second.release)
+        first.release()
+        third = loopback.reserve(7)
+        self.addCleanup(third.release)
+        self.assertGreaterEqual(abs(first.net - second.net), loopback.WIDTH)
+        self.assertNotEqual(second.net, third.net)
+
+
 class SeededRunTest(unittest.TestCase):
     """Short runs of the real programs under faults."""
 
@@ -380,9 +395,11 @@
         self.assertTrue(any(run.is_resumed for run in runs))
 
     def test_overlapping_faults_start_one_process(self) -> None:
+        addresses = loopback.reserve(0)
+        self.addCleanup(addresses.release)
         with tempfile.TemporaryDirectory() as folder:
             fleet = platform_fleet.PlatformFleet(
-                pathlib.Path(folder) / "f", 20, 1, 0, random.Random(1)
+                pathlib.Path(folder) / "f", addresses.net, 1, 0, random.Random(1)
             )
             daemon = fleet.daemons["keeper-1"]
             fleet.start(daemon)
--- a/tillerlane/testing/tests/test_platform_target.py
+++ b/tillerlane/testing/tests/test_platform_target.py
@@ -4,8 +4,10 @@
 import json
 import pathlib
 import random
+import signal
 import tempfile
 import unittest
+from unittest import mock
 
 from tillerlane.gateway import http_client, http_head
 from tillerlane.testing import (
@@ -161,5 +163,45 @@
         self.assertTrue(self.targets[1].record.ran[0].is_resumed)
 
 
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """The wait for a process that starts."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        address = "127.15.2.1:9000"
+        record = str(pathlib.Path(folder.name) / "t1.record")
+        orders = platform_target.Orders("t1", address, "127.15.3.1:9000", record, LENGTH, 0.1, 0.1)
+        proxy = forwarder.Forwarder(address, orders.listen_address, random.Random(1))
+        self.target = platform_targets.Target(orders, "llm", "hall-a", proxy)
+        self.addAsyncCleanup(self.end)
+
+    async def end(self) -> None:
+        """Kill the process."""
+        self.target.kill()
+
+    async def test_exited_process_fails_at_once(self) -> None:
+        """Guards against waiting for a process that has exited, and losing the reason."""
+        server = await asyncio.start_server(lambda reader, writer: None, "127.15.3.1", 9000)
+        self.addCleanup(server.close)
+        with self.assertRaisesRegex(RuntimeError, r"(?s)exited with status 1 .*address already"):
+            await self.target.start()
+
+    async def test_slow_start_is_waited_for(self) -> None:
+        """Guards against a bound on the start that a process on a busy host doesn't meet."""
+        loop = asyncio.get_running_loop()
+        read_clock, skipped = loop.time, 0.0
+        starting = asyncio.create_task(self.target.start())
+        await asyncio.sleep(0)
+        self.target.send(signal.SIGSTOP)
+        with mock.patch.object(loop, "time", lambda: read_clock() + skipped):
+            skipped = 25.0
+            await asyncio.sleep(0.1)
+            self.assertFalse(starting.done())
+            self.target.send(signal.SIGCONT)
+            await starting
+        self.assertTrue(self.target.is_running)
+
+
 if __name__ == "__main__":
     unittest.main()
