Tell all entries at once which targets fail requests

An entry now reports a target that breaks off a request to its home keepers (TargetFailures), which pass it on to each other and to all entries. After the back-off (1 s, doubled up to 5 s by further failures) one request at a time tries the target, first those that can be repeated; a success ends the back-off everywhere. At most half of a pool is ranked down on the word of others, a request that fails at several targets is reported once, and targets that leave and evacuated halls don't count.

FailureTracker moves to gateway/failures. Targets that had only rejected requests were never dropped from it. TargetSlowdowns and CallerReturns are declared for the numbering of the union.

--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -57,11 +57,14 @@
         Prompt to prefill; 0 for a run that arrives with its memory.
     events : float
         Expected number of events still to be written.
+    is_repeatable : bool
+        Whether another runner can serve the request if this one fails it.
     """
 
     memory_tokens: int
     prompt_tokens: int = 0
     events: float = 0.0
+    is_repeatable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -63,7 +63,9 @@
     def work(self) -> placing.Work:
         """Work that the request causes at a runner."""
         facts = self.facts
-        return placing.Work(self.tokens, facts.prompt_tokens, self.count_remaining_events(0))
+        is_repeatable = self.route.is_repeatable and self.route.max_attempts > 1
+        events = self.count_remaining_events(0)
+        return placing.Work(self.tokens, facts.prompt_tokens, events, is_repeatable)
 
     def count_remaining_events(self, events: int) -> float:
         """Expected number of events that its run is still to write after `events`."""
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -24,6 +24,7 @@
     suspects,
 )
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway.failures import updates as failure_updates
 from tillerlane.keeper import commands, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import formation as formations
@@ -140,6 +141,9 @@
         self._backoffs = backoff_updates.BackoffUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
         )
+        self._failures = failure_updates.FailureUpdates(
+            BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
+        )
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
@@ -352,6 +356,8 @@
                 self.limits.handle_message(body)
             case messages.TargetBackoffs():
                 self._backoffs.handle_message(body)
+            case messages.TargetFailures():
+                self._failures.handle_message(body)
 
     def _synchronize(self, link: links.Link) -> None:
         """Send all state to a keeper on a new link, since it may have been cut off."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -36,6 +36,8 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.failures import reports as failure_reports
+from tillerlane.gateway.failures import tracker as failure_trackers
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -151,6 +153,9 @@
             self.backoffs,
             self._loop.time,
         )
+        self.failures = failure_trackers.FailureTracker(settings.name, self.directory)
+        self.failures.notify = self._notify_failures
+        self.failures.record_event = self.timeline.record
         selector = selection.Selector(
             self.directory,
             self.usage,
@@ -158,6 +163,7 @@
             settings.data_hall,
             rng or random.Random(),
             self._loop.time,
+            self.failures,
         )
         self._metrics = metrics.build_entry_metrics()
         self._mover = runs.Mover(
@@ -166,6 +172,7 @@
         self._startup = startup.Startup()
         self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
         self.quarantine.notify_keepers = self._send_exits
+        self.failures.list_exits = self.quarantine.suspects.list_targets
         self._admission_control = admission.AdmissionControl(dialect, selector.pick_pool)
         self._admission_control.is_fresh = self._is_fresh
         feedback = feedbacks.TargetFeedback(
@@ -306,6 +313,7 @@
         self._metrics.quarantined.set_function(self.quarantine.count_held)
         self._metrics.limits.set_function(lambda: self.limits.count_in_force(self._loop.time()))
         self._metrics.in_backoff.set_function(self.backoffs.count_in_force)
+        self._metrics.failing.set_function(self.failures.count_failing)
         self._metrics.unused_permits.set_function(lambda: self.permits.unused)
         self._metrics.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._metrics.evacuated.set_function(lambda: len(self.directory.evacuated))
@@ -405,6 +413,10 @@
         if link is not None:
             links.try_send(link, backoffs.encode_hints([(record.target_id, record.until)]))
 
+    def _notify_failures(self, reported: list[failure_reports.Report]) -> None:
+        """Report targets that fail requests, or serve them again, to all home keepers."""
+        self._send_to_keepers(failure_reports.encode_reports(reported))
+
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
@@ -444,6 +456,9 @@
                 self._merge_limits(limits.decode_records(body))
             case messages.TargetBackoffs():
                 self.backoffs.merge_hints(backoffs.decode_hints(body))
+            case messages.TargetFailures():
+                received = failure_reports.decode_reports(body)
+                self.failures.merge_reports(received, self._loop.time())
 
     def _merge_states(self, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
@@ -484,6 +499,7 @@
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
             self.backoffs.discard(target.target_id)
+            self.failures.discard(target.target_id)
         if not target.is_superseded:
             return
         self.usage.discard_event_times(target.address)
--- /dev/null
+++ b/tillerlane/gateway/failures/updates.py
@@ -0,0 +1,59 @@
+"""A keeper's part in passing on which targets fail requests."""
+
+import dataclasses
+from collections.abc import Callable
+
+from tillerlane.gateway import batching
+from tillerlane.gateway.failures import reports
+from tillerlane.peers import messages
+
+__all__ = ["FailureUpdates"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Update:
+    target_id: str
+    until: float
+
+
+class FailureUpdates:
+    """Passes the reports of entries on, at one keeper.
+
+    Parameters
+    ----------
+    interval : float
+        Minimum seconds between two messages; the first report after a pause is sent at once.
+    send : callable
+        Sends a message to all other keepers and all subscribed entries.
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        interval: float,
+        send: Callable[[messages.TargetFailures], None],
+        now: Callable[[], float],
+    ) -> None:
+        self._table = reports.ReportTable()
+        self._now = now
+        self._batcher: batching.UpdateBatcher[_Update] = batching.UpdateBatcher(
+            interval,
+            lambda updates: send(
+                reports.encode_reports((item.target_id, item.until) for item in updates)
+            ),
+        )
+
+    def handle_message(self, message: messages.TargetFailures) -> None:
+        """Merge the reports of an entry or another keeper, and pass changes on.
+
+        Raises
+        ------
+        faults.FaultError
+            Of kind ``bad_request`` if the message is malformed.
+        """
+        now = self._now()
+        self._table.expire(now)
+        for report in reports.decode_reports(message):
+            if self._table.merge(report, now):
+                self._batcher.add(_Update(*report))
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -56,6 +56,8 @@
     as already known, or unread."""
     in_backoff: prometheus_client.Gauge
     """Targets that this entry sends nothing to, since they requested back-off."""
+    failing: prometheus_client.Gauge
+    """Targets that broke off a request here or at another entry, and have served none since."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -94,6 +96,9 @@
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
         count("tillerlane_target_words", "What answers say of targets", "word", "outcome"),
         gauge("tillerlane_targets_in_backoff", "Targets that asked this entry for back-off"),
+        gauge(
+            "tillerlane_targets_failing", "Targets that broke off a request and served none since"
+        ),
     )
 
 
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -1,25 +1,16 @@
 """Choice of a pool's target for a request."""
 
-import dataclasses
 import random
 from collections.abc import Callable, Collection, Iterator
 
-from tillerlane.decisions import placing
+from tillerlane.decisions import failing, placing
 from tillerlane.gateway import availability, loads, permits, routes
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.failures import tracker
 
-__all__ = ["FailureTracker", "Selector"]
+__all__ = ["Selector"]
 
-MIN_AVOIDANCE_SECONDS = 1.0
-"""How long an unreachable target is avoided: the heartbeat interval, after which its keepers know
-more."""
-MAX_AVOIDANCE_SECONDS = 5.0
-REJECTION_AVOIDANCE_SECONDS = 0.5
-"""How long a target is avoided after it rejected a request.  With nothing under way it would appear
-to be the least loaded one."""
-FAILURE_RETENTION_SECONDS = 30.0
-"""How long a failure counts towards the next one; also bounds the state kept of former targets."""
 CROSS_HALL_COST_SECONDS = 0.02
 """Cost of a target in another data hall, in seconds of waiting: breaks ties only."""
 CROSS_HALL_COPY_FACTOR = 2.0
@@ -40,45 +31,8 @@
 """Cost of a target that is still cold, in seconds of waiting."""
 POOL_SPEED_INTERVAL_SECONDS = 1.0
 """How long a pool's seconds per event are cached; they are smoothed over 20 s."""
-BEST_RANK = (False, False, False, False)
-"""Neither silent nor avoided nor blocked nor full."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Failures:
-    count: int
-    avoid_until: float
-
-
-class FailureTracker:
-    """Recent failures of targets towards this entry, by id."""
-
-    def __init__(self) -> None:
-        self._failures: dict[str, _Failures] = {}
-
-    def record_failure(self, target_id: str, now: float) -> None:
-        """Avoid a target for a while, longer with each consecutive failure."""
-        for other, failures in list(self._failures.items()):
-            if now - failures.avoid_until > FAILURE_RETENTION_SECONDS:
-                del self._failures[other]
-        known = self._failures.setdefault(target_id, _Failures(0, now))
-        known.count += 1
-        seconds = min(MAX_AVOIDANCE_SECONDS, MIN_AVOIDANCE_SECONDS * 2 ** (known.count - 1))
-        known.avoid_until = now + seconds
-
-    def record_rejection(self, target_id: str, now: float) -> None:
-        """Avoid a target for a short while; this does not count as a failure."""
-        known = self._failures.setdefault(target_id, _Failures(0, now))
-        known.avoid_until = max(known.avoid_until, now + REJECTION_AVOIDANCE_SECONDS)
-
-    def record_success(self, target_id: str) -> None:
-        """Discard a target's failures."""
-        self._failures.pop(target_id, None)
-
-    def is_avoided(self, target_id: str, now: float) -> bool:
-        """Whether other targets are preferred."""
-        known = self._failures.get(target_id)
-        return known is not None and now < known.avoid_until
+BEST_RANK = (False, False, False, False, False)
+"""Neither silent nor avoided nor blocked nor full, nor a last resort after a failure."""
 
 
 class Selector:
@@ -98,6 +52,8 @@
         Samples the candidates.
     now : callable
         Time of the event loop.
+    failures : tracker.FailureTracker, optional
+        Which targets have failed requests.
     """
 
     def __init__(
@@ -108,8 +64,9 @@
         data_hall: str,
         rng: random.Random,
         now: Callable[[], float],
+        failures: tracker.FailureTracker | None = None,
     ) -> None:
-        self.failures = FailureTracker()
+        self.failures = failures or tracker.FailureTracker("", directory)
         self._directory = directory
         self._usage = usage
         self._available = available
@@ -138,7 +95,8 @@
     ) -> directories.Target | None:
         """The target with the lowest cost for some work, of a sample that are not `excluded` (ids).
 
-        None without any.  Silent, avoided, blocked and full targets rank last, in that order.
+        None without any.  Silent, avoided, blocked and full targets rank last, in that order, and
+        just before them those that are to be tried again after a failure.
         Blocked ones (in back-off, or with a limit that leaves nothing to this entry) are left out
         if the work `is_sent_now`.  A limit doesn't block where the request `can_request_permit`
         before it is sent, and will probably get one.
@@ -202,7 +160,13 @@
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, True)
+        best = (True, True, True, True, True)
+        standings = self.failures.find_standings(
+            pool.name,
+            sum(map(len, groups)),
+            now,
+            is_repeatable=work.is_repeatable and not excluded,
+        )
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
@@ -224,11 +188,14 @@
                 if obstacle is not None and is_sent_now:
                     continue
                 load = self._usage.get(target.address)
+                standing = standings.get(target.target_id, failing.Standing.CLEAR)
                 rank = (
                     target.phase is directories.Phase.SILENT,
-                    self._is_avoided(target, now),
+                    standing is failing.Standing.AVOIDED
+                    or self._available.is_rejecting_others(target),
                     obstacle is not None,
                     not _has_room(pool, load, work.memory_tokens, FULL_MEMORY_SHARE),
+                    standing is failing.Standing.LAST_RESORT,
                 )
                 if rank > best:
                     continue
@@ -238,12 +205,6 @@
                 sampled += 1
         return found
 
-    def _is_avoided(self, target: directories.Target, now: float) -> bool:
-        """Whether a target has recently failed this entry, or rejects others."""
-        if self.failures.is_avoided(target.target_id, now):
-            return True
-        return self._available.is_rejecting_others(target)
-
     def _get_event_seconds(
         self, pool: routes.Pool, targets: list[directories.Target], now: float
     ) -> float:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -237,10 +237,13 @@
                     reason = f"{address} is blocked for this entry: {obstacle.cause.value}"
                     return refusals.NotRun(reason, sent=False, is_blocked=True)
                 head = self._dialect.build_forward(admission.request.head, plan)
+                self._selector.failures.record_send(target.target_id, self._loop.time())
                 exchange.send(head, admission.request.body)
                 outcome = await self._read_response(admission, target, exchange)
             keep = isinstance(outcome, Stream)
-            self._record_outcome(target, outcome, is_resumed=plan.copy is not None)
+            self._record_outcome(
+                target, outcome, exchange.sent_at, is_resumed=plan.copy is not None
+            )
             return outcome
         except TimeoutError:
             sent = exchange is not None and exchange.sent
@@ -250,10 +253,13 @@
                 self._selector.failures.record_failure(target.target_id, self._loop.time())
             return Unknown(f"{address}: no answer in time", is_late=True)
         except http_client.ExchangeError as error:
-            self._selector.failures.record_failure(target.target_id, self._loop.time())
             if not error.sent:
+                self._selector.failures.record_failure(target.target_id, self._loop.time())
                 return refusals.NotRun(str(error), sent=False)
             assert exchange is not None
+            self._selector.failures.record_broken_answer(
+                target, admission.fingerprint, self._loop.time(), exchange.sent_at
+            )
             await self._exit_detector.check_target(admission, target, exchange.sent_at, 0)
             return Unknown(f"{address}: {error}")
         finally:
@@ -306,7 +312,12 @@
         return Response(head, body)
 
     def _record_outcome(
-        self, target: directories.Target, outcome: Outcome, *, is_resumed: bool
+        self,
+        target: directories.Target,
+        outcome: Outcome,
+        sent_at: float,
+        *,
+        is_resumed: bool,
     ) -> None:
         """Record whether a target failed, rejected the request or succeeded.
 
@@ -314,7 +325,7 @@
         have room for other requests.
         """
         if not isinstance(outcome, refusals.NotRun):
-            self._selector.failures.record_success(target.target_id)
+            self._selector.failures.record_success(target.target_id, self._loop.time(), sent_at)
         elif outcome.is_other_target:
             self._selector.failures.record_failure(target.target_id, self._loop.time())
         elif outcome.sent and not is_resumed:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -186,6 +186,10 @@
             if stop is stream_relay.StopReason.TRUNCATED:
                 assert stream.exchange is not None
                 sent_at = stream.exchange.sent_at
+                if stream.stop_order is None:  # otherwise its run has been stopped
+                    self._selector.failures.record_broken_answer(
+                        stream.run.target, stream.admission.fingerprint, self._loop.time(), sent_at
+                    )
                 await self._exit_detector.check_target(
                     stream.admission, stream.run.target, sent_at, stream.events
                 )
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -507,6 +507,35 @@
     left_ms: list[int]
 
 
+@dataclasses.dataclass(slots=True)
+class TargetFailures:
+    """Targets that broke off requests, and how long to avoid them (ms); 0 after a success."""
+
+    target_ids: list[str]
+    left_ms: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class TargetSlowdowns:
+    """Targets that are slower for a short time, and the remaining time (ms)."""
+
+    target_ids: list[str]
+    left_ms: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class CallerReturns:
+    """Requests that were refused for lack of capacity, by fingerprint.
+
+    ``first_ms`` is the time since the caller's first attempt arrived, ``left_ms`` the time until
+    the caller may return.
+    """
+
+    fingerprints: list[str]
+    first_ms: list[int]
+    left_ms: list[int]
+
+
 @dataclasses.dataclass(slots=True)
 class PermitWish:
     """Number of permits that an entry requests for a target with the given limit per second.
@@ -623,6 +652,9 @@
     | TargetEnds
     | TargetLimits
     | TargetBackoffs
+    | TargetFailures
+    | TargetSlowdowns
+    | CallerReturns
     | PermitRequest
     | PermitReply
     | FreshnessRequest
