Count served and waiting tokens of workspaces over all entries

A pool's capacity went to whichever workspace sent most. Entries count the tokens that they sent and that wait for each workspace, report them with their loads while requests wait, and keepers send the sums with their digests. Workspaces may have a weight in the document.

--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -59,6 +59,12 @@
         """Memory that the request is counted with at a runner at its start."""
         return self.facts.prompt_tokens + self.compute_growth_reserve(0)
 
+    @property
+    def served_tokens(self) -> int:
+        """Tokens that its workspace is served with it: those of its prompt, and its estimate of
+        what the run writes."""
+        return self.facts.prompt_tokens + self.facts.output_tokens
+
     @property
     def work(self) -> placing.Work:
         """Work that the request causes at a runner."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -25,6 +25,7 @@
     runs,
     selection,
     sending,
+    shares,
     startup,
     streams,
     suspects,
@@ -137,6 +138,8 @@
         self.orders.add_listener(self._apply_orders)
         self.directory = directories.Directory()
         self.usage = usages.Usage(settings.name)
+        self.shares = shares.Shares()
+        self.shares.notify_urgent = self.usage.urgent.set
         self._budget = budgets.RetryBudget(settings.retries, entries=0)
         self.limits = limits.Limits()
         self.permits = permits.Permits(settings.name, self.limits, self._loop.time)
@@ -196,6 +199,7 @@
             self.directory,
             exit_detector,
             self.quarantine,
+            self.shares,
         )
         self.directory.add_listener(self._handle_target_change)
         relayed_streams = streams.Streams(
@@ -325,6 +329,7 @@
             self.timeline.record("config.unreadable", message=error.fault.message)
             return
         self._admission_control.table = table
+        self.shares.set_weights({item.name: item.weight for item in table.workspaces})
         bounds = table.limits
         self._server_limits.header_bytes = bounds.max_header_bytes
         self._server_limits.body_bytes = bounds.max_body_bytes
@@ -503,7 +508,10 @@
         if taken is usages.DigestResult.GAP:
             self.timeline.record("loads.gap", keeper=digest.keeper, sequence=digest.sequence)
             self.homes.request_full_loads()
-        elif taken is usages.DigestResult.APPLIED and digest.whole:
+        if taken is not usages.DigestResult.APPLIED:
+            return
+        self.shares.handle_digest(digest, self._loop.time())
+        if digest.whole:
             self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
 
     async def _send_loads(self) -> None:
@@ -515,13 +523,16 @@
             self.directory.expire_old(now)
             self.limits.expire_unknown(self.directory.targets, now)
             if self.usage.expire_others(now):
+                self.shares.discard_others()
                 self.timeline.record("loads.lost", after_s=usages.DIGEST_TTL_SECONDS)
             link = self.homes.get_primary()
             is_due = link is not reported_to or now - reported_at > MAX_LOADS_INTERVAL_SECONDS
-            if link is None or not (self.usage.changed or is_due):
+            if link is None or not (self.usage.changed or self.shares.changed or is_due):
                 continue
             reported_at, reported_to = now, link
-            links.try_send(link, self.usage.build_report(self._started_ms, now))
+            report = self.usage.build_report(self._started_ms, now)
+            report.workspaces = self.shares.build_report(report.sequence, now)
+            links.try_send(link, report)
 
     async def _wait_for_loads(self) -> None:
         """Wait until the next load report may be sent."""
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -11,8 +11,11 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterable
 
+from tillerlane.gateway.shares import aggregation
+from tillerlane.gateway.shares import rows as share_rows
 from tillerlane.peers import codec, messages
 
 __all__ = [
@@ -131,6 +134,7 @@
     sequence: int
     heard_at: float
     loads: Loads
+    workspaces: share_rows.Rows
 
 
 class LoadAggregator:
@@ -154,18 +158,26 @@
         self._total: Loads = collections.defaultdict(TargetLoad)
         self._changed: set[str] = set()
         self._sent: Loads = {}
+        self._workspaces = aggregation.WorkspaceAggregator()
 
     # Incoming reports
 
     def handle_report(self, report: messages.EntryLoads, now: float) -> bool:
-        """Handle an entry's own report; False if a later one is held."""
+        """Handle an entry's own report; False if a later one is held.
+
+        Raises
+        ------
+        faults.FaultError
+            Of kind ``bad_request`` if it can't be decoded.
+        """
+        workspaces = share_rows.decode_rows(report.workspaces)
         loads = {
             item.address: TargetLoad(
                 item.requests, item.tokens, item.unread, item.unsaved, item.events, item.event_ms
             )
             for item in report.uses
         }
-        is_later = self._merge(report.entry, _Report(report.sequence, now, loads))
+        is_later = self._merge(report.entry, _Report(report.sequence, now, loads, workspaces))
         if is_later:
             self._unforwarded.add(report.entry)
         return is_later
@@ -179,13 +191,16 @@
             Of kind ``bad_request`` if they can't be decoded.
         """
         rows = _decode_rows(forwarded.table)
+        workspaces = map(
+            share_rows.decode_rows, itertools.chain(forwarded.workspaces, itertools.repeat(b""))
+        )
         start = 0
-        for entry, sequence, count in zip(
-            forwarded.entries, forwarded.sequences, forwarded.counts, strict=False
+        for entry, sequence, count, shares in zip(
+            forwarded.entries, forwarded.sequences, forwarded.counts, workspaces, strict=False
         ):
             loads = dict(rows[start : start + count])
             start += count
-            self._merge(entry, _Report(sequence, now, loads))
+            self._merge(entry, _Report(sequence, now, loads, shares))
 
     def expire(self, now: float) -> list[str]:
         """Drop the reports that are older than `REPORT_TTL_SECONDS`; returns their entries."""
@@ -210,6 +225,10 @@
         """Replace a former report by another one in the sums."""
         before = former.loads if former is not None else {}
         after = report.loads if report is not None else {}
+        self._workspaces.replace(
+            former.workspaces if former is not None else {},
+            report.workspaces if report is not None else {},
+        )
         for address in {*before, *after}:
             old, new = before.get(address, _EMPTY), after.get(address, _EMPTY)
             if old == new:
@@ -245,6 +264,7 @@
             [report.sequence for _, report in reports],
             [len(report.loads) for _, report in reports],
             encode_loads(row for _, report in reports for row in report.loads.items()),
+            share_rows.encode_all(report.workspaces for _, report in reports),
         )
 
     def build_delta_digest(
@@ -257,7 +277,9 @@
         `get_included_sequence` for each subscriber.
         """
         addresses = self._pick_rows(0 if is_due else min_change)
-        if not addresses and not is_due:
+        is_paced = min_change < URGENT_CHANGE_TOKENS
+        workspaces = self._workspaces.build_delta(is_paced=is_paced, is_due=is_due)
+        if not addresses and not workspaces and not is_due:
             return None
         rows = [(address, self.get(address)) for address in addresses]
         for address, load in rows:
@@ -267,7 +289,7 @@
             else:
                 self._sent[address] = load
         self._digest_sequence += 1
-        return self._encode_digest(rows, whole=False)
+        return self._encode_digest(rows, workspaces, whole=False)
 
     def _pick_rows(self, min_change: int) -> list[str]:
         """Targets that changed by at least `min_change` tokens, largest changes first."""
@@ -281,11 +303,12 @@
 
     def build_full_digest(self) -> messages.LoadDigest:
         """All that was sent to subscribers, for one that is new or missed a digest."""
-        return self._encode_digest(list(self._sent.items()), whole=True)
+        workspaces = self._workspaces.build_full()
+        return self._encode_digest(list(self._sent.items()), workspaces, whole=True)
 
     def _encode_digest(
-        self, rows: list[tuple[str, TargetLoad]], *, whole: bool
+        self, rows: list[tuple[str, TargetLoad]], workspaces: bytes, *, whole: bool
     ) -> messages.LoadDigest:
         return messages.LoadDigest(
-            self._keeper, self._digest_sequence, 0, whole, encode_loads(rows)
+            self._keeper, self._digest_sequence, 0, whole, encode_loads(rows), workspaces
         )
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import math
 
 __all__ = [
     "ClientLimits",
@@ -131,11 +132,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
-    """A workspace: its name, its keys, and its priority if it has one of its own."""
+    """A workspace: its name, its keys, its priority if it has one of its own, and its weight.
+
+    While requests wait, workspaces share a pool in proportion to their weights.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -183,6 +188,10 @@
         )
     holders: dict[str, str] = {}
     for workspace in table.workspaces:
+        if not 0 < workspace.weight < math.inf:
+            problems.append(
+                f"workspace {workspace.name!r}: got weight {workspace.weight}, expected above 0"
+            )
         for key in workspace.keys:
             other = holders.setdefault(key, workspace.name)
             if other != workspace.name:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -20,6 +20,7 @@
     refusals,
     routes,
     selection,
+    shares,
 )
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
@@ -165,6 +166,8 @@
         Checks targets that broke off a response.
     quarantined : quarantine.Quarantine
         Knows which requests are quarantined.
+    workspace_shares : shares.Shares
+        Counts what is served to each workspace.
     """
 
     def __init__(
@@ -181,7 +184,9 @@
         directory: directories.Directory,
         exit_detector: exit_detection.ExitDetector,
         quarantined: quarantine.Quarantine,
+        workspace_shares: shares.Shares,
     ) -> None:
+        self._shares = workspace_shares
         self._quarantine = quarantined
         self._exit_detector = exit_detector
         self._startup = startup
@@ -238,9 +243,13 @@
                     return refusals.NotRun(reason, sent=False, is_blocked=True)
                 head = self._dialect.build_forward(admission.request.head, plan)
                 exchange.send(head, admission.request.body)
+                if plan.copy is None:
+                    self._record_served(admission, admission.served_tokens)
                 outcome = await self._read_response(admission, target, exchange)
             keep = isinstance(outcome, Stream)
             self._record_outcome(target, outcome, is_resumed=plan.copy is not None)
+            if isinstance(outcome, refusals.NotRun) and plan.copy is None:
+                self._record_served(admission, -admission.served_tokens)
             return outcome
         except TimeoutError:
             sent = exchange is not None and exchange.sent
@@ -263,6 +272,12 @@
                 if exchange is not None:
                     exchange.abort()
 
+    def _record_served(self, admission: admissions.Admission, tokens: int) -> None:
+        """Count tokens as served to the request's workspace; negative ones take that back."""
+        if admission.workspace is not None:
+            pool, workspace = admission.pool.name, admission.workspace.name
+            self._shares.record_served(pool, workspace, tokens, self._loop.time())
+
     def refuse_quarantined(self, admission: admissions.Admission) -> refusals.NotRun | None:
         """Refuse a quarantined request; None if it may be sent.
 
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -85,7 +85,13 @@
     messages.PermitGrant,
 )
 """Dataclasses that occur as list elements in a message body."""
-_TABLE_CLASSES = (messages.UseTable, messages.StateTable, messages.EndTable, messages.LimitTable)
+_TABLE_CLASSES = (
+    messages.UseTable,
+    messages.StateTable,
+    messages.EndTable,
+    messages.LimitTable,
+    messages.WorkspaceTable,
+)
 """Dataclasses that are embedded in a message body as bytes."""
 _FIELDS: dict[type, tuple[_Field, ...]] = {
     cls: _list_fields(cls) for cls in [*_BODY_CLASSES.values(), *_ELEMENT_CLASSES, *_TABLE_CLASSES]
@@ -120,9 +126,20 @@
     return cls(*values)
 
 
-AnyTable = messages.UseTable | messages.StateTable | messages.EndTable | messages.LimitTable
+AnyTable = (
+    messages.UseTable
+    | messages.StateTable
+    | messages.EndTable
+    | messages.LimitTable
+    | messages.WorkspaceTable
+)
 Table = TypeVar(
-    "Table", messages.UseTable, messages.StateTable, messages.EndTable, messages.LimitTable
+    "Table",
+    messages.UseTable,
+    messages.StateTable,
+    messages.EndTable,
+    messages.LimitTable,
+    messages.WorkspaceTable,
 )
 
 
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -185,7 +185,12 @@
   events @5 :UInt32;
   eventMs @6 :UInt32;
 }
-struct EntryLoads { entry @0 :Text; sequence @1 :UInt64; uses @2 :List(TargetUse); }
+struct EntryLoads {
+  entry @0 :Text;
+  sequence @1 :UInt64;
+  uses @2 :List(TargetUse);
+  workspaces @3 :Data;
+}
 struct UseTable {
   addresses @0 :List(Text);
   requests @1 :List(UInt32);
@@ -200,6 +205,7 @@
   sequences @1 :List(UInt64);
   counts @2 :List(UInt32);
   table @3 :Data;
+  workspaces @4 :List(Data);
 }
 struct LoadDigest {
   keeper @0 :Text;
@@ -207,6 +213,15 @@
   included @2 :UInt64;
   whole @3 :Bool;
   table @4 :Data;
+  workspaces @5 :Data;
+}
+struct WorkspaceTable {
+  pools @0 :List(Text);
+  workspaces @1 :List(Text);
+  priorities @2 :List(UInt8);
+  waiting @3 :List(UInt32);
+  waitingTokens @4 :List(UInt32);
+  servedTokens @5 :List(UInt32);
 }
 struct EndTable {
   fingerprints @0 :List(Text);
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -404,11 +404,15 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryLoads:
-    """Load that one entry places on all targets; a later ``sequence`` replaces an earlier one."""
+    """Load that one entry places on all targets; a later ``sequence`` replaces an earlier one.
+
+    ``workspaces`` is a `WorkspaceTable` of its own requests, or empty.
+    """
 
     entry: str
     sequence: int
     uses: list[TargetUse]
+    workspaces: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
@@ -434,12 +438,14 @@
     """Load reports of several entries, forwarded from one keeper to another.
 
     Each of ``entries`` has one of ``sequences``, and ``counts`` gives its number of table rows.
+    ``workspaces`` has each entry's `WorkspaceTable`, or nothing if all are empty.
     """
 
     entries: list[str]
     sequences: list[int]
     counts: list[int]
     table: bytes
+    workspaces: list[bytes] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -447,7 +453,8 @@
     """Load from all entries: for targets that changed, or for all of them if ``whole``.
 
     Consecutive digests of a keeper have consecutive ``sequence``.  ``included`` is the sequence of
-    the receiver's own report that is part of the sums; 0 if there is none.
+    the receiver's own report that is part of the sums; 0 if there is none.  ``workspaces`` is a
+    `WorkspaceTable` of the rows that changed, or of all, and empty without any.
     """
 
     keeper: str
@@ -455,6 +462,23 @@
     included: int
     whole: bool
     table: bytes
+    workspaces: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class WorkspaceTable:
+    """Requests of workspaces at pools, in columns.
+
+    ``waiting`` requests of a priority with ``waiting_tokens`` of prompts wait for the pool.
+    ``served_tokens`` is the workspace's decayed counter; it is in one of its rows only.
+    """
+
+    pools: list[str]
+    workspaces: list[str]
+    priorities: list[int]
+    waiting: list[int]
+    waiting_tokens: list[int]
+    served_tokens: list[int]
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -228,6 +228,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    weight: float = 1.0
 
 
 class _Document(msgspec.Struct):
@@ -316,7 +317,7 @@
             limits.idle_timeout_ms / 1000,
         ),
         workspaces=tuple(
-            routes.Workspace(item.name, tuple(item.api_keys), item.priority)
+            routes.Workspace(item.name, tuple(item.api_keys), item.priority, item.weight)
             for item in document.tenants
         ),
     )
