Let requests of workspaces in debt leave free capacity to others

Queues that order by debt compete for freed capacity with equal chances, so a workspace that waits at all entries still took the others' part.

--- a/tillerlane/decisions/shares.py
+++ b/tillerlane/decisions/shares.py
@@ -16,11 +16,13 @@
 from collections.abc import Iterable, Mapping
 
 __all__ = [
+    "HOLD_SECONDS",
     "MEMORY_SECONDS",
     "Account",
     "advance_deficits",
     "compute_debt",
     "compute_decay",
+    "compute_hold_seconds",
     "compute_level",
     "compute_lift",
 ]
@@ -29,6 +31,11 @@
 """Time over which served tokens are forgotten.  It bounds a debt to 2 s of the pool's rate: callers
 judge shares over windows of 2 s, and a workspace that was lent capacity must not be blocked for
 longer than that, since its own requests are due within 1.5 to 4 s."""
+HOLD_SECONDS = 0.03
+"""How long a request of a workspace in debt leaves free capacity to others: one pass of the queues
+of entries.  An order within each queue is not enough, since a large workspace waits at all entries
+and the others at a few, and entries compete for free capacity with equal chances.
+``docs/design/shares.md`` has the figures with and without a hold."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +97,11 @@
     return max(0.0, served - weight * level)
 
 
+def compute_hold_seconds(debt: float) -> float:
+    """How long capacity must have been free before a request of a workspace may take it."""
+    return HOLD_SECONDS if debt > 0 else 0.0
+
+
 def compute_lift(account: Account, waiting: Iterable[Account]) -> float:
     """Tokens to add to the counter of a workspace that begins to wait.
 
--- a/tillerlane/gateway/shares/counters.py
+++ b/tillerlane/gateway/shares/counters.py
@@ -196,6 +196,10 @@
         weight = self._weights.get(workspace, 1.0)
         return decisions.compute_debt(found.read_counter(workspace, now), weight, found.level)
 
+    def compute_hold_seconds(self, pool: str, workspace: str, now: float) -> float:
+        """How long a request leaves free capacity to workspaces within their share."""
+        return decisions.compute_hold_seconds(self.compute_debt(pool, workspace, now))
+
     def compute_waiting_tokens(self, pool: str, now: float) -> int:
         """Prompt tokens that wait for a pool at all entries, this one included."""
         found = self._pools.get(pool)
