Add the platform's calls that reserve memory at runners

Requests name their reservation in a header that only the system may set. The simulated runner gets a bounded memory, in which requests wait, and answers the calls.

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -14,6 +14,8 @@
     "CopyResult",
     "Dialect",
     "ForwardPlan",
+    "HoldOutcome",
+    "HoldResult",
     "InvalidHeader",
     "MemoryCopy",
     "RequestFacts",
@@ -77,6 +79,8 @@
         Resume the run from this copy instead of starting a new one.
     backup_address : str
         Runner that receives backup copies of the run's memory; empty for none.
+    hold : str
+        Id of the memory that the target has reserved for the request; empty for none.
     """
 
     wait_seconds: float
@@ -86,6 +90,7 @@
     last_event_id: str = ""
     copy: MemoryCopy | None = None
     backup_address: str = ""
+    hold: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,6 +170,27 @@
     events: int = 0
 
 
+class HoldOutcome(enum.StrEnum):
+    """Outcome of a call that reserves memory at a runner."""
+
+    TAKEN = "taken"
+    FULL = "full"
+    """The runner has no free memory or no free slot."""
+    UNSUPPORTED = "not_understood"
+    LOST = "lost"
+    """No clear answer: the memory may be reserved until the lease ends."""
+    UNREACHABLE = "unreachable"
+    """No connection could be established, so that nothing is reserved."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldResult:
+    """Answer to such a call; `hold` is the reservation's id, empty unless it was taken."""
+
+    outcome: HoldOutcome
+    hold: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
     """Functions of an adapter.
@@ -189,6 +215,11 @@
         its memory for a while.
     drop_copy : callable
         (copy) frees an unused copy.
+    reserve_memory : callable
+        (runner's address, tokens, seconds of the lease, seconds to wait for the answer) reserves
+        memory and a slot at a runner for one request.
+    drop_reservation : callable
+        (runner's address, id) frees an unused reservation; gives whether the runner answered.
     """
 
     decode_request: Callable[[http_head.RequestHead], RequestFacts]
@@ -199,3 +230,5 @@
     copy_run: Callable[[str, str, str, float], Awaitable[CopyResult]]
     stop_run: Callable[[str, str, str, float], Awaitable[CopyResult]]
     drop_copy: Callable[[MemoryCopy], Awaitable[None]]
+    reserve_memory: Callable[[str, int, float, float], Awaitable[HoldResult]]
+    drop_reservation: Callable[[str, str], Awaitable[bool]]
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -90,6 +90,8 @@
         Whether a run's memory can be copied to another runner on order, or continuously.
     copy_retention_seconds : float
         How long a runner keeps a copy of a run's memory.
+    hold_seconds : float
+        Longest lease of memory that runners reserve ahead of a request; 0 if they reserve none.
     """
 
     slots: int
@@ -100,6 +102,7 @@
     can_move: bool
     can_back_up: bool
     copy_retention_seconds: float
+    hold_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/platform/adapter.py
+++ b/tillerlane/platform/adapter.py
@@ -17,4 +17,6 @@
         copy_run=calls.copy_run,
         stop_run=calls.stop_run,
         drop_copy=calls.drop_copy,
+        reserve_memory=calls.reserve_memory,
+        drop_reservation=calls.drop_reservation,
     )
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+import re
 
 import msgspec
 
 from tillerlane.gateway import dialect, http_client, http_head
 
-__all__ = ["copy_run", "drop_copy", "stop_run"]
+__all__ = ["copy_run", "drop_copy", "drop_reservation", "reserve_memory", "stop_run"]
 
 CONNECT_TIMEOUT_SECONDS = 0.3
+HOLD_CONNECT_TIMEOUT_SECONDS = 0.2
+"""Below the longest wait for a reservation (0.25 s), so that an unreachable runner is told from one
+that is slow to answer."""
 MAX_ANSWER_BYTES = 64 * 1024
 DROP_TIMEOUT_SECONDS = 1.0
 
@@ -33,7 +37,12 @@
 
 
 async def _call(
-    address: str, method: bytes, path: bytes, body: bytes, seconds: float
+    address: str,
+    method: bytes,
+    path: bytes,
+    body: bytes,
+    seconds: float,
+    connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
 ) -> tuple[int, bytes]:
     """Send one call to a runner.
 
@@ -45,7 +54,7 @@
     exchange = None
     try:
         async with asyncio.timeout(seconds):
-            exchange = await http_client.connect(address, CONNECT_TIMEOUT_SECONDS)
+            exchange = await http_client.connect(address, connect_seconds)
             headers = [
                 (b"Host", address.encode()),
                 (b"Content-Type", b"application/json"),
@@ -130,3 +139,60 @@
             b"",
             DROP_TIMEOUT_SECONDS,
         )
+
+
+class _HoldOrder(msgspec.Struct):
+    tokens: int
+    ttl_ms: int
+
+
+class _HoldReply(msgspec.Struct):
+    hold: str = ""
+
+
+_HOLD_ID = re.compile(r"[!-~]{1,200}")
+"""Ids that can be sent in a header and in a path; the longest in use is far shorter."""
+_HOLD_OUTCOMES = {
+    503: dialect.HoldOutcome.FULL,
+    404: dialect.HoldOutcome.UNSUPPORTED,
+    405: dialect.HoldOutcome.UNSUPPORTED,
+    501: dialect.HoldOutcome.UNSUPPORTED,
+}
+
+
+async def reserve_memory(
+    address: str, tokens: int, lease_seconds: float, seconds: float
+) -> dialect.HoldResult:
+    """Reserve a slot and memory at a runner, until the lease ends or a request uses them."""
+    order = _HoldOrder(tokens, max(1, int(lease_seconds * 1000)))
+    try:
+        status, body = await _call(
+            address,
+            b"POST",
+            b"/hold-take",
+            msgspec.json.encode(order),
+            seconds,
+            HOLD_CONNECT_TIMEOUT_SECONDS,
+        )
+    except http_client.ExchangeError as error:
+        outcomes = dialect.HoldOutcome
+        return dialect.HoldResult(outcomes.LOST if error.sent else outcomes.UNREACHABLE)
+    if status != 200:
+        return dialect.HoldResult(_HOLD_OUTCOMES.get(status, dialect.HoldOutcome.LOST))
+    try:
+        hold = msgspec.json.decode(body, type=_HoldReply).hold
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        hold = ""
+    if not _HOLD_ID.fullmatch(hold):
+        return dialect.HoldResult(dialect.HoldOutcome.LOST)
+    return dialect.HoldResult(dialect.HoldOutcome.TAKEN, hold)
+
+
+async def drop_reservation(address: str, hold: str) -> bool:
+    """Free an unused reservation; whether the runner answered, or has no process any more."""
+    path = b"/hold-drop/" + hold.encode("ascii")
+    try:
+        await _call(address, b"DELETE", path, b"", DROP_TIMEOUT_SECONDS)
+    except http_client.ExchangeError as error:
+        return _classify_failure(error) is dialect.CopyOutcome.REFUSED
+    return True
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -34,6 +34,7 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 COPY = b"Kv-From"
 BACKUP = b"Kv-Backup"
+HOLD = b"Hold"
 NOT_RUN = b"not-run"
 RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
@@ -59,8 +60,8 @@
         LAST_EVENT_ID,
         COPY,
         BACKUP,
+        HOLD,
         b"Kv-Fetch",
-        b"Hold",
         b"Pin-Ms",
         b"Expect-Version",
     )
@@ -115,6 +116,8 @@
         headers.append((COPY, f"{plan.copy.address}/{plan.copy.handle}".encode()))
     if plan.backup_address:
         headers.append((BACKUP, plan.backup_address.encode()))
+    if plan.hold:
+        headers.append((HOLD, plan.hold.encode("ascii")))
     headers.append((b"Connection", b"close"))
     return http_head.RequestHead(head.method, head.target, headers)
 
@@ -196,7 +199,8 @@
 class _Engine(msgspec.Struct):
     """``kv_capacity`` is in tokens, ``kv_token_bytes`` the size of one.
 
-    An event of a stream holds ``stride`` of them.
+    An event of a stream holds ``stride`` of them.  ``hold_ms`` is the longest lease of memory that
+    runners reserve; without it they reserve none.
     """
 
     slots: int = 1
@@ -207,6 +211,7 @@
     moves: bool = False
     backups: bool = False
     handle_s: float = 5.0
+    hold_ms: float | None = None
 
 
 class _Service(msgspec.Struct):
@@ -285,6 +290,7 @@
         can_move=item.moves,
         can_back_up=item.backups,
         copy_retention_seconds=item.handle_s,
+        hold_seconds=max(0.0, item.hold_ms or 0.0) / 1000,
     )
 
 
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tillerlane.gateway import http_head, http_server
+from tillerlane.testing import runner_memory
 
 __all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
@@ -112,9 +113,20 @@
         are rejected with 503. Unbounded with 0 slots.
     slowdown : float
         Relative increase of a plain request's duration when all slots are in use.
+    memory_tokens : int
+        Memory for prompts and reservations; unbounded, and no reservations, with 0.
 
     Attributes
     ----------
+    memory : runner_memory.RunnerMemory or None
+        Its memory, if it is bounded.
+    hold_status : int
+        Status of responses to calls that reserve memory, none of which is reserved; 0 for the usual
+        ones.
+    hold_seconds : float
+        Time until a response to such a call is sent.
+    loses_holds : bool
+        Reserves memory and closes the connection without a response.
     ran : list of RanRequest
         Requests that it processed.
     answer_status : int
@@ -177,6 +189,7 @@
         slots: int = 0,
         queue: int = 0,
         slowdown: float = 0.0,
+        memory_tokens: int = 0,
     ) -> None:
         self.target_id = target_id
         self.address = address
@@ -211,6 +224,10 @@
         self.slots = slots
         self.queue = queue
         self.slowdown = slowdown
+        self.memory = runner_memory.RunnerMemory(memory_tokens) if memory_tokens else None
+        self.hold_status = 0
+        self.hold_seconds = 0.0
+        self.loses_holds = False
         self._in_progress = 0
         """Number of plain requests that are running or queued."""
         self._free_slots = asyncio.Semaphore(slots)
@@ -272,6 +289,11 @@
         elif path.startswith("/kv-handle/"):
             self._drop_copy(path.rpartition("/")[2])
             await responder.send_response(http_head.ResponseHead(200, []), b"")
+        elif path == "/hold-take":
+            await self._take_hold(msgspec.json.decode(request.body), responder)
+        elif path.startswith("/hold-drop/"):
+            is_known = self.memory is not None and self.memory.drop_hold(path.rpartition("/")[2])
+            await responder.send_response(http_head.ResponseHead(200 if is_known else 404, []), b"")
         else:
             await self._run(request, headers, responder)
 
@@ -282,6 +304,18 @@
         for runner in list(self.others.values()) if is_source else [self]:
             runner.copies.pop(handle, None)
 
+    async def _take_hold(self, order: dict[str, int], responder: http_server.Responder) -> None:
+        status, hold = self.hold_status or 404, ""
+        if self.memory is not None and not self.hold_status:
+            hold = self.memory.take_hold(order["tokens"], order["ttl_ms"] / 1000)
+            status = 200 if hold else 503
+        await asyncio.sleep(self.hold_seconds)
+        if self.loses_holds:
+            responder.abort()
+            return
+        body = msgspec.json.encode({"hold": hold}) if hold else b""
+        await responder.send_response(http_head.ResponseHead(status, []), body)
+
     async def _reject(self, status: int, request_id: str, responder: http_server.Responder) -> None:
         self.rejected.append(request_id)
         await asyncio.sleep(self.rejection_seconds)
@@ -319,6 +353,9 @@
             await self._reject(503, request_id, responder)
             self._record_rejection(arrival)
             return
+        if self.memory is not None and not copy_from:
+            prompt_tokens = int(headers.get("token-counts", "0").partition(",")[0])
+            await self.memory.admit(request_id, prompt_tokens, headers.get("hold", ""))
         run = RanRequest(
             request_id,
             headers,
@@ -463,6 +500,8 @@
     def _record_end(self, run: RanRequest, ended: str) -> None:
         run.ended = run.ended or ended
         run.ended_at = run.ended_at or asyncio.get_running_loop().time()
+        if self.memory is not None:
+            self.memory.release(run.request_id)
 
     async def _exit_if_poison(self, run: RanRequest) -> None:
         """Crash if the request is a poison request."""
