--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -58,6 +58,8 @@
     """Targets that this entry sends nothing to, since they requested back-off."""
     failing: prometheus_client.Gauge
     """Targets that broke off a request here or at another entry, and have served none since."""
+    holds: prometheus_client.Counter
+    """Reservations of memory at runners: by the answer, and whether unused ones were dropped."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -99,6 +101,7 @@
         gauge(
             "tillerlane_targets_failing", "Targets that broke off a request and served none since"
         ),
+        count("tillerlane_holds", "Reservations of memory at runners", "outcome"),
     )
 
 
