Give refused callers turns to return, which all entries know

A request that returns in its turn keeps its first arrival, at any entry and once. Requests don't wait in a queue yet, so nothing calls it.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -25,6 +25,7 @@
 )
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
+from tillerlane.gateway.returns import updates as return_updates
 from tillerlane.keeper import commands, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import formation as formations
@@ -144,6 +145,9 @@
         self._failures = failure_updates.FailureUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
         )
+        self._returns = return_updates.ReturnUpdates(
+            BATCH_INTERVAL_SECONDS, self._send_to_keepers, self._send_to_primary_subscribers
+        )
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
@@ -358,6 +362,8 @@
                 self._backoffs.handle_message(body)
             case messages.TargetFailures():
                 self._failures.handle_message(body)
+            case messages.CallerReturns():
+                self._returns.handle_message(body, is_of_entry=link in self._subscribers)
 
     def _synchronize(self, link: links.Link) -> None:
         """Send all state to a keeper on a new link, since it may have been cut off."""
@@ -441,6 +447,12 @@
         for link in list(self._subscribers):
             links.try_send(link, body)
 
+    def _send_to_primary_subscribers(self, body: messages.Body) -> None:
+        """Send a message to the entries whose primary keeper this is."""
+        for link, subscription in list(self._subscribers.items()):
+            if subscription.loads:
+                links.try_send(link, body)
+
     async def _send_loads(self) -> None:
         """Pass entries' load reports on to other keepers, and send the sums to subscribers."""
         last_due_at = last_paced_at = 0.0
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -38,6 +38,7 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
+from tillerlane.gateway.returns import table as return_tables
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -156,6 +157,9 @@
         self.failures = failure_trackers.FailureTracker(settings.name, self.directory)
         self.failures.notify = self._notify_failures
         self.failures.record_event = self.timeline.record
+        self.returns = return_tables.ReturnTable(self._loop.time)
+        self.returns.notify = self._notify_returns
+        self.returns.record_event = self.timeline.record
         selector = selection.Selector(
             self.directory,
             self.usage,
@@ -417,6 +421,12 @@
         """Report targets that fail requests, or serve them again, to all home keepers."""
         self._send_to_keepers(failure_reports.encode_reports(reported))
 
+    def _notify_returns(self, refused: list[return_tables.RefusedCaller]) -> None:
+        """Report refused callers to one keeper; a caller whose turn is lost is a new one."""
+        link = self.homes.get_primary()
+        if link is not None:
+            links.try_send(link, return_tables.encode_returns(refused))
+
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
@@ -459,6 +469,8 @@
             case messages.TargetFailures():
                 received = failure_reports.decode_reports(body)
                 self.failures.merge_reports(received, self._loop.time())
+            case messages.CallerReturns():
+                self.returns.merge(return_tables.decode_returns(body))
 
     def _merge_states(self, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
