--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -21,6 +21,7 @@
     loads,
     metrics,
     quarantine_coordinator,
+    silence,
     suspects,
 )
 from tillerlane.gateway import directory as directories
@@ -478,11 +479,13 @@
                 last_due_at = now
             if is_paced:
                 last_paced_at = now
-            if digest is None:
-                continue
             for link, subscription in list(self._subscribers.items()):
-                if subscription.loads:
+                if not subscription.loads:
+                    continue
+                if digest is not None:
                     self._send_digest(link, digest)
+                else:
+                    link.keep_alive(silence.KEEP_ALIVE_SECONDS)
 
     def _send_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
         included = self._loads.get_included_sequence(self._subscribers[link].entry)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    announcements,
     availability,
     exit_detection,
     handovers,
@@ -248,6 +249,8 @@
         )
         self.homes.on_entry_count = self._set_entry_count
         self.homes.on_fresh = self._handle_fresh
+        self._recent_states = announcements.RecentStates()
+        self.homes.on_primary_lost = self._announce_again
         self._server_limits = http_server.ServerLimits()
         self._front = http_server.Server(self._relay.serve, self._server_limits, self._log_error)
         self._ready = http_server.Server(
@@ -457,7 +460,7 @@
             case messages.ConfigDelta():
                 self.orders.apply_delta(body)
             case messages.TargetStates():
-                self._merge_states(body)
+                self._merge_states(link, body)
             case messages.LoadDigest():
                 self._merge_digest(link, body)
             case messages.TargetEnds():
@@ -472,9 +475,11 @@
             case messages.CallerReturns():
                 self.returns.merge(return_tables.decode_returns(body))
 
-    def _merge_states(self, states: messages.TargetStates) -> None:
+    def _merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
         changed = [item for item in directories.decode_states(states) if self.directory.merge(item)]
+        if not states.whole:
+            self._recent_states.record(link, changed, self._loop.time())
         if len(changed) > MAX_LOGGED_TARGETS:
             self.timeline.record("target.states", changed=len(changed), whole=states.whole)
             return
@@ -491,6 +496,16 @@
                 cold_ms=max(0, int((target.warm_at - now) * 1000)),
             )
 
+    def _announce_again(self, link: links.Link | None) -> None:
+        """Tell the other keepers what a lost one may have told this entry only."""
+        if link is None:
+            return
+        learned = self._recent_states.pop_learned_by(link, self._loop.time())
+        targets = [item for item in map(self.directory.targets.get, learned) if item is not None]
+        if targets:
+            self._send_to_keepers(directories.encode_states(targets))
+            self.timeline.record("target.announced", targets=len(targets))
+
     def _merge_limits(self, records: list[limits.LimitRecord]) -> None:
         """Merge the limits that targets have named, as passed on by keepers."""
         for record in self.limits.merge(records):
@@ -525,7 +540,7 @@
 
     def _merge_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
         """Merge a load digest, if it comes from the primary keeper."""
-        if link is not self.homes.get_primary():
+        if not self.homes.accept_loads(link):
             return  # sent before the primary changed; sequences of two keepers do not match
         taken = self.usage.handle_digest(digest, self._loop.time())
         if taken is usages.DigestResult.GAP:
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Callable, Iterable
 
+from tillerlane.gateway import silence
 from tillerlane.keeper import freshness
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -26,7 +27,12 @@
 """In a fleet of up to this many entries, each subscribes to more keepers, and so also gets updates
 from a keeper that is cut off from the others.  A subscriber costs a keeper 0.019% of a core
 (CAPACITY.md): 64 cost it 1.2% of the 3.6% that it has."""
-CHECK_INTERVAL_SECONDS = 0.1
+CHECK_INTERVAL_SECONDS = 0.05
+MAX_CHECK_DELAY_SECONDS = 0.1
+"""After a longer time between two checks this daemon itself was suspended, and may not have read
+yet what its keepers sent."""
+ASK_TIMEOUT_SECONDS = 0.04
+"""How long the keepers that were asked for loads may take before a further one is dialed."""
 QUERY_INTERVAL_SECONDS = 0.4
 HOME_TIMEOUT_SECONDS = 1.2
 """How long a keeper may be without a link or an up-to-date reply before another one is tried: an
@@ -49,6 +55,8 @@
     has_loads: bool | None = None
     """Whether the last subscription included loads; None before the first one."""
     queried_at: float = NEVER
+    loads_asked_at: float = NEVER
+    """When loads were last requested from it."""
 
 
 class Homes:
@@ -97,6 +105,15 @@
         """Number of entries in the fleet; 0 until a keeper has reported it."""
         self._primary = ""
         """Address of the keeper that gets this entry's load reports and sends the sums of all."""
+        self._asked: set[str] = set()
+        """Keepers that were asked for loads since the primary is lost or silent; the first one that
+        answers becomes the primary."""
+        self._asked_at = NEVER
+        self._spares = 0
+        """Home keepers beyond the usual number, since none of those asked has answered."""
+        self._checked_at = NEVER
+        self._silence = silence.SilenceDetector()
+        self.on_primary_lost: Callable[[links.Link | None], None] = lambda link: None
         self.on_entry_count: Callable[[int], None] = lambda number: None
         self.on_fresh: Callable[[], None] = lambda: None
         self._wake = asyncio.Event()
@@ -108,6 +125,30 @@
                 return home.link
         return None
 
+    def accept_loads(self, link: links.Link) -> bool:
+        """Whether loads that arrive on a link are those of the primary keeper.
+
+        The first of several that were asked becomes the primary by its answer.
+        """
+        home = next((item for item in self._homes if item.link is link), None)
+        if home is None:
+            return False
+        if home.address != self._primary:
+            if home.address not in self._asked:
+                return False
+            self._timeline.record(
+                "keeper.primary",
+                keeper=home.address,
+                former=self._primary,
+                took_ms=int((asyncio.get_running_loop().time() - self._asked_at) * 1000),
+            )
+            self._primary = home.address
+        if self._asked:
+            self._asked.clear()
+            self._spares = 0
+            self.check_soon()
+        return True
+
     def request_full_loads(self) -> None:
         """Request all loads from the primary keeper, since one of its digests is missing here."""
         for home in self._homes:
@@ -144,7 +185,9 @@
             now = asyncio.get_running_loop().time()
             self._drop_outdated(now)
             self._choose_homes(now)
+            self._check_primary(now)
             self._choose_primary(now)
+            self._checked_at = now
             for home in self._homes:
                 self._update_home(home, now)
             try:
@@ -164,6 +207,7 @@
         it knows the fleet's size (`_can_subscribe`), and then drops the surplus ones.
         """
         desired = SMALL_FLEET_HOME_COUNT if self._entry_count <= SMALL_FLEET_ENTRIES else HOME_COUNT
+        desired += self._spares
         surplus = [home for home in self._homes if home.address != self._primary][::-1]
         for home in surplus[: max(0, len(self._homes) - desired)]:
             self._homes.remove(home)
@@ -175,8 +219,57 @@
             peer = self._node.dial(address, heartbeat_seconds=LINK_HEARTBEAT_SECONDS)
             self._homes.append(_Home(address, peer, now))
 
+    def _check_primary(self, now: float) -> None:
+        """Ask all other home keepers for loads if the primary one is lost or silent.
+
+        All are asked since several may be lost at once, and a further one is dialed if none
+        answers.  Each sends all targets' loads once, 1.6 kB
+        for 30 targets.
+        """
+        if self._asked:
+            if self._spares:
+                self._asked |= self._list_askable()
+            elif now - self._asked_at >= ASK_TIMEOUT_SECONDS:
+                self._spares = 1
+                self._choose_homes(now)
+            if now - self._asked_at < HOME_TIMEOUT_SECONDS:
+                return
+            self._asked.clear()
+            self._spares = 0
+        if not self._primary or now - self._checked_at > MAX_CHECK_DELAY_SECONDS:
+            return
+        primary = next((home for home in self._homes if home.address == self._primary), None)
+        link = primary.peer.link if primary is not None else None
+        if primary is not None and link is not None:
+            heard_at = max(link.last_heard, primary.loads_asked_at)
+            if not self._silence.suspects(link, heard_at, now):
+                return
+        self._asked = self._list_askable()
+        self._asked_at = now
+        if self._asked:
+            self._timeline.record(
+                "keeper.silent",
+                keeper=self._primary,
+                is_linked=link is not None,
+                asked=len(self._asked),
+                after_ms=int(self._silence.silence_seconds * 1000),
+            )
+            self.on_primary_lost(primary.link if primary is not None else None)
+
+    def _list_askable(self) -> set[str]:
+        """Home keepers that may answer in place of the primary one."""
+        return {
+            home.address
+            for home in self._homes
+            if home.address != self._primary
+            and home.peer.link is not None
+            and (home.has_loads is not None or self._spares)
+        }
+
     def _choose_primary(self, now: float) -> None:
         """Keep the primary keeper while it is up to date, else choose the most up-to-date one."""
+        if self._asked:
+            return
         connected = [home for home in self._homes if home.link is not None]
         if not connected:
             return
@@ -201,10 +294,12 @@
             home.has_loads = None
             if link is not None:
                 self._timeline.record("keeper.home", keeper=home.address)
-        is_primary = home.address == self._primary
+        is_primary = home.address == self._primary or home.address in self._asked
         can_subscribe = home.has_loads is not None or self._can_subscribe()
         if link is not None and can_subscribe and home.has_loads is not is_primary:
             home.has_loads = is_primary
+            if is_primary:
+                home.loads_asked_at = now
             have = max(0, self._get_version())
             links.try_send(link, messages.Subscribe(have, self._entry, is_primary))
         if link is not None and now - home.queried_at >= QUERY_INTERVAL_SECONDS:
--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -282,6 +282,17 @@
         self.messages_out += 1
         self._last_sent = asyncio.get_running_loop().time()
 
+    @property
+    def last_heard(self) -> float:
+        """Event-loop time at which anything was last received."""
+        return self._last_heard
+
+    def keep_alive(self, seconds: float) -> None:
+        """Send an empty frame if nothing has been sent for some seconds."""
+        now = asyncio.get_running_loop().time()
+        if self.is_open and now - self._last_sent >= seconds:
+            self._send_heartbeat(now)
+
     def send_run(self, run: messages.Run) -> None:
         """Send tokens, batched with those that other streams send within the flush delay."""
         if self._closed:
