--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    announcements,
     availability,
     exit_detection,
     handovers,
@@ -40,6 +41,7 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
+from tillerlane.gateway.returns import table as return_tables
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -160,6 +162,9 @@
         self.failures = failure_trackers.FailureTracker(settings.name, self.directory)
         self.failures.notify = self._notify_failures
         self.failures.record_event = self.timeline.record
+        self.returns = return_tables.ReturnTable(self._loop.time)
+        self.returns.notify = self._notify_returns
+        self.returns.record_event = self.timeline.record
         selector = selection.Selector(
             self.directory,
             self.usage,
@@ -259,6 +264,8 @@
         )
         self.homes.on_entry_count = self._set_entry_count
         self.homes.on_fresh = self._handle_fresh
+        self._recent_states = announcements.RecentStates()
+        self.homes.on_primary_lost = self._announce_again
         self._server_limits = http_server.ServerLimits()
         self._front = http_server.Server(self._relay.serve, self._server_limits, self._log_error)
         self._ready = http_server.Server(
@@ -433,6 +440,12 @@
         """Report targets that fail requests, or serve them again, to all home keepers."""
         self._send_to_keepers(failure_reports.encode_reports(reported))
 
+    def _notify_returns(self, refused: list[return_tables.RefusedCaller]) -> None:
+        """Report refused callers to one keeper; a caller whose turn is lost is a new one."""
+        link = self.homes.get_primary()
+        if link is not None:
+            links.try_send(link, return_tables.encode_returns(refused))
+
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
@@ -463,7 +476,7 @@
             case messages.ConfigDelta():
                 self.orders.apply_delta(body)
             case messages.TargetStates():
-                self._merge_states(body)
+                self._merge_states(link, body)
             case messages.LoadDigest():
                 self._merge_digest(link, body)
             case messages.TargetEnds():
@@ -475,10 +488,14 @@
             case messages.TargetFailures():
                 received = failure_reports.decode_reports(body)
                 self.failures.merge_reports(received, self._loop.time())
+            case messages.CallerReturns():
+                self.returns.merge(return_tables.decode_returns(body))
 
-    def _merge_states(self, states: messages.TargetStates) -> None:
+    def _merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
         changed = [item for item in directories.decode_states(states) if self.directory.merge(item)]
+        if not states.whole:
+            self._recent_states.record(link, changed, self._loop.time())
         if len(changed) > MAX_LOGGED_TARGETS:
             self.timeline.record("target.states", changed=len(changed), whole=states.whole)
             return
@@ -495,6 +512,16 @@
                 cold_ms=max(0, int((target.warm_at - now) * 1000)),
             )
 
+    def _announce_again(self, link: links.Link | None) -> None:
+        """Tell the other keepers what a lost one may have told this entry only."""
+        if link is None:
+            return
+        learned = self._recent_states.pop_learned_by(link, self._loop.time())
+        targets = [item for item in map(self.directory.targets.get, learned) if item is not None]
+        if targets:
+            self._send_to_keepers(directories.encode_states(targets))
+            self.timeline.record("target.announced", targets=len(targets))
+
     def _merge_limits(self, records: list[limits.LimitRecord]) -> None:
         """Merge the limits that targets have named, as passed on by keepers."""
         for record in self.limits.merge(records):
@@ -529,7 +556,7 @@
 
     def _merge_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
         """Merge a load digest, if it comes from the primary keeper."""
-        if link is not self.homes.get_primary():
+        if not self.homes.accept_loads(link):
             return  # sent before the primary changed; sequences of two keepers do not match
         taken = self.usage.handle_digest(digest, self._loop.time())
         if taken is usages.DigestResult.GAP:
