--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -138,8 +138,6 @@
         self.orders.add_listener(self._apply_orders)
         self.directory = directories.Directory()
         self.usage = usages.Usage(settings.name)
-        self.shares = shares.Shares()
-        self.shares.notify_urgent = self.usage.urgent.set
         self._budget = budgets.RetryBudget(settings.retries, entries=0)
         self.limits = limits.Limits()
         self.permits = permits.Permits(settings.name, self.limits, self._loop.time)
@@ -163,6 +161,8 @@
             self._loop.time,
         )
         self._metrics = metrics.build_entry_metrics()
+        self.shares = shares.Shares(shares.WorkspaceMetrics(self._metrics.registry))
+        self.shares.notify_urgent = self.usage.urgent.set
         self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
@@ -525,6 +525,7 @@
             if self.usage.expire_others(now):
                 self.shares.discard_others()
                 self.timeline.record("loads.lost", after_s=usages.DIGEST_TTL_SECONDS)
+            self._log_shares(now)
             link = self.homes.get_primary()
             is_due = link is not reported_to or now - reported_at > MAX_LOADS_INTERVAL_SECONDS
             if link is None or not (self.usage.changed or self.shares.changed or is_due):
@@ -534,6 +535,18 @@
             report.workspaces = self.shares.build_report(report.sequence, now)
             links.try_send(link, report)
 
+    def _log_shares(self, now: float) -> None:
+        """Log whose requests wait, and which workspaces are in debt; once a second at most."""
+        for state in self.shares.list_contended(now):
+            age = self.usage.compute_age(now)
+            self.timeline.record(
+                "share.debts",
+                pool=state.pool,
+                waiting=state.waiting,
+                debts=state.debts,
+                load_age_ms=None if age is None else int(age * 1000),
+            )
+
     async def _wait_for_loads(self) -> None:
         """Wait until the next load report may be sent."""
         await asyncio.sleep(URGENT_LOADS_INTERVAL_SECONDS)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -439,6 +439,10 @@
         )
         until = self._compute_attempt_deadline(admission, former.runs)
         started_at = self._loop.time()
+        if admission.workspace is not None and not former.sends:
+            waited = started_at - admission.request.arrived
+            prompt_tokens = admission.facts.prompt_tokens
+            self._shares.record_wait(admission.workspace.name, waited, prompt_tokens)
         outcome = await self.send(admission, target, plan, until=until)
         self._record_send(
             admission, target, outcome, former.sends, started_at - admission.request.arrived
--- a/tillerlane/gateway/shares/__init__.py
+++ b/tillerlane/gateway/shares/__init__.py
@@ -7,5 +7,6 @@
 """
 
 from tillerlane.gateway.shares.counters import Shares
+from tillerlane.gateway.shares.figures import WorkspaceMetrics
 
-__all__ = ["Shares"]
+__all__ = ["Shares", "WorkspaceMetrics"]
--- a/tillerlane/gateway/shares/counters.py
+++ b/tillerlane/gateway/shares/counters.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 
 from tillerlane.decisions import shares as decisions
+from tillerlane.gateway.shares import figures
 from tillerlane.gateway.shares import rows as tables
 from tillerlane.peers import messages
 
@@ -22,6 +23,12 @@
 """A counter below this is forgotten: a hundredth of a usual prompt."""
 MAX_SENT_REPORTS = 160
 """Own reports kept to subtract them from the keepers' sums, as in `gateway.usage`."""
+MIN_WEIGHT = 0.001
+"""Smaller weights count as this one, and larger ones than its inverse as that: a counter divided by
+a weight must stay finite."""
+LIST_INTERVAL_SECONDS = 1.0
+MAX_LISTED = 8
+"""Interval and length of the log lines on contended pools."""
 
 _EMPTY = tables.Row()
 
@@ -32,15 +39,19 @@
 
     Attributes
     ----------
-    waiting : dict of str to int
-        Waiting tokens of the workspaces of all entries.
-    debts : dict of str to float
-        Debts in tokens of those above their share.
+    waiting, debts : dict of str to int
+        Waiting tokens at all entries and debts in tokens, of the workspaces with the most.
     """
 
     pool: str
     waiting: dict[str, int]
-    debts: dict[str, float]
+    debts: dict[str, int]
+
+
+def _take_largest(tokens: Mapping[str, int]) -> dict[str, int]:
+    positive = {name: number for name, number in tokens.items() if number > 0}
+    names = sorted(positive, key=positive.__getitem__, reverse=True)[:MAX_LISTED]
+    return {name: positive[name] for name in names}
 
 
 class _Counter:
@@ -119,6 +130,11 @@
 class Shares:
     """Served and waiting tokens of workspaces, and how far each is above its share.
 
+    Parameters
+    ----------
+    metrics : figures.WorkspaceMetrics, optional
+        Counts by workspace.
+
     Attributes
     ----------
     changed : bool
@@ -127,7 +143,10 @@
         Called when a report should not wait for the usual time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: figures.WorkspaceMetrics | None = None) -> None:
+        self._metrics = metrics
+        if metrics is not None:
+            metrics.count_waiting = self.count_own_waiting
         self._pools: dict[str, _Pool] = collections.defaultdict(_Pool)
         self._weights: dict[str, float] = {}
         self._total: tables.Rows = {}
@@ -137,12 +156,15 @@
         self._sent: collections.deque[tuple[int, tables.Rows]] = collections.deque(
             maxlen=MAX_SENT_REPORTS
         )
+        self._listed_at = -math.inf
         self.changed = False
         self.notify_urgent: Callable[[], None] = lambda: None
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Apply the weights of workspaces; others have weight 1."""
-        self._weights = dict(weights)
+        self._weights = {
+            name: min(1 / MIN_WEIGHT, max(MIN_WEIGHT, weight)) for name, weight in weights.items()
+        }
         for pool in self._pools.values():
             pool.is_stale = True
 
@@ -155,6 +177,8 @@
         """
         if not workspace or not tokens:
             return
+        if self._metrics is not None and tokens > 0:
+            self._metrics.record_served(workspace, tokens)
         counters = self._pools[pool].own_served
         counter = counters.get(workspace)
         if counter is not None:
@@ -183,6 +207,19 @@
         if abs(tokens) >= URGENT_TOKENS:
             self.notify_urgent()
 
+    def record_wait(self, workspace: str, seconds: float, prompt_tokens: int) -> None:
+        """Count the wait of a request that is sent; ignored without a workspace."""
+        if workspace and self._metrics is not None:
+            self._metrics.record_wait(workspace, seconds, prompt_tokens)
+
+    def count_own_waiting(self) -> dict[str, int]:
+        """This entry's waiting requests by workspace."""
+        found: collections.Counter[str] = collections.Counter()
+        for pool in self._pools.values():
+            for (workspace, _), row in pool.own_waiting.items():
+                found[workspace] += row.waiting
+        return found
+
     # All entries' requests
 
     def compute_debt(self, pool: str, workspace: str, now: float) -> float:
@@ -196,6 +233,14 @@
         weight = self._weights.get(workspace, 1.0)
         return decisions.compute_debt(found.read_counter(workspace, now), weight, found.level)
 
+    def read_counter(self, pool: str, workspace: str, now: float) -> float:
+        """Decayed tokens that all entries served to a workspace, with its lift."""
+        found = self._pools.get(pool)
+        if found is None:
+            return 0.0
+        self._refresh(found, now)
+        return found.read_counter(workspace, now)
+
     def compute_hold_seconds(self, pool: str, workspace: str, now: float) -> float:
         """How long a request leaves free capacity to workspaces within their share."""
         return decisions.compute_hold_seconds(self.compute_debt(pool, workspace, now))
@@ -212,14 +257,17 @@
         )
 
     def list_contended(self, now: float) -> list[PoolState]:
-        """Pools for which several workspaces wait."""
+        """Pools for which several workspaces wait, for the log; empty within a second of others."""
+        if now - self._listed_at < LIST_INTERVAL_SECONDS:
+            return []
         states = []
         for name, pool in self._pools.items():
             self._refresh(pool, now)
             if len(pool.waiting) > 1:
-                debts = {item: self.compute_debt(name, item, now) for item in pool.waiting}
-                debts = {item: debt for item, debt in debts.items() if debt > 0}
-                states.append(PoolState(name, dict(pool.waiting), debts))
+                debts = {item: round(self.compute_debt(name, item, now)) for item in pool.waiting}
+                states.append(PoolState(name, _take_largest(pool.waiting), _take_largest(debts)))
+        if states:
+            self._listed_at = now
         return states
 
     def _refresh(self, pool: _Pool, now: float, *, may_lift: bool = True) -> None:
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -71,6 +71,18 @@
                 continue
 
     @profiles.choose(200)
+    def test_weight_of_a_workspace_is_above_zero(self) -> None:
+        """Guards against shares that divide by zero, or that a typing error turns over."""
+        tenant = {"name": "a", "api_keys": ["k"]}
+        for weight, expected in ((2, 2.0), (0.5, 0.5), (None, 1.0)):
+            table = read(gateway_lab.build_document(1, tenants=[{**tenant, "weight": weight}]))
+            self.assertEqual(table.workspaces[0].weight, expected)
+        self.assertEqual(read(gateway_lab.build_document(1)).workspaces[0].weight, 1.0)
+        for weight in (0, -1, "2", float("nan"), float("inf")):
+            with self.subTest(weight=weight):
+                document = gateway_lab.build_document(1, tenants=[{**tenant, "weight": weight}])
+                self.check_refused(document)
+
     @given(strategies.sampled_from(["routes", "services", "tenants", "limits"]), JSON_VALUES)
     def test_any_section_gives_a_table_or_a_listed_error(self, section: str, value: Any) -> None:
         try:
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -228,7 +228,8 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
-    weight: float = 1.0
+    weight: float | None = None
+    """Its part of a pool for which requests wait, relative to others; 1 unless set."""
 
 
 class _Document(msgspec.Struct):
@@ -317,7 +318,12 @@
             limits.idle_timeout_ms / 1000,
         ),
         workspaces=tuple(
-            routes.Workspace(item.name, tuple(item.api_keys), item.priority, item.weight)
+            routes.Workspace(
+                item.name,
+                tuple(item.api_keys),
+                item.priority,
+                1.0 if item.weight is None else item.weight,
+            )
             for item in document.tenants
         ),
     )
