--- a/tillerlane/decisions/shares.py
+++ b/tillerlane/decisions/shares.py
@@ -11,9 +11,9 @@
 deficits are integrals of differences, in which each lost message stays.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 __all__ = [
     "HOLD_SECONDS",
@@ -25,6 +25,7 @@
     "compute_hold_seconds",
     "compute_level",
     "compute_lift",
+    "compute_lowest",
 ]
 
 MEMORY_SECONDS = 2.0
@@ -38,9 +39,8 @@
 ``docs/design/shares.md`` has the figures with and without a hold."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Account:
-    """A workspace at a pool.
+class Account(NamedTuple):
+    """A workspace at a pool; a tuple, since there may be hundreds for each computed level.
 
     Attributes
     ----------
@@ -73,14 +73,16 @@
     >>> compute_level([Account(900.0, 500.0), Account(100.0, 0.0)])
     900.0
     """
-    items = [item for item in accounts if item.served > 0 or item.waiting > 0]
-    if not any(item.waiting > 0 for item in items):
+    left = weights = total_waiting = 0.0
+    demands = []
+    for served, waiting, weight in accounts:
+        left += served
+        weights += weight
+        total_waiting += waiting
+        demands.append(((served + waiting) / weight, weight))
+    if total_waiting <= 0:
         return math.inf
-    left = sum(item.served for item in items)
-    weights = sum(item.weight for item in items)
-    for demand, weight in sorted(
-        ((item.served + item.waiting) / item.weight, item.weight) for item in items
-    ):
+    for demand, weight in sorted(demands):
         if demand * weights >= left:
             break
         left -= demand * weight
@@ -102,16 +104,21 @@
     return HOLD_SECONDS if debt > 0 else 0.0
 
 
-def compute_lift(account: Account, waiting: Iterable[Account]) -> float:
+def compute_lowest(waiting: Iterable[Account]) -> float:
+    """Lowest counter per unit of weight of the workspaces that wait; 0 without any."""
+    return min((item.served / item.weight for item in waiting), default=0.0)
+
+
+def compute_lift(account: Account, lowest: float) -> float:
     """Tokens to add to the counter of a workspace that begins to wait.
 
     It starts at the lowest counter of the workspaces that wait already, so that time without
     waiting earns no credit.
 
-    >>> compute_lift(Account(100.0, 50.0), [Account(300.0, 10.0), Account(900.0, 10.0)])
+    >>> lowest = compute_lowest([Account(300.0, 10.0), Account(900.0, 10.0)])
+    >>> compute_lift(Account(100.0, 50.0), lowest)
     200.0
     """
-    lowest = min((item.served / item.weight for item in waiting), default=0.0)
     return max(0.0, lowest * account.weight - account.served)
 
 
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -191,12 +191,11 @@
             Of kind ``bad_request`` if they can't be decoded.
         """
         rows = _decode_rows(forwarded.table)
-        workspaces = map(
-            share_rows.decode_rows, itertools.chain(forwarded.workspaces, itertools.repeat(b""))
-        )
+        workspaces = [share_rows.decode_rows(item) for item in forwarded.workspaces]
+        by_entry = itertools.chain(workspaces, itertools.repeat({}))  # a former version has none
         start = 0
         for entry, sequence, count, shares in zip(
-            forwarded.entries, forwarded.sequences, forwarded.counts, workspaces, strict=False
+            forwarded.entries, forwarded.sequences, forwarded.counts, by_entry, strict=False
         ):
             loads = dict(rows[start : start + count])
             start += count
@@ -277,8 +276,9 @@
         `get_included_sequence` for each subscriber.
         """
         addresses = self._pick_rows(0 if is_due else min_change)
-        is_paced = min_change < URGENT_CHANGE_TOKENS
-        workspaces = self._workspaces.build_delta(is_paced=is_paced, is_due=is_due)
+        # Shares move slower than loads of targets, so digests ahead of the usual rate have none.
+        is_paced = is_due or min_change < URGENT_CHANGE_TOKENS
+        workspaces = self._workspaces.build_delta(is_due=is_due) if is_paced else b""
         if not addresses and not workspaces and not is_due:
             return None
         rows = [(address, self.get(address)) for address in addresses]
--- a/tillerlane/gateway/shares/aggregation.py
+++ b/tillerlane/gateway/shares/aggregation.py
@@ -13,8 +13,6 @@
 MIN_CHANGE_TOKENS = 1_000
 """Change of a row that is sent at the usual rate: less than half a prompt.  Smaller ones, such as
 those by decay, wait for the next digest that is due (at most a second)."""
-URGENT_CHANGE_TOKENS = 4_000
-"""Change of a row that is sent ahead of the usual rate: more than one prompt of usual size."""
 
 _EMPTY = tables.Row()
 
@@ -44,15 +42,14 @@
                 del self._total[key]
             self._changed.add(key)
 
-    def build_delta(self, *, is_paced: bool, is_due: bool) -> bytes:
+    def build_delta(self, *, is_due: bool) -> bytes:
         """Table of the changed rows, largest changes first; empty without any.
 
-        Small changes are left for later unless a digest is due, and larger ones unless it is at the
-        usual rate.
+        Small changes are left for later unless a digest is due.
         """
         if not self._changed:
             return b""
-        least = 0 if is_due else MIN_CHANGE_TOKENS if is_paced else URGENT_CHANGE_TOKENS
+        least = 0 if is_due else MIN_CHANGE_TOKENS
         changes = [(self._compute_change(key), key) for key in self._changed]
         found = sorted((item for item in changes if item[0] >= least), reverse=True)
         picked = [(key, self.get(key)) for _, key in found[: tables.MAX_ROWS]]
--- a/tillerlane/gateway/shares/counters.py
+++ b/tillerlane/gateway/shares/counters.py
@@ -16,7 +16,9 @@
 """How long rows of a pool are still reported after nothing waits for it: at the limit of the
 capacity a queue is empty for moments, and the tables would come and go."""
 LEVEL_SECONDS = 0.02
-"""How long a computed level is reused: digests come at most as often."""
+LEVEL_SECONDS_PER_WORKSPACE = 0.000_2
+"""How long a computed level is reused: an entry gets digests at most each 0.02 s, and a computation
+takes some 2 us for each workspace, so that it takes 1% of a core at most."""
 URGENT_TOKENS = 1_000
 """Waiting tokens that are reported ahead of the usual rate, as sent prompts are."""
 MIN_SERVED_TOKENS = 32
@@ -84,8 +86,12 @@
         self.waited_at = -math.inf
         """When something waited at any entry, as known here."""
         self.is_stale = True
-        """Whether the attributes below have to be computed again."""
+        """Whether the attributes below have to be computed again at once."""
+        self.has_news = False
+        """Whether a digest has come since they were computed."""
         self.others_served: dict[str, int] = {}
+        self.priorities: dict[str, int] = {}
+        """Lowest priority in the rows of a workspace."""
         self.waiting: dict[str, int] = {}
         """Waiting tokens by workspace, of those that wait at any entry."""
         self.level = math.inf
@@ -100,23 +106,39 @@
         lift = self.lifts.get(workspace)
         return total + lift.read(now) if lift is not None else total
 
-    def has_waiting(self) -> bool:
-        """Whether requests wait at any entry, as known here."""
-        return bool(self.own_waiting) or any(row.waiting > 0 for row in self.others.values())
+    def read_counters(self, now: float) -> dict[str, float]:
+        """Virtual counters of all workspaces that were served."""
+        found: dict[str, float] = dict(self.others_served)
+        for counters in (self.own_served, self.lifts):
+            for workspace, counter in counters.items():
+                found[workspace] = found.get(workspace, 0.0) + counter.read(now)
+        return found
 
-    def sum_rows(self) -> tuple[dict[str, int], dict[str, int]]:
-        """Waiting tokens, and other entries' served tokens, by workspace."""
+    def sum_rows(self) -> None:
+        """Sum waiting tokens, and other entries' served tokens, by workspace."""
         waiting: dict[str, int] = {}
         served: dict[str, int] = {}
+        priorities: dict[str, int] = {}
         for rows in (self.own_waiting, self.others):
-            for (workspace, _), row in rows.items():
+            for (workspace, priority), row in rows.items():
+                if priority < priorities.get(workspace, tables.NO_PRIORITY):
+                    priorities[workspace] = priority
                 if row.waiting > 0:
                     # A request without a prompt counts as one token, so that it is known to wait.
                     tokens = max(1, row.waiting_tokens)
                     waiting[workspace] = waiting.get(workspace, 0) + tokens
                 if row.served_tokens > 0:
                     served[workspace] = served.get(workspace, 0) + row.served_tokens
-        return waiting, served
+        self.waiting, self.others_served, self.priorities = waiting, served, priorities
+
+    def must_refresh(self, now: float) -> bool:
+        """Whether what is computed from the rows is out of date."""
+        if self.is_stale:
+            return True
+        if not self.has_news and len(self.waiting) < 2:
+            return False
+        interval = LEVEL_SECONDS + LEVEL_SECONDS_PER_WORKSPACE * len(self.others_served)
+        return now - self.level_at >= interval
 
     def discard_old(self, now: float) -> None:
         """Forget counters that have decayed."""
@@ -272,38 +294,39 @@
 
     def _refresh(self, pool: _Pool, now: float, *, may_lift: bool = True) -> None:
         """Compute the level again if it is out of date, and lift workspaces that begin to wait."""
-        if not pool.is_stale and (len(pool.waiting) < 2 or now - pool.level_at < LEVEL_SECONDS):
+        if not pool.must_refresh(now):
             return
         former = pool.waiting
-        pool.waiting, pool.others_served = pool.sum_rows()
-        pool.is_stale, pool.level_at = False, now
+        pool.sum_rows()
+        pool.is_stale = pool.has_news = False
+        pool.level_at = now
         if pool.waiting:
             pool.waited_at = now
-        if may_lift and former:
-            self._lift_newcomers(pool, former, now)
         pool.level = math.inf
-        if len(pool.waiting) > 1:
-            names = {*pool.waiting, *pool.own_served, *pool.others_served}
-            pool.level = decisions.compute_level(
-                self._build_account(pool, name, now) for name in names
-            )
-
-    def _lift_newcomers(self, pool: _Pool, former: dict[str, int], now: float) -> None:
-        newcomers = [name for name in pool.waiting if name not in former]
-        if not newcomers:
+        if len(pool.waiting) < 2:
             return
-        present = [self._build_account(pool, name, now) for name in former if name in pool.waiting]
-        for name in newcomers:
-            lift = decisions.compute_lift(self._build_account(pool, name, now), present)
-            if lift > 0:
-                pool.lifts.setdefault(name, _Counter(0.0, now)).add(lift, now)
-
-    def _build_account(self, pool: _Pool, workspace: str, now: float) -> decisions.Account:
-        return decisions.Account(
-            pool.read_counter(workspace, now),
-            pool.waiting.get(workspace, 0),
-            self._weights.get(workspace, 1.0),
-        )
+        counters = pool.read_counters(now)
+        newcomers = [name for name in pool.waiting if name not in former]
+        if may_lift and former and newcomers:
+            present = [name for name in former if name in pool.waiting]
+            lowest = decisions.compute_lowest(self._build_accounts(pool, counters, present))
+            for name in newcomers:
+                [newcomer] = self._build_accounts(pool, counters, [name])
+                lift = decisions.compute_lift(newcomer, lowest)
+                if lift > 0:
+                    pool.lifts.setdefault(name, _Counter(0.0, now)).add(lift, now)
+                    counters[name] = newcomer.served + lift
+        names = [*counters, *(name for name in pool.waiting if name not in counters)]
+        pool.level = decisions.compute_level(self._build_accounts(pool, counters, names))
+
+    def _build_accounts(
+        self, pool: _Pool, counters: Mapping[str, float], names: list[str]
+    ) -> list[decisions.Account]:
+        waiting, weights = pool.waiting, self._weights
+        return [
+            decisions.Account(counters.get(name, 0.0), waiting.get(name, 0), weights.get(name, 1.0))
+            for name in names
+        ]
 
     # Messages
 
@@ -313,7 +336,8 @@
         rows: tables.Rows = {}
         for name, pool in self._pools.items():
             pool.discard_old(now)
-            if pool.has_waiting():
+            self._refresh(pool, now)
+            if pool.waiting:
                 pool.waited_at = now
             if now - pool.waited_at <= REPORT_HOLD_SECONDS:
                 rows.update(self._list_own(name, pool, now))
@@ -331,12 +355,8 @@
             tables.Key(name, workspace, priority): dataclasses.replace(row)
             for (workspace, priority), row in pool.own_waiting.items()
         }
-        priorities: dict[str, int] = {}
-        for known in (pool.own_waiting, pool.others):
-            for workspace, priority in known:
-                priorities[workspace] = min(priority, priorities.get(workspace, priority))
         for workspace, counter in pool.own_served.items():
-            priority = priorities.get(workspace, tables.NO_PRIORITY)
+            priority = pool.priorities.get(workspace, tables.NO_PRIORITY)
             row = rows.setdefault(tables.Key(name, workspace, priority), tables.Row())
             row.served_tokens = round(counter.read(now))
         return rows
@@ -366,8 +386,9 @@
             self._update_others(key)
         for name in touched:
             pool = self._pools[name]
-            pool.is_stale = True
+            pool.has_news = True
             if digest.whole:
+                pool.is_stale = True
                 # Workspaces that are new to this entry have been waiting elsewhere.
                 self._refresh(pool, now, may_lift=False)
 
