--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -482,6 +482,10 @@
         )
         until = self._compute_attempt_deadline(admission, former.runs)
         started_at = self._loop.time()
+        if admission.workspace is not None and not former.sends:
+            waited = started_at - admission.request.arrived
+            prompt_tokens = admission.facts.prompt_tokens
+            self._shares.record_wait(admission.workspace.name, waited, prompt_tokens)
         outcome: Outcome | None = None
         try:
             if isinstance(reservation, reservations.Unknown) and reservation.is_unreachable:
