Keep memory free for moved runs and growing ones where memory is reserved

Runs of leaving runners found no memory, since new long runs took it up to 0.95 of each runner. They now leave free what their growth needs, and half of what recent leaving runners handed over, at most a quarter.

--- a/tillerlane/decisions/reserving.py
+++ b/tillerlane/decisions/reserving.py
@@ -1,4 +1,4 @@
-"""Decides when memory is reserved at a runner before a request is sent there.
+"""Decides when memory is reserved at a runner, and how much of it new long runs may take.
 
 The load is some dozens of entries whose requests take a tenth of a runner's memory each, in a pool
 that is almost full.  An entry knows a runner's memory from reports that are about 0.1 s old.  When
@@ -6,15 +6,32 @@
 on one day nine entries sent a runner 30,000 tokens within 18 ms for 10,000 that were free, and
 first events came 3 to 10 s later.  A reservation lets the runner decide which of them are admitted,
 before any of them is bound to it.
+
+Runs grow after they were admitted, and runs of runners that leave have to find memory elsewhere
+within 1.5 s or are lost.  New long runs, which hold their memory for 5 to 9 s, leave room for both
+(`compute_long_share`); short ones are gone within half a second.
 """
 
-__all__ = ["RESERVE_ABOVE_SHARE", "should_reserve"]
+__all__ = ["GROWTH_SECONDS", "RESERVE_ABOVE_SHARE", "compute_long_share", "should_reserve"]
 
 RESERVE_ABOVE_SHARE = 0.6
 """Share of a runner's memory or slots above which a request reserves its own first.  Below it there
 is memory for four more requests of 2,500 tokens, which is more than other entries send to one
 runner within the age of a report, and a reservation would only cost a round trip."""
 
+GROWTH_SECONDS = 3.0
+"""Time over which the growth of a full runner's runs must fit.  Seven long runs of 7 s end at
+random times, so that none of them ends within 3 s in one of twenty cases."""
+COUNTED_GROWTH_SHARE = 0.6
+"""Mean part of a run's growth reserve, over its life, that is counted as used already."""
+MIN_HEADROOM_SHARE = 0.05
+"""Part of a runner's memory that is free of long runs in any case, as without reservations."""
+MOVED_WEIGHT = 0.5
+"""Part of the memory of moved runs that is kept free; the rest becomes free by itself while they
+move.  With all of it, long runs wait longer than the moved runs gain."""
+MAX_HEADROOM_SHARE = 0.25
+"""Bound on the memory kept free, so that a wave of leaving runners doesn't keep long runs out."""
+
 
 def should_reserve(
     load_tokens: int,
@@ -43,3 +60,34 @@
         or load_tokens + request_tokens > memory_tokens * RESERVE_ABOVE_SHARE
         or requests + 1 > slots * RESERVE_ABOVE_SHARE
     )
+
+
+def compute_long_share(
+    memory_tokens: int,
+    run_tokens: int,
+    reserve_tokens: int,
+    written_tokens: float,
+    moved_tokens: float,
+) -> float:
+    """Compute the share of a runner's memory up to which new long runs may fill it.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        The runner's memory.
+    run_tokens, reserve_tokens : int
+        Memory that the run is counted with, and the part of it that is reserved for its growth.
+    written_tokens : float
+        Tokens that such a run is expected to write within `GROWTH_SECONDS`.
+    moved_tokens : float
+        Memory that runs of leaving runners take at each runner of the pool.
+
+    In a simulation of 16 runners, four more of which hand over their long runs every 3.3 s
+    (`tillerlane.testing.engine_play`, four seeds, three loads), requests earn 0.996, 0.927 and
+    0.798 of their value with a fixed share of 0.95, 0.997, 0.965 and 0.914 with 0.85, and 0.999,
+    0.971 and 0.915 with this one; ``docs/design/reservations.md`` has the other variants.
+    """
+    grown = max(0.0, written_tokens - COUNTED_GROWTH_SHARE * reserve_tokens)
+    growth_share = max(MIN_HEADROOM_SHARE, grown / max(1, run_tokens))
+    moved_share = MOVED_WEIGHT * moved_tokens / max(1, memory_tokens)
+    return 1.0 - min(MAX_HEADROOM_SHARE, growth_share + moved_share)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -19,6 +19,7 @@
     http_server,
     limits,
     metrics,
+    moved_loads,
     permits,
     quarantine,
     relay,
@@ -188,11 +189,11 @@
             dialect,
             self.usage,
             available,
-            selector.compute_pool_load,
+            selector,
+            moved_loads.MovedLoads(self.directory, self.usage, self._loop.time),
             self.timeline,
             self._metrics,
         )
-        selector.is_full = reserved.is_full
         sender = sending.Sender(
             dialect,
             selector,
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -11,11 +11,10 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 
 from tillerlane.decisions import reserving
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import availability, routes
+from tillerlane.gateway import availability, moved_loads, selection
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import metrics as entry_metrics
@@ -105,8 +104,10 @@
         Counts the reserved memory.
     available : availability.Availability
         Knows which targets are blocked.
-    compute_pool_load : callable
-        (pool) gives its memory in use and in total, in tokens.
+    selector : selection.Selector
+        Gives the load and the speed of pools; learns which runners are full.
+    moved : moved_loads.MovedLoads
+        Memory that moved runs take.
     timeline : timelines.Timeline
         Log of decisions.
     metrics : entry_metrics.EntryMetrics
@@ -118,14 +119,17 @@
         dialect: dialects.Dialect,
         usage: usages.Usage,
         available: availability.Availability,
-        compute_pool_load: Callable[[routes.Pool], tuple[int, int]],
+        selector: selection.Selector,
+        moved: moved_loads.MovedLoads,
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
     ) -> None:
         self._dialect = dialect
         self._usage = usage
         self._available = available
-        self._compute_pool_load = compute_pool_load
+        self._selector = selector
+        selector.is_full = self.is_full
+        self._moved = moved
         self._timeline = timeline
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -146,7 +150,7 @@
         if self._usage.compute_age(now) is None:
             return True  # other entries' load is not known, only the runner knows its free memory
         load = self._usage.get(target.address)
-        pool_tokens, pool_memory = self._compute_pool_load(admission.pool)
+        pool_tokens, pool_memory = self._selector.compute_pool_load(admission.pool)
         return reserving.should_reserve(
             load.tokens,
             admission.tokens,
@@ -156,6 +160,23 @@
             pool_tokens / max(1, pool_memory),
         )
 
+    def compute_long_share(self, admission: admissions.Admission, default: float) -> float:
+        """Share of a runner's memory that a new long run may fill; `default` without holds."""
+        engine = admission.pool.engine
+        if engine is None or engine.hold_seconds <= 0:
+            return default
+        written_tokens = min(
+            admission.facts.output_tokens / 2,  # the runs there are halfway on average
+            self._selector.estimate_written_tokens(admission.pool, reserving.GROWTH_SECONDS),
+        )
+        return reserving.compute_long_share(
+            engine.memory_tokens,
+            admission.tokens,
+            admission.compute_growth_reserve(0),
+            written_tokens,
+            self._moved.estimate(admission.pool),
+        )
+
     def is_full(self, target: directories.Target, tokens: int) -> bool:
         """Whether a target has just rejected a hold of this size or a smaller one.
 
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -40,7 +40,7 @@
 """Cost of a target that is still cold, in seconds of waiting."""
 POOL_LOAD_INTERVAL_SECONDS = 0.5
 """How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
-sum takes 6 us for 25 targets and 240 us for 1,000."""
+sum takes 24 us for 25 targets and 840 us for 1,000."""
 POOL_SPEED_INTERVAL_SECONDS = 1.0
 """How long a pool's seconds per event are cached; they are smoothed over 20 s."""
 BEST_RANK = (False, False, False, False)
@@ -142,6 +142,7 @@
         *,
         is_sent_now: bool = True,
         can_request_permit: bool = False,
+        full_share: float = FULL_MEMORY_SHARE,
     ) -> directories.Target | None:
         """The target with the lowest cost for some work, of a sample that are not `excluded` (ids).
 
@@ -150,6 +151,8 @@
         if the work `is_sent_now`.  A limit doesn't block where the request `can_request_permit`
         before it is sent, and will probably get one.
 
+        A target whose memory would be used above `full_share` is full.
+
         With `source_hall` the work is a run whose memory has to be copied, which takes longer
         between halls.
         """
@@ -163,7 +166,7 @@
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
         found = self._sample_best(
-            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit
+            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit, full_share
         )
         if not found:
             return None
@@ -205,6 +208,7 @@
         unreported: float,
         is_sent_now: bool,
         can_request_permit: bool,
+        full_share: float,
     ) -> list[tuple[directories.Target, loads.TargetLoad]]:
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
@@ -235,7 +239,7 @@
                     target.phase is directories.Phase.SILENT,
                     self._is_avoided(target, now),
                     obstacle is not None,
-                    not _has_room(pool, load, work.memory_tokens, FULL_MEMORY_SHARE)
+                    not _has_room(pool, load, work.memory_tokens, full_share)
                     or self.is_full(target, work.memory_tokens),
                 )
                 if rank > best:
@@ -278,6 +282,12 @@
             self._pool_loads[pool.name] = known
         return known[0], known[1]
 
+    def estimate_written_tokens(self, pool: routes.Pool, seconds: float) -> float:
+        """Tokens that a run writes in some seconds at the mean speed of a pool's runners."""
+        targets = self._directory.list_pool(pool.name)
+        event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
+        return seconds * event_tokens / self._get_event_seconds(pool, targets, self._now())
+
     def _estimate_cost(
         self,
         pool: routes.Pool,
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -385,7 +385,11 @@
                 return result if result.sends else SendResult(refusal)
             can_request_permit = permit_requests < MAX_PERMIT_REQUESTS
             target = self._selector.choose(
-                admission.pool, admission.work, excluded, can_request_permit=can_request_permit
+                admission.pool,
+                admission.work,
+                excluded,
+                can_request_permit=can_request_permit,
+                full_share=min(selection.FULL_MEMORY_SHARE, self._get_memory_share(admission)),
             )
             if target is not None and can_request_permit and self._available.needs_permit(target):
                 permit_requests += 1
@@ -522,11 +526,19 @@
         )
 
     def _has_room(self, admission: admissions.Admission, target: directories.Target) -> bool:
-        """Whether a runner has memory for a request; short requests end before memory runs out."""
-        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
-        share = 1.0 if is_short or admission.priority == 0 else RUN_MEMORY_SHARE
+        """Whether a runner has memory for a request."""
+        share = self._get_memory_share(admission)
+        if share < RUN_MEMORY_SHARE and self._usage.get(target.address).tokens <= 0:
+            share = RUN_MEMORY_SHARE  # a prompt that needs most of a runner gets an idle one
         return self._selector.has_room(admission.pool, target, admission.tokens, share)
 
+    def _get_memory_share(self, admission: admissions.Admission) -> float:
+        """Share of a runner's memory for a request; short ones end before memory runs out."""
+        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
+        if is_short or admission.priority == 0:
+            return 1.0
+        return self._reservations.compute_long_share(admission, RUN_MEMORY_SHARE)
+
     def _can_retry(self, admission: admissions.Admission, result: SendResult) -> bool:
         outcome = result.outcome
         if result.runs >= admission.route.max_attempts or isinstance(outcome, Stream):
--- a/tillerlane/gateway/tests/test_reservations.py
+++ b/tillerlane/gateway/tests/test_reservations.py
@@ -18,12 +18,14 @@
 SETTLE_SECONDS = 0.4
 
 
-def build_document(hold_ms: int, **changes: Any) -> dict[str, Any]:
+def build_document(hold_ms: int, backups: bool) -> dict[str, Any]:
     """Build a configuration of runners whose memory is bounded."""
     document = gateway_lab.build_document(2)
-    document["services"][0]["engine"].update(kv_capacity=MEMORY_TOKENS, hold_ms=hold_ms)
+    document["services"][0]["engine"].update(
+        kv_capacity=MEMORY_TOKENS, hold_ms=hold_ms, backups=backups
+    )
     for route in document["routes"]:
-        route.update(goal_ms=4_000, **changes)
+        route.update(goal_ms=4_000, priority=2)
     return document
 
 
@@ -31,10 +33,15 @@
     """Base class with calls of short runs, and counts of what became of reservations."""
 
     async def start(
-        self, stage: gateway_lab.GatewayLab, names: list[str], hold_ms: int = 1_000, **more: Any
+        self,
+        stage: gateway_lab.GatewayLab,
+        names: list[str],
+        hold_ms: int = 1_000,
+        backups: bool = False,
+        **more: Any,
     ) -> list[platform_runner.PlatformRunner]:
         """Publish the configuration and start runners with bounded memory."""
-        await stage.publish("keeper-1", build_document(hold_ms))
+        await stage.publish("keeper-1", build_document(hold_ms, backups))
         more = {"length": 4, "pace": 2.0, "memory_tokens": MEMORY_TOKENS, **more}
         found = [await stage.add_runner(name, "llm", **more) for name in names]
         await asyncio.sleep(SETTLE_SECONDS)
@@ -397,5 +404,58 @@
         self.play(scene)
 
 
+class LongRunTest(ReservationCase):
+    """Long runs, which are copied to other runners and moved there."""
+
+    def call_long(self, stage: gateway_lab.GatewayLab, number: int) -> asyncio.Task[Any]:
+        """Start a long run, counted with 3,300 tokens."""
+        return self.call(stage, number, gateway_scenes.LONG, route="record", wait_ms=20_000)
+
+    async def start_runs(self, stage: gateway_lab.GatewayLab, numbers: range) -> None:
+        """Start long runs one after another, so that each sees the load of the former."""
+        for number in numbers:
+            self.call_long(stage, number)
+            await asyncio.sleep(0.1)
+
+    def test_backup_copies_end_at_half_of_the_memory(self) -> None:
+        """Copies took as much memory as the runs, and displaced requests."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.start(stage, ["t1", "t2"], backups=True)
+            await self.start_runs(stage, range(5))
+            await asyncio.sleep(0.6)
+            await self.start_runs(stage, range(5, 8))
+            runs = [run for runner in runners for run in runner.ran]
+            self.assertEqual(len(runs), 8)
+            # The fifth one is the first that a leaving runner could not move in time.
+            copied = [run.request_id for run in runs if "kv-backup" in run.headers]
+            self.assertEqual(copied, ["r4"])
+
+        self.play(scene)
+
+    def test_new_long_runs_leave_memory_for_moved_ones(self) -> None:
+        """They took the memory that runs of leaving runners need within their notice."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            (first,) = await self.start(stage, ["t1"], length=16, pace=0.5)
+            await self.start_runs(stage, range(3))
+            await self.start(stage, ["t2"], length=16, pace=0.5)
+            await self.start_runs(stage, range(10, 13))
+            await asyncio.sleep(0.5)  # a run without any event is not moved
+            stage.beat("t2", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.3)
+            self.assertEqual(len(first.ran), 6)
+            long, short = self.call_long(stage, 20), self.call(stage, 21)
+            await asyncio.sleep(0.5)
+            self.assertEqual([run.request_id for run in first.ran[6:]], ["r21"])
+            self.assertEqual((await long).status, 503)
+            self.assertEqual((await short).status, 200)
+            self.call_long(stage, 22)  # those runs have ended
+            await asyncio.sleep(0.5)
+            self.assertEqual(first.ran[-1].request_id, "r22")
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -56,7 +56,8 @@
 class Arrival:
     """A request: its arrival time, prompt length, number of events, and priority on runners.
 
-    Rank 0 is prefilled first, and runs of a higher rank are preempted for it.
+    Rank 0 is prefilled first, and runs of a higher rank are preempted for it.  A run that
+    `is_copied` arrives with its memory and needs no prefill.
     """
 
     at: float
@@ -64,16 +65,22 @@
     prompt_tokens: int
     events: int
     rank: int = 0
+    is_copied: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """Latencies that a request's caller observed, in seconds since its arrival."""
+    """Latencies that a request's caller observed, in seconds since its arrival.
+
+    `preempted_tokens` is the memory that its run lost, and that was prefilled again.
+    """
 
     arrival: Arrival
     first_seconds: float = float("inf")
     total_seconds: float = float("inf")
     max_pause: float = 0.0
+    preemptions: int = 0
+    preempted_tokens: int = 0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -125,6 +132,8 @@
         self.decoding.remove(run)
         run.unprefilled = run.count_memory()
         self.preemptions += 1
+        run.outcome.preemptions += 1
+        run.outcome.preempted_tokens += run.unprefilled
         self.enqueue(run, is_first=True)
 
     def enqueue(self, run: _Run, *, is_first: bool = False) -> None:
@@ -242,8 +251,9 @@
                 continue
             outcome = Outcome(arrival)
             outcomes.append(outcome)
-            run = _Run(outcome, arrival.prompt_tokens, arrival.events * EVENT_TOKENS)
-            runners[position].enqueue(run)
+            unprefilled = 0 if arrival.is_copied else arrival.prompt_tokens
+            run = _Run(outcome, unprefilled, arrival.events * EVENT_TOKENS)
+            runners[position].enqueue(run, is_first=arrival.is_copied)
         if (
             not waiting
             and not deferred
@@ -278,7 +288,8 @@
         )
     ]
     growth = min(300, arrival.events * EVENT_TOKENS // 2)
-    work = placing.Work(arrival.prompt_tokens + growth, arrival.prompt_tokens, arrival.events)
+    prompt_tokens = 0 if arrival.is_copied else arrival.prompt_tokens
+    work = placing.Work(arrival.prompt_tokens + growth, prompt_tokens, arrival.events)
     return choose(work, loads, pool_event_seconds)
 
 
