--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -59,11 +59,19 @@
         """Memory that the request is counted with at a runner at its start."""
         return self.facts.prompt_tokens + self.compute_growth_reserve(0)
 
+    @property
+    def served_tokens(self) -> int:
+        """Tokens that its workspace is served with it: those of its prompt, and its estimate of
+        what the run writes."""
+        return self.facts.prompt_tokens + self.facts.output_tokens
+
     @property
     def work(self) -> placing.Work:
         """Work that the request causes at a runner."""
         facts = self.facts
-        return placing.Work(self.tokens, facts.prompt_tokens, self.count_remaining_events(0))
+        is_repeatable = self.route.is_repeatable and self.route.max_attempts > 1
+        events = self.count_remaining_events(0)
+        return placing.Work(self.tokens, facts.prompt_tokens, events, is_repeatable)
 
     def count_remaining_events(self, events: int) -> float:
         """Expected number of events that its run is still to write after `events`."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -11,6 +11,7 @@
 from tillerlane.faults import core as faults
 from tillerlane.gateway import (
     admission,
+    announcements,
     availability,
     exit_detection,
     handovers,
@@ -19,12 +20,15 @@
     http_server,
     limits,
     metrics,
+    moved_loads,
     permits,
     quarantine,
     relay,
+    reservations,
     runs,
     selection,
     sending,
+    shares,
     startup,
     streams,
     suspects,
@@ -36,6 +40,9 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.failures import reports as failure_reports
+from tillerlane.gateway.failures import tracker as failure_trackers
+from tillerlane.gateway.returns import table as return_tables
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -151,6 +158,12 @@
             self.backoffs,
             self._loop.time,
         )
+        self.failures = failure_trackers.FailureTracker(settings.name, self.directory)
+        self.failures.notify = self._notify_failures
+        self.failures.record_event = self.timeline.record
+        self.returns = return_tables.ReturnTable(self._loop.time)
+        self.returns.notify = self._notify_returns
+        self.returns.record_event = self.timeline.record
         selector = selection.Selector(
             self.directory,
             self.usage,
@@ -158,14 +171,18 @@
             settings.data_hall,
             rng or random.Random(),
             self._loop.time,
+            self.failures,
         )
         self._metrics = metrics.build_entry_metrics()
+        self.shares = shares.Shares(shares.WorkspaceMetrics(self._metrics.registry))
+        self.shares.notify_urgent = self.usage.urgent.set
         self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
         self._startup = startup.Startup()
         self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
         self.quarantine.notify_keepers = self._send_exits
+        self.failures.list_exits = self.quarantine.suspects.list_targets
         self._admission_control = admission.AdmissionControl(dialect, selector.pick_pool)
         self._admission_control.is_fresh = self._is_fresh
         feedback = feedbacks.TargetFeedback(
@@ -183,6 +200,15 @@
         exit_detector = exit_detection.ExitDetector(
             self.usage, self.quarantine, self.timeline, self._metrics
         )
+        reserved = reservations.Reservations(
+            dialect,
+            self.usage,
+            available,
+            selector,
+            moved_loads.MovedLoads(self.directory, self.usage, self._loop.time),
+            self.timeline,
+            self._metrics,
+        )
         sender = sending.Sender(
             dialect,
             selector,
@@ -196,6 +222,8 @@
             self.directory,
             exit_detector,
             self.quarantine,
+            self.shares,
+            reserved,
         )
         self.directory.add_listener(self._handle_target_change)
         relayed_streams = streams.Streams(
@@ -237,6 +265,8 @@
         )
         self.homes.on_entry_count = self._set_entry_count
         self.homes.on_fresh = self._handle_fresh
+        self._recent_states = announcements.RecentStates()
+        self.homes.on_primary_lost = self._announce_again
         self._server_limits = http_server.ServerLimits()
         self._front = http_server.Server(self._relay.serve, self._server_limits, self._log_error)
         self._ready = http_server.Server(
@@ -306,6 +336,7 @@
         self._metrics.quarantined.set_function(self.quarantine.count_held)
         self._metrics.limits.set_function(lambda: self.limits.count_in_force(self._loop.time()))
         self._metrics.in_backoff.set_function(self.backoffs.count_in_force)
+        self._metrics.failing.set_function(self.failures.count_failing)
         self._metrics.unused_permits.set_function(lambda: self.permits.unused)
         self._metrics.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._metrics.evacuated.set_function(lambda: len(self.directory.evacuated))
@@ -325,6 +356,7 @@
             self.timeline.record("config.unreadable", message=error.fault.message)
             return
         self._admission_control.table = table
+        self.shares.set_weights({item.name: item.weight for item in table.workspaces})
         bounds = table.limits
         self._server_limits.header_bytes = bounds.max_header_bytes
         self._server_limits.body_bytes = bounds.max_body_bytes
@@ -405,6 +437,16 @@
         if link is not None:
             links.try_send(link, backoffs.encode_hints([(record.target_id, record.until)]))
 
+    def _notify_failures(self, reported: list[failure_reports.Report]) -> None:
+        """Report targets that fail requests, or serve them again, to all home keepers."""
+        self._send_to_keepers(failure_reports.encode_reports(reported))
+
+    def _notify_returns(self, refused: list[return_tables.RefusedCaller]) -> None:
+        """Report refused callers to one keeper; a caller whose turn is lost is a new one."""
+        link = self.homes.get_primary()
+        if link is not None:
+            links.try_send(link, return_tables.encode_returns(refused))
+
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
 
@@ -435,7 +477,7 @@
             case messages.ConfigDelta():
                 self.orders.apply_delta(body)
             case messages.TargetStates():
-                self._merge_states(body)
+                self._merge_states(link, body)
             case messages.LoadDigest():
                 self._merge_digest(link, body)
             case messages.TargetEnds():
@@ -444,10 +486,17 @@
                 self._merge_limits(limits.decode_records(body))
             case messages.TargetBackoffs():
                 self.backoffs.merge_hints(backoffs.decode_hints(body))
+            case messages.TargetFailures():
+                received = failure_reports.decode_reports(body)
+                self.failures.merge_reports(received, self._loop.time())
+            case messages.CallerReturns():
+                self.returns.merge(return_tables.decode_returns(body))
 
-    def _merge_states(self, states: messages.TargetStates) -> None:
+    def _merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
         changed = [item for item in directories.decode_states(states) if self.directory.merge(item)]
+        if not states.whole:
+            self._recent_states.record(link, changed, self._loop.time())
         if len(changed) > MAX_LOGGED_TARGETS:
             self.timeline.record("target.states", changed=len(changed), whole=states.whole)
             return
@@ -464,6 +513,16 @@
                 cold_ms=max(0, int((target.warm_at - now) * 1000)),
             )
 
+    def _announce_again(self, link: links.Link | None) -> None:
+        """Tell the other keepers what a lost one may have told this entry only."""
+        if link is None:
+            return
+        learned = self._recent_states.pop_learned_by(link, self._loop.time())
+        targets = [item for item in map(self.directory.targets.get, learned) if item is not None]
+        if targets:
+            self._send_to_keepers(directories.encode_states(targets))
+            self.timeline.record("target.announced", targets=len(targets))
+
     def _merge_limits(self, records: list[limits.LimitRecord]) -> None:
         """Merge the limits that targets have named, as passed on by keepers."""
         for record in self.limits.merge(records):
@@ -484,6 +543,7 @@
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
             self.backoffs.discard(target.target_id)
+            self.failures.discard(target.target_id)
         if not target.is_superseded:
             return
         self.usage.discard_event_times(target.address)
@@ -497,13 +557,16 @@
 
     def _merge_digest(self, link: links.Link, digest: messages.LoadDigest) -> None:
         """Merge a load digest, if it comes from the primary keeper."""
-        if link is not self.homes.get_primary():
+        if not self.homes.accept_loads(link):
             return  # sent before the primary changed; sequences of two keepers do not match
         taken = self.usage.handle_digest(digest, self._loop.time())
         if taken is usages.DigestResult.GAP:
             self.timeline.record("loads.gap", keeper=digest.keeper, sequence=digest.sequence)
             self.homes.request_full_loads()
-        elif taken is usages.DigestResult.APPLIED and digest.whole:
+        if taken is not usages.DigestResult.APPLIED:
+            return
+        self.shares.handle_digest(digest, self._loop.time())
+        if digest.whole:
             self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
 
     async def _send_loads(self) -> None:
@@ -515,13 +578,29 @@
             self.directory.expire_old(now)
             self.limits.expire_unknown(self.directory.targets, now)
             if self.usage.expire_others(now):
+                self.shares.discard_others()
                 self.timeline.record("loads.lost", after_s=usages.DIGEST_TTL_SECONDS)
+            self._log_shares(now)
             link = self.homes.get_primary()
             is_due = link is not reported_to or now - reported_at > MAX_LOADS_INTERVAL_SECONDS
-            if link is None or not (self.usage.changed or is_due):
+            if link is None or not (self.usage.changed or self.shares.changed or is_due):
                 continue
             reported_at, reported_to = now, link
-            links.try_send(link, self.usage.build_report(self._started_ms, now))
+            report = self.usage.build_report(self._started_ms, now)
+            report.workspaces = self.shares.build_report(report.sequence, now)
+            links.try_send(link, report)
+
+    def _log_shares(self, now: float) -> None:
+        """Log whose requests wait, and which workspaces are in debt; once a second at most."""
+        for state in self.shares.list_contended(now):
+            age = self.usage.compute_age(now)
+            self.timeline.record(
+                "share.debts",
+                pool=state.pool,
+                waiting=state.waiting,
+                debts=state.debts,
+                load_age_ms=None if age is None else int(age * 1000),
+            )
 
     async def _wait_for_loads(self) -> None:
         """Wait until the next load report may be sent."""
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import math
 
 __all__ = [
     "ClientLimits",
@@ -90,6 +91,8 @@
         Whether a run's memory can be copied to another runner on order, or continuously.
     copy_retention_seconds : float
         How long a runner keeps a copy of a run's memory.
+    hold_seconds : float
+        Longest lease of memory that runners reserve ahead of a request; 0 if they reserve none.
     """
 
     slots: int
@@ -100,6 +103,7 @@
     can_move: bool
     can_back_up: bool
     copy_retention_seconds: float
+    hold_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,11 +135,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
-    """A workspace: its name, its keys, and its priority if it has one of its own."""
+    """A workspace: its name, its keys, its priority if it has one of its own, and its weight.
+
+    While requests wait, workspaces share a pool in proportion to their weights.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -183,6 +191,10 @@
         )
     holders: dict[str, str] = {}
     for workspace in table.workspaces:
+        if not 0 < workspace.weight < math.inf:
+            problems.append(
+                f"workspace {workspace.name!r}: got weight {workspace.weight}, expected above 0"
+            )
         for key in workspace.keys:
             other = holders.setdefault(key, workspace.name)
             if other != workspace.name:
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -1,25 +1,16 @@
 """Choice of a pool's target for a request."""
 
-import dataclasses
 import random
 from collections.abc import Callable, Collection, Iterator
 
-from tillerlane.decisions import placing
+from tillerlane.decisions import failing, placing
 from tillerlane.gateway import availability, loads, permits, routes
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.failures import tracker
 
-__all__ = ["FailureTracker", "Selector"]
+__all__ = ["Selector"]
 
-MIN_AVOIDANCE_SECONDS = 1.0
-"""How long an unreachable target is avoided: the heartbeat interval, after which its keepers know
-more."""
-MAX_AVOIDANCE_SECONDS = 5.0
-REJECTION_AVOIDANCE_SECONDS = 0.5
-"""How long a target is avoided after it rejected a request.  With nothing under way it would appear
-to be the least loaded one."""
-FAILURE_RETENTION_SECONDS = 30.0
-"""How long a failure counts towards the next one; also bounds the state kept of former targets."""
 CROSS_HALL_COST_SECONDS = 0.02
 """Cost of a target in another data hall, in seconds of waiting: breaks ties only."""
 CROSS_HALL_COPY_FACTOR = 2.0
@@ -38,47 +29,13 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
+POOL_LOAD_INTERVAL_SECONDS = 0.5
+"""How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
+sum takes 24 us for 25 targets and 840 us for 1,000."""
 POOL_SPEED_INTERVAL_SECONDS = 1.0
 """How long a pool's seconds per event are cached; they are smoothed over 20 s."""
-BEST_RANK = (False, False, False, False)
-"""Neither silent nor avoided nor blocked nor full."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Failures:
-    count: int
-    avoid_until: float
-
-
-class FailureTracker:
-    """Recent failures of targets towards this entry, by id."""
-
-    def __init__(self) -> None:
-        self._failures: dict[str, _Failures] = {}
-
-    def record_failure(self, target_id: str, now: float) -> None:
-        """Avoid a target for a while, longer with each consecutive failure."""
-        for other, failures in list(self._failures.items()):
-            if now - failures.avoid_until > FAILURE_RETENTION_SECONDS:
-                del self._failures[other]
-        known = self._failures.setdefault(target_id, _Failures(0, now))
-        known.count += 1
-        seconds = min(MAX_AVOIDANCE_SECONDS, MIN_AVOIDANCE_SECONDS * 2 ** (known.count - 1))
-        known.avoid_until = now + seconds
-
-    def record_rejection(self, target_id: str, now: float) -> None:
-        """Avoid a target for a short while; this does not count as a failure."""
-        known = self._failures.setdefault(target_id, _Failures(0, now))
-        known.avoid_until = max(known.avoid_until, now + REJECTION_AVOIDANCE_SECONDS)
-
-    def record_success(self, target_id: str) -> None:
-        """Discard a target's failures."""
-        self._failures.pop(target_id, None)
-
-    def is_avoided(self, target_id: str, now: float) -> bool:
-        """Whether other targets are preferred."""
-        known = self._failures.get(target_id)
-        return known is not None and now < known.avoid_until
+BEST_RANK = (False, False, False, False, False)
+"""Neither silent nor avoided nor blocked nor full, nor a last resort after a failure."""
 
 
 class Selector:
@@ -98,6 +55,8 @@
         Samples the candidates.
     now : callable
         Time of the event loop.
+    failures : tracker.FailureTracker, optional
+        Which targets have failed requests.
     """
 
     def __init__(
@@ -108,16 +67,21 @@
         data_hall: str,
         rng: random.Random,
         now: Callable[[], float],
+        failures: tracker.FailureTracker | None = None,
     ) -> None:
-        self.failures = FailureTracker()
+        self.failures = failures or tracker.FailureTracker("", directory)
         self._directory = directory
         self._usage = usage
         self._available = available
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
+        self.is_full: Callable[[directories.Target, int], bool] = lambda target, tokens: False
+        """Whether a target has just refused to reserve some tokens (`gateway.reservations`)."""
         self._event_seconds: dict[str, tuple[float, float]] = {}
         """Seconds per event of each pool, and when they were computed."""
+        self._pool_loads: dict[str, tuple[int, int, float]] = {}
+        """Memory in use and in total of each pool, and when the sums were computed."""
 
     def pick_pool(self, route: routes.Route) -> str:
         """Pick a pool of the route at random, by weight."""
@@ -135,14 +99,18 @@
         *,
         is_sent_now: bool = True,
         can_request_permit: bool = False,
+        full_share: float = FULL_MEMORY_SHARE,
     ) -> directories.Target | None:
         """The target with the lowest cost for some work, of a sample that are not `excluded` (ids).
 
-        None without any.  Silent, avoided, blocked and full targets rank last, in that order.
+        None without any.  Silent, avoided, blocked and full targets rank last, in that order, and
+        just before them those that are to be tried again after a failure.
         Blocked ones (in back-off, or with a limit that leaves nothing to this entry) are left out
         if the work `is_sent_now`.  A limit doesn't block where the request `can_request_permit`
         before it is sent, and will probably get one.
 
+        A target whose memory would be used above `full_share` is full.
+
         With `source_hall` the work is a run whose memory has to be copied, which takes longer
         between halls.
         """
@@ -156,7 +124,7 @@
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
         found = self._sample_best(
-            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit
+            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit, full_share
         )
         if not found:
             return None
@@ -198,11 +166,18 @@
         unreported: float,
         is_sent_now: bool,
         can_request_permit: bool,
+        full_share: float,
     ) -> list[tuple[directories.Target, loads.TargetLoad]]:
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, True)
+        best = (True, True, True, True, True)
+        standings = self.failures.find_standings(
+            pool.name,
+            sum(map(len, groups)),
+            now,
+            is_repeatable=work.is_repeatable and not excluded,
+        )
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
@@ -224,11 +199,15 @@
                 if obstacle is not None and is_sent_now:
                     continue
                 load = self._usage.get(target.address)
+                standing = standings.get(target.target_id, failing.Standing.CLEAR)
                 rank = (
                     target.phase is directories.Phase.SILENT,
-                    self._is_avoided(target, now),
+                    standing is failing.Standing.AVOIDED
+                    or self._available.is_rejecting_others(target),
                     obstacle is not None,
-                    not _has_room(pool, load, work.memory_tokens, FULL_MEMORY_SHARE),
+                    not _has_room(pool, load, work.memory_tokens, full_share)
+                    or self.is_full(target, work.memory_tokens),
+                    standing is failing.Standing.LAST_RESORT,
                 )
                 if rank > best:
                     continue
@@ -238,12 +217,6 @@
                 sampled += 1
         return found
 
-    def _is_avoided(self, target: directories.Target, now: float) -> bool:
-        """Whether a target has recently failed this entry, or rejects others."""
-        if self.failures.is_avoided(target.target_id, now):
-            return True
-        return self._available.is_rejecting_others(target)
-
     def _get_event_seconds(
         self, pool: routes.Pool, targets: list[directories.Target], now: float
     ) -> float:
@@ -258,6 +231,24 @@
         self._event_seconds[pool.name] = (event_seconds, now)
         return event_seconds
 
+    def compute_pool_load(self, pool: routes.Pool) -> tuple[int, int]:
+        """Memory in use and in total at a pool's targets that accept requests, cached a while."""
+        now = self._now()
+        known = self._pool_loads.get(pool.name)
+        if known is None or now - known[2] >= POOL_LOAD_INTERVAL_SECONDS:
+            targets = self._directory.list_pool(pool.name)
+            tokens = sum(self._usage.get(target.address).tokens for target in targets)
+            memory_tokens = pool.engine.memory_tokens if pool.engine is not None else 0
+            known = (tokens, memory_tokens * len(targets), now)
+            self._pool_loads[pool.name] = known
+        return known[0], known[1]
+
+    def estimate_written_tokens(self, pool: routes.Pool, seconds: float) -> float:
+        """Tokens that a run writes in some seconds at the mean speed of a pool's runners."""
+        targets = self._directory.list_pool(pool.name)
+        event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
+        return seconds * event_tokens / self._get_event_seconds(pool, targets, self._now())
+
     def _estimate_cost(
         self,
         pool: routes.Pool,
@@ -308,7 +299,8 @@
         self, pool: routes.Pool, target: directories.Target, tokens: int, share: float
     ) -> bool:
         """Whether a target's memory stays within a share of it with some more tokens."""
-        return _has_room(pool, self._usage.get(target.address), tokens, share)
+        load = self._usage.get(target.address)
+        return _has_room(pool, load, tokens, share) and not self.is_full(target, tokens)
 
 
 def _sample_in_turn(
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from tillerlane.decisions import placing, queueing
+from tillerlane.decisions import copies, placing, queueing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
     availability,
@@ -18,8 +18,10 @@
     http_head,
     quarantine,
     refusals,
+    reservations,
     routes,
     selection,
+    shares,
 )
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
@@ -165,6 +167,10 @@
         Checks targets that broke off a response.
     quarantined : quarantine.Quarantine
         Knows which requests are quarantined.
+    workspace_shares : shares.Shares
+        Counts what is served to each workspace.
+    reserved : reservations.Reservations
+        Reserves memory at runners before requests are sent.
     """
 
     def __init__(
@@ -181,7 +187,11 @@
         directory: directories.Directory,
         exit_detector: exit_detection.ExitDetector,
         quarantined: quarantine.Quarantine,
+        workspace_shares: shares.Shares,
+        reserved: reservations.Reservations,
     ) -> None:
+        self._shares = workspace_shares
+        self._reservations = reserved
         self._quarantine = quarantined
         self._exit_detector = exit_detector
         self._startup = startup
@@ -237,10 +247,17 @@
                     reason = f"{address} is blocked for this entry: {obstacle.cause.value}"
                     return refusals.NotRun(reason, sent=False, is_blocked=True)
                 head = self._dialect.build_forward(admission.request.head, plan)
+                self._selector.failures.record_send(target.target_id, self._loop.time())
                 exchange.send(head, admission.request.body)
+                if plan.copy is None:
+                    self._record_served(admission, admission.served_tokens)
                 outcome = await self._read_response(admission, target, exchange)
             keep = isinstance(outcome, Stream)
-            self._record_outcome(target, outcome, is_resumed=plan.copy is not None)
+            self._record_outcome(
+                target, outcome, exchange.sent_at, is_resumed=plan.copy is not None
+            )
+            if isinstance(outcome, refusals.NotRun) and plan.copy is None:
+                self._record_served(admission, -admission.served_tokens)
             return outcome
         except TimeoutError:
             sent = exchange is not None and exchange.sent
@@ -250,10 +267,13 @@
                 self._selector.failures.record_failure(target.target_id, self._loop.time())
             return Unknown(f"{address}: no answer in time", is_late=True)
         except http_client.ExchangeError as error:
-            self._selector.failures.record_failure(target.target_id, self._loop.time())
             if not error.sent:
+                self._selector.failures.record_failure(target.target_id, self._loop.time())
                 return refusals.NotRun(str(error), sent=False)
             assert exchange is not None
+            self._selector.failures.record_broken_answer(
+                target, admission.fingerprint, self._loop.time(), exchange.sent_at
+            )
             await self._exit_detector.check_target(admission, target, exchange.sent_at, 0)
             return Unknown(f"{address}: {error}")
         finally:
@@ -263,6 +283,12 @@
                 if exchange is not None:
                     exchange.abort()
 
+    def _record_served(self, admission: admissions.Admission, tokens: int) -> None:
+        """Count tokens as served to the request's workspace; negative ones take that back."""
+        if admission.workspace is not None:
+            pool, workspace = admission.pool.name, admission.workspace.name
+            self._shares.record_served(pool, workspace, tokens, self._loop.time())
+
     def refuse_quarantined(self, admission: admissions.Admission) -> refusals.NotRun | None:
         """Refuse a quarantined request; None if it may be sent.
 
@@ -306,7 +332,12 @@
         return Response(head, body)
 
     def _record_outcome(
-        self, target: directories.Target, outcome: Outcome, *, is_resumed: bool
+        self,
+        target: directories.Target,
+        outcome: Outcome,
+        sent_at: float,
+        *,
+        is_resumed: bool,
     ) -> None:
         """Record whether a target failed, rejected the request or succeeded.
 
@@ -314,7 +345,7 @@
         have room for other requests.
         """
         if not isinstance(outcome, refusals.NotRun):
-            self._selector.failures.record_success(target.target_id)
+            self._selector.failures.record_success(target.target_id, self._loop.time(), sent_at)
         elif outcome.is_other_target:
             self._selector.failures.record_failure(target.target_id, self._loop.time())
         elif outcome.sent and not is_resumed:
@@ -328,6 +359,7 @@
         last_event_id: str = "",
         copy: dialects.MemoryCopy | None = None,
         backup: directories.Target | None = None,
+        hold: str = "",
     ) -> dialects.ForwardPlan:
         return dialects.ForwardPlan(
             wait_seconds=max(0.001, admission.deadline - self._loop.time()),
@@ -337,6 +369,7 @@
             last_event_id=last_event_id,
             copy=copy,
             backup_address=backup.address if backup is not None else "",
+            hold=hold,
         )
 
     def choose_backup(
@@ -351,6 +384,11 @@
             < MAX_EVACUATION_SECONDS
         ):
             return None
+        # Without reservations nothing bounds what copies displace, and copies are made as before.
+        if engine.hold_seconds > 0 and not copies.should_back_up(
+            *self._selector.compute_pool_load(admission.pool), admission.tokens
+        ):
+            return None
         backup = self._selector.choose(
             admission.pool, placing.Work(admission.tokens), {target.target_id}, is_sent_now=False
         )
@@ -373,7 +411,11 @@
                 return result if result.sends else SendResult(refusal)
             can_request_permit = permit_requests < MAX_PERMIT_REQUESTS
             target = self._selector.choose(
-                admission.pool, admission.work, excluded, can_request_permit=can_request_permit
+                admission.pool,
+                admission.work,
+                excluded,
+                can_request_permit=can_request_permit,
+                full_share=min(selection.FULL_MEMORY_SHARE, self._get_memory_share(admission)),
             )
             if target is not None and can_request_permit and self._available.needs_permit(target):
                 permit_requests += 1
@@ -397,8 +439,11 @@
             if not self._can_start(admission, target):
                 await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
                 continue
+            reservation = await self._reserve(admission, target)
+            if isinstance(reservation, reservations.Full):
+                continue
             excluded.add(target.target_id)
-            latest = await self._send_attempt(admission, target, result)
+            latest = await self._send_attempt(admission, target, result, reservation)
             result = _merge_results(result, latest)
             if isinstance(latest.outcome, refusals.NotRun) and not latest.outcome.sent:
                 unsent_attempts += not latest.outcome.is_blocked
@@ -415,18 +460,54 @@
             return dataclasses.replace(result, outcome=outcome)
         return result
 
+    async def _reserve(
+        self, admission: admissions.Admission, target: directories.Target
+    ) -> reservations.Reservation | None:
+        """Reserve memory at a target that is almost full; None if it is not."""
+        if not self._reservations.is_needed(admission, target):
+            return None
+        return await self._reservations.take(admission, target)
+
     async def _send_attempt(
-        self, admission: admissions.Admission, target: directories.Target, former: SendResult
+        self,
+        admission: admissions.Admission,
+        target: directories.Target,
+        former: SendResult,
+        reservation: reservations.Reservation | None,
     ) -> SendResult:
         backup = self.choose_backup(admission, target)
+        hold = reservation if isinstance(reservation, reservations.Hold) else None
         plan = self.build_plan(
-            admission, target, last_event_id=admission.facts.last_event_id, backup=backup
+            admission,
+            target,
+            last_event_id=admission.facts.last_event_id,
+            backup=backup,
+            hold=hold.id if hold is not None else "",
         )
         until = self._compute_attempt_deadline(admission, former.runs)
         started_at = self._loop.time()
-        outcome = await self.send(admission, target, plan, until=until)
+        if admission.workspace is not None and not former.sends:
+            waited = started_at - admission.request.arrived
+            prompt_tokens = admission.facts.prompt_tokens
+            self._shares.record_wait(admission.workspace.name, waited, prompt_tokens)
+        outcome: Outcome | None = None
+        try:
+            if isinstance(reservation, reservations.Unknown) and reservation.is_unreachable:
+                self._selector.failures.record_failure(target.target_id, started_at)
+                outcome = refusals.NotRun(reservation.reason, sent=False)
+            else:
+                outcome = await self.send(admission, target, plan, until=until)
+        finally:
+            # Without an outcome the caller has left, and a run there is aborted.
+            if hold is not None and (outcome is None or isinstance(outcome, refusals.NotRun)):
+                self._reservations.drop(hold)
         self._record_send(
-            admission, target, outcome, former.sends, started_at - admission.request.arrived
+            admission,
+            target,
+            outcome,
+            former.sends,
+            started_at - admission.request.arrived,
+            plan.hold,
         )
         may_have_run = not isinstance(outcome, refusals.NotRun)
         was_sent = may_have_run or outcome.sent
@@ -475,11 +556,19 @@
         )
 
     def _has_room(self, admission: admissions.Admission, target: directories.Target) -> bool:
-        """Whether a runner has memory for a request; short requests end before memory runs out."""
-        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
-        share = 1.0 if is_short or admission.priority == 0 else RUN_MEMORY_SHARE
+        """Whether a runner has memory for a request."""
+        share = self._get_memory_share(admission)
+        if share < RUN_MEMORY_SHARE and self._usage.get(target.address).tokens <= 0:
+            share = RUN_MEMORY_SHARE  # a prompt that needs most of a runner gets an idle one
         return self._selector.has_room(admission.pool, target, admission.tokens, share)
 
+    def _get_memory_share(self, admission: admissions.Admission) -> float:
+        """Share of a runner's memory for a request; short ones end before memory runs out."""
+        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
+        if is_short or admission.priority == 0:
+            return 1.0
+        return self._reservations.compute_long_share(admission, RUN_MEMORY_SHARE)
+
     def _can_retry(self, admission: admissions.Admission, result: SendResult) -> bool:
         outcome = result.outcome
         if result.runs >= admission.route.max_attempts or isinstance(outcome, Stream):
@@ -500,6 +589,7 @@
         outcome: Outcome,
         sends: int,
         waited: float,
+        hold: str,
     ) -> None:
         kind = _OUTCOME_LABELS[type(outcome)]
         self._metrics.sends.labels(admission.pool.name, kind).inc()
@@ -525,6 +615,7 @@
             requests_there=use.requests,
             tokens_there=use.tokens,
             tokens=admission.tokens,
+            hold=hold,
             limit=limit,
             reason=reason,
         )
