Refuse malformed messages, bound an order's retries, and log swallowed errors

- Forwarded loads and back-off hints with columns of different lengths were cut to the shortest, by which rows went to the wrong entry or target; they are refused with bad_request, as a whole.
- submit_evacuation proposed an order that others overtook without bound; it ends with version_conflict after 20 proposals.
- An unreadable host list, a failing placement step and tasks of an agent that had failed before its stop left no log line.
- An entry dropped the load reports of a restarted agent until their sequence passed the former one, unless it got the very first report; reports now count by the agent's start.

--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -32,6 +32,7 @@
 CANCEL_DELAYS = (0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 """Seconds before each repeated request to a target to cancel a run; then no more are sent."""
 MAX_HELD_GENERATIONS = 2_000
+MAX_ERROR_CHARACTERS = 200
 
 
 class Executor:
@@ -80,7 +81,13 @@
         """Cancel all tasks; generations on the target keep running."""
         for task in [*self._loops, *self._tasks]:
             task.cancel()
-        await asyncio.gather(*self._loops, *self._tasks, return_exceptions=True)
+        tasks = [*self._loops, *self._tasks]
+        for task, outcome in zip(
+            tasks, await asyncio.gather(*tasks, return_exceptions=True), strict=True
+        ):
+            if isinstance(outcome, Exception):
+                error = f"{task.get_coro().__qualname__}: {outcome!r}"[:MAX_ERROR_CHARACTERS]
+                self._timeline.record("internal.error", target=self.state.name, error=error)
         await self.state.client.close()
 
     def wake(self) -> None:
--- a/tillerlane/agent/tests/test_scheduling.py
+++ b/tillerlane/agent/tests/test_scheduling.py
@@ -1,6 +1,8 @@
 """Scheduling decisions at a target, one rule at a time, on a constructed state."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from tillerlane.agent import execution, forecast, lengths, scheduling
 from tillerlane.agent import generation as generations
@@ -281,6 +283,26 @@
         self.assertLessEqual(len(distributions._models), distributions.MAX_KEYS)
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Planned stop of a target's tasks."""
+
+    async def test_failed_task_is_logged(self) -> None:
+        """Guards against a task that failed hours ago without a log line."""
+        timeline = mock.Mock()
+        state = build_state()
+        executor = execution.Executor(state, timeline, lambda: (1.0, 1.0), lambda name, value: None)
+
+        async def fail() -> None:
+            raise ValueError("no such run")
+
+        executor._loops = [asyncio.create_task(fail()), asyncio.create_task(asyncio.sleep(60))]
+        await asyncio.sleep(0)
+        await executor.stop()
+        [call] = timeline.record.call_args_list
+        self.assertEqual(call.args, ("internal.error",))
+        self.assertIn("no such run", call.kwargs["error"])
+
+
 class ConstantsTest(unittest.TestCase):
     """Properties of constants that the code relies on."""
 
--- a/tillerlane/daemon/core.py
+++ b/tillerlane/daemon/core.py
@@ -251,7 +251,10 @@
         self._tasks.append(asyncio.create_task(self._refresh()))
         if self.settings.platform_list is not None:
             polling = platform.poll_list(
-                self.settings.platform_list, self.members, self._handle_platform_list
+                self.settings.platform_list,
+                self.members,
+                self._handle_platform_list,
+                lambda reason: self.timeline.record("platform.list_unreadable", reason=reason),
             )
             self._tasks.append(asyncio.create_task(polling))
         self.timeline.record("daemon.start", roles=[role.value for role in self.settings.roles])
--- a/tillerlane/entry/fleet.py
+++ b/tillerlane/entry/fleet.py
@@ -36,6 +36,8 @@
     first_seen: float
     load: messages.Load | None = None
     load_at: float = -math.inf
+    incarnation: int = 0
+    """Start of the agent that sent the last report; its sequence begins again with each start."""
     sent_since: int = 0
     """Requests sent since the last report, which therefore does not include them."""
     tokens_since: int = 0
@@ -47,10 +49,17 @@
     retained_until: float = math.inf
     """Time until which a target of a far data hall is kept."""
 
-    def handle_load(self, load: messages.Load, now: float) -> None:
-        """Apply a load report unless it is older than the last one."""
-        if self.load is not None and load.sequence <= self.load.sequence and load.sequence > 1:
+    def handle_load(self, load: messages.Load, now: float, incarnation: int = 0) -> None:
+        """Apply a load report unless it is older than the last one.
+
+        `incarnation` is that of the agent, which increases with each of its starts.
+        """
+        if incarnation < self.incarnation:
+            return
+        is_same_start = self.load is not None and incarnation == self.incarnation
+        if is_same_start and 1 < load.sequence <= self.load.sequence:
             return
+        self.incarnation = incarnation
         self.load = load
         self.load_at = now
         self.sent_since = 0
@@ -185,10 +194,11 @@
 
     def handle_loads(self, link: links.Link, loads: messages.Loads, now: float) -> None:
         """Apply the load reports that an agent sent."""
+        incarnation = link.hello.incarnation if link.hello is not None else 0
         for load in loads.loads:
             record = self.targets.get(load.target)
             if record is not None and record.agent == link.peer_id:
-                record.handle_load(load, now)
+                record.handle_load(load, now, incarnation)
 
     def find(self, name: str) -> TargetRecord | None:
         """Target of this name, if known."""
--- a/tillerlane/gateway/backoff.py
+++ b/tillerlane/gateway/backoff.py
@@ -14,7 +14,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["PROBE_INTERVAL_SECONDS", "BackoffRecord", "Backoffs", "decode_hints", "encode_hints"]
 
@@ -175,9 +175,16 @@
 
 
 def decode_hints(message: messages.TargetBackoffs) -> list[tuple[str, float]]:
-    """Decode targets, and the end of the back-off that they requested, from a message."""
+    """Decode targets, and the end of the back-off that they requested, from a message.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if its columns differ in length.
+    """
+    codec.check_columns("target back-offs", message.target_ids, message.left_ms)
     now = asyncio.get_running_loop().time()
     return [
         (target_id, now + min(left_ms / 1000, MAX_BACKOFF_SECONDS))
-        for target_id, left_ms in zip(message.target_ids, message.left_ms, strict=False)
+        for target_id, left_ms in zip(message.target_ids, message.left_ms, strict=True)
     ]
--- a/tillerlane/gateway/failures/reports.py
+++ b/tillerlane/gateway/failures/reports.py
@@ -4,9 +4,7 @@
 from collections.abc import Iterable
 
 from tillerlane.decisions import failing
-from tillerlane.faults import core as faults
-from tillerlane.faults import kinds
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["MAX_TARGETS", "Report", "ReportTable", "decode_reports", "encode_reports"]
 
@@ -79,10 +77,7 @@
     faults.FaultError
         Of kind ``bad_request`` if its columns differ in length.
     """
-    if len(message.target_ids) != len(message.left_ms):
-        lengths = f"{len(message.target_ids)} targets and {len(message.left_ms)} times"
-        fault = faults.new_fault(kinds.ErrorKind.BAD_REQUEST, f"got {lengths} of target failures")
-        raise faults.FaultError(fault)
+    codec.check_columns("target failures", message.target_ids, message.left_ms)
     now = asyncio.get_running_loop().time()
     return [
         (target_id, now + min(left_ms / 1000, failing.MAX_BACKOFF_SECONDS) if left_ms else 0.0)
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -13,6 +13,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
 from tillerlane.peers import codec, messages
 
 __all__ = [
@@ -176,13 +178,16 @@
         Raises
         ------
         faults.FaultError
-            Of kind ``bad_request`` if they can't be decoded.
+            Of kind ``bad_request`` if they can't be decoded, or the numbers of rows don't match.
         """
         rows = _decode_rows(forwarded.table)
+        columns = forwarded.entries, forwarded.sequences, forwarded.counts
+        codec.check_columns("forwarded loads", *columns)
+        if sum(forwarded.counts) != len(rows):
+            text = f"got {len(rows)} rows of forwarded loads, expected {sum(forwarded.counts)}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, text))
         start = 0
-        for entry, sequence, count in zip(
-            forwarded.entries, forwarded.sequences, forwarded.counts, strict=False
-        ):
+        for entry, sequence, count in zip(*columns, strict=True):
             loads = dict(rows[start : start + count])
             start += count
             self._merge(entry, _Report(sequence, now, loads))
--- a/tillerlane/gateway/returns/table.py
+++ b/tillerlane/gateway/returns/table.py
@@ -6,9 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from tillerlane.decisions import returns as decisions
-from tillerlane.faults import core as faults
-from tillerlane.faults import kinds
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["RefusedCaller", "ReturnTable", "decode_returns", "encode_returns"]
 
@@ -152,10 +150,8 @@
     faults.FaultError
         Of kind ``bad_request`` if its columns differ in length.
     """
-    lengths = [len(message.fingerprints), len(message.first_ms), len(message.left_ms)]
-    if len(set(lengths)) > 1:
-        text = f"got columns of {lengths} rows of refused callers, expected one length"
-        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, text))
+    columns = message.fingerprints, message.first_ms, message.left_ms
+    codec.check_columns("refused callers", *columns)
     now = asyncio.get_running_loop().time()
     return [
         RefusedCaller(
@@ -163,9 +159,7 @@
             now - min(first_ms / 1000, MAX_SECONDS),
             now + min(left_ms / 1000, MAX_SECONDS),
         )
-        for fingerprint, first_ms, left_ms in zip(
-            message.fingerprints, message.first_ms, message.left_ms, strict=True
-        )
+        for fingerprint, first_ms, left_ms in zip(*columns, strict=True)
         if 0 < len(fingerprint) <= MAX_ID_CHARACTERS
     ]
 
--- a/tillerlane/gateway/tests/test_backoff_records.py
+++ b/tillerlane/gateway/tests/test_backoff_records.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from tillerlane.faults import core as faults
 from tillerlane.gateway import backoff
+from tillerlane.peers import messages
 
 
 class BackoffsTest(unittest.TestCase):
@@ -75,6 +77,11 @@
         self.assertIsNone(self.backoffs.find_end("t1", 0))
         self.assertEqual(self.backoffs.list_all(), [])
 
+    def test_malformed_message_is_refused(self) -> None:
+        """Guards against back-offs that are attributed to the wrong target."""
+        with self.assertRaises(faults.FaultError):
+            backoff.decode_hints(messages.TargetBackoffs(["t1", "t2"], [300]))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/gateway/tests/test_loads.py
+++ b/tillerlane/gateway/tests/test_loads.py
@@ -5,6 +5,8 @@
 
 from hypothesis import given, strategies
 
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
 from tillerlane.gateway import loads
 from tillerlane.gateway import usage as usages
 from tillerlane.peers import codec, messages
@@ -288,6 +290,19 @@
         with self.assertRaisesRegex(Exception, "expected one length"):
             codec.decode_table(codec.encode_table(table), messages.UseTable)
 
+    def test_forwarded_loads_with_missing_rows_are_refused_as_a_whole(self) -> None:
+        """Guards against rows that are attributed to the wrong entry."""
+        table = loads.encode_loads([(ADDRESS, loads.TargetLoad(1, 500))])
+        for forwarded in (
+            messages.PassedLoads(["entry-1", "entry-2"], [1], [1], table),
+            messages.PassedLoads(["entry-1"], [1], [2], table),
+        ):
+            ledger = loads.LoadAggregator("keeper-1", 1)
+            with self.assertRaises(faults.FaultError) as raised:
+                ledger.handle_forwarded(forwarded, 0.0)
+            self.assertEqual(raised.exception.fault.kind, kinds.ErrorKind.BAD_REQUEST)
+            self.assertEqual(read_tokens(ledger), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/members/platform.py
+++ b/tillerlane/members/platform.py
@@ -18,6 +18,7 @@
 
 POLL_INTERVAL_SECONDS = 0.5
 MAX_LIST_BYTES = 4 * 1024 * 1024
+MAX_ERROR_CHARACTERS = 200
 
 
 def parse_list(text: str) -> set[str]:
@@ -50,10 +51,18 @@
 
 
 async def poll_list(
-    source: str, view: views.MemberView, on_list: Callable[[set[str]], None]
+    source: str,
+    view: views.MemberView,
+    on_list: Callable[[set[str]], None],
+    on_error: Callable[[str], None] = lambda reason: None,
 ) -> None:
-    """Poll the list until cancelled; `on_list` gets the leaving names whenever they change."""
+    """Poll the list until cancelled.
+
+    `on_list` gets the leaving names whenever they change.  `on_error` gets the reason when the list
+    can't be read, once for each reason in a row, and an empty text when it is readable again.
+    """
     last: set[str] | None = None
+    last_error = ""
     async with httpx.AsyncClient(timeout=2.0, trust_env=False) as client:
         while True:
             try:
@@ -62,6 +71,10 @@
                     last = leaving
                     view.set_platform_leaving(leaving)
                     on_list(leaving)
-            except (OSError, ValueError, httpx.HTTPError):
-                pass
+                error_text = ""
+            except (OSError, ValueError, httpx.HTTPError) as error:
+                error_text = f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARACTERS]
+            if error_text != last_error:
+                last_error = error_text
+                on_error(error_text)
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
--- a/tillerlane/members/tests/test_members.py
+++ b/tillerlane/members/tests/test_members.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from hypothesis import given, strategies
 
@@ -58,6 +59,32 @@
             with self.assertRaises(ValueError):
                 platform.parse_list(bad)
 
+    def test_unreadable_list_is_reported_once(self) -> None:
+        """Guards against a list that stays unreadable for hours without a log line."""
+
+        async def run() -> list[str]:
+            reasons: list[str] = []
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder) / "hosts.json"
+                polling = asyncio.create_task(
+                    platform.poll_list(
+                        str(path), views.MemberView(), lambda names: None, reasons.append
+                    )
+                )
+                async with asyncio.timeout(10.0):
+                    while not reasons:
+                        await asyncio.sleep(0.05)
+                    path.write_text('{"hosts": {}}')
+                    while len(reasons) < 2:
+                        await asyncio.sleep(0.05)
+                polling.cancel()
+                return reasons
+
+        with mock.patch.object(platform, "POLL_INTERVAL_SECONDS", 0.01):
+            missing, readable = asyncio.run(run())
+        self.assertIn("FileNotFoundError", missing)
+        self.assertEqual(readable, "")
+
 
 class FleetTest(scenes.SceneCase):
     """In a running fleet."""
--- a/tillerlane/operators/changes.py
+++ b/tillerlane/operators/changes.py
@@ -26,6 +26,9 @@
 ]
 
 CATCH_UP_TIMEOUT_SECONDS = 2.0
+MAX_EVACUATION_ATTEMPTS = 20
+"""Proposals of one order.  Each that is overtaken means that another change was committed, and
+operators make a few of them a minute."""
 
 
 class ChangeBody(pydantic.BaseModel):
@@ -169,14 +172,15 @@
     ------
     faults.FaultError
         ``not_found`` if no daemon is known to be in the data hall, ``no_quorum`` with ``ran:
-        unknown`` if the outcome is unknown.
+        unknown`` if the outcome is unknown, ``version_conflict`` if other changes overtake the
+        order again and again.
     """
     known = {member.data_hall for member in daemon.members.list_all()}
     if body.evacuated and body.data_hall not in known:
         message = f"got data hall {body.data_hall!r}, expected one of {sorted(known)}"
         raise faults.FaultError(faults.new_fault(kinds.ErrorKind.NOT_FOUND, message))
     against = daemon.store.version
-    while True:
+    for _ in range(MAX_EVACUATION_ATTEMPTS):
         at_ms = int(time.time() * 1000)
         command = commands.Evacuate(body.data_hall, body.evacuated, against, actor, at_ms)
         reply = await daemon.client.propose(command)
@@ -191,3 +195,8 @@
         if reply["accepted"]:
             return reply
         against = reply["version"]
+    message = f"{MAX_EVACUATION_ATTEMPTS} proposals were overtaken, the last by version {against}"
+    detail = {"version": against}
+    raise faults.FaultError(
+        faults.new_fault(kinds.ErrorKind.VERSION_CONFLICT, message, detail=detail)
+    )
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -15,7 +15,15 @@
 from tillerlane.faults import kinds
 from tillerlane.peers import messages
 
-__all__ = ["decode", "decode_json", "decode_table", "encode", "encode_json", "encode_table"]
+__all__ = [
+    "check_columns",
+    "decode",
+    "decode_json",
+    "decode_table",
+    "encode",
+    "encode_json",
+    "encode_table",
+]
 
 
 def encode_json(value: Any) -> bytes:
@@ -38,6 +46,20 @@
         raise faults.FaultError(fault) from error
 
 
+def check_columns(message: str, *columns: list[Any]) -> None:
+    """Check that the columns of a message have one length.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` otherwise.
+    """
+    lengths = [len(column) for column in columns]
+    if len(set(lengths)) > 1:
+        text = f"got columns of {lengths} rows in {message}, expected one length"
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, text))
+
+
 def _build_schema_name(name: str) -> str:
     head, *rest = name.split("_")
     return head + "".join(part.capitalize() for part in rest)
--- a/tillerlane/placement/leader.py
+++ b/tillerlane/placement/leader.py
@@ -21,6 +21,7 @@
 __all__ = ["PlacementLeader"]
 
 PLAN_INTERVAL_SECONDS = 2.0
+MAX_REASON_CHARACTERS = 200
 
 Query = Callable[[messages.Member, str, dict[str, Any]], Awaitable[Any]]
 
@@ -74,14 +75,19 @@
         return self._replica.state_machine
 
     async def _run(self) -> None:
+        former = ""
         while True:
             await asyncio.sleep(PLAN_INTERVAL_SECONDS)
             if not self._replica.has_lease or not self._is_enabled():
                 continue
             try:
                 await self._step()
-            except (faults.FaultError, links.LinkLost, OSError):
-                continue
+                former = ""
+            except (faults.FaultError, links.LinkLost, OSError) as error:
+                reason = f"{type(error).__name__}: {error}"[:MAX_REASON_CHARACTERS]
+                if reason != former:
+                    self._timeline.record("placement.failed", reason=reason)
+                former = reason
 
     def _is_enabled(self) -> bool:
         """Whether any pool allows its models to be moved."""
--- a/tillerlane/placement/tests/test_placement.py
+++ b/tillerlane/placement/tests/test_placement.py
@@ -3,10 +3,11 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
-from tillerlane.placement import planner
+from tillerlane.placement import leader, planner
 from tillerlane.testing import lab, scenes
 
 MODELS = {"pool": ["m", "n"]}
@@ -25,6 +26,29 @@
     )
 
 
+class LeaderTest(unittest.TestCase):
+    """The loop of the leader."""
+
+    def test_failing_step_is_logged_once(self) -> None:
+        """Guards against a placement that fails for hours without a log line."""
+        timeline = mock.Mock()
+        own = mock.Mock()
+        own.has_lease = True
+        own.state_machine.store.current.pools = {"pool": mock.Mock(most_models=2)}
+        placement = leader.PlacementLeader(own, list, mock.AsyncMock(), timeline, lambda: 0)
+        placement._step = mock.AsyncMock(side_effect=OSError("no route"))
+
+        async def run() -> None:
+            placement.start()
+            await asyncio.sleep(0.1)
+            placement.stop()
+
+        with mock.patch.object(leader, "PLAN_INTERVAL_SECONDS", 0.01):
+            asyncio.run(run())
+        self.assertGreater(placement._step.call_count, 1)
+        timeline.record.assert_called_once_with("placement.failed", reason="OSError: no route")
+
+
 class PlannerTest(unittest.TestCase):
     """Each rule of the planner."""
 
