--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -37,6 +37,8 @@
 """Heartbeat interval of a daemon to its home keeper, which has hundreds of such links."""
 TIMEOUT_FACTOR = 2.1
 """A link with no data for this many heartbeat intervals of the peer is lost."""
+MAX_REASON_CHARACTERS = 200
+"""Bound on the logged reason for which a peer's message is refused."""
 TOKEN_FLUSH_DELAY_SECONDS = 0.002
 """How long tokens wait for others to share their frame."""
 
@@ -370,6 +372,9 @@
         try:
             while True:
                 self._dispatch(await self._read_envelope(MAX_FRAME_BYTES))
+        except faults.FaultError as error:
+            reason = error.fault.message[:MAX_REASON_CHARACTERS]
+            structlog.get_logger().warning("peer.malformed", peer=self.peer_id, reason=reason)
         except (OSError, EOFError, faults.TillerlaneError):
             pass
         finally:
--- a/tillerlane/peers/tests/test_link.py
+++ b/tillerlane/peers/tests/test_link.py
@@ -5,8 +5,10 @@
 import unittest
 from typing import Any
 
+from structlog import testing
+
+from tillerlane.peers import codec, messages
 from tillerlane.peers import link as links
-from tillerlane.peers import messages
 from tillerlane.testing import lab
 from tillerlane.timeline import clock as clocks
 
@@ -24,6 +26,9 @@
         self.written += data
         self.unsent += len(data)
 
+    def get_extra_info(self, name: str) -> None:
+        """Nothing is known about the connection."""
+
     def close(self) -> None:
         """Close after the buffered bytes are sent, as transports do."""
 
@@ -76,5 +81,27 @@
         self.assertIn(b"subject", writer.written)
 
 
+class MalformedMessageTest(unittest.TestCase):
+    """A peer sends a message that can't be decoded."""
+
+    def test_reason_is_logged(self) -> None:
+        """Guards against links that end again and again without a log line."""
+
+        async def run() -> None:
+            link = build_link(FullWriter(0))
+            hello = messages.Hello("keeper-1", 1, "f", "10.0.0.1:7000")
+            frames = [codec.encode(messages.Envelope(1, 1, 0, hello)), b"no message"]
+            for frame in frames:
+                link._reader.feed_data(len(frame).to_bytes(4) + frame)
+            await link.run()
+            self.assertFalse(link.is_open)
+
+        with testing.capture_logs() as logs:
+            lab.run_virtual(run())
+        [line] = [item for item in logs if item["event"] == "peer.malformed"]
+        self.assertEqual(line["peer"], "keeper-1")
+        self.assertIn("cannot decode", line["reason"])
+
+
 if __name__ == "__main__":
     unittest.main()
