--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -11,9 +11,10 @@
 
 import collections
 import dataclasses
-import itertools
 from collections.abc import Iterable
 
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
 from tillerlane.gateway.shares import aggregation
 from tillerlane.gateway.shares import rows as share_rows
 from tillerlane.peers import codec, messages
@@ -188,14 +189,20 @@
         Raises
         ------
         faults.FaultError
-            Of kind ``bad_request`` if they can't be decoded.
+            Of kind ``bad_request`` if they can't be decoded, or the numbers of rows don't match.
         """
         rows = _decode_rows(forwarded.table)
+        columns = forwarded.entries, forwarded.sequences, forwarded.counts
+        codec.check_columns("forwarded loads", *columns)
+        if sum(forwarded.counts) != len(rows):
+            text = f"got {len(rows)} rows of forwarded loads, expected {sum(forwarded.counts)}"
+            raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, text))
         workspaces = [share_rows.decode_rows(item) for item in forwarded.workspaces]
-        by_entry = itertools.chain(workspaces, itertools.repeat({}))  # a former version has none
+        # Keepers of the former version forward no workspaces.
+        workspaces += [{} for _ in forwarded.entries[len(workspaces) :]]
         start = 0
         for entry, sequence, count, shares in zip(
-            forwarded.entries, forwarded.sequences, forwarded.counts, by_entry, strict=False
+            *columns, workspaces[: len(forwarded.entries)], strict=True
         ):
             loads = dict(rows[start : start + count])
             start += count
