--- /dev/null
+++ b/tillerlane/decisions/room.py
@@ -0,0 +1,111 @@
+"""Decides whether a request goes on waiting for memory, from a forecast of when there is some.
+
+The load is more long and short generations than the pool's memory holds.  Callers of refused
+requests retry once.  A request that is refused early and served in time at its retry earns half of
+its value or more, a late one next to nothing.  So a request that can't be in time is refused early,
+and one that may still be in time waits.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from tillerlane.decisions import ordering
+
+__all__ = ["Decision", "Forecast", "compute_retry_after", "decide", "sum_usable"]
+
+EARLY_SHARE = 0.25
+"""Share of the objective within which a refusal leaves the caller's retry enough time to count."""
+FORECAST_FACTOR = 1.25
+"""Factor by which the forecast must exceed the time left for an early refusal.  A refused request
+that retries earns half of its value in most cases, so that a refusal pays only where the request
+would be late with a probability above two thirds."""
+LATE_DEADLINE_SHARE = 0.5
+"""Share of the time to its deadline that a request whose late answer has value waits at most; the
+rest is for the run itself."""
+RETRY_SHARE = 0.3
+"""Maximum retry delay as a share of a caller's remaining time; callers obey up to a third of it."""
+DEFAULT_RETRY_SECONDS = 3.0
+"""Retry delay without a forecast: a full pool stays full for seconds, since a long run takes some
+8 s and a runner that left is replaced after 4 s."""
+MIN_RETRY_SECONDS = 0.1
+"""A pool whose memory a request has just waited for in vain has none at once."""
+
+
+class Decision(enum.Enum):
+    """Whether a request waits on."""
+
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forecast:
+    """What the time until memory is free for a request is estimated from.
+
+    Attributes
+    ----------
+    free_tokens : float
+        Free memory at runners that have enough of it for the request.
+    ahead_tokens : float
+        Memory of the requests that wait ahead of it, at all entries.
+    freed_tokens_per_second : float or None
+        Rate at which the pool's memory is freed; None until it has been measured.
+    """
+
+    free_tokens: float
+    ahead_tokens: float
+    freed_tokens_per_second: float | None
+
+    def estimate_seconds(self, tokens: int) -> float | None:
+        """Estimate the seconds until so many tokens are free; None if unknown."""
+        if self.freed_tokens_per_second is None:
+            return None
+        missing = max(0.0, self.ahead_tokens + tokens - self.free_tokens)
+        return missing / max(1.0, self.freed_tokens_per_second)
+
+
+def sum_usable(free_tokens: Iterable[float], tokens: int) -> float:
+    """Sum the free memory of the runners that have enough of it for a request."""
+    return sum(free for free in free_tokens if free >= tokens)
+
+
+def decide(
+    item: ordering.Waiting,
+    now: float,
+    forecast_seconds: float | None,
+    read_tokens_per_second: float,
+) -> Decision:
+    """Decide whether a request that finds no free memory waits on.
+
+    Parameters
+    ----------
+    item : ordering.Waiting
+        The request.
+    now : float
+        Time of the event loop.
+    forecast_seconds : float or None
+        Seconds until there is memory for it; None if unknown.
+    read_tokens_per_second : float
+        Rate at which a busy runner prefills.
+    """
+    fastest = read_tokens_per_second * ordering.FASTEST_READ_FACTOR
+    seconds_left = ordering.compute_latest_start(item, fastest) - now
+    if seconds_left > 0:
+        is_early = now - item.arrived <= EARLY_SHARE * item.objective_seconds
+        if not is_early or forecast_seconds is None:
+            return Decision.WAIT
+        can_be_in_time = forecast_seconds <= seconds_left * FORECAST_FACTOR
+        return Decision.WAIT if can_be_in_time else Decision.REFUSE
+    used = now - item.arrived
+    has_time = used < LATE_DEADLINE_SHARE * (item.deadline - item.arrived)
+    return Decision.WAIT if item.is_long and has_time else Decision.REFUSE
+
+
+def compute_retry_after(
+    item: ordering.Waiting, now: float, forecast_seconds: float | None
+) -> float:
+    """Return the seconds after which a refused caller may retry: the forecast, bounded."""
+    seconds = DEFAULT_RETRY_SECONDS if forecast_seconds is None else forecast_seconds
+    remaining = max(0.0, item.deadline - now)
+    return min(max(MIN_RETRY_SECONDS, seconds), remaining * RETRY_SHARE)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -21,6 +21,7 @@
     metrics,
     permits,
     quarantine,
+    refusals,
     relay,
     runs,
     selection,
@@ -36,6 +37,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.queue import choosing, finder
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -53,6 +55,9 @@
 """Longest interval between them: a third of the time for which a report counts.  Keepers count
 entries by these reports."""
 STOP_CHECK_INTERVAL_SECONDS = 0.05
+STOP_REFUSAL_SECONDS = 0.2
+"""How long before the end of a planned stop the waiting requests are refused, so that their callers
+get the responses."""
 MAX_LOGGED_TARGETS = 60
 """Target changes in one message that are logged one by one; keepers log each.  A line costs an
 entry with little processor time 50 us, and after a common start it gets thousands of changes."""
@@ -183,6 +188,21 @@
         exit_detector = exit_detection.ExitDetector(
             self.usage, self.quarantine, self.timeline, self._metrics
         )
+        refuser = refusals.RefusalBuilder(available, self.usage)
+        chooser = choosing.Chooser(
+            selector, available, self.usage, self.directory, self._startup, random.Random()
+        )
+        self.finder = finder.TargetFinder(
+            chooser,
+            selector,
+            available,
+            self.usage,
+            self.directory,
+            refuser,
+            self.timeline,
+            self._metrics,
+        )
+        self.usage.on_freed = self.permits.on_reply = self.finder.notify
         sender = sending.Sender(
             dialect,
             selector,
@@ -192,10 +212,11 @@
             self._budget,
             self.timeline,
             self._metrics,
-            self._startup,
             self.directory,
             exit_detector,
             self.quarantine,
+            self.finder,
+            refuser,
         )
         self.directory.add_listener(self._handle_target_change)
         relayed_streams = streams.Streams(
@@ -288,6 +309,8 @@
             self._front.count_busy()
             and self._loop.time() - stopping_at < self._settings.stop_seconds
         ):
+            if self._loop.time() - stopping_at > self._settings.stop_seconds - STOP_REFUSAL_SECONDS:
+                self.finder.refuse_waiting()
             await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.timeline.record("daemon.stop", busy=self._front.count_busy())
         self._front.abort_all()
@@ -309,6 +332,7 @@
         self._metrics.unused_permits.set_function(lambda: self.permits.unused)
         self._metrics.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._metrics.evacuated.set_function(lambda: len(self.directory.evacuated))
+        self._metrics.waiting.set_function(self.finder.count_waiting)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Apply the seeds of changed settings."""
@@ -480,6 +504,7 @@
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
         """Discard what is held about a target that is gone or has restarted."""
+        self.finder.notify()
         if target.phase is directories.Phase.GONE:
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
@@ -503,8 +528,10 @@
         if taken is usages.DigestResult.GAP:
             self.timeline.record("loads.gap", keeper=digest.keeper, sequence=digest.sequence)
             self.homes.request_full_loads()
-        elif taken is usages.DigestResult.APPLIED and digest.whole:
-            self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
+        elif taken is usages.DigestResult.APPLIED:
+            self.finder.notify()
+            if digest.whole:
+                self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
 
     async def _send_loads(self) -> None:
         """Report load to the primary keeper: on change, regularly, and when that keeper is new."""
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -28,6 +28,9 @@
 REPORT_TTL_SECONDS = 3.0
 """How long a report counts; entries send one at least once a second.  The load of an entry that
 died is counted for this long, and no longer."""
+CLAIM_TTL_SECONDS = 2.0
+"""How long the claims in a report count: memory that is kept free for an entry that died is lost to
+all others.  Two reports are a second apart at most."""
 MAX_ROWS = 120
 """Maximum number of targets in a digest, those with the largest changes first; the rest follow with
 the next digest.  It bounds what an entry receives regardless of the number of targets: 5.9 kB a
@@ -57,6 +60,8 @@
         Memory of runs that has no copy elsewhere.
     events, event_ms : int
         Recent events of streams from the target, and the milliseconds that they took.
+    claimed : int
+        Memory that waiting requests claim as soon as it is free (`gateway.queue`).
     """
 
     requests: int = 0
@@ -65,11 +70,12 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    claimed: int = 0
 
     @property
     def is_empty(self) -> bool:
         """Whether no field is positive; `event_ms` doesn't count."""
-        most = max(self.requests, self.tokens, self.unread, self.unsaved, self.events)
+        most = max(self.requests, self.tokens, self.unread, self.unsaved, self.events, self.claimed)
         return most <= 0
 
     def add(self, other: "TargetLoad", sign: int = 1) -> None:
@@ -80,18 +86,20 @@
         self.unsaved += sign * other.unsaved
         self.events += sign * other.events
         self.event_ms += sign * other.event_ms
+        self.claimed += sign * other.claimed
 
     def compute_change(self, former: "TargetLoad") -> int:
         """How much it differs from a former load, in tokens of memory."""
         # A request counts as a short prompt, so that plain services' targets rank beside runners.
         return (
             abs(self.tokens - former.tokens)
+            + abs(self.claimed - former.claimed)
             + abs(self.unread - former.unread)
             + _REQUEST_TOKENS * abs(self.requests - former.requests)
         )
 
 
-FIELDS = ("requests", "tokens", "unread", "unsaved", "events", "event_ms")
+FIELDS = ("requests", "tokens", "unread", "unsaved", "events", "event_ms", "claimed")
 _REQUEST_TOKENS = 1_000
 _EMPTY = TargetLoad()
 Loads = dict[str, TargetLoad]
@@ -100,8 +108,8 @@
 def encode_loads(loads: Iterable[tuple[str, TargetLoad]]) -> bytes:
     """Encode loads by address as a table; values below 0 become 0."""
     rows = list(loads)
-    columns = [[max(0, getattr(load, name)) for _, load in rows] for name in FIELDS]
-    return codec.encode_table(messages.UseTable([address for address, _ in rows], *columns))
+    columns = {name: [max(0, getattr(load, name)) for _, load in rows] for name in FIELDS}
+    return codec.encode_table(messages.UseTable([address for address, _ in rows], **columns))
 
 
 def decode_loads(data: bytes) -> Loads:
@@ -117,7 +125,9 @@
 
 def _decode_rows(data: bytes) -> list[tuple[str, TargetLoad]]:
     table = codec.decode_table(data, messages.UseTable)
-    columns = [getattr(table, name) for name in FIELDS]
+    # Daemons of an earlier version don't send the columns that were added later.
+    absent = [0] * len(table.addresses)
+    columns = [getattr(table, name) or absent for name in FIELDS]
     return [
         (address, TargetLoad(*values))
         for address, *values in zip(table.addresses, *columns, strict=True)
@@ -160,9 +170,7 @@
     def handle_report(self, report: messages.EntryLoads, now: float) -> bool:
         """Handle an entry's own report; False if a later one is held."""
         loads = {
-            item.address: TargetLoad(
-                item.requests, item.tokens, item.unread, item.unsaved, item.events, item.event_ms
-            )
+            item.address: TargetLoad(*(getattr(item, name) for name in FIELDS))
             for item in report.uses
         }
         is_later = self._merge(report.entry, _Report(report.sequence, now, loads))
@@ -188,14 +196,23 @@
             self._merge(entry, _Report(sequence, now, loads))
 
     def expire(self, now: float) -> list[str]:
-        """Drop the reports that are older than `REPORT_TTL_SECONDS`; returns their entries."""
-        expired = [
-            entry
-            for entry, report in self._reports.items()
-            if now - report.heard_at > REPORT_TTL_SECONDS
-        ]
-        for entry in expired:
-            self._update_total(self._reports.pop(entry), None)
+        """Drop the reports that are older than `REPORT_TTL_SECONDS`; returns their entries.
+
+        The claims in them are dropped after `CLAIM_TTL_SECONDS`.
+        """
+        expired = []
+        for entry, report in list(self._reports.items()):
+            age = now - report.heard_at
+            if age > REPORT_TTL_SECONDS:
+                self._update_total(self._reports.pop(entry), None)
+                expired.append(entry)
+            elif age > CLAIM_TTL_SECONDS and any(load.claimed for load in report.loads.values()):
+                unclaimed = {
+                    address: dataclasses.replace(load, claimed=0)
+                    for address, load in report.loads.items()
+                }
+                self._reports[entry] = dataclasses.replace(report, loads=unclaimed)
+                self._update_total(report, self._reports[entry])
         return expired
 
     def _merge(self, entry: str, report: _Report) -> bool:
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -56,6 +56,10 @@
     as already known, or unread."""
     in_backoff: prometheus_client.Gauge
     """Targets that this entry sends nothing to, since they requested back-off."""
+    waiting: prometheus_client.Gauge
+    """Requests that wait for a pool of runners."""
+    queue_seconds: prometheus_client.Histogram
+    """Time that requests waited for a runner, by pool and size class; of those that waited."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -94,6 +98,14 @@
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
         count("tillerlane_target_words", "What answers say of targets", "word", "outcome"),
         gauge("tillerlane_targets_in_backoff", "Targets that asked this entry for back-off"),
+        gauge("tillerlane_waiting_requests", "Requests that wait for a pool of runners"),
+        prometheus_client.Histogram(
+            "tillerlane_queue_seconds",
+            "Time that a request waited for a runner",
+            ("pool", "size"),
+            registry=registry,
+            buckets=SECONDS_BUCKETS,
+        ),
     )
 
 
--- a/tillerlane/gateway/permits.py
+++ b/tillerlane/gateway/permits.py
@@ -57,6 +57,8 @@
         Entries of the fleet, as last reported; 0 until then.
     unused : int
         Permits that expired unused.
+    on_reply : callable
+        Called when permits were granted or denied.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.on_owner_change: Callable[[bool, str], None] = lambda is_reachable, reason: None
         self.entries = 0
         self.unused = 0
+        self.on_reply: Callable[[], None] = lambda: None
 
     def find_limit(self, target_id: str) -> float | None:
         """A target's limit in requests a second; None without one in force."""
@@ -176,6 +179,7 @@
         return min((held[0] for held in self._held.values() if held), default=None)
 
     def _wake_waiters(self) -> None:
+        self.on_reply()
         if self._next_reply is not None and not self._next_reply.done():
             self._next_reply.set_result(None)
         self._next_reply = None
--- /dev/null
+++ b/tillerlane/gateway/queue/choosing.py
@@ -0,0 +1,322 @@
+"""Chooses a target for a request if one can take it now, and claims memory for one that waits."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+
+from tillerlane.decisions import queueing
+from tillerlane.gateway import admission as admissions
+from tillerlane.gateway import availability, directory, selection, startup
+from tillerlane.gateway import usage as usages
+from tillerlane.gateway.queue import offers
+
+__all__ = ["Chooser", "Search"]
+
+BLOCKED_WAIT_SHARE = 0.2
+"""Share of the response-time objective that a request waits for blocked targets before it is
+refused with a retry time: the ends of back-offs and cold starts are known, and few fall into it."""
+PREFILL_WAIT_SHARE = 0.7
+"""Share of the objective that a request waits for a runner whose prefill backlog is small enough;
+after that it is sent to the best candidate, since late is better than not at all.  Refusing it at
+that point, or after a share of 0.2, makes no difference to other requests on loaded days: long runs
+earn 0.70 and 0.71 of their credit against 0.69, short runs 0.79 and 0.78 against 0.78."""
+MIN_SEND_SECONDS = 0.02
+"""With less time left than this, a target could not answer."""
+MAX_PERMIT_REQUESTS = 2
+"""Permit requests per caller's request: the first reply may answer an earlier permit request."""
+RUN_MEMORY_SHARE = 0.95
+"""Share of a runner's memory up to which it gets runs other than the most urgent: active runs still
+grow, and requests sent by other entries are reported late."""
+MAX_CLAIM_SECONDS = 1.0
+"""How long a request claims the same runner: runs there last some 8 s, so that another runner may
+be the first to free memory."""
+CLAIM_SAMPLE_SHARE = 0.5
+"""Share of the pool's runners among which a claim is made, so that entries whose requests wait at
+the same time claim different ones."""
+FULL_SECONDS = 0.1
+"""How long a runner that refused to reserve memory counts as full without a new load report."""
+
+
+class Search:
+    """State of one request that looks for a target, also over several sends.
+
+    Attributes
+    ----------
+    excluded : set of str
+        Ids of the targets that it was sent to.
+    permit_requests : int
+        Permits requested for it so far.
+    claimed : directory.Target or None
+        Runner whose memory it claims, since `claimed_at`.
+    queue_rank, queue_length : int or None
+        Its rank when it began to wait, and the length of the queue; None if it did not wait.
+    """
+
+    def __init__(
+        self,
+        chooser: "Chooser",
+        admission: admissions.Admission,
+        is_barred: Callable[[admissions.Admission], bool],
+    ) -> None:
+        self._chooser = chooser
+        self._is_barred = is_barred
+        self.admission = admission
+        self.excluded: set[str] = set()
+        self.permit_requests = 0
+        self.claimed: directory.Target | None = None
+        self.claimed_at = 0.0
+        self.queue_rank: int | None = None
+        self.queue_length: int | None = None
+
+    @property
+    def is_barred(self) -> bool:
+        """Whether the request must not be sent at all, which may change while it waits."""
+        return self._is_barred(self.admission)
+
+    def offer(self) -> offers.Offer:
+        """Choose a target now; its load is counted provisionally."""
+        if self.is_barred:
+            return offers.Verdict(offers.VerdictKind.NO_TARGET)
+        result = self._chooser.choose(self)
+        if isinstance(result, offers.Placement):
+            result.count()
+        return result
+
+    def claim(self) -> None:
+        """Claim memory at a runner, or renew a claim that has expired."""
+        self._chooser.claim(self)
+
+    def release_claim(self) -> None:
+        """End the claim, if there is one."""
+        self._chooser.release_claim(self)
+
+
+class Chooser:
+    """Chooses targets that can take a request now.
+
+    Parameters
+    ----------
+    selector : selection.Selector
+        Chooses the best target.
+    available : availability.Availability
+        Knows which targets are blocked, and why.
+    usage : usages.Usage
+        Load of targets.
+    targets : directory.Directory
+        Known targets.
+    starting : startup.Startup
+        Knows whether targets may still be undiscovered.
+    rng : random.Random
+        Samples the runners to claim.  It is not the selector's, whose choices don't depend on
+        claims while memory is free.
+    """
+
+    def __init__(
+        self,
+        selector: selection.Selector,
+        available: availability.Availability,
+        usage: usages.Usage,
+        targets: directory.Directory,
+        starting: startup.Startup,
+        rng: random.Random,
+    ) -> None:
+        self._selector = selector
+        self._available = available
+        self._usage = usage
+        self._directory = targets
+        self._startup = starting
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._full: dict[str, tuple[int, int, float]] = {}
+        """Runners that refused to reserve memory, by address: the tokens, others' tokens there at
+        that time, and the time until which that counts."""
+
+    def choose(self, search: Search) -> offers.Offer:
+        """Choose a target for a request, or state why it waits or gets none."""
+        admission = search.admission
+        now = self._loop.time()
+        if now + MIN_SEND_SECONDS > admission.deadline:
+            return offers.Verdict(offers.VerdictKind.NO_TARGET)
+        if search.claimed is not None and self._can_take_claimed(search, search.claimed):
+            return self._build_placement(admission, search.claimed)
+        full = self._list_full(admission, now)
+        can_request_permit = search.permit_requests < MAX_PERMIT_REQUESTS
+        target = self._selector.choose(
+            admission.pool,
+            admission.work,
+            search.excluded | full if full else search.excluded,
+            can_request_permit=can_request_permit,
+        )
+        if target is None:
+            if full:
+                return offers.Wait.MEMORY
+            is_waiting = (
+                not search.excluded and self.should_wait_for_targets(admission)
+            ) or self.should_wait_for_capacity(admission, search.excluded)
+            kind = offers.VerdictKind.NO_TARGET
+            return offers.Wait.TARGET if is_waiting else offers.Verdict(kind)
+        if not self._has_room(admission, target):
+            if _is_oversized(admission):
+                return offers.Verdict(offers.VerdictKind.NO_ROOM)
+            return offers.Wait.MEMORY
+        if not self._can_start(admission, target):
+            return offers.Wait.PREFILL
+        return self._build_placement(admission, target)
+
+    def _build_placement(
+        self, admission: admissions.Admission, target: directory.Target
+    ) -> offers.Placement:
+        unsaved = admission.tokens if admission.is_long else 0
+
+        def add_load(sign: int) -> None:
+            self._usage.add(
+                target.address,
+                requests=sign,
+                tokens=sign * admission.tokens,
+                unread=sign * admission.facts.prompt_tokens,
+                unsaved=sign * unsaved,
+            )
+
+        return offers.Placement(target, add_load)
+
+    # Waiting
+
+    def should_wait_for_targets(self, admission: admissions.Admission) -> bool:
+        """Whether targets may still be unknown after a start."""
+        arrived = admission.request.arrived
+        return self._startup.should_wait_for_targets(arrived, admission.deadline - arrived)
+
+    def should_wait_for_capacity(
+        self, admission: admissions.Admission, excluded: Collection[str]
+    ) -> bool:
+        """Whether a blocked target may accept the request in time."""
+        seconds = admission.route.objective_seconds * BLOCKED_WAIT_SHARE
+        wait_deadline = admission.request.arrived + seconds
+        if self._loop.time() >= wait_deadline:
+            return False
+        return self._available.find_next_opening(admission.pool, excluded) <= wait_deadline
+
+    def _can_start(self, admission: admissions.Admission, target: directory.Target) -> bool:
+        """Whether a runner can take one more prompt, or the prompt has waited long enough."""
+        waited = self._loop.time() - admission.request.arrived
+        objective_seconds = admission.route.objective_seconds
+        if waited > objective_seconds * PREFILL_WAIT_SHARE:
+            return True
+        unread = self._usage.get(target.address).unread
+        prompt_tokens = admission.facts.prompt_tokens
+        return queueing.can_start(
+            unread, prompt_tokens, objective_seconds, is_long=admission.is_long
+        )
+
+    def _has_room(self, admission: admissions.Admission, target: directory.Target) -> bool:
+        """Whether a runner has memory for a request; short requests end before memory runs out."""
+        share = _get_memory_share(admission)
+        return self._selector.has_room(admission.pool, target, admission.tokens, share)
+
+    # Refused reservations
+
+    def mark_full(self, admission: admissions.Admission, target: directory.Target) -> None:
+        """Record that a runner has no memory for requests of this size."""
+        now = self._loop.time()
+        for address, (*_, until) in list(self._full.items()):
+            if now >= until:
+                del self._full[address]
+        others = self._count_others(target.address)
+        self._full[target.address] = (admission.tokens, others, now + FULL_SECONDS)
+
+    def _list_full(self, admission: admissions.Admission, now: float) -> set[str]:
+        """Ids of the targets that count as full for a request."""
+        if not self._full:
+            return set()
+        full = {
+            address
+            for address, (tokens, others, until) in self._full.items()
+            if now < until and admission.tokens >= tokens and self._count_others(address) == others
+        }
+        return {
+            target.target_id
+            for target in self._directory.list_pool(admission.pool.name)
+            if target.address in full
+        }
+
+    def _count_others(self, address: str) -> int:
+        """Tokens of other entries at a target, which change with its next load report."""
+        return self._usage.get(address).tokens - self._usage.get_own(address).tokens
+
+    # Claims
+
+    def claim(self, search: Search) -> None:
+        """Claim the runner that has the least memory still to free for a request.
+
+        A claim that has expired, or whose runner can't be used any more, is replaced.
+        """
+        now = self._loop.time()
+        claimed = search.claimed
+        if claimed is not None:
+            is_valid = now - search.claimed_at < MAX_CLAIM_SECONDS
+            if is_valid and self._is_usable(search, claimed):
+                return
+            self.release_claim(search)
+        target = self._pick_to_claim(search)
+        if target is not None:
+            search.claimed, search.claimed_at = target, now
+            self._usage.add(target.address, claimed=search.admission.tokens)
+
+    def release_claim(self, search: Search) -> None:
+        """End a request's claim, if it has one."""
+        if search.claimed is not None:
+            self._usage.add(search.claimed.address, claimed=-search.admission.tokens)
+            search.claimed = None
+
+    def _pick_to_claim(self, search: Search) -> directory.Target | None:
+        pool = search.admission.pool
+        targets = [
+            target
+            for target in self._directory.list_pool(pool.name)
+            if self._is_usable(search, target)
+        ]
+        if not targets:
+            return None
+        size = max(1, round(len(targets) * CLAIM_SAMPLE_SHARE))
+        sampled = self._rng.sample(targets, size)
+        return min(sampled, key=lambda target: self._count_taken(target.address))
+
+    def _count_taken(self, address: str) -> int:
+        load = self._usage.get(address)
+        return load.tokens + load.claimed
+
+    def _is_usable(self, search: Search, target: directory.Target) -> bool:
+        if target.target_id in search.excluded or target.phase is not directory.Phase.READY:
+            return False
+        if self._selector.failures.is_avoided(target.target_id, self._loop.time()):
+            return False
+        return self._available.find_obstacle(search.admission.pool, target) is None
+
+    def _can_take_claimed(self, search: Search, target: directory.Target) -> bool:
+        """Whether the claimed runner has memory for the request; other claims there don't count.
+
+        If two requests waited for each other's claim, neither would get the memory.
+        """
+        admission = search.admission
+        engine = admission.pool.engine
+        if engine is None or not self._is_usable(search, target):
+            return False
+        memory = engine.memory_tokens * _get_memory_share(admission)
+        has_room = self._usage.get(target.address).tokens + admission.tokens <= memory
+        if not has_room or target.target_id in self._list_full(admission, self._loop.time()):
+            return False
+        return self._can_start(admission, target)
+
+
+def _is_oversized(admission: admissions.Admission) -> bool:
+    """Whether not even an empty runner has the memory for a request."""
+    engine = admission.pool.engine
+    if engine is None:
+        return False
+    return admission.tokens > engine.memory_tokens * _get_memory_share(admission)
+
+
+def _get_memory_share(admission: admissions.Admission) -> float:
+    """Share of a runner's memory that may be in use with a request."""
+    is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
+    return 1.0 if is_short or admission.priority == 0 else RUN_MEMORY_SHARE
--- /dev/null
+++ b/tillerlane/gateway/queue/memory_watch.py
@@ -0,0 +1,86 @@
+"""Free memory of a pool's runners, and the rate at which memory is freed."""
+
+import math
+from collections.abc import Callable
+
+from tillerlane.decisions import room
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import routes
+from tillerlane.gateway import usage as usages
+
+__all__ = ["MemoryWatch"]
+
+SAMPLE_INTERVAL_SECONDS = 0.05
+"""Minimum time between two samples: digests of loads arrive at most that often per target."""
+MAX_GAP_SECONDS = 0.5
+"""Longest time between two samples that are compared; nothing is sampled while nothing waits."""
+SMOOTHING_SECONDS = 2.0
+"""Time over which the rate is smoothed: some 60 requests of a pool end in it."""
+MIN_COVERED_SECONDS = 0.2
+"""Sampled time below which the rate is unknown: some five requests end in it."""
+
+
+class MemoryWatch:
+    """Free memory of one pool as known to this entry.
+
+    What starts and ends at a runner between two samples is not seen, so that the rate is at most
+    what is freed.
+
+    Parameters
+    ----------
+    list_targets : callable
+        Targets of a pool, by its name, that accept requests.
+    usage : usages.Usage
+        Loads of all entries.
+    """
+
+    def __init__(
+        self, list_targets: Callable[[str], list[directories.Target]], usage: usages.Usage
+    ) -> None:
+        self._list_targets = list_targets
+        self._usage = usage
+        self._tokens: dict[str, int] = {}
+        """Tokens in use at each address at the last sample."""
+        self._sampled_at = -math.inf
+        self._freed = 0.0
+        self._covered_seconds = 0.0
+        self.free_tokens: list[int] = []
+        """Free tokens at each runner at the last `update`."""
+
+    @property
+    def freed_tokens_per_second(self) -> float | None:
+        """Rate at which the pool's memory is freed; None until enough has been seen."""
+        if self._covered_seconds < MIN_COVERED_SECONDS:
+            return None
+        return self._freed / self._covered_seconds
+
+    def update(self, pool: routes.Pool, now: float) -> None:
+        """Read the loads of the pool's runners."""
+        if pool.engine is None:
+            return
+        addresses = [target.address for target in self._list_targets(pool.name)]
+        target_loads = [self._usage.get(address) for address in addresses]
+        memory = pool.engine.memory_tokens
+        self.free_tokens = [memory - load.tokens - load.claimed for load in target_loads]
+        if now - self._sampled_at < SAMPLE_INTERVAL_SECONDS:
+            return
+        tokens = {
+            address: load.tokens for address, load in zip(addresses, target_loads, strict=True)
+        }
+        seconds = now - self._sampled_at
+        if seconds <= MAX_GAP_SECONDS:
+            freed = sum(
+                max(0, before - tokens.get(address, before))
+                for address, before in self._tokens.items()
+            )
+            kept = math.exp(-seconds / SMOOTHING_SECONDS)
+            self._freed = self._freed * kept + freed
+            self._covered_seconds = self._covered_seconds * kept + seconds
+        self._tokens, self._sampled_at = tokens, now
+
+    def forecast(self, tokens: int, ahead_tokens: float) -> float | None:
+        """Seconds until memory is free behind what waits ahead; None if unknown."""
+        usable = room.sum_usable(self.free_tokens, tokens)
+        return room.Forecast(usable, ahead_tokens, self.freed_tokens_per_second).estimate_seconds(
+            tokens
+        )
--- /dev/null
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -0,0 +1,283 @@
+"""Requests that wait at one entry for one pool, in the order in which they are offered memory."""
+
+import asyncio
+import bisect
+import dataclasses
+import math
+from collections.abc import Callable
+
+from tillerlane.decisions import ordering, placing, room
+from tillerlane.gateway import routes
+from tillerlane.gateway.queue import memory_watch, offers
+
+__all__ = ["PoolQueue", "Ticket"]
+
+MAX_WAITING = 512
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Bounds on the waiting requests of a pool and on their bodies: an entry has 128 MB.  512 requests
+are a hundred seconds of an entry's traffic, far more than the pool serves before they are due."""
+MAX_OFFERS = 16
+"""Requests that a pass offers memory to: runners seldom free memory for more at once, and a choice
+takes 0.1 ms."""
+CHECK_INTERVAL_SECONDS = 0.03
+"""Longest time between two passes while requests wait."""
+MIN_PASS_INTERVAL_SECONDS = 0.005
+MIN_PASS_INTERVAL_PER_TARGET_SECONDS = 0.00003
+"""Shortest time between two passes, also for each target: reading a target's load takes 1 us, so
+that this takes some 3% of a core at most."""
+SORT_INTERVAL_SECONDS = 0.1
+"""How often ranks are computed anew, and requests beyond the first `MAX_OFFERS` are checked."""
+CLAIM_AFTER_SECONDS = 0.1
+"""How long the first request waits before it claims a runner: most waits end by themselves before
+that, and a claim keeps memory from others."""
+READ_TOKENS_PER_SECOND = placing.PREFILL_TOKENS_PER_SECOND
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Ticket:
+    """One waiting request.
+
+    Attributes
+    ----------
+    rank, length : int
+        Its rank when it joined, 0 for the first, and the length of the queue then.
+    cause : offers.Wait
+        Why it waits, by the last offer.
+    forecast_seconds : float or None
+        Seconds until there is memory for it, by the last forecast.
+    """
+
+    item: ordering.Waiting
+    place: offers.Place
+    body_bytes: int
+    joined_at: float
+    workspace: str
+    future: "asyncio.Future[offers.Placement | offers.Verdict]"
+    leave: Callable[["Ticket"], None]
+    key: tuple[float, int, float] = (0.0, 0, 0.0)
+    rank: int = 0
+    length: int = 0
+    cause: offers.Wait = offers.Wait.MEMORY
+    forecast_seconds: float | None = None
+
+    async def wait(self) -> offers.Placement | offers.Verdict:
+        """Wait until there is a target or a verdict.
+
+        If the caller disconnects, the place in the queue and the load of a target that has just
+        been chosen are released.
+        """
+        try:
+            return await self.future
+        except asyncio.CancelledError:
+            if self.future.done() and not self.future.cancelled():
+                result = self.future.result()
+                if isinstance(result, offers.Placement):
+                    result.release()
+            raise
+        finally:
+            self.leave(self)
+
+
+class PoolQueue:
+    """Waiting requests of one pool.
+
+    Parameters
+    ----------
+    watch : memory_watch.MemoryWatch
+        Free memory of the pool's runners.
+
+    Attributes
+    ----------
+    pool : routes.Pool
+        The pool as last configured.
+    compute_debt : callable
+        Tokens by which a workspace is above its share, by pool and workspace.
+    record_waiting : callable
+        Called with changes: pool, workspace, priority, requests, tokens.
+    estimate_waiting_elsewhere : callable
+        Tokens that wait at all other entries for a pool, given those that wait here.
+    is_closed : bool
+        Whether requests are refused instead of waiting.
+    """
+
+    def __init__(self, pool: routes.Pool, watch: memory_watch.MemoryWatch) -> None:
+        self.pool = pool
+        self.compute_debt: Callable[[str, str], float] = lambda pool, workspace: 0.0
+        self.record_waiting: Callable[[str, str, int, int, int], None] = (
+            lambda pool, workspace, priority, requests, tokens: None
+        )
+        self.estimate_waiting_elsewhere: Callable[[str, int], float] = lambda pool, tokens: 0.0
+        self.is_closed = False
+        self._watch = watch
+        self._loop = asyncio.get_running_loop()
+        self._ordered: list[Ticket] = []
+        self._tokens = 0
+        self._body_bytes = 0
+        self._claimant: Ticket | None = None
+        self._pass: asyncio.TimerHandle | None = None
+        self._passed_at = self._sorted_at = -math.inf
+
+    def __len__(self) -> int:
+        return len(self._ordered)
+
+    def rank(self, ticket: Ticket) -> int | None:
+        """Number of requests ahead of a request; None if it does not wait."""
+        return self._ordered.index(ticket) if ticket in self._ordered else None
+
+    # Joining and leaving
+
+    def join(
+        self, item: ordering.Waiting, place: offers.Place, workspace: str = "", body_bytes: int = 0
+    ) -> Ticket:
+        """Add a request in its rank; its ticket has a verdict already if the queue is full."""
+        now = self._loop.time()
+        future: asyncio.Future[offers.Placement | offers.Verdict] = self._loop.create_future()
+        ticket = Ticket(item, place, body_bytes, now, workspace, future, self.leave)
+        ticket.length = len(self._ordered)
+        if self.is_closed:
+            future.set_result(offers.Verdict(offers.VerdictKind.STOPPING))
+            return ticket
+        if ticket.length >= MAX_WAITING or self._body_bytes + body_bytes > MAX_BODY_BYTES:
+            future.set_result(offers.Verdict(offers.VerdictKind.OVERFULL))
+            return ticket
+        ticket.key = ordering.compute_key(item, now, READ_TOKENS_PER_SECOND)
+        ticket.rank = bisect.bisect(self._ordered, ticket.key, key=_get_key)
+        self._ordered.insert(ticket.rank, ticket)
+        self._count(ticket, 1)
+        if ticket.rank < MAX_OFFERS:
+            self.notify()
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """Remove a request and end its claim; nothing happens if it does not wait."""
+        if ticket not in self._ordered:
+            return
+        self._ordered.remove(ticket)
+        self._count(ticket, -1)
+        if ticket is self._claimant:
+            self._claimant = None
+            ticket.place.release_claim()
+
+    def refuse_all(self) -> int:
+        """Refuse all waiting requests and later ones, before a stop; returns their number."""
+        self.is_closed = True
+        waiting = list(self._ordered)
+        for ticket in waiting:
+            self._resolve(ticket, offers.Verdict(offers.VerdictKind.STOPPING))
+        return len(waiting)
+
+    def _count(self, ticket: Ticket, sign: int) -> None:
+        item = ticket.item
+        self._tokens += sign * item.memory_tokens
+        self._body_bytes += sign * ticket.body_bytes
+        self.record_waiting(
+            self.pool.name, ticket.workspace, item.priority, sign, sign * item.memory_tokens
+        )
+
+    # Offering memory
+
+    def notify(self) -> None:
+        """Offer memory soon, since some may have become free."""
+        self._schedule(0.0)
+
+    def _schedule(self, seconds: float) -> None:
+        if not self._ordered:
+            return
+        targets = len(self._watch.free_tokens)
+        interval = max(MIN_PASS_INTERVAL_SECONDS, targets * MIN_PASS_INTERVAL_PER_TARGET_SECONDS)
+        at = max(self._loop.time() + seconds, self._passed_at + interval)
+        if self._pass is not None:
+            if self._pass.when() <= at:
+                return
+            self._pass.cancel()
+        self._pass = self._loop.call_at(at, self._run_pass)
+
+    def _run_pass(self) -> None:
+        """Offer free memory to the first requests, in order."""
+        self._pass = None
+        now = self._passed_at = self._loop.time()
+        self._watch.update(self.pool, now)
+        if now - self._sorted_at >= SORT_INTERVAL_SECONDS:
+            self._sort(now)
+        ahead_tokens = 0
+        for position, ticket in enumerate(list(self._ordered)):
+            if position >= MAX_OFFERS:
+                break
+            self._offer(ticket)
+            if not ticket.future.done():
+                self._check(ticket, ahead_tokens, now)
+            if not ticket.future.done():
+                ahead_tokens += ticket.item.memory_tokens
+        self._update_claim(now)
+        self._schedule(CHECK_INTERVAL_SECONDS)
+
+    def _offer(self, ticket: Ticket) -> None:
+        free_tokens = max(self._watch.free_tokens, default=math.inf)
+        if ticket is not self._claimant and free_tokens < ticket.item.memory_tokens:
+            ticket.cause = offers.Wait.MEMORY
+            return
+        result = ticket.place.offer()
+        if isinstance(result, offers.Wait):
+            ticket.cause = result
+        else:
+            self._resolve(ticket, result)
+
+    def _resolve(self, ticket: Ticket, result: offers.Placement | offers.Verdict) -> None:
+        self.leave(ticket)
+        if not ticket.future.done():
+            ticket.future.set_result(result)
+        elif isinstance(result, offers.Placement):
+            result.release()  # its caller has just disconnected
+
+    def _check(self, ticket: Ticket, ahead_tokens: float, now: float) -> None:
+        """Refuse a request that waits for memory in vain."""
+        item = ticket.item
+        if now >= item.deadline:
+            self._resolve(ticket, offers.Verdict(offers.VerdictKind.NO_TARGET))
+            return
+        if ticket.cause is not offers.Wait.MEMORY:
+            return
+        elsewhere = self.estimate_waiting_elsewhere(self.pool.name, self._tokens)
+        # Other entries' requests have the same mix, so that as many of them are ahead; its own
+        # tokens count half, so that a request that waits alone is in the middle of the others.
+        part = (ahead_tokens + item.memory_tokens / 2) / max(1, self._tokens)
+        ahead_tokens += elsewhere * min(1.0, part)
+        seconds = self._watch.forecast(item.memory_tokens, ahead_tokens)
+        ticket.forecast_seconds = seconds
+        if room.decide(item, now, seconds, READ_TOKENS_PER_SECOND) is room.Decision.REFUSE:
+            retry_after = room.compute_retry_after(item, now, seconds)
+            self._resolve(ticket, offers.Verdict(offers.VerdictKind.NO_ROOM, retry_after))
+
+    def _sort(self, now: float) -> None:
+        """Compute all ranks anew, and check the requests that get no offers yet."""
+        self._sorted_at = now
+        debts: dict[str, float] = {}
+        for ticket in self._ordered:
+            name = ticket.workspace
+            if name not in debts:
+                debts[name] = self.compute_debt(self.pool.name, name)
+            if ticket.item.debt_tokens != debts[name]:
+                ticket.item = dataclasses.replace(ticket.item, debt_tokens=debts[name])
+            ticket.key = ordering.compute_key(ticket.item, now, READ_TOKENS_PER_SECOND)
+        self._ordered.sort(key=_get_key)
+        ahead_tokens = 0
+        for position, ticket in enumerate(list(self._ordered)):
+            if position >= MAX_OFFERS:
+                ticket.cause = self._ordered[0].cause if self._ordered else ticket.cause
+                self._check(ticket, ahead_tokens, now)
+            ahead_tokens += ticket.item.memory_tokens
+
+    def _update_claim(self, now: float) -> None:
+        """Have the first request claim memory once it has waited for a while."""
+        if self._claimant is None:
+            head = self._ordered[0] if self._ordered else None
+            if head is None or head.cause is not offers.Wait.MEMORY:
+                return
+            if now - head.joined_at < CLAIM_AFTER_SECONDS:
+                return
+            self._claimant = head
+        self._claimant.place.claim()
+
+
+def _get_key(ticket: Ticket) -> tuple[float, int, float]:
+    return ticket.key
--- a/tillerlane/gateway/refusals.py
+++ b/tillerlane/gateway/refusals.py
@@ -107,8 +107,15 @@
         self._retry_times[key] = limits.schedule_retry(previous_at, first_at, rate)
         return self._retry_times[key] - self._loop.time()
 
-    def build_no_room(self, admission: admissions.Admission) -> NotRun:
-        remaining = max(0.0, admission.deadline - self._loop.time())
-        retry_after = min(NO_ROOM_RETRY_AFTER_SECONDS, remaining * NO_ROOM_RETRY_SHARE)
-        reason = f"no memory: {admission.tokens} tokens beside those under way"
+    def build_no_room(
+        self, admission: admissions.Admission, cause: str, retry_after: float | None
+    ) -> NotRun:
+        """Refuse a request that did not get the memory that it waited for.
+
+        Without a forecast the `retry_after` is None.
+        """
+        if retry_after is None:
+            remaining = max(0.0, admission.deadline - self._loop.time())
+            retry_after = min(NO_ROOM_RETRY_AFTER_SECONDS, remaining * NO_ROOM_RETRY_SHARE)
+        reason = f"{cause}: {admission.tokens} tokens beside those under way"
         return NotRun(reason, sent=False, retry_after=retry_after)
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -103,6 +103,7 @@
         route: str,
         responder: http_server.Responder,
         refusal: admissions.Refusal,
+        result: sending.SendResult | None = None,
     ) -> None:
         self._metrics.requests.labels(route, str(refusal.status)).inc()
         self._timeline.record(
@@ -111,6 +112,8 @@
             status=refusal.status,
             reason=refusal.reason,
             retry_after=refusal.retry_after,
+            queue_rank=result.queue_rank if result is not None else None,
+            queue_length=result.queue_length if result is not None else None,
         )
         head = self._dialect.build_refusal(refusal.status, refusal.retry_after)
         await responder.send_response(head, b"")
@@ -131,12 +134,12 @@
             self._record_response(admission, result, outcome.head.status)
         elif isinstance(outcome, refusals.NotRun):
             refusal = admissions.Refusal(503, outcome.reason, outcome.retry_after)
-            await self._refuse(request_id, admission.route.name, responder, refusal)
+            await self._refuse(request_id, admission.route.name, responder, refusal, result)
         else:
             assert isinstance(outcome, sending.Unknown)
             status = 504 if outcome.is_late else 502
             refusal = admissions.Refusal(status, outcome.reason)
-            await self._refuse(request_id, admission.route.name, responder, refusal)
+            await self._refuse(request_id, admission.route.name, responder, refusal, result)
 
     def _record_disconnect(self, admission: admissions.Admission) -> None:
         """Record a caller that disconnected before it got anything."""
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -273,7 +273,7 @@
             candidate = placing.CandidateLoad(
                 load.requests,
                 target.slots,
-                load.tokens,
+                load.tokens + load.claimed,
                 pool.engine.memory_tokens,
                 load.unread,
                 placing.estimate_event_seconds(load.events, load.event_ms, event_seconds),
@@ -322,4 +322,6 @@
 
 
 def _has_room(pool: routes.Pool, load: loads.TargetLoad, tokens: int, share: float) -> bool:
-    return pool.engine is None or load.tokens + tokens <= pool.engine.memory_tokens * share
+    if pool.engine is None:
+        return True
+    return load.tokens + load.claimed + tokens <= pool.engine.memory_tokens * share
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from tillerlane.decisions import placing, queueing
+from tillerlane.decisions import placing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
     availability,
@@ -26,8 +26,10 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import metrics as entry_metrics
-from tillerlane.gateway import startup as startups
+from tillerlane.gateway import reservations as reserving
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.queue import choosing, offers
+from tillerlane.gateway.queue import finder as finders
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Outcome", "Response", "SendResult", "Sender", "Stream", "Unknown"]
@@ -35,17 +37,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Connecting within a region takes milliseconds; an unreachable target never answers."""
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-MEMORY_WAIT_SHARE = 0.2
-"""Share of the response-time objective that a request waits for memory before it is refused with a
-retry time.  Where memory is short, longer waits take capacity from later requests that would still
-be in time: on two loaded days long runs earn 0.52 and 0.57 of their credit with a share of 0.7,
-instead of 0.61 and 0.66."""
-PREFILL_WAIT_SHARE = 0.7
-"""Share of the objective that a request waits for a runner whose prefill backlog is small enough;
-after that it is sent to the best candidate, since late is better than not at all.  Refusing it at
-that point, or after a share of 0.2, makes no difference to other requests on loaded days: long runs
-earn 0.70 and 0.71 of their credit against 0.69, short runs 0.79 and 0.78 against 0.78."""
-MEMORY_CHECK_INTERVAL_SECONDS = 0.03
 QUARANTINE_RETRY_SECONDS = 60.0
 """Retry time for a quarantined request: longer than any request waits (39 s), since an earlier
 retry would be refused too.  The status is 503 and not 4xx because the quarantine follows from what
@@ -55,14 +46,8 @@
 SLOW_RESPONSE_SECONDS = 0.25
 """A target that takes longer than this to answer is avoided; shorter waits may end by the caller's
 own short deadline."""
-MIN_SEND_SECONDS = 0.02
-"""With less time left than this, a target could not answer."""
 MAX_UNSENT_ATTEMPTS = 3
 """Unreachable targets that are tried before a request is refused."""
-PERMIT_TIMEOUT_SECONDS = 0.05
-"""Longest wait for a permit while other targets have room; a permit exchange takes milliseconds."""
-MAX_PERMIT_REQUESTS = 2
-"""Permit requests per caller's request: the first reply may answer an earlier permit request."""
 MAX_REJECTIONS = 3
 """Rejections by targets after which a request is refused."""
 MAX_EVACUATION_SECONDS = 0.45
@@ -73,9 +58,6 @@
 BACKUP_MEMORY_SHARE = 0.6
 """Share of a runner's memory up to which it accepts backup copies of other runners' runs.  The rest
 is left for runs, which are preempted when memory runs out."""
-RUN_MEMORY_SHARE = 0.95
-"""Share of a runner's memory up to which it gets runs other than the most urgent: active runs still
-grow, and requests sent by other entries are reported late."""
 RESPONSE_MARGIN_SECONDS = 0.03
 """How long before a request's deadline the response is written."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -127,6 +109,9 @@
         The target of the last send, and the runner that receives backup copies of the run.
     sends, runs : int
         Targets that received the request, and those among them that may have run it.
+    queue_rank, queue_length : int or None
+        Its rank in its pool's queue when it began to wait, and the length of the queue; None if it
+        did not wait.
     """
 
     outcome: Outcome
@@ -134,6 +119,8 @@
     backup: directories.Target | None = None
     sends: int = 0
     runs: int = 0
+    queue_rank: int | None = None
+    queue_length: int | None = None
 
 
 class Sender:
@@ -157,14 +144,21 @@
         Log of decisions.
     metrics : entry_metrics.EntryMetrics
         Counts outcomes.
-    startup : startups.Startup
-        Knows whether targets may still be undiscovered.
     directory : directories.Directory
         Notifies of targets that have restarted.
     exit_detector : exit_detection.ExitDetector
         Checks targets that broke off a response.
     quarantined : quarantine.Quarantine
         Knows which requests are quarantined.
+    finder : finders.TargetFinder
+        Finds targets, and lets requests wait for them.
+    refuser : refusals.RefusalBuilder
+        Builds refusals.
+
+    Attributes
+    ----------
+    reservations : reserving.Reservations
+        Reserves memory at runners.
     """
 
     def __init__(
@@ -177,20 +171,22 @@
         budget: budgets.RetryBudget,
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
-        startup: startups.Startup,
         directory: directories.Directory,
         exit_detector: exit_detection.ExitDetector,
         quarantined: quarantine.Quarantine,
+        finder: finders.TargetFinder,
+        refuser: refusals.RefusalBuilder,
     ) -> None:
+        self.reservations = reserving.Reservations()
+        self._finder = finder
         self._quarantine = quarantined
         self._exit_detector = exit_detector
-        self._startup = startup
         self._dialect = dialect
         self._selector = selector
         self._available = available
         self._feedback = feedback
         self._usage = usage
-        self._refusals = refusals.RefusalBuilder(available, usage)
+        self._refusals = refuser
         self._budget = budget
         self._timeline = timeline
         self._metrics = metrics
@@ -363,61 +359,61 @@
 
     async def send_with_retries(self, admission: admissions.Admission) -> SendResult:
         """Send a request until it is answered or may not be sent again."""
-        excluded: set[str] = set()
+        search = self._finder.begin(
+            admission, lambda item: self.refuse_quarantined(item) is not None
+        )
         result = SendResult(refusals.NotRun("no target available", sent=False))
         unsent_attempts = 0
-        permit_requests = 0
         while unsent_attempts < MAX_UNSENT_ATTEMPTS:
-            refusal = self.refuse_quarantined(admission)
-            if refusal is not None:
-                return result if result.sends else SendResult(refusal)
-            can_request_permit = permit_requests < MAX_PERMIT_REQUESTS
-            target = self._selector.choose(
-                admission.pool, admission.work, excluded, can_request_permit=can_request_permit
-            )
-            if target is not None and can_request_permit and self._available.needs_permit(target):
-                permit_requests += 1
-                if not await self._available.request_permit(target, PERMIT_TIMEOUT_SECONDS):
-                    continue
-            if target is None and not excluded and self._should_wait_for_targets(admission):
-                await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
+            found = None if search.is_barred else await self._finder.find(search)
+            if not isinstance(found, offers.Placement):
+                refusal = self.refuse_quarantined(admission) or found
+                if refusal is None:
+                    return self._finish(search, result)
+                return result if result.sends else _build_unsent(search, refusal)
+            try:
+                hold = await self._reserve(admission, found)
+            finally:
+                found.release()
+            if isinstance(hold, reserving.Full):
+                self._finder.mark_full(search, found.target)
                 continue
-            if target is None and self._should_wait_for_capacity(admission, excluded):
-                await self._available.wait_for_permits(MEMORY_CHECK_INTERVAL_SECONDS)
-                continue
-            if target is None or self._loop.time() + MIN_SEND_SECONDS > admission.deadline:
-                return self._finish(admission, result)
-            if not self._has_room(admission, target):
-                if self._loop.time() < self._compute_wait_deadline(admission):
-                    await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
-                    continue
-                return (
-                    result if result.sends else SendResult(self._refusals.build_no_room(admission))
-                )
-            if not self._can_start(admission, target):
-                await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
-                continue
-            excluded.add(target.target_id)
-            latest = await self._send_attempt(admission, target, result)
+            search.excluded.add(found.target.target_id)
+            latest = await self._send_attempt(search, found.target, result, hold)
             result = _merge_results(result, latest)
             if isinstance(latest.outcome, refusals.NotRun) and not latest.outcome.sent:
                 unsent_attempts += not latest.outcome.is_blocked
             elif not self._can_retry(admission, latest):
                 break
-        return self._finish(admission, result)
+        return self._finish(search, result)
+
+    async def _reserve(
+        self, admission: admissions.Admission, placement: offers.Placement
+    ) -> reserving.Hold | reserving.Full | reserving.Unknown | None:
+        """Reserve memory for a request at its target; None if that is not needed."""
+        if not self.reservations.is_needed(admission, placement.target):
+            return None
+        placement.count()
+        return await self.reservations.take(admission, placement.target)
 
-    def _finish(self, admission: admissions.Admission, result: SendResult) -> SendResult:
+    def _finish(self, search: choosing.Search, result: SendResult) -> SendResult:
         """Set a retry time for callers whose request no target accepted."""
+        admission = search.admission
         if result.target is None:
-            return SendResult(self._refusals.build_no_target(admission))
+            return _build_unsent(search, self._refusals.build_no_target(admission))
         if isinstance(result.outcome, refusals.NotRun):
             outcome = self._refusals.adjust_retry_after(admission, result.outcome)
             return dataclasses.replace(result, outcome=outcome)
         return result
 
     async def _send_attempt(
-        self, admission: admissions.Admission, target: directories.Target, former: SendResult
+        self,
+        search: choosing.Search,
+        target: directories.Target,
+        former: SendResult,
+        hold: reserving.Hold | reserving.Unknown | None,
     ) -> SendResult:
+        admission = search.admission
         backup = self.choose_backup(admission, target)
         plan = self.build_plan(
             admission, target, last_event_id=admission.facts.last_event_id, backup=backup
@@ -426,12 +422,20 @@
         started_at = self._loop.time()
         outcome = await self.send(admission, target, plan, until=until)
         self._record_send(
-            admission, target, outcome, former.sends, started_at - admission.request.arrived
+            search, target, outcome, former.sends, started_at - admission.request.arrived
         )
         may_have_run = not isinstance(outcome, refusals.NotRun)
         was_sent = may_have_run or outcome.sent
+        if isinstance(hold, reserving.Hold) and not was_sent:
+            await self.reservations.drop(hold)
         return SendResult(
-            outcome, target, backup, former.sends + was_sent, former.runs + may_have_run
+            outcome,
+            target,
+            backup,
+            former.sends + was_sent,
+            former.runs + may_have_run,
+            search.queue_rank,
+            search.queue_length,
         )
 
     def _compute_attempt_deadline(self, admission: admissions.Admission, runs: int) -> float | None:
@@ -443,43 +447,6 @@
         now = self._loop.time()
         return now + (admission.deadline - now) * FIRST_ATTEMPT_SHARE
 
-    def _should_wait_for_targets(self, admission: admissions.Admission) -> bool:
-        arrived = admission.request.arrived
-        return self._startup.should_wait_for_targets(arrived, admission.deadline - arrived)
-
-    def _should_wait_for_capacity(
-        self, admission: admissions.Admission, excluded: set[str]
-    ) -> bool:
-        """Whether a blocked target may accept the request in time."""
-        wait_deadline = self._compute_wait_deadline(admission)
-        if self._loop.time() >= wait_deadline:
-            return False
-        return self._available.find_next_opening(admission.pool, excluded) <= wait_deadline
-
-    def _compute_wait_deadline(self, admission: admissions.Admission) -> float:
-        """Time until which a request waits for memory before it is refused."""
-        return admission.request.arrived + admission.route.objective_seconds * MEMORY_WAIT_SHARE
-
-    def _can_start(self, admission: admissions.Admission, target: directories.Target) -> bool:
-        """Whether a runner can take one more prompt, or the prompt has waited long enough."""
-        if admission.pool.engine is None:
-            return True
-        waited = self._loop.time() - admission.request.arrived
-        objective_seconds = admission.route.objective_seconds
-        if waited > objective_seconds * PREFILL_WAIT_SHARE:
-            return True
-        unread = self._usage.get(target.address).unread
-        prompt_tokens = admission.facts.prompt_tokens
-        return queueing.can_start(
-            unread, prompt_tokens, objective_seconds, is_long=admission.is_long
-        )
-
-    def _has_room(self, admission: admissions.Admission, target: directories.Target) -> bool:
-        """Whether a runner has memory for a request; short requests end before memory runs out."""
-        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
-        share = 1.0 if is_short or admission.priority == 0 else RUN_MEMORY_SHARE
-        return self._selector.has_room(admission.pool, target, admission.tokens, share)
-
     def _can_retry(self, admission: admissions.Admission, result: SendResult) -> bool:
         outcome = result.outcome
         if result.runs >= admission.route.max_attempts or isinstance(outcome, Stream):
@@ -495,12 +462,13 @@
 
     def _record_send(
         self,
-        admission: admissions.Admission,
+        search: choosing.Search,
         target: directories.Target,
         outcome: Outcome,
         sends: int,
         waited: float,
     ) -> None:
+        admission = search.admission
         kind = _OUTCOME_LABELS[type(outcome)]
         self._metrics.sends.labels(admission.pool.name, kind).inc()
         if isinstance(outcome, Response) and outcome.head.status < 500:
@@ -527,6 +495,8 @@
             tokens=admission.tokens,
             limit=limit,
             reason=reason,
+            queue_rank=search.queue_rank,
+            queue_length=search.queue_length,
         )
 
 
@@ -541,3 +511,8 @@
     ):
         return dataclasses.replace(former, sends=latest.sends, runs=latest.runs)
     return latest
+
+
+def _build_unsent(search: choosing.Search, refusal: refusals.NotRun) -> SendResult:
+    """Result of a request that was sent to no target."""
+    return SendResult(refusal, queue_rank=search.queue_rank, queue_length=search.queue_length)
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Callable
 
 from tillerlane.gateway import loads
 from tillerlane.peers import messages
@@ -104,6 +105,8 @@
         Whether anything has changed since the last report.
     urgent : asyncio.Event
         Set while there is a large change to report.
+    on_freed : callable
+        Called when some of this entry's own load has ended.
     """
 
     def __init__(self, entry: str) -> None:
@@ -127,6 +130,7 @@
         self.entries = 0
         self.changed = False
         self.urgent = asyncio.Event()
+        self.on_freed: Callable[[], None] = lambda: None
         self._rates: dict[str, _Rate] = {}
 
     # This entry's own load
@@ -139,6 +143,7 @@
         tokens: int = 0,
         unread: int = 0,
         unsaved: int = 0,
+        claimed: int = 0,
     ) -> None:
         """Add to the load of a target; negative numbers subtract."""
         load = self._own[address]
@@ -146,11 +151,14 @@
         load.tokens += tokens
         load.unread += unread
         load.unsaved += unsaved
+        load.claimed += claimed
         if load.is_empty:
             del self._own[address]
         self.changed = True
-        if max(abs(tokens), abs(unread)) >= loads.URGENT_CHANGE_TOKENS:
+        if max(abs(tokens), abs(unread), abs(claimed)) >= loads.URGENT_CHANGE_TOKENS:
             self.urgent.set()
+        if min(tokens, unread, claimed) < 0:
+            self.on_freed()
 
     def discard_event_times(self, address: str) -> None:
         """Discard the event times of a target that has started again."""
@@ -270,6 +278,7 @@
             max(0, total.unsaved - known.unsaved),
             total.events,
             total.event_ms,
+            max(0, total.claimed - known.claimed),
         )
 
     def compute_age(self, now: float) -> float | None:
@@ -303,7 +312,9 @@
             load.events, load.event_ms = events, event_ms
         self._sent.append(_SentReport(sequence, own, now, is_urgent))
         rows = [
-            messages.TargetUse(address, *(max(0, getattr(load, name)) for name in loads.FIELDS))
+            messages.TargetUse(
+                address, **{name: max(0, getattr(load, name)) for name in loads.FIELDS}
+            )
             for address, load in own.items()
         ]
         return messages.EntryLoads(self._entry, sequence, rows)
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -90,6 +90,15 @@
 _FIELDS: dict[type, tuple[_Field, ...]] = {
     cls: _list_fields(cls) for cls in [*_BODY_CLASSES.values(), *_ELEMENT_CLASSES, *_TABLE_CLASSES]
 }
+_ADDED_COLUMNS: dict[type, frozenset[str]] = {
+    cls: frozenset(
+        field.name
+        for field in dataclasses.fields(cls)
+        if field.default_factory is not dataclasses.MISSING
+    )
+    for cls in _TABLE_CLASSES
+}
+"""Columns that daemons of an earlier version don't send; empty then."""
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
@@ -145,7 +154,12 @@
         schema = getattr(_SCHEMA, cls.__name__)
         with schema.from_bytes(data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS) as reader:
             table: Table = _decode_fields(reader, cls)
-        lengths = {len(getattr(table, field.name)) for field in _FIELDS[cls]}
+        columns = {field.name: getattr(table, field.name) for field in _FIELDS[cls]}
+        lengths = {
+            len(column)
+            for name, column in columns.items()
+            if column or name not in _ADDED_COLUMNS[cls]
+        }
         if len(lengths) > 1:
             raise ValueError(f"got columns of {sorted(lengths)} rows, expected one length")
         return table
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -390,7 +390,7 @@
     ``tokens`` is the estimated memory, ``unread`` the prompt tokens waiting for prefill and
     ``unsaved`` the memory of runs without a copy elsewhere.
     ``events`` is the number of stream events received recently and ``event_ms`` the time spent
-    waiting for them.
+    waiting for them.  ``claimed`` is memory that a waiting request needs next.
     """
 
     address: str
@@ -400,6 +400,7 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    claimed: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -427,6 +428,7 @@
     unsaved: list[int]
     events: list[int]
     event_ms: list[int]
+    claimed: list[int] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
