--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -23,6 +23,7 @@
     moved_loads,
     permits,
     quarantine,
+    refusals,
     relay,
     reservations,
     runs,
@@ -42,6 +43,7 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
+from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
@@ -60,6 +62,9 @@
 """Longest interval between them: a third of the time for which a report counts.  Keepers count
 entries by these reports."""
 STOP_CHECK_INTERVAL_SECONDS = 0.05
+STOP_REFUSAL_SECONDS = 0.2
+"""How long before the end of a planned stop the waiting requests are refused, so that their callers
+get the responses."""
 MAX_LOGGED_TARGETS = 60
 """Target changes in one message that are logged one by one; keepers log each.  A line costs an
 entry with little processor time 50 us, and after a common start it gets thousands of changes."""
@@ -209,6 +214,23 @@
             self.timeline,
             self._metrics,
         )
+        refuser = refusals.RefusalBuilder(available, self.usage)
+        claim_rng = random.Random(settings.name)
+        chooser = choosing.Chooser(
+            selector, available, self.usage, self.directory, self._startup, reserved, claim_rng
+        )
+        self.finder = finder.TargetFinder(
+            chooser,
+            selector,
+            available,
+            self.usage,
+            self.directory,
+            refuser,
+            self.timeline,
+            self._metrics,
+        )
+        self.usage.on_freed = self.permits.on_reply = self.finder.notify
+        self._connect_finder()
         sender = sending.Sender(
             dialect,
             selector,
@@ -218,12 +240,13 @@
             self._budget,
             self.timeline,
             self._metrics,
-            self._startup,
             self.directory,
             exit_detector,
             self.quarantine,
             self.shares,
             reserved,
+            self.finder,
+            refuser,
         )
         self.directory.add_listener(self._handle_target_change)
         relayed_streams = streams.Streams(
@@ -292,6 +315,29 @@
             on_up=self._handle_link_up,
         )
 
+    def _connect_finder(self) -> None:
+        """Give the queues of waiting requests what other parts know of workspaces and callers."""
+        now = self._loop.time
+        self.finder.compute_debt = lambda pool, workspace: self.shares.compute_debt(
+            pool, workspace, now()
+        )
+        self.finder.record_waiting = self.shares.record_waiting
+        self.finder.estimate_waiting_elsewhere = self._estimate_waiting_elsewhere
+        self.finder.find_first_arrival = self.returns.find_first_arrival
+        self.finder.record_refusal = self.returns.record_refusal
+
+    def _estimate_waiting_elsewhere(self, pool: str, own_tokens: int) -> float:
+        """Tokens that wait for a pool at all other entries, given those that wait here.
+
+        Waiting requests are reported by workspace.  Without workspaces or reports, callers are
+        taken to be spread evenly over the entries.
+        """
+        table = self._admission_control.table
+        has_workspaces = table is not None and bool(table.workspaces)
+        if not has_workspaces or self.usage.compute_age(self._loop.time()) is None:
+            return float(own_tokens * max(0, self.usage.entries - 1))
+        return max(0.0, self.shares.compute_waiting_tokens(pool, self._loop.time()) - own_tokens)
+
     # Life
 
     async def start(self) -> None:
@@ -318,6 +364,8 @@
             self._front.count_busy()
             and self._loop.time() - stopping_at < self._settings.stop_seconds
         ):
+            if self._loop.time() - stopping_at > self._settings.stop_seconds - STOP_REFUSAL_SECONDS:
+                self.finder.refuse_waiting()
             await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.timeline.record("daemon.stop", busy=self._front.count_busy())
         self._front.abort_all()
@@ -340,6 +388,7 @@
         self._metrics.unused_permits.set_function(lambda: self.permits.unused)
         self._metrics.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._metrics.evacuated.set_function(lambda: len(self.directory.evacuated))
+        self._metrics.waiting.set_function(self.finder.count_waiting)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Apply the seeds of changed settings."""
@@ -539,6 +588,7 @@
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
         """Discard what is held about a target that is gone or has restarted."""
+        self.finder.notify()
         if target.phase is directories.Phase.GONE:
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
@@ -566,6 +616,7 @@
         if taken is not usages.DigestResult.APPLIED:
             return
         self.shares.handle_digest(digest, self._loop.time())
+        self.finder.notify()
         if digest.whole:
             self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
 
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -60,6 +60,10 @@
     """Targets that broke off a request here or at another entry, and have served none since."""
     holds: prometheus_client.Counter
     """Reservations of memory at runners: by the answer, and whether unused ones were dropped."""
+    waiting: prometheus_client.Gauge
+    """Requests that wait for a pool of runners."""
+    queue_seconds: prometheus_client.Histogram
+    """Time that requests waited for a runner, by pool and size class; of those that waited."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -102,6 +106,14 @@
             "tillerlane_targets_failing", "Targets that broke off a request and served none since"
         ),
         count("tillerlane_holds", "Reservations of memory at runners", "outcome"),
+        gauge("tillerlane_waiting_requests", "Requests that wait for a pool of runners"),
+        prometheus_client.Histogram(
+            "tillerlane_queue_seconds",
+            "Time that a request waited for a runner",
+            ("pool", "size"),
+            registry=registry,
+            buckets=SECONDS_BUCKETS,
+        ),
     )
 
 
