Prefer other runners after a rejected reservation, and bound the wait

A runner that had just rejected a hold ranked like one above 0.9 of its memory, so that a request waited for it though another one had room. Calls in progress are referenced until they end.

--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -5,7 +5,8 @@
 
 import dataclasses
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from tillerlane.gateway import http_head, routes
 
@@ -230,5 +231,5 @@
     copy_run: Callable[[str, str, str, float], Awaitable[CopyResult]]
     stop_run: Callable[[str, str, str, float], Awaitable[CopyResult]]
     drop_copy: Callable[[MemoryCopy], Awaitable[None]]
-    reserve_memory: Callable[[str, int, float, float], Awaitable[HoldResult]]
+    reserve_memory: Callable[[str, int, float, float], Coroutine[Any, Any, HoldResult]]
     drop_reservation: Callable[[str, str], Awaitable[bool]]
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -11,6 +11,8 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from tillerlane.decisions import reserving
 from tillerlane.gateway import admission as admissions
@@ -74,6 +76,7 @@
 
 
 Reservation = Hold | Full | Unknown
+_Result = TypeVar("_Result")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +140,8 @@
         """Latest rejection by each target, by its id."""
         self._skipped_until: dict[str, float] = {}
         """Targets, by id, from which no hold is requested for a while."""
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        """Calls in progress, also those that nothing waits for any more."""
 
     def is_needed(self, admission: admissions.Admission, target: directories.Target) -> bool:
         """Whether a request has to reserve memory at a target before it is sent there."""
@@ -208,7 +212,9 @@
         hold = Hold("", target.target_id, target.address, admission.tokens, started_at + lease)
         unread = admission.facts.prompt_tokens
         self._usage.add(target.address, requests=1, tokens=hold.tokens, unread=unread)
-        call = self._loop.create_task(self._call(hold, lease))
+        call = self._start_task(
+            self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
+        )
         is_answered = False
         try:
             seconds = min(TAKE_TIMEOUT_SECONDS, admission.deadline - started_at)
@@ -226,8 +232,11 @@
             return dataclasses.replace(hold, id=call.result().hold)
         return self._handle_failure(hold, outcome)
 
-    async def _call(self, hold: Hold, lease: float) -> dialects.HoldResult:
-        return await self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
+    def _start_task(self, work: Coroutine[Any, Any, _Result]) -> "asyncio.Task[_Result]":
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     def _handle_failure(self, hold: Hold, outcome: dialects.HoldOutcome) -> Full | Unknown:
         now = self._loop.time()
@@ -273,10 +282,7 @@
 
     def drop(self, hold: Hold) -> "asyncio.Future[None]":
         """Free an unused hold, in the background; the result may be awaited but need not be."""
-        task = self._loop.create_task(self._drop(hold))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return asyncio.shield(task)
+        return asyncio.shield(self._start_task(self._drop(hold)))
 
     async def _drop(self, hold: Hold) -> None:
         self._usage.add(hold.address, tokens=hold.tokens)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -213,7 +213,7 @@
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, True)
+        best = (True, True, True, 2)
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
@@ -235,12 +235,12 @@
                 if obstacle is not None and is_sent_now:
                     continue
                 load = self._usage.get(target.address)
+                has_room = _has_room(pool, load, work.memory_tokens, full_share)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     self._is_avoided(target, now),
                     obstacle is not None,
-                    not _has_room(pool, load, work.memory_tokens, full_share)
-                    or self.is_full(target, work.memory_tokens),
+                    2 if self.is_full(target, work.memory_tokens) else not has_room,
                 )
                 if rank > best:
                     continue
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -407,15 +407,15 @@
                 if self._loop.time() < self._compute_wait_deadline(admission):
                     await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
                     continue
-                return (
-                    result if result.sends else SendResult(self._refusals.build_no_room(admission))
-                )
+                return self._refuse_no_room(admission, result)
             if not self._can_start(admission, target):
                 await asyncio.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
                 continue
             reservation = await self._reserve(admission, target)
             if isinstance(reservation, reservations.Full):
-                continue
+                if self._loop.time() >= self._compute_wait_deadline(admission):
+                    return self._refuse_no_room(admission, result)
+                continue  # other runners are preferred now
             excluded.add(target.target_id)
             latest = await self._send_attempt(admission, target, result, reservation)
             result = _merge_results(result, latest)
@@ -425,6 +425,9 @@
                 break
         return self._finish(admission, result)
 
+    def _refuse_no_room(self, admission: admissions.Admission, result: SendResult) -> SendResult:
+        return result if result.sends else SendResult(self._refusals.build_no_room(admission))
+
     def _finish(self, admission: admissions.Admission, result: SendResult) -> SendResult:
         """Set a retry time for callers whose request no target accepted."""
         if result.target is None:
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -33,6 +33,11 @@
         self.assertEqual((route.timeout_seconds, route.objective_seconds), (20.0, 0.5))
         engine = table.pools["llm"].engine
         self.assertEqual((engine.memory_tokens, engine.event_tokens), (34_000, 4))
+        self.assertEqual(engine.hold_seconds, 0.0)
+        document = gateway_lab.build_document(7)
+        for hold_ms, seconds in ((1_500, 1.5), (0, 0.0), (None, 0.0), (-1, 0.0)):
+            document["services"][0]["engine"]["hold_ms"] = hold_ms
+            self.assertEqual(read(document).pools["llm"].engine.hold_seconds, seconds)
         self.assertEqual(table.find_workspace(caller.KEY).name, "workspace-a")
 
     def check_refused(self, document: Any) -> None:
