--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -171,7 +171,7 @@
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, True, True)
+        best = (True, True, True, 2, True)
         standings = self.failures.find_standings(
             pool.name,
             sum(map(len, groups)),
@@ -200,13 +200,13 @@
                     continue
                 load = self._usage.get(target.address)
                 standing = standings.get(target.target_id, failing.Standing.CLEAR)
+                has_room = _has_room(pool, load, work.memory_tokens, full_share)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     standing is failing.Standing.AVOIDED
                     or self._available.is_rejecting_others(target),
                     obstacle is not None,
-                    not _has_room(pool, load, work.memory_tokens, full_share)
-                    or self.is_full(target, work.memory_tokens),
+                    2 if self.is_full(target, work.memory_tokens) else not has_room,
                     standing is failing.Standing.LAST_RESORT,
                 )
                 if rank > best:
