--- a/tillerlane/decisions/room.py
+++ b/tillerlane/decisions/room.py
@@ -106,9 +106,9 @@
     Returns
     -------
     float
-        Tokens; infinite where there is enough for all.
+        Tokens; infinite where there is enough for all, or no other entry wants any.
     """
-    if wanted_tokens <= free_tokens:
+    if wanted_tokens <= max(free_tokens, own_tokens):
         return math.inf
     part = max(0.0, free_tokens) * own_tokens / wanted_tokens
     return part * min(1.0, seconds / max(1e-3, report_age_seconds))
--- a/tillerlane/gateway/queue/memory_watch.py
+++ b/tillerlane/gateway/queue/memory_watch.py
@@ -48,6 +48,9 @@
         """Mean memory of a request."""
         self.free_tokens: list[int] = []
         """Free tokens at each runner at the last `update`."""
+        self.memory_tokens = 0
+        self.claimed_tokens = 0
+        """Memory of all runners, and what requests of all entries claim of it."""
 
     @property
     def freed_tokens_per_second(self) -> float | None:
@@ -72,6 +75,8 @@
         addresses = [target.address for target in self._list_targets(pool.name)]
         target_loads = [self._usage.get(address) for address in addresses]
         memory = pool.engine.memory_tokens
+        self.memory_tokens = memory * len(addresses)
+        self.claimed_tokens = sum(load.claimed for load in target_loads)
         self.free_tokens = [memory - load.tokens - load.claimed for load in target_loads]
         if now - self._sampled_at < SAMPLE_INTERVAL_SECONDS:
             return
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -31,6 +31,9 @@
 CLAIM_AFTER_SECONDS = 0.1
 """How long the first request waits before it claims a runner: most waits end by themselves before
 that, and a claim keeps memory from others."""
+MAX_CLAIMED_SHARE = 0.02
+"""Share of the pool's memory that may be claimed already when another claim is made.  What is
+claimed stays idle until there is enough of it: ``docs/design/queue.md`` gives the cost."""
 READ_TOKENS_PER_SECOND = placing.PREFILL_TOKENS_PER_SECOND
 
 
@@ -323,13 +326,19 @@
         """Have the first request claim memory once it has waited for a while."""
         if self._claimant is None:
             head = self._ordered[0] if self._ordered else None
-            if head is None or head.cause is not offers.Wait.MEMORY:
-                return
-            if now - head.joined_at < CLAIM_AFTER_SECONDS:
+            if head is None or not self._may_claim(head, now):
                 return
             self._claimant = head
         self._claimant.place.claim()
 
+    def _may_claim(self, head: Ticket, now: float) -> bool:
+        if head.is_late or now - head.joined_at < CLAIM_AFTER_SECONDS:
+            return False
+        watch = self._watch
+        if max(watch.free_tokens, default=math.inf) >= head.item.memory_tokens:
+            return False
+        return watch.claimed_tokens <= MAX_CLAIMED_SHARE * watch.memory_tokens
+
 
 def _get_key(ticket: Ticket) -> tuple[float, int, float]:
     return ticket.key
--- a/tillerlane/testing/queue_play.py
+++ b/tillerlane/testing/queue_play.py
@@ -50,6 +50,7 @@
     position: int
     tokens: int
     at: float
+    ended_at: float = math.inf
 
 
 class _Entry:
@@ -59,6 +60,19 @@
         self.waiting: list[engine_play.Arrival] = []
         self.sent: collections.deque[tuple[float, int, placing.Work]] = collections.deque()
         self.claim: _Claim | None = None
+        self.former_claims: list[_Claim] = []
+
+    def end_claim(self, now: float) -> None:
+        """End the claim, which others know of with the next report only."""
+        if self.claim is not None:
+            self.claim.ended_at = now
+            self.former_claims = [*self.former_claims[-3:], self.claim]
+            self.claim = None
+
+    def list_claims(self, now: float, report_age: float) -> list[_Claim]:
+        """Claims as other entries know them."""
+        claims = [*self.former_claims, *([self.claim] if self.claim is not None else [])]
+        return [item for item in claims if item.at <= now - report_age < item.ended_at]
 
 
 class Entries:
@@ -100,7 +114,7 @@
             entry.waiting = [item for item in entry.waiting if item not in late]
             entry.waiting.sort(key=lambda item: self._rules.compute_key(item, now))
             if entry.claim is not None and entry.claim.arrival not in entry.waiting:
-                entry.claim = None
+                entry.end_claim(now)
             while entry.sent and now - entry.sent[0][0] > self._report_age:
                 entry.sent.popleft()
             sent = self._place_at(entry, reported, event_seconds, now, tick, wanted)
@@ -116,9 +130,10 @@
         for _, position, work in entry.sent:
             tokens[position] += work.memory_tokens
             unread[position] += work.prompt_tokens
+        if claims and entry.claim is not None:
+            tokens[entry.claim.position] += entry.claim.tokens
         for other in self._entries if claims else ():
-            claim = other.claim
-            if claim is not None and (other is entry or now - claim.at >= self._report_age):
+            for claim in other.list_claims(now, self._report_age) if other is not entry else ():
                 tokens[claim.position] += claim.tokens
         return [
             dataclasses.replace(load, tokens=load.tokens + more, unread=load.unread + prompts)
@@ -194,14 +209,14 @@
         others[claim.position] = load
         if self._choose(work, others, event_seconds) is None:
             return None
-        entry.claim = None
+        entry.end_claim(now)
         return claim.position
 
     def _update_claim(
         self, entry: _Entry, reported: list[placing.CandidateLoad], now: float
     ) -> None:
         if entry.claim is not None and now - entry.claim.at > 1.0:
-            entry.claim = None
+            entry.end_claim(now)
         if entry.claim is None and entry.waiting:
             head = entry.waiting[0]
             if now - head.at < self._rules.claim_seconds:
@@ -209,6 +224,9 @@
             if engine_play.compute_work(head).memory_tokens < self._rules.min_claim_tokens:
                 return
             loads = self._view(entry, reported, now, claims=True)
+            tokens = engine_play.compute_work(head).memory_tokens
+            if max(item.memory_tokens - item.tokens for item in loads) >= tokens:
+                return
             claimed = sum(
                 item.tokens - before.tokens
                 for item, before in zip(
