Place long runs where their pauses stay below the route's bound

Runners differ in speed, and a transient slowdown during a prefill makes a long run at a slow runner pause for longer than its route allows, after which its whole answer counts as late. Each entry now keeps the distribution of its pools' gaps relative to their runner's mean, and the cost of a choice includes the probability of such a pause. A runner's decode and prefill factors are estimated together against the pool's spread, from sums over the fleet: new columns readTokens and readMs in load reports. A new start under an address discards its observations at once.

--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -24,6 +24,7 @@
     "count_candidates",
     "estimate_cost",
     "estimate_event_seconds",
+    "estimate_hidden_tokens",
 ]
 
 PREFILL_TOKENS_PER_SECOND = 7_000
@@ -41,6 +42,15 @@
 when sampling among all runners that one more prompt would not slow down, and 0.97 with factors 1.0
 and 1.4.  With 27 prompts per second it is 0.98 with 1.0 and 0.99 with 1.4, but long runs take 2 in
 100 longer with 1.4."""
+PAUSE_COST_SECONDS = 4.0
+"""Cost of a pause that is certain, in seconds of waiting: a run with such a pause counts as late as
+a whole, so any queue that still meets the objective (at most 4.0 s) is better."""
+MAX_PAUSE_RISK = 0.3
+"""Pause risk up to which a candidate counts as safe for a run.  A run without a safe candidate
+looks at more (`MAX_CANDIDATES_FACTOR`): three or four random ones of 20 runners, a third of them
+slow, are often all unsafe or full."""
+MAX_CANDIDATES_FACTOR = 3
+"""Bound on that search, so that runs don't all choose the same runner where none is safe."""
 DEFAULT_EVENT_SECONDS = 0.04
 """Event time of a pool without observations; only differences between runners matter."""
 
@@ -57,11 +67,14 @@
         Prompt to prefill; 0 for a run that arrives with its memory.
     events : float
         Expected number of events still to be written.
+    pause_objective_seconds : float
+        Longest pause between them that meets the route's objective; 0 for no objective.
     """
 
     memory_tokens: int
     prompt_tokens: int = 0
     events: float = 0.0
+    pause_objective_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +91,10 @@
         Prompt tokens that wait for prefill.
     event_seconds : float
         Time between two events of a run.
+    read_seconds_per_token : float
+        Time to prefill a prompt token; 0 if unknown.
+    pause_risk : float
+        Probability that the work pauses for longer than its objective allows there.
     """
 
     requests: int
@@ -86,6 +103,8 @@
     memory_tokens: int
     unread: int
     event_seconds: float
+    read_seconds_per_token: float = 0.0
+    pause_risk: float = 0.0
 
 
 def count_candidates(targets: int, unreported: float) -> int:
@@ -94,6 +113,17 @@
     return min(targets, max(MIN_CANDIDATES, desired))
 
 
+def estimate_hidden_tokens(
+    prompt_tokens: int, candidates: int, targets: int, unreported: float
+) -> int:
+    """Estimate the prompt tokens that others have sent to the best candidate and not reported yet.
+
+    They chose among as many candidates, and their prompts are taken to be of the same size.  At a
+    slow runner a hidden prompt delays this one for longer, so that it counts where runners differ.
+    """
+    return round(prompt_tokens * unreported * candidates / max(1, targets))
+
+
 def compute_pool_event_seconds(observed: Iterable[tuple[int, int]]) -> float:
     """Return the mean seconds per event of a pool, from (events, milliseconds) of each runner."""
     events = milliseconds = 0
@@ -112,9 +142,9 @@
     """Estimate the seconds that a caller waits if this runner gets the work.
 
     Only differences between runners matter.  The cost consists of the prefill queued before the
-    work, its own prefill, and the time that its events take above the pool's mean.  Requests and
-    memory are added as shares of the runner's capacity, which spreads runs evenly and keeps room
-    for runs that grow.
+    work, its own prefill, the time that its events take above the pool's mean, and the risk that it
+    pauses for too long.  Requests and memory are added as shares of the runner's capacity, which
+    spreads runs evenly and keeps room for runs that grow.
 
     In a simulation of 30 runners, a third of them 1.3 times as slow, with 27 prompts per second
     (`tillerlane.testing.engine_play`, six seeds), an event of a long run takes 36.9 ms if event
@@ -127,6 +157,7 @@
     slowness = load.event_seconds / pool_event_seconds
     crowding = load.requests / max(1, load.slots)
     memory = (load.tokens + work.memory_tokens) / max(1, load.memory_tokens)
-    waiting = (load.unread + work.prompt_tokens) / PREFILL_TOKENS_PER_SECOND * slowness
+    read_seconds = load.read_seconds_per_token or slowness / PREFILL_TOKENS_PER_SECOND
+    waiting = (load.unread + work.prompt_tokens) * read_seconds
     running = work.events * (load.event_seconds - pool_event_seconds)
-    return crowding + memory + waiting + running
+    return crowding + memory + waiting + running + PAUSE_COST_SECONDS * load.pause_risk
--- a/tillerlane/decisions/queueing.py
+++ b/tillerlane/decisions/queueing.py
@@ -37,7 +37,14 @@
 """
 
 
-def can_start(unread: int, prompt_tokens: int, objective_seconds: float, *, is_long: bool) -> bool:
+def can_start(
+    unread: int,
+    prompt_tokens: int,
+    objective_seconds: float,
+    *,
+    is_long: bool,
+    rate: float = placing.PREFILL_TOKENS_PER_SECOND,
+) -> bool:
     """Whether a prompt may be sent now to a runner with this much queued prefill.
 
     Parameters
@@ -50,8 +57,10 @@
         Time from the request within which the first piece is due; 0 if unknown.
     is_long : bool
         Whether the run holds memory for long and can't be repeated.
+    rate : float
+        Prompt tokens that the runner processes in a second.
     """
     if unread <= 0 or objective_seconds <= 0:
         return True
     share = LONG_PREFILL_SHARE if is_long else SHORT_PREFILL_SHARE
-    return unread + prompt_tokens <= share * objective_seconds * placing.PREFILL_TOKENS_PER_SECOND
+    return unread + prompt_tokens <= share * objective_seconds * rate
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -63,7 +63,12 @@
     def work(self) -> placing.Work:
         """Work that the request causes at a runner."""
         facts = self.facts
-        return placing.Work(self.tokens, facts.prompt_tokens, self.count_remaining_events(0))
+        return placing.Work(
+            self.tokens,
+            facts.prompt_tokens,
+            self.count_remaining_events(0),
+            self.route.pause_objective_seconds or 0.0,
+        )
 
     def count_remaining_events(self, events: int) -> float:
         """Expected number of events that its run is still to write after `events`."""
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -13,7 +13,7 @@
 import httptools
 
 from tillerlane.faults import core as faults
-from tillerlane.gateway import http_head
+from tillerlane.gateway import http_head, loads
 from tillerlane.peers import node as nodes
 
 __all__ = ["Exchange", "ExchangeError", "ProbeResult", "connect", "is_reachable", "probe"]
@@ -83,6 +83,8 @@
         self.connected_at = 0.0
         """Time of the event loop at which the connection was established."""
         self.on_lost: Callable[[], None] = lambda: None
+        self.load_at_send: loads.TargetLoad | None = None
+        """Load of the target when the request was sent, the request included, if known."""
 
     # Sending
 
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -57,6 +57,8 @@
         Memory of runs that has no copy elsewhere.
     events, event_ms : int
         Recent events of streams from the target, and the milliseconds that they took.
+    read_tokens, read_ms : int
+        Prompt tokens that it prefilled recently, and the milliseconds that they took.
     """
 
     requests: int = 0
@@ -65,12 +67,14 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    read_tokens: int = 0
+    read_ms: int = 0
 
     @property
     def is_empty(self) -> bool:
-        """Whether no field is positive; `event_ms` doesn't count."""
-        most = max(self.requests, self.tokens, self.unread, self.unsaved, self.events)
-        return most <= 0
+        """Whether no field is positive; times don't count."""
+        speeds = max(self.events, self.read_tokens)
+        return max(self.requests, self.tokens, self.unread, self.unsaved, speeds) <= 0
 
     def add(self, other: "TargetLoad", sign: int = 1) -> None:
         """Add another load, or with `sign` -1 subtract it."""
@@ -80,6 +84,8 @@
         self.unsaved += sign * other.unsaved
         self.events += sign * other.events
         self.event_ms += sign * other.event_ms
+        self.read_tokens += sign * other.read_tokens
+        self.read_ms += sign * other.read_ms
 
     def compute_change(self, former: "TargetLoad") -> int:
         """How much it differs from a former load, in tokens of memory."""
@@ -88,10 +94,13 @@
             abs(self.tokens - former.tokens)
             + abs(self.unread - former.unread)
             + _REQUEST_TOKENS * abs(self.requests - former.requests)
+            # The first observations of a runner, or that it has started again, go out soon.
+            + MIN_CHANGE_TOKENS * ((self.events > 0) != (former.events > 0))
+            + MIN_CHANGE_TOKENS * ((self.read_tokens > 0) != (former.read_tokens > 0))
         )
 
 
-FIELDS = ("requests", "tokens", "unread", "unsaved", "events", "event_ms")
+FIELDS = ("requests", "tokens", "unread", "unsaved", "events", "event_ms", "read_tokens", "read_ms")
 _REQUEST_TOKENS = 1_000
 _EMPTY = TargetLoad()
 Loads = dict[str, TargetLoad]
@@ -160,9 +169,7 @@
     def handle_report(self, report: messages.EntryLoads, now: float) -> bool:
         """Handle an entry's own report; False if a later one is held."""
         loads = {
-            item.address: TargetLoad(
-                item.requests, item.tokens, item.unread, item.unsaved, item.events, item.event_ms
-            )
+            item.address: TargetLoad(*(getattr(item, name) for name in FIELDS))
             for item in report.uses
         }
         is_later = self._merge(report.entry, _Report(report.sequence, now, loads))
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -73,6 +73,8 @@
     backup: directories.Target | None = None
     remaining_events: float = 0.0
     """Events that it is expected to write from now on."""
+    pause_objective_seconds: float = 0.0
+    """Longest pause between its events that meets its route's objective; 0 for none."""
     is_long: bool = False
     """Whether its memory is worth copying."""
     leaving_since: float = 0.0
@@ -315,7 +317,11 @@
     def _choose(self, run: Run, excluded: set[str]) -> directories.Target | None:
         """Choose the least loaded runner with room; late in the notice, one that may refuse."""
         data_hall = run.target.data_hall
-        work = placing.Work(run.tokens, events=run.remaining_events)
+        work = placing.Work(
+            run.tokens,
+            events=run.remaining_events,
+            pause_objective_seconds=run.pause_objective_seconds,
+        )
         destination = self._selector.choose(run.pool, work, excluded, data_hall, is_sent_now=False)
         if destination is None or self._selector.has_room(run.pool, destination, run.tokens, 1.0):
             return destination
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -8,6 +8,7 @@
 from tillerlane.gateway import availability, loads, permits, routes
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.speeds import estimates
 
 __all__ = ["FailureTracker", "Selector"]
 
@@ -38,8 +39,6 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
-POOL_SPEED_INTERVAL_SECONDS = 1.0
-"""How long a pool's seconds per event are cached; they are smoothed over 20 s."""
 BEST_RANK = (False, False, False, False)
 """Neither silent nor avoided nor blocked nor full."""
 
@@ -116,8 +115,7 @@
         self._data_hall = data_hall
         self._rng = rng
         self._now = now
-        self._event_seconds: dict[str, tuple[float, float]] = {}
-        """Seconds per event of each pool, and when they were computed."""
+        self.speeds = estimates.RunnerSpeeds(usage, now)
 
     def pick_pool(self, route: routes.Route) -> str:
         """Pick a pool of the route at random, by weight."""
@@ -155,14 +153,20 @@
             unreported += self._count_leaving_runs(pool, source_hall)
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
+        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         found = self._sample_best(
-            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit
+            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit, estimated
         )
         if not found:
             return None
-        event_seconds = self._get_event_seconds(pool, targets, now)
+        hidden = 0
+        if estimated.pool.prefill_variance > 0:
+            candidates = placing.count_candidates(len(targets), unreported)
+            hidden = placing.estimate_hidden_tokens(
+                work.prompt_tokens, candidates, len(targets), unreported
+            )
         costs = [
-            self._estimate_cost(pool, target, load, work, event_seconds, now)
+            self._estimate_cost(pool, target, load, work, estimated, hidden, now)
             for target, load in found
         ]
         if source_hall is not None:
@@ -198,17 +202,21 @@
         unreported: float,
         is_sent_now: bool,
         can_request_permit: bool,
+        estimated: estimates.PoolEstimates,
     ) -> list[tuple[directories.Target, loads.TargetLoad]]:
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
         best = (True, True, True, True)
+        counts_risk = estimated.can_differ_in_risk(work)
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
             sampled = 0
+            has_safe = not counts_risk
             for target in _sample_in_turn(group, self._rng):
-                if sampled >= sample_size and best == BEST_RANK:
+                factor = 1 if has_safe else placing.MAX_CANDIDATES_FACTOR
+                if sampled >= sample_size * factor and best == BEST_RANK:
                     break
                 if target.target_id in excluded:
                     continue
@@ -234,7 +242,11 @@
                     continue
                 if rank < best:
                     best, found, sampled = rank, [], 0
+                    has_safe = not counts_risk
                 found.append((target, load))
+                if not has_safe:
+                    risk = estimated.estimate_pause_risk(target.address, load, work)
+                    has_safe = risk <= placing.MAX_PAUSE_RISK
                 sampled += 1
         return found
 
@@ -244,41 +256,32 @@
             return True
         return self._available.is_rejecting_others(target)
 
-    def _get_event_seconds(
-        self, pool: routes.Pool, targets: list[directories.Target], now: float
-    ) -> float:
-        """Seconds per event over all runners of a pool, cached for a while."""
-        known = self._event_seconds.get(pool.name)
-        if known is not None and now - known[1] < POOL_SPEED_INTERVAL_SECONDS:
-            return known[0]
-        target_loads = [self._usage.get(target.address) for target in targets]
-        event_seconds = placing.compute_pool_event_seconds(
-            (load.events, load.event_ms) for load in target_loads
-        )
-        self._event_seconds[pool.name] = (event_seconds, now)
-        return event_seconds
-
     def _estimate_cost(
         self,
         pool: routes.Pool,
         target: directories.Target,
         load: loads.TargetLoad,
         work: placing.Work,
-        event_seconds: float,
+        estimated: estimates.PoolEstimates,
+        hidden: int,
         now: float,
     ) -> float:
         if pool.engine is None:
             cost = load.requests / max(1, target.slots)
         else:
+            slowness = estimated.estimate(target.address, load)
+            event_seconds = estimated.event_seconds * slowness.decode.factor
             candidate = placing.CandidateLoad(
                 load.requests,
                 target.slots,
                 load.tokens,
                 pool.engine.memory_tokens,
-                load.unread,
-                placing.estimate_event_seconds(load.events, load.event_ms, event_seconds),
+                load.unread + hidden,
+                event_seconds,
+                slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND,
+                estimated.estimate_pause_risk(target.address, load, work),
             )
-            cost = placing.estimate_cost(work, candidate, event_seconds)
+            cost = placing.estimate_cost(work, candidate, estimated.event_seconds)
         if target.data_hall != self._data_hall:
             cost += CROSS_HALL_COST_SECONDS
         if target.warm_at > now:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -237,6 +237,7 @@
                     reason = f"{address} is blocked for this entry: {obstacle.cause.value}"
                     return refusals.NotRun(reason, sent=False, is_blocked=True)
                 head = self._dialect.build_forward(admission.request.head, plan)
+                exchange.load_at_send = self._usage.get(address)
                 exchange.send(head, admission.request.body)
                 outcome = await self._read_response(admission, target, exchange)
             keep = isinstance(outcome, Stream)
@@ -470,8 +471,9 @@
             return True
         unread = self._usage.get(target.address).unread
         prompt_tokens = admission.facts.prompt_tokens
+        rate = self._selector.speeds.estimate_read_rate(admission.pool.name, target.address)
         return queueing.can_start(
-            unread, prompt_tokens, objective_seconds, is_long=admission.is_long
+            unread, prompt_tokens, objective_seconds, is_long=admission.is_long, rate=rate
         )
 
     def _has_room(self, admission: admissions.Admission, target: directories.Target) -> bool:
--- /dev/null
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -0,0 +1,148 @@
+"""Estimates of runners' speeds at one entry, from its own and the fleet's observations."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from tillerlane.decisions import placing, speeds
+from tillerlane.gateway import loads
+from tillerlane.gateway import usage as usages
+from tillerlane.gateway.speeds import gaps
+
+__all__ = ["PoolEstimates", "RunnerSpeeds"]
+
+POOL_INTERVAL_SECONDS = 1.0
+"""How long a pool's mean and spread are cached; its runners' sums are smoothed over 20 s."""
+MIN_PREFILL_TOKENS = 500
+"""Least prompt tokens from whose prefill a speed is computed: for shorter ones, the time to connect
+and to write the first event counts as much."""
+
+
+@dataclasses.dataclass(slots=True)
+class PoolEstimates:
+    """A pool's speeds as last computed, and the estimates of its runners since.
+
+    Attributes
+    ----------
+    event_seconds : float
+        Mean seconds per event; a default without observations.
+    """
+
+    computed_at: float
+    gaps: gaps.GapRecorder
+    event_seconds: float = placing.DEFAULT_EVENT_SECONDS
+    pool: speeds.PoolSpeeds = dataclasses.field(default_factory=speeds.PoolSpeeds)
+    tail: speeds.Tail | None = None
+    _cached: dict[str, tuple[speeds.Seen, speeds.Speeds]] = dataclasses.field(default_factory=dict)
+
+    def update(self, observed: Iterable[speeds.Seen], now: float) -> None:
+        """Compute the pool's speeds again from all runners' observations."""
+        self.pool = speeds.estimate_pool(list(observed))
+        self.event_seconds = self.pool.event_seconds or placing.DEFAULT_EVENT_SECONDS
+        self.tail = self.gaps.build_tail(now)
+        self.computed_at = now
+        self._cached.clear()
+
+    def estimate(self, address: str, load: loads.TargetLoad) -> speeds.Speeds:
+        """Estimate a runner's speeds from what its load says."""
+        cached = self._cached.get(address)
+        if (
+            cached is not None
+            and cached[0].events == load.events
+            and cached[0].event_ms == load.event_ms
+            and cached[0].read_ms == load.read_ms
+        ):
+            return cached[1]
+        seen = build_seen(load)
+        estimated = speeds.estimate_speeds(seen, self.pool)
+        self._cached[address] = (seen, estimated)
+        return estimated
+
+    def can_differ_in_risk(self, work: placing.Work) -> bool:
+        """Whether runners may differ in the risk that some work pauses for too long there."""
+        is_bounded = work.pause_objective_seconds > 0 and work.events > 0
+        return is_bounded and self.tail is not None and self.pool.decode_variance > 0
+
+    def estimate_pause_risk(
+        self, address: str, load: loads.TargetLoad, work: placing.Work
+    ) -> float:
+        """Estimate the probability that some work pauses for too long at a runner."""
+        if not self.can_differ_in_risk(work):
+            return 0.0
+        decode = self.estimate(address, load).decode
+        return speeds.estimate_pause_risk(
+            self.event_seconds * decode.factor,
+            work.events,
+            work.pause_objective_seconds,
+            self.tail,
+            decode.variance,
+        )
+
+
+class RunnerSpeeds:
+    """Speeds of all pools' runners.
+
+    Parameters
+    ----------
+    usage : usages.Usage
+        Holds the observations of this entry and of the fleet.
+    now : callable
+        Time of the event loop.
+    """
+
+    def __init__(self, usage: usages.Usage, now: Callable[[], float]) -> None:
+        self._usage = usage
+        self._now = now
+        self._pools: dict[str, PoolEstimates] = {}
+
+    def get_pool(self, pool: str, addresses: Callable[[], Iterable[str]]) -> PoolEstimates:
+        """A pool's estimates; `addresses` lists its runners if they have to be computed."""
+        now = self._now()
+        known = self._pools.get(pool)
+        if known is None:
+            known = self._pools[pool] = PoolEstimates(now, gaps.GapRecorder(now))
+        elif now - known.computed_at < POOL_INTERVAL_SECONDS:
+            return known
+        known.update((build_seen(self._usage.get(address)) for address in addresses()), now)
+        return known
+
+    def estimate_read_rate(self, pool: str, address: str) -> float:
+        """Prompt tokens per second that a runner prefills, for `queueing.can_start`."""
+        known = self._pools.get(pool)
+        if known is None:
+            return placing.PREFILL_TOKENS_PER_SECOND
+        factor = known.estimate(address, self._usage.get(address)).prefill.factor
+        return placing.PREFILL_TOKENS_PER_SECOND / factor
+
+    def record_events(self, pool: str, address: str, events: int, seconds: float) -> None:
+        """Count events of a runner's stream that arrived after a wait."""
+        self._usage.record_events(address, events, seconds, self._now())
+        known = self._pools.get(pool)
+        if known is None:
+            return
+        factor = known.estimate(address, self._usage.get(address)).decode.factor
+        known.gaps.record(seconds / (factor * known.event_seconds), events)
+
+    def record_first_event(
+        self, address: str, load: loads.TargetLoad | None, memory_tokens: int, seconds: float
+    ) -> None:
+        """Count the prefill before a run's first event.
+
+        Parameters
+        ----------
+        address : str
+            Address of the runner.
+        load : loads.TargetLoad or None
+            Its load when the request was sent, the request included.
+        memory_tokens : int
+            Its memory; a request that has to wait for memory tells nothing about the speed.
+        seconds : float
+            Time from the send to the first event.
+        """
+        if load is None or load.tokens > memory_tokens or load.unread < MIN_PREFILL_TOKENS:
+            return
+        self._usage.record_prefill(address, load.unread, seconds, self._now())
+
+
+def build_seen(load: loads.TargetLoad) -> speeds.Seen:
+    """The observations that a load carries."""
+    return speeds.Seen(load.events, load.event_ms, load.read_tokens, load.read_ms)
--- a/tillerlane/gateway/stream_relay.py
+++ b/tillerlane/gateway/stream_relay.py
@@ -83,6 +83,9 @@
         self._last_event_at = 0.0
         """When the current runner's last event arrived; 0 before its first one."""
         self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
+        self.on_first_event: Callable[[runs.Run, http_client.Exchange], None] = (
+            lambda run, exchange: None
+        )
         self.on_events: Callable[[runs.Run, int, float], None] = lambda run, events, seconds: None
 
     def switch_exchange(self, exchange: http_client.Exchange) -> None:
@@ -187,6 +190,8 @@
         self._last_event_at = now
         if not self._last_write_at:
             self.first_event_at = now
+            assert self.exchange is not None
+            self.on_first_event(self.run, self.exchange)
         elif now - self._last_write_at > self.longest_pause:
             self.longest_pause = now - self._last_write_at
             self.longest_pause_after = previous_event_id
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -14,6 +14,7 @@
     availability,
     exit_detection,
     handovers,
+    http_client,
     http_head,
     http_server,
     quarantine,
@@ -116,11 +117,13 @@
             admission.facts.request_id, admission.pool, target, admission.tokens, result.backup
         )
         run.is_long = admission.is_long
+        run.pause_objective_seconds = admission.route.pause_objective_seconds or 0.0
         run.remaining_events = admission.count_remaining_events(0)
         stream = stream_relay.StreamRelay(admission, responder, run, outcome.exchange)
         stream.runs_started = result.runs
         stream.on_growth = self._record_growth
         stream.on_events = self._record_events
+        stream.on_first_event = self._record_first_event
         self._register(stream)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
@@ -150,7 +153,17 @@
 
     def _record_events(self, run: runs.Run, event_count: int, seconds: float) -> None:
         """Record the rate at which a runner's events arrive."""
-        self._usage.record_events(run.target.address, event_count, seconds, self._loop.time())
+        self._selector.speeds.record_events(run.pool.name, run.target.address, event_count, seconds)
+
+    def _record_first_event(self, run: runs.Run, exchange: http_client.Exchange) -> None:
+        """Record the time that a runner took to prefill a prompt."""
+        if run.pool.engine is not None:
+            self._selector.speeds.record_first_event(
+                run.target.address,
+                exchange.load_at_send,
+                run.pool.engine.memory_tokens,
+                self._loop.time() - exchange.sent_at,
+            )
 
     def _record_growth(self, run: runs.Run, tokens: int) -> None:
         """Update the memory that a run and its backup copy are counted with."""
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -7,6 +7,7 @@
 import math
 
 from tillerlane.gateway import loads
+from tillerlane.gateway.speeds import observations
 from tillerlane.peers import messages
 
 __all__ = ["DigestResult", "Usage"]
@@ -25,9 +26,6 @@
 back: it waits twice, also for its keeper's batch to this entry's keeper."""
 AGE_WEIGHT = 0.1
 """Weight of one more measurement of that time: smoothed over some ten sends of a prompt."""
-EVENT_TIMES_SECONDS = 20.0
-"""Time over which a runner's seconds per event are smoothed: one run writes for some 8 s, and the
-figure combines all entries' runs there."""
 MAX_SENT_REPORTS = 160
 """Own reports kept to subtract them from the keepers' sums: three seconds of them, at the highest
 rate."""
@@ -44,15 +42,6 @@
     """An earlier digest is missing, so that a full one has to be requested."""
 
 
-@dataclasses.dataclass(slots=True)
-class _EventTimes:
-    """Recent events of a target and the seconds that they took, decayed until `at`."""
-
-    events: float
-    seconds: float
-    at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _SentReport:
     """An own report: sequence, content, time, and whether it was sent ahead of the usual rate."""
@@ -109,13 +98,15 @@
     def __init__(self, entry: str) -> None:
         self._entry = entry
         self._own: dict[str, loads.TargetLoad] = collections.defaultdict(loads.TargetLoad)
-        self._event_times: dict[str, _EventTimes] = {}
+        self.observed = observations.Observations()
         self._total: dict[str, loads.TargetLoad] = {}
         """The keeper's sums, this entry's own report included."""
         self._included: dict[str, loads.TargetLoad] = {}
         """That own report."""
         self._others: dict[str, loads.TargetLoad] = {}
         """The total without it, except for events and their times, which are of all entries."""
+        self._own_observed: dict[str, loads.TargetLoad] = {}
+        """Own observations as last collected, used while no keeper sends the fleet's."""
         self._sent: collections.deque[_SentReport] = collections.deque(maxlen=MAX_SENT_REPORTS)
         self._included_sequence = 0
         self._round_trip_seconds = INITIAL_REPORT_AGE_SECONDS / REPORT_AGE_FACTOR
@@ -153,19 +144,19 @@
             self.urgent.set()
 
     def discard_event_times(self, address: str) -> None:
-        """Discard the event times of a target that has started again."""
-        self._event_times.pop(address, None)
+        """Discard the observed speed of a target that has started again, and tell the others."""
+        if self.observed.discard(address):
+            self.changed = True
+            self.urgent.set()
 
     def record_events(self, address: str, events: int, seconds: float, now: float) -> None:
         """Count events of a target's stream that arrived after a wait."""
-        times = self._event_times.get(address)
-        if times is None:
-            self._event_times[address] = _EventTimes(events, seconds, now)
-            return
-        kept = math.exp((times.at - now) / EVENT_TIMES_SECONDS)
-        times.events = times.events * kept + events
-        times.seconds = times.seconds * kept + seconds
-        times.at = now
+        self.observed.record_events(address, events, seconds, now)
+
+    def record_prefill(self, address: str, tokens: int, seconds: float, now: float) -> None:
+        """Count prompt tokens that a target prefilled before a first event."""
+        self.observed.record_prefill(address, tokens, seconds, now)
+        self.changed = True
 
     def get_own(self, address: str) -> loads.TargetLoad:
         """This entry's own load of a target."""
@@ -207,6 +198,8 @@
         """
         own = self._own.get(address)
         others = self._others.get(address, _EMPTY)
+        if self._heard_at is None:
+            others = self._own_observed.get(address, _EMPTY)
         if own is None:
             return others
         total = dataclasses.replace(others)
@@ -270,6 +263,8 @@
             max(0, total.unsaved - known.unsaved),
             total.events,
             total.event_ms,
+            total.read_tokens,
+            total.read_ms,
         )
 
     def compute_age(self, now: float) -> float | None:
@@ -278,13 +273,22 @@
 
     def expire_others(self, now: float) -> bool:
         """Discard others' loads without a recent digest; whether that happened just now."""
-        if self._heard_at is None or now - self._heard_at < DIGEST_TTL_SECONDS:
+        if self._heard_at is None:
+            self._collect_observed(now)
+            return False
+        if now - self._heard_at < DIGEST_TTL_SECONDS:
             return False
         self._heard_at = None
         self._keeper = ""
         self._total, self._included, self._others = {}, {}, {}
         return True
 
+    def _collect_observed(self, now: float) -> None:
+        self._own_observed = {
+            address: loads.TargetLoad(0, 0, 0, 0, *seen)
+            for address, *seen in self.observed.collect(now)
+        }
+
     def build_report(self, started_ms: int, now: float) -> messages.EntryLoads:
         """This entry's report; sequences of a later start of the process are higher."""
         self.changed = False
@@ -293,14 +297,9 @@
         self._sequence += 1
         sequence = started_ms * 1_000_000 + self._sequence
         own = {address: dataclasses.replace(load) for address, load in self._own.items()}
-        for address, times in list(self._event_times.items()):
-            kept = math.exp((times.at - now) / EVENT_TIMES_SECONDS)
-            events, event_ms = round(times.events * kept), round(times.seconds * kept * 1000)
-            if events < 1:
-                del self._event_times[address]
-                continue
-            load = own.setdefault(address, loads.TargetLoad())
-            load.events, load.event_ms = events, event_ms
+        self._collect_observed(now)
+        for address, seen in self._own_observed.items():
+            own.setdefault(address, loads.TargetLoad()).add(seen)
         self._sent.append(_SentReport(sequence, own, now, is_urgent))
         rows = [
             messages.TargetUse(address, *(max(0, getattr(load, name)) for name in loads.FIELDS))
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -145,12 +145,23 @@
         schema = getattr(_SCHEMA, cls.__name__)
         with schema.from_bytes(data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS) as reader:
             table: Table = _decode_fields(reader, cls)
+        _fill_absent_columns(table)
         lengths = {len(getattr(table, field.name)) for field in _FIELDS[cls]}
         if len(lengths) > 1:
             raise ValueError(f"got columns of {sorted(lengths)} rows, expected one length")
         return table
 
 
+def _fill_absent_columns(table: Any) -> None:
+    """Fill the columns that a daemon of an earlier version does not send with zeros."""
+    columns = dataclasses.fields(table)
+    rows = len(getattr(table, columns[0].name))
+    for column in columns:
+        is_optional = column.default_factory is not dataclasses.MISSING
+        if is_optional and not getattr(table, column.name):
+            setattr(table, column.name, [0] * rows)
+
+
 def encode(envelope: messages.Envelope) -> bytes:
     """Encode an envelope as one Cap'n Proto message."""
     builder = _SCHEMA.Envelope.new_message()
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -184,6 +184,8 @@
   unsaved @4 :UInt64;
   events @5 :UInt32;
   eventMs @6 :UInt32;
+  readTokens @7 :UInt32;
+  readMs @8 :UInt32;
 }
 struct EntryLoads { entry @0 :Text; sequence @1 :UInt64; uses @2 :List(TargetUse); }
 struct UseTable {
@@ -194,6 +196,8 @@
   unsaved @4 :List(UInt32);
   events @5 :List(UInt32);
   eventMs @6 :List(UInt32);
+  readTokens @7 :List(UInt32);
+  readMs @8 :List(UInt32);
 }
 struct PassedLoads {
   entries @0 :List(Text);
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -390,7 +390,8 @@
     ``tokens`` is the estimated memory, ``unread`` the prompt tokens waiting for prefill and
     ``unsaved`` the memory of runs without a copy elsewhere.
     ``events`` is the number of stream events received recently and ``event_ms`` the time spent
-    waiting for them.
+    waiting for them.  ``read_tokens`` is the number of prompt tokens prefilled recently and
+    ``read_ms`` the time that this took.
     """
 
     address: str
@@ -400,6 +401,8 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    read_tokens: int = 0
+    read_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -427,6 +430,8 @@
     unsaved: list[int]
     events: list[int]
     event_ms: list[int]
+    read_tokens: list[int] = dataclasses.field(default_factory=list)
+    read_ms: list[int] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -14,13 +14,16 @@
 import statistics
 from collections.abc import Callable
 
-from tillerlane.decisions import placing
+from tillerlane.decisions import placing, speeds
 
 __all__ = [
     "Arrival",
     "Choose",
     "Outcome",
     "Pool",
+    "Report",
+    "Run",
+    "Runner",
     "RunnerSpec",
     "compute_mean_event_seconds",
     "compute_on_time_share",
@@ -39,6 +42,9 @@
 """Default age of the load reports that the placement function sees."""
 TICK_SECONDS = 0.05
 """Interval between load reports; shorter where reports have to be fresher than this."""
+SLOW_FACTOR = 2.5
+SLOW_SECONDS = 0.6
+"""How much slower a runner's steps are in a transient slowdown, and how long one lasts."""
 SMOOTHING_SECONDS = 20.0
 """Time constant over which reported events are smoothed."""
 
@@ -50,6 +56,8 @@
     slowdown: float
     memory_tokens: int = 34_340
     slots: int = 24
+    slow_share: float = 0.0
+    """Share of the time in which it is slower still, for `SLOW_SECONDS` at a time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,14 +82,21 @@
     first_seconds: float = float("inf")
     total_seconds: float = float("inf")
     max_pause: float = 0.0
+    max_gap: float = 0.0
+    """Longest time between two events; `max_pause` is between two tokens."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class _Run:
+class Run:
+    """A request at a runner."""
+
     outcome: Outcome
     unprefilled: int
     tokens_left: int
     last_token_at: float = 0.0
+    last_event_at: float = 0.0
+    sent_at: float = 0.0
+    tokens_ahead: int = 0
 
     def count_memory(self) -> int:
         """Number of tokens in memory: the prompt and the output so far."""
@@ -89,22 +104,64 @@
         return arrival.prompt_tokens + arrival.events * EVENT_TOKENS - self.tokens_left
 
 
-def _priority_key(run: _Run) -> tuple[int, float]:
+def _priority_key(run: Run) -> tuple[int, float]:
     """Sort by rank, then by arrival time; the last one is preempted first."""
     arrival = run.outcome.arrival
     return arrival.rank, arrival.at
 
 
-class _Runner:
-    def __init__(self, spec: RunnerSpec) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """A runner's requests, tokens, unprefilled tokens, and recent observations of its speed."""
+
+    requests: int
+    tokens: int
+    unprefilled: int
+    seen: speeds.Seen
+
+
+class Runner:
+    """A model runner."""
+
+    def __init__(self, spec: RunnerSpec, rng: random.Random) -> None:
         self.spec = spec
-        self.prefilling: collections.deque[_Run] = collections.deque()
-        self.decoding: list[_Run] = []
+        self.on_event: Callable[[Arrival, float, float], None] = lambda arrival, gap, now: None
+        self.read_tokens = 0.0
+        self.read_seconds = 0.0
+        self._rng = rng
+        self.slow_from = self._sample_slow(0.0)
+        self.prefilling: collections.deque[Run] = collections.deque()
+        self.decoding: list[Run] = []
         self.now = 0.0
         self.preemptions = 0
         self.events = 0.0
         self.event_seconds = 0.0
 
+    def _sample_slow(self, now: float) -> float:
+        """Sample when the next transient slowdown starts."""
+        share = self.spec.slow_share
+        if share <= 0:
+            return math.inf
+        return now + self._rng.expovariate(share / (1 - share) / SLOW_SECONDS)
+
+    def compute_slowdown(self) -> float:
+        """Factor by which a step takes longer now."""
+        while self.now >= self.slow_from + SLOW_SECONDS:
+            self.slow_from = self._sample_slow(self.slow_from + SLOW_SECONDS)
+        return self.spec.slowdown * (SLOW_FACTOR if self.is_slow else 1.0)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether it is in a transient slowdown."""
+        return self.slow_from <= self.now < self.slow_from + SLOW_SECONDS
+
+    def decay(self, kept: float) -> None:
+        """Reduce the observations to a part of them."""
+        self.events *= kept
+        self.event_seconds *= kept
+        self.read_tokens *= kept
+        self.read_seconds *= kept
+
     def run_until(self, until: float) -> None:
         """Execute steps until the given time."""
         while self.now < until:
@@ -121,13 +178,13 @@
         while len(self.decoding) > 1 and self._count_memory() > self.spec.memory_tokens:
             self._preempt(max(self.decoding, key=_priority_key))
 
-    def _preempt(self, run: _Run) -> None:
+    def _preempt(self, run: Run) -> None:
         self.decoding.remove(run)
         run.unprefilled = run.count_memory()
         self.preemptions += 1
         self.enqueue(run, is_first=True)
 
-    def enqueue(self, run: _Run, *, is_first: bool = False) -> None:
+    def enqueue(self, run: Run, *, is_first: bool = False) -> None:
         """Queue a run for prefill after the runs of its rank, or before them with `is_first`."""
         rank = run.outcome.arrival.rank
         before = sum(item.outcome.arrival.rank < rank + (not is_first) for item in self.prefilling)
@@ -144,7 +201,7 @@
             self._preempt(last)
         return True
 
-    def _has_room(self, run: _Run) -> bool:
+    def _has_room(self, run: Run) -> bool:
         return self._count_memory() + run.count_memory() <= self.spec.memory_tokens
 
     def _step(self) -> None:
@@ -155,7 +212,7 @@
             chunk = min(PREFILL_CHUNK_TOKENS, self.prefilling[0].unprefilled)
             self.prefilling[0].unprefilled -= chunk
             seconds += chunk / PREFILL_TOKENS_PER_SECOND
-        seconds *= self.spec.slowdown
+        seconds *= self.compute_slowdown()
         self.now += seconds
         for run in list(self.decoding):
             run.tokens_left -= 1
@@ -163,27 +220,45 @@
         if can_prefill and self.prefilling[0].unprefilled <= 0:
             self.decoding.append(self.prefilling.popleft())
 
-    def _record_token(self, run: _Run, seconds: float) -> None:
+    def _record_token(self, run: Run, seconds: float) -> None:
         self.events += 1 / EVENT_TOKENS
         self.event_seconds += seconds
         passed = self.now - run.outcome.arrival.at
         written = run.outcome.arrival.events * EVENT_TOKENS - run.tokens_left
         if written == EVENT_TOKENS:
             run.outcome.first_seconds = passed
+            self._record_first_event(run)
         elif written > EVENT_TOKENS:
             pause = self.now - run.last_token_at
             run.outcome.max_pause = max(run.outcome.max_pause, pause)
+            if written % EVENT_TOKENS == 0:
+                gap = self.now - run.last_event_at
+                run.outcome.max_gap = max(run.outcome.max_gap, gap)
+                run.last_event_at = self.now
+                self.on_event(run.outcome.arrival, gap, self.now)
         run.last_token_at = self.now
         if run.tokens_left <= 0:
             run.outcome.total_seconds = passed
             self.decoding.remove(run)
 
-    def compute_load(self) -> tuple[int, int, int, int, int]:
-        """Return (requests, tokens, unprefilled tokens, recent events, their milliseconds)."""
+    def _record_first_event(self, run: Run) -> None:
+        run.last_event_at = self.now
+        if run.tokens_ahead:
+            self.read_tokens += run.tokens_ahead
+            self.read_seconds += self.now - run.sent_at
+
+    def compute_load(self) -> Report:
+        """Return the load, and the recent observations."""
         runs = [*self.prefilling, *self.decoding]
         tokens = sum(run.count_memory() + min(300, run.tokens_left // 2) for run in runs)
         unprefilled = sum(run.unprefilled for run in self.prefilling)
-        return len(runs), tokens, unprefilled, int(self.events), int(self.event_seconds * 1000)
+        seen = speeds.Seen(
+            int(self.events),
+            int(self.event_seconds * 1000),
+            int(self.read_tokens),
+            int(self.read_seconds * 1000),
+        )
+        return Report(len(runs), tokens, unprefilled, seen)
 
 
 Pool = list[RunnerSpec]
@@ -214,7 +289,7 @@
     report_age_seconds : float
         Age of the load reports.
     """
-    runners = [_Runner(spec) for spec in pool]
+    runners = [Runner(spec, random.Random(number)) for number, spec in enumerate(pool)]
     outcomes = []
     reported = collections.deque([[runner.compute_load() for runner in runners]])
     now = 0.0
@@ -227,8 +302,7 @@
         now += tick
         for runner in runners:
             runner.run_until(now)
-            runner.events *= decay
-            runner.event_seconds *= decay
+            runner.decay(decay)
         reported.append([runner.compute_load() for runner in runners])
         if len(reported) > round(report_age_seconds / tick):
             reported.popleft()
@@ -242,7 +316,7 @@
                 continue
             outcome = Outcome(arrival)
             outcomes.append(outcome)
-            run = _Run(outcome, arrival.prompt_tokens, arrival.events * EVENT_TOKENS)
+            run = Run(outcome, arrival.prompt_tokens, arrival.events * EVENT_TOKENS)
             runners[position].enqueue(run)
         if (
             not waiting
@@ -255,27 +329,26 @@
 
 def _choose(
     pool: Pool,
-    reported: list[tuple[int, int, int, int, int]],
+    reported: list[Report],
     arrival: Arrival,
     choose: Choose,
     knows_event_seconds: bool,
 ) -> int | None:
     event_times = [
-        (events, event_ms) if knows_event_seconds else (0, 0) for *_, events, event_ms in reported
+        (report.seen.events, report.seen.event_ms) if knows_event_seconds else (0, 0)
+        for report in reported
     ]
     pool_event_seconds = placing.compute_pool_event_seconds(event_times)
     loads = [
         placing.CandidateLoad(
-            requests,
+            report.requests,
             spec.slots,
-            tokens,
+            report.tokens,
             spec.memory_tokens,
-            unprefilled,
+            report.unprefilled,
             placing.estimate_event_seconds(*event_time, pool_event_seconds),
         )
-        for spec, (requests, tokens, unprefilled, *_), event_time in zip(
-            pool, reported, event_times, strict=True
-        )
+        for spec, report, event_time in zip(pool, reported, event_times, strict=True)
     ]
     growth = min(300, arrival.events * EVENT_TOKENS // 2)
     work = placing.Work(arrival.prompt_tokens + growth, arrival.prompt_tokens, arrival.events)
