--- a/tillerlane/gateway/speeds/tests/test_estimates.py
+++ b/tillerlane/gateway/speeds/tests/test_estimates.py
@@ -84,8 +84,8 @@
         self.report(list(FACTORS) * 3)
         for number in range(RUNNERS):
             if number % 3 < 2:
-                self.usage.add(get_address(number), requests=6, tokens=18_000, unread=12_000)
-        work = dataclasses.replace(LONG, events=40)
+                self.usage.add(get_address(number), requests=6, tokens=18_000, unread=20_000)
+        work = dataclasses.replace(LONG, events=30)
         self.assertEqual(self.count(work)[1.6], 0)
         without_pause = dataclasses.replace(work, pause_objective_seconds=0.0)
         self.assertGreater(self.count(without_pause)[1.6], 50)
