Tell all entries at once which runners are slow for a moment

An entry that sees three streams of a runner late by twice their mean within 0.3 s tells its keeper, and keepers pass that on at once and once each. Entries log runners' estimated factors and serve them as metrics.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -24,6 +24,7 @@
     suspects,
 )
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway.speeds import slowdowns
 from tillerlane.keeper import commands, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import formation as formations
@@ -140,6 +141,9 @@
         self._backoffs = backoff_updates.BackoffUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
         )
+        self._slowdowns = slowdowns.SlowdownUpdates(
+            self._send_to_keepers, self._send_to_subscribers, self._loop.time
+        )
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
@@ -352,6 +356,8 @@
                 self.limits.handle_message(body)
             case messages.TargetBackoffs():
                 self._backoffs.handle_message(body)
+            case messages.TargetSlowdowns():
+                self._slowdowns.handle_message(body, is_of_entry=link in self._subscribers)
 
     def _synchronize(self, link: links.Link) -> None:
         """Send all state to a keeper on a new link, since it may have been cut off."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -36,6 +36,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.speeds import reporting
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -160,6 +161,16 @@
             self._loop.time,
         )
         self._metrics = metrics.build_entry_metrics()
+        self.speeds = selector.speeds
+        self._speed_reporter = reporting.Reporter(
+            self.speeds,
+            self.directory,
+            self.usage,
+            self.timeline,
+            self._metrics,
+            self._loop.time,
+        )
+        self._speed_reporter.send = self._send_to_primary
         self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
@@ -401,9 +412,12 @@
 
     def _notify_backoff(self, record: backoffs.BackoffRecord) -> None:
         """Report to one keeper that a target requested back-off; a hint may be lost."""
+        self._send_to_primary(backoffs.encode_hints([(record.target_id, record.until)]))
+
+    def _send_to_primary(self, message: messages.Body) -> None:
         link = self.homes.get_primary()
         if link is not None:
-            links.try_send(link, backoffs.encode_hints([(record.target_id, record.until)]))
+            links.try_send(link, message)
 
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
@@ -444,6 +458,8 @@
                 self._merge_limits(limits.decode_records(body))
             case messages.TargetBackoffs():
                 self.backoffs.merge_hints(backoffs.decode_hints(body))
+            case messages.TargetSlowdowns():
+                self._speed_reporter.handle_message(body)
 
     def _merge_states(self, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
@@ -484,9 +500,9 @@
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
             self.backoffs.discard(target.target_id)
+        self._speed_reporter.handle_target_change(target)
         if not target.is_superseded:
             return
-        self.usage.discard_event_times(target.address)
         self.timeline.record(
             "target.over",
             target=target.target_id,
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -56,6 +56,14 @@
     as already known, or unread."""
     in_backoff: prometheus_client.Gauge
     """Targets that this entry sends nothing to, since they requested back-off."""
+    slow_targets: prometheus_client.Gauge
+    """Targets in a transient slowdown, as far as known here."""
+    slowdowns: prometheus_client.Counter
+    """Transient slowdowns that this entry found."""
+    runner_slowness: prometheus_client.Gauge
+    """Factor by which a runner is slower than its pool: by address and kind, decode or prefill."""
+    runner_observations: prometheus_client.Gauge
+    """Recent events or prompt tokens that such a factor is estimated from."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -73,6 +81,9 @@
     def gauge(name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(name, text, registry=registry)
 
+    def labelled(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, ("address", "kind"), registry=registry)
+
     return EntryMetrics(
         registry,
         count("tillerlane_requests", "Requests answered", "route", "outcome"),
@@ -94,6 +105,10 @@
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
         count("tillerlane_target_words", "What answers say of targets", "word", "outcome"),
         gauge("tillerlane_targets_in_backoff", "Targets that asked this entry for back-off"),
+        gauge("tillerlane_slow_targets", "Targets known to be slow for a moment"),
+        count("tillerlane_slowdowns", "Transient slowdowns of targets found here"),
+        labelled("tillerlane_runner_slowness", "Runners' time relative to their pool"),
+        labelled("tillerlane_runner_observations", "Recent events and prompt tokens of runners"),
     )
 
 
--- a/tillerlane/gateway/speeds/estimates.py
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Iterable
 
 from tillerlane.decisions import placing, speeds
+from tillerlane.gateway import directory as directories
 from tillerlane.gateway import loads
 from tillerlane.gateway import usage as usages
-from tillerlane.gateway.speeds import gaps
+from tillerlane.gateway.speeds import gaps, slowdowns
 
 __all__ = ["PoolEstimates", "RunnerSpeeds"]
 
@@ -93,6 +94,9 @@
         self._usage = usage
         self._now = now
         self._pools: dict[str, PoolEstimates] = {}
+        self.slowdowns = slowdowns.Slowdowns(now)
+        self.on_update: Callable[[str, PoolEstimates], None] = lambda pool, estimated: None
+        """Called with a pool whose estimates were computed again."""
 
     def get_pool(self, pool: str, addresses: Callable[[], Iterable[str]]) -> PoolEstimates:
         """A pool's estimates; `addresses` lists its runners if they have to be computed."""
@@ -103,6 +107,7 @@
         elif now - known.computed_at < POOL_INTERVAL_SECONDS:
             return known
         known.update((build_seen(self._usage.get(address)) for address in addresses()), now)
+        self.on_update(pool, known)
         return known
 
     def estimate_read_rate(self, pool: str, address: str) -> float:
@@ -113,14 +118,27 @@
         factor = known.estimate(address, self._usage.get(address)).prefill.factor
         return placing.PREFILL_TOKENS_PER_SECOND / factor
 
-    def record_events(self, pool: str, address: str, events: int, seconds: float) -> None:
-        """Count events of a runner's stream that arrived after a wait."""
+    def record_events(
+        self,
+        pool: str,
+        target: directories.Target,
+        request_id: str,
+        events: int,
+        seconds: float,
+    ) -> None:
+        """Count events of a run's stream that arrived after a wait."""
+        if target.phase is directories.Phase.GONE:
+            return  # what its streams still deliver must not count for a new start
+        address = target.address
         self._usage.record_events(address, events, seconds, self._now())
         known = self._pools.get(pool)
         if known is None:
             return
         factor = known.estimate(address, self._usage.get(address)).decode.factor
-        known.gaps.record(seconds / (factor * known.event_seconds), events)
+        ratio = seconds / (factor * known.event_seconds)
+        known.gaps.record(ratio, events)
+        if ratio > slowdowns.LATE_RATIO:
+            self.slowdowns.record_late(target.target_id, request_id)
 
     def record_first_event(
         self, address: str, load: loads.TargetLoad | None, memory_tokens: int, seconds: float
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -153,7 +153,9 @@
 
     def _record_events(self, run: runs.Run, event_count: int, seconds: float) -> None:
         """Record the rate at which a runner's events arrive."""
-        self._selector.speeds.record_events(run.pool.name, run.target.address, event_count, seconds)
+        self._selector.speeds.record_events(
+            run.pool.name, run.target, run.request_id, event_count, seconds
+        )
 
     def _record_first_event(self, run: runs.Run, exchange: http_client.Exchange) -> None:
         """Record the time that a runner took to prefill a prompt."""
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -44,6 +44,8 @@
     permitRequest @38 :PermitRequest;
     permitReply @39 :PermitReply;
     targetBackoffs @40 :TargetBackoffs;
+    targetFailures @41 :TargetFailures;
+    targetSlowdowns @42 :TargetSlowdowns;
   }
 }
 
@@ -230,6 +232,8 @@
   targetIds @0 :List(Text);
   leftMs @1 :List(UInt32);
 }
+struct TargetFailures { targetIds @0 :List(Text); leftMs @1 :List(UInt32); }
+struct TargetSlowdowns { targetIds @0 :List(Text); leftMs @1 :List(UInt32); }
 struct PermitWish {
   targetId @0 :Text;
   count @1 :UInt32;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -512,6 +512,22 @@
     left_ms: list[int]
 
 
+@dataclasses.dataclass(slots=True)
+class TargetFailures:
+    """Targets that broke off requests, and how long to avoid them (ms); 0 after a success."""
+
+    target_ids: list[str]
+    left_ms: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class TargetSlowdowns:
+    """Targets that are slower for a short time, and the remaining time (ms)."""
+
+    target_ids: list[str]
+    left_ms: list[int]
+
+
 @dataclasses.dataclass(slots=True)
 class PermitWish:
     """Number of permits that an entry requests for a target with the given limit per second.
@@ -628,6 +644,8 @@
     | TargetEnds
     | TargetLimits
     | TargetBackoffs
+    | TargetFailures
+    | TargetSlowdowns
     | PermitRequest
     | PermitReply
     | FreshnessRequest
