--- a/tillerlane/decisions/ordering.py
+++ b/tillerlane/decisions/ordering.py
@@ -7,7 +7,8 @@
 below 1,550 tokens 0.05.
 
 The order is by latest start: the time at which a request must be sent for its first event to be in
-time.  Long prompts take longer to prefill and are therefore sent earlier.  A request that can't be
+time.  Long prompts take longer to prefill and are therefore sent earlier, and long runs, which hold
+memory for seconds, go behind short ones of about the same time.  A request that can't be
 in time any more would only make others late, and goes behind those that can.  Its rank is fixed
 from then on, while that of later requests grows with their arrival, so that none starves.
 """
@@ -25,6 +26,10 @@
 MARGIN_SHARE = 0.2
 """Share of the objective that a request needs at a runner besides its own prefill: others' prompts
 are queued there.  ``docs/design/queue.md`` compares shares of 0, 0.1, 0.2 and 0.3."""
+LONG_DELAY_SECONDS = 3.0
+"""How much later a long run is ranked than by its latest start.  It holds memory for 5 to 9 s and a
+short one for half a second, so that a short one that goes first delays it little, while one that
+has to wait for a long run is late."""
 LATE_SECONDS = 10.0
 """How far behind a request goes that can't be in time: longer than callers of the shortest and of
 the longest objective in use (1.5 to 4 s) are apart, so that any request that can still be in time
@@ -88,7 +93,7 @@
 def compute_key(
     item: Waiting, now: float, read_tokens_per_second: float
 ) -> tuple[float, int, float]:
-    """Return the sort key of a request, the lowest first: its latest start.
+    """Return the sort key of a request, the lowest first: its latest start, later for long runs.
 
     A request that returns after a refusal ranks by its first arrival.  Among requests with an equal
     latest start the more urgent goes first.
@@ -98,6 +103,7 @@
     """
     latest_start = compute_latest_start(item, read_tokens_per_second)
     rank = latest_start - (item.arrived - item.first_arrived)
+    rank += LONG_DELAY_SECONDS * item.is_long
     rank += min(MAX_DEBT_SECONDS, max(0.0, item.debt_tokens) / read_tokens_per_second)
     if not can_be_in_time(item, now, read_tokens_per_second):
         rank += LATE_SECONDS
--- a/tillerlane/decisions/reserving.py
+++ b/tillerlane/decisions/reserving.py
@@ -68,6 +68,7 @@
     reserve_tokens: int,
     written_tokens: float,
     moved_tokens: float,
+    largest_tokens: int = 0,
 ) -> float:
     """Compute the share of a runner's memory up to which new long runs may fill it.
 
@@ -81,6 +82,9 @@
         Tokens that such a run is expected to write within `GROWTH_SECONDS`.
     moved_tokens : float
         Memory that runs of leaving runners take at each runner of the pool.
+    largest_tokens : int
+        Memory of the largest short request of the last seconds.  Where long runs fill a runner,
+        such a request finds no gap that smaller ones do not take first.
 
     In a simulation of 16 runners, four more of which hand over their long runs every 3.3 s
     (`tillerlane.testing.engine_play`, four seeds, three loads), requests earn 0.996, 0.927 and
@@ -90,4 +94,6 @@
     grown = max(0.0, written_tokens - COUNTED_GROWTH_SHARE * reserve_tokens)
     growth_share = max(MIN_HEADROOM_SHARE, grown / max(1, run_tokens))
     moved_share = MOVED_WEIGHT * moved_tokens / max(1, memory_tokens)
-    return 1.0 - min(MAX_HEADROOM_SHARE, growth_share + moved_share)
+    largest_share = largest_tokens / max(1, memory_tokens)
+    headroom_share = max(largest_share, growth_share + moved_share)
+    return 1.0 - min(MAX_HEADROOM_SHARE, headroom_share)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -45,6 +45,7 @@
 from tillerlane.gateway.failures import tracker as failure_trackers
 from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
+from tillerlane.gateway.speeds import reporting
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -181,6 +182,16 @@
         self._metrics = metrics.build_entry_metrics()
         self.shares = shares.Shares(shares.WorkspaceMetrics(self._metrics.registry))
         self.shares.notify_urgent = self.usage.urgent.set
+        self.speeds = selector.speeds
+        self._speed_reporter = reporting.Reporter(
+            self.speeds,
+            self.directory,
+            self.usage,
+            self.timeline,
+            self._metrics,
+            self._loop.time,
+        )
+        self._speed_reporter.send = self._send_to_primary
         self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
@@ -482,9 +493,12 @@
 
     def _notify_backoff(self, record: backoffs.BackoffRecord) -> None:
         """Report to one keeper that a target requested back-off; a hint may be lost."""
+        self._send_to_primary(backoffs.encode_hints([(record.target_id, record.until)]))
+
+    def _send_to_primary(self, message: messages.Body) -> None:
         link = self.homes.get_primary()
         if link is not None:
-            links.try_send(link, backoffs.encode_hints([(record.target_id, record.until)]))
+            links.try_send(link, message)
 
     def _notify_failures(self, reported: list[failure_reports.Report]) -> None:
         """Report targets that fail requests, or serve them again, to all home keepers."""
@@ -540,6 +554,8 @@
                 self.failures.merge_reports(received, self._loop.time())
             case messages.CallerReturns():
                 self.returns.merge(return_tables.decode_returns(body))
+            case messages.TargetSlowdowns():
+                self._speed_reporter.handle_message(body)
 
     def _merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
@@ -594,9 +610,9 @@
             self.permits.discard(target.target_id)
             self.backoffs.discard(target.target_id)
             self.failures.discard(target.target_id)
+        self._speed_reporter.handle_target_change(target)
         if not target.is_superseded:
             return
-        self.usage.discard_event_times(target.address)
         self.timeline.record(
             "target.over",
             target=target.target_id,
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -66,6 +66,8 @@
         Recent events of streams from the target, and the milliseconds that they took.
     claimed : int
         Memory that waiting requests claim as soon as it is free (`gateway.queue`).
+    read_tokens, read_ms : int
+        Prompt tokens that it prefilled recently, and the milliseconds that they took.
     """
 
     requests: int = 0
@@ -74,12 +76,15 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    read_tokens: int = 0
+    read_ms: int = 0
     claimed: int = 0
 
     @property
     def is_empty(self) -> bool:
-        """Whether no field is positive; `event_ms` doesn't count."""
-        most = max(self.requests, self.tokens, self.unread, self.unsaved, self.events, self.claimed)
+        """Whether no field is positive; times don't count."""
+        speeds = max(self.events, self.read_tokens)
+        most = max(self.requests, self.tokens, self.unread, self.unsaved, self.claimed, speeds)
         return most <= 0
 
     def add(self, other: "TargetLoad", sign: int = 1) -> None:
@@ -91,6 +96,8 @@
         self.events += sign * other.events
         self.event_ms += sign * other.event_ms
         self.claimed += sign * other.claimed
+        self.read_tokens += sign * other.read_tokens
+        self.read_ms += sign * other.read_ms
 
     def compute_change(self, former: "TargetLoad") -> int:
         """How much it differs from a former load, in tokens of memory."""
@@ -100,10 +107,23 @@
             + abs(self.claimed - former.claimed)
             + abs(self.unread - former.unread)
             + _REQUEST_TOKENS * abs(self.requests - former.requests)
+            # The first observations of a runner, or that it has started again, go out soon.
+            + MIN_CHANGE_TOKENS * ((self.events > 0) != (former.events > 0))
+            + MIN_CHANGE_TOKENS * ((self.read_tokens > 0) != (former.read_tokens > 0))
         )
 
 
-FIELDS = ("requests", "tokens", "unread", "unsaved", "events", "event_ms", "claimed")
+FIELDS = (
+    "requests",
+    "tokens",
+    "unread",
+    "unsaved",
+    "events",
+    "event_ms",
+    "read_tokens",
+    "read_ms",
+    "claimed",
+)
 _REQUEST_TOKENS = 1_000
 _EMPTY = TargetLoad()
 Loads = dict[str, TargetLoad]
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -64,6 +64,14 @@
     """Requests that wait for a pool of runners."""
     queue_seconds: prometheus_client.Histogram
     """Time that requests waited for a runner, by pool and size class; of those that waited."""
+    slow_targets: prometheus_client.Gauge
+    """Targets in a transient slowdown, as far as known here."""
+    slowdowns: prometheus_client.Counter
+    """Transient slowdowns that this entry found."""
+    runner_slowness: prometheus_client.Gauge
+    """Factor by which a runner is slower than its pool: by address and kind, decode or prefill."""
+    runner_observations: prometheus_client.Gauge
+    """Recent events or prompt tokens that such a factor is estimated from."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -81,6 +89,9 @@
     def gauge(name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(name, text, registry=registry)
 
+    def labelled(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, ("address", "kind"), registry=registry)
+
     return EntryMetrics(
         registry,
         count("tillerlane_requests", "Requests answered", "route", "outcome"),
@@ -114,6 +125,10 @@
             registry=registry,
             buckets=SECONDS_BUCKETS,
         ),
+        gauge("tillerlane_slow_targets", "Targets known to be slow for a moment"),
+        count("tillerlane_slowdowns", "Transient slowdowns of targets found here"),
+        labelled("tillerlane_runner_slowness", "Runners' time relative to their pool"),
+        labelled("tillerlane_runner_observations", "Recent events and prompt tokens of runners"),
     )
 
 
--- a/tillerlane/gateway/queue/choosing.py
+++ b/tillerlane/gateway/queue/choosing.py
@@ -213,8 +213,9 @@
             return True
         unread = self._usage.get(target.address).unread
         prompt_tokens = admission.facts.prompt_tokens
+        rate = self._selector.speeds.estimate_read_rate(admission.pool.name, target.address)
         return queueing.can_start(
-            unread, prompt_tokens, objective_seconds, is_long=admission.is_long
+            unread, prompt_tokens, objective_seconds, is_long=admission.is_long, rate=rate
         )
 
     def _has_room(self, admission: admissions.Admission, target: directory.Target) -> bool:
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -250,12 +250,14 @@
             self._sort(now)
             self._check_rest(now)
         ahead_tokens = 0
-        part = self._compute_part(seconds)
+        # Short requests may use memory that long ones have to leave free.
+        parts = {is_long: self._compute_part(seconds, is_long) for is_long in (False, True)}
         for ticket in self._ordered[:MAX_OFFERS]:
+            is_long = ticket.item.is_long
             if ticket is self._claimant:
                 self._offer_claimed(ticket)
-            if part > 0 and not ticket.future.done():
-                part = self._offer(ticket, part)
+            if parts[is_long] > 0 and not ticket.future.done():
+                parts[is_long] = self._offer(ticket, parts[is_long])
             if not ticket.future.done():
                 self._check(ticket, ahead_tokens, now)
             if not ticket.future.done():
@@ -263,18 +265,21 @@
         self._update_claim(now)
         self._schedule(CHECK_INTERVAL_SECONDS)
 
-    def _compute_part(self, seconds: float) -> float:
-        """Tokens of the free memory that this entry's requests may take now."""
+    def _compute_part(self, seconds: float, is_long: bool) -> float:
+        """Tokens of the free memory that this entry's long or short requests may take now."""
         most = self._watch.most_free_tokens
-        first = next(
-            (ticket for ticket in self._ordered[:MAX_OFFERS] if ticket.needed_tokens <= most), None
-        )
+        of_class = [item for item in self._ordered[:MAX_OFFERS] if item.item.is_long == is_long]
+        first = next((ticket for ticket in of_class if ticket.needed_tokens <= most), None)
         if first is None or not self._watch.targets:
             return math.inf  # no runner is known, or none has memory for any of them
         free_tokens = self._watch.sum_usable(first.item.memory_tokens, first.headroom_tokens)
-        wanted_tokens = self._tokens + self._estimate_elsewhere()
+        own_tokens = sum(item.item.memory_tokens for item in of_class if not item.is_late)
+        # Other entries' requests are taken to have the same mix.
+        elsewhere = self._estimate_elsewhere() * (
+            own_tokens / self._tokens if self._tokens > 0 else 1.0
+        )
         age = self._watch.report_age_seconds
-        return room.compute_part(free_tokens, self._tokens, wanted_tokens, seconds, age)
+        return room.compute_part(free_tokens, own_tokens, own_tokens + elsewhere, seconds, age)
 
     def _offer(self, ticket: Ticket, part: float) -> float:
         """Offer a request what is free, up to a part; returns what is left of that part.
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -30,6 +31,8 @@
 may cost."""
 TAKE_TIMEOUT_SECONDS = 0.25
 """Longest wait for an answer: a sixth of a short request's objective (1.5 s)."""
+LARGEST_SECONDS = 30.0
+"""Time over which the largest short request is remembered: an entry gets one in two seconds."""
 FULL_SECONDS = 0.1
 """How long a runner without free memory counts as full: about the age of a load report."""
 UNSUPPORTED_SECONDS = 5.0
@@ -140,6 +143,8 @@
         """Latest rejection by each target, by its id."""
         self._skipped_until: dict[str, float] = {}
         """Targets, by id, from which no hold is requested for a while."""
+        self._largest: dict[str, tuple[float, float]] = {}
+        """Memory of the largest short request of each pool, and when it was sent."""
         self._tasks: set[asyncio.Task[Any]] = set()
         """Calls in progress, also those that nothing waits for any more."""
 
@@ -149,6 +154,7 @@
         if engine is None or engine.hold_seconds <= 0 or admission.tokens <= 0:
             return False
         now = self._loop.time()
+        self._record_size(admission, now)
         if self._skipped_until.get(target.target_id, 0.0) > now:
             return False
         if self._usage.compute_age(now) is None:
@@ -179,8 +185,21 @@
             admission.compute_growth_reserve(0),
             written_tokens,
             self._moved.estimate(admission.pool),
+            int(self._read_largest(admission.pool.name, self._loop.time())),
         )
 
+    def _read_largest(self, pool: str, now: float) -> float:
+        """Memory of the largest short request sent to a pool, which decays until the next one."""
+        tokens, at = self._largest.get(pool, (0.0, now))
+        return tokens * math.exp((at - now) / LARGEST_SECONDS)
+
+    def _record_size(self, admission: admissions.Admission, now: float) -> None:
+        if admission.facts.output_tokens >= admissions.LONG_RUN_TOKENS:
+            return
+        pool = admission.pool.name
+        if admission.tokens > self._read_largest(pool, now):
+            self._largest[pool] = float(admission.tokens), now
+
     def is_full(self, target: directories.Target, tokens: int) -> bool:
         """Whether a target has just rejected a hold of this size or a smaller one.
 
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -237,6 +237,7 @@
                     return refusals.NotRun(reason, sent=False, is_blocked=True)
                 head = self._dialect.build_forward(admission.request.head, plan)
                 self._selector.failures.record_send(target.target_id, self._loop.time())
+                exchange.load_at_send = self._usage.get(address)
                 exchange.send(head, admission.request.body)
                 if plan.copy is None:
                     self._record_served(admission, admission.served_tokens)
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -391,6 +391,8 @@
     ``unsaved`` the memory of runs without a copy elsewhere.
     ``events`` is the number of stream events received recently and ``event_ms`` the time spent
     waiting for them.  ``claimed`` is memory that a waiting request needs next.
+    waiting for them.  ``read_tokens`` is the number of prompt tokens prefilled recently and
+    ``read_ms`` the time that this took.
     """
 
     address: str
@@ -400,6 +402,8 @@
     unsaved: int = 0
     events: int = 0
     event_ms: int = 0
+    read_tokens: int = 0
+    read_ms: int = 0
     claimed: int = 0
 
 
@@ -432,6 +436,8 @@
     unsaved: list[int]
     events: list[int]
     event_ms: list[int]
+    read_tokens: list[int] = dataclasses.field(default_factory=list)
+    read_ms: list[int] = dataclasses.field(default_factory=list)
     claimed: list[int] = dataclasses.field(default_factory=list)
 
 
