--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -38,6 +38,9 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
+REJECTION_COST_SECONDS = 10.0
+"""Cost of a target that has just rejected a reservation, above any difference between targets:
+another one may be sent to although it ranks as full."""
 POOL_LOAD_INTERVAL_SECONDS = 0.5
 """How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
 sum takes 24 us for 25 targets and 840 us for 1,000."""
@@ -213,7 +216,7 @@
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, 2)
+        best = (True, True, True, True)
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
@@ -235,12 +238,12 @@
                 if obstacle is not None and is_sent_now:
                     continue
                 load = self._usage.get(target.address)
-                has_room = _has_room(pool, load, work.memory_tokens, full_share)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     self._is_avoided(target, now),
                     obstacle is not None,
-                    2 if self.is_full(target, work.memory_tokens) else not has_room,
+                    not _has_room(pool, load, work.memory_tokens, full_share)
+                    or self.is_full(target, work.memory_tokens),
                 )
                 if rank > best:
                     continue
@@ -313,6 +316,8 @@
             cost += CROSS_HALL_COST_SECONDS
         if target.warm_at > now:
             cost += COLD_COST_SECONDS
+        if self.is_full(target, work.memory_tokens):
+            cost += REJECTION_COST_SECONDS
         return cost
 
     def estimate_evacuation_seconds(self, pool: routes.Pool, target: directories.Target) -> float:
