--- a/tillerlane/gateway/tests/test_reservations.py
+++ b/tillerlane/gateway/tests/test_reservations.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, reservations
+from tillerlane.gateway import http_client, moved_loads, reservations, routes
+from tillerlane.gateway import usage as usages
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
 
 MEMORY_TOKENS = 26_000
@@ -347,6 +348,28 @@
         self.assertEqual(self.count_holds(stage)["full"], 1)
 
 
+class MovedLoadsTest(unittest.TestCase):
+    """Memory of runs that leaving runners hand over."""
+
+    def test_each_leaving_runner_counts_once_and_decays(self) -> None:
+        """A drained runner counted again at its exit, or kept memory free for ever."""
+        directory, used, now = directories.Directory(), usages.Usage("entry-1"), 0.0
+        moved = moved_loads.MovedLoads(directory, used, lambda: now)
+        phases = directories.Phase
+        for sequence, name, phase in (
+            *((1, name, phases.READY) for name in ("t1", "t2", "t3")),
+            (2, "t1", phases.DRAINING),
+            (3, "t1", phases.GONE),
+        ):
+            used.add(f"{name}:1", unsaved=6_000 if sequence == 1 else 0)
+            target = directories.Target(name, "llm", f"{name}:1", "hall", 24, phase, sequence, now)
+            directory.merge(target)
+        pool = routes.Pool("llm", "/", 100)
+        self.assertEqual(moved.estimate(pool), 6_000 / 2)
+        now = 3 * moved_loads.SMOOTHING_SECONDS
+        self.assertLess(moved.estimate(pool), 200)
+
+
 class LongRunTest(ReservationCase):
     """Long runs, which are copied to other runners and moved there."""
 
