--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -30,6 +30,9 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
+REJECTION_COST_SECONDS = 10.0
+"""Cost of a target that has just rejected a reservation, above any difference between targets:
+another one may be sent to although it ranks as full."""
 POOL_LOAD_INTERVAL_SECONDS = 0.5
 """How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
 sum takes 24 us for 25 targets and 840 us for 1,000."""
@@ -193,7 +196,7 @@
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
-        best = (True, True, True, 2, True)
+        best = (True, True, True, True, True)
         standings = self.failures.find_standings(
             pool.name,
             sum(map(len, groups)),
@@ -225,13 +228,13 @@
                     continue
                 load = self._usage.get(target.address)
                 standing = standings.get(target.target_id, failing.Standing.CLEAR)
-                has_room = _has_room(pool, load, work.memory_tokens, full_share)
                 rank = (
                     target.phase is directories.Phase.SILENT,
                     standing is failing.Standing.AVOIDED
                     or self._available.is_rejecting_others(target),
                     obstacle is not None,
-                    2 if self.is_full(target, work.memory_tokens) else not has_room,
+                    not _has_room(pool, load, work.memory_tokens, full_share)
+                    or self.is_full(target, work.memory_tokens),
                     standing is failing.Standing.LAST_RESORT,
                 )
                 if rank > best:
@@ -296,6 +299,8 @@
             cost += CROSS_HALL_COST_SECONDS
         if target.warm_at > now:
             cost += COLD_COST_SECONDS
+        if self.is_full(target, work.memory_tokens):
+            cost += REJECTION_COST_SECONDS
         return cost
 
     def estimate_evacuation_seconds(self, pool: routes.Pool, target: directories.Target) -> float:
