--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -45,6 +45,10 @@
 PAUSE_COST_SECONDS = 4.0
 """Cost of a pause that is certain, in seconds of waiting: a run with such a pause counts as late as
 a whole, so any queue that still meets the objective (at most 4.0 s) is better."""
+SLOWDOWN_COST_SECONDS = 1.5
+"""Cost of a runner in a transient slowdown, which lasts for half a second more on average.  It must
+stay below the cost of a pause: a long run is better off on a fast runner that is slow for a moment
+than on a slow one."""
 MAX_PAUSE_RISK = 0.3
 """Pause risk up to which a candidate counts as safe for a run.  A run without a safe candidate
 looks at more (`MAX_CANDIDATES_FACTOR`): three or four random ones of 20 runners, a third of them
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -39,9 +39,6 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
-SLOWDOWN_COST_SECONDS = 10.0
-"""Cost of a target in a transient slowdown, in seconds of waiting: above any other difference, so
-that it gets nothing new while another candidate of its rank can take it."""
 BEST_RANK = (False, False, False, False)
 """Neither silent nor avoided nor blocked nor full."""
 
@@ -175,7 +172,7 @@
         slow = self.speeds.slowdowns.find_slow(targets)
         if slow:
             costs = [
-                cost + SLOWDOWN_COST_SECONDS * (target.target_id in slow)
+                cost + placing.SLOWDOWN_COST_SECONDS * (target.target_id in slow)
                 for cost, (target, _) in zip(costs, found, strict=True)
             ]
         if source_hall is not None:
--- a/tillerlane/testing/speed_play.py
+++ b/tillerlane/testing/speed_play.py
@@ -65,7 +65,8 @@
     pause_cost : float
         Cost of a certain pause; 0 if the risk isn't counted.
     knows_prefill : bool
-        Whether the prefill speed counts in the waiting term and in the bound on queued prefill.
+        Whether the prefill speed counts in the waiting term and in the bound on queued prefill,
+        with the prompts that are not reported yet.
     hears_slowdowns : bool
         Whether runners in a transient slowdown are avoided.
     """
@@ -74,11 +75,7 @@
     pause_cost: float = 0.0
     knows_prefill: bool = False
     hears_slowdowns: bool = False
-    wide: bool = False
-    max_risk: float = 1.0
-    hidden: float = 0.0
-    bounds_rate: bool = False
-    late_cost: float = 0.0
+    max_risk: float = placing.MAX_PAUSE_RISK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,7 +234,7 @@
         if used + tokens > MEMORY_TOKENS * (0.95 if is_long else 1.0):
             return False
         rate: float = placing.PREFILL_TOKENS_PER_SECOND
-        if self.variant.bounds_rate:
+        if self.variant.knows_prefill:
             rate /= self.estimates[number].prefill.factor
         is_late = self.now - arrival.at > 0.7 * objective
         if not is_late and not queueing.can_start(
@@ -265,17 +262,22 @@
         unreported = (self.scene.long_rate + self.scene.short_rate) * REPORT_AGE_SECONDS
         sample_size = placing.count_candidates(len(present), unreported)
         event_seconds = self.pool.event_seconds or placing.DEFAULT_EVENT_SECONDS
-        best, best_cost, sampled = present[0], (True, math.inf), 0.0
-        least_risk = 1.0
-        hidden = variant.hidden * work.prompt_tokens * unreported * sample_size / len(present)
-        objective = LONG_OBJECTIVE_SECONDS if work.events > 20 else SHORT_OBJECTIVE_SECONDS
+        hidden = 0
+        if variant.knows_prefill:
+            hidden = placing.estimate_hidden_tokens(
+                work.prompt_tokens, sample_size, len(present), unreported
+            )
+        best, best_cost, sampled = present[0], (True, math.inf), 0
+        counts_risk = variant.pause_cost > 0 and work.pause_objective_seconds > 0
+        has_safe = not counts_risk
         for number in self.rng.sample(present, len(present)):
-            if sampled >= sample_size and not best_cost[0] and least_risk <= variant.max_risk:
+            bound = sample_size * (1 if has_safe else placing.MAX_CANDIDATES_FACTOR)
+            if sampled >= bound and not best_cost[0]:
                 break
             report, estimated = self.reports[0][number], self.estimates[number]
             own_seconds = event_seconds * estimated.decode.factor
             risk = 0.0
-            if variant.pause_cost:
+            if counts_risk:
                 risk = speeds.estimate_pause_risk(
                     own_seconds,
                     work.events,
@@ -288,7 +290,7 @@
                 24,
                 report.tokens,
                 MEMORY_TOKENS,
-                report.unprefilled + round(hidden),
+                report.unprefilled + hidden,
                 own_seconds,
                 estimated.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
                 if variant.knows_prefill
@@ -296,17 +298,14 @@
                 risk * variant.pause_cost / placing.PAUSE_COST_SECONDS,
             )
             is_full = report.tokens + work.memory_tokens > 0.9 * MEMORY_TOKENS
+            cost = placing.estimate_cost(work, load, event_seconds)
             if variant.hears_slowdowns and self.slow_heard[number] <= self.now:
-                is_slow = self.runners[number].is_slow
-                is_full |= is_slow
-            cost = (is_full, placing.estimate_cost(work, load, event_seconds))
-            if variant.late_cost:
-                share = (load.unread + work.prompt_tokens) * load.read_seconds_per_token / objective
-                cost = (is_full, cost[1] + variant.late_cost * min(1.0, max(0.0, 2 * share - 1)))
-            best, best_cost = min((best, best_cost), (number, cost), key=lambda item: item[1])
+                cost += placing.SLOWDOWN_COST_SECONDS * self.runners[number].is_slow
+            if (is_full, cost) < best_cost:
+                best, best_cost = number, (is_full, cost)
             if not is_full:
-                least_risk = min(least_risk, risk)
-                sampled += (1 - risk) if variant.wide else 1
+                sampled += 1
+                has_safe = has_safe or risk <= variant.max_risk
         return best
 
     def compute_figures(self) -> Figures:
