--- a/tillerlane/decisions/speeds.py
+++ b/tillerlane/decisions/speeds.py
@@ -51,8 +51,9 @@
 RATIO_STEPS_PER_DOUBLING = 4
 MAX_RATIO_STEP = 24
 """A distribution of gaps has a value for each ratio of 2 ** (n / 4), up to 64 times the mean."""
-_QUADRATURE = ((-math.sqrt(3.0), 1 / 6), (0.0, 2 / 3), (math.sqrt(3.0), 1 / 6))
-"""Deviations and weights that stand for a normal distribution (Gauss-Hermite, three points)."""
+_DEVIATIONS = (-math.sqrt(1.5), 0.0, math.sqrt(1.5))
+"""Three equally likely deviations that have the variance of a normal distribution.  Pools have few
+kinds of hosts; Gauss-Hermite points (1.73 deviations, weight 1/6) understate how many are slow."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -305,7 +306,8 @@
     if variance <= 0:
         return 1 - (1 - tail.compute_share(ratio)) ** events
     deviation = math.sqrt(variance)
-    return sum(
-        weight * (1 - (1 - tail.compute_share(ratio * math.exp(-offset * deviation))) ** events)
-        for offset, weight in _QUADRATURE
-    )
+    risks = [
+        1 - (1 - tail.compute_share(ratio * math.exp(-offset * deviation))) ** events
+        for offset in _DEVIATIONS
+    ]
+    return sum(risks) / len(risks)
