--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -36,9 +36,6 @@
 POOL_LOAD_INTERVAL_SECONDS = 0.5
 """How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
 sum takes 24 us for 25 targets and 840 us for 1,000."""
-SLOWDOWN_COST_SECONDS = 10.0
-"""Cost of a target in a transient slowdown, in seconds of waiting: above any other difference, so
-that it gets nothing new while another candidate of its rank can take it."""
 BEST_RANK = (False, False, False, False, False)
 """Neither silent nor avoided nor blocked nor full, nor a last resort after a failure."""
 
@@ -154,7 +151,7 @@
         slow = self.speeds.slowdowns.find_slow(targets)
         if slow:
             costs = [
-                cost + SLOWDOWN_COST_SECONDS * (target.target_id in slow)
+                cost + placing.SLOWDOWN_COST_SECONDS * (target.target_id in slow)
                 for cost, (target, _) in zip(costs, found, strict=True)
             ]
         if source_hall is not None:
