--- a/tillerlane/decisions/room.py
+++ b/tillerlane/decisions/room.py
@@ -17,6 +17,7 @@
     "Forecast",
     "compute_part",
     "compute_retry_after",
+    "compute_turn",
     "decide",
 ]
 
@@ -103,8 +104,21 @@
     """
     if wanted_tokens <= max(free_tokens, own_tokens):
         return math.inf
-    part = max(0.0, free_tokens) * own_tokens / wanted_tokens
-    return part * min(1.0, seconds / max(1e-3, report_age_seconds))
+    turn = compute_turn(own_tokens, wanted_tokens, seconds, report_age_seconds)
+    return max(0.0, free_tokens) * turn
+
+
+def compute_turn(
+    own_tokens: float, wanted_tokens: float, seconds: float, report_age_seconds: float
+) -> float:
+    """Return the probability that it is now one entry's turn among those that want memory.
+
+    Within the age of a report it is the turn of one entry on average, by what each wants.
+    Parameters are those of `compute_part`.
+    """
+    if wanted_tokens <= own_tokens:
+        return 1.0
+    return own_tokens / wanted_tokens * min(1.0, seconds / max(1e-3, report_age_seconds))
 
 
 def decide(
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -20,6 +20,9 @@
 MAX_OFFERS = 16
 """Requests that a pass offers memory to: runners seldom free memory for more at once, and a choice
 takes 0.1 ms."""
+MAX_CHECKS = 64
+"""Further requests that are checked at a time, which takes 3 us each: all of a full queue within
+0.8 s, and of a usual one at once."""
 CHECK_INTERVAL_SECONDS = 0.03
 """Longest time between two passes while requests wait."""
 MIN_PASS_INTERVAL_SECONDS = 0.005
@@ -36,8 +39,8 @@
 be the first to free memory."""
 MAX_CLAIMED_SHARE = 0.0
 """Share of the pool's memory that may be claimed already when another claim is made: one claim at a
-time, as far as it is known here.  What is claimed stays idle until there is enough of it, and each
-further claim costs more than it brings (``docs/design/queue.md``)."""
+time, as far as it is known here.  What is claimed stays idle until there is enough of it, and more
+claims at a time cost more than they bring (``docs/design/queue.md``)."""
 READ_TOKENS_PER_SECOND = placing.PREFILL_TOKENS_PER_SECOND
 
 
@@ -134,6 +137,8 @@
         self._body_bytes = 0
         self._claimant: Ticket | None = None
         self._claimed_at = -math.inf
+        self._checked = 0
+        """Requests behind the first `MAX_OFFERS` that were checked already."""
         self._pass: asyncio.TimerHandle | None = None
         self._passed_at = self._sorted_at = -math.inf
 
@@ -238,7 +243,7 @@
                 self._check(ticket, ahead_tokens, now)
             if not ticket.future.done():
                 ahead_tokens += ticket.item.memory_tokens
-        self._update_claim(now)
+        self._update_claim(now, seconds)
         self._schedule(CHECK_INTERVAL_SECONDS)
 
     def _compute_part(self, seconds: float) -> float:
@@ -334,9 +339,16 @@
         ticket.key = ordering.compute_key(ticket.item, now, READ_TOKENS_PER_SECOND)
 
     def _check_rest(self, now: float) -> None:
-        """Check the requests that get no offers yet; they wait for the same as the first one."""
-        ahead_tokens = sum(ticket.item.memory_tokens for ticket in self._ordered[:MAX_OFFERS])
-        for ticket in self._ordered[MAX_OFFERS:]:
+        """Check some of the requests that get no offers yet; the next call goes on from there.
+
+        They wait for the same as the first one.
+        """
+        rest = self._ordered[MAX_OFFERS:]
+        start = self._checked if self._checked < len(rest) else 0
+        self._checked = start + MAX_CHECKS
+        ahead = self._ordered[: MAX_OFFERS + start]
+        ahead_tokens = sum(ticket.item.memory_tokens for ticket in ahead)
+        for ticket in rest[start : start + MAX_CHECKS]:
             item = ticket.item
             is_early = now - item.arrived <= room.EARLY_SHARE * item.objective_seconds
             if is_early or ticket.is_late:
@@ -344,7 +356,7 @@
                 self._check(ticket, ahead_tokens, now)
             ahead_tokens += item.memory_tokens
 
-    def _update_claim(self, now: float) -> None:
+    def _update_claim(self, now: float, seconds: float) -> None:
         """Have the first request claim memory once it has waited for a while."""
         claimant = self._claimant
         if claimant is not None and (
@@ -354,18 +366,23 @@
             self._claimant = None
         if self._claimant is None:
             head = self._ordered[0] if self._ordered else None
-            if head is None or not self._may_claim(head, now):
+            if head is None or not self._may_claim(head, now, seconds):
                 return
             self._claimant, self._claimed_at = head, now
         self._claimant.place.claim()
 
-    def _may_claim(self, head: Ticket, now: float) -> bool:
+    def _may_claim(self, head: Ticket, now: float, seconds: float) -> bool:
+        """Whether the first request may claim a runner; entries whose requests wait take turns."""
         if head.is_late or now - head.joined_at < CLAIM_AFTER_SECONDS:
             return False
         watch = self._watch
         if watch.most_free_tokens >= head.item.memory_tokens:
             return False
-        return watch.claimed_tokens <= MAX_CLAIMED_SHARE * watch.memory_tokens
+        if watch.claimed_tokens > MAX_CLAIMED_SHARE * watch.memory_tokens:
+            return False
+        wanted_tokens = self._tokens + self._estimate_elsewhere()
+        turn = room.compute_turn(self._tokens, wanted_tokens, seconds, watch.report_age_seconds)
+        return self._rng.random() < turn
 
 
 def _get_key(ticket: Ticket) -> tuple[float, int, float]:
--- a/tillerlane/testing/queue_play.py
+++ b/tillerlane/testing/queue_play.py
@@ -27,6 +27,8 @@
         Sort key of a waiting request at a time, the lowest first.
     gives_up : callable
         Whether a request is refused at a time.
+    is_late : callable
+        Whether a request gets only what nobody else wants at a time.
     takes_parts : bool
         Whether an entry takes only its part of memory that others want too, see
         `room.compute_part`.
@@ -40,8 +42,6 @@
     is_late: Callable[[engine_play.Arrival, float], bool] = lambda arrival, now: False
     takes_parts: bool = True
     claim_seconds: float = math.inf
-    claimed_share: float = 1.0
-    min_claim_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,7 +120,10 @@
             sent = self._place_at(entry, reported, event_seconds, now, tick, wanted)
             entry.waiting = [item for item in entry.waiting if all(item is not s for s, _ in sent)]
             placed += sent
-            self._update_claim(entry, reported, now)
+            own = sum(engine_play.compute_work(item).memory_tokens for item in entry.waiting)
+            turn = room.compute_turn(own, wanted, tick, self._report_age)
+            if entry.claim is not None or self._rng.random() < turn:
+                self._update_claim(entry, reported, now)
         return placed
 
     def _view(
@@ -221,20 +224,17 @@
             head = entry.waiting[0]
             if now - head.at < self._rules.claim_seconds:
                 return
-            if engine_play.compute_work(head).memory_tokens < self._rules.min_claim_tokens:
-                return
             loads = self._view(entry, reported, now, claims=True)
             tokens = engine_play.compute_work(head).memory_tokens
             if max(item.memory_tokens - item.tokens for item in loads) >= tokens:
                 return
-            claimed = sum(
-                item.tokens - before.tokens
-                for item, before in zip(
-                    loads, self._view(entry, reported, now, claims=False), strict=True
-                )
-            )
-            if claimed > self._rules.claimed_share * sum(item.memory_tokens for item in loads):
-                return
+            known = [
+                claim
+                for other in self._entries
+                for claim in other.list_claims(now, self._report_age)
+            ]
+            if known:
+                return  # one claim at a time, as far as this entry knows
             sampled = self._rng.sample(range(len(loads)), max(1, len(loads) // 2))
             position = min(sampled, key=lambda item: loads[item].tokens)
             entry.claim = _Claim(head, position, engine_play.compute_work(head).memory_tokens, now)
