--- a/tillerlane/gateway/queue/memory_watch.py
+++ b/tillerlane/gateway/queue/memory_watch.py
@@ -90,6 +90,10 @@
         """Time after which an entry knows what others have sent."""
         return self._usage.get_report_age()
 
+    def forget(self) -> None:
+        """Read all loads anew with the next `update`."""
+        self._read_at = -math.inf
+
     def update(self, pool: routes.Pool, now: float) -> None:
         """Read the loads of the pool's runners."""
         if pool.engine is None:
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -228,6 +228,7 @@
         self._pass = None
         now = self._loop.time()
         seconds, self._passed_at = now - self._passed_at, now
+        self._end_old_claim(now)
         self._watch.update(self.pool, now)
         if now - self._sorted_at >= SORT_INTERVAL_SECONDS:
             self._sort(now)
@@ -356,14 +357,19 @@
                 self._check(ticket, ahead_tokens, now)
             ahead_tokens += item.memory_tokens
 
-    def _update_claim(self, now: float, seconds: float) -> None:
-        """Have the first request claim memory once it has waited for a while."""
+    def _end_old_claim(self, now: float) -> None:
+        """End a claim that has lasted long, or whose request is not the first any more."""
         claimant = self._claimant
-        if claimant is not None and (
-            claimant.is_late or now - self._claimed_at >= MAX_CLAIM_SECONDS
-        ):
+        if claimant is None:
+            return
+        is_first = claimant is self._ordered[0] and not claimant.is_late
+        if not is_first or now - self._claimed_at >= MAX_CLAIM_SECONDS:
             claimant.place.release_claim()
             self._claimant = None
+            self._watch.forget()
+
+    def _update_claim(self, now: float, seconds: float) -> None:
+        """Have the first request claim memory once it has waited for a while."""
         if self._claimant is None:
             head = self._ordered[0] if self._ordered else None
             if head is None or not self._may_claim(head, now, seconds):
