--- a/tillerlane/gateway/queue/tests/test_waiting.py
+++ b/tillerlane/gateway/queue/tests/test_waiting.py
@@ -78,16 +78,19 @@
 
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             fillers = [await self.fill(stage, tokens, events=30) for tokens in (3_500, 4_000)]
-            calls = [
-                self.start_call(stage, "entry-1", "record", f"relaxed-{number}", 4_700)
-                for number in range(3)
-            ]
-            await asyncio.sleep(0.119)
+            calls = []
+            for number in range(7):
+                name = f"relaxed-{number}"
+                calls.append(self.start_call(stage, "entry-1", "record", name, 4_700))
+                await asyncio.sleep(0.004)
+            await asyncio.sleep(0.1)
             calls.append(self.start_call(stage, "entry-1", "verdict", "urgent", 2_700))
-            answers = await asyncio.gather(*fillers, *calls)
+            answers = await asyncio.gather(*fillers, calls[-1])
             self.assertEqual({answer.status for answer in answers}, {200})
             ran = [run.request_id for run in stage.runners["t1"].ran]
             self.assertEqual(ran[2], "urgent")
+            for call in calls:
+                call.cancel()
 
         self.play(scene)
 
