Keep an entry's own reports of a target from counting when they come back

A trial whose answer began at once was ended here before its own report came back from the keepers, which then counted as another entry's failure, later than the trial: the next failure was not doubled.

--- a/tillerlane/gateway/failures/tests/test_tracker.py
+++ b/tillerlane/gateway/failures/tests/test_tracker.py
@@ -91,6 +91,18 @@
         self.assertEqual(self.sent[-1], ("t2", 0.0))
         self.assertEqual(self.rank("t2", now + 0.2), failing.Standing.CLEAR)
 
+    def test_own_reports_that_come_back_change_nothing(self) -> None:
+        """Guards against a trial that counts as a failure, so that further ones are not doubled."""
+        self.fail("t1", 10.0, 9.9)
+        self.failures.merge_reports(self.sent, 10.01)
+        now = 11.0 + PAST_STAGGER_SECONDS
+        self.failures.record_send("t1", now)
+        self.failures.record_success("t1", now + 0.01, now)
+        self.failures.merge_reports(self.sent[-2:], now + 0.05)
+        self.assertEqual(self.rank("t1", now + 0.05), failing.Standing.CLEAR)
+        self.fail("t1", now + 0.4, now)
+        self.assertEqual(self.sent[-1], ("t1", now + 0.4 + 2.0))
+
     def test_half_of_the_pool_is_ranked_down_on_the_word_of_others(self) -> None:
         """Guards against entries with a broken network that take all targets from the others."""
         for number in range(4):
--- a/tillerlane/gateway/failures/tracker.py
+++ b/tillerlane/gateway/failures/tracker.py
@@ -143,7 +143,7 @@
             own_failing, targets, has_failed_others=bool(failed)
         )
         if is_reported:
-            self._send(target_id, until)
+            self._send(target_id, until, now)
         self.record_event(
             "target.failing",
             target=target_id,
@@ -170,7 +170,7 @@
             return
         record.own_until = now + TRIAL_SECONDS
         if record.others_until:
-            self._send(target_id, record.own_until)
+            self._send(target_id, record.own_until, now)
         self.record_event(
             "target.trial",
             target=target_id,
@@ -189,12 +189,16 @@
         if not record.is_on_trial or sent_at < record.failed_at:
             return
         if record.others_until:
-            self._send(target_id, 0.0)
+            self._send(target_id, 0.0, now)
         self._end(target_id, record, now)
 
-    def _send(self, target_id: str, until: float) -> None:
-        """Report to the keepers; the report counts here as others' too, since it comes back."""
+    def _send(self, target_id: str, until: float, now: float) -> None:
+        """Report to the keepers.
+
+        The report counts here as others' too, and changes nothing when it comes back.
+        """
         self.notify([(target_id, until)])
+        self._table.merge((target_id, until), now)
         if until:
             record = self._records[target_id]
             record.others_until = max(record.others_until, until)
@@ -215,8 +219,6 @@
             if record is None and len(self._records) >= reports.MAX_TARGETS:
                 continue
             record = self._get(target_id, now)
-            if record.others_until >= until - reports.MIN_EXTENSION_SECONDS:
-                continue  # an own report that comes back
             is_trial = record.is_on_trial and until - now <= TRIAL_SECONDS
             record.others_until = until
             if is_trial:
