--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -49,12 +49,6 @@
 """Cost of a runner in a transient slowdown, which lasts for half a second more on average.  It must
 stay below the cost of a pause: a long run is better off on a fast runner that is slow for a moment
 than on a slow one."""
-MAX_PAUSE_RISK = 0.15
-"""Pause risk up to which a candidate counts as safe for a run.  A run without a safe candidate
-looks at more (`MAX_CANDIDATES_FACTOR`): three or four random ones of 20 runners, a third of them
-slow, are often all unsafe or full."""
-MAX_CANDIDATES_FACTOR = 3
-"""Bound on that search, so that runs don't all choose the same runner where none is safe."""
 DEFAULT_EVENT_SECONDS = 0.04
 """Event time of a pool without observations; only differences between runners matter."""
 
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -153,12 +153,12 @@
             unreported += self._count_leaving_runs(pool, source_hall)
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
-        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         found = self._sample_best(
-            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit, estimated
+            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit
         )
         if not found:
             return None
+        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         hidden = 0
         if estimated.pool.prefill_variance > 0:
             candidates = placing.count_candidates(len(targets), unreported)
@@ -208,21 +208,17 @@
         unreported: float,
         is_sent_now: bool,
         can_request_permit: bool,
-        estimated: estimates.PoolEstimates,
     ) -> list[tuple[directories.Target, loads.TargetLoad]]:
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
         found: list[tuple[directories.Target, loads.TargetLoad]] = []
         best = (True, True, True, True)
-        counts_risk = estimated.can_differ_in_risk(work)
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
             sampled = 0
-            has_safe = not counts_risk
             for target in _sample_in_turn(group, self._rng):
-                factor = 1 if has_safe else placing.MAX_CANDIDATES_FACTOR
-                if sampled >= sample_size * factor and best == BEST_RANK:
+                if sampled >= sample_size and best == BEST_RANK:
                     break
                 if target.target_id in excluded:
                     continue
@@ -248,11 +244,7 @@
                     continue
                 if rank < best:
                     best, found, sampled = rank, [], 0
-                    has_safe = not counts_risk
                 found.append((target, load))
-                if not has_safe:
-                    risk = estimated.estimate_pause_risk(target.address, load, work)
-                    has_safe = risk <= placing.MAX_PAUSE_RISK
                 sampled += 1
         return found
 
--- a/tillerlane/gateway/speeds/estimates.py
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -58,16 +58,14 @@
         self._cached[address] = (seen, estimated)
         return estimated
 
-    def can_differ_in_risk(self, work: placing.Work) -> bool:
-        """Whether runners may differ in the risk that some work pauses for too long there."""
-        is_bounded = work.pause_objective_seconds > 0 and work.events > 0
-        return is_bounded and self.tail is not None and self.pool.decode_variance > 0
-
     def estimate_pause_risk(
         self, address: str, load: loads.TargetLoad, work: placing.Work
     ) -> float:
-        """Estimate the probability that some work pauses for too long at a runner."""
-        if not self.can_differ_in_risk(work):
+        """Estimate the probability that some work pauses for too long at a runner.
+
+        It is 0 in a pool of equal runners, where the risk would be the same for all.
+        """
+        if work.pause_objective_seconds <= 0 or self.pool.decode_variance <= 0:
             return 0.0
         decode = self.estimate(address, load).decode
         return speeds.estimate_pause_risk(
--- a/tillerlane/testing/speed_play.py
+++ b/tillerlane/testing/speed_play.py
@@ -75,7 +75,6 @@
     pause_cost: float = 0.0
     knows_prefill: bool = False
     hears_slowdowns: bool = False
-    max_risk: float = placing.MAX_PAUSE_RISK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -269,10 +268,8 @@
             )
         best, best_cost, sampled = present[0], (True, math.inf), 0
         counts_risk = variant.pause_cost > 0 and work.pause_objective_seconds > 0
-        has_safe = not counts_risk
         for number in self.rng.sample(present, len(present)):
-            bound = sample_size * (1 if has_safe else placing.MAX_CANDIDATES_FACTOR)
-            if sampled >= bound and not best_cost[0]:
+            if sampled >= sample_size and not best_cost[0]:
                 break
             report, estimated = self.reports[0][number], self.estimates[number]
             own_seconds = event_seconds * estimated.decode.factor
@@ -305,7 +302,6 @@
                 best, best_cost = number, (is_full, cost)
             if not is_full:
                 sampled += 1
-                has_safe = has_safe or risk <= variant.max_risk
         return best
 
     def compute_figures(self) -> Figures:
