--- a/tillerlane/gateway/speeds/tests/test_estimates.py
+++ b/tillerlane/gateway/speeds/tests/test_estimates.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from tillerlane.decisions import placing
+from tillerlane.decisions import placing, speeds
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import loads, routes, selection, usage
 from tillerlane.gateway.speeds import estimates
@@ -146,6 +146,37 @@
         self.assertIsNotNone(aggregator.build_delta_digest(), "others hear of it without delay")
         self.assertEqual(aggregator.get(get_address(1)), loads.TargetLoad())
 
+    def test_speeds_of_two_hosts_swapped_at_their_next_starts(self) -> None:
+        """Two first events and some events of the new start must tell it from the former one."""
+        used = usage.Usage("entry-0")
+        aggregator = loads.LoadAggregator("keeper-1", 1)
+        now = 0.0
+
+        def record(factors: dict[int, float], events: int, prefills: int) -> None:
+            for number, factor in factors.items():
+                seconds = events * EVENT_SECONDS * factor
+                used.record_events(get_address(number), events, seconds, now)
+                tokens = prefills * 3_000
+                used.record_prefill(get_address(number), tokens, tokens / 7_000 * factor, now)
+
+        def estimate() -> list[float]:
+            aggregator.handle_report(used.build_report(1, now), now)
+            seen = [
+                estimates.build_seen(aggregator.get(get_address(number)))
+                for number in range(RUNNERS)
+            ]
+            pool = speeds.estimate_pool(seen)
+            return [speeds.estimate_slowness(item, pool).factor for item in seen]
+
+        record({number: FACTORS[number % 3] for number in range(RUNNERS)}, 400, 10)
+        former = estimate()
+        self.assertGreater(former[2], 2 * former[0])
+        for number in (0, 2):
+            used.discard_event_times(get_address(number))
+        record({0: 1.6, 2: 0.6}, 10, 2)
+        swapped = estimate()
+        self.assertGreater(swapped[0], 1.6 * swapped[2])
+
 
 class WireTest(unittest.TestCase):
     """Columns that daemons of an earlier version do not send."""
