--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -160,7 +160,7 @@
             return None
         estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         hidden = 0
-        if estimated.pool.prefill_variance > 0:
+        if estimated.differs:
             candidates = placing.count_candidates(len(targets), unreported)
             hidden = placing.estimate_hidden_tokens(
                 work.prompt_tokens, candidates, len(targets), unreported
@@ -267,8 +267,12 @@
         if pool.engine is None:
             cost = load.requests / max(1, target.slots)
         else:
-            slowness = estimated.estimate(target.address, load)
-            event_seconds = estimated.event_seconds * slowness.decode.factor
+            event_seconds, read_seconds, risk = estimated.event_seconds, 0.0, 0.0
+            if estimated.differs:
+                slowness = estimated.estimate(target.address, load)
+                event_seconds *= slowness.decode.factor
+                read_seconds = slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
+                risk = estimated.estimate_pause_risk(target.address, load, work)
             candidate = placing.CandidateLoad(
                 load.requests,
                 target.slots,
@@ -276,8 +280,8 @@
                 pool.engine.memory_tokens,
                 load.unread + hidden,
                 event_seconds,
-                slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND,
-                estimated.estimate_pause_risk(target.address, load, work),
+                read_seconds,
+                risk,
             )
             cost = placing.estimate_cost(work, candidate, estimated.event_seconds)
         if target.data_hall != self._data_hall:
--- a/tillerlane/gateway/speeds/estimates.py
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -26,12 +26,15 @@
     ----------
     event_seconds : float
         Mean seconds per event; a default without observations.
+    differs : bool
+        Whether the runners' speeds differ, as far as known.
     """
 
     computed_at: float
     gaps: gaps.GapRecorder
     event_seconds: float = placing.DEFAULT_EVENT_SECONDS
     pool: speeds.PoolSpeeds = dataclasses.field(default_factory=speeds.PoolSpeeds)
+    differs: bool = False
     tail: speeds.Tail | None = None
     _cached: dict[str, tuple[speeds.Seen, speeds.Speeds]] = dataclasses.field(default_factory=dict)
 
@@ -39,12 +42,15 @@
         """Compute the pool's speeds again from all runners' observations."""
         self.pool = speeds.estimate_pool(list(observed))
         self.event_seconds = self.pool.event_seconds or placing.DEFAULT_EVENT_SECONDS
+        self.differs = self.pool.decode_variance > 0 or self.pool.prefill_variance > 0
         self.tail = self.gaps.build_tail(now)
         self.computed_at = now
         self._cached.clear()
 
     def estimate(self, address: str, load: loads.TargetLoad) -> speeds.Speeds:
         """Estimate a runner's speeds from what its load says."""
+        if not self.differs:
+            return speeds.NEUTRAL
         cached = self._cached.get(address)
         if (
             cached is not None
