--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -124,7 +124,6 @@
             unreported += self._count_leaving_runs(pool, source_hall)
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
-        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         found = self._sample_best(
             pool,
             work,
@@ -134,12 +133,12 @@
             is_sent_now,
             can_request_permit,
             full_share,
-            estimated,
         )
         if not found:
             return None
+        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
         hidden = 0
-        if estimated.pool.prefill_variance > 0:
+        if estimated.differs:
             candidates = placing.count_candidates(len(targets), unreported)
             hidden = placing.estimate_hidden_tokens(
                 work.prompt_tokens, candidates, len(targets), unreported
@@ -188,7 +187,6 @@
         is_sent_now: bool,
         can_request_permit: bool,
         full_share: float,
-        estimated: estimates.PoolEstimates,
     ) -> list[tuple[directories.Target, loads.TargetLoad]]:
         """Sample targets of each group, with their load; only those of the best rank."""
         now = self._now()
@@ -200,15 +198,12 @@
             now,
             is_repeatable=work.is_repeatable and not excluded,
         )
-        counts_risk = estimated.can_differ_in_risk(work)
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
             sample_size = placing.count_candidates(len(group), unreported)
             sampled = 0
-            has_safe = not counts_risk
             for target in _sample_in_turn(group, self._rng):
-                factor = 1 if has_safe else placing.MAX_CANDIDATES_FACTOR
-                if sampled >= sample_size * factor and best == BEST_RANK:
+                if sampled >= sample_size and best == BEST_RANK:
                     break
                 if target.target_id in excluded:
                     continue
@@ -238,11 +233,7 @@
                     continue
                 if rank < best:
                     best, found, sampled = rank, [], 0
-                    has_safe = not counts_risk
                 found.append((target, load))
-                if not has_safe:
-                    risk = estimated.estimate_pause_risk(target.address, load, work)
-                    has_safe = risk <= placing.MAX_PAUSE_RISK
                 sampled += 1
         return found
 
@@ -279,8 +270,12 @@
         if pool.engine is None:
             cost = load.requests / max(1, target.slots)
         else:
-            slowness = estimated.estimate(target.address, load)
-            event_seconds = estimated.event_seconds * slowness.decode.factor
+            event_seconds, read_seconds, risk = estimated.event_seconds, 0.0, 0.0
+            if estimated.differs:
+                slowness = estimated.estimate(target.address, load)
+                event_seconds *= slowness.decode.factor
+                read_seconds = slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
+                risk = estimated.estimate_pause_risk(target.address, load, work)
             candidate = placing.CandidateLoad(
                 load.requests,
                 target.slots,
@@ -288,8 +283,8 @@
                 pool.engine.memory_tokens,
                 load.unread + hidden,
                 event_seconds,
-                slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND,
-                estimated.estimate_pause_risk(target.address, load, work),
+                read_seconds,
+                risk,
             )
             cost = placing.estimate_cost(work, candidate, estimated.event_seconds)
         if target.data_hall != self._data_hall:
--- a/tillerlane/gateway/speeds/estimates.py
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -26,12 +26,15 @@
     ----------
     event_seconds : float
         Mean seconds per event; a default without observations.
+    differs : bool
+        Whether the runners' speeds differ, as far as known.
     """
 
     computed_at: float
     gaps: gaps.GapRecorder
     event_seconds: float = placing.DEFAULT_EVENT_SECONDS
     pool: speeds.PoolSpeeds = dataclasses.field(default_factory=speeds.PoolSpeeds)
+    differs: bool = False
     tail: speeds.Tail | None = None
     _cached: dict[str, tuple[speeds.Seen, speeds.Speeds]] = dataclasses.field(default_factory=dict)
 
@@ -39,12 +42,15 @@
         """Compute the pool's speeds again from all runners' observations."""
         self.pool = speeds.estimate_pool(list(observed))
         self.event_seconds = self.pool.event_seconds or placing.DEFAULT_EVENT_SECONDS
+        self.differs = self.pool.decode_variance > 0 or self.pool.prefill_variance > 0
         self.tail = self.gaps.build_tail(now)
         self.computed_at = now
         self._cached.clear()
 
     def estimate(self, address: str, load: loads.TargetLoad) -> speeds.Speeds:
         """Estimate a runner's speeds from what its load says."""
+        if not self.differs:
+            return speeds.NEUTRAL
         cached = self._cached.get(address)
         if (
             cached is not None
@@ -58,16 +64,14 @@
         self._cached[address] = (seen, estimated)
         return estimated
 
-    def can_differ_in_risk(self, work: placing.Work) -> bool:
-        """Whether runners may differ in the risk that some work pauses for too long there."""
-        is_bounded = work.pause_objective_seconds > 0 and work.events > 0
-        return is_bounded and self.tail is not None and self.pool.decode_variance > 0
-
     def estimate_pause_risk(
         self, address: str, load: loads.TargetLoad, work: placing.Work
     ) -> float:
-        """Estimate the probability that some work pauses for too long at a runner."""
-        if not self.can_differ_in_risk(work):
+        """Estimate the probability that some work pauses for too long at a runner.
+
+        It is 0 in a pool of equal runners, where the risk would be the same for all.
+        """
+        if work.pause_objective_seconds <= 0 or self.pool.decode_variance <= 0:
             return 0.0
         decode = self.estimate(address, load).decode
         return speeds.estimate_pause_risk(
