--- a/tillerlane/decisions/ordering.py
+++ b/tillerlane/decisions/ordering.py
@@ -93,8 +93,8 @@
     A request that returns after a refusal ranks by its first arrival.  Among requests with an equal
     latest start the more urgent goes first.
 
-    In a simulation of 25 runners whose memory is short (``docs/design/queue.md``), it keeps more
-    requests in time than `compute_priority_key`.
+    In a simulation of 25 runners whose memory is short (``docs/design/queue.md``), it brings as
+    much as `compute_priority_key` within what seeds differ by, and starves nothing.
     """
     latest_start = compute_latest_start(item, read_tokens_per_second)
     rank = latest_start - (item.arrived - item.first_arrived)
--- a/tillerlane/decisions/tests/test_queue_order.py
+++ b/tillerlane/decisions/tests/test_queue_order.py
@@ -160,6 +160,28 @@
             1 - engine_play.compute_on_time_share(largest, "short", 1.5),
         )
 
+    def test_queue_brings_more_value_than_polling(self) -> None:
+        """At 0.8 of the prefill capacity 0.744 and 0.704 with polling, at 0.95 0.629 and 0.582."""
+        for load in (0.8, 0.95):
+            with self.subTest(load):
+                value, late, _ = self.simulate(QUEUE, load)
+                value_before, late_before, _ = self.simulate(POLLING, load)
+                self.assertGreater(value, value_before + 0.02)
+                self.assertLess(late, late_before + 0.03)
+
+    def test_entries_that_take_parts_send_less_to_the_same_runner(self) -> None:
+        """At 0.95, 0.629; if each entry takes all memory that it sees, 0.536."""
+        self.assertGreater(
+            self.simulate(QUEUE, 0.95)[0], self.simulate(WITHOUT_PARTS, 0.95)[0] + 0.05
+        )
+
+    def test_order_by_latest_start_and_by_priority_bring_the_same(self) -> None:
+        """At 0.8 0.744 and 0.739 by priority, at 0.95 0.629 and 0.665; seeds differ by 0.04."""
+        for load in (0.8, 0.95):
+            with self.subTest(load):
+                value, *_ = self.simulate(QUEUE, load)
+                self.assertGreater(value, self.simulate(BY_PRIORITY, load)[0] - 0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/testing/queue_play.py
+++ b/tillerlane/testing/queue_play.py
@@ -140,6 +140,8 @@
                 tokens[claim.position] += claim.tokens
         return [
             dataclasses.replace(load, tokens=load.tokens + more, unread=load.unread + prompts)
+            if more or prompts
+            else load
             for load, more, prompts in zip(reported, tokens, unread, strict=True)
         ]
 
