--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -190,8 +190,7 @@
         outcome = "left"
         try:
             result = await ticket.wait()
-            is_placed = isinstance(result, offers.Placement)
-            outcome = "placed" if is_placed else result.kind.value
+            outcome = "placed" if isinstance(result, offers.Placement) else result.kind.value
             return self._conclude(admission, result)
         finally:
             self._record_wait(search, ticket, outcome)
--- a/tillerlane/gateway/queue/tests/test_pool_queue.py
+++ b/tillerlane/gateway/queue/tests/test_pool_queue.py
@@ -79,13 +79,12 @@
         async def scene() -> None:
             for _ in range(pool_queue.MAX_WAITING):
                 self.join()
-            self.assertEqual((await self.join()[0].wait()).kind, offers.VerdictKind.OVERFULL)
+            overfull = offers.Verdict(offers.VerdictKind.OVERFULL)
+            self.assertEqual(await self.join()[0].wait(), overfull)
             self.queue.refuse_all()
             self.queue.is_closed = False
             self.join(body_bytes=pool_queue.MAX_BODY_BYTES)
-            self.assertEqual(
-                (await self.join(body_bytes=1)[0].wait()).kind, offers.VerdictKind.OVERFULL
-            )
+            self.assertEqual(await self.join(body_bytes=1)[0].wait(), overfull)
 
         self.play(scene)
 
--- a/tillerlane/gateway/tests/test_loads.py
+++ b/tillerlane/gateway/tests/test_loads.py
@@ -283,6 +283,25 @@
         uses = {f"10.0.9.{item}:1": loads.TargetLoad(item, 2, 3, 4, 5, 6) for item in range(40)}
         self.assertEqual(loads.decode_loads(loads.encode_loads(uses.items())), uses)
 
+    def test_table_of_an_earlier_version_has_no_claims(self) -> None:
+        """Guards against entries and keepers that ignore each other during an update."""
+        table = messages.UseTable(["10.0.9.1:1"], [1], [2], [3], [4], [5], [6])
+        expected = {"10.0.9.1:1": loads.TargetLoad(1, 2, 3, 4, 5, 6)}
+        self.assertEqual(loads.decode_loads(codec.encode_table(table)), expected)
+
+    def test_claims_end_before_the_rest_of_a_report(self) -> None:
+        """Guards against memory that is kept free for an entry that has died."""
+        aggregator = loads.LoadAggregator("keeper-1", 1)
+        rows = [messages.TargetUse(ADDRESS, 1, 3_000), messages.TargetUse("a2", 0, 0, claimed=500)]
+        aggregator.handle_report(messages.EntryLoads("entry-1", 1, rows), 0.0)
+        aggregator.expire(1.9)
+        self.assertEqual(aggregator.get("a2").claimed, 500)
+        self.assertEqual(aggregator.expire(2.1), [])
+        self.assertEqual((aggregator.get("a2").claimed, aggregator.get(ADDRESS).tokens), (0, 3_000))
+        digest = aggregator.build_delta_digest(is_due=True)
+        assert digest is not None
+        self.assertEqual(loads.decode_loads(digest.table)["a2"].claimed, 0)
+
     def test_columns_of_different_lengths_are_refused(self) -> None:
         table = messages.UseTable(["10.0.9.1:1"], [1, 2], [1], [1], [1], [1], [1])
         with self.assertRaisesRegex(Exception, "expected one length"):
--- a/tillerlane/testing/engine_play.py
+++ b/tillerlane/testing/engine_play.py
@@ -265,8 +265,8 @@
             (deferred.append if entries is None else entries.add)(waiting.popleft())
         if entries is not None:
             loads, event_seconds = _build_loads(pool, reported[0], knows_event_seconds)
-            for arrival, position in entries.place(loads, event_seconds, now, tick):
-                outcomes.append(_start(runners[position], arrival))
+            for arrival, chosen in entries.place(loads, event_seconds, now, tick):
+                outcomes.append(_start(runners[chosen], arrival))
         arrived, deferred = deferred, []
         for arrival in arrived:
             position = _choose(pool, reported[0], arrival, choose, knows_event_seconds)
