--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -191,8 +191,7 @@
         outcome = "left"
         try:
             result = await ticket.wait()
-            is_placed = isinstance(result, offers.Placement)
-            outcome = "placed" if is_placed else result.kind.value
+            outcome = "placed" if isinstance(result, offers.Placement) else result.kind.value
             if isinstance(result, offers.Verdict) and result.retry_after is not None:
                 seconds = self._schedule_return(admission, item, queue, result.retry_after)
                 result = offers.Verdict(result.kind, seconds)
