--- a/tillerlane/gateway/queue/tests/test_waiting.py
+++ b/tillerlane/gateway/queue/tests/test_waiting.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from tillerlane.gateway import loads, reservations
+from tillerlane.gateway import loads
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
 
 MEMORY_TOKENS = 27_000
@@ -145,31 +145,6 @@
         self.play(scene)
 
 
-class ReservationTest(WaitingCase):
-    """A runner that refuses to reserve memory for a request."""
-
-    def test_request_returns_to_its_place_until_the_runner_reserves_memory(self) -> None:
-        """Guards against a refusal to the caller, a busy loop, and load that stays counted."""
-
-        async def scene(stage: gateway_lab.GatewayLab) -> None:
-            await self.fill(stage, 1_000, events=300)
-            answers = [reservations.Full(), reservations.Full(), reservations.Hold("h1")]
-            fake = mock.create_autospec(reservations.Reservations, instance=True)
-            fake.is_needed.return_value = True
-            fake.take.side_effect = answers
-            entry = stage.entries["entry-1"]
-            entry._relay._sender.reservations = fake
-            answer = await self.start_call(stage, "entry-1", "record", "r1", 4_000)
-            self.assertEqual(answer.status, 200)
-            self.assertEqual(fake.take.await_count, 3)
-            self.assertGreater(answer.seconds, 2 * 0.1)
-            fake.drop.assert_not_awaited()
-            own = entry.usage.get_own(stage.runners["t1"].address)
-            self.assertEqual((own.requests, own.unread, own.claimed), (1, 0, 0))
-
-        self.play(scene)
-
-
 class ManyEntriesTest(WaitingCase):
     """Entries that wait for the memory of one runner."""
 
--- a/tillerlane/gateway/tests/test_reservations.py
+++ b/tillerlane/gateway/tests/test_reservations.py
@@ -316,6 +316,23 @@
         await asyncio.sleep(8)
         self.check_uncounted(stage, runner.address)
 
+    @play
+    async def test_request_waits_until_the_runner_reserves_memory(self, stage: Lab) -> None:
+        """Guards against a refusal to the caller, a busy loop, and load that stays counted."""
+        runner = await self.start_full(stage)
+        before = self.count_holds(stage)["full"]
+        runner.hold_status = 503
+        call = self.call(stage, 1)
+        await asyncio.sleep(0.25)
+        self.assertLessEqual(self.count_holds(stage)["full"] - before, 3)
+        runner.hold_status = 0
+        response = await call
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(gateway_scenes.list_runs(stage, "r1")), 1)
+        self.assertIn("hold", runner.ran[-1].headers)
+        await asyncio.sleep(8)
+        self.check_uncounted(stage, runner.address)
+
     async def start_second(self, stage: Lab) -> platform_runner.PlatformRunner:
         """Start a runner with a single large run, which costs more than the first one."""
         (second,) = await self.start(stage, ["t2"])
