--- a/tillerlane/agent/execution.py
+++ b/tillerlane/agent/execution.py
@@ -86,7 +86,8 @@
             tasks, await asyncio.gather(*tasks, return_exceptions=True), strict=True
         ):
             if isinstance(outcome, Exception):
-                error = f"{task.get_coro().__qualname__}: {outcome!r}"[:MAX_ERROR_CHARACTERS]
+                name = getattr(task.get_coro(), "__qualname__", "")
+                error = f"{name}: {outcome!r}"[:MAX_ERROR_CHARACTERS]
                 self._timeline.record("internal.error", target=self.state.name, error=error)
         await self.state.client.close()
 
