--- a/tillerlane/decisions/speeds.py
+++ b/tillerlane/decisions/speeds.py
@@ -23,10 +23,12 @@
     "Slowness",
     "Speeds",
     "Tail",
+    "compute_pause_probability",
     "estimate_pause_risk",
     "estimate_pool",
     "estimate_slowness",
     "estimate_speeds",
+    "list_long_gap_shares",
 ]
 
 EVENT_VARIANCE = 0.3
@@ -302,12 +304,26 @@
     """
     if tail is None or events <= 0 or pause_objective_seconds <= 0 or event_seconds <= 0:
         return 0.0
+    shares = list_long_gap_shares(event_seconds, pause_objective_seconds, tail, variance)
+    return compute_pause_probability(shares, events)
+
+
+def list_long_gap_shares(
+    event_seconds: float, pause_objective_seconds: float, tail: Tail, variance: float
+) -> tuple[float, ...]:
+    """Shares of the gaps over a bound at each of the equally likely speeds of a runner.
+
+    They depend on the runner alone, so that callers may keep them for several runs.
+    """
     ratio = pause_objective_seconds / event_seconds
     if variance <= 0:
-        return 1 - (1 - tail.compute_share(ratio)) ** events
+        return (tail.compute_share(ratio),)
     deviation = math.sqrt(variance)
-    risks = [
-        1 - (1 - tail.compute_share(ratio * math.exp(-offset * deviation))) ** events
-        for offset in _DEVIATIONS
-    ]
-    return sum(risks) / len(risks)
+    return tuple(
+        tail.compute_share(ratio * math.exp(-offset * deviation)) for offset in _DEVIATIONS
+    )
+
+
+def compute_pause_probability(shares: Sequence[float], events: float) -> float:
+    """Probability that a run of that many events has a gap over the bound."""
+    return 1 - sum((1 - share) ** events for share in shares) / len(shares)
--- a/tillerlane/gateway/speeds/estimates.py
+++ b/tillerlane/gateway/speeds/estimates.py
@@ -37,6 +37,9 @@
     differs: bool = False
     tail: speeds.Tail | None = None
     _cached: dict[str, tuple[speeds.Seen, speeds.Speeds]] = dataclasses.field(default_factory=dict)
+    _cached_shares: dict[str, tuple[speeds.Slowness, float, tuple[float, ...]]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def update(self, observed: Iterable[speeds.Seen], now: float) -> None:
         """Compute the pool's speeds again from all runners' observations."""
@@ -46,6 +49,7 @@
         self.tail = self.gaps.build_tail(now)
         self.computed_at = now
         self._cached.clear()
+        self._cached_shares.clear()
 
     def estimate(self, address: str, load: loads.TargetLoad) -> speeds.Speeds:
         """Estimate a runner's speeds from what its load says."""
@@ -71,16 +75,16 @@
 
         It is 0 in a pool of equal runners, where the risk would be the same for all.
         """
-        if work.pause_objective_seconds <= 0 or self.pool.decode_variance <= 0:
+        bound = work.pause_objective_seconds
+        if bound <= 0 or self.tail is None or self.pool.decode_variance <= 0:
             return 0.0
         decode = self.estimate(address, load).decode
-        return speeds.estimate_pause_risk(
-            self.event_seconds * decode.factor,
-            work.events,
-            work.pause_objective_seconds,
-            self.tail,
-            decode.variance,
-        )
+        cached = self._cached_shares.get(address)
+        if cached is None or cached[0] is not decode or cached[1] != bound:
+            event_seconds = self.event_seconds * decode.factor
+            shares = speeds.list_long_gap_shares(event_seconds, bound, self.tail, decode.variance)
+            cached = self._cached_shares[address] = (decode, bound, shares)
+        return speeds.compute_pause_probability(cached[2], work.events)
 
 
 class RunnerSpeeds:
