--- a/tillerlane/gateway/speeds/tests/test_sharing.py
+++ b/tillerlane/gateway/speeds/tests/test_sharing.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import incarnations
 from tillerlane.gateway.speeds import estimates
 from tillerlane.testing import gateway_lab, gateway_scenes
 
@@ -54,6 +56,27 @@
 
         self.play(scene)
 
+    def test_new_start_under_the_same_address_is_unknown_everywhere(self) -> None:
+        """It may run on another host; its former speed would be kept for 20 s."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage)
+            await self.send_all(stage, "r")
+            await asyncio.sleep(1.2)
+            address = stage.runners["t1"].address
+            now = asyncio.get_running_loop().time()
+            phase, target_id = directories.Phase.READY, incarnations.build_id("t1", 5)
+            stage.keepers["keeper-1"].handle_heartbeat(
+                directories.Target(target_id, "llm", address, "hall-a", 48, phase, 1, now)
+            )
+            await asyncio.sleep(0.5)
+            for daemon in stage.entries.values():
+                seen = estimates.build_seen(daemon.usage.get(address))
+                self.assertEqual((seen.events, seen.read_tokens), (0, 0))
+                self.assertGreater(daemon.usage.get(stage.runners["t2"].address).events, 0)
+
+        self.play(scene)
+
     def test_isolated_entry_goes_on_with_what_it_sees_itself(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_runners(stage)
