--- a/tillerlane/decisions/tests/test_placing.py
+++ b/tillerlane/decisions/tests/test_placing.py
@@ -94,6 +94,24 @@
         self.assertEqual(placing.compute_pool_event_seconds([]), placing.DEFAULT_EVENT_SECONDS)
         self.assertAlmostEqual(placing.compute_pool_event_seconds([(10, 300), (30, 1_300)]), 0.04)
 
+    def test_prefill_speed_counts_where_it_is_known(self) -> None:
+        """Otherwise a short run waits for a slow runner's queue as if it were an average one."""
+        slow = 1.6 / placing.PREFILL_TOKENS_PER_SECOND
+        known = self.estimate_cost(self.short, read_seconds_per_token=slow, unread=6_000)
+        expected = self.estimate_cost(self.short, unread=6_000) + 8_550 * 0.6 / 7_000
+        self.assertAlmostEqual(known, expected)
+        self.assertTrue(queueing.can_start(2_000, 2_550, 1.5, is_long=False))
+        self.assertFalse(queueing.can_start(2_000, 2_550, 1.5, is_long=False, rate=7_000 / 1.6))
+
+    def test_hidden_prompts_are_those_that_compared_the_same_runner(self) -> None:
+        self.assertEqual(placing.estimate_hidden_tokens(2_500, 4, 20, 5.0), 2_500)
+        self.assertEqual(placing.estimate_hidden_tokens(2_500, 20, 20, 0.0), 0)
+
+    def test_certain_pause_outweighs_a_queue_that_still_meets_the_objective(self) -> None:
+        paused = self.estimate_cost(self.long, pause_risk=1.0)
+        queued = self.estimate_cost(self.long, unread=int(4.0 * 7_000) - 3_100)
+        self.assertGreater(paused, queued)
+
     def test_more_unreported_requests_mean_fewer_candidates(self) -> None:
         self.assertEqual(placing.count_candidates(30, 0.5), 30)
         self.assertEqual(placing.count_candidates(30, 5.0), 5)
