--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -67,7 +67,7 @@
             self.tokens,
             facts.prompt_tokens,
             self.count_remaining_events(0),
-            self.route.pause_objective_seconds or 0.0,
+            pause_objective_seconds=self.route.pause_objective_seconds or 0.0,
         )
 
     def count_remaining_events(self, events: int) -> float:
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -280,8 +280,8 @@
                 pool.engine.memory_tokens,
                 load.unread + hidden,
                 event_seconds,
-                read_seconds,
-                risk,
+                read_seconds_per_token=read_seconds,
+                pause_risk=risk,
             )
             cost = placing.estimate_cost(work, candidate, estimated.event_seconds)
         if target.data_hall != self._data_hall:
--- a/tillerlane/gateway/speeds/tests/test_estimates.py
+++ b/tillerlane/gateway/speeds/tests/test_estimates.py
@@ -17,7 +17,7 @@
 RUNNERS = 9
 EVENT_SECONDS = 0.042
 POOL = routes.Pool("llm", "/health", 200, test_selection.ENGINE)
-LONG = placing.Work(3_300, 3_079, 187, 0.18)
+LONG = placing.Work(3_300, 3_079, 187, pause_objective_seconds=0.18)
 SHORT = placing.Work(2_554, 2_550, 2)
 
 
--- a/tillerlane/testing/speed_play.py
+++ b/tillerlane/testing/speed_play.py
@@ -224,7 +224,7 @@
         tokens = run.count_memory() + min(300, run.tokens_left // 2)
         is_long = arrival.events >= LONG_EVENTS
         pause = PAUSE_OBJECTIVE_SECONDS if is_long else 0.0
-        work = placing.Work(tokens, run.unprefilled, remaining, pause)
+        work = placing.Work(tokens, run.unprefilled, remaining, pause_objective_seconds=pause)
         number = self._choose(work, self.entry_of[id(arrival)])
         report, runner = self.reports[0][number], self.runners[number]
         objective = LONG_OBJECTIVE_SECONDS if is_long else SHORT_OBJECTIVE_SECONDS
@@ -273,7 +273,9 @@
                 break
             report, estimated = self.reports[0][number], self.estimates[number]
             own_seconds = event_seconds * estimated.decode.factor
-            risk = 0.0
+            risk = read_seconds = 0.0
+            if variant.knows_prefill:
+                read_seconds = estimated.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
             if counts_risk:
                 risk = speeds.estimate_pause_risk(
                     own_seconds,
@@ -289,10 +291,8 @@
                 MEMORY_TOKENS,
                 report.unprefilled + hidden,
                 own_seconds,
-                estimated.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
-                if variant.knows_prefill
-                else 0.0,
-                risk * variant.pause_cost / placing.PAUSE_COST_SECONDS,
+                read_seconds_per_token=read_seconds,
+                pause_risk=risk * variant.pause_cost / placing.PAUSE_COST_SECONDS,
             )
             is_full = report.tokens + work.memory_tokens > 0.9 * MEMORY_TOKENS
             cost = placing.estimate_cost(work, load, event_seconds)
