--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -74,8 +74,8 @@
             self.tokens,
             facts.prompt_tokens,
             self.count_remaining_events(0),
-            self.route.pause_objective_seconds or 0.0,
-            is_repeatable,
+            pause_objective_seconds=self.route.pause_objective_seconds or 0.0,
+            is_repeatable=is_repeatable,
         )
 
     def count_remaining_events(self, events: int) -> float:
