--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -72,6 +72,12 @@
     """Factor by which a runner is slower than its pool: by address and kind, decode or prefill."""
     runner_observations: prometheus_client.Gauge
     """Recent events or prompt tokens that such a factor is estimated from."""
+    memory_held: prometheus_client.Gauge
+    """Bytes of the memory budget in use."""
+    memory_refused: prometheus_client.Gauge
+    """Requests refused since they did not fit into it, since the start."""
+    slow_readers: prometheus_client.Gauge
+    """Callers ended since they read nothing, since the start."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -129,6 +135,9 @@
         count("tillerlane_slowdowns", "Transient slowdowns of targets found here"),
         labelled("tillerlane_runner_slowness", "Runners' time relative to their pool"),
         labelled("tillerlane_runner_observations", "Recent events and prompt tokens of runners"),
+        gauge("tillerlane_memory_held_bytes", "Bytes of request bodies and buffered answers"),
+        gauge("tillerlane_memory_refused_requests", "Requests that the memory budget refused"),
+        gauge("tillerlane_slow_readers_ended", "Callers ended since they read nothing"),
     )
 
 
