--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -292,13 +292,15 @@
 
         A request that needs more than the part is offered memory with a probability, so that small
         parts add up to whole requests over all entries.  What it does not get is not offered to
-        later ones.  A request that can't be in time gets only what nobody else wants.
+        later ones.  A request that can't be in time gets only what nobody else wants, and so does
+        one of a workspace above its share: it waits at many entries, whose equal chances would
+        otherwise add up to the part of the others.
         """
         tokens = ticket.item.memory_tokens
         if self._watch.most_free_tokens < ticket.needed_tokens:
             ticket.cause = offers.Wait.MEMORY
             return part
-        if ticket.is_late and part < math.inf:
+        if part < math.inf and (ticket.is_late or ticket.item.debt_tokens > 0):
             ticket.cause = offers.Wait.MEMORY
             return part
         if part < tokens and self._rng.random() * tokens >= part:
