--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -131,7 +131,9 @@
     for number, took_ms in observed:
         events += number
         milliseconds += took_ms
-    return milliseconds / events / 1000 if events > 0 else DEFAULT_EVENT_SECONDS
+    if events <= 0 or milliseconds <= 0:
+        return DEFAULT_EVENT_SECONDS
+    return milliseconds / events / 1000
 
 
 def estimate_event_seconds(events: int, event_ms: int, pool_event_seconds: float) -> float:
