Have requests wait only where an objective leaves time for it, and mend what reviews found

Mended: a failure report whose time had passed was sent as a success; keepers passed on each other's failure reports; sums of shares were one report ahead of their rows; a cut answer without a length could look complete after a failed write of a body; large requests were never offered an idle runner in the queue; an error in a pass ended later passes; a reservation that raised stayed counted.

--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -65,10 +65,10 @@
         Prompt to prefill; 0 for a run that arrives with its memory.
     events : float
         Expected number of events still to be written.
+    pause_objective_seconds : float
+        Longest pause between events that meets the route's objective; 0 for no objective.
     is_repeatable : bool
         Whether another runner can serve the request if this one fails it.
-    pause_objective_seconds : float
-        Longest pause between them that meets the route's objective; 0 for no objective.
     """
 
     memory_tokens: int
--- a/tillerlane/decisions/reserving.py
+++ b/tillerlane/decisions/reserving.py
@@ -24,7 +24,7 @@
 random times, so that none of them ends within 3 s in one of twenty cases."""
 COUNTED_GROWTH_SHARE = 0.6
 """Mean part of a run's growth reserve, over its life, that is counted as used already."""
-MIN_HEADROOM_SHARE = 0.05
+MIN_HEADROOM_SHARE = 0.25
 """Part of a runner's memory that is free of long runs in any case, as without reservations."""
 MOVED_WEIGHT = 0.5
 """Part of the memory of moved runs that is kept free; the rest becomes free by itself while they
--- a/tillerlane/decisions/room.py
+++ b/tillerlane/decisions/room.py
@@ -9,18 +9,23 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Iterable
 
 from tillerlane.decisions import ordering
 
 __all__ = [
     "Decision",
     "Forecast",
+    "can_wait",
     "compute_part",
     "compute_retry_after",
     "compute_turn",
     "decide",
 ]
 
+MIN_OBJECTIVE_SECONDS = 3.0
+"""Shortest objective of a request that can wait for memory and still be in time: a full pool stays
+full for seconds, since a long run takes some 8 s and a runner that left is replaced after 4 s."""
 EARLY_SHARE = 0.25
 """Share of the objective within which a refusal leaves the caller's retry enough time to count."""
 FORECAST_FACTOR = 1.25
@@ -72,6 +77,15 @@
         return missing / max(1.0, self.freed_tokens_per_second)
 
 
+def can_wait(objectives: Iterable[float]) -> bool:
+    """Whether any of the objectives of a pool's routes, in seconds, leaves time to wait for memory.
+
+    Where none does, a queue holds requests that are late in the end: on a day with little memory
+    and objectives of 1.5 and 1.8 s, long runs earned 0.49 of their value with a queue.
+    """
+    return any(seconds >= MIN_OBJECTIVE_SECONDS for seconds in objectives)
+
+
 def compute_part(
     free_tokens: float,
     own_tokens: float,
--- a/tillerlane/decisions/speeds.py
+++ b/tillerlane/decisions/speeds.py
@@ -275,7 +275,7 @@
     shares, above = [], 0.0
     for count in reversed(list(counts)):
         above += count
-        shares.append(above / total)
+        shares.append(min(1.0, above / total))
     return Tail(tuple(reversed(shares)))
 
 
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -145,7 +145,10 @@
             BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
         )
         self._failures = failure_updates.FailureUpdates(
-            BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
+            BATCH_INTERVAL_SECONDS,
+            self._send_to_keepers,
+            self._send_to_subscribers,
+            self._loop.time,
         )
         self._returns = return_updates.ReturnUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_keepers, self._send_to_primary_subscribers
@@ -366,7 +369,7 @@
             case messages.TargetBackoffs():
                 self._backoffs.handle_message(body)
             case messages.TargetFailures():
-                self._failures.handle_message(body)
+                self._failures.handle_message(body, is_of_entry=link in self._subscribers)
             case messages.CallerReturns():
                 self._returns.handle_message(body, is_of_entry=link in self._subscribers)
             case messages.TargetSlowdowns():
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -388,6 +388,8 @@
             if self._loop.time() - stopping_at > self._settings.stop_seconds - STOP_REFUSAL_SECONDS:
                 self.finder.refuse_waiting()
             await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
+        self.finder.refuse_waiting()
+        await asyncio.sleep(0)  # their responses are written now
         self.timeline.record("daemon.stop", busy=self._front.count_busy())
         self._front.abort_all()
         for task in self._tasks:
--- a/tillerlane/gateway/failures/reports.py
+++ b/tillerlane/gateway/failures/reports.py
@@ -65,7 +65,11 @@
 def encode_reports(reports: Iterable[Report]) -> messages.TargetFailures:
     """Encode reports as a message."""
     now = asyncio.get_running_loop().time()
-    rows = [(target_id, max(0, round((until - now) * 1000))) for target_id, until in reports]
+    # A time of 0 means that the target serves requests again.
+    rows = [
+        (target_id, max(1, round((until - now) * 1000)) if until else 0)
+        for target_id, until in reports
+    ]
     return messages.TargetFailures([row[0] for row in rows], [row[1] for row in rows])
 
 
--- a/tillerlane/gateway/failures/tracker.py
+++ b/tillerlane/gateway/failures/tracker.py
@@ -109,7 +109,8 @@
         latest known failure: several requests that end together are one failure.
         """
         record = self._get(target_id, now)
-        if record.seconds and sent_at is not None and sent_at <= record.failed_at:
+        is_same = sent_at is not None and sent_at <= record.failed_at and not record.ended_at
+        if record.seconds and is_same and now < record.failed_at + record.seconds:
             record.own_until = max(record.own_until, record.failed_at + record.seconds)
         else:
             record.seconds = failing.compute_backoff_seconds(record.seconds)
--- a/tillerlane/gateway/failures/updates.py
+++ b/tillerlane/gateway/failures/updates.py
@@ -23,8 +23,8 @@
     ----------
     interval : float
         Minimum seconds between two messages; the first report after a pause is sent at once.
-    send : callable
-        Sends a message to all other keepers and all subscribed entries.
+    send_to_keepers, send_to_entries : callable
+        Send a message to all other keepers, and to all subscribed entries.
     now : callable
         Time of the event loop.
     """
@@ -32,21 +32,31 @@
     def __init__(
         self,
         interval: float,
-        send: Callable[[messages.TargetFailures], None],
+        send_to_keepers: Callable[[messages.TargetFailures], None],
+        send_to_entries: Callable[[messages.TargetFailures], None],
         now: Callable[[], float],
     ) -> None:
         self._table = reports.ReportTable()
         self._now = now
-        self._batcher: batching.UpdateBatcher[_Update] = batching.UpdateBatcher(
+        self._for_keepers = self._build_batcher(interval, send_to_keepers)
+        self._for_entries = self._build_batcher(interval, send_to_entries)
+
+    def _build_batcher(
+        self, interval: float, send: Callable[[messages.TargetFailures], None]
+    ) -> "batching.UpdateBatcher[_Update]":
+        return batching.UpdateBatcher(
             interval,
             lambda updates: send(
                 reports.encode_reports((item.target_id, item.until) for item in updates)
             ),
         )
 
-    def handle_message(self, message: messages.TargetFailures) -> None:
+    def handle_message(self, message: messages.TargetFailures, *, is_of_entry: bool) -> None:
         """Merge the reports of an entry or another keeper, and pass changes on.
 
+        Only entries' reports go to other keepers: times left grow by the way of each message, so
+        that keepers which pass on each other's would extend a back-off for ever.
+
         Raises
         ------
         faults.FaultError
@@ -56,4 +66,6 @@
         self._table.expire(now)
         for report in reports.decode_reports(message):
             if self._table.merge(report, now):
-                self._batcher.add(_Update(*report))
+                self._for_entries.add(_Update(*report))
+                if is_of_entry:
+                    self._for_keepers.add(_Update(*report))
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -246,6 +246,9 @@
                 return
         self._asked = self._list_askable()
         self._asked_at = now
+        if not self._asked:
+            self._spares = 1  # no other home can be asked
+            self._choose_homes(now)
         if self._asked:
             self._timeline.record(
                 "keeper.silent",
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -88,6 +88,8 @@
         self._method = b""
         self._is_interrupted = False
         self._changed = asyncio.Event()
+        self._has_ended = False
+        """Whether the target has closed its side of the connection."""
         self.connected_at = 0.0
         """Time of the event loop at which the connection was established."""
         self.on_lost: Callable[[], None] = lambda: None
@@ -156,8 +158,17 @@
         self._may_write = False
 
     def resume_writing(self) -> None:
-        """Send more of the body."""
+        """Send more of the body, once the transport has returned from its own write.
+
+        A write that fails within this callback would end the connection twice, the first time as if
+        it had been closed regularly.
+        """
         self._may_write = True
+        self._loop.call_soon(self._continue_sending)
+
+    def _continue_sending(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
         self._send_parts()
         if self._account is not None:
             self._count(self._get_held())
@@ -230,14 +241,20 @@
             If the response ended early or is larger than `limit` bytes.
         """
         parts: list[bytes] = []
-        size = 0
-        while (chunk := await self.read_chunk()) is not None:
-            parts.append(chunk)
-            size += len(chunk)
-            if size > limit:
-                raise ExchangeError(f"got over {limit} bytes of response", sent=True)
+        size = kept = 0
+        try:
+            while (chunk := await self.read_chunk()) is not None:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    raise ExchangeError(f"got over {limit} bytes of response", sent=True)
+                if self._account is not None:
+                    await self._account.keep(len(chunk))
+                    kept += len(chunk)
+        except BaseException:
             if self._account is not None:
-                await self._account.keep(len(chunk))
+                self._account.change(-kept)
+            raise
         return b"".join(parts)
 
     async def _wait(self) -> None:
@@ -295,9 +312,15 @@
             return True
         return self._account is not None and self._buffered > 0 and not self._compute_read_size()
 
+    def eof_received(self) -> bool:
+        """Record that the target has closed its side; the transport closes then."""
+        self._has_ended = True
+        return False
+
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end; a response without a length is complete only after a regular close."""
-        if self.is_close_delimited and error is None and self._error is None:
+        has_closed_regularly = self._has_ended and error is None and self._error is None
+        if self.is_close_delimited and has_closed_regularly:
             self._is_complete = True
         self._set_error(f"connection ended: {error or 'closed'}")
         self._changed.set()
--- a/tillerlane/gateway/queue/choosing.py
+++ b/tillerlane/gateway/queue/choosing.py
@@ -89,7 +89,8 @@
 
     def claim(self) -> None:
         """Claim memory at a runner, or at another one if that can't be used any more."""
-        self._chooser.claim(self)
+        if not self.is_barred:
+            self._chooser.claim(self)
 
     def release_claim(self) -> None:
         """End the claim, if there is one."""
@@ -158,7 +159,7 @@
             kind = offers.VerdictKind.NO_TARGET
             return offers.Wait.TARGET if is_waiting else offers.Verdict(kind)
         if not self._has_room(admission, target):
-            if self._is_oversized(admission):
+            if self.is_oversized(admission):
                 return offers.Verdict(offers.VerdictKind.NO_ROOM)
             return offers.Wait.MEMORY
         if not self._can_start(admission, target):
@@ -237,9 +238,12 @@
         engine = admission.pool.engine
         if engine is None:
             return 0
-        return int(engine.memory_tokens * (1.0 - self.compute_memory_share(admission)))
+        headroom = engine.memory_tokens * (1.0 - self.compute_memory_share(admission))
+        # A request that needs most of a runner gets an idle one.
+        most = engine.memory_tokens * RUN_MEMORY_SHARE - admission.tokens
+        return max(0, int(min(headroom, most)))
 
-    def _is_oversized(self, admission: admissions.Admission) -> bool:
+    def is_oversized(self, admission: admissions.Admission) -> bool:
         """Whether not even an empty runner has the memory for a request."""
         engine = admission.pool.engine
         if engine is None:
@@ -308,7 +312,7 @@
         if engine is None or now - search.claimed_at < report_age:
             return False  # other entries' claims may not be known yet
         load = self._usage.get(target.address)
-        free = engine.memory_tokens * self.compute_memory_share(admission) - load.tokens
+        free = engine.memory_tokens - self.compute_headroom(admission) - load.tokens
         if free < admission.tokens or not self._is_usable(search, target):
             return False
         if self._selector.is_full(target, admission.tokens):
--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -15,6 +15,11 @@
 
 CHECK_INTERVAL_SECONDS = 0.03
 """Interval at which requests to plain services that wait for a target try again."""
+MEMORY_WAIT_SHARE = 0.2
+"""Share of the response-time objective that a request waits for memory, in a pool without a queue,
+before it is refused with a retry time.  Where memory is short, longer waits take capacity from
+later requests that would still be in time: on two loaded days long runs earn 0.52 and 0.57 of their
+credit with a share of 0.7, instead of 0.61 and 0.66."""
 PERMIT_TIMEOUT_SECONDS = 0.05
 """Longest wait for a permit while other targets have room; a permit exchange takes milliseconds."""
 SIZE_CLASSES = ((1_550, "small"), (3_500, "medium"))
@@ -148,6 +153,10 @@
     ) -> offers.Placement | refusals.NotRun | None:
         if search.admission.pool.engine is None:
             return await self._poll(search)
+        if not search.admission.pool.has_slack:
+            return await self._poll_runners(search)
+        if self._chooser.is_oversized(search.admission):
+            return self._refusals.build_no_room(search.admission, "no memory", None)
         queue = self._get_queue(search.admission)
         if not len(queue):
             offer = self._chooser.choose(search)
@@ -178,6 +187,26 @@
             return offers.Placement(target, lambda sign: None)
         return None
 
+    async def _poll_runners(
+        self, search: choosing.Search
+    ) -> offers.Placement | refusals.NotRun | None:
+        """Find a runner of a pool whose requests have no time to wait for memory in order."""
+        admission = search.admission
+        wait_deadline = (
+            admission.request.arrived + admission.route.objective_seconds * MEMORY_WAIT_SHARE
+        )
+        while not search.is_barred:
+            offer = self._chooser.choose(search)
+            if not isinstance(offer, offers.Wait):
+                return self._conclude(admission, offer)
+            if offer is offers.Wait.MEMORY and self._loop.time() >= wait_deadline:
+                return self._refusals.build_no_room(admission, "no memory", None)
+            if offer is offers.Wait.TARGET:
+                await self._available.wait_for_permits(CHECK_INTERVAL_SECONDS)
+            else:
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        return None
+
     async def _wait_in_queue(
         self, search: choosing.Search, queue: pool_queue.PoolQueue
     ) -> offers.Placement | refusals.NotRun | None:
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 
-from tillerlane.decisions import ordering, placing, room
+from tillerlane.decisions import ordering, placing, room, shares
 from tillerlane.gateway import routes
 from tillerlane.gateway.queue import memory_watch, offers
 
@@ -62,6 +62,8 @@
         Whether it can't be in time any more.
     headroom_tokens : int
         Memory that must be free beside it at its runner.
+    fits_since : float
+        Since when a runner has had enough free memory for it; infinite if none has.
     """
 
     item: ordering.Waiting
@@ -79,6 +81,7 @@
     latest_start: float = 0.0
     is_late: bool = False
     headroom_tokens: int = 0
+    fits_since: float = math.inf
 
     @property
     def needed_tokens(self) -> int:
@@ -246,8 +249,15 @@
         self._pass = self._loop.call_at(at, self._run_pass)
 
     def _run_pass(self) -> None:
-        """Offer free memory to the first requests, in order."""
+        """Offer free memory; an error must not end later passes."""
         self._pass = None
+        try:
+            self._offer_all()
+        finally:
+            self._schedule(CHECK_INTERVAL_SECONDS)
+
+    def _offer_all(self) -> None:
+        """Offer free memory to the first requests, in order."""
         now = self._loop.time()
         seconds, self._passed_at = now - self._passed_at, now
         self._end_old_claim(now)
@@ -269,7 +279,6 @@
             if not ticket.future.done():
                 ahead_tokens += ticket.item.memory_tokens
         self._update_claim(now, seconds)
-        self._schedule(CHECK_INTERVAL_SECONDS)
 
     def _compute_part(self, seconds: float, is_long: bool) -> float:
         """Tokens of the free memory that this entry's long or short requests may take now."""
@@ -292,15 +301,21 @@
 
         A request that needs more than the part is offered memory with a probability, so that small
         parts add up to whole requests over all entries.  What it does not get is not offered to
-        later ones.  A request that can't be in time gets only what nobody else wants, and so does
-        one of a workspace above its share: it waits at many entries, whose equal chances would
-        otherwise add up to the part of the others.
+        later ones.  A request that can't be in time gets only what nobody else wants.  One of a
+        workspace above its share leaves memory to the others for a moment: it waits at many
+        entries, whose equal chances would otherwise add up to the part of the others.
         """
+        now = self._loop.time()
         tokens = ticket.item.memory_tokens
         if self._watch.most_free_tokens < ticket.needed_tokens:
+            ticket.cause = offers.Wait.MEMORY
+            ticket.fits_since = math.inf
+            return part
+        ticket.fits_since = min(ticket.fits_since, now)
+        if now - ticket.fits_since < shares.compute_hold_seconds(ticket.item.debt_tokens):
             ticket.cause = offers.Wait.MEMORY
             return part
-        if part < math.inf and (ticket.is_late or ticket.item.debt_tokens > 0):
+        if ticket.is_late and part < math.inf:
             ticket.cause = offers.Wait.MEMORY
             return part
         if part < tokens and self._rng.random() * tokens >= part:
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -17,14 +17,15 @@
 
 from tillerlane.decisions import reserving
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import availability, moved_loads, selection
+from tillerlane.gateway import availability, moved_loads, routes, selection
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.peers import link as links
 from tillerlane.timeline import core as timelines
 
-__all__ = ["Full", "Hold", "Reservations", "Unknown"]
+__all__ = ["Full", "Hold", "Reservations", "Unknown", "can_reserve"]
 
 LEASE_SECONDS = 1.0
 """Longest lease: a request is sent within the time to connect (0.3 s); the rest is what a lost drop
@@ -99,6 +100,11 @@
     until: float
 
 
+def can_reserve(pool: routes.Pool) -> bool:
+    """Whether requests of a pool reserve memory: it has a queue, and its runners support holds."""
+    return pool.engine is not None and pool.has_slack and pool.engine.hold_seconds > 0
+
+
 class Reservations:
     """Reservations of one entry.
 
@@ -151,7 +157,7 @@
     def is_needed(self, admission: admissions.Admission, target: directories.Target) -> bool:
         """Whether a request has to reserve memory at a target before it is sent there."""
         engine = admission.pool.engine
-        if engine is None or engine.hold_seconds <= 0 or admission.tokens <= 0:
+        if engine is None or not can_reserve(admission.pool) or admission.tokens <= 0:
             return False
         now = self._loop.time()
         self._record_size(admission, now)
@@ -173,7 +179,7 @@
     def compute_long_share(self, admission: admissions.Admission, default: float) -> float:
         """Share of a runner's memory that a new long run may fill; `default` without holds."""
         engine = admission.pool.engine
-        if engine is None or engine.hold_seconds <= 0:
+        if engine is None or not can_reserve(admission.pool):
             return default
         written_tokens = min(
             admission.facts.output_tokens / 2,  # the runs there are halfway on average
@@ -235,9 +241,7 @@
         hold = Hold("", target.target_id, target.address, admission.tokens, started_at + lease)
         unread = admission.facts.prompt_tokens
         self._usage.add(target.address, requests=1, tokens=hold.tokens, unread=unread)
-        call = self._start_task(
-            self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
-        )
+        call = self._start_task(self._call(hold, lease))
         is_answered = False
         try:
             seconds = min(TAKE_TIMEOUT_SECONDS, admission.deadline - started_at)
@@ -276,6 +280,13 @@
         self._skipped_until[hold.target_id] = now + seconds
         return Unknown(f"{hold.address}: {outcome.value}")
 
+    async def _call(self, hold: Hold, lease: float) -> dialects.HoldResult:
+        try:
+            return await self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
+        except Exception as error:  # its tokens would be counted for ever
+            links.log_exception("reservation", error)
+            return dialects.HoldResult(dialects.HoldOutcome.LOST)
+
     def _record_rejection(self, hold: Hold, now: float) -> None:
         for target_id, rejection in list(self._rejections.items()):
             if now >= rejection.until:
--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -114,6 +114,9 @@
     ----------
     cold_rate : float
         Requests a second that a cold target sustains; 0 for no limit.
+    has_slack : bool
+        Whether an objective of its routes leaves time to wait for memory: requests then wait in
+        order, and reserve memory.
     """
 
     name: str
@@ -121,6 +124,7 @@
     max_connections: int
     engine: Engine | None = None
     cold_rate: float = 0.0
+    has_slack: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/shares/counters.py
+++ b/tillerlane/gateway/shares/counters.py
@@ -379,7 +379,10 @@
                 self._total.pop(key, None)
             else:
                 self._total[key] = row
-        self._included = self._find_own_report(digest.included)
+        if digest.workspaces or digest.whole:
+            # Digests ahead of the usual rate carry no rows, so that the sums are still those of
+            # the report before.
+            self._included = self._find_own_report(digest.included)
         keys.update(self._included)
         touched = {key.pool for key in keys}
         for key in keys:
--- a/tillerlane/gateway/speeds/slowdowns.py
+++ b/tillerlane/gateway/speeds/slowdowns.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from tillerlane.gateway import directory as directories
-from tillerlane.peers import messages
+from tillerlane.peers import codec, messages
 
 __all__ = ["LATE_RATIO", "SlowdownUpdates", "Slowdowns", "decode_slowdowns", "encode_slowdowns"]
 
@@ -21,6 +21,7 @@
 """Time within which they are late."""
 SLOWDOWN_SECONDS = 0.6
 """How long a slowdown lasts as far as is known."""
+MAX_ID_CHARACTERS = 200
 MAX_LEFT_SECONDS = 2.0
 """Bound on what another daemon says."""
 MAX_POOL_SHARE = 1 / 3
@@ -151,8 +152,10 @@
 
 def decode_slowdowns(message: messages.TargetSlowdowns) -> list[tuple[str, float]]:
     """Decode targets, and the end of their slowdown, from a message."""
+    codec.check_columns("slowdowns", message.target_ids, message.left_ms)
     now = asyncio.get_running_loop().time()
     return [
         (target_id, now + min(left_ms / 1000, MAX_LEFT_SECONDS))
-        for target_id, left_ms in zip(message.target_ids, message.left_ms, strict=False)
+        for target_id, left_ms in zip(message.target_ids, message.left_ms, strict=True)
+        if 0 < len(target_id) <= MAX_ID_CHARACTERS
     ]
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -160,7 +160,7 @@
 
     def _record_first_event(self, run: runs.Run, exchange: http_client.Exchange) -> None:
         """Record the time that a runner took to prefill a prompt."""
-        if run.pool.engine is not None:
+        if run.pool.engine is not None and run.target.phase is not directories.Phase.GONE:
             self._selector.speeds.record_first_event(
                 run.target.address,
                 exchange.load_at_send,
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -390,9 +390,8 @@
     ``tokens`` is the estimated memory, ``unread`` the prompt tokens waiting for prefill and
     ``unsaved`` the memory of runs without a copy elsewhere.
     ``events`` is the number of stream events received recently and ``event_ms`` the time spent
-    waiting for them.  ``claimed`` is memory that a waiting request needs next.
     waiting for them.  ``read_tokens`` is the number of prompt tokens prefilled recently and
-    ``read_ms`` the time that this took.
+    ``read_ms`` the time that this took.  ``claimed`` is memory that a waiting request needs next.
     """
 
     address: str
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tillerlane.decisions import room
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import dialect, http_head, incarnations, routes
@@ -276,10 +277,16 @@
     )
 
 
-def _build_pool(item: _Service) -> routes.Pool:
+def _build_pool(item: _Service, found_routes: list[routes.Route]) -> routes.Pool:
     engine = None if item.engine is None else _build_engine(item.engine)
     cold_rate = item.cold_per_s or 0.0
-    return routes.Pool(item.name, item.health_path, item.max_conns, engine, cold_rate)
+    objectives = [
+        route.objective_seconds
+        for route in found_routes
+        if any(name == item.name for name, _ in route.pools)
+    ]
+    has_slack = engine is not None and room.can_wait(objectives)
+    return routes.Pool(item.name, item.health_path, item.max_conns, engine, cold_rate, has_slack)
 
 
 def _build_engine(item: _Engine) -> routes.Engine:
@@ -316,7 +323,7 @@
     table = routes.RoutingTable(
         version=document.version,
         routes=tuple(found_routes),
-        pools={item.name: _build_pool(item) for item in document.services},
+        pools={item.name: _build_pool(item, found_routes) for item in document.services},
         limits=routes.ClientLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
