--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from tillerlane.decisions import room
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import dialect, http_head, incarnations, routes
@@ -280,12 +279,7 @@
 def _build_pool(item: _Service, found_routes: list[routes.Route]) -> routes.Pool:
     engine = None if item.engine is None else _build_engine(item.engine)
     cold_rate = item.cold_per_s or 0.0
-    objectives = [
-        route.objective_seconds
-        for route in found_routes
-        if any(name == item.name for name, _ in route.pools)
-    ]
-    has_slack = engine is not None and room.can_wait(objectives)
+    has_slack = engine is not None and routes.has_slack(item.name, found_routes)
     return routes.Pool(item.name, item.health_path, item.max_conns, engine, cold_rate, has_slack)
 
 
