--- a/tillerlane/decisions/placing.py
+++ b/tillerlane/decisions/placing.py
@@ -24,6 +24,7 @@
     "count_candidates",
     "estimate_cost",
     "estimate_event_seconds",
+    "estimate_hidden_tokens",
 ]
 
 PREFILL_TOKENS_PER_SECOND = 7_000
@@ -41,6 +42,13 @@
 when sampling among all runners that one more prompt would not slow down, and 0.97 with factors 1.0
 and 1.4.  With 27 prompts per second it is 0.98 with 1.0 and 0.99 with 1.4, but long runs take 2 in
 100 longer with 1.4."""
+PAUSE_COST_SECONDS = 4.0
+"""Cost of a pause that is certain, in seconds of waiting: a run with such a pause counts as late as
+a whole, so any queue that still meets the objective (at most 4.0 s) is better."""
+SLOWDOWN_COST_SECONDS = 1.5
+"""Cost of a runner in a transient slowdown, which lasts for half a second more on average.  It must
+stay below the cost of a pause: a long run is better off on a fast runner that is slow for a moment
+than on a slow one."""
 DEFAULT_EVENT_SECONDS = 0.04
 """Event time of a pool without observations; only differences between runners matter."""
 
@@ -57,6 +65,8 @@
         Prompt to prefill; 0 for a run that arrives with its memory.
     events : float
         Expected number of events still to be written.
+    pause_objective_seconds : float
+        Longest pause between events that meets the route's objective; 0 for no objective.
     is_repeatable : bool
         Whether another runner can serve the request if this one fails it.
     """
@@ -64,6 +74,7 @@
     memory_tokens: int
     prompt_tokens: int = 0
     events: float = 0.0
+    pause_objective_seconds: float = 0.0
     is_repeatable: bool = False
 
 
@@ -81,6 +92,10 @@
         Prompt tokens that wait for prefill.
     event_seconds : float
         Time between two events of a run.
+    read_seconds_per_token : float
+        Time to prefill a prompt token; 0 if unknown.
+    pause_risk : float
+        Probability that the work pauses for longer than its objective allows there.
     """
 
     requests: int
@@ -89,6 +104,8 @@
     memory_tokens: int
     unread: int
     event_seconds: float
+    read_seconds_per_token: float = 0.0
+    pause_risk: float = 0.0
 
 
 def count_candidates(targets: int, unreported: float) -> int:
@@ -97,13 +114,26 @@
     return min(targets, max(MIN_CANDIDATES, desired))
 
 
+def estimate_hidden_tokens(
+    prompt_tokens: int, candidates: int, targets: int, unreported: float
+) -> int:
+    """Estimate the prompt tokens that others have sent to the best candidate and not reported yet.
+
+    They chose among as many candidates, and their prompts are taken to be of the same size.  At a
+    slow runner a hidden prompt delays this one for longer, so that it counts where runners differ.
+    """
+    return round(prompt_tokens * unreported * candidates / max(1, targets))
+
+
 def compute_pool_event_seconds(observed: Iterable[tuple[int, int]]) -> float:
     """Return the mean seconds per event of a pool, from (events, milliseconds) of each runner."""
     events = milliseconds = 0
     for number, took_ms in observed:
         events += number
         milliseconds += took_ms
-    return milliseconds / events / 1000 if events > 0 else DEFAULT_EVENT_SECONDS
+    if events <= 0 or milliseconds <= 0:
+        return DEFAULT_EVENT_SECONDS
+    return milliseconds / events / 1000
 
 
 def estimate_event_seconds(events: int, event_ms: int, pool_event_seconds: float) -> float:
@@ -115,9 +145,9 @@
     """Estimate the seconds that a caller waits if this runner gets the work.
 
     Only differences between runners matter.  The cost consists of the prefill queued before the
-    work, its own prefill, and the time that its events take above the pool's mean.  Requests and
-    memory are added as shares of the runner's capacity, which spreads runs evenly and keeps room
-    for runs that grow.
+    work, its own prefill, the time that its events take above the pool's mean, and the risk that it
+    pauses for too long.  Requests and memory are added as shares of the runner's capacity, which
+    spreads runs evenly and keeps room for runs that grow.
 
     In a simulation of 30 runners, a third of them 1.3 times as slow, with 27 prompts per second
     (`tillerlane.testing.engine_play`, six seeds), an event of a long run takes 36.9 ms if event
@@ -130,6 +160,7 @@
     slowness = load.event_seconds / pool_event_seconds
     crowding = load.requests / max(1, load.slots)
     memory = (load.tokens + work.memory_tokens) / max(1, load.memory_tokens)
-    waiting = (load.unread + work.prompt_tokens) / PREFILL_TOKENS_PER_SECOND * slowness
+    read_seconds = load.read_seconds_per_token or slowness / PREFILL_TOKENS_PER_SECOND
+    waiting = (load.unread + work.prompt_tokens) * read_seconds
     running = work.events * (load.event_seconds - pool_event_seconds)
-    return crowding + memory + waiting + running
+    return crowding + memory + waiting + running + PAUSE_COST_SECONDS * load.pause_risk
--- a/tillerlane/decisions/reserving.py
+++ b/tillerlane/decisions/reserving.py
@@ -24,13 +24,15 @@
 random times, so that none of them ends within 3 s in one of twenty cases."""
 COUNTED_GROWTH_SHARE = 0.6
 """Mean part of a run's growth reserve, over its life, that is counted as used already."""
-MIN_HEADROOM_SHARE = 0.05
-"""Part of a runner's memory that is free of long runs in any case, as without reservations."""
+MIN_HEADROOM_SHARE = 0.2
+"""Part of a runner's memory that is free of long runs in any case: most short requests need less
+than that at once, and copies of runs from a leaving runner have to find it within its notice."""
 MOVED_WEIGHT = 0.5
 """Part of the memory of moved runs that is kept free; the rest becomes free by itself while they
 move.  With all of it, long runs wait longer than the moved runs gain."""
-MAX_HEADROOM_SHARE = 0.25
-"""Bound on the memory kept free, so that a wave of leaving runners doesn't keep long runs out."""
+MAX_HEADROOM_SHARE = 0.3
+"""Bound on the memory kept free, so that many leaving runners don't keep long runs out: with 0.35,
+long runs earned 0.68 and 0.73 of their value on two loaded days, and 0.74 and 0.76 with 0.25."""
 
 
 def should_reserve(
@@ -68,6 +70,7 @@
     reserve_tokens: int,
     written_tokens: float,
     moved_tokens: float,
+    largest_tokens: int = 0,
 ) -> float:
     """Compute the share of a runner's memory up to which new long runs may fill it.
 
@@ -81,6 +84,9 @@
         Tokens that such a run is expected to write within `GROWTH_SECONDS`.
     moved_tokens : float
         Memory that runs of leaving runners take at each runner of the pool.
+    largest_tokens : int
+        Memory of the largest short request of the last seconds.  Where long runs fill a runner,
+        such a request finds no gap that smaller ones do not take first.
 
     In a simulation of 16 runners, four more of which hand over their long runs every 3.3 s
     (`tillerlane.testing.engine_play`, four seeds, three loads), requests earn 0.996, 0.927 and
@@ -90,4 +96,6 @@
     grown = max(0.0, written_tokens - COUNTED_GROWTH_SHARE * reserve_tokens)
     growth_share = max(MIN_HEADROOM_SHARE, grown / max(1, run_tokens))
     moved_share = MOVED_WEIGHT * moved_tokens / max(1, memory_tokens)
-    return 1.0 - min(MAX_HEADROOM_SHARE, growth_share + moved_share)
+    largest_share = largest_tokens / max(1, memory_tokens)
+    headroom_share = max(largest_share, growth_share + moved_share)
+    return 1.0 - min(MAX_HEADROOM_SHARE, headroom_share)
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -70,8 +70,13 @@
         """Work that the request causes at a runner."""
         facts = self.facts
         is_repeatable = self.route.is_repeatable and self.route.max_attempts > 1
-        events = self.count_remaining_events(0)
-        return placing.Work(self.tokens, facts.prompt_tokens, events, is_repeatable)
+        return placing.Work(
+            self.tokens,
+            facts.prompt_tokens,
+            self.count_remaining_events(0),
+            pause_objective_seconds=self.route.pause_objective_seconds or 0.0,
+            is_repeatable=is_repeatable,
+        )
 
     def count_remaining_events(self, events: int) -> float:
         """Expected number of events that its run is still to write after `events`."""
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -27,6 +27,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
 from tillerlane.gateway.returns import updates as return_updates
+from tillerlane.gateway.speeds import slowdowns
 from tillerlane.keeper import commands, freshness, proposals, replica, server
 from tillerlane.keeper import disk as disks
 from tillerlane.keeper import formation as formations
@@ -144,11 +145,17 @@
             BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
         )
         self._failures = failure_updates.FailureUpdates(
-            BATCH_INTERVAL_SECONDS, self._send_to_all, self._loop.time
+            BATCH_INTERVAL_SECONDS,
+            self._send_to_keepers,
+            self._send_to_subscribers,
+            self._loop.time,
         )
         self._returns = return_updates.ReturnUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_keepers, self._send_to_primary_subscribers
         )
+        self._slowdowns = slowdowns.SlowdownUpdates(
+            self._send_to_keepers, self._send_to_subscribers, self._loop.time
+        )
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
@@ -362,9 +369,11 @@
             case messages.TargetBackoffs():
                 self._backoffs.handle_message(body)
             case messages.TargetFailures():
-                self._failures.handle_message(body)
+                self._failures.handle_message(body, is_of_entry=link in self._subscribers)
             case messages.CallerReturns():
                 self._returns.handle_message(body, is_of_entry=link in self._subscribers)
+            case messages.TargetSlowdowns():
+                self._slowdowns.handle_message(body, is_of_entry=link in self._subscribers)
 
     def _synchronize(self, link: links.Link) -> None:
         """Send all state to a keeper on a new link, since it may have been cut off."""
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -19,10 +19,12 @@
     http_head,
     http_server,
     limits,
+    memory,
     metrics,
     moved_loads,
     permits,
     quarantine,
+    refusals,
     relay,
     reservations,
     runs,
@@ -42,7 +44,9 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
+from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
+from tillerlane.gateway.speeds import reporting
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -60,6 +64,9 @@
 """Longest interval between them: a third of the time for which a report counts.  Keepers count
 entries by these reports."""
 STOP_CHECK_INTERVAL_SECONDS = 0.05
+STOP_REFUSAL_SECONDS = 0.2
+"""How long before the end of a planned stop the waiting requests are refused, so that their callers
+get the responses."""
 MAX_LOGGED_TARGETS = 60
 """Target changes in one message that are logged one by one; keepers log each.  A line costs an
 entry with little processor time 50 us, and after a common start it gets thousands of changes."""
@@ -89,6 +96,8 @@
         The fleet's bounds on retries.
     cold : colds.ColdBounds
         How far above their rate cold targets may get requests.
+    memory_bytes : int
+        Memory for request bodies and buffered answers; 0 for no bound.
     """
 
     name: str
@@ -104,6 +113,7 @@
     stop_seconds: float
     retries: budgets.RetryBounds
     cold: colds.ColdBounds
+    memory_bytes: int = 0
 
 
 class Entry:
@@ -173,9 +183,20 @@
             self._loop.time,
             self.failures,
         )
+        selector.can_retry = self._budget.can_acquire
         self._metrics = metrics.build_entry_metrics()
         self.shares = shares.Shares(shares.WorkspaceMetrics(self._metrics.registry))
         self.shares.notify_urgent = self.usage.urgent.set
+        self.speeds = selector.speeds
+        self._speed_reporter = reporting.Reporter(
+            self.speeds,
+            self.directory,
+            self.usage,
+            self.timeline,
+            self._metrics,
+            self._loop.time,
+        )
+        self._speed_reporter.send = self._send_to_primary
         self._mover = runs.Mover(
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
@@ -209,6 +230,23 @@
             self.timeline,
             self._metrics,
         )
+        refuser = refusals.RefusalBuilder(available, self.usage)
+        claim_rng = random.Random(settings.name)
+        chooser = choosing.Chooser(
+            selector, available, self.usage, self.directory, self._startup, reserved, claim_rng
+        )
+        self.finder = finder.TargetFinder(
+            chooser,
+            selector,
+            available,
+            self.usage,
+            self.directory,
+            refuser,
+            self.timeline,
+            self._metrics,
+        )
+        self.usage.on_freed = self.permits.on_reply = self.finder.notify
+        self._connect_finder()
         sender = sending.Sender(
             dialect,
             selector,
@@ -218,12 +256,13 @@
             self._budget,
             self.timeline,
             self._metrics,
-            self._startup,
             self.directory,
             exit_detector,
             self.quarantine,
             self.shares,
             reserved,
+            self.finder,
+            refuser,
         )
         self.directory.add_listener(self._handle_target_change)
         relayed_streams = streams.Streams(
@@ -268,7 +307,13 @@
         self._recent_states = announcements.RecentStates()
         self.homes.on_primary_lost = self._announce_again
         self._server_limits = http_server.ServerLimits()
-        self._front = http_server.Server(self._relay.serve, self._server_limits, self._log_error)
+        self.memory: memory.Budget | None = None
+        if settings.memory_bytes:
+            self.memory = memory.Budget(settings.memory_bytes, self._identify)
+            self.memory.record_event = self.timeline.record
+        self._front = http_server.Server(
+            self._relay.serve, self._server_limits, self._log_error, self.memory
+        )
         self._ready = http_server.Server(
             self._answer_ready, http_server.ServerLimits(), self._log_error
         )
@@ -292,6 +337,29 @@
             on_up=self._handle_link_up,
         )
 
+    def _connect_finder(self) -> None:
+        """Give the queues of waiting requests what other parts know of workspaces and callers."""
+        now = self._loop.time
+        self.finder.compute_debt = lambda pool, workspace: self.shares.compute_debt(
+            pool, workspace, now()
+        )
+        self.finder.record_waiting = self.shares.record_waiting
+        self.finder.estimate_waiting_elsewhere = self._estimate_waiting_elsewhere
+        self.finder.find_first_arrival = self.returns.find_first_arrival
+        self.finder.record_refusal = self.returns.record_refusal
+
+    def _estimate_waiting_elsewhere(self, pool: str, own_tokens: int) -> float:
+        """Tokens that wait for a pool at all other entries, given those that wait here.
+
+        Waiting requests are reported by workspace.  Without workspaces or reports, callers are
+        taken to be spread evenly over the entries.
+        """
+        table = self._admission_control.table
+        has_workspaces = table is not None and bool(table.workspaces)
+        if not has_workspaces or self.usage.compute_age(self._loop.time()) is None:
+            return float(own_tokens * max(0, self.usage.entries - 1))
+        return max(0.0, self.shares.compute_waiting_tokens(pool, self._loop.time()) - own_tokens)
+
     # Life
 
     async def start(self) -> None:
@@ -318,7 +386,11 @@
             self._front.count_busy()
             and self._loop.time() - stopping_at < self._settings.stop_seconds
         ):
+            if self._loop.time() - stopping_at > self._settings.stop_seconds - STOP_REFUSAL_SECONDS:
+                self.finder.refuse_waiting()
             await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
+        self.finder.refuse_waiting()
+        await asyncio.sleep(0)  # their responses are written now
         self.timeline.record("daemon.stop", busy=self._front.count_busy())
         self._front.abort_all()
         for task in self._tasks:
@@ -340,6 +412,12 @@
         self._metrics.unused_permits.set_function(lambda: self.permits.unused)
         self._metrics.suspects.set_function(lambda: len(self.quarantine.suspects))
         self._metrics.evacuated.set_function(lambda: len(self.directory.evacuated))
+        self._metrics.waiting.set_function(self.finder.count_waiting)
+        budget = self.memory
+        if budget is not None:
+            self._metrics.memory_held.set_function(lambda: budget.held)
+            self._metrics.memory_refused.set_function(lambda: budget.refused)
+            self._metrics.slow_readers.set_function(lambda: budget.ended)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Apply the seeds of changed settings."""
@@ -433,9 +511,12 @@
 
     def _notify_backoff(self, record: backoffs.BackoffRecord) -> None:
         """Report to one keeper that a target requested back-off; a hint may be lost."""
+        self._send_to_primary(backoffs.encode_hints([(record.target_id, record.until)]))
+
+    def _send_to_primary(self, message: messages.Body) -> None:
         link = self.homes.get_primary()
         if link is not None:
-            links.try_send(link, backoffs.encode_hints([(record.target_id, record.until)]))
+            links.try_send(link, message)
 
     def _notify_failures(self, reported: list[failure_reports.Report]) -> None:
         """Report targets that fail requests, or serve them again, to all home keepers."""
@@ -491,6 +572,8 @@
                 self.failures.merge_reports(received, self._loop.time())
             case messages.CallerReturns():
                 self.returns.merge(return_tables.decode_returns(body))
+            case messages.TargetSlowdowns():
+                self._speed_reporter.handle_message(body)
 
     def _merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
@@ -539,14 +622,15 @@
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
         """Discard what is held about a target that is gone or has restarted."""
+        self.finder.notify()
         if target.phase is directories.Phase.GONE:
             self.limits.discard(target.target_id)
             self.permits.discard(target.target_id)
             self.backoffs.discard(target.target_id)
             self.failures.discard(target.target_id)
+        self._speed_reporter.handle_target_change(target)
         if not target.is_superseded:
             return
-        self.usage.discard_event_times(target.address)
         self.timeline.record(
             "target.over",
             target=target.target_id,
@@ -566,6 +650,7 @@
         if taken is not usages.DigestResult.APPLIED:
             return
         self.shares.handle_digest(digest, self._loop.time())
+        self.finder.notify()
         if digest.whole:
             self.timeline.record("loads.whole", keeper=digest.keeper, sequence=digest.sequence)
 
@@ -611,6 +696,13 @@
 
     # HTTP
 
+    def _identify(self, head: http_head.RequestHead) -> tuple[str, str]:
+        """Id and workspace of a request, for the memory budget."""
+        facts = self._dialect.decode_request(head)
+        table = self._admission_control.table
+        workspace = table.find_workspace(facts.key) if table is not None else None
+        return facts.request_id, workspace.name if workspace is not None else ""
+
     async def _answer_ready(
         self, request: http_server.Request, responder: http_server.Responder
     ) -> None:
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -60,6 +60,24 @@
     """Targets that broke off a request here or at another entry, and have served none since."""
     holds: prometheus_client.Counter
     """Reservations of memory at runners: by the answer, and whether unused ones were dropped."""
+    waiting: prometheus_client.Gauge
+    """Requests that wait for a pool of runners."""
+    queue_seconds: prometheus_client.Histogram
+    """Time that requests waited for a runner, by pool and size class; of those that waited."""
+    slow_targets: prometheus_client.Gauge
+    """Targets in a transient slowdown, as far as known here."""
+    slowdowns: prometheus_client.Counter
+    """Transient slowdowns that this entry found."""
+    runner_slowness: prometheus_client.Gauge
+    """Factor by which a runner is slower than its pool: by address and kind, decode or prefill."""
+    runner_observations: prometheus_client.Gauge
+    """Recent events or prompt tokens that such a factor is estimated from."""
+    memory_held: prometheus_client.Gauge
+    """Bytes of the memory budget in use."""
+    memory_refused: prometheus_client.Gauge
+    """Requests refused since they did not fit into it, since the start."""
+    slow_readers: prometheus_client.Gauge
+    """Callers ended since they read nothing, since the start."""
 
 
 def build_entry_metrics() -> EntryMetrics:
@@ -77,6 +95,9 @@
     def gauge(name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(name, text, registry=registry)
 
+    def labelled(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, ("address", "kind"), registry=registry)
+
     return EntryMetrics(
         registry,
         count("tillerlane_requests", "Requests answered", "route", "outcome"),
@@ -102,6 +123,21 @@
             "tillerlane_targets_failing", "Targets that broke off a request and served none since"
         ),
         count("tillerlane_holds", "Reservations of memory at runners", "outcome"),
+        gauge("tillerlane_waiting_requests", "Requests that wait for a pool of runners"),
+        prometheus_client.Histogram(
+            "tillerlane_queue_seconds",
+            "Time that a request waited for a runner",
+            ("pool", "size"),
+            registry=registry,
+            buckets=SECONDS_BUCKETS,
+        ),
+        gauge("tillerlane_slow_targets", "Targets known to be slow for a moment"),
+        count("tillerlane_slowdowns", "Transient slowdowns of targets found here"),
+        labelled("tillerlane_runner_slowness", "Runners' time relative to their pool"),
+        labelled("tillerlane_runner_observations", "Recent events and prompt tokens of runners"),
+        gauge("tillerlane_memory_held_bytes", "Bytes of request bodies and buffered answers"),
+        gauge("tillerlane_memory_refused_requests", "Requests that the memory budget refused"),
+        gauge("tillerlane_slow_readers_ended", "Callers ended since they read nothing"),
     )
 
 
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -11,23 +11,29 @@
 
 import asyncio
 import dataclasses
+import math
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from tillerlane.decisions import reserving
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import availability, moved_loads, selection
+from tillerlane.gateway import availability, moved_loads, routes, selection
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.peers import link as links
 from tillerlane.timeline import core as timelines
 
-__all__ = ["Full", "Hold", "Reservations", "Unknown"]
+__all__ = ["Full", "Hold", "Reservations", "Unknown", "can_reserve"]
 
 LEASE_SECONDS = 1.0
 """Longest lease: a request is sent within the time to connect (0.3 s); the rest is what a lost drop
 may cost."""
 TAKE_TIMEOUT_SECONDS = 0.25
 """Longest wait for an answer: a sixth of a short request's objective (1.5 s)."""
+LARGEST_SECONDS = 30.0
+"""Time over which the largest short request is remembered: an entry gets one in two seconds."""
 FULL_SECONDS = 0.1
 """How long a runner without free memory counts as full: about the age of a load report."""
 UNSUPPORTED_SECONDS = 5.0
@@ -74,6 +80,7 @@
 
 
 Reservation = Hold | Full | Unknown
+_Result = TypeVar("_Result")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,15 +91,20 @@
     ----------
     tokens : int
         Memory that was requested.
-    load_tokens : int
-        The runner's load as known then.
+    others_tokens : int
+        Other entries' load of the runner, as known then.
     """
 
     tokens: int
-    load_tokens: int
+    others_tokens: int
     until: float
 
 
+def can_reserve(pool: routes.Pool) -> bool:
+    """Whether requests of a pool reserve memory: it has a queue, and its runners support holds."""
+    return pool.engine is not None and pool.has_slack and pool.engine.hold_seconds > 0
+
+
 class Reservations:
     """Reservations of one entry.
 
@@ -137,14 +149,18 @@
         """Latest rejection by each target, by its id."""
         self._skipped_until: dict[str, float] = {}
         """Targets, by id, from which no hold is requested for a while."""
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._largest: dict[str, tuple[float, float]] = {}
+        """Memory of the largest short request of each pool, and when it was sent."""
+        self._tasks: set[asyncio.Task[Any]] = set()
+        """Calls in progress, also those that nothing waits for any more."""
 
     def is_needed(self, admission: admissions.Admission, target: directories.Target) -> bool:
         """Whether a request has to reserve memory at a target before it is sent there."""
         engine = admission.pool.engine
-        if engine is None or engine.hold_seconds <= 0 or admission.tokens <= 0:
+        if engine is None or not can_reserve(admission.pool) or admission.tokens <= 0:
             return False
         now = self._loop.time()
+        self._record_size(admission, now)
         if self._skipped_until.get(target.target_id, 0.0) > now:
             return False
         if self._usage.compute_age(now) is None:
@@ -163,7 +179,7 @@
     def compute_long_share(self, admission: admissions.Admission, default: float) -> float:
         """Share of a runner's memory that a new long run may fill; `default` without holds."""
         engine = admission.pool.engine
-        if engine is None or engine.hold_seconds <= 0:
+        if engine is None or not can_reserve(admission.pool):
             return default
         written_tokens = min(
             admission.facts.output_tokens / 2,  # the runs there are halfway on average
@@ -175,12 +191,25 @@
             admission.compute_growth_reserve(0),
             written_tokens,
             self._moved.estimate(admission.pool),
+            int(self._read_largest(admission.pool.name, self._loop.time())),
         )
 
+    def _read_largest(self, pool: str, now: float) -> float:
+        """Memory of the largest short request sent to a pool, which decays until the next one."""
+        tokens, at = self._largest.get(pool, (0.0, now))
+        return tokens * math.exp((at - now) / LARGEST_SECONDS)
+
+    def _record_size(self, admission: admissions.Admission, now: float) -> None:
+        if admission.facts.output_tokens >= admissions.LONG_RUN_TOKENS:
+            return
+        pool = admission.pool.name
+        if admission.tokens > self._read_largest(pool, now):
+            self._largest[pool] = float(admission.tokens), now
+
     def is_full(self, target: directories.Target, tokens: int) -> bool:
         """Whether a target has just rejected a hold of this size or a smaller one.
 
-        A load report with less memory in use there ends this earlier.
+        A load report with less memory in use by other entries there ends this earlier.
         """
         rejection = self._rejections.get(target.target_id)
         if rejection is None or tokens < rejection.tokens:
@@ -188,7 +217,11 @@
         if self._loop.time() >= rejection.until:
             del self._rejections[target.target_id]
             return False
-        return self._usage.get(target.address).tokens >= rejection.load_tokens
+        return self._count_others(target.address) >= rejection.others_tokens
+
+    def _count_others(self, address: str) -> int:
+        """Tokens of other entries at a target; the own ones include requests that still wait."""
+        return self._usage.get(address).tokens - self._usage.get_own(address).tokens
 
     async def take(
         self, admission: admissions.Admission, target: directories.Target
@@ -208,7 +241,7 @@
         hold = Hold("", target.target_id, target.address, admission.tokens, started_at + lease)
         unread = admission.facts.prompt_tokens
         self._usage.add(target.address, requests=1, tokens=hold.tokens, unread=unread)
-        call = self._loop.create_task(self._call(hold, lease))
+        call = self._start_task(self._call(hold, lease))
         is_answered = False
         try:
             seconds = min(TAKE_TIMEOUT_SECONDS, admission.deadline - started_at)
@@ -226,8 +259,11 @@
             return dataclasses.replace(hold, id=call.result().hold)
         return self._handle_failure(hold, outcome)
 
-    async def _call(self, hold: Hold, lease: float) -> dialects.HoldResult:
-        return await self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
+    def _start_task(self, work: Coroutine[Any, Any, _Result]) -> "asyncio.Task[_Result]":
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     def _handle_failure(self, hold: Hold, outcome: dialects.HoldOutcome) -> Full | Unknown:
         now = self._loop.time()
@@ -244,14 +280,21 @@
         self._skipped_until[hold.target_id] = now + seconds
         return Unknown(f"{hold.address}: {outcome.value}")
 
+    async def _call(self, hold: Hold, lease: float) -> dialects.HoldResult:
+        try:
+            return await self._dialect.reserve_memory(hold.address, hold.tokens, lease, lease)
+        except Exception as error:  # its tokens would be counted for ever
+            links.log_exception("reservation", error)
+            return dialects.HoldResult(dialects.HoldOutcome.LOST)
+
     def _record_rejection(self, hold: Hold, now: float) -> None:
         for target_id, rejection in list(self._rejections.items()):
             if now >= rejection.until:
                 del self._rejections[target_id]
         former = self._rejections.get(hold.target_id)
         tokens = hold.tokens if former is None else min(hold.tokens, former.tokens)
-        load = self._usage.get(hold.address)
-        self._rejections[hold.target_id] = _Rejection(tokens, load.tokens, now + FULL_SECONDS)
+        others_tokens = self._count_others(hold.address)
+        self._rejections[hold.target_id] = _Rejection(tokens, others_tokens, now + FULL_SECONDS)
 
     def _settle_late(self, hold: Hold, call: "asyncio.Task[dialects.HoldResult]") -> None:
         """Drop a hold whose request no longer waited for the answer."""
@@ -273,10 +316,7 @@
 
     def drop(self, hold: Hold) -> "asyncio.Future[None]":
         """Free an unused hold, in the background; the result may be awaited but need not be."""
-        task = self._loop.create_task(self._drop(hold))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return asyncio.shield(task)
+        return asyncio.shield(self._start_task(self._drop(hold)))
 
     async def _drop(self, hold: Hold) -> None:
         self._usage.add(hold.address, tokens=hold.tokens)
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -8,6 +8,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.failures import tracker
+from tillerlane.gateway.speeds import estimates
 
 __all__ = ["Selector"]
 
@@ -29,11 +30,12 @@
 """Share of its memory above which a runner counts as full: the runs there still grow."""
 COLD_COST_SECONDS = 0.5
 """Cost of a target that is still cold, in seconds of waiting."""
+REJECTION_COST_SECONDS = 10.0
+"""Cost of a target that has just rejected a reservation, above any difference between targets:
+another one may be sent to although it ranks as full."""
 POOL_LOAD_INTERVAL_SECONDS = 0.5
 """How long a pool's load is cached: a tenth of the time for which a long run holds its memory.  The
 sum takes 24 us for 25 targets and 840 us for 1,000."""
-POOL_SPEED_INTERVAL_SECONDS = 1.0
-"""How long a pool's seconds per event are cached; they are smoothed over 20 s."""
 BEST_RANK = (False, False, False, False, False)
 """Neither silent nor avoided nor blocked nor full, nor a last resort after a failure."""
 
@@ -78,10 +80,12 @@
         self._now = now
         self.is_full: Callable[[directories.Target, int], bool] = lambda target, tokens: False
         """Whether a target has just refused to reserve some tokens (`gateway.reservations`)."""
-        self._event_seconds: dict[str, tuple[float, float]] = {}
-        """Seconds per event of each pool, and when they were computed."""
+        self.can_retry: Callable[[str, float], bool] = lambda pool, now: True
+        """Whether the retry budget of a pool allows a retry: a request that may be repeated, but
+        not now, is lost at a target that fails it again."""
         self._pool_loads: dict[str, tuple[int, int, float]] = {}
         """Memory in use and in total of each pool, and when the sums were computed."""
+        self.speeds = estimates.RunnerSpeeds(usage, now)
 
     def pick_pool(self, route: routes.Route) -> str:
         """Pick a pool of the route at random, by weight."""
@@ -124,15 +128,34 @@
             same_hall = [target for target in targets if target.data_hall == source_hall]
             groups = [same_hall, [target for target in targets if target.data_hall != source_hall]]
         found = self._sample_best(
-            pool, work, groups, excluded, unreported, is_sent_now, can_request_permit, full_share
+            pool,
+            work,
+            groups,
+            excluded,
+            unreported,
+            is_sent_now,
+            can_request_permit,
+            full_share,
         )
         if not found:
             return None
-        event_seconds = self._get_event_seconds(pool, targets, now)
+        estimated = self.speeds.get_pool(pool.name, lambda: [item.address for item in targets])
+        hidden = 0
+        if estimated.differs:
+            candidates = placing.count_candidates(len(targets), unreported)
+            hidden = placing.estimate_hidden_tokens(
+                work.prompt_tokens, candidates, len(targets), unreported
+            )
         costs = [
-            self._estimate_cost(pool, target, load, work, event_seconds, now)
+            self._estimate_cost(pool, target, load, work, estimated, hidden, now)
             for target, load in found
         ]
+        slow = self.speeds.slowdowns.find_slow(targets)
+        if slow:
+            costs = [
+                cost + placing.SLOWDOWN_COST_SECONDS * (target.target_id in slow)
+                for cost, (target, _) in zip(costs, found, strict=True)
+            ]
         if source_hall is not None:
             cross_hall_cost = min(
                 MAX_CROSS_HALL_MOVE_COST_SECONDS, CROSS_HALL_MOVE_COST_SECONDS * len(groups[0])
@@ -176,7 +199,7 @@
             pool.name,
             sum(map(len, groups)),
             now,
-            is_repeatable=work.is_repeatable and not excluded,
+            is_repeatable=work.is_repeatable and not excluded and self.can_retry(pool.name, now),
         )
         permit_requests = permits.MAX_PERMIT_REQUESTS if is_sent_now else 0
         for group in groups:
@@ -217,20 +240,6 @@
                 sampled += 1
         return found
 
-    def _get_event_seconds(
-        self, pool: routes.Pool, targets: list[directories.Target], now: float
-    ) -> float:
-        """Seconds per event over all runners of a pool, cached for a while."""
-        known = self._event_seconds.get(pool.name)
-        if known is not None and now - known[1] < POOL_SPEED_INTERVAL_SECONDS:
-            return known[0]
-        target_loads = [self._usage.get(target.address) for target in targets]
-        event_seconds = placing.compute_pool_event_seconds(
-            (load.events, load.event_ms) for load in target_loads
-        )
-        self._event_seconds[pool.name] = (event_seconds, now)
-        return event_seconds
-
     def compute_pool_load(self, pool: routes.Pool) -> tuple[int, int]:
         """Memory in use and in total at a pool's targets that accept requests, cached a while."""
         now = self._now()
@@ -245,9 +254,11 @@
 
     def estimate_written_tokens(self, pool: routes.Pool, seconds: float) -> float:
         """Tokens that a run writes in some seconds at the mean speed of a pool's runners."""
-        targets = self._directory.list_pool(pool.name)
         event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
-        return seconds * event_tokens / self._get_event_seconds(pool, targets, self._now())
+        estimated = self.speeds.get_pool(
+            pool.name, lambda: [item.address for item in self._directory.list_pool(pool.name)]
+        )
+        return seconds * event_tokens / estimated.event_seconds
 
     def _estimate_cost(
         self,
@@ -255,25 +266,36 @@
         target: directories.Target,
         load: loads.TargetLoad,
         work: placing.Work,
-        event_seconds: float,
+        estimated: estimates.PoolEstimates,
+        hidden: int,
         now: float,
     ) -> float:
         if pool.engine is None:
             cost = load.requests / max(1, target.slots)
         else:
+            event_seconds, read_seconds, risk = estimated.event_seconds, 0.0, 0.0
+            if estimated.differs:
+                slowness = estimated.estimate(target.address, load)
+                event_seconds *= slowness.decode.factor
+                read_seconds = slowness.prefill.factor / placing.PREFILL_TOKENS_PER_SECOND
+                risk = estimated.estimate_pause_risk(target.address, load, work)
             candidate = placing.CandidateLoad(
                 load.requests,
                 target.slots,
-                load.tokens,
+                load.tokens + load.claimed,
                 pool.engine.memory_tokens,
-                load.unread,
-                placing.estimate_event_seconds(load.events, load.event_ms, event_seconds),
+                load.unread + hidden,
+                event_seconds,
+                read_seconds_per_token=read_seconds,
+                pause_risk=risk,
             )
-            cost = placing.estimate_cost(work, candidate, event_seconds)
+            cost = placing.estimate_cost(work, candidate, estimated.event_seconds)
         if target.data_hall != self._data_hall:
             cost += CROSS_HALL_COST_SECONDS
         if target.warm_at > now:
             cost += COLD_COST_SECONDS
+        if self.is_full(target, work.memory_tokens):
+            cost += REJECTION_COST_SECONDS
         return cost
 
     def estimate_evacuation_seconds(self, pool: routes.Pool, target: directories.Target) -> float:
@@ -314,4 +336,6 @@
 
 
 def _has_room(pool: routes.Pool, load: loads.TargetLoad, tokens: int, share: float) -> bool:
-    return pool.engine is None or load.tokens + tokens <= pool.engine.memory_tokens * share
+    if pool.engine is None:
+        return True
+    return load.tokens + load.claimed + tokens <= pool.engine.memory_tokens * share
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -15,7 +15,15 @@
 from tillerlane.faults import kinds
 from tillerlane.peers import messages
 
-__all__ = ["decode", "decode_json", "decode_table", "encode", "encode_json", "encode_table"]
+__all__ = [
+    "check_columns",
+    "decode",
+    "decode_json",
+    "decode_table",
+    "encode",
+    "encode_json",
+    "encode_table",
+]
 
 
 def encode_json(value: Any) -> bytes:
@@ -38,6 +46,20 @@
         raise faults.FaultError(fault) from error
 
 
+def check_columns(message: str, *columns: list[Any]) -> None:
+    """Check that the columns of a message have one length.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` otherwise.
+    """
+    lengths = [len(column) for column in columns]
+    if len(set(lengths)) > 1:
+        text = f"got columns of {lengths} rows in {message}, expected one length"
+        raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, text))
+
+
 def _build_schema_name(name: str) -> str:
     head, *rest = name.split("_")
     return head + "".join(part.capitalize() for part in rest)
@@ -162,12 +184,23 @@
         schema = getattr(_SCHEMA, cls.__name__)
         with schema.from_bytes(data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS) as reader:
             table: Table = _decode_fields(reader, cls)
+        _fill_absent_columns(table)
         lengths = {len(getattr(table, field.name)) for field in _FIELDS[cls]}
         if len(lengths) > 1:
             raise ValueError(f"got columns of {sorted(lengths)} rows, expected one length")
         return table
 
 
+def _fill_absent_columns(table: Any) -> None:
+    """Fill the columns that a daemon of an earlier version does not send with zeros."""
+    columns = dataclasses.fields(table)
+    rows = len(getattr(table, columns[0].name))
+    for column in columns:
+        is_optional = column.default_factory is not dataclasses.MISSING
+        if is_optional and not getattr(table, column.name):
+            setattr(table, column.name, [0] * rows)
+
+
 def encode(envelope: messages.Envelope) -> bytes:
     """Encode an envelope as one Cap'n Proto message."""
     builder = _SCHEMA.Envelope.new_message()
