--- a/tillerlane/gateway/routes.py
+++ b/tillerlane/gateway/routes.py
@@ -6,6 +6,9 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Iterable
+
+from tillerlane.decisions import room
 
 __all__ = [
     "ClientLimits",
@@ -16,6 +19,7 @@
     "RoutingTable",
     "Workspace",
     "check_table",
+    "has_slack",
 ]
 
 
@@ -182,6 +186,15 @@
         return self._by_key.get(key)  # type: ignore[attr-defined]
 
 
+def has_slack(pool: str, found_routes: Iterable[Route]) -> bool:
+    """Whether an objective of a pool's routes leaves time to wait for memory."""
+    return room.can_wait(
+        route.objective_seconds
+        for route in found_routes
+        if any(name == pool for name, _ in route.pools)
+    )
+
+
 def check_table(table: RoutingTable) -> list[str]:
     """List all problems of a table, each with the value found; empty if it is valid."""
     problems: list[str] = []
