--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -89,6 +89,11 @@
         """Tokens reserved for what a run is still to write after `written`."""
         return min(MAX_GROWTH_RESERVE_TOKENS, max(0, self.facts.output_tokens - written) // 2)
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of its workspace; empty on a public route."""
+        return self.workspace.name if self.workspace is not None else ""
+
     @property
     def priority(self) -> int:
         """Its priority; the workspace's own overrides the route's."""
--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -211,7 +211,7 @@
         self, search: choosing.Search, queue: pool_queue.PoolQueue
     ) -> offers.Placement | refusals.NotRun | None:
         admission = search.admission
-        workspace = admission.workspace.name if admission.workspace is not None else ""
+        workspace = admission.workspace_name
         item = self._build_item(admission, workspace)
         headroom = self._chooser.compute_headroom(admission)
         ticket = queue.join(item, search, workspace, len(admission.request.body), headroom)
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -166,6 +166,7 @@
             "request.end",
             request_id=admission.facts.request_id,
             fingerprint=admission.fingerprint,
+            workspace=admission.workspace_name,
             route=admission.route.name,
             version=admission.version,
             target=result.target.target_id if result.target is not None else "",
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -355,7 +355,7 @@
         return dialects.ForwardPlan(
             wait_seconds=max(0.001, admission.deadline - self._loop.time()),
             target_id=target.target_id,
-            workspace=admission.workspace.name if admission.workspace is not None else "",
+            workspace=admission.workspace_name,
             priority=admission.runner_rank,
             last_event_id=last_event_id,
             copy=copy,
@@ -533,6 +533,7 @@
             "request.send",
             request_id=admission.facts.request_id,
             fingerprint=admission.fingerprint,
+            workspace=admission.workspace_name,
             target=target.target_id,
             address=target.address,
             phase=target.phase.value,
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -431,6 +431,7 @@
             "stream.end",
             request_id=stream.admission.facts.request_id,
             fingerprint=stream.admission.fingerprint,
+            workspace=stream.admission.workspace_name,
             target=stream.run.target.target_id,
             events=stream.events,
             first_ms=_milliseconds(first_seconds),
