--- a/tillerlane/decisions/ordering.py
+++ b/tillerlane/decisions/ordering.py
@@ -3,7 +3,7 @@
 The load is hundreds of entries that send long and short generations to runners whose memory is
 full.  Requests differ in the time by which their first event is due, in prompt length and in
 priority.  If whichever request fits first is sent, small ones fill every gap, and the large ones
-bear the whole delay: of short requests with 3,500 tokens and more 0.28 to 0.56 were late, of those
+are delayed most: of short requests with 3,500 tokens and more 0.28 to 0.56 were late, of those
 below 1,550 tokens 0.05.
 
 The order is by latest start: the time at which a request must be sent for its first event to be in
--- a/tillerlane/decisions/reserving.py
+++ b/tillerlane/decisions/reserving.py
@@ -3,8 +3,8 @@
 The load is some dozens of entries whose requests take a tenth of a runner's memory each, in a pool
 that is almost full.  An entry knows a runner's memory from reports that are about 0.1 s old.  When
 two runs end there, all entries see the same free memory and send several times as much as there is:
-on one day nine entries sent a runner 30,000 tokens within 18 ms for 10,000 that were free, and
-first events came 3 to 10 s later.  A reservation lets the runner decide which of them are admitted,
+nine entries sent a runner 30,000 tokens within 18 ms for 10,000 that were free, and first events
+came 3 to 10 s later.  A reservation lets the runner decide which of them are admitted,
 before any of them is bound to it.
 
 Runs grow after they were admitted, and runs of runners that leave have to find memory elsewhere
--- a/tillerlane/gateway/failures/tracker.py
+++ b/tillerlane/gateway/failures/tracker.py
@@ -8,8 +8,7 @@
 import dataclasses
 from collections.abc import Callable, Collection, Iterable
 
-from tillerlane.decisions import failing
-from tillerlane.decisions import limits as shares
+from tillerlane.decisions import failing, limits
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import reports
 
@@ -265,7 +264,7 @@
                 standings[target_id] = failing.Standing.AVOIDED
             if not record.is_on_trial or not until:
                 continue
-            fraction = shares.compute_hash_fraction(self._entry, target_id)
+            fraction = limits.compute_hash_fraction(self._entry, target_id)
             standing = failing.find_standing(
                 now, until, record.seconds, fraction, is_repeatable=is_repeatable
             )
--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -105,7 +105,7 @@
     async def find(self, search: choosing.Search) -> offers.Placement | refusals.NotRun | None:
         """Find a target that can take a request now.
 
-        Returns a refusal if it has waited for memory in vain, and None without any target.  The
+        Returns a refusal if it got no memory in time, and None without any target.  The
         caller has to release the placement before it sends the request.
         """
         while True:
--- a/tillerlane/gateway/queue/pool_queue.py
+++ b/tillerlane/gateway/queue/pool_queue.py
@@ -341,7 +341,7 @@
             result.release()  # its caller has just disconnected
 
     def _check(self, ticket: Ticket, ahead_tokens: float, now: float) -> None:
-        """Refuse a request that waits for memory in vain."""
+        """Refuse a request that will not get memory in time."""
         item = ticket.item
         if now >= item.deadline:
             self._resolve(ticket, offers.Verdict(offers.VerdictKind.NO_TARGET))
--- a/tillerlane/gateway/shares/counters.py
+++ b/tillerlane/gateway/shares/counters.py
@@ -268,7 +268,7 @@
         return decisions.compute_hold_seconds(self.compute_debt(pool, workspace, now))
 
     def compute_waiting_tokens(self, pool: str, now: float) -> int:
-        """Prompt tokens that wait for a pool at all entries, this one included."""
+        """Memory in tokens that requests wait for at a pool, at all entries, this one included."""
         found = self._pools.get(pool)
         if found is None:
             return 0
