--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -105,7 +105,7 @@
     async def find(self, search: choosing.Search) -> offers.Placement | refusals.NotRun | None:
         """Find a target that can take a request now.
 
-        Returns a refusal if it has waited for memory in vain, and None without any target.  The
+        Returns a refusal if it got no memory in time, and None without any target.  The
         caller has to release the placement before it sends the request.
         """
         while True:
@@ -211,7 +211,7 @@
         self, search: choosing.Search, queue: pool_queue.PoolQueue
     ) -> offers.Placement | refusals.NotRun | None:
         admission = search.admission
-        workspace = admission.workspace.name if admission.workspace is not None else ""
+        workspace = admission.workspace_name
         item = self._build_item(admission, workspace)
         headroom = self._chooser.compute_headroom(admission)
         ticket = queue.join(item, search, workspace, len(admission.request.body), headroom)
