Wait for the record of an event before the process that wrote it is killed

The test failed once beside plays (914 passed, 1 failed): the simulated target sends an event before it records it, and was killed in between. What the test checks stays: the record survives the kill with at least one event and not all.

--- a/tillerlane/testing/tests/test_platform_target.py
+++ b/tillerlane/testing/tests/test_platform_target.py
@@ -124,6 +124,10 @@
         exchange = await self.send(0, b"POST", b"/x", b"", Request_Id="a")
         await exchange.read_head()
         await exchange.read_chunk()
+        # The process sends an event before it records it.
+        async with asyncio.timeout(5.0):
+            while self.targets[0].is_busy and not self.targets[0].record.ran[0].events:
+                await asyncio.sleep(0.001)
         self.targets[0].kill()
         [run] = self.targets[0].record.ran
         self.assertEqual((run.request_id, run.ended), ("a", "crashed"))
