Let callers of the update batcher name the key of an update

The batcher took the key from an attribute target_id. Back-offs, failures and refused callers were therefore wrapped in classes of their own that only had this attribute, in the case of refused callers for what is no target at all.

The key is an argument now, and the three classes are gone. Messages are the same as before.

--- a/tillerlane/gateway/backoff_updates.py
+++ b/tillerlane/gateway/backoff_updates.py
@@ -1,6 +1,5 @@
 """A keeper's part in distributing which targets reject entries."""
 
-import dataclasses
 from collections.abc import Callable
 
 from tillerlane.gateway import backoff, batching
@@ -13,12 +12,6 @@
 success is given a back-off of its own."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Hint:
-    target_id: str
-    until: float
-
-
 class BackoffUpdates:
     """Forwards the back-off that targets requested from entries, at one keeper.
 
@@ -40,11 +33,8 @@
     ) -> None:
         self._known: dict[str, float] = {}
         self._now = now
-        self._batcher: batching.UpdateBatcher[_Hint] = batching.UpdateBatcher(
-            pause,
-            lambda hints: send(
-                backoff.encode_hints((item.target_id, item.until) for item in hints)
-            ),
+        self._batcher: batching.UpdateBatcher[tuple[str, float]] = batching.UpdateBatcher(
+            pause, lambda hints: send(backoff.encode_hints(hints))
         )
 
     def handle_message(self, message: messages.TargetBackoffs) -> None:
@@ -57,4 +47,4 @@
             is_new = until > self._known.get(target_id, now) + MIN_EXTENSION_SECONDS
             if is_new and len(self._known) < backoff.MAX_HINTS:
                 self._known[target_id] = until
-                self._batcher.add(_Hint(target_id, until))
+                self._batcher.add(target_id, (target_id, until))
--- a/tillerlane/gateway/batching.py
+++ b/tillerlane/gateway/batching.py
@@ -1,24 +1,17 @@
-"""Updates about targets batched into few messages, of which the first is sent at once."""
+"""Updates batched into few messages, of which the first is sent at once."""
 
 import asyncio
 from collections.abc import Callable
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, TypeVar
 
 __all__ = ["UpdateBatcher"]
 
 
-class _TargetUpdate(Protocol):
-    """An update about one target."""
-
-    @property
-    def target_id(self) -> str: ...
-
-
-Item = TypeVar("Item", bound=_TargetUpdate)
+Item = TypeVar("Item")
 
 
 class UpdateBatcher(Generic[Item]):
-    """Batches updates about targets, and keeps the latest one of each.
+    """Batches updates, and keeps the latest one of each key, such as the id of a target.
 
     Guards against a common start of the fleet: with 3,001 targets reporting within a second and 118
     subscribers a keeper, a message for each target and subscriber took a keeper 5 s of a core, and
@@ -39,9 +32,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = -interval
 
-    def add(self, item: Item, *, is_urgent: bool = True) -> None:
+    def add(self, key: str, item: Item, *, is_urgent: bool = True) -> None:
         """Queue an update; an urgent one goes out as soon as the last message is `interval` old."""
-        self._items[item.target_id] = item
+        self._items[key] = item
         now = asyncio.get_running_loop().time()
         due = max(now, self._sent_at + self._interval) if is_urgent else now + self._interval
         if self._timer is not None:
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -526,7 +526,7 @@
         known = self.directory.targets.get(target.target_id)
         if known is None:
             return
-        self._keeper_updates.add(known, is_urgent=changed)
+        self._keeper_updates.add(known.target_id, known, is_urgent=changed)
 
     def handle_leave(self, name: str, started_ms: int = 0) -> None:
         """Handle a target's leaving: of the start that it names, or else of the latest one."""
@@ -537,14 +537,15 @@
         ):
             return
         if self.directory.mark_gone(known.target_id):
-            self._keeper_updates.add(known)
+            self._keeper_updates.add(known.target_id, known)
 
     def _merge_states(self, link: links.Link, states: list[directories.Target]) -> None:
         """Merge target states; those that an entry has from responses go on to other keepers."""
         is_of_entry = link in self._subscribers
         for target in states:
             if self.directory.merge(target) and is_of_entry:
-                self._keeper_updates.add(self.directory.targets[target.target_id], is_urgent=True)
+                latest = self.directory.targets[target.target_id]
+                self._keeper_updates.add(latest.target_id, latest, is_urgent=True)
 
     def _handle_target_change(
         self, target: directories.Target, former: directories.Phase | None
@@ -566,12 +567,11 @@
             # An entry ends the former incarnation when it gets the latest one.  Before that it is
             # sent the former one's last heartbeat time, since it does not get each heartbeat.
             self._changed_since_full_state.pop(target.target_id, None)
-            self._subscriber_updates.add(
-                dataclasses.replace(target, phase=former, is_superseded=False)
-            )
+            current = dataclasses.replace(target, phase=former, is_superseded=False)
+            self._subscriber_updates.add(current.target_id, current)
             return
         self._changed_since_full_state[target.target_id] = target
-        self._subscriber_updates.add(target)
+        self._subscriber_updates.add(target.target_id, target)
 
     def _send_targets_to_subscribers(self, targets: list[directories.Target]) -> None:
         self._send_to_subscribers(directories.encode_states(targets))
--- a/tillerlane/gateway/failures/updates.py
+++ b/tillerlane/gateway/failures/updates.py
@@ -1,6 +1,5 @@
 """A keeper's part in passing on which targets fail requests."""
 
-import dataclasses
 from collections.abc import Callable
 
 from tillerlane.gateway import batching
@@ -10,12 +9,6 @@
 __all__ = ["FailureUpdates"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Update:
-    target_id: str
-    until: float
-
-
 class FailureUpdates:
     """Passes the reports of entries on, at one keeper.
 
@@ -38,18 +31,8 @@
     ) -> None:
         self._table = reports.ReportTable()
         self._now = now
-        self._for_keepers = self._build_batcher(interval, send_to_keepers)
-        self._for_entries = self._build_batcher(interval, send_to_entries)
-
-    def _build_batcher(
-        self, interval: float, send: Callable[[messages.TargetFailures], None]
-    ) -> "batching.UpdateBatcher[_Update]":
-        return batching.UpdateBatcher(
-            interval,
-            lambda updates: send(
-                reports.encode_reports((item.target_id, item.until) for item in updates)
-            ),
-        )
+        self._for_keepers = _build_batcher(interval, send_to_keepers)
+        self._for_entries = _build_batcher(interval, send_to_entries)
 
     def handle_message(self, message: messages.TargetFailures, *, is_of_entry: bool) -> None:
         """Merge the reports of an entry or another keeper, and pass changes on.
@@ -66,6 +49,12 @@
         self._table.expire(now)
         for report in reports.decode_reports(message):
             if self._table.merge(report, now):
-                self._for_entries.add(_Update(*report))
+                self._for_entries.add(report[0], report)
                 if is_of_entry:
-                    self._for_keepers.add(_Update(*report))
+                    self._for_keepers.add(report[0], report)
+
+
+def _build_batcher(
+    interval: float, send: Callable[[messages.TargetFailures], None]
+) -> batching.UpdateBatcher[reports.Report]:
+    return batching.UpdateBatcher(interval, lambda updates: send(reports.encode_reports(updates)))
--- a/tillerlane/gateway/limit_updates.py
+++ b/tillerlane/gateway/limit_updates.py
@@ -52,7 +52,7 @@
             Of kind ``bad_request`` if it can't be decoded.
         """
         for record in self.table.merge(limits.decode_records(message)):
-            self._batcher.add(record)
+            self._batcher.add(record.target_id, record)
             self._timeline.record(
                 "target.limit",
                 target=record.target_id,
--- a/tillerlane/gateway/returns/updates.py
+++ b/tillerlane/gateway/returns/updates.py
@@ -4,7 +4,6 @@
 keeper tells the entries whose primary it is, so that each entry gets them once.
 """
 
-import dataclasses
 from collections.abc import Callable
 
 from tillerlane.gateway import batching
@@ -14,16 +13,6 @@
 __all__ = ["ReturnUpdates"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Update:
-    caller: table.RefusedCaller
-
-    @property
-    def target_id(self) -> str:
-        """What the update is about."""
-        return self.caller.fingerprint
-
-
 class ReturnUpdates:
     """Passes refused callers on, at one keeper.
 
@@ -53,14 +42,12 @@
             Of kind ``bad_request`` if the message is malformed.
         """
         for caller in table.decode_returns(message):
-            self._for_entries.add(_Update(caller))
+            self._for_entries.add(caller.fingerprint, caller)
             if is_of_entry:
-                self._for_keepers.add(_Update(caller))
+                self._for_keepers.add(caller.fingerprint, caller)
 
 
 def _build_batcher(
     interval: float, send: Callable[[messages.CallerReturns], None]
-) -> batching.UpdateBatcher[_Update]:
-    return batching.UpdateBatcher(
-        interval, lambda updates: send(table.encode_returns(item.caller for item in updates))
-    )
+) -> batching.UpdateBatcher[table.RefusedCaller]:
+    return batching.UpdateBatcher(interval, lambda updates: send(table.encode_returns(updates)))
