Use one piece of code for logic that the shared-capacity work wrote twice

- Size classes of prompts: the queue's metric uses shares.figures.get_size_class.
- Retry delay without a forecast and the share of the remaining time: decisions.room and decisions.returns, also for refusals.
- Update of two correlated speeds: one function for both directions.
- Load without reports of other entries, age for log lines, message to the primary keeper, and long output: one function each.
- Columns that earlier versions do not send: filled by the codec only, from a list computed once instead of for each digest.
- Share of a runner's memory: computed once for a choice, not twice.
- Hooks of the queues are passed on directly; requests without a workspace are left to Shares to ignore.

--- a/tillerlane/decisions/room.py
+++ b/tillerlane/decisions/room.py
@@ -11,9 +11,10 @@
 import math
 from collections.abc import Iterable
 
-from tillerlane.decisions import ordering
+from tillerlane.decisions import ordering, returns
 
 __all__ = [
+    "DEFAULT_RETRY_SECONDS",
     "Decision",
     "Forecast",
     "can_wait",
@@ -35,8 +36,6 @@
 LATE_DEADLINE_SHARE = 0.5
 """Share of the time to its deadline that a request whose late answer has value waits at most; the
 rest is for the run itself."""
-RETRY_SHARE = 0.3
-"""Maximum retry delay as a share of a caller's remaining time; callers obey up to a third of it."""
 DEFAULT_RETRY_SECONDS = 3.0
 """Retry delay without a forecast: a full pool stays full for seconds, since a long run takes some
 8 s and a runner that left is replaced after 4 s."""
@@ -172,4 +171,4 @@
     """Return the seconds after which a refused caller may retry: the forecast, bounded."""
     seconds = DEFAULT_RETRY_SECONDS if forecast_seconds is None else forecast_seconds
     remaining = max(0.0, item.deadline - now)
-    return min(max(MIN_RETRY_SECONDS, seconds), remaining * RETRY_SHARE)
+    return min(max(MIN_RETRY_SECONDS, seconds), remaining * returns.MAX_DELAY_SHARE)
--- a/tillerlane/decisions/speeds.py
+++ b/tillerlane/decisions/speeds.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import math
+import operator
 from collections.abc import Iterable, Sequence
 
 __all__ = [
@@ -23,11 +24,13 @@
     "Slowness",
     "Speeds",
     "Tail",
+    "build_tail",
     "compute_pause_probability",
     "estimate_pause_risk",
     "estimate_pool",
     "estimate_slowness",
     "estimate_speeds",
+    "find_ratio_step",
     "list_long_gap_shares",
 ]
 
@@ -161,28 +164,36 @@
     This is a Kalman update of two correlated values, so that a first event, which shows the prefill
     speed, also tells about decoding where both go together in this pool.
     """
-    decode, prefill = pool.decode_mean, pool.prefill_mean
-    decode_variance, prefill_variance = pool.decode_variance, pool.prefill_variance
+    decode = pool.decode_mean, pool.decode_variance
+    prefill = pool.prefill_mean, pool.prefill_variance
     covariance = pool.covariance
     observed = _observe_decode(seen, pool.event_seconds)
-    if observed is not None and decode_variance > 0:
-        total = decode_variance + observed[1]
-        surprise = (observed[0] - decode) / total
-        decode += decode_variance * surprise
-        prefill += covariance * surprise
-        prefill_variance -= covariance * covariance / total
-        covariance -= decode_variance * covariance / total
-        decode_variance -= decode_variance * decode_variance / total
+    if observed is not None:
+        decode, prefill, covariance = _update(decode, prefill, covariance, observed)
     observed = _observe_prefill(seen, pool.token_seconds)
-    if observed is not None and prefill_variance > 0:
-        total = prefill_variance + observed[1]
-        surprise = (observed[0] - prefill) / total
-        prefill += prefill_variance * surprise
-        decode += covariance * surprise
-        decode_variance -= covariance * covariance / total
-        prefill_variance -= prefill_variance * prefill_variance / total
+    if observed is not None:
+        prefill, decode, covariance = _update(prefill, decode, covariance, observed)
     return Speeds(
-        Slowness(math.exp(decode), decode_variance), Slowness(math.exp(prefill), prefill_variance)
+        Slowness(math.exp(decode[0]), decode[1]), Slowness(math.exp(prefill[0]), prefill[1])
+    )
+
+
+def _update(
+    own: tuple[float, float],
+    other: tuple[float, float],
+    covariance: float,
+    observed: tuple[float, float],
+) -> tuple[tuple[float, float], tuple[float, float], float]:
+    """Update two correlated values, each a mean and a variance, by an observation of the first."""
+    mean, variance = own
+    if variance <= 0:
+        return own, other, covariance
+    total = variance + observed[1]
+    surprise = (observed[0] - mean) / total
+    return (
+        (mean + variance * surprise, variance - variance * variance / total),
+        (other[0] + covariance * surprise, other[1] - covariance * covariance / total),
+        covariance - variance * covariance / total,
     )
 
 
@@ -214,14 +225,12 @@
 
 def _estimate_spread(observed: Sequence[tuple[float, float]]) -> tuple[float, float]:
     """The mean of the runners' logarithms and their variance beyond their own noise."""
-    if not observed:
+    if len(observed) < MIN_RUNNERS:
         return 0.0, 0.0
     weights = [1 / variance for _, variance in observed]
     total = sum(weights)
     values = [value for value, _ in observed]
-    mean = sum(map(_multiply, weights, values)) / total
-    if len(observed) < MIN_RUNNERS:
-        return 0.0, 0.0
+    mean = sum(map(operator.mul, weights, values)) / total
     squares = sum(
         weight * (value - mean) ** 2 for weight, value in zip(weights, values, strict=True)
     )
@@ -230,11 +239,7 @@
     if spread <= 0:
         return 0.0, 0.0
     weights = [1 / (spread + variance) for _, variance in observed]
-    return sum(map(_multiply, weights, values)) / sum(weights), spread
-
-
-def _multiply(one: float, other: float) -> float:
-    return one * other
+    return sum(map(operator.mul, weights, values)) / sum(weights), spread
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -110,12 +110,17 @@
             return self.workspace.priority
         return default
 
+    @property
+    def has_long_output(self) -> bool:
+        """Whether its run is expected to write for long."""
+        return self.facts.output_tokens >= LONG_RUN_TOKENS
+
     @property
     def is_long(self) -> bool:
         """Whether its run is long and must not be repeated, so that its memory matters."""
         if self.pool.engine is None or self.route.is_resumable:
             return False
-        return self.facts.output_tokens >= LONG_RUN_TOKENS
+        return self.has_long_output
 
     @property
     def is_stream(self) -> bool:
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -357,7 +357,7 @@
         table = self._admission_control.table
         has_workspaces = table is not None and bool(table.workspaces)
         if not has_workspaces or self.usage.compute_age(self._loop.time()) is None:
-            return float(own_tokens * max(0, self.usage.entries - 1))
+            return self.usage.assume_equal_entries(own_tokens)
         return max(0.0, self.shares.compute_waiting_tokens(pool, self._loop.time()) - own_tokens)
 
     # Life
@@ -524,9 +524,7 @@
 
     def _notify_returns(self, refused: list[return_tables.RefusedCaller]) -> None:
         """Report refused callers to one keeper; a caller whose turn is lost is a new one."""
-        link = self.homes.get_primary()
-        if link is not None:
-            links.try_send(link, return_tables.encode_returns(refused))
+        self._send_to_primary(return_tables.encode_returns(refused))
 
     def _log_permits(self, is_answered: bool, reason: str) -> None:
         self.timeline.record("permits.owner", answers=is_answered, reason=reason)
@@ -678,13 +676,12 @@
     def _log_shares(self, now: float) -> None:
         """Log whose requests wait, and which workspaces are in debt; once a second at most."""
         for state in self.shares.list_contended(now):
-            age = self.usage.compute_age(now)
             self.timeline.record(
                 "share.debts",
                 pool=state.pool,
                 waiting=state.waiting,
                 debts=state.debts,
-                load_age_ms=None if age is None else int(age * 1000),
+                load_age_ms=self.usage.compute_age_ms(now),
             )
 
     async def _wait_for_loads(self) -> None:
--- a/tillerlane/gateway/homes.py
+++ b/tillerlane/gateway/homes.py
@@ -223,8 +223,7 @@
         """Ask all other home keepers for loads if the primary one is lost or silent.
 
         All are asked since several may be lost at once, and a further one is dialed if none
-        answers.  Each sends all targets' loads once, 1.6 kB
-        for 30 targets.
+        answers.  Each sends all targets' loads once, 1.6 kB for 30 targets.
         """
         if self._asked:
             if self._spares:
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -109,11 +109,15 @@
             held += self._transport.get_write_buffer_size()
         return held
 
-    def _count(self, held: int) -> None:
+    def _count_held(self) -> None:
+        """Count what is held now, if memory is counted."""
+        if self._account is not None:
+            self._count(self._account, self._get_held())
+
+    def _count(self, account: memory.Account, held: int) -> None:
         """Count bytes beyond those that the request is counted with anyway."""
-        assert self._account is not None
         counted = max(0, held - pressure.EXCHANGE_FLOOR_BYTES)
-        self._account.change(counted - self._counted)
+        account.change(counted - self._counted)
         self._counted = counted
 
     # Sending
@@ -135,8 +139,7 @@
             self._transport.write(http_head.encode_request_head(framed))
             self._unsent = memoryview(body)
             self._send_parts()
-        if self._account is not None:
-            self._count(self._get_held())
+        self._count_held()
 
     def _compute_part_size(self) -> int:
         assert self._account is not None
@@ -170,14 +173,13 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._send_parts()
-        if self._account is not None:
-            self._count(self._get_held())
+        self._count_held()
 
     def abort(self) -> None:
         """Abort the connection, by which the target learns that the request was abandoned."""
         self._unsent = memoryview(b"")
         if self._account is not None:
-            self._count(0)
+            self._count(self._account, 0)
         if self._transport is not None:
             self._transport.abort()
 
@@ -220,8 +222,7 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._buffered = 0
-        if self._account is not None:
-            self._count(self._get_held())
+        self._count_held()
         if self._paused and self._transport is not None:
             self._paused = False
             self._transport.resume_reading()
@@ -299,8 +300,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._set_error(f"invalid HTTP response: {error}")
             self.abort()
-        if self._account is not None and self._error is None:
-            self._count(self._get_held())
+        if self._error is None:
+            self._count_held()
         if self._must_pause() and not self._paused and self._transport is not None:
             self._paused = True
             self._transport.pause_reading()
--- a/tillerlane/gateway/loads.py
+++ b/tillerlane/gateway/loads.py
@@ -149,9 +149,7 @@
 
 def _decode_rows(data: bytes) -> list[tuple[str, TargetLoad]]:
     table = codec.decode_table(data, messages.UseTable)
-    # Daemons of an earlier version don't send the columns that were added later.
-    absent = [0] * len(table.addresses)
-    columns = [getattr(table, name) or absent for name in FIELDS]
+    columns = [getattr(table, name) for name in FIELDS]
     return [
         (address, TargetLoad(*values))
         for address, *values in zip(table.addresses, *columns, strict=True)
--- a/tillerlane/gateway/queue/choosing.py
+++ b/tillerlane/gateway/queue/choosing.py
@@ -145,12 +145,13 @@
         if now + MIN_SEND_SECONDS > admission.deadline:
             return offers.Verdict(offers.VerdictKind.NO_TARGET)
         can_request_permit = search.permit_requests < MAX_PERMIT_REQUESTS
+        memory_share = self.compute_memory_share(admission)
         target = self._selector.choose(
             admission.pool,
             admission.work,
             search.excluded,
             can_request_permit=can_request_permit,
-            full_share=min(selection.FULL_MEMORY_SHARE, self.compute_memory_share(admission)),
+            full_share=min(selection.FULL_MEMORY_SHARE, memory_share),
         )
         if target is None:
             is_waiting = (
@@ -158,7 +159,7 @@
             ) or self.should_wait_for_capacity(admission, search.excluded)
             kind = offers.VerdictKind.NO_TARGET
             return offers.Wait.TARGET if is_waiting else offers.Verdict(kind)
-        if not self._has_room(admission, target):
+        if not self._has_room(admission, target, memory_share):
             if self.is_oversized(admission):
                 return offers.Verdict(offers.VerdictKind.NO_ROOM)
             return offers.Wait.MEMORY
@@ -219,17 +220,17 @@
             unread, prompt_tokens, objective_seconds, is_long=admission.is_long, rate=rate
         )
 
-    def _has_room(self, admission: admissions.Admission, target: directory.Target) -> bool:
-        """Whether a runner has memory for a request."""
-        share = self.compute_memory_share(admission)
+    def _has_room(
+        self, admission: admissions.Admission, target: directory.Target, share: float
+    ) -> bool:
+        """Whether a runner has memory for a request that may use so much of it."""
         if share < RUN_MEMORY_SHARE and self._usage.get(target.address).tokens <= 0:
             share = RUN_MEMORY_SHARE  # a prompt that needs most of a runner gets an idle one
         return self._selector.has_room(admission.pool, target, admission.tokens, share)
 
     def compute_memory_share(self, admission: admissions.Admission) -> float:
         """Share of a runner's memory for a request; short ones end before memory runs out."""
-        is_short = admission.facts.output_tokens < admissions.LONG_RUN_TOKENS
-        if is_short or admission.priority == 0:
+        if not admission.has_long_output or admission.priority == 0:
             return 1.0
         return self._reservations.compute_long_share(admission, RUN_MEMORY_SHARE)
 
--- a/tillerlane/gateway/queue/finder.py
+++ b/tillerlane/gateway/queue/finder.py
@@ -9,6 +9,7 @@
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.queue import choosing, memory_watch, offers, pool_queue
+from tillerlane.gateway.shares import figures
 from tillerlane.timeline import core as timelines
 
 __all__ = ["TargetFinder"]
@@ -22,9 +23,6 @@
 credit with a share of 0.7, instead of 0.61 and 0.66."""
 PERMIT_TIMEOUT_SECONDS = 0.05
 """Longest wait for a permit while other targets have room; a permit exchange takes milliseconds."""
-SIZE_CLASSES = ((1_550, "small"), (3_500, "medium"))
-"""Prompt tokens below which a request counts to a class of the waiting-time metric; others are
-large.  Where memory is short, waiting times differ most between these."""
 
 
 class TargetFinder:
@@ -81,7 +79,9 @@
         )
         self.find_first_arrival: Callable[[str], float | None] = lambda fingerprint: None
         self.record_refusal: Callable[[str, float, int, float, float], float] | None = None
-        self.estimate_waiting_elsewhere: Callable[[str, int], float] = self._assume_equal_entries
+        self.estimate_waiting_elsewhere: Callable[[str, int], float] = lambda pool, tokens: (
+            usage.assume_equal_entries(tokens)
+        )
         self._chooser = chooser
         self._selector = selector
         self._available = available
@@ -264,11 +264,9 @@
             watch = memory_watch.MemoryWatch(self._directory.list_pool, self._usage)
             queue = self._queues[pool.name] = pool_queue.PoolQueue(pool, watch, self._chooser.rng)
             queue.is_closed = self._is_stopping
-            queue.compute_debt = lambda pool, workspace: self.compute_debt(pool, workspace)
-            queue.record_waiting = lambda *change: self.record_waiting(*change)
-            queue.estimate_waiting_elsewhere = lambda pool, tokens: self.estimate_waiting_elsewhere(
-                pool, tokens
-            )
+            queue.compute_debt = self.compute_debt
+            queue.record_waiting = self.record_waiting
+            queue.estimate_waiting_elsewhere = self.estimate_waiting_elsewhere
         queue.pool = pool
         return queue
 
@@ -283,23 +281,18 @@
             admission.priority,
             admission.facts.prompt_tokens,
             admission.tokens,
-            admission.facts.output_tokens >= admissions.LONG_RUN_TOKENS,
+            admission.has_long_output,
             self.compute_debt(admission.pool.name, workspace),
         )
 
-    def _assume_equal_entries(self, pool: str, tokens: int) -> float:
-        """Tokens that wait elsewhere if callers are spread evenly over the entries."""
-        return float(tokens * max(0, self._usage.entries - 1))
-
     def _record_wait(
         self, search: choosing.Search, ticket: pool_queue.Ticket, outcome: str
     ) -> None:
         admission, item = search.admission, ticket.item
         now = self._loop.time()
         seconds = now - ticket.joined_at
-        size = next((name for most, name in SIZE_CLASSES if item.prompt_tokens < most), "large")
+        size = figures.get_size_class(item.prompt_tokens)
         self._metrics.queue_seconds.labels(admission.pool.name, size).observe(seconds)
-        age = self._usage.compute_age(now)
         forecast = ticket.forecast_seconds
         self._timeline.record(
             "queue.wait",
@@ -315,5 +308,5 @@
             queue_length=ticket.length,
             share_debt=int(item.debt_tokens),
             forecast_ms=int(forecast * 1000) if forecast is not None else None,
-            load_age_ms=int(age * 1000) if age is not None else None,
+            load_age_ms=self._usage.compute_age_ms(now),
         )
--- a/tillerlane/gateway/refusals.py
+++ b/tillerlane/gateway/refusals.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from tillerlane.decisions import limits
+from tillerlane.decisions import limits, returns, room
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import availability, routes
 from tillerlane.gateway import backoff as backoffs
@@ -11,11 +11,6 @@
 
 __all__ = ["NotRun", "RefusalBuilder"]
 
-NO_ROOM_RETRY_AFTER_SECONDS = 3.0
-"""Retry delay where no runner has enough memory: a full pool stays full for seconds, since a long
-run takes some 8 s and a runner that left is replaced after 4 s."""
-NO_ROOM_RETRY_SHARE = 0.3
-"""Maximum retry delay as a part of a caller's remaining time; callers obey up to a third of it."""
 EVACUATED_RETRY_AFTER_SECONDS = 1.0
 """Retry delay where all data halls are evacuated: such an order holds for seconds, so that an
 immediate retry would fail."""
@@ -116,6 +111,6 @@
         """
         if retry_after is None:
             remaining = max(0.0, admission.deadline - self._loop.time())
-            retry_after = min(NO_ROOM_RETRY_AFTER_SECONDS, remaining * NO_ROOM_RETRY_SHARE)
+            retry_after = min(room.DEFAULT_RETRY_SECONDS, remaining * returns.MAX_DELAY_SHARE)
         reason = f"{cause}: {admission.tokens} tokens beside those under way"
         return NotRun(reason, sent=False, retry_after=retry_after)
--- a/tillerlane/gateway/reservations.py
+++ b/tillerlane/gateway/reservations.py
@@ -200,7 +200,7 @@
         return tokens * math.exp((at - now) / LARGEST_SECONDS)
 
     def _record_size(self, admission: admissions.Admission, now: float) -> None:
-        if admission.facts.output_tokens >= admissions.LONG_RUN_TOKENS:
+        if admission.has_long_output:
             return
         pool = admission.pool.name
         if admission.tokens > self._read_largest(pool, now):
@@ -250,10 +250,10 @@
         finally:
             self._usage.add(target.address, requests=-1, unread=-unread)
             if is_answered:
-                self._uncount(hold, may_be_held=call.result().outcome is _LOST)
+                self._uncount(hold, may_be_held=call.result().outcome is dialects.HoldOutcome.LOST)
             else:
                 call.add_done_callback(lambda call: self._settle_late(hold, call))
-        outcome = call.result().outcome if is_answered else _LOST
+        outcome = call.result().outcome if is_answered else dialects.HoldOutcome.LOST
         self._record(admission, hold, outcome, started_at, load.tokens)
         if outcome is dialects.HoldOutcome.TAKEN:
             return dataclasses.replace(hold, id=call.result().hold)
@@ -302,7 +302,7 @@
             self._uncount(hold)
             return
         result = call.result()
-        self._uncount(hold, may_be_held=result.outcome is _LOST)
+        self._uncount(hold, may_be_held=result.outcome is dialects.HoldOutcome.LOST)
         if result.outcome is dialects.HoldOutcome.TAKEN:
             self.drop(dataclasses.replace(hold, id=result.hold))
 
@@ -351,6 +351,3 @@
             load_age_ms=-1 if age is None else int(age * 1000),
             took_ms=int((now - started_at) * 1000),
         )
-
-
-_LOST = dialects.HoldOutcome.LOST
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -276,9 +276,8 @@
 
     def _record_served(self, admission: admissions.Admission, tokens: int) -> None:
         """Count tokens as served to the request's workspace; negative ones take that back."""
-        if admission.workspace is not None:
-            pool, workspace = admission.pool.name, admission.workspace.name
-            self._shares.record_served(pool, workspace, tokens, self._loop.time())
+        pool, workspace = admission.pool.name, admission.workspace_name
+        self._shares.record_served(pool, workspace, tokens, self._loop.time())
 
     def refuse_quarantined(self, admission: admissions.Admission) -> refusals.NotRun | None:
         """Refuse a quarantined request; None if it may be sent.
@@ -454,10 +453,10 @@
         )
         until = self._compute_attempt_deadline(admission, former.runs)
         started_at = self._loop.time()
-        if admission.workspace is not None and not former.sends:
-            waited = started_at - admission.request.arrived
+        waited = started_at - admission.request.arrived
+        if not former.sends:
             prompt_tokens = admission.facts.prompt_tokens
-            self._shares.record_wait(admission.workspace.name, waited, prompt_tokens)
+            self._shares.record_wait(admission.workspace_name, waited, prompt_tokens)
         outcome: Outcome | None = None
         try:
             if isinstance(reservation, reservations.Unknown) and reservation.is_unreachable:
@@ -474,7 +473,7 @@
             target,
             outcome,
             former.sends,
-            started_at - admission.request.arrived,
+            waited,
             plan.hold,
         )
         may_have_run = not isinstance(outcome, refusals.NotRun)
--- a/tillerlane/gateway/speeds/reporting.py
+++ b/tillerlane/gateway/speeds/reporting.py
@@ -113,11 +113,10 @@
                 used.append((address, kind))
                 self._metrics.runner_slowness.labels(address, kind).set(slowness.factor)
                 self._metrics.runner_observations.labels(address, kind).set(number)
-        age = self._usage.compute_age(now)
         self._timeline.record(
             "runner.speeds",
             pool=pool,
-            age_ms=None if age is None else int(age * 1000),
+            age_ms=self._usage.compute_age_ms(now),
             event_ms=round(estimated.pool.event_seconds * 1000, 1),
             spread=round(estimated.pool.decode_variance**0.5, 3),
             counts_gaps=estimated.tail is not None,
--- a/tillerlane/gateway/usage.py
+++ b/tillerlane/gateway/usage.py
@@ -290,6 +290,15 @@
         """Seconds since the last digest; None without a valid one."""
         return None if self._heard_at is None else now - self._heard_at
 
+    def compute_age_ms(self, now: float) -> int | None:
+        """The same in whole milliseconds, for log lines."""
+        age = self.compute_age(now)
+        return None if age is None else int(age * 1000)
+
+    def assume_equal_entries(self, amount: int) -> float:
+        """What all other entries have of something if callers are spread evenly over them."""
+        return float(amount * max(0, self.entries - 1))
+
     def expire_others(self, now: float) -> bool:
         """Discard others' loads without a recent digest; whether that happened just now."""
         if self._heard_at is None:
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -118,6 +118,15 @@
 _FIELDS: dict[type, tuple[_Field, ...]] = {
     cls: _list_fields(cls) for cls in [*_BODY_CLASSES.values(), *_ELEMENT_CLASSES, *_TABLE_CLASSES]
 }
+_OPTIONAL_COLUMNS: dict[type, tuple[str, ...]] = {
+    cls: tuple(
+        field.name
+        for field in dataclasses.fields(cls)
+        if field.default_factory is not dataclasses.MISSING
+    )
+    for cls in _TABLE_CLASSES
+}
+"""Columns of each table that were added after its first version."""
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
@@ -184,21 +193,19 @@
         schema = getattr(_SCHEMA, cls.__name__)
         with schema.from_bytes(data, traversal_limit_in_words=_MAX_TRAVERSAL_WORDS) as reader:
             table: Table = _decode_fields(reader, cls)
-        _fill_absent_columns(table)
+        _fill_absent_columns(table, cls)
         lengths = {len(getattr(table, field.name)) for field in _FIELDS[cls]}
         if len(lengths) > 1:
             raise ValueError(f"got columns of {sorted(lengths)} rows, expected one length")
         return table
 
 
-def _fill_absent_columns(table: Any) -> None:
+def _fill_absent_columns(table: Any, cls: type) -> None:
     """Fill the columns that a daemon of an earlier version does not send with zeros."""
-    columns = dataclasses.fields(table)
-    rows = len(getattr(table, columns[0].name))
-    for column in columns:
-        is_optional = column.default_factory is not dataclasses.MISSING
-        if is_optional and not getattr(table, column.name):
-            setattr(table, column.name, [0] * rows)
+    rows = len(getattr(table, _FIELDS[cls][0].name))
+    for name in _OPTIONAL_COLUMNS[cls]:
+        if not getattr(table, name):
+            setattr(table, name, [0] * rows)
 
 
 def encode(envelope: messages.Envelope) -> bytes:
