Keep the output of an interrupted module whose child process missed the interrupt

Cause: the check of the whole project interrupts a module at its time limit and waits 10 s for its output. A child process that misses the interrupt keeps the pipes open, and the output was dropped then. This is how TimeLimitTest.test_child_processes_are_killed_and_output_is_kept failed once (11.0 s: its limit of 1 s and the 10 s).

Change: the output is read once more after the process group was killed. A new test has a child process that ignores the interrupt; it failed before with the same message.

--- a/tillerlane/testing/check.py
+++ b/tillerlane/testing/check.py
@@ -95,13 +95,16 @@
     It is interrupted first, so that it prints a traceback.
     """
     os.killpg(process.pid, signal.SIGINT)
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        process.communicate(timeout=INTERRUPT_TIMEOUT_SECONDS)
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
+    # A child process that missed the interrupt keeps the pipes open until it is killed, so that
+    # the output is complete only now.
     try:
         output, errors = process.communicate(timeout=INTERRUPT_TIMEOUT_SECONDS)
     except subprocess.TimeoutExpired:
-        output = errors = ""
-    with contextlib.suppress(ProcessLookupError):
-        os.killpg(process.pid, signal.SIGKILL)
-    process.wait()
+        return ""  # a process outside the group keeps them open
     return output + errors
 
 
--- a/tillerlane/testing/tests/test_check.py
+++ b/tillerlane/testing/tests/test_check.py
@@ -53,9 +53,27 @@
 """
 
 
+IGNORING = """
+import signal, subprocess, sys, time
+child = subprocess.Popen(
+    [sys.executable, "-c", "import time; time.sleep(60)"],
+    preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),
+)
+print(child.pid, flush=True)
+time.sleep(60)
+"""
+
+
 class TimeLimitTest(unittest.TestCase):
     """A module that exceeds its time limit."""
 
+    @mock.patch.object(check, "MODULE_TIMEOUT_SECONDS", 1.0)
+    @mock.patch.object(check, "INTERRUPT_TIMEOUT_SECONDS", 1.0)
+    def test_output_is_kept_if_a_child_process_ignores_the_interrupt(self) -> None:
+        """Guards against output that is dropped while a child process keeps the pipes open."""
+        done = check._run([sys.executable, "-c", IGNORING], "slow")
+        self.assertIn("KeyboardInterrupt", done.stdout)
+
     @mock.patch.object(check, "MODULE_TIMEOUT_SECONDS", 1.0)
     def test_child_processes_are_killed_and_output_is_kept(self) -> None:
         """Guards against child processes that outlive the module, once a fleet of eight."""
