--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -44,6 +44,9 @@
         Last event that the caller has of an earlier stream; empty for a new stream.
     resumes : str
         Id of the caller's attempt that brought the first event of that stream; empty if unknown.
+    shared_parts : tuple of str
+        Ids of the parts of its prompt that other requests may have too, in order.  The last part,
+        which is the request's own, is left out.
     """
 
     request_id: str
@@ -53,6 +56,7 @@
     output_tokens: int
     last_event_id: str
     resumes: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tillerlane/gateway/exit_detection.py
+++ b/tillerlane/gateway/exit_detection.py
@@ -60,6 +60,8 @@
         target: directories.Target,
         sent_at: float,
         events: int,
+        *,
+        has_head: bool,
     ) -> None:
         """Find out whether a target that broke off the response to a request has exited.
 
@@ -73,6 +75,8 @@
             Time of the event loop at which it was sent to the target.
         events : int
             Events of its stream that arrived so far, from all of its runners.
+        has_head : bool
+            Whether the target had sent the head of its response.
         """
         if target.is_winding_down:
             return
@@ -83,11 +87,14 @@
             "target.broke_off",
             request_id=admission.facts.request_id,
             fingerprint=admission.fingerprint,
+            workspace=admission.workspace_name,
+            parts=list(admission.facts.shared_parts),
             target=target.target_id,
             address=target.address,
             reach=reach.value,
             ran_ms=int((now - sent_at) * 1000),
             events=events,
+            has_head=has_head,
             requests_there=self._usage.get(target.address).requests,
         )
         if reach is http_client.ProbeResult.REFUSED:
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -190,6 +190,11 @@
 
     # Receiving
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of the final response has arrived."""
+        return self._head is not None
+
     async def read_head(self) -> http_head.ResponseHead:
         """Wait for the head of the final response.
 
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -171,7 +171,9 @@
             self._selector.failures.record_broken_answer(
                 target, admission.fingerprint, self._loop.time(), exchange.sent_at
             )
-            await self._exit_detector.check_target(admission, target, exchange.sent_at, 0)
+            await self._exit_detector.check_target(
+                admission, target, exchange.sent_at, 0, has_head=exchange.has_head
+            )
             return outcomes.Unknown(f"{address}: {error}")
         finally:
             self._usage.add(address, unread=-unread)
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -216,7 +216,7 @@
                         stream.run.target, stream.admission.fingerprint, self._loop.time(), sent_at
                     )
                 await self._exit_detector.check_target(
-                    stream.admission, stream.run.target, sent_at, stream.events
+                    stream.admission, stream.run.target, sent_at, stream.events, has_head=True
                 )
             if stop is stream_relay.StopReason.CAN_RESUME:
                 self._hand_over(stream)
--- a/tillerlane/gateway/tests/test_exit_detection.py
+++ b/tillerlane/gateway/tests/test_exit_detection.py
@@ -66,6 +66,18 @@
 
         self.play(scene)
 
+    def test_log_line_names_the_parts_of_the_prompt(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            await asyncio.sleep(0.2)
+            asyncio.get_running_loop().call_later(0.2, runner.crash)
+            await stage.call("entry-1", "record", "r1", Prompt_Prefix="aa:100,bb:50,cc:7")
+            lines = stage.entries["entry-1"].timeline.read()
+            [line] = [line.fields for line in lines if line.name == "target.broke_off"]
+            self.assertEqual((line["parts"], line["has_head"]), (["aa", "bb"], True))
+
+        self.play(scene)
+
     def test_target_that_exited_before_the_head_of_its_response(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "app", pace=0.3)
--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -117,6 +117,18 @@
         self.assertEqual((facts.wait_seconds, facts.prompt_tokens), (1.5, 3_000))
         self.assertEqual(facts.output_tokens, 200)
 
+    def test_shared_parts_of_a_prompt_are_all_but_the_last(self) -> None:
+        for text, expected in (
+            ("5c1e07a2:800, 91BD3F06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            ("5c1e07a2:800,5c1e07a2:1,e4402b7d:250", ("5c1e07a2",)),
+            ("e4402b7d:250", ()),
+            ("", ()),
+            ("a b:1,:2,zz:3,91bd3f06,e4402b7d:250", ("91bd3f06",)),
+        ):
+            with self.subTest(text):
+                facts = wire.decode_request(build_head(Prompt_Prefix=text))
+                self.assertEqual(facts.shared_parts, expected)
+
     @profiles.choose(200)
     @given(strategies.text(alphabet="0123456789,.:-x", max_size=30))
     def test_malformed_numbers_count_as_absent(self, text: str) -> None:
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -33,6 +33,7 @@
 PRIORITY = b"Request-Priority"
 LAST_EVENT_ID = b"Last-Event-Id"
 RESUMES = b"Resumes"
+PROMPT_PARTS = b"Prompt-Prefix"
 COPY = b"Kv-From"
 BACKUP = b"Kv-Backup"
 HOLD = b"Hold"
@@ -42,6 +43,8 @@
 LEAVING = b"server-leaving"
 MAX_WAIT_MS = 24 * 3600 * 1000
 """Bound on a number that a caller sends."""
+MAX_PROMPT_PARTS = 64
+"""Maximum number of parts of a prompt that are told apart; the longest list in use has 5."""
 MAX_NAME_CHARACTERS = 200
 """Bound on names and addresses in targets' reports; the longest in use has 24."""
 MAX_NUMBER_CHARACTERS = 20
@@ -50,6 +53,7 @@
 """Bound on how long a target may report to be cold; the longest in use is some seconds."""
 
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
+_PART_ID = re.compile(r"[0-9a-f]{1,128}")
 _SYSTEM_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -100,9 +104,17 @@
         output_tokens=max_output if hint is None else min(hint, max_output or hint),
         last_event_id=get(LAST_EVENT_ID),
         resumes=get(RESUMES),
+        shared_parts=_parse_shared_parts(get(PROMPT_PARTS)),
     )
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Ids in a list of ``id:tokens``, without the last; skips those that are not hexadecimal."""
+    listed = [item.partition(":")[0].strip().lower() for item in text.split(",")]
+    known = (item for item in listed[:-1] if _PART_ID.fullmatch(item))
+    return tuple(dict.fromkeys(known))[:MAX_PROMPT_PARTS]
+
+
 def build_forward(head: http_head.RequestHead, plan: dialect.ForwardPlan) -> http_head.RequestHead:
     """The head of a request for one target."""
     headers = http_head.list_end_to_end(head.headers, _SYSTEM_HEADERS)
