--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -59,6 +59,12 @@
     target_id: str = ""
     software_version: str = ""
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of the parts of its prompt, without the last."""
+        listed = self.headers.get("prompt-prefix", "").split(",")
+        return [item.partition(":")[0] for item in listed[:-1]]
+
     @property
     def is_resumed(self) -> bool:
         """Whether the run was resumed here from a copy, after an event already sent."""
@@ -162,6 +168,8 @@
         Bytes sent before and after each complete response.
     poison_bodies : frozenset of bytes
         Bodies of requests that end it, `POISON_EXIT_DELAY_SECONDS` after their run started.
+    poison_parts : frozenset of str
+        Ids of parts of prompts that end it likewise; the last part of a prompt never does.
     limit : str
         Rate limit in requests per second that each response announces; empty for none.
     backoff : str
@@ -223,6 +231,7 @@
         self.preface = b""
         self.surplus = b""
         self.poison_bodies: frozenset[bytes] = frozenset()
+        self.poison_parts: frozenset[str] = frozenset()
         self.limit = ""
         self.backoff = ""
         self.leaving = ""
@@ -511,7 +520,7 @@
 
     async def _exit_if_poison(self, run: RanRequest) -> None:
         """Crash if the request is a poison request."""
-        if run.body in self.poison_bodies:
+        if run.body in self.poison_bodies or self.poison_parts.intersection(run.shared_parts):
             await asyncio.sleep(POISON_EXIT_DELAY_SECONDS)
             self.crash()
             self.on_crash(self)
--- a/tillerlane/testing/poison_pool.py
+++ b/tillerlane/testing/poison_pool.py
@@ -27,6 +27,10 @@
         Name of the pool.
     length : int
         Number of events in a stream; 0 for a plain service.
+    parts : collection of str
+        Ids of the parts of prompts that make requests poison requests.
+    reading_seconds : float
+        Prefill time of a stream.
 
     Attributes
     ----------
@@ -35,20 +39,31 @@
     """
 
     def __init__(
-        self, stage: gateway_lab.GatewayLab, bodies: Collection[bytes], name: str, length: int
+        self,
+        stage: gateway_lab.GatewayLab,
+        bodies: Collection[bytes],
+        name: str,
+        length: int,
+        parts: Collection[str] = (),
+        reading_seconds: float = 0.0,
     ) -> None:
         self.targets: list[platform_runner.PlatformRunner] = []
         self._stage = stage
         self._bodies = frozenset(bodies)
         self._name = name
         self._length = length
+        self.parts = frozenset(parts)
+        self._reading_seconds = reading_seconds
         self._tasks = {asyncio.create_task(self._send_heartbeats())}
 
     async def start_one(self) -> None:
         """Start one more target."""
         target_id = f"{self._name}-{len(self.targets) + 1}"
-        target = await self._stage.add_runner(target_id, self._name, length=self._length)
+        target = await self._stage.add_runner(
+            target_id, self._name, length=self._length, reading_seconds=self._reading_seconds
+        )
         target.poison_bodies = self._bodies
+        target.poison_parts = self.parts
         target.on_crash = lambda target: self._tasks.add(asyncio.create_task(self._restart()))
         self.targets.append(target)
 
@@ -86,3 +101,28 @@
         """Count the sends of a request more than `REACTION_SECONDS` after its third target exit."""
         exits = self.list_target_exits(body)
         return self.count_sends(body, exits[2] + REACTION_SECONDS) if len(exits) >= 3 else 0
+
+    def list_part_exits(self, part: str) -> list[float]:
+        """Event-loop times at which targets exited under requests with a part, in order.
+
+        Of requests that ended with their target, the one with the part is the cause.
+        """
+        times = [
+            run.ended_at
+            for target in self.targets
+            for run in target.ran
+            if part in run.shared_parts and run.ended == "crashed"
+        ]
+        return sorted(times)
+
+    def count_late_part_sends(self, part: str) -> int:
+        """Count sends with a part more than `REACTION_SECONDS` after its fifth target exit."""
+        exits = self.list_part_exits(part)
+        if len(exits) < 5:
+            return 0
+        since = exits[4] + REACTION_SECONDS
+        return sum(
+            run.began > since and part in run.shared_parts
+            for target in self.targets
+            for run in target.ran
+        )
