--- a/benchmarks/endings.py
+++ b/benchmarks/endings.py
@@ -14,7 +14,8 @@
 import tracemalloc
 from collections.abc import Callable
 
-from tillerlane.gateway import fingerprints, http_head, suspects
+from tillerlane.gateway import http_head
+from tillerlane.gateway.quarantine import fingerprints, suspects
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, lab
 
 __all__ = ["measure_fingerprint", "measure_spread", "measure_table"]
--- a/tillerlane/gateway/admission.py
+++ b/tillerlane/gateway/admission.py
@@ -5,7 +5,8 @@
 
 from tillerlane.decisions import placing, queueing
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import fingerprints, http_head, http_server, routes
+from tillerlane.gateway import http_head, http_server, routes
+from tillerlane.gateway.quarantine import fingerprints
 
 __all__ = ["LONG_RUN_TOKENS", "RETRY_AFTER_SECONDS", "Admission", "AdmissionControl", "Refusal"]
 
@@ -42,7 +43,7 @@
     deadline : float
         Time of the event loop by which the response must be complete.
     fingerprint : str
-        Equal for all attempts of the same request (`gateway.fingerprints`).
+        Equal for all attempts of the same request (`gateway.quarantine.fingerprints`).
     software_version : str or None
         Only targets with this version may run it; None for any.
     """
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -19,12 +19,11 @@
     loads,
     metrics,
     operator_orders,
-    quarantine_coordinator,
-    suspects,
 )
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
 from tillerlane.gateway.origins import registry
+from tillerlane.gateway.quarantine import coordinator, suspects
 from tillerlane.gateway.returns import updates as return_updates
 from tillerlane.gateway.speeds import slowdowns
 from tillerlane.keeper import formation as formations
@@ -158,7 +157,7 @@
             self._dependencies.now,
             self.timeline,
         )
-        self.quarantine = quarantine_coordinator.QuarantineCoordinator(
+        self.quarantine = coordinator.QuarantineCoordinator(
             state.store,
             lambda: self.replica.has_lease,
             self.keeper.propose,
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -12,7 +12,6 @@
     availability,
     entry_gauges,
     entry_settings,
-    exit_detection,
     handovers,
     homes,
     http_head,
@@ -24,7 +23,6 @@
     metrics,
     moved_loads,
     permits,
-    quarantine,
     refusals,
     relay,
     reservations,
@@ -35,7 +33,6 @@
     shares,
     startup,
     streams,
-    suspects,
     target_updates,
 )
 from tillerlane.gateway import backoff as backoffs
@@ -48,6 +45,7 @@
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
 from tillerlane.gateway.origins import recorder, resumptions
+from tillerlane.gateway.quarantine import exit_detection, guard, suspects
 from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
 from tillerlane.gateway.speeds import reporting
@@ -153,7 +151,7 @@
             dialect, selector, self.usage, self.directory, self.timeline, self._metrics
         )
         self._startup = startup.Startup()
-        self.quarantine = quarantine.Quarantine(self.timeline, self._loop.time)
+        self.quarantine = guard.Quarantine(self.timeline, self._loop.time)
         self.quarantine.notify_keepers = self._reports.send_exits
         self.failures.list_exits = self.quarantine.suspects.list_targets
         self._admission_control = admission.AdmissionControl(dialect, selector.pick_pool)
--- a/tillerlane/gateway/quarantine_coordinator.py
+++ b/tillerlane/gateway/quarantine/coordinator.py
@@ -13,7 +13,7 @@
 from tillerlane.config import store as stores
 from tillerlane.decisions import quarantine
 from tillerlane.faults import core as faults
-from tillerlane.gateway import suspects
+from tillerlane.gateway.quarantine import suspects
 from tillerlane.keeper import commands
 from tillerlane.keeper import state_machine as state_machines
 from tillerlane.peers import messages
--- a/tillerlane/gateway/exit_detection.py
+++ b/tillerlane/gateway/quarantine/exit_detection.py
@@ -11,9 +11,10 @@
 
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, quarantine
+from tillerlane.gateway import http_client
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.quarantine import guard
 from tillerlane.timeline import core as timelines
 
 __all__ = ["ExitDetector"]
@@ -31,7 +32,7 @@
     ----------
     usage : usages.Usage
         Knows how many other requests are at a target.
-    quarantined : quarantine.Quarantine
+    quarantined : guard.Quarantine
         Records requests during which targets exited.
     timeline : timelines.Timeline
         Log of results.
@@ -42,7 +43,7 @@
     def __init__(
         self,
         usage: usages.Usage,
-        quarantined: quarantine.Quarantine,
+        quarantined: guard.Quarantine,
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
     ) -> None:
--- a/tillerlane/gateway/quarantine.py
+++ b/tillerlane/gateway/quarantine/guard.py
@@ -3,7 +3,7 @@
 What an entry observes of a request must outlive the attempt: the caller repeats the same request,
 at any entry.  So each entry reports to its keepers under which requests targets exited, and which
 of those have succeeded.  Keepers distribute that, and have the log quarantine permanently the
-requests with too many exits (`gateway.quarantine_coordinator`).  An entry acts on all three: its
+requests with too many exits (`coordinator`).  An entry acts on all three: its
 own observations, the keepers' reports, and the log.  ``docs/design/quarantine.md`` compares the
 alternatives.
 """
@@ -13,7 +13,7 @@
 
 from tillerlane.decisions import quarantine
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import suspects
+from tillerlane.gateway.quarantine import suspects
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Quarantine"]
--- a/tillerlane/gateway/suspects.py
+++ b/tillerlane/gateway/quarantine/suspects.py
@@ -29,7 +29,7 @@
     Attributes
     ----------
     fingerprint : str
-        Identifies the request (`gateway.fingerprints`).
+        Identifies the request (`gateway.quarantine.fingerprints`).
     target_id : str
         Identifies an incarnation of a target.
     is_cleared : bool
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -9,11 +9,12 @@
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import http_head, http_server, outcomes, quarantine, refusals, retries
+from tillerlane.gateway import http_head, http_server, outcomes, refusals, retries
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import startup as startups
 from tillerlane.gateway import streams as stream_relays
 from tillerlane.gateway.origins import resumptions
+from tillerlane.gateway.quarantine import guard
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Relay"]
@@ -40,7 +41,7 @@
         Counts outcomes.
     startup : startups.Startup
         Holds early requests until the configuration is known.
-    quarantined : quarantine.Quarantine
+    quarantined : guard.Quarantine
         Records requests that succeeded.
     resumed : resumptions.Resumptions
         Restricts requests that resume streams to one software version.
@@ -56,7 +57,7 @@
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
         startup: startups.Startup,
-        quarantined: quarantine.Quarantine,
+        quarantined: guard.Quarantine,
         resumed: resumptions.Resumptions,
     ) -> None:
         self._resumptions = resumed
--- a/tillerlane/gateway/returns/table.py
+++ b/tillerlane/gateway/returns/table.py
@@ -28,7 +28,7 @@
     Attributes
     ----------
     fingerprint : str
-        Equal for all attempts of the request (`gateway.fingerprints`).
+        Equal for all attempts of the request (`gateway.quarantine.fingerprints`).
     first_arrived : float
         Arrival of its first attempt.
     turn : float
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -7,10 +7,8 @@
 from tillerlane.gateway import (
     availability,
     exchanges,
-    exit_detection,
     http_client,
     outcomes,
-    quarantine,
     refusals,
     reservations,
     selection,
@@ -21,6 +19,7 @@
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.origins import recorder
+from tillerlane.gateway.quarantine import exit_detection, guard
 
 __all__ = ["Sender"]
 
@@ -67,7 +66,7 @@
         Notifies of targets that have restarted.
     exit_detector : exit_detection.ExitDetector
         Checks targets that broke off a response.
-    quarantined : quarantine.Quarantine
+    quarantined : guard.Quarantine
         Knows which requests are quarantined.
     workspace_shares : shares.Shares
         Counts what is served to each workspace.
@@ -84,7 +83,7 @@
         usage: usages.Usage,
         directory: directories.Directory,
         exit_detector: exit_detection.ExitDetector,
-        quarantined: quarantine.Quarantine,
+        quarantined: guard.Quarantine,
         workspace_shares: shares.Shares,
         origins: recorder.OriginRecorder,
     ) -> None:
--- a/tillerlane/gateway/stream_ends.py
+++ b/tillerlane/gateway/stream_ends.py
@@ -1,7 +1,8 @@
 """Log lines and metrics of streams that have ended."""
 
 from tillerlane.gateway import metrics as entry_metrics
-from tillerlane.gateway import quarantine, stream_relay
+from tillerlane.gateway import stream_relay
+from tillerlane.gateway.quarantine import guard
 from tillerlane.timeline import core as timelines
 
 __all__ = ["StreamEnds"]
@@ -12,7 +13,7 @@
 
     Parameters
     ----------
-    quarantined : quarantine.Quarantine
+    quarantined : guard.Quarantine
         Records streams that succeeded.
     timeline : timelines.Timeline
         Log of decisions.
@@ -22,7 +23,7 @@
 
     def __init__(
         self,
-        quarantined: quarantine.Quarantine,
+        quarantined: guard.Quarantine,
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
     ) -> None:
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -12,13 +12,11 @@
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
     availability,
-    exit_detection,
     handovers,
     http_client,
     http_head,
     http_server,
     outcomes,
-    quarantine,
     refusals,
     reservations,
     routes,
@@ -33,6 +31,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.quarantine import exit_detection, guard
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Streams"]
@@ -76,7 +75,7 @@
         Counts outcomes.
     exit_detector : exit_detection.ExitDetector
         Checks runners that broke off a stream.
-    quarantined : quarantine.Quarantine
+    quarantined : guard.Quarantine
         Records streams that succeeded.
     orders : handovers.StopOrders
         Orders former runners to stop runs.
@@ -95,7 +94,7 @@
         timeline: timelines.Timeline,
         metrics: entry_metrics.EntryMetrics,
         exit_detector: exit_detection.ExitDetector,
-        quarantined: quarantine.Quarantine,
+        quarantined: guard.Quarantine,
         orders: handovers.StopOrders,
         reserved: reservations.Reservations,
     ) -> None:
--- a/tillerlane/gateway/tests/test_suspects.py
+++ b/tillerlane/gateway/tests/test_suspects.py
@@ -6,7 +6,7 @@
 from hypothesis import given, strategies
 
 from tillerlane.config import store as stores
-from tillerlane.gateway import suspects
+from tillerlane.gateway.quarantine import suspects
 from tillerlane.keeper import commands, state_machine
 from tillerlane.testing import profiles
 
--- a/tillerlane/testing/caller.py
+++ b/tillerlane/testing/caller.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 
-from tillerlane.gateway import fingerprints, http_client, http_head
+from tillerlane.gateway import http_client, http_head
+from tillerlane.gateway.quarantine import fingerprints
 
 __all__ = ["HOST", "KEY", "WORKSPACE", "CallerResponse", "call", "compute_fingerprint"]
 
