--- a/tillerlane/config/store.py
+++ b/tillerlane/config/store.py
@@ -30,7 +30,7 @@
 EVACUATIONS = "evacuations"
 """Kind of the entities that mark data halls whose targets get no new requests."""
 QUARANTINE = "quarantine"
-"""Kind of the entities that mark requests, by fingerprint, that are sent to no target."""
+"""Kind of the entities that mark requests, and parts of prompts, that are sent to no target."""
 _ORDER_KINDS = frozenset({DRAINS, EVACUATIONS, QUARANTINE})
 """Kinds that are set by operators' orders and are not part of the document."""
 
@@ -176,6 +176,14 @@
             if found == kind and not item.deleted
         )
 
+    def list_quarantine_evidence(self) -> dict[str, list[str]]:
+        """Return the targets that exited, by what is quarantined for it."""
+        return {
+            name: json.loads(body).get("target_ids", [])
+            for (kind, name), body in self.get_bodies().items()
+            if kind == QUARANTINE
+        }
+
     def get_bodies(self) -> dict[Key, str]:
         """Return the existing entities: (kind, name) to body."""
         return {key: item.body for key, item in self._entities.items() if not item.deleted}
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -303,6 +303,10 @@
                 self._loads.handle_forwarded(body, self._loop.time())
             case messages.TargetEnds():
                 self.quarantine.handle_exits(suspects.decode_exits(body))
+            case messages.SuspectTrials():
+                self._send_to_subscribers(body)
+                if link in self._subscribers:
+                    self._send_to_keepers(body)
             case messages.TargetLimits():
                 self.limits.handle_message(body)
             case messages.TargetBackoffs():
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -153,6 +153,7 @@
         self._startup = startup.Startup()
         self.quarantine = guard.Quarantine(self.timeline, self._loop.time)
         self.quarantine.notify_keepers = self._reports.send_exits
+        self.quarantine.notify_trial = self._reports.send_trial
         self.failures.list_exits = self.quarantine.suspects.list_targets
         self._admission_control = admission.AdmissionControl(dialect, selector.pick_pool)
         self._admission_control.is_fresh = self._is_fresh
@@ -405,6 +406,8 @@
     def _apply_orders(self, orders: stores.Store) -> None:
         """Apply orders: which data halls get no new work, and which requests are held back."""
         self.quarantine.set_held(orders.list_names(stores.QUARANTINE))
+        for name, target_ids in orders.list_quarantine_evidence().items():
+            self.quarantine.merge_evidence(name, target_ids)
         self.directory.set_evacuated(orders.list_names(stores.EVACUATIONS), self._loop.time())
         self._mover.discard_evacuated_backups()
         self.timeline.record(
@@ -469,6 +472,8 @@
                 self._load_exchange.handle_digest(link, body)
             case messages.TargetEnds():
                 self.quarantine.handle_exits(suspects.decode_exits(body))
+            case messages.SuspectTrials():
+                self.quarantine.handle_trials(body.keys)
             case messages.TargetLimits():
                 self._target_updates.merge_limits(limits.decode_records(body))
             case messages.TargetBackoffs():
--- a/tillerlane/gateway/keeper_reports.py
+++ b/tillerlane/gateway/keeper_reports.py
@@ -32,6 +32,10 @@
         """Send target exits to all home keepers, since any of them may be cut off."""
         self.send_to_keepers(suspects.encode_exits(exits))
 
+    def send_trial(self, keys: list[str]) -> None:
+        """Report to all home keepers that a suspect request has been sent as a trial."""
+        self.send_to_keepers(messages.SuspectTrials(keys))
+
     def notify_limit(self, record: limits.LimitRecord) -> None:
         """Send the limit that a target has named to all home keepers."""
         self.send_to_keepers(limits.encode_records([record]))
--- a/tillerlane/gateway/quarantine/coordinator.py
+++ b/tillerlane/gateway/quarantine/coordinator.py
@@ -1,17 +1,17 @@
-"""A keeper's part in the quarantine of requests under which targets exited.
+"""A keeper's part in the quarantine of requests, and parts of prompts, under which targets exited.
 
 Entries report such exits, and successes of the same requests.  Keepers forward all changes to each
-other, but to entries only those of requests under which more than one target exited: an entry needs
-these to refuse such a request, or to clear it.  The leader has the log quarantine poison requests,
-so that restarts don't release them.  All of 300 entries are informed within 0.05 s of virtual time,
-with 1.7 kB each (`benchmarks.endings`).
+other, but to entries only those of requests and parts under which more than one target exited: an
+entry needs these to refuse such a request, or to clear it.  The leader has the log quarantine what
+has too many exits, so that restarts don't release it.  All of 300 entries are informed within
+0.05 s of virtual time, with 1.7 kB each (`benchmarks.endings`).
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable, Iterable
 
 from tillerlane.config import store as stores
-from tillerlane.decisions import quarantine
 from tillerlane.faults import core as faults
 from tillerlane.gateway.quarantine import suspects
 from tillerlane.keeper import commands
@@ -27,6 +27,9 @@
 DECISION_INTERVAL_SECONDS = 0.5
 """How often the leader checks what the log should quarantine: late enough for entries to clear a
 request, and a sixth of the shortest time within which the fleet has to be informed (3 s)."""
+PART_DELAY_SECONDS = 1.0
+"""How long a part of prompts must be suspect before the log quarantines it: a sound one is cleared
+by the next request that has it and begins well."""
 
 Send = Callable[[messages.TargetEnds], None]
 
@@ -68,6 +71,8 @@
         self._send_to_entries = send_to_entries
         self._now_ms = now_ms
         self._timeline = timeline
+        self._suspected_at: dict[str, float] = {}
+        """When each key that is now held back was first found to be, by the event loop's clock."""
         self._unsent: list[suspects.TargetExit] = []
         self._timer: asyncio.TimerHandle | None = None
 
@@ -84,13 +89,13 @@
         self._timer = None
         changed, self._unsent = self._unsent, []
         self._send_to_keepers(suspects.encode_exits(changed))
-        fingerprints = dict.fromkeys(target_exit.fingerprint for target_exit in changed)
-        repeated = [item for item in fingerprints if self.suspects.is_repeated(item)]
+        keys = dict.fromkeys(target_exit.key for target_exit in changed)
+        repeated = [key for key in keys if self.suspects.is_repeated(key)]
         if not repeated:
             return
-        for fingerprint in repeated:
-            exits = self.suspects.count(fingerprint)
-            self._timeline.record("request.suspected", fingerprint=fingerprint, ended=exits)
+        for key in repeated:
+            exits = self.suspects.count(key)
+            self._timeline.record("request.suspected", fingerprint=key, ended=exits)
         self._send_to_entries(suspects.encode_exits(self.suspects.list_exits(repeated)))
 
     def build_for_keeper(self) -> messages.TargetEnds:
@@ -111,29 +116,45 @@
                 await self._update_log()
 
     async def _update_log(self) -> None:
-        held = self._store.list_names(stores.QUARANTINE)
-        has_room = len(held) < state_machines.MAX_QUARANTINED
-        for fingerprint in self.suspects.list_repeated():
-            is_poison = quarantine.is_poison(self.suspects.count(fingerprint))
-            if is_poison and fingerprint not in held and has_room:
-                await self._propose_quarantine(fingerprint, hold=True)
-            elif fingerprint in held and not is_poison and self.suspects.is_cleared(fingerprint):
-                await self._propose_quarantine(fingerprint, hold=False)
-
-    async def _propose_quarantine(self, fingerprint: str, *, hold: bool) -> None:
-        target_ids = self.suspects.list_targets(fingerprint)
-        command = commands.Quarantine(fingerprint, hold, "keepers", self._now_ms(), target_ids)
+        recorded = collections.defaultdict(set)
+        for name in self._store.list_names(stores.QUARANTINE):
+            recorded[suspects.parse_record(name)[0]].add(name)
+        for key in self.suspects.list_repeated():
+            if self.suspects.is_held(key):
+                name = suspects.format_record(key, self.suspects.count_failed_trials(key))
+                if name not in recorded[key] and self._is_due(key):
+                    await self._propose_quarantine(key, name, hold=True)
+                continue
+            self._suspected_at.pop(key, None)
+            if self.suspects.is_cleared(key):
+                for name in recorded[key]:
+                    await self._propose_quarantine(key, name, hold=False)
+
+    def _is_due(self, key: str) -> bool:
+        """Whether the log should quarantine a key now, if it has room.
+
+        Most parts of prompts are cleared again within a second.
+        """
+        now = asyncio.get_running_loop().time()
+        suspected_at = self._suspected_at.setdefault(key, now)
+        if suspects.is_part(key) and now - suspected_at < PART_DELAY_SECONDS:
+            return False
+        return len(self._store.list_names(stores.QUARANTINE)) < state_machines.MAX_QUARANTINED
+
+    async def _propose_quarantine(self, key: str, name: str, *, hold: bool) -> None:
+        target_ids = self.suspects.list_targets(key)
+        command = commands.Quarantine(name, hold, "keepers", self._now_ms(), target_ids)
         try:
             result = await self._propose(commands.encode(command))
         except faults.FaultError as error:
             # The next check proposes it again; until then daemons act on the exits that they know.
             self._timeline.record(
-                "request.undecided", fingerprint=fingerprint, message=error.fault.message
+                "request.undecided", fingerprint=name, message=error.fault.message
             )
             return
         self._timeline.record(
             "request.quarantined",
-            fingerprint=fingerprint,
+            fingerprint=name,
             held=hold,
             targets=target_ids,
             accepted=result["accepted"],
--- a/tillerlane/gateway/quarantine/exit_detection.py
+++ b/tillerlane/gateway/quarantine/exit_detection.py
@@ -99,7 +99,8 @@
             requests_there=self._usage.get(target.address).requests,
         )
         if reach is http_client.ProbeResult.REFUSED:
-            self._quarantine.record_exit(admission.fingerprint, target)
+            has_begun = has_head or not admission.is_stream
+            self._quarantine.record_exit(admission, target, has_begun=has_begun)
 
     async def _probe(self, target: directories.Target) -> http_client.ProbeResult:
         if target.is_superseded:
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -81,6 +81,7 @@
             facts = self._dialect.decode_request(request.head)
             await self._refuse(facts.request_id, "", responder, admission)
             return
+        evidence = self._quarantine.list_evidence(admission)
         self._budget.record_request(admission.pool.name, self._loop.time())
         try:
             restricted = await self._resumptions.restrict(admission)
@@ -95,6 +96,9 @@
         if isinstance(result.outcome, outcomes.Stream):
             await self._streams.serve(admission, responder, result)
         else:
+            if isinstance(result.outcome, outcomes.Response) and result.outcome.head.status < 400:
+                self._quarantine.record_proof(admission, evidence)
+                self._quarantine.forget_proof(admission)
             await self._respond(admission, responder, result)
 
     async def _wait_ready(self, request: http_server.Request) -> None:
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -26,10 +26,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Connecting within a region takes milliseconds; an unreachable target never answers."""
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-QUARANTINE_RETRY_SECONDS = 60.0
-"""Retry time for a quarantined request: longer than any request waits (39 s), since an earlier
-retry would be refused too.  The status is 503 and not 4xx because the quarantine follows from what
-happened to targets, not from the request itself, and is lifted if a run of it succeeds."""
 SLOW_RESPONSE_SECONDS = 0.25
 """A target that takes longer than this to answer is avoided; shorter waits may end by the caller's
 own short deadline."""
@@ -142,6 +138,7 @@
                 head = self._dialect.build_forward(admission.request.head, plan)
                 self._selector.failures.record_send(target.target_id, self._loop.time())
                 exchange.load_at_send = self._usage.get(address)
+                self._quarantine.begin_send(admission)
                 exchange.send(head, admission.request.body)
                 if plan.copy is None:
                     self._record_served(admission, admission.served_tokens)
@@ -190,14 +187,14 @@
         """Refuse a quarantined request; None if it may be sent.
 
         Checked on every path to a target, and again once a connection is open: the request may have
-        been quarantined while the connection was being set up.
+        been quarantined while the connection was being set up.  The status is 503 and not 4xx
+        because the quarantine follows from what happened to targets, not from the request itself,
+        and is lifted if such a request succeeds.
         """
-        reason = self._quarantine.find_reason(admission.fingerprint)
-        return (
-            refusals.NotRun(reason, sent=False, retry_after=QUARANTINE_RETRY_SECONDS)
-            if reason
-            else None
-        )
+        obstacle = self._quarantine.find_obstacle(admission)
+        if obstacle is None:
+            return None
+        return refusals.NotRun(obstacle.reason, sent=False, retry_after=obstacle.retry_after)
 
     async def _read_response(
         self,
--- a/tillerlane/gateway/stream_ends.py
+++ b/tillerlane/gateway/stream_ends.py
@@ -31,8 +31,17 @@
         self._timeline = timeline
         self._metrics = metrics
 
+    def record_begin(self, stream: stream_relay.StreamRelay) -> None:
+        """Record the first event of a run."""
+        stream.evidence = self._quarantine.list_evidence(stream.admission)
+
+    def record_proof(self, stream: stream_relay.StreamRelay) -> None:
+        """Record that a run has got past its beginning, as poison requests never do."""
+        self._quarantine.record_proof(stream.admission, stream.evidence)
+
     def record_end(self, stream: stream_relay.StreamRelay) -> None:
         admission = stream.admission
+        stream.prove()
         self._quarantine.record_success(admission.fingerprint)
         self._metrics.requests.labels(admission.route.name, "200").inc()
         first_seconds = stream.first_event_at - admission.request.arrived
@@ -51,6 +60,10 @@
             runners=stream.runners,
         )
 
+    def forget(self, stream: stream_relay.StreamRelay) -> None:
+        """Forget what was recorded of a stream for its time only."""
+        self._quarantine.forget_proof(stream.admission)
+
     def record_break(self, stream: stream_relay.StreamRelay, reason: str) -> None:
         self._metrics.requests.labels(stream.admission.route.name, "broken").inc()
         self._timeline.record(
--- a/tillerlane/gateway/stream_relay.py
+++ b/tillerlane/gateway/stream_relay.py
@@ -4,8 +4,10 @@
 import enum
 from collections.abc import Callable
 
+from tillerlane.decisions import quarantine
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import events, handovers, http_client, http_server, runs
+from tillerlane.gateway.quarantine import suspects
 
 __all__ = ["StopReason", "StreamRelay"]
 
@@ -47,6 +49,10 @@
         Runners that events came from.
     problem : str
         Why the stream broke off, if it did.
+    evidence : list of suspects.TargetExit
+        Target exits that were known when the current run began.
+    on_begin, on_proof : callable
+        Called at the first event of each run, and when a run has got past its beginning.
     is_unreachable : bool
         Whether it broke off because the runner sends nothing and accepts no connection.
     stop_order : handovers.StopOrder or None
@@ -77,11 +83,18 @@
         self._last_write_at = 0.0
         self._splitter = events.EventSplitter()
         self.problem = ""
+        self.evidence: list[suspects.TargetExit] = []
         self.is_unreachable = False
         self.stop_order: handovers.StopOrder | None = None
         self.former_stop_orders: list[handovers.StopOrder] = []
+        self.is_proven = False
+        """Whether a run of the request has got past its beginning."""
         self._last_event_at = 0.0
         """When the current runner's last event arrived; 0 before its first one."""
+        self._began_at = 0.0
+        """When the current runner's first event arrived."""
+        self.on_begin: Callable[[StreamRelay], None] = lambda stream: None
+        self.on_proof: Callable[[StreamRelay], None] = lambda stream: None
         self.on_growth: Callable[[runs.Run, int], None] = lambda run, tokens: None
         self.on_first_event: Callable[[runs.Run, http_client.Exchange], None] = (
             lambda run, exchange: None
@@ -126,6 +139,12 @@
             return StopReason.TRUNCATED
         return StopReason.COMPLETE
 
+    def prove(self) -> None:
+        """Record that a run of the request has got past its beginning."""
+        if not self.is_proven and self._began_at:
+            self.is_proven = True
+            self.on_proof(self)
+
     def _can_hand_over(self) -> bool:
         """Whether the run can be handed over: a copy is ready, and the caller has an event."""
         is_ready = self.run.get_resume_point() is not None
@@ -187,7 +206,12 @@
         now = asyncio.get_running_loop().time()
         if self._last_event_at:
             self.on_events(self.run, event_count, now - self._last_event_at)
+        else:
+            self._began_at = now
+            self.on_begin(self)
         self._last_event_at = now
+        if now - self._began_at >= quarantine.PROOF_SECONDS:
+            self.prove()
         if not self._last_write_at:
             self.first_event_at = now
             assert self.exchange is not None
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -132,6 +132,8 @@
         stream.on_growth = self._record_growth
         stream.on_events = self._record_events
         stream.on_first_event = self._record_first_event
+        stream.on_begin = self._ends.record_begin
+        stream.on_proof = self._ends.record_proof
         self._register(stream)
         try:
             headers = http_head.list_end_to_end(outcome.head.headers)
@@ -148,6 +150,7 @@
             if stream.stop_order is not None:
                 self._stop_orders.discard_unused_copy(stream.stop_order, used=None)
             self._unregister(stream)
+            self._ends.forget(stream)
             if not responder.is_finished:
                 responder.abort()
 
--- a/tillerlane/gateway/tests/test_suspects.py
+++ b/tillerlane/gateway/tests/test_suspects.py
@@ -44,7 +44,9 @@
 
 EXITS = strategies.lists(
     strategies.tuples(
-        strategies.sampled_from("fgh"), strategies.sampled_from("abcd"), strategies.booleans()
+        strategies.sampled_from("fgh"),
+        strategies.sampled_from("abcd"),
+        *[strategies.booleans()] * 3,
     ),
     max_size=20,
 )
@@ -56,7 +58,7 @@
     @profiles.choose(200)
     @given(EXITS, strategies.randoms(use_true_random=False))
     def test_order_and_repetition_make_no_difference(
-        self, rows: list[tuple[str, str, bool]], rng: random.Random
+        self, rows: list[tuple[str, str, bool, bool, bool]], rng: random.Random
     ) -> None:
         exits = [suspects.TargetExit(*row) for row in rows]
         again = exits + exits[: len(exits) // 2]
@@ -67,18 +69,22 @@
             tables[1].merge(suspects.decode_exits(suspects.encode_exits([target_exit])))
         self.assertEqual(set(tables[0].list_all()), set(tables[1].list_all()))
         cleared = {
-            (target_exit.fingerprint, target_exit.target_id)
+            (target_exit.key, target_exit.target_id)
             for target_exit in exits
             if target_exit.is_cleared
         }
         for fingerprint in "fgh":
             expected = {
-                target_exit.target_id
-                for target_exit in exits
-                if target_exit.fingerprint == fingerprint
+                target_exit.target_id for target_exit in exits if target_exit.key == fingerprint
             }
             expected -= {target for other, target in cleared if other == fingerprint}
-            self.assertEqual(set(tables[0].list_targets(fingerprint)), expected)
+            uncleared = {item for item in tables[0].list_all() if not item.is_cleared}
+            found = {item.target_id for item in uncleared if item.key == fingerprint}
+            self.assertEqual(found, expected)
+            begun = {item.target_id for item in uncleared if item.has_begun}
+            own = {i.target_id for i in uncleared if i.key == fingerprint and i.has_begun}
+            counted = {target for target in expected if target in own or target not in begun}
+            self.assertEqual(set(tables[0].list_targets(fingerprint)), counted)
 
     def test_only_changes_are_returned(self) -> None:
         table = suspects.Suspects()
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -50,6 +50,7 @@
     streamOrigins @44 :StreamOrigins;
     originQuery @45 :OriginQuery;
     originReply @46 :OriginReply;
+    suspectTrials @47 :SuspectTrials;
   }
 }
 
@@ -240,7 +241,10 @@
   fingerprints @0 :List(Text);
   targetIds @1 :List(Text);
   cleared @2 :List(Bool);
+  begun @3 :List(Bool);
+  trials @4 :List(Bool);
 }
+struct SuspectTrials { keys @0 :List(Text); }
 struct TargetEnds { table @0 :Data; }
 struct LimitTable {
   targetIds @0 :List(Text);
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -498,13 +498,23 @@
 class EndTable:
     """Targets that exited while they ran a request, in columns; messages carry it as bytes.
 
-    A row is the request's fingerprint, the target, and whether that exit no longer counts because
-    the request succeeded elsewhere.
+    A row is the request's fingerprint, or a part of its prompt, the target, whether that exit no
+    longer counts because such a request succeeded elsewhere, whether the target had begun to answer
+    it, and whether it was sent as a trial.
     """
 
     fingerprints: list[str]
     target_ids: list[str]
     cleared: list[bool]
+    begun: list[bool] = dataclasses.field(default_factory=list)
+    trials: list[bool] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class SuspectTrials:
+    """Requests or parts of prompts of which an entry has just sent one as a trial."""
+
+    keys: list[str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -722,6 +732,7 @@
     | PassedLoads
     | LoadDigest
     | TargetEnds
+    | SuspectTrials
     | TargetLimits
     | TargetBackoffs
     | TargetFailures
