--- a/tillerlane/testing/poison_pool.py
+++ b/tillerlane/testing/poison_pool.py
@@ -56,6 +56,12 @@
         self._reading_seconds = reading_seconds
         self._tasks = {asyncio.create_task(self._send_heartbeats())}
 
+    def set_parts(self, parts: Collection[str]) -> None:
+        """Change the parts of prompts under which targets exit, also for those that run."""
+        self.parts = frozenset(parts)
+        for target in self.targets:
+            target.poison_parts = self.parts
+
     async def start_one(self) -> None:
         """Start one more target."""
         target_id = f"{self._name}-{len(self.targets) + 1}"
