--- a/tillerlane/gateway/tests/test_handover_orders.py
+++ b/tillerlane/gateway/tests/test_handover_orders.py
@@ -258,35 +258,7 @@
     def test_stopped_close_delimited_stream_is_not_complete(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             first = await stage.add_runner("t1", "llm", length=LENGTH)
-
-            class Plain:
-                """Delimits a response by the end of its connection, as HTTP allows."""
-
-                def __init__(self, responder: http_server.Responder) -> None:
-                    self._wire = responder._connection
-
-                async def start_response(self, head: http_head.ResponseHead) -> None:
-                    lines = [b"HTTP/1.1 200 OK"]
-                    lines += [name + b": " + value for name, value in head.headers]
-                    lines += [b"Connection: close", b"", b""]
-                    await self._wire.write(b"\r\n".join(lines))
-
-                async def write(self, data: bytes) -> None:
-                    await self._wire.write(data)
-
-                async def finish(self) -> None:
-                    self.abort()
-
-                def abort(self) -> None:
-                    self._wire._transport.close()
-
-            stream = first._stream
-
-            async def plain(run: Any, responder: http_server.Responder) -> None:
-                await stream(run, Plain(responder))  # type: ignore[arg-type]
-                await asyncio.sleep(0.1)
-
-            first._stream = plain  # type: ignore[method-assign]
+            first.is_close_delimited = True
             await asyncio.sleep(0.2)
             call = asyncio.create_task(
                 stage.call("entry-1", "record", "r1", wait_ms=15_000, **gateway_scenes.LONG)
--- a/tillerlane/gateway/tests/test_poison_parts.py
+++ b/tillerlane/gateway/tests/test_poison_parts.py
@@ -140,6 +140,21 @@
             with self.subTest(route):
                 self.play_company(route)
 
+    def test_poison_streams_end_inside_their_first_event(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            callers = Callers(stage)
+            pool = await self.start_pool(stage, ["bad"])
+            pool.set_close_delimited()
+            for _ in range(40):
+                callers.start("verdict", ["aa", "bad"])
+                callers.start("verdict", ["aa", "c0"])
+                await asyncio.sleep(0.5)
+            await callers.finish()
+            self.check_late_sends(pool, "bad")
+            self.check_served(callers, pool, ["bad"], "aa")
+
+        self.play(scene)
+
     def test_part_crashes_targets_far_apart(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             callers = Callers(stage)
--- a/tillerlane/gateway/tests/test_streams.py
+++ b/tillerlane/gateway/tests/test_streams.py
@@ -97,6 +97,51 @@
 
         self.play(scene)
 
+    def play_end_inside_event(self, *, is_close_delimited: bool) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            runner.is_close_delimited = is_close_delimited
+            runner.ends_inside = 7
+            await asyncio.sleep(0.2)
+            response = await stage.call("entry-1", "record", "r1", **gateway_scenes.LONG)
+            self.assertFalse(response.is_whole)
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", 6))
+            lines = stage.entries["entry-1"].timeline.read()
+            reaches = [line.fields["reach"] for line in lines if line.name == "target.broke_off"]
+            self.assertEqual(reaches, ["open"])
+
+        self.play(scene)
+
+    def test_stream_that_ends_inside_an_event_is_taken_for_broken_off(self) -> None:
+        for is_close_delimited in (False, True):
+            with self.subTest(is_close_delimited=is_close_delimited):
+                self.play_end_inside_event(is_close_delimited=is_close_delimited)
+
+    def test_close_delimited_stream_without_an_event_is_not_complete(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            runner.is_close_delimited = True
+            runner.breaks_at = 1
+            await asyncio.sleep(0.2)
+            response = await stage.call("entry-1", "record", "r1", **gateway_scenes.LONG)
+            self.assertFalse(response.is_whole)
+
+        self.play(scene)
+
+    def test_close_delimited_responses_are_relayed_complete(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            plain = await stage.add_runner("t2", "app")
+            runner.is_close_delimited = plain.is_close_delimited = True
+            await asyncio.sleep(0.2)
+            response = await stage.call("entry-1", "record", "r1", **gateway_scenes.LONG)
+            self.assertTrue(response.is_whole)
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", 20))
+            response = await stage.call("entry-1", "price", "r2")
+            self.assertEqual((response.is_whole, response.body), (True, b"answer to r2"))
+
+        self.play(scene)
+
     def test_pause_alone_does_not_end_a_run(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runners = [
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from tillerlane.gateway import http_head, http_server
-from tillerlane.testing import runner_memory
+from tillerlane.testing import close_delimited, runner_memory
 
 __all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
@@ -22,6 +22,11 @@
 PREFILL_CHECK_INTERVAL_SECONDS = 0.05
 POISON_EXIT_DELAY_SECONDS = 0.08
 """Time from the start of a poison request's run to the exit of its runner."""
+CLOSE_SECONDS = 0.01
+"""Time from the regular close of a connection to the exit of its process."""
+
+
+Body = http_server.Responder | close_delimited.CloseDelimitedResponder
 
 
 def build_event(request_id: str, number: int) -> bytes:
@@ -170,6 +175,10 @@
         Bodies of requests that end it, `POISON_EXIT_DELAY_SECONDS` after their run started.
     poison_parts : frozenset of str
         Ids of parts of prompts that end it likewise; the last part of a prompt never does.
+    is_close_delimited : bool
+        Sends responses with neither a length nor chunks; they end with their connections.
+    ends_inside : int
+        Number of an event in the middle of which a stream ends, as if it were complete.
     limit : str
         Rate limit in requests per second that each response announces; empty for none.
     backoff : str
@@ -232,6 +241,8 @@
         self.surplus = b""
         self.poison_bodies: frozenset[bytes] = frozenset()
         self.poison_parts: frozenset[str] = frozenset()
+        self.is_close_delimited = False
+        self.ends_inside = 0
         self.limit = ""
         self.backoff = ""
         self.leaving = ""
@@ -413,6 +424,10 @@
                 *self._build_feedback_headers(self.answer_status),
             ],
         )
+        if self.is_close_delimited:
+            body = b"answer to " + request_id.encode()
+            await close_delimited.CloseDelimitedResponder(responder).send_response(head, body)
+            return
         connection = responder._connection  # the server's API cannot send invalid bytes
         await connection.write(self.preface)
         await responder.send_response(head, b"answer to " + request_id.encode())
@@ -459,14 +474,17 @@
         ]
         head = http_head.ResponseHead(200, headers)
         self._streams[run.request_id] = responder
+        body = responder
+        if self.is_close_delimited:
+            body = close_delimited.CloseDelimitedResponder(responder)
         try:
             await self._prefill(run)
             run.is_mute = self.is_mute
             if not run.is_mute:
-                await responder.start_response(head)
-            await self._exit_if_poison(run)
-            if await self._write_events(run, responder):
-                await responder.finish()
+                await body.start_response(head)
+            await self._exit_if_poison(run, body)
+            if await self._write_events(run, body):
+                await body.finish()
                 await responder._connection.write(self.surplus)
         except asyncio.CancelledError:
             if self.works_on or self.is_cut_off:
@@ -490,7 +508,7 @@
             await asyncio.sleep(pause)
             left -= pause
 
-    async def _write_events(self, run: RanRequest, responder: http_server.Responder | None) -> bool:
+    async def _write_events(self, run: RanRequest, responder: Body | None) -> bool:
         """Process a run, streaming to `responder` if given; return whether it completed."""
         for number in range(run.events + 1, self.length + 1):
             if self.pace:
@@ -504,6 +522,11 @@
                     responder.abort()
                 return False
             run.is_mute = run.is_mute or self.is_mute
+            if number == self.ends_inside and responder is not None:
+                await responder.write(build_event(run.request_id, number)[:-1])
+                self._record_end(run, "gone")
+                await responder.finish()
+                return False
             is_sent = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_sent:
                 await responder.write(build_event(run.request_id, number))
@@ -518,14 +541,26 @@
         if self.memory is not None:
             self.memory.release(run.request_id)
 
-    async def _exit_if_poison(self, run: RanRequest) -> None:
-        """Crash if the request is a poison request."""
+    async def _exit_if_poison(self, run: RanRequest, body: Body | None = None) -> None:
+        """Crash if the request is a poison request.
+
+        A close-delimited stream then ends inside its first event.
+        """
         if run.body in self.poison_bodies or self.poison_parts.intersection(run.shared_parts):
             await asyncio.sleep(POISON_EXIT_DELAY_SECONDS)
-            self.crash()
-            self.on_crash(self)
+            if body is None or not self.is_close_delimited:
+                self._exit()
+                await asyncio.sleep(3600)
+            self._record_end(run, "crashed")
+            await body.write(build_event(run.request_id, 1)[:-1])
+            asyncio.get_running_loop().call_later(CLOSE_SECONDS, self._exit)
+            body.abort()
             await asyncio.sleep(3600)
 
+    def _exit(self) -> None:
+        self.crash()
+        self.on_crash(self)
+
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
--- a/tillerlane/testing/poison_pool.py
+++ b/tillerlane/testing/poison_pool.py
@@ -54,6 +54,7 @@
         self._length = length
         self.parts = frozenset(parts)
         self._reading_seconds = reading_seconds
+        self._is_close_delimited = False
         self._tasks = {asyncio.create_task(self._send_heartbeats())}
 
     def set_parts(self, parts: Collection[str]) -> None:
@@ -62,6 +63,12 @@
         for target in self.targets:
             target.poison_parts = self.parts
 
+    def set_close_delimited(self) -> None:
+        """Have all targets, now and later, send responses that end with their connections."""
+        self._is_close_delimited = True
+        for target in self.targets:
+            target.is_close_delimited = True
+
     async def start_one(self) -> None:
         """Start one more target."""
         target_id = f"{self._name}-{len(self.targets) + 1}"
@@ -70,6 +77,7 @@
         )
         target.poison_bodies = self._bodies
         target.poison_parts = self.parts
+        target.is_close_delimited = self._is_close_delimited
         target.on_crash = lambda target: self._tasks.add(asyncio.create_task(self._restart()))
         self.targets.append(target)
 
