--- a/tillerlane/gateway/stream_relay.py
+++ b/tillerlane/gateway/stream_relay.py
@@ -132,7 +132,10 @@
             return StopReason.TRUNCATED
         if self._splitter.has_partial_event:
             self.problem = "stream ended within an event"
-            return StopReason.BROKEN
+            return StopReason.TRUNCATED
+        if self.exchange.is_close_delimited and not self._last_event_at:
+            self.problem = "connection closed before the first event"
+            return StopReason.TRUNCATED
         if self.stop_order is not None and self.exchange.is_close_delimited:
             # The end of the connection also ends a stopped stream, which is not complete then.
             self.problem = "connection closed after an order to stop the run"
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -23,7 +23,7 @@
 POISON_EXIT_DELAY_SECONDS = 0.08
 """Time from the start of a poison request's run to the exit of its runner."""
 CLOSE_SECONDS = 0.01
-"""Time from the regular close of a connection to the exit of its process."""
+"""Time that a crashed process's connections take to close, after it has stopped listening."""
 
 
 Body = http_server.Responder | close_delimited.CloseDelimitedResponder
@@ -553,6 +553,7 @@
                 await asyncio.sleep(3600)
             self._record_end(run, "crashed")
             await body.write(build_event(run.request_id, 1)[:-1])
+            self._server.stop_accepting()
             asyncio.get_running_loop().call_later(CLOSE_SECONDS, self._exit)
             body.abort()
             await asyncio.sleep(3600)
