--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -22,6 +22,7 @@
     memory,
     metrics,
     moved_loads,
+    overload,
     permits,
     refusals,
     relay,
@@ -307,6 +308,8 @@
         self._front = http_server.Server(
             self._relay.serve, self._server_limits, self._log_error, self.memory
         )
+        self.overload = overload.OverloadGuard(self.timeline, random.Random(settings.name))
+        self._front.accepts_connection = self.overload.accepts_connection
         self._ready = http_server.Server(
             self._answer_ready, http_server.ServerLimits(), self._log_error
         )
@@ -351,6 +354,7 @@
             self._loop.create_task(self.homes.run()),
             self._loop.create_task(self._load_exchange.run()),
             self._loop.create_task(self.permits.run()),
+            self._loop.create_task(self.overload.run()),
         ]
         self.timeline.record("daemon.start", role="entry", seeds=list(self._settings.seeds))
 
--- a/tillerlane/gateway/entry_gauges.py
+++ b/tillerlane/gateway/entry_gauges.py
@@ -25,6 +25,8 @@
     gauges.loads_age.set_function(lambda: daemon.usage.compute_age(now()) or 0.0)
     gauges.busy.set_function(front.count_busy)
     gauges.quarantined.set_function(daemon.quarantine.count_held)
+    gauges.shed_connections.set_function(lambda: daemon.overload.refused)
+    gauges.loop_lag.set_function(lambda: daemon.overload.lag)
     gauges.limits.set_function(lambda: daemon.limits.count_in_force(now()))
     gauges.in_backoff.set_function(daemon.backoffs.count_in_force)
     gauges.failing.set_function(daemon.failures.count_failing)
--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -121,6 +121,9 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        if not self._server.accepts_connection():
+            transport.abort()
+            return
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
         if self._server.memory is not None:
@@ -429,6 +432,8 @@
         self.limits = limits
         self.on_error = on_error
         self.connections: set[Connection] = set()
+        self.accepts_connection: Callable[[], bool] = lambda: True
+        """Whether a new connection is served; otherwise it is closed unread."""
         self.is_closing = False
         """Whether connections are closed as soon as they are idle."""
         self._server: asyncio.Server | None = None
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -49,6 +49,10 @@
     """Requests that the log holds back, by the orders in force here."""
     suspects: prometheus_client.Gauge
     """Requests that were running at a target when it exited."""
+    shed_connections: prometheus_client.Gauge
+    """Connections closed unread since the start, as the entry was overloaded."""
+    loop_lag: prometheus_client.Gauge
+    """Average lateness of the event loop's timers in seconds."""
     limits: prometheus_client.Gauge
     """Targets whose named limits are in force here."""
     unused_permits: prometheus_client.Gauge
@@ -120,6 +124,8 @@
         gauge("tillerlane_evacuated_halls", "Data halls whose targets get nothing new"),
         gauge("tillerlane_quarantined_requests", "Requests that the log holds back"),
         gauge("tillerlane_suspected_requests", "Requests under which a target has ended"),
+        gauge("tillerlane_shed_connections", "Connections closed unread under overload"),
+        gauge("tillerlane_loop_lag_seconds", "Average lateness of timers"),
         gauge("tillerlane_named_limits", "Targets whose named limits are in force"),
         gauge("tillerlane_unused_permits", "Permits for limited targets that ended unused"),
         count("tillerlane_target_words", "What answers say of targets", "word", "outcome"),
--- a/tillerlane/gateway/tests/test_http.py
+++ b/tillerlane/gateway/tests/test_http.py
@@ -65,6 +65,24 @@
         self.assertEqual(first, self.communicate(counted))
         self.assertTrue(first.endswith(b"hello"))
 
+    def test_shed_connection_is_closed_unread(self) -> None:
+        async def play() -> None:
+            server = http_server.Server(echo, LIMITS, lambda error: None)
+            server.accepts_connection = lambda: False
+            await server.listen(ADDRESS)
+            exchange = await http_client.connect(ADDRESS, 1.0)
+            exchange.send(http_head.RequestHead(b"GET", b"/a", []), b"")
+            with self.assertRaises(http_client.ExchangeError):
+                await exchange.read_head()
+            self.assertEqual((server.connections, server.count_busy()), (set(), 0))
+            server.accepts_connection = lambda: True
+            exchange = await http_client.connect(ADDRESS, 1.0)
+            exchange.send(http_head.RequestHead(b"GET", b"/a", []), b"")
+            self.assertEqual((await exchange.read_head()).status, 200)
+            server.stop_accepting()
+
+        lab.run_virtual(play())
+
     def test_several_requests_on_one_connection_are_answered_in_order(self) -> None:
         one = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
         received = self.communicate(b"".join(one % number for number in range(5)))
