--- a/tillerlane/gateway/quarantine/exit_detection.py
+++ b/tillerlane/gateway/quarantine/exit_detection.py
@@ -23,6 +23,8 @@
 """Longest wait for a refusal, which takes one round trip: 3 ms within a region and 16 ms between
 regions.  A retry waits for the probe, and callers of plain requests have a tenth of a second; with
 0.3 s, such a request is answered after 0.6 s instead of 0.1 s."""
+LATER_CHECK_DELAYS_SECONDS = (0.1, 0.5, 2.0)
+"""Pauses before further probes of a target that could still be reached."""
 
 
 class ExitDetector:
@@ -54,6 +56,7 @@
         self._loop = asyncio.get_running_loop()
         self._probes: dict[str, asyncio.Task[http_client.ProbeResult]] = {}
         """Probes in progress by target; responses that break off at one target share a probe."""
+        self._later_checks: set[asyncio.Task[None]] = set()
 
     async def check_target(
         self,
@@ -98,9 +101,35 @@
             has_head=has_head,
             requests_there=self._usage.get(target.address).requests,
         )
+        has_begun = has_head or not admission.is_stream
         if reach is http_client.ProbeResult.REFUSED:
-            has_begun = has_head or not admission.is_stream
             self._quarantine.record_exit(admission, target, has_begun=has_begun)
+        elif has_begun and self._quarantine.is_beginning(admission):
+            task = self._loop.create_task(self._check_again(admission, target))
+            self._later_checks.add(task)
+            task.add_done_callback(self._later_checks.discard)
+
+    async def _check_again(
+        self, admission: admissions.Admission, target: directories.Target
+    ) -> None:
+        """Find out whether a target exits soon after it broke off a response that had just begun.
+
+        A process that writes a core dump, or whose host has a proxy, still accepts connections.
+        """
+        for delay in LATER_CHECK_DELAYS_SECONDS:
+            await asyncio.sleep(delay)
+            if target.is_winding_down:
+                return
+            if await self._probe(target) is http_client.ProbeResult.REFUSED:
+                self._timeline.record(
+                    "target.exited_later",
+                    request_id=admission.facts.request_id,
+                    fingerprint=admission.fingerprint,
+                    target=target.target_id,
+                    address=target.address,
+                )
+                self._quarantine.record_exit(admission, target)
+                return
 
     async def _probe(self, target: directories.Target) -> http_client.ProbeResult:
         if target.is_superseded:
--- a/tillerlane/gateway/quarantine/guard.py
+++ b/tillerlane/gateway/quarantine/guard.py
@@ -277,6 +277,11 @@
         }
         self._announce(self.suspects.clear_exits(evidence))
 
+    def is_beginning(self, admission: admissions.Admission) -> bool:
+        """Whether a generation has not got past its beginning, so that its parts are suspect."""
+        has_parts = bool(admission.facts.shared_parts)
+        return has_parts and admission.facts.request_id not in self._proven
+
     def forget_proof(self, admission: admissions.Admission) -> None:
         """Forget that a run has got past its beginning, as it is over."""
         self._proven.discard(admission.facts.request_id)
--- a/tillerlane/gateway/tests/test_exit_detection.py
+++ b/tillerlane/gateway/tests/test_exit_detection.py
@@ -79,6 +79,28 @@
 
         self.play(scene)
 
+    def test_target_that_stops_listening_after_it_broke_off_a_beginning(self) -> None:
+        """A core dump keeps the listening socket open."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=20)
+            entry = stage.entries["entry-1"]
+            for part, event in (("aa", 2), ("bb", 0)):
+                await asyncio.sleep(0.2)
+                runner.breaks_at = event
+                call = stage.call("entry-1", "record", f"r-{part}", Prompt_Prefix=f"{part}:9,c:7")
+                self.assertEqual((await call).is_whole, part == "bb")
+            self.assertEqual(entry.quarantine.suspects.count("part:aa"), 0)
+            runner.breaks_at = 2
+            await stage.call("entry-1", "record", "r1", Prompt_Prefix="aa:100,c:7")
+            await asyncio.sleep(0.3)
+            runner.crash()
+            await asyncio.sleep(1.0)
+            self.assertEqual(entry.quarantine.suspects.count("part:aa"), 1)
+            self.assertEqual(entry.quarantine.suspects.count("part:bb"), 0)
+
+        self.play(scene)
+
     def test_target_that_exited_before_the_head_of_its_response(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "app", pace=0.3)
--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -58,6 +58,8 @@
         The attempt that began the stream that it resumes; empty for a new request.
     last_event : int
         Number of the last event that its caller has of that stream.
+    prompt : str
+        Parts of its prompt, in the form of the platform's header.
     has_left : bool
         Whether its caller closed the connection before the end.
     """
@@ -73,6 +75,7 @@
     last_event: int = 0
     has_left: bool = False
     connected_at: float = 0.0
+    prompt: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -28,7 +28,9 @@
     platform_checker,
     platform_fleet,
     platform_targets,
+    poisoned_prompts,
     resumed_streams,
+    rushes,
 )
 
 __all__ = ["PlatformSoak", "run_seed"]
@@ -60,6 +62,14 @@
 processing; the platform's documents count such a request as too long, not as cut."""
 WIPE_PAUSE_SECONDS = 10.0
 """Minimum time between two wipes, so that a keeper catches up before the next one is wiped."""
+POISON_PAUSE_SECONDS = (1.0, 8.0)
+"""Pause between two parts of prompts that begin to end runners."""
+RUSH_PAUSE_SECONDS = (4.0, 8.0)
+RUSH_SECONDS = 5.0
+"""How long the load balancer hands all new connections to one entry."""
+RUSH_CHECK_SECONDS = 0.1
+RUSH_CALLERS = 16
+"""Callers that come in addition, as many as there are otherwise."""
 RECOVERY_SECONDS = 15.0
 """Time without faults at the end, within which the fleet must recover and have the newest
 configuration."""
@@ -128,6 +138,13 @@
         """A separate generator, so that limits do not change the faults of a seed."""
         self._feedback_rng = random.Random(f"advice of {seed}")
         self._release_rng = random.Random(f"releases of {seed}")
+        self._prompts = poisoned_prompts.Prompts(random.Random(f"prompts of {seed}"))
+        self._rush_rng = random.Random(f"rushes of {seed}")
+        self._has_rushes = seed % 2 == 1
+        self._has_poison = seed % 2 == 1 and not self.seen.planned_only
+        self._rush_entry = ""
+        """Entry that gets all new connections; empty without a rush."""
+        self.rushes: list[rushes.Rush] = []
 
     def _next(self) -> int:
         self._number += 1
@@ -161,10 +178,12 @@
         """Pick an entry that is in the load balancer's rotation; any entry if none is."""
         entries = self.fleet.list_role("entry")
         ready = [item for item in entries if item.name not in self._unready_entries]
+        if self._rush_entry:
+            return next((item for item in ready if item.name == self._rush_entry), entries[0])
         return self._rng.choice(ready or entries)
 
-    async def _send_calls(self) -> None:
-        while not self._stopping.is_set():
+    async def _send_calls(self, *, only_in_rush: bool = False) -> None:
+        while not self._stopping.is_set() and (self._rush_entry or not only_in_rush):
             route = self._rng.choice(("record", "verdict", "order", "order", "price"))
             await self._send_call(route, caller.KEY)
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
@@ -177,6 +196,7 @@
 
     async def _send_call(self, route: str, key: str) -> None:
         call = platform_checker.Call(f"r{self._next()}", route, key, self._loop.time())
+        call.prompt = self._prompts.draw(call.request_id)
         leave_after = None
         if route == "verdict" and self._release_rng.random() < LEAVING_SHARE:
             call.has_left = True
@@ -199,6 +219,7 @@
         headers = {"Credential": call.key}
         if call.route in ("record", "verdict"):
             headers |= {"Model": "m", "Token_Counts": STREAM_TOKENS}
+            headers["Prompt_Prefix"] = call.prompt
         if call.resumes:
             headers |= {"Last_Event_Id": str(call.last_event), "Resumes": call.resumes}
         is_read = call.route == "price"
@@ -280,6 +301,35 @@
             operations = (self.targets.ask_backoff, self.targets.leave_by_answers)
             self._start_task(self._feedback_rng.choice(operations)(self._feedback_rng))
 
+    async def _poison_prompts(self) -> None:
+        """Have parts of prompts end the runners that begin to answer them."""
+        replacing = self._start_task(self.targets.replace_exited())
+        while not self._stopping.is_set():
+            await asyncio.sleep(self._prompts.rng.uniform(*POISON_PAUSE_SECONDS))
+            self._prompts.add_poison()
+            self.targets.set_poison_parts(self._prompts.poison)
+            self.done["poison"] = len(self._prompts.poison)
+        self.targets.set_poison_parts([])
+        replacing.cancel()
+
+    async def _rush(self) -> None:
+        """Have the load balancer hand all new connections to one entry, then to another."""
+        while not self._stopping.is_set():
+            await asyncio.sleep(self._rush_rng.uniform(*RUSH_PAUSE_SECONDS))
+            chosen = self._rush_rng.sample(self.fleet.list_role("entry"), 2)
+            self._rush_entry = chosen[0].name
+            callers = [self._send_calls(only_in_rush=True) for _ in range(RUSH_CALLERS)]
+            tasks = [asyncio.ensure_future(item) for item in callers]
+            for entry in chosen:
+                began, self._rush_entry = self._loop.time(), entry.name
+                until = began + RUSH_SECONDS
+                while self._loop.time() < until and entry.name not in self._unready_entries:
+                    await asyncio.sleep(RUSH_CHECK_SECONDS)
+                self.rushes.append(rushes.Rush(entry.name, began, self._loop.time()))
+            self._rush_entry = ""
+            self.done["rush"] = len(self.rushes)
+            await asyncio.gather(*tasks)
+
     async def _release_versions(self) -> None:
         """Have runners of several software versions serve side by side."""
         operations = [self.targets.release]
@@ -464,6 +514,10 @@
             work = [self._send_changes(), self._watch_versions(), self._send_revoked()]
             work += [self._poll_readiness(), self._announce_limits(), self._send_feedback()]
             work.append(self._release_versions())
+            if self._has_poison:
+                work.append(self._poison_prompts())
+            if self._has_rushes:
+                work.append(self._rush())
             work += [self._send_calls() for _ in range(16)]
             callers = [asyncio.ensure_future(item) for item in work]
             faults = asyncio.ensure_future(self._do_faults())
@@ -484,7 +538,9 @@
             self._addresses.release()
         bounds = platform_fleet.BOUNDS
         problems = platform_checker.check(self.seen, bounds.drain, bounds.revoke)
-        return problems + resumed_streams.check(self.seen)
+        problems += resumed_streams.check(self.seen)
+        problems += poisoned_prompts.check(self.seen, self._prompts.poison)
+        return problems + rushes.check(self.seen, self.rushes)
 
     async def _read_final_versions(self) -> None:
         """Read the configuration back from each keeper, as an operator would, with retries."""
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -173,11 +174,19 @@
         if not had_ended:
             self._record.record_end(run)
 
+    def crash(self) -> None:
+        """Exit at once, as under a poison request."""
+        os._exit(1)
+
     def apply(self, switches: Switches) -> None:
         """Switch faults on or off."""
         for name, value in switches.fields.items():
-            is_bytes = isinstance(getattr(self, name), bytes)
-            setattr(self, name, value.encode() if is_bytes else value)
+            known = getattr(self, name)
+            if isinstance(known, bytes):
+                value = value.encode()
+            elif isinstance(known, frozenset):
+                value = frozenset(value)
+            setattr(self, name, value)
         if switches.resets:
             self.reset_connections()
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -41,6 +41,9 @@
 """The platform's usual interval between heartbeats."""
 DRAIN_NOTICE_SECONDS = 2.0
 """Time from a runner's announcement that it drains to its exit."""
+EXIT_CHECK_SECONDS = 0.02
+REPLACEMENT_SECONDS = 3.0
+"""Time from the exit of a target's process until another one is started."""
 DETACHED_RUN_SHARE = 0.5
 """Share of the runners that continue a run when its connection closes."""
 FAULT_SECONDS = (0.2, 4.0)
@@ -165,6 +168,11 @@
                 env={**os.environ, "PYTHONPATH": str(platform_fleet.ROOT)},
             )
 
+    @property
+    def has_exited(self) -> bool:
+        """Whether its process has exited by itself."""
+        return self._process is not None and self._process.poll() is not None
+
     @property
     def is_busy(self) -> bool:
         """Whether it is processing a request."""
@@ -259,6 +267,7 @@
         self._targets: dict[str, Target] = {}
         self._number = 0
         self._releases = 0
+        self._poison_parts: list[str] = []
         self._loop = asyncio.get_running_loop()
 
     async def start(self) -> None:
@@ -304,6 +313,8 @@
             )
             self._seen.serving.append(target.serving)
         target.switch(platform_target.Switches({"works_on": works_on}))
+        if is_runner and self._poison_parts:
+            target.switch(platform_target.Switches({"poison_parts": self._poison_parts}))
         target.heartbeats = self._loop.create_task(self._send_heartbeats(target))
 
     async def _send_heartbeats(self, target: Target) -> None:
@@ -339,6 +350,31 @@
         candidates = [item for item in running if pool in ("", item.pool)]
         return self._rng.choice(candidates)
 
+    # Poison parts of prompts
+
+    def set_poison_parts(self, parts: list[str]) -> None:
+        """Have all runners, now and later, exit under requests with any of these parts."""
+        self._poison_parts = list(parts)
+        for target in self._targets.values():
+            if target.pool == "llm":
+                target.switch(platform_target.Switches({"poison_parts": self._poison_parts}))
+
+    async def replace_exited(self) -> None:
+        """Replace targets whose processes have exited by themselves, until cancelled."""
+        replacing: set[asyncio.Task[None]] = set()
+        while True:
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
+            for target in list(self._targets.values()):
+                if target.is_running and target.has_exited:
+                    self.end(target)
+                    task = self._loop.create_task(self._replace(target))
+                    replacing.add(task)
+                    task.add_done_callback(replacing.discard)
+
+    async def _replace(self, target: Target) -> None:
+        await asyncio.sleep(REPLACEMENT_SECONDS)
+        await self.add(target.pool, target.software_version)
+
     # Planned work
 
     async def drain(self) -> None:
@@ -346,8 +382,9 @@
         await self._drain(self._pick_target())
 
     async def drain_runner(self) -> None:
-        """Drain a runner, so that its runs are handed over."""
-        await self._drain(self._pick_target("llm"))
+        """Drain a runner, so that its runs are handed over, if one is running."""
+        if any(item.is_running and item.pool == "llm" for item in self._targets.values()):
+            await self._drain(self._pick_target("llm"))
 
     async def _drain(self, target: Target) -> None:
         await self.add(target.pool, target.software_version)
--- a/tillerlane/testing/resumed_streams.py
+++ b/tillerlane/testing/resumed_streams.py
@@ -56,6 +56,7 @@
             loop.time(),
             resumes=call.request_id,
             last_event=last_event,
+            prompt=call.prompt,
         )
         sent = await send(attempt)
         if sent is not None and sent.response.is_whole and sent.response.status == 200:
