--- a/tillerlane/gateway/quarantine/guard.py
+++ b/tillerlane/gateway/quarantine/guard.py
@@ -146,13 +146,7 @@
 
     def _is_explained(self, target_id: str, own_keys: Collection[str]) -> bool:
         """Whether a suspect part that a request does not have fits the exit of a target."""
-        return any(
-            suspects.is_part(key)
-            and key not in own_keys
-            and any(item.target_id == target_id for item in self.suspects.list_counted(key))
-            and self.suspects.is_held(key)
-            for key in self.suspects.list_keys_at(target_id)
-        )
+        return any(key not in own_keys for key in self.suspects.list_held_parts(target_id))
 
     def _has_other_request(self, target_ids: Collection[str], own_keys: Collection[str]) -> bool:
         """Whether one other request was at all of these targets."""
--- a/tillerlane/gateway/quarantine/suspects.py
+++ b/tillerlane/gateway/quarantine/suspects.py
@@ -103,6 +103,12 @@
             collections.OrderedDict()
         )
         self._keys_by_target: dict[str, set[str]] = {}
+        self._counted: dict[str, list[TargetExit]] = {}
+        """Exits that count against each key, as far as computed since the latest change."""
+        self._begun_targets: dict[str, bool] = {}
+        """Whether each target had begun a request that counts, computed likewise."""
+        self._held_parts: dict[str, set[str]] | None = None
+        """Parts that are held back, by the targets that exited under them, computed likewise."""
 
     def __len__(self) -> int:
         return len(self._single) + len(self._repeated)
@@ -129,6 +135,9 @@
         table[key] = updated
         self._keys_by_target.setdefault(target_exit.target_id, set()).add(key)
         self._evict()
+        self._counted.clear()
+        self._begun_targets.clear()
+        self._held_parts = None
         return True
 
     def _drop_cleared(self, rows: dict[str, TargetExit]) -> bool:
@@ -171,18 +180,34 @@
         Of the requests at a target that exited, those that it had not begun to answer do not count
         if it had just begun another one.
         """
-        return [
-            item
-            for item in self._list_uncleared(key)
-            if item.has_begun or not self._has_begun_other(item)
-        ]
-
-    def _has_begun_other(self, target_exit: TargetExit) -> bool:
-        rows = (
-            self._find(key)[target_exit.target_id]
-            for key in self._keys_by_target[target_exit.target_id]
-        )
-        return any(row.has_begun and not row.is_cleared for row in rows)
+        counted = self._counted.get(key)
+        if counted is None:
+            counted = [
+                item
+                for item in self._list_uncleared(key)
+                if item.has_begun or not self._has_begun(item.target_id)
+            ]
+            self._counted[key] = counted
+        return counted
+
+    def _has_begun(self, target_id: str) -> bool:
+        """Whether a target had begun to answer a request that counts when it exited."""
+        known = self._begun_targets.get(target_id)
+        if known is None:
+            rows = (self._find(key)[target_id] for key in self._keys_by_target[target_id])
+            known = any(row.has_begun and not row.is_cleared for row in rows)
+            self._begun_targets[target_id] = known
+        return known
+
+    def list_held_parts(self, target_id: str) -> Collection[str]:
+        """Parts that are held back, of those under which a target exited."""
+        if self._held_parts is None:
+            self._held_parts = {}
+            for key in self._repeated:
+                if is_part(key) and self.is_held(key):
+                    for item in self.list_counted(key):
+                        self._held_parts.setdefault(item.target_id, set()).add(key)
+        return self._held_parts.get(target_id, ())
 
     def list_keys_at(self, target_id: str) -> Collection[str]:
         """Keys of the requests that a target had when it exited."""
