--- a/tillerlane/gateway/origins/resumptions.py
+++ b/tillerlane/gateway/origins/resumptions.py
@@ -132,7 +132,7 @@
         action: resumption.Action,
     ) -> admissions.Admission | refusals.NotRun:
         if action is resumption.Action.ANY:
-            return admission
+            return self._restrict_to_only_version(admission)
         version = origin.software_version if origin is not None else None
         if action is resumption.Action.REQUIRE:
             pool = self._choose_pool(admission, origin)
@@ -144,6 +144,16 @@
             reason = f"not all runners are known yet, none of version {version!r}"
         return refusals.NotRun(reason, sent=False, retry_after=UNKNOWN_RETRY_AFTER_SECONDS)
 
+    def _restrict_to_only_version(self, admission: admissions.Admission) -> admissions.Admission:
+        """Restrict a request to the only version of its pool.
+
+        A runner of another version may start while the request waits.
+        """
+        versions = self._directory.list_software_versions(admission.pool.name)
+        if len(versions) != 1:
+            return admission
+        return dataclasses.replace(admission, software_version=next(iter(versions)))
+
     def _record(
         self,
         admission: admissions.Admission,
--- a/tillerlane/gateway/tests/test_software_versions.py
+++ b/tillerlane/gateway/tests/test_software_versions.py
@@ -138,6 +138,21 @@
 class CallerResumesTest(VersionCase):
     """A caller resumes its stream at an entry that has not seen it."""
 
+    def test_runner_of_another_version_starts_while_the_request_waits(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            [first] = await self.add_runners(stage, FIRST)
+            call = stage.call("entry-1", "verdict", "r1", leave_after=0.5)
+            response = await call
+            self.assertGreater(resumed_streams.find_last_event(response.body), 0)
+            first.refuses, first.rejection_seconds = True, 0.5
+            resumed = asyncio.create_task(self.resume(stage, {"r1": response}))
+            await asyncio.sleep(0.1)
+            await self.add_runners(stage, SECOND)
+            await resumed
+            self.check_one_version(stage, {"r1": None})
+
+        self.play(scene)
+
     async def break_streams(
         self, stage: gateway_lab.GatewayLab, calls: dict[str, Any]
     ) -> dict[str, caller.CallerResponse]:
