--- a/tillerlane/decisions/accepting.py
+++ b/tillerlane/decisions/accepting.py
@@ -12,12 +12,12 @@
 """Interval of the timer whose lateness is measured."""
 LAG_WINDOW_SECONDS = 0.5
 """Time over which the lateness is averaged."""
-MAX_LAG_SAMPLE_SECONDS = 0.3
+MAX_LAG_SAMPLE_SECONDS = 0.4
 """Bound on one sample: after a suspended process resumes, its entry is not overloaded."""
-TOLERATED_LAG_SECONDS = 0.05
+TOLERATED_LAG_SECONDS = 0.1
 """Average lateness up to which all connections are accepted: callers of plain requests have an
 objective of this order."""
-FULL_LAG_SECONDS = 0.2
+FULL_LAG_SECONDS = 0.3
 """Average lateness from which on the largest share is refused."""
 MAX_REFUSED_SHARE = 0.9
 """An overloaded entry goes on accepting some connections, so that it serves as much as it can."""
--- a/tillerlane/gateway/quarantine/guard.py
+++ b/tillerlane/gateway/quarantine/guard.py
@@ -25,7 +25,7 @@
 power must not be quarantined for it."""
 MAX_SUCCESSES = 4_096
 """Maximum number of successes kept, the latest: 80 s of an entry with 50 requests a second."""
-TRIAL_SECONDS = 5.0
+TRIAL_SECONDS = 3.0
 """Longest time that others wait for the outcome of a trial: most prompts are answered by then."""
 TRIAL_RETRY_SECONDS = 1.0
 """Retry time of a request that waits for the outcome of a trial."""
@@ -44,8 +44,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Trial:
+    """A trial; `former_change` is when its key had changed before."""
+
     request_id: str
     until: float
+    former_change: float = 0.0
 
 
 class Quarantine:
@@ -80,6 +83,8 @@
         """When the latest exit under each key became known here, or its latest trial began."""
         self._trials: dict[str, _Trial] = {}
         """The latest trial of each key; it may be over."""
+        self._announced_until: dict[str, float] = {}
+        """Until when notices of a key's trial may be those of this entry, which keepers return."""
         self._proven: set[str] = set()
         """Ids of the requests at this entry whose runs have got past their beginning."""
 
@@ -164,32 +169,45 @@
         keys = list(self._compute_pauses(admission))
         if not keys:
             return
-        now = self._now()
+        request_id, now = admission.facts.request_id, self._now()
         for key in keys:
-            self._trials[key] = _Trial(admission.facts.request_id, now + TRIAL_SECONDS)
+            former_change = self._changed_at.get(key, 0.0)
+            self._announced_until[key] = now + TRIAL_SECONDS
+            self._trials[key] = _Trial(request_id, now + TRIAL_SECONDS, former_change)
             self._record_change(key)
         self._discard_old_trials()
         self._timeline.record(
             "request.trial",
-            request_id=admission.facts.request_id,
+            request_id=request_id,
             keys=keys,
             ended=[self.suspects.count(key) for key in keys],
         )
         self.notify_trial(keys)
 
+    def cancel_trial(self, admission: admissions.Admission) -> None:
+        """End a trial of a request that its target did not run."""
+        for key, trial in list(self._trials.items()):
+            if trial.request_id == admission.facts.request_id:
+                del self._trials[key]
+                self._changed_at[key] = trial.former_change
+
     def handle_trials(self, keys: Iterable[str]) -> None:
         """Wait for the outcome of another entry's trial of these keys."""
-        until = self._now() + TRIAL_SECONDS
+        now = self._now()
         for key in keys:
             trial = self._trials.get(key)
-            if trial is None or trial.until <= self._now():
-                self._trials[key] = _Trial("", until)
+            is_own = now < self._announced_until.get(key, 0.0)
+            if not is_own and (trial is None or trial.until <= now):
+                self._trials[key] = _Trial("", now + TRIAL_SECONDS)
                 self._record_change(key)
         self._discard_old_trials()
 
     def _discard_old_trials(self) -> None:
         now = self._now()
         self._trials = {key: trial for key, trial in self._trials.items() if trial.until > now}
+        self._announced_until = {
+            key: until for key, until in self._announced_until.items() if until > now
+        }
 
     def _record_change(self, key: str) -> None:
         self._changed_at[key] = self._now()
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -149,8 +149,10 @@
             self._record_outcome(
                 target, outcome, exchange.sent_at, is_resumed=plan.copy is not None
             )
-            if isinstance(outcome, refusals.NotRun) and plan.copy is None:
-                self._record_served(admission, -admission.served_tokens)
+            if isinstance(outcome, refusals.NotRun):
+                self._quarantine.cancel_trial(admission)
+                if plan.copy is None:
+                    self._record_served(admission, -admission.served_tokens)
             return outcome
         except TimeoutError:
             sent = exchange is not None and exchange.sent
--- a/tillerlane/gateway/tests/test_poison_parts.py
+++ b/tillerlane/gateway/tests/test_poison_parts.py
@@ -262,6 +262,45 @@
         self.play(scene)
 
 
+class TrialTest(PoisonPartCase):
+    """Trials of requests with suspect parts."""
+
+    entries = 1
+
+    def test_trial_that_is_turned_away_does_not_block_the_next(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            callers = Callers(stage)
+            pool = await self.start_pool(stage, [])
+            stage.entries["entry-1"].quarantine.merge_evidence("part:aa", ["gone-1", "gone-2"])
+            await asyncio.sleep(2.5)
+            for target in pool.targets:
+                target.refuses = True
+            refused = await callers.call("record", ["aa", "c0"])
+            self.assertEqual(refused.response.status, 503)
+            for target in pool.targets:
+                target.refuses = False
+            await asyncio.sleep(2.0)
+            self.assertTrue((await callers.call("record", ["aa", "c0"])).is_served)
+
+        self.play(scene)
+
+    def test_others_are_refused_until_the_outcome_of_a_trial(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            callers = Callers(stage)
+            await self.start_pool(stage, [])
+            stage.entries["entry-1"].quarantine.merge_evidence("part:aa", ["gone-1", "gone-2"])
+            await asyncio.sleep(2.5)
+            for _ in range(3):
+                callers.start("record", ["aa", "c0"])
+            await callers.finish()
+            self.assertEqual(sum(answer.is_served for answer in callers.answers), 1)
+            refused = [item.response for item in callers.answers if not item.is_served]
+            self.assertEqual({item.headers["retry-after"] for item in refused}, {"1.00"})
+            self.assertTrue((await callers.call("record", ["aa", "c0"])).is_served)
+
+        self.play(scene)
+
+
 class PersistenceTest(PoisonPartCase):
     """What is known outlives daemons."""
 
--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -60,6 +60,8 @@
         Number of the last event that its caller has of that stream.
     prompt : str
         Parts of its prompt, in the form of the platform's header.
+    is_shed : bool
+        Whether its connection may be one of those that an overloaded entry closed unread.
     has_left : bool
         Whether its caller closed the connection before the end.
     """
@@ -76,6 +78,7 @@
     has_left: bool = False
     connected_at: float = 0.0
     prompt: str = ""
+    is_shed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,6 +160,8 @@
         Whether entries and keepers had no faults, only planned stops.
     serving : list of Serving
         Runners.
+    shed : dict
+        (entry, start) to the number of connections that it reported to have closed unread.
     resumptions : (int, int)
         Streams that were resumed, and those that should have been; set by the check.
     """
@@ -184,6 +189,7 @@
     are_daemons_sound: bool = False
     serving: list[Serving] = dataclasses.field(default_factory=list)
     resumptions: tuple[int, int] = (0, 0)
+    shed: dict[tuple[str, int], int] = dataclasses.field(default_factory=dict)
 
     def had_fault(self, since: float, until: float) -> bool:
         """Whether a fault overlaps a span."""
@@ -205,6 +211,7 @@
     for found in runs.values():
         found.sort(key=lambda run: run.began)
     problems: list[str] = []
+    _mark_shed(seen, runs)
     for call in seen.calls:
         problems += _check_response(seen, call, runs.get(call.request_id, []))
         problems += _check_runs(seen, call, runs.get(call.request_id, []), revoke_seconds)
@@ -218,6 +225,18 @@
     return problems
 
 
+def _mark_shed(seen: Observations, runs: dict[str, list[platform_runner.RanRequest]]) -> None:
+    """Mark as many unanswered calls as each entry closed connections unread."""
+    left: dict[str, int] = {}
+    for (entry, _), count in seen.shed.items():
+        left[entry] = left.get(entry, 0) + count
+    for call in seen.calls:
+        is_unanswered = not call.response.status and not call.has_left
+        if is_unanswered and call.request_id not in runs and left.get(call.entry, 0):
+            left[call.entry] -= 1
+            call.is_shed = True
+
+
 def _check_response(
     seen: Observations, call: Call, runs: list[platform_runner.RanRequest]
 ) -> list[str]:
@@ -238,7 +257,8 @@
     if seen.planned_only and not is_revoked and not call.has_left:
         is_refused = response.status in NOT_RUN_STATUSES
         is_whole = response.status == 200 and response.is_whole
-        if not is_refused and not is_whole and not _outlasted_stop(seen, call, runs):
+        is_excused = call.is_shed or _outlasted_stop(seen, call, runs)
+        if not is_refused and not is_whole and not is_excused:
             at = f"{call.entry} from {call.sent_at:.2f} to {call.ended_at:.2f}"
             text = f"{call.route} was cut by planned work, status {response.status}"
             return [f"{name}: {text}, {at}; {_describe_entry(seen, call, runs)}"]
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -77,6 +77,7 @@
 TASK_SHUTDOWN_SECONDS = 0.2
 """Time for the tasks of closed connections to finish."""
 Fault = Callable[[], Awaitable[None]]
+_SHED = re.compile(r"^tillerlane_shed_connections (\S+)$", re.MULTILINE)
 _VERSION = re.compile(r"^tillerlane_config_version (\S+)$", re.MULTILINE)
 
 
@@ -272,6 +273,9 @@
                 if match is not None and start == daemon.starts:
                     versions = self.seen.in_force.setdefault((daemon.name, start), [])
                     versions.append(int(float(match.group(1))))
+                    shed = _SHED.search(text.decode())
+                    if shed is not None:
+                        self.seen.shed[daemon.name, start] = int(float(shed.group(1)))
             await asyncio.sleep(0.2)
 
     # Faults
--- a/tillerlane/testing/tests/test_platform_soak_load.py
+++ b/tillerlane/testing/tests/test_platform_soak_load.py
@@ -75,6 +75,31 @@
         self.assertTrue(all(len(parts) == 3 for parts in drawn if "bad0:50" in parts))
 
 
+class ShedCheckTest(unittest.TestCase):
+    """Unanswered calls are excused as far as their entry has closed connections unread."""
+
+    def check(self, shed: int, *, with_run: bool = False) -> int:
+        """Number of broken guarantees of three calls of which nothing came."""
+        seen = platform_checker.Observations(20, planned_only=True, read_back={"keeper-1": 1})
+        seen.sent, seen.acknowledged = [1], [1]
+        for number in range(3):
+            call = platform_checker.Call(f"r{number}", "order", caller.KEY, 1.0, 1.1)
+            call.entry = "entry-1"
+            seen.calls.append(call)
+        seen.shed["entry-1", 1] = shed
+        seen.shed["entry-2", 1] = 9
+        if with_run:
+            run = platform_runner.RanRequest("r0", {"credential": caller.KEY}, "", b"", 1.05)
+            seen.ran["t1"] = [run]
+        return sum("cut by planned work" in item for item in platform_checker.check(seen, 2.0, 5.0))
+
+    def test_calls_beyond_the_connections_shed_are_reported(self) -> None:
+        self.assertEqual([self.check(number) for number in range(4)], [3, 2, 1, 0])
+
+    def test_call_that_ran_is_reported(self) -> None:
+        self.assertEqual(self.check(3, with_run=True), 1)
+
+
 class RushCheckTest(unittest.TestCase):
     """The check of the calls served during a rush."""
 
