--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -257,7 +257,11 @@
     if seen.planned_only and not is_revoked and not call.has_left:
         is_refused = response.status in NOT_RUN_STATUSES
         is_whole = response.status == 200 and response.is_whole
-        is_excused = call.is_shed or _outlasted_stop(seen, call, runs)
+        is_excused = (
+            call.is_shed
+            or _outlasted_stop(seen, call, runs)
+            or _was_sent_to_stopping(seen, call, runs)
+        )
         if not is_refused and not is_whole and not is_excused:
             at = f"{call.entry} from {call.sent_at:.2f} to {call.ended_at:.2f}"
             text = f"{call.route} was cut by planned work, status {response.status}"
@@ -280,12 +284,35 @@
 def _outlasted_stop(seen: Observations, call: Call, runs: list[platform_runner.RanRequest]) -> bool:
     """Whether a target was still processing a request shortly before its entry had to exit.
 
-    An entry cannot finish requests that take longer than its grace period.
+    An entry cannot finish requests that take longer than its grace period.  A run that was moved
+    meanwhile had begun at its first target.
     """
     return any(
         stop.entry == call.entry
         and call.sent_at <= stop.stopped_at + ACCEPT_AFTER_STOP_SECONDS
-        and any(run.ended_at >= stop.outlasted_at > run.began for run in runs)
+        and any(run.began < stop.outlasted_at for run in runs)
+        and any(run.ended_at >= stop.outlasted_at for run in runs)
+        for stop in seen.stops
+    )
+
+
+def _was_sent_to_stopping(
+    seen: Observations, call: Call, runs: list[platform_runner.RanRequest]
+) -> bool:
+    """Whether a caller sent its request only after its entry had to accept no more.
+
+    Its connection may wait in the listener's queue until then; it is closed unread, and without any
+    response.
+    """
+    if runs or call.response.status:
+        return False
+    return any(
+        stop.entry == call.entry
+        and call.connected_at > stop.stopped_at + ACCEPT_AFTER_STOP_SECONDS
+        and not any(
+            stop.stopped_at < end < call.connected_at
+            for end in seen.entries_ended.get(call.entry, [])
+        )
         for stop in seen.stops
     )
 
--- a/tillerlane/testing/tests/test_platform_soak.py
+++ b/tillerlane/testing/tests/test_platform_soak.py
@@ -246,6 +246,36 @@
         self.seen.calls[1].sent_at = 12.5
         self.assert_found("cut by planned work")
 
+    def test_moved_run_that_outlasts_its_entrys_stop_is_not_cut(self) -> None:
+        self.seen.planned_only = True
+        self.seen.calls[1].entry = "entry-1"
+        self.seen.stops = [platform_checker.PlannedStop("entry-1", 9.0, 15.7)]
+        first = self.seen.ran["t1"][1]
+        moved = build_run("b", 16.0, 17.0, kv_from="t1/h", last_event_id="1")
+        self.seen.ran["t2"].append(moved)
+        self.assertEqual(self.check(), [])
+        moved.began, moved.ended_at = 15.0, 15.5
+        self.assert_found("cut by planned work")
+        moved.ended_at = 17.0
+        first.began, first.ended_at, moved.began = 15.8, 16.0, 16.0
+        self.assert_found("cut by planned work")
+
+    def test_request_sent_to_an_entry_that_accepts_no_more_is_not_cut(self) -> None:
+        self.seen.planned_only = True
+        call = platform_checker.Call("r9", "order", caller.KEY, 11.0, 14.0, entry="entry-1")
+        self.seen.calls = [call]
+        self.seen.ran = {}
+        self.seen.stops = [platform_checker.PlannedStop("entry-1", 9.0, 15.7)]
+        call.connected_at = 11.9
+        self.assert_found("cut by planned work")
+        call.connected_at = 12.1
+        self.assertEqual(self.check(), [])
+        call.response.status = 502
+        self.assert_found("cut by planned work")
+        call.response.status = 0
+        self.seen.entries_ended["entry-1"] = [12.05]
+        self.assert_found("cut by planned work")
+
     def test_copy_without_a_last_event_counts_as_a_new_run(self) -> None:
         del self.seen.ran["t2"][0].headers["last-event-id"]
         self.assert_found("may run once")
