--- a/tillerlane/gateway/quarantine/guard.py
+++ b/tillerlane/gateway/quarantine/guard.py
@@ -186,10 +186,14 @@
 
     def cancel_trial(self, admission: admissions.Admission) -> None:
         """End a trial of a request that its target did not run."""
-        for key, trial in list(self._trials.items()):
-            if trial.request_id == admission.facts.request_id:
-                del self._trials[key]
-                self._changed_at[key] = trial.former_change
+        for key, trial in self._list_trials(admission).items():
+            del self._trials[key]
+            self._changed_at[key] = trial.former_change
+
+    def _list_trials(self, admission: admissions.Admission) -> dict[str, _Trial]:
+        """Trials that a request is, by key."""
+        request_id = admission.facts.request_id
+        return {key: trial for key, trial in self._trials.items() if trial.request_id == request_id}
 
     def handle_trials(self, keys: Iterable[str]) -> None:
         """Wait for the outcome of another entry's trial of these keys."""
@@ -260,7 +264,7 @@
         keys = [] if request_id in self._proven else _list_part_keys(admission)
         if not self._has_succeeded(fingerprint):
             keys.append(fingerprint)
-        own_trials = {key for key, trial in self._trials.items() if trial.request_id == request_id}
+        own_trials = self._list_trials(admission)
         for key in own_trials:
             del self._trials[key]
         exits = [
@@ -280,13 +284,9 @@
         self, admission: admissions.Admission, evidence: list[suspects.TargetExit]
     ) -> None:
         """Record that a run has got past its beginning, which clears its `evidence`."""
-        request_id = admission.facts.request_id
-        self._proven.add(request_id)
-        self._trials = {
-            key: trial
-            for key, trial in self._trials.items()
-            if trial.request_id != request_id or not suspects.is_part(key)
-        }
+        self._proven.add(admission.facts.request_id)
+        for key in filter(suspects.is_part, self._list_trials(admission)):
+            del self._trials[key]
         self._announce(self.suspects.clear_exits(evidence))
 
     def is_beginning(self, admission: admissions.Admission) -> bool:
