--- a/tillerlane/gateway/tests/test_poison_parts.py
+++ b/tillerlane/gateway/tests/test_poison_parts.py
@@ -336,31 +336,20 @@
         async def replace(stage: gateway_lab.GatewayLab) -> None:
             for name in list(stage.entries):
                 await stage.kill_entry(name)
-            for number in range(4):
-                stage.add_entry(f"new-{number}")
-                await stage.start_entry(f"new-{number}")
+            await stage.start_new_entries(4)
             await asyncio.sleep(3.0)
 
         self.play_change(replace)
 
     def test_keepers_restarted_in_series(self) -> None:
-        async def restart(stage: gateway_lab.GatewayLab) -> None:
-            for name in list(stage.keeper_names):
-                await stage.stop_keeper(name)
-                await asyncio.sleep(0.5)
-                await stage.start_keeper(name)
-                await asyncio.sleep(3.0)
-
-        self.play_change(restart)
+        self.play_change(gateway_lab.GatewayLab.restart_keepers)
 
     def test_all_daemons_restarted(self) -> None:
         async def lose(stage: gateway_lab.GatewayLab) -> None:
             for name in list(stage.entries):
                 await stage.kill_entry(name)
             await stage.lose_power([])
-            for number in range(4):
-                stage.add_entry(f"new-{number}")
-                await stage.start_entry(f"new-{number}")
+            await stage.start_new_entries(4)
             await asyncio.sleep(5.0)
 
         self.play_change(lose)
--- a/tillerlane/gateway/tests/test_quarantine.py
+++ b/tillerlane/gateway/tests/test_quarantine.py
@@ -144,23 +144,14 @@
         self.play_change(replace)
 
     def test_keepers_restarted_in_series(self) -> None:
-        async def restart(stage: gateway_lab.GatewayLab) -> None:
-            for name in list(stage.keeper_names):
-                await stage.stop_keeper(name)
-                await asyncio.sleep(0.5)
-                await stage.start_keeper(name)
-                await asyncio.sleep(3.0)
-
-        self.play_change(restart)
+        self.play_change(gateway_lab.GatewayLab.restart_keepers)
 
     def test_all_power_lost_and_all_entries_new(self) -> None:
         async def lose(stage: gateway_lab.GatewayLab) -> None:
             for name in list(stage.entries):
                 await stage.entries.pop(name).stop()
             await stage.lose_power([])
-            for number in range(3):
-                stage.add_entry(f"new-{number}")
-                await stage.start_entry(f"new-{number}")
+            await stage.start_new_entries(3)
             await asyncio.sleep(5.0)
 
         self.play_change(lose)
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -189,6 +189,20 @@
         await self.keepers[name].leave()
         await self.kill_keeper(name)
 
+    async def restart_keepers(self) -> None:
+        """Stop and start all keepers gracefully, one after another."""
+        for name in list(self.keeper_names):
+            await self.stop_keeper(name)
+            await asyncio.sleep(0.5)
+            await self.start_keeper(name)
+            await asyncio.sleep(3.0)
+
+    async def start_new_entries(self, number: int) -> None:
+        """Start a number of entries under new names and addresses."""
+        for name in [f"new-{item}" for item in range(number)]:
+            self.add_entry(name)
+            await self.start_entry(name)
+
     async def lose_keeper(self, name: str) -> None:
         """Remove a keeper permanently, with its disk, address and membership."""
         await self.kill_keeper(name, wipe=True)
--- a/tillerlane/testing/poison_pool.py
+++ b/tillerlane/testing/poison_pool.py
@@ -97,46 +97,38 @@
 
     def list_target_exits(self, body: bytes) -> list[float]:
         """Event-loop times at which targets exited under a request, in order."""
-        times = [
-            run.ended_at
-            for target in self.targets
-            for run in target.ran
-            if run.body == body and run.ended == "crashed"
-        ]
-        return sorted(times)
+        return _list_exits(self._list_runs(body))
 
     def count_sends(self, body: bytes, since: float) -> int:
         """Count the runs of a request that started after `since` (event-loop time)."""
-        return sum(
-            run.began > since and run.body == body for item in self.targets for run in item.ran
-        )
+        return sum(run.began > since for run in self._list_runs(body))
 
     def count_late_sends(self, body: bytes) -> int:
         """Count the sends of a request more than `REACTION_SECONDS` after its third target exit."""
-        exits = self.list_target_exits(body)
-        return self.count_sends(body, exits[2] + REACTION_SECONDS) if len(exits) >= 3 else 0
+        return _count_late(self._list_runs(body), 3)
 
     def list_part_exits(self, part: str) -> list[float]:
-        """Event-loop times at which targets exited under requests with a part, in order.
-
-        Of requests that ended with their target, the one with the part is the cause.
-        """
-        times = [
-            run.ended_at
-            for target in self.targets
-            for run in target.ran
-            if part in run.shared_parts and run.ended == "crashed"
-        ]
-        return sorted(times)
+        """Event-loop times at which targets exited under requests with a part, in order."""
+        return _list_exits(self._list_part_runs(part))
 
     def count_late_part_sends(self, part: str) -> int:
         """Count sends with a part more than `REACTION_SECONDS` after its fifth target exit."""
-        exits = self.list_part_exits(part)
-        if len(exits) < 5:
-            return 0
-        since = exits[4] + REACTION_SECONDS
-        return sum(
-            run.began > since and part in run.shared_parts
-            for target in self.targets
-            for run in target.ran
-        )
+        return _count_late(self._list_part_runs(part), 5)
+
+    def _list_runs(self, body: bytes) -> list[platform_runner.RanRequest]:
+        return [run for target in self.targets for run in target.ran if run.body == body]
+
+    def _list_part_runs(self, part: str) -> list[platform_runner.RanRequest]:
+        return [run for target in self.targets for run in target.ran if part in run.shared_parts]
+
+
+def _list_exits(runs: list[platform_runner.RanRequest]) -> list[float]:
+    return sorted(run.ended_at for run in runs if run.ended == "crashed")
+
+
+def _count_late(runs: list[platform_runner.RanRequest], allowed_exits: int) -> int:
+    exits = _list_exits(runs)
+    if len(exits) < allowed_exits:
+        return 0
+    since = exits[allowed_exits - 1] + REACTION_SECONDS
+    return sum(run.began > since for run in runs)
