Add a case: a request that offers an upgrade runs without its body

Tried: some 45 framings of requests and answers against the server and the client of the gateway (lengths, chunks, trailers, folded lines, upgrades, interim answers, resets). Seen: a POST with Connection: Upgrade and Upgrade: h2c is run with an empty body and answered with 200, 20 of 20.

--- a/review/common.py
+++ b/review/common.py
@@ -431,6 +431,7 @@
         self.sequence = 0
         self.state = "ready"
         self.ran: list[tuple[float, str]] = []
+        self.bodies: dict[str, bytes] = {}
         self.work: Behaviour | None = None
         self._heartbeats: asyncio.Task[None] | None = None
         self._turn = number
@@ -488,7 +489,7 @@
                 for name, _, value in (line.partition(":") for line in head[1:])
                 if name
             }
-            await reader.readexactly(int(headers.get("content-length", "0")))
+            body = await reader.readexactly(int(headers.get("content-length", "0")))
             if head[0].split()[1] == "/health":
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nInstance-Id: "
@@ -503,7 +504,8 @@
                 await writer.drain()
                 return
             self.ran.append((time.monotonic(), request_id))
-            self._fleet.record.write(f"{self.name}: runs {request_id}")
+            self.bodies[request_id] = body
+            self._fleet.record.write(f"{self.name}: runs {request_id}, {len(body)} bytes of body")
             if self.work is not None:
                 await self.work(self, request_id)
             seal = f"Response-Seal: {self.name}.{request_id}\r\n"
@@ -528,6 +530,7 @@
     *,
     deadline_ms: int = 600,
     body: bytes = b"",
+    more: dict[str, str] | None = None,
 ) -> Answer:
     """One attempt of a client."""
     headers = {
@@ -535,6 +538,7 @@
         "Request-Id": request_id,
         "Deadline-Ms": str(deadline_ms),
         "Credential": KEY,
+        **(more or {}),
     }
     method = "GET" if route["kind"] == "idempotent" else "POST"
     path = f"{route['path_prefix']}2f"
