--- a/review/common.py
+++ b/review/common.py
@@ -511,8 +511,8 @@
             seal = f"Response-Seal: {self.name}.{request_id}\r\n"
             writer.write(_build_answer("200 OK", request_id, b"x" * 800, seal))
             await writer.drain()
-        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError):
-            pass
+        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # the caller has left, or the case ends
         finally:
             writer.close()
 
