--- a/review/common.py
+++ b/review/common.py
@@ -23,6 +23,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 ZONES = ("sal-nord", "sal-sor", "hall-laksevag", "hall-arna")
 PEER, FRONT, CONTROL, READY = 7200, 8740, 8748, 8749
+MIN_SYNC_SECONDS = 0.00005
+"""A folder in memory syncs faster than this."""
 RESTART_SECONDS = 0.5
 """The platform starts a process again "after a short delay"."""
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -91,6 +93,35 @@
         return self.folder / "data"
 
 
+def _make_folder() -> pathlib.Path:
+    """A temporary folder on a disk whose sync takes time, as the pages' disks do, if there is one."""
+    folders = [pathlib.Path(tempfile.mkdtemp(prefix="review-"))]
+    with contextlib.suppress(OSError):
+        folders.append(pathlib.Path(tempfile.mkdtemp(prefix="review-", dir="/var/tmp")))
+    chosen = folders[0]
+    if _measure_sync(chosen) < MIN_SYNC_SECONDS:
+        chosen = max(folders, key=_measure_sync)
+    for folder in folders:
+        if folder is not chosen:
+            folder.rmdir()
+    return chosen
+
+
+def _measure_sync(folder: pathlib.Path) -> float:
+    """Median time of a small synced write."""
+    times = []
+    for number in range(9):
+        path = folder / f"sync-{number}"
+        began = time.monotonic()
+        with open(path, "wb") as file:
+            file.write(b"x" * 8)
+            file.flush()
+            os.fsync(file.fileno())
+        times.append(time.monotonic() - began)
+        path.unlink()
+    return sorted(times)[len(times) // 2]
+
+
 def _find_net() -> int:
     """Second byte of free loopback addresses."""
     start = random.SystemRandom().randrange(100, 240)
@@ -107,7 +138,7 @@
 
     def __init__(self, record: Record, keepers: int = 5, entries: int = 2) -> None:
         self.record = record
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.folder = _make_folder()
         self.net = _find_net()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._commands = {name: item["run"].split() for name, item in deploy["roles"].items()}
