--- a/review/common.py
+++ b/review/common.py
@@ -94,7 +94,7 @@
 
 
 def _make_folder() -> pathlib.Path:
-    """A temporary folder on a disk whose sync takes time, as the pages' disks do, if there is one."""
+    """A temporary folder on a disk whose sync takes time, as on the pages, if there is one."""
     folders = [pathlib.Path(tempfile.mkdtemp(prefix="review-"))]
     with contextlib.suppress(OSError):
         folders.append(pathlib.Path(tempfile.mkdtemp(prefix="review-", dir="/var/tmp")))
