--- a/review/common.py
+++ b/review/common.py
@@ -592,11 +592,14 @@
     record.write(f"disruption: {'yes' if is_troubled() else 'no'}")
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         fleet = Fleet(record, **sizes)
         try:
             async with asyncio.timeout(115):
                 is_broken = await play(fleet)
-        except (CannotRun, TimeoutError) as error:
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
             record.write(f"result: could not run: {error!r}")
             print(f"could not run: {error!r}")
             return NOT_RUN
