Resume streams whose connection has fallen silent, and stop runs over new connections

What callers saw: open connections to sound runners carry nothing more while new ones work.

Cause: after a pause an entry only tried whether the runner accepts a connection, and then went on waiting for the old one; the end of that connection was the only way to stop a run.

Change: a quiet stream's runner is asked for its report over a new connection. Only if it has made events that do not arrive, or no longer holds the run, and says so again half a second later, the run is ordered to stop and goes on from its memory. A run whose response is abandoned on a quiet connection is ordered to stop as well.

--- /dev/null
+++ b/tillerlane/decisions/delivery.py
@@ -0,0 +1,49 @@
+"""Decides from a runner's report whether a stream's connection still delivers its events.
+
+A connection can fall silent without an error at either end while new ones to the same runner work.
+A pause alone proves nothing: a runner may be slow, or may have preempted the run.  Only events that
+the runner has made, and that have not arrived, tell the two apart.
+"""
+
+import dataclasses
+
+__all__ = ["RunnerReport", "is_overdue"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerReport:
+    """What a runner reports of its runs; it may be some hundred milliseconds old.
+
+    Attributes
+    ----------
+    events : dict of str to int
+        Events made so far by each listed run, by request id.
+    has_unlisted : bool
+        Whether the runner has requests that are not listed: they wait, were preempted, or read
+        their prompts.
+    """
+
+    events: dict[str, int]
+    has_unlisted: bool
+
+
+def is_overdue(report: RunnerReport, request_id: str, received: int, *, has_begun: bool) -> bool:
+    """Whether something of a run's stream must have been sent that had not arrived.
+
+    Parameters
+    ----------
+    report : RunnerReport
+        A report requested after the last event arrived.
+    request_id : str
+        The request that the runner runs.
+    received : int
+        Number of the last event that arrived, from any runner of the run; 0 if none did.
+    has_begun : bool
+        Whether any event arrived from this runner.
+    """
+    made = report.events.get(request_id)
+    if made is not None:
+        return made > received
+    # A run that had begun and is held nowhere has ended.  Before that, the request may be one that
+    # the runner has not counted yet.
+    return has_begun and not report.has_unlisted
--- /dev/null
+++ b/tillerlane/gateway/delivery/watch.py
@@ -0,0 +1,163 @@
+"""Finds responses whose connection has fallen silent while their runner can be reached."""
+
+import asyncio
+import contextlib
+import functools
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from tillerlane.decisions import delivery
+from tillerlane.gateway import dialect as dialects
+from tillerlane.gateway import http_client, runs
+from tillerlane.gateway import metrics as entry_metrics
+from tillerlane.timeline import core as timelines
+
+__all__ = ["DeliveryWatch", "SilentConnection", "Unreachable"]
+
+CHECK_INTERVAL_SECONDS = 0.7
+"""Pause after which a runner is asked for its report: four times the longest pause that meets the
+objective (180 ms), so that healthy streams cause no checks."""
+ARRIVAL_SECONDS = 0.5
+"""Longest time that an event is on its way: several retransmissions over a link that loses
+packets."""
+REPORT_TIMEOUT_SECONDS = 0.5
+MAX_REPORT_AGE_SECONDS = 0.25
+"""Age up to which streams of one runner share a report."""
+
+_Received = TypeVar("_Received")
+
+
+class SilentConnection(http_client.ExchangeError):
+    """A connection carries nothing more, although its runner has sent something."""
+
+
+class Unreachable(http_client.ExchangeError):
+    """A runner sends nothing and accepts no connection; whether the run goes on is unknown."""
+
+
+class DeliveryWatch:
+    """Watches the responses that one entry waits for.
+
+    Parameters
+    ----------
+    dialect : dialects.Dialect
+        Reads runners' reports.
+    timeline : timelines.Timeline
+        Log of results.
+    metrics : entry_metrics.EntryMetrics
+        Counts results.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        timeline: timelines.Timeline,
+        metrics: entry_metrics.EntryMetrics,
+    ) -> None:
+        self._dialect = dialect
+        self._timeline = timeline
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._reports: dict[str, asyncio.Task[delivery.RunnerReport | None]] = {}
+        """Recent reports by address."""
+
+    async def read(
+        self,
+        exchange: http_client.Exchange,
+        read: Callable[[], Coroutine[Any, Any, _Received]],
+        run: runs.Run,
+        received: int,
+        *,
+        has_begun: bool,
+        first_check_seconds: float = CHECK_INTERVAL_SECONDS,
+    ) -> _Received:
+        """Await the next part of a response while its connection delivers.
+
+        A pause alone ends nothing: a preempted run continues on its runner later.
+
+        Parameters
+        ----------
+        exchange : http_client.Exchange
+            The exchange that the response arrives on.
+        read : callable
+            Coroutine function that waits for the part; it may be cancelled and called again.
+        run : runs.Run
+            The run that the response comes from.
+        received : int
+            Number of the last event that has arrived, from any runner of the run; 0 if none has.
+        has_begun : bool
+            Whether any event has arrived from this runner.
+        first_check_seconds : float
+            Pause before the first check.
+
+        Raises
+        ------
+        SilentConnection
+            If the runner has sent something that does not arrive.
+        Unreachable
+            If the runner accepts no connection.
+        """
+        pause = first_check_seconds
+        overdue_since: float | None = None
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    return await read()
+            report = await self._inspect(run)
+            is_overdue = report is not None and delivery.is_overdue(
+                report, run.request_id, received, has_begun=has_begun
+            )
+            if report is None or not is_overdue:
+                pause, overdue_since = CHECK_INTERVAL_SECONDS, None
+            elif overdue_since != exchange.quiet_since:
+                pause, overdue_since = ARRIVAL_SECONDS, exchange.quiet_since
+            else:
+                self._record_silence(run, report, received, has_begun=has_begun)
+                raise SilentConnection("connection delivers nothing", sent=True)
+
+    async def _inspect(self, run: runs.Run) -> delivery.RunnerReport | None:
+        """Report of a run's runner; None if it is reachable and gives none.
+
+        Raises
+        ------
+        Unreachable
+            If it accepts no connection.
+        """
+        address = run.target.address
+        if run.pool.engine is None:
+            if not await http_client.is_reachable(address):
+                raise Unreachable("silent and out of reach", sent=True)
+            return None
+        task = self._reports.get(address)
+        if task is None:
+            task = self._loop.create_task(
+                self._dialect.read_report(address, REPORT_TIMEOUT_SECONDS)
+            )
+            self._reports[address] = task
+            task.add_done_callback(functools.partial(self._handle_report, address))
+        try:
+            return await asyncio.shield(task)
+        except http_client.ExchangeError as error:
+            if error.sent:
+                return None
+            raise Unreachable("silent and out of reach", sent=True) from error
+
+    def _handle_report(
+        self, address: str, task: "asyncio.Task[delivery.RunnerReport | None]"
+    ) -> None:
+        """Share a report for a while, whether or not anybody still waits for it."""
+        task.exception()
+        self._loop.call_later(MAX_REPORT_AGE_SECONDS, self._reports.pop, address)
+
+    def _record_silence(
+        self, run: runs.Run, report: delivery.RunnerReport, received: int, *, has_begun: bool
+    ) -> None:
+        self._metrics.silent_connections.labels("events" if has_begun else "begin").inc()
+        self._timeline.record(
+            "connection.silent",
+            request_id=run.request_id,
+            target=run.target.target_id,
+            address=run.target.address,
+            received=received,
+            made=report.events.get(run.request_id),
+        )
--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from tillerlane.decisions import delivery
 from tillerlane.gateway import http_head, routes
 
 __all__ = [
@@ -21,8 +22,11 @@
     "MemoryCopy",
     "RequestFacts",
     "ResponseFacts",
+    "RunnerReport",
 ]
 
+RunnerReport = delivery.RunnerReport
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestFacts:
@@ -228,6 +232,9 @@
         memory and a slot at a runner for one request.
     drop_reservation : callable
         (runner's address, id) frees an unused reservation; gives whether the runner answered.
+    read_report : callable
+        (runner's address, seconds) gives what a runner reports of its runs; None if its answer is
+        not such a report.  Raises `http_client.ExchangeError` without an answer.
     """
 
     decode_request: Callable[[http_head.RequestHead], RequestFacts]
@@ -240,3 +247,4 @@
     drop_copy: Callable[[MemoryCopy], Awaitable[None]]
     reserve_memory: Callable[[str, int, float, float], Coroutine[Any, Any, HoldResult]]
     drop_reservation: Callable[[str, str], Awaitable[bool]]
+    read_report: Callable[[str, float], Coroutine[Any, Any, RunnerReport | None]]
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -43,6 +43,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
 from tillerlane.gateway.origins import recorder, resumptions
@@ -202,6 +203,9 @@
         self.origins = recorder.OriginRecorder(
             self.directory, lambda: self.homes.list_links(), self._loop.time
         )
+        delivery_watch = watch.DeliveryWatch(dialect, self.timeline, self._metrics)
+        stop_orders = handovers.StopOrders(dialect, self.timeline, self._metrics)
+        canceller = cancellation.RunCanceller(stop_orders, selector, self.timeline, self._metrics)
         sender = sending.Sender(
             dialect,
             selector,
@@ -213,6 +217,8 @@
             self.quarantine,
             self.shares,
             self.origins,
+            delivery_watch,
+            canceller,
         )
         retrying = retries.RetryingSender(
             sender,
@@ -251,8 +257,10 @@
             self._metrics,
             exit_detector,
             self.quarantine,
-            handovers.StopOrders(dialect, self.timeline, self._metrics),
+            stop_orders,
             reserved,
+            delivery_watch,
+            canceller,
         )
         self._relay = relay.Relay(
             self._admission_control,
--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -63,11 +63,14 @@
         Whether any byte of the request was passed to the connection.
     sent_at : float
         Time of the event loop at which that happened; 0 before.
+    received_at : float
+        Time of the event loop at which anything last arrived; 0 before.
     """
 
     def __init__(self) -> None:
         self.sent = False
         self.sent_at = 0.0
+        self.received_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -190,6 +193,16 @@
 
     # Receiving
 
+    @property
+    def quiet_since(self) -> float:
+        """Time of the event loop since which nothing was sent or has arrived."""
+        return max(self.sent_at, self.received_at)
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether a request was sent, and the connection is open without a complete response."""
+        return self.sent and not self._is_complete and self._error is None
+
     @property
     def has_head(self) -> bool:
         """Whether the head of the final response has arrived."""
@@ -300,6 +313,7 @@
         """Parse received bytes; bytes after a complete response are discarded."""
         if self._is_complete or self._error is not None:
             return
+        self.received_at = self._loop.time()
         try:
             self._parser.feed_data(_received[:size])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -38,6 +38,10 @@
     """Streams resumed at a runner with another software version, by pool."""
     broken_answers: prometheus_client.Counter
     """Responses truncated by targets, by the result of a new connection to the target."""
+    silent_connections: prometheus_client.Counter
+    """Connections to runners that delivered nothing more, before or after the first event."""
+    cancellations: prometheus_client.Counter
+    """Orders to stop runs that nobody waits for, by what was known of the run afterwards."""
     lease_age: prometheus_client.Gauge
     version: prometheus_client.Gauge
     loads_age: prometheus_client.Gauge
@@ -117,6 +121,8 @@
         count("tillerlane_continuations", "Runs that went on elsewhere", "taken"),
         count("tillerlane_version_changes", "Streams resumed at another version", "pool"),
         count("tillerlane_broken_answers", "Answers that targets broke off", "reach"),
+        count("tillerlane_silent_connections", "Connections that deliver nothing more", "awaited"),
+        count("tillerlane_cancellations", "Orders to stop runs that nobody waits for", "evidence"),
         gauge("tillerlane_lease_age_seconds", "Age of the word that the configuration is newest"),
         gauge("tillerlane_config_version", "Configuration in force"),
         gauge("tillerlane_loads_age_seconds", "Age of the word of other entries' loads"),
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -8,9 +8,11 @@
     availability,
     exchanges,
     http_client,
+    http_head,
     outcomes,
     refusals,
     reservations,
+    runs,
     selection,
     shares,
 )
@@ -18,6 +20,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.origins import recorder
 from tillerlane.gateway.quarantine import exit_detection, guard
 
@@ -39,6 +42,8 @@
 is left for runs, which are preempted when memory runs out."""
 RESPONSE_MARGIN_SECONDS = 0.03
 """How long before a request's deadline the response is written."""
+MIN_HEAD_CHECK_SECONDS = 0.7
+"""Least time after which a stream without a head is looked into; a later objective comes first."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee to a caller that its request did not run and never will."""
 
@@ -68,6 +73,10 @@
         Counts what is served to each workspace.
     origins : recorder.OriginRecorder
         Records which software version begins a stream.
+    delivery_watch : watch.DeliveryWatch
+        Finds connections that have fallen silent.
+    canceller : cancellation.RunCanceller
+        Stops runs whose response is abandoned.
     """
 
     def __init__(
@@ -82,7 +91,11 @@
         quarantined: guard.Quarantine,
         workspace_shares: shares.Shares,
         origins: recorder.OriginRecorder,
+        delivery_watch: watch.DeliveryWatch,
+        canceller: cancellation.RunCanceller,
     ) -> None:
+        self._watch = delivery_watch
+        self._canceller = canceller
         self._origins = origins
         self._shares = workspace_shares
         self._quarantine = quarantined
@@ -144,7 +157,7 @@
                     self._record_served(admission, admission.served_tokens)
                 if plan.last_event_id == admission.facts.last_event_id:
                     self._origins.record(admission, target)
-                outcome = await self._read_response(admission, target, exchange)
+                outcome = await self._read_response(admission, target, exchange, plan.last_event_id)
             keep = isinstance(outcome, outcomes.Stream)
             self._record_outcome(
                 target, outcome, exchange.sent_at, is_resumed=plan.copy is not None
@@ -161,6 +174,8 @@
             if self._loop.time() - started_at > SLOW_RESPONSE_SECONDS:
                 self._selector.failures.record_failure(target.target_id, self._loop.time())
             return outcomes.Unknown(f"{address}: no answer in time", is_late=True)
+        except watch.SilentConnection as error:
+            return outcomes.Unknown(f"{address}: {error}")
         except http_client.ExchangeError as error:
             if not error.sent:
                 self._selector.failures.record_failure(target.target_id, self._loop.time())
@@ -178,6 +193,8 @@
             if not keep:
                 self._usage.add(address, requests=-1, tokens=-tokens, unsaved=-unsaved)
                 if exchange is not None:
+                    run = runs.Run(admission.facts.request_id, admission.pool, target, tokens)
+                    self._canceller.cancel_if_quiet(run, exchange, admission.deadline)
                     exchange.abort()
 
     def _record_served(self, admission: admissions.Admission, tokens: int) -> None:
@@ -203,8 +220,9 @@
         admission: admissions.Admission,
         target: directories.Target,
         exchange: http_client.Exchange,
+        last_event_id: str,
     ) -> outcomes.Outcome:
-        head = await exchange.read_head()
+        head = await self._read_head(admission, target, exchange, last_event_id)
         facts = self._dialect.decode_response(head)
         is_of_request = facts.request_id == admission.facts.request_id
         if is_of_request and not facts.is_other_target:
@@ -227,6 +245,32 @@
             return outcomes.Unknown(f"status {head.status} without a guarantee that nothing ran")
         return outcomes.Response(head, body)
 
+    async def _read_head(
+        self,
+        admission: admissions.Admission,
+        target: directories.Target,
+        exchange: http_client.Exchange,
+        last_event_id: str,
+    ) -> http_head.ResponseHead:
+        """Wait for the head of a response; that of a stream only while its connection delivers."""
+        if not admission.is_stream or admission.pool.engine is None:
+            return await exchange.read_head()
+        run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens)
+        while True:
+            try:
+                return await self._watch.read(
+                    exchange,
+                    exchange.read_head,
+                    run,
+                    received=int(last_event_id) if last_event_id.isdigit() else 0,
+                    has_begun=False,
+                    first_check_seconds=max(
+                        MIN_HEAD_CHECK_SECONDS, admission.route.objective_seconds
+                    ),
+                )
+            except watch.Unreachable:
+                continue  # the run may still go on
+
     def _record_outcome(
         self,
         target: directories.Target,
--- a/tillerlane/gateway/stream_relay.py
+++ b/tillerlane/gateway/stream_relay.py
@@ -7,19 +7,13 @@
 from tillerlane.decisions import quarantine
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import events, handovers, http_client, http_server, runs
+from tillerlane.gateway.delivery import watch
 from tillerlane.gateway.quarantine import suspects
 
 __all__ = ["StopReason", "StreamRelay"]
 
 BEFORE_FIRST_ID = "0"
 """Runners number events from 1; a stream whose first event has a higher id lacks its beginning."""
-REACHABILITY_CHECK_SECONDS = 0.7
-"""Pause after which a runner's reachability is checked: four times the longest pause that meets the
-objective (180 ms), so that healthy streams cause no checks."""
-
-
-class _Unreachable(http_client.ExchangeError):
-    """A runner sends nothing and is unreachable; whether the run goes on there is unknown."""
 
 
 class StopReason(enum.Enum):
@@ -28,6 +22,8 @@
     COMPLETE = "whole"
     BROKEN = "broken"
     """An event does not follow the last one, or the runner is unreachable."""
+    SILENT = "silent"
+    """The connection delivers nothing more, although its runner can be reached."""
     TRUNCATED = "broken_off"
     """The connection ended before the stream was complete."""
     CAN_RESUME = "can_go_on"
@@ -53,6 +49,8 @@
         Target exits that were known when the current run began.
     on_begin, on_proof : callable
         Called at the first event of each run, and when a run has got past its beginning.
+    is_silent : bool
+        Whether the current runner's connection has fallen silent.
     is_unreachable : bool
         Whether it broke off because the runner sends nothing and accepts no connection.
     stop_order : handovers.StopOrder or None
@@ -67,7 +65,9 @@
         responder: http_server.Responder,
         run: runs.Run,
         exchange: http_client.Exchange,
+        delivery_watch: watch.DeliveryWatch,
     ) -> None:
+        self._watch = delivery_watch
         self.admission = admission
         self.responder = responder
         self.run = run
@@ -85,6 +85,7 @@
         self.problem = ""
         self.evidence: list[suspects.TargetExit] = []
         self.is_unreachable = False
+        self.is_silent = False
         self.stop_order: handovers.StopOrder | None = None
         self.former_stop_orders: list[handovers.StopOrder] = []
         self.is_proven = False
@@ -106,6 +107,7 @@
         self.exchange = exchange
         self.problem = ""
         self.is_unreachable = False
+        self.is_silent = False
         if self.stop_order is not None:
             self.former_stop_orders.append(self.stop_order)
         self.stop_order = None
@@ -123,10 +125,14 @@
                     return StopReason.RELEASED
                 if self._can_hand_over():
                     return StopReason.CAN_RESUME
-        except (_Unreachable, ValueError) as error:
+        except (watch.Unreachable, ValueError) as error:
             self.problem = str(error)
-            self.is_unreachable = isinstance(error, _Unreachable)
+            self.is_unreachable = isinstance(error, watch.Unreachable)
             return StopReason.BROKEN
+        except watch.SilentConnection as error:
+            self.problem = str(error)
+            self.is_silent = True
+            return StopReason.SILENT
         except http_client.ExchangeError as error:
             self.problem = str(error)
             return StopReason.TRUNCATED
@@ -169,19 +175,20 @@
         return not self.problem
 
     async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
-        """Read more of the stream; fail if the runner is unreachable and the run can be resumed.
-
-        A pause alone ends nothing: a preempted run continues on its runner later.
-        """
+        """Read more of the stream; fail if the runner is unreachable and the run can be resumed."""
+        received = int(self.last_event_id) if self.last_event_id.isdigit() else 0
         while True:
             try:
-                async with asyncio.timeout(REACHABILITY_CHECK_SECONDS):
-                    return await exchange.read_chunk()
-            except TimeoutError as error:
-                if self._is_recoverable() and not await http_client.is_reachable(
-                    self.run.target.address
-                ):
-                    raise _Unreachable("silent and out of reach", sent=True) from error
+                return await self._watch.read(
+                    exchange,
+                    exchange.read_chunk,
+                    self.run,
+                    received,
+                    has_begun=bool(self._last_event_at),
+                )
+            except watch.Unreachable:
+                if self._is_recoverable():
+                    raise
 
     def _accept_in_order(self, received: list[bytes]) -> tuple[list[bytes], str]:
         """Accept events up to the first that does not follow; also gives what is wrong with it."""
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -31,6 +31,7 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.quarantine import exit_detection, guard
 from tillerlane.timeline import core as timelines
 
@@ -81,6 +82,10 @@
         Orders former runners to stop runs.
     reserved : reservations.Reservations
         Reserves memory for new runs.
+    delivery_watch : watch.DeliveryWatch
+        Finds connections that have fallen silent.
+    canceller : cancellation.RunCanceller
+        Stops runs whose callers have left.
     """
 
     def __init__(
@@ -97,7 +102,11 @@
         quarantined: guard.Quarantine,
         orders: handovers.StopOrders,
         reserved: reservations.Reservations,
+        delivery_watch: watch.DeliveryWatch,
+        canceller: cancellation.RunCanceller,
     ) -> None:
+        self._watch = delivery_watch
+        self._canceller = canceller
         self._reservations = reserved
         self._stop_orders = orders
         self._ends = stream_ends.StreamEnds(quarantined, timeline, metrics)
@@ -127,7 +136,7 @@
         run.is_long = admission.is_long
         run.pause_objective_seconds = admission.route.pause_objective_seconds or 0.0
         run.remaining_events = admission.count_remaining_events(0)
-        stream = stream_relay.StreamRelay(admission, responder, run, outcome.exchange)
+        stream = stream_relay.StreamRelay(admission, responder, run, outcome.exchange, self._watch)
         stream.runs_started = result.runs
         stream.on_growth = self._record_growth
         stream.on_events = self._record_events
@@ -149,6 +158,8 @@
         finally:
             if stream.stop_order is not None:
                 self._stop_orders.discard_unused_copy(stream.stop_order, used=None)
+            elif stream.exchange is not None:
+                self._canceller.cancel_if_quiet(stream.run, stream.exchange, admission.deadline)
             self._unregister(stream)
             self._ends.forget(stream)
             if not responder.is_finished:
@@ -279,23 +290,48 @@
         return stop_order
 
     async def _resume_from_copy(self, stream: stream_relay.StreamRelay) -> bool:
-        """Resume a run from a copy after its runner released it or broke off."""
+        """Resume a run from a copy after its runner released it or broke off.
+
+        Where the connection has fallen silent, the copy that the runner makes as it stops will do.
+        """
         resume_point = await self._wait_for_move(stream.run)
         resume_point = resume_point or self._find_backup(stream.run)
-        if resume_point is None:
+        if resume_point is not None:
+            return await self._resume_once_released(stream, resume_point, resume_point.target)
+        if not stream.is_silent:
             return False
-        evidence = await self._find_evidence(stream, resume_point.target)
+        destination, tokens = self._canceller.choose_destination(stream.run), stream.run.tokens
+        # Streams that fall silent at the same time have to see each other's choices.
+        self._usage.add(destination.address, tokens=tokens)
+        try:
+            return await self._resume_once_released(stream, None, destination)
+        finally:
+            self._usage.add(destination.address, tokens=-tokens)
+
+    async def _resume_once_released(
+        self,
+        stream: stream_relay.StreamRelay,
+        resume_point: runs.ResumePoint | None,
+        destination: directories.Target,
+    ) -> bool:
+        """Resume a run from a copy; without one, from that which its runner makes as it stops."""
+        evidence = await self._find_evidence(stream, destination)
         if not handover.can_resume(evidence, stream.last_event_id):
             stream.problem += f"; run is not resumed: {evidence.value}"
             return False
         stop_order = stream.stop_order
         assert stop_order is not None
+        if resume_point is None and evidence is handover.Evidence.STOPPED:
+            await stop_order.wait_for_copy(COPY_TIMEOUT_SECONDS)
         if stop_order.copy is not None and stop_order.is_at_destination:
-            resume_point = runs.ResumePoint(resume_point.target, stop_order.copy)
-        outcome, used = await self._resume_at(stream, resume_point), resume_point.copy
+            resume_point = runs.ResumePoint(destination, stop_order.copy)
+        outcome: outcomes.Outcome = refusals.NotRun("no copy at another runner", sent=False)
+        used: dialects.MemoryCopy | None = None
+        if resume_point is not None:
+            outcome, used = await self._resume_at(stream, resume_point), resume_point.copy
         if isinstance(outcome, refusals.NotRun):
             if outcome.sent:
-                stream.run.rejected_by |= {resume_point.target.target_id}
+                stream.run.rejected_by |= {destination.target_id}
             outcome = await self._return_to_source(stream, stop_order)
             used = stop_order.copy
         is_resumed = isinstance(outcome, outcomes.Stream)
--- a/tillerlane/platform/adapter.py
+++ b/tillerlane/platform/adapter.py
@@ -19,4 +19,5 @@
         drop_copy=calls.drop_copy,
         reserve_memory=calls.reserve_memory,
         drop_reservation=calls.drop_reservation,
+        read_report=calls.read_report,
     )
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -8,7 +8,14 @@
 
 from tillerlane.gateway import dialect, http_client, http_head
 
-__all__ = ["copy_run", "drop_copy", "drop_reservation", "reserve_memory", "stop_run"]
+__all__ = [
+    "copy_run",
+    "drop_copy",
+    "drop_reservation",
+    "read_report",
+    "reserve_memory",
+    "stop_run",
+]
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 HOLD_CONNECT_TIMEOUT_SECONDS = 0.2
@@ -196,3 +203,32 @@
     except http_client.ExchangeError as error:
         return _classify_failure(error) is dialect.CopyOutcome.REFUSED
     return True
+
+
+class _ReportReply(msgspec.Struct):
+    """``runs`` lists each run as id, tokens in memory, events made and priority."""
+
+    runs: list[tuple[str, int, int, int]]
+    waiting: int = 0
+    running: int = 0
+
+
+async def read_report(address: str, seconds: float) -> dialect.RunnerReport | None:
+    """Read what a runner reports of its runs; None if it gives no such report.
+
+    Raises
+    ------
+    http_client.ExchangeError
+        If it did not answer in time.
+    """
+    status, body = await _call(address, b"GET", b"/report", b"", seconds)
+    if status != 200:
+        return None
+    try:
+        reply = msgspec.json.decode(body, type=_ReportReply)
+    except msgspec.DecodeError:
+        return None
+    return dialect.RunnerReport(
+        {request_id: events for request_id, _, events, _ in reply.runs},
+        has_unlisted=reply.waiting > 0 or reply.running > len(reply.runs),
+    )
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -118,7 +118,7 @@
 
         async def create_connection(factory: Any, host: Any = None, port: Any = None) -> Any:
             runner = self._by_address.get(f"{host}:{port}")
-            if runner is not None and runner.is_cut_off:
+            if runner is not None and (runner.is_cut_off or runner.takes_no_connections):
                 self.lost_connections += 1
                 await asyncio.sleep(3600)
             return await connect(factory, host, port)
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from tillerlane.gateway import http_head, http_server
-from tillerlane.testing import close_delimited, runner_memory
+from tillerlane.testing import close_delimited, runner_memory, silent_transport
 
 __all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
@@ -134,6 +134,12 @@
     ----------
     memory : runner_memory.RunnerMemory or None
         Its memory, if it is bounded.
+    pauses_runs : bool
+        Preempts all runs.
+    takes_no_connections : bool
+        New connections to it hang, while open ones work.
+    report_status : int
+        Status of responses to calls for a report of its runs.
     hold_status : int
         Status of responses to calls that reserve memory, none of which is reserved; 0 for the usual
         ones.
@@ -250,6 +256,9 @@
         self.queue = queue
         self.slowdown = slowdown
         self.memory = runner_memory.RunnerMemory(memory_tokens) if memory_tokens else None
+        self.pauses_runs = False
+        self.takes_no_connections = False
+        self.report_status = 200
         self.hold_status = 0
         self.hold_seconds = 0.0
         self.loses_holds = False
@@ -304,6 +313,11 @@
         self._server.stop_accepting()
         self.is_dark = True
 
+    def silence_connections(self) -> None:
+        """Have all open connections carry nothing more, without an end; new ones work."""
+        for connection in list(self._server.connections):
+            silent_transport.detach(connection)
+
     async def _serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in request.head.headers}
         if self.is_dark or self.is_cut_off:
@@ -314,6 +328,8 @@
         elif path.startswith("/kv-handle/"):
             self._drop_copy(path.rpartition("/")[2])
             await responder.send_response(http_head.ResponseHead(200, []), b"")
+        elif path == "/report":
+            await self._report(responder)
         elif path == "/hold-take":
             await self._take_hold(msgspec.json.decode(request.body), responder)
         elif path.startswith("/hold-drop/"):
@@ -329,6 +345,17 @@
         for runner in list(self.others.values()) if is_source else [self]:
             runner.copies.pop(handle, None)
 
+    async def _report(self, responder: http_server.Responder) -> None:
+        """Report the active runs; a run that reads its prompt counts, but is not listed."""
+        active = [run for run in self.ran if not run.ended and self.length]
+        listed = [[run.request_id, 0, run.events, 5] for run in active if run.events]
+        report = {"waiting": 0, "running": len(active), "runs": listed}
+        if self.pauses_runs:
+            report = {"waiting": len(active), "running": 0, "runs": []}
+        body = msgspec.json.encode(report)
+        status = self.report_status
+        await responder.send_response(http_head.ResponseHead(status, []), body)
+
     async def _take_hold(self, order: dict[str, int], responder: http_server.Responder) -> None:
         status, hold = self.hold_status or 404, ""
         if self.memory is not None and not self.hold_status:
@@ -513,6 +540,8 @@
         for number in range(run.events + 1, self.length + 1):
             if self.pace:
                 await asyncio.sleep(self.pace)
+            while self.pauses_runs and not run.ended:
+                await asyncio.sleep(self.pace)
             if self.is_dark:
                 await asyncio.sleep(3600)
             if number == self.breaks_at:
