Abort links whose peer has fallen silent, and end closed links within a second

What was seen: in the review, a link between two nodes that held unsent bytes when its peer fell silent was never dialed again. On such a link keepers and entries would not hear of each other until TCP gives up.

Cause: Link.close waits until the peer has read what the transport holds, which a silent peer never does, so that Link.run does not end and the link is not dialed again.

Evidence: both tests of SilentPeerTest time out before (no second connection within 3 s, no end within 2 s) and pass now, over real sockets. In virtual time, connections could only end when a cut healed; they can now be aborted through it, as real ones.

--- a/tillerlane/peers/link.py
+++ b/tillerlane/peers/link.py
@@ -37,6 +37,8 @@
 """Heartbeat interval of a daemon to its home keeper, which has hundreds of such links."""
 TIMEOUT_FACTOR = 2.1
 """A link with no data for this many heartbeat intervals of the peer is lost."""
+CLOSE_SECONDS = 1.0
+"""Time in which a closed link may send what it still holds."""
 MAX_REASON_CHARACTERS = 200
 """Bound on the logged reason for which a peer's message is refused."""
 TOKEN_FLUSH_DELAY_SECONDS = 0.002
@@ -478,7 +480,7 @@
         while not self._closed:
             now = loop.time()
             if now - self._last_heard > timeout:
-                self.close()
+                self.abort()
                 return
             if now - self._last_sent >= self._heartbeat_seconds * 0.99:
                 self._send_heartbeat(now)
@@ -498,7 +500,10 @@
             self._write(messages.Heartbeat(), 0)
 
     def close(self) -> None:
-        """End the link immediately and notify every open exchange."""
+        """End the link immediately and notify every open exchange.
+
+        What the link still holds is sent if the peer reads it soon.
+        """
         if self._closed:
             return
         self._flush_runs()
@@ -506,6 +511,14 @@
         for exchange in list(self._exchanges.values()):
             exchange.put(None)
         self._writer.close()
+        if self._writer.transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_SECONDS, self._writer.transport.abort)
+
+    def abort(self) -> None:
+        """End the link without sending what it still holds: its peer has fallen silent."""
+        self.close()
+        self._writer.transport.abort()
 
 
 def try_send(channel: Exchange | Link, body: messages.Body) -> None:
--- a/tillerlane/peers/tests/test_link.py
+++ b/tillerlane/peers/tests/test_link.py
@@ -1,4 +1,4 @@
-"""A link that ends on a full send buffer doesn't send the message that it reports as lost."""
+"""Links whose peer reads too slowly, falls silent or sends what can't be decoded."""
 
 import asyncio
 import types
@@ -9,6 +9,7 @@
 
 from tillerlane.peers import codec, messages
 from tillerlane.peers import link as links
+from tillerlane.peers import node as nodes
 from tillerlane.testing import lab
 from tillerlane.timeline import clock as clocks
 
@@ -19,7 +20,9 @@
     def __init__(self, unsent: int) -> None:
         self.unsent = unsent
         self.written = b""
-        self.transport = types.SimpleNamespace(get_write_buffer_size=lambda: self.unsent)
+        self.transport = types.SimpleNamespace(
+            get_write_buffer_size=lambda: self.unsent, abort=lambda: None
+        )
 
     def write(self, data: bytes) -> None:
         """Buffer bytes; they are sent even if the connection is closed afterwards."""
@@ -81,6 +84,62 @@
         self.assertIn(b"subject", writer.written)
 
 
+class SilentPeerTest(unittest.IsolatedAsyncioTestCase):
+    """A peer says hello and then neither reads nor sends anything, without closing."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Say hello, and fall silent."""
+        self.connections.append(writer)
+        hello = messages.Hello("keeper-1", 1, "f", "10.0.0.1:7000", pace_ms=50)
+        frame = codec.encode(messages.Envelope(1, 1, 0, hello))
+        writer.write(len(frame).to_bytes(4) + frame)
+        reader._transport.pause_reading()  # type: ignore[attr-defined]
+
+    async def test_link_with_unsent_bytes_is_dialed_again_when_its_peer_falls_silent(self) -> None:
+        """Guards against waiting for ever to send what the peer does not read."""
+        self.connections: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        local = build_link(FullWriter(0))._local
+        ended: list[links.Link] = []
+        local.on_down = ended.append
+        node = nodes.Node(local)
+        peer = node.dial(address)
+        link = await peer.wait_link(1.0)
+        link.send(messages.Query("subject", "x" * (links.MAX_FRAME_BYTES - 1000)))
+        link.send(messages.Query("subject", "x" * (links.MAX_FRAME_BYTES - 1000)))
+        self.assertGreater(link._writer.transport.get_write_buffer_size(), 0)
+        async with asyncio.timeout(3.0):
+            while len(self.connections) < 2:
+                await asyncio.sleep(0.02)
+        self.assertIn(link, ended)
+        await node.close()
+        for writer in self.connections:
+            writer.transport.abort()
+        server.close()
+
+    async def test_closed_link_ends_though_its_peer_reads_nothing(self) -> None:
+        """Guards against links that were closed for another reason and never end."""
+        self.connections = []
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        local = build_link(FullWriter(0))._local
+        ended: list[links.Link] = []
+        local.on_down = ended.append
+        node = nodes.Node(local)
+        port = server.sockets[0].getsockname()[1]
+        link = await node.dial(f"127.0.0.1:{port}").wait_link(1.0)
+        for _ in range(2):
+            link.send(messages.Query("subject", "x" * (links.MAX_FRAME_BYTES - 1000)))
+        link.close()
+        async with asyncio.timeout(links.CLOSE_SECONDS + 1.0):
+            while link not in ended:
+                await asyncio.sleep(0.02)
+        await node.close()
+        for writer in self.connections:
+            writer.transport.abort()
+        server.close()
+
+
 class MalformedMessageTest(unittest.TestCase):
     """A peer sends a message that can't be decoded."""
 
--- a/tillerlane/testing/network.py
+++ b/tillerlane/testing/network.py
@@ -56,7 +56,10 @@
             await self.wait_open(name, other)
             await self.wait_open(other, name)
             reader, writer = await asyncio.open_connection(host, port, **extra)
-            return _Reader(self, reader, other, name), _Writer(self, writer, name, other)
+            held_reader = _Reader(self, reader, other, name)
+            held_writer = _Writer(self, writer, name, other)
+            held_writer.on_abort = held_reader.abort
+            return held_reader, held_writer
 
         return open_connection
 
@@ -70,8 +73,25 @@
         self._network = network
         self._reader = reader
         self._pair = (sender, receiver)
+        self._aborted = asyncio.Event()
+
+    def abort(self) -> None:
+        """End the connection at this side, whether or not its direction is cut."""
+        self._aborted.set()
 
     async def readexactly(self, count: int) -> bytes:
+        reading = asyncio.ensure_future(self._read_when_open(count))
+        aborted = asyncio.ensure_future(self._aborted.wait())
+        try:
+            await asyncio.wait({reading, aborted}, return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
+                raise EOFError
+            return reading.result()
+        finally:
+            reading.cancel()
+            aborted.cancel()
+
+    async def _read_when_open(self, count: int) -> bytes:
         await self._network.wait_open(*self._pair)
         data = await self._reader.readexactly(count)
         await self._network.wait_open(*self._pair)
@@ -89,7 +109,9 @@
         self._pair = (sender, receiver)
         self._held = bytearray()
         self._flushing: asyncio.Task[None] | None = None
-        self.transport = writer.transport
+        self.on_abort: Callable[[], None] = lambda: None
+        """Called when the connection is aborted at this side."""
+        self.transport = _Transport(self)
 
     def write(self, data: bytes) -> None:
         if not self._held and not self._network.is_cut(*self._pair):
@@ -106,6 +128,10 @@
         if not self._writer.is_closing():
             self._writer.write(data)
 
+    def get_unsent(self) -> int:
+        """Number of bytes that are not sent yet."""
+        return len(self._held) + self._writer.transport.get_write_buffer_size()
+
     def get_extra_info(self, name: str) -> Any:
         return self._writer.get_extra_info(name)
 
@@ -121,3 +147,18 @@
     async def _close_later(self) -> None:
         await self._network.wait_open(*self._pair)
         self._writer.close()
+
+
+class _Transport:
+    """The part of a transport's interface that links use."""
+
+    def __init__(self, writer: _Writer) -> None:
+        self._writer = writer
+
+    def get_write_buffer_size(self) -> int:
+        return self._writer.get_unsent()
+
+    def abort(self) -> None:
+        """End the connection at this side; the other one learns of it as after `close`."""
+        self._writer.close()
+        self._writer.on_abort()
