Repeat an order to copy a run while it is unanswered

What callers saw: nothing yet; found on the paths related to silent connections. A stream whose runner leaves is cut if the connection of the order to copy its run falls silent, although the copy was made in time.

Cause: the order waited 4 s for its answer, longer than a runner's notice (1.5 s at least), and was given up then; only orders to stop were repeated.

Evidence: CopyOrderTest fails before (stream cut when its runner ends 1.6 s after the notice) and passes now; test_moves passes as before. A repeated order is answered by "under way" or names the same copy, so that nothing is copied twice.

--- a/tillerlane/gateway/delivery/tests/test_silent_connections.py
+++ b/tillerlane/gateway/delivery/tests/test_silent_connections.py
@@ -7,8 +7,15 @@
 import asyncio
 from typing import Any
 
+from tillerlane.gateway import directory as directories
 from tillerlane.gateway.tests import test_handover
-from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
+from tillerlane.testing import (
+    caller,
+    gateway_lab,
+    gateway_scenes,
+    platform_runner,
+    silent_transport,
+)
 
 LENGTH = 120
 WORK_SECONDS = 0.5
@@ -192,6 +199,36 @@
         self.play(scene)
 
 
+class CopyOrderTest(SilentConnectionCase):
+    """The connection of an order to copy a run falls silent."""
+
+    def test_run_of_a_leaving_runner_is_moved_though_the_answer_is_lost(self) -> None:
+        """Guards against a run that ends with its runner, since its copy was never heard of."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners, call = await self.start_call(stage, "record")
+            move = runners[0]._move
+            lost_orders: list[dict[str, object]] = []
+
+            async def lose_first(order: dict[str, object], responder: Any) -> None:
+                if not lost_orders:
+                    lost_orders.append(order)
+                    silent_transport.detach(responder._connection)
+                await move(order, responder)
+
+            runners[0]._move = lose_first  # type: ignore[method-assign]
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(1.6)
+            runners[0].crash()
+            response = await call
+            self.assertEqual(len(lost_orders), 1)
+            self.assertTrue(response.is_whole)
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", LENGTH))
+            self.check_one_run_at_a_time(stage)
+
+        self.play(scene)
+
+
 class PlainTest(SilentConnectionCase):
     """Plain requests: a runner reports nothing of them, so that only time tells."""
 
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -24,6 +24,9 @@
 
 COPY_TIMEOUT_SECONDS = 4.0
 """Longest wait for a copy: twice the longest notice (2.1 s), after which the source has exited."""
+ANSWER_TIMEOUT_SECONDS = 0.8
+"""Time after which an unanswered order is repeated over another connection: the time that an answer
+takes on a day with many moves.  Two orders fit into the shortest notice (1.5 s)."""
 FULL_DESTINATION_DELAY_SECONDS = 0.8
 """Time after a runner's notice from which a destination that is full by this entry's count may be
 tried; the shortest notice is 1.5 s."""
@@ -37,6 +40,11 @@
 """Longest time for moving one run: a draining runner may continue to serve for seconds."""
 RETRY_DELAY_SECONDS = 0.1
 
+_CONCLUSIVE = frozenset(
+    (dialects.CopyOutcome.COPIED, dialects.CopyOutcome.NO_RUN, dialects.CopyOutcome.NO_ROOM)
+)
+"""Outcomes of a repeated order that hold for the first one too."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResumePoint:
@@ -342,9 +350,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         run.may_be_copying = True
-        result = await self._dialect.copy_run(
-            run.target.address, run.request_id, destination.address, COPY_TIMEOUT_SECONDS
-        )
+        result = await self._repeat_order(run, destination)
         run.may_be_copying = result.outcome.is_unanswered
         self._metrics.moves.labels(result.outcome.value).inc()
         self._timeline.record(
@@ -360,3 +366,35 @@
             tokens=run.tokens,
         )
         return result
+
+    async def _repeat_order(self, run: Run, destination: directories.Target) -> dialects.CopyResult:
+        """Order a copy, and repeat the order while it is unanswered.
+
+        The connection of an order may fall silent.  A runner that is still copying answers a
+        repeated order by saying so.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + COPY_TIMEOUT_SECONDS
+
+        def start_order() -> "asyncio.Task[dialects.CopyResult]":
+            return asyncio.ensure_future(
+                self._dialect.copy_run(
+                    run.target.address, run.request_id, destination.address, until - loop.time()
+                )
+            )
+
+        first = start_order()
+        orders = {first}
+        try:
+            while True:
+                done, orders = await asyncio.wait(
+                    orders, timeout=ANSWER_TIMEOUT_SECONDS, return_when=asyncio.FIRST_COMPLETED
+                )
+                for order in done:
+                    if order is first or order.result().outcome in _CONCLUSIVE:
+                        return order.result()
+                if not done:
+                    orders.add(start_order())
+        finally:
+            for order in orders:
+                order.cancel()
