Have the soak check repeated sends, and have open connections fall silent

Connections to targets, and between daemons, fall silent while new ones work, drawn from a generator of their own, so that the other faults of a seed stay the same.

--- a/tillerlane/testing/forwarder.py
+++ b/tillerlane/testing/forwarder.py
@@ -54,8 +54,11 @@
     caller: asyncio.StreamWriter
     upstream: asyncio.StreamWriter | None = None
     is_orphan: bool = False
+    is_silent: bool = False
+    """Carries nothing more, in either direction, while both connections stay open."""
 
     def reset(self) -> None:
+        self.is_silent = False
         for writer in (self.caller, self.upstream):
             if writer is not None:
                 writer.transport.abort()
@@ -111,6 +114,11 @@
             pair.is_orphan = True
             pair.caller.transport.abort()
 
+    def silence(self) -> None:
+        """Have all open connections carry nothing more, without an end; new ones work."""
+        for pair in list(self._pairs):
+            pair.is_silent = True
+
     def _block_connections(self, listener: socket.socket, is_blocked: bool) -> None:
         """Make new connections hang, as with lost packets, or accept them again."""
         loop = asyncio.get_running_loop()
@@ -175,6 +183,8 @@
         while True:
             data = await reader.read(CHUNK_BYTES)
             await self._wait_while(blocked_by)
+            while pair.is_silent:
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             if self._fault in _DELAYS:
                 await asyncio.sleep(self._rng.uniform(*_DELAYS[self._fault]))
             try:
--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -17,6 +17,8 @@
     "PlannedStop",
     "Serving",
     "check",
+    "is_excused",
+    "was_delayed",
 ]
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -60,6 +62,8 @@
         Number of the last event that its caller has of that stream.
     prompt : str
         Parts of its prompt, in the form of the platform's header.
+    wait_seconds : float
+        Time that its caller waits, as the request says.
     is_shed : bool
         Whether its connection may be one of those that an overloaded entry closed unread.
     has_left : bool
@@ -78,6 +82,7 @@
     has_left: bool = False
     connected_at: float = 0.0
     prompt: str = ""
+    wait_seconds: float = 10.0
     is_shed: bool = False
 
 
@@ -257,12 +262,12 @@
     if seen.planned_only and not is_revoked and not call.has_left:
         is_refused = response.status in NOT_RUN_STATUSES
         is_whole = response.status == 200 and response.is_whole
-        is_excused = (
+        has_excuse = (
             call.is_shed
             or _outlasted_stop(seen, call, runs)
             or _was_sent_to_stopping(seen, call, runs)
         )
-        if not is_refused and not is_whole and not is_excused:
+        if not is_refused and not is_whole and not has_excuse:
             at = f"{call.entry} from {call.sent_at:.2f} to {call.ended_at:.2f}"
             text = f"{call.route} was cut by planned work, status {response.status}"
             return [f"{name}: {text}, {at}; {_describe_entry(seen, call, runs)}"]
@@ -388,8 +393,8 @@
             run.began
             for run in seen.ran.get(announced.target_id, [])
             if announced.began + LIMIT_EFFECT_SECONDS <= run.began <= announced.ended
-            and not _is_excused(seen, entries.get(run.request_id, ""), run.began)
-            and not _was_delayed(seen, announced.target_id, run.began)
+            and not is_excused(seen, entries.get(run.request_id, ""), run.began)
+            and not was_delayed(seen, announced.target_id, run.began)
         ]
         peak = limit_scenes.count_peak(times)
         allowed = LIMIT_TOLERANCE_FACTOR * announced.limit * limit_scenes.WINDOW_SECONDS
@@ -415,8 +420,8 @@
                 for at, request_id in arrivals
                 if since < at < rejection.rejected_at + rejection.backoff
                 and entries.get(request_id) == entry
-                and not _is_excused(seen, entry, at)
-                and not _was_delayed(seen, target_id, at)
+                and not is_excused(seen, entry, at)
+                and not was_delayed(seen, target_id, at)
             ]
             if len(found) > MAX_REQUESTS_IN_BACKOFF:
                 text = f"asked {entry} for {rejection.backoff} s of back-off"
@@ -437,7 +442,7 @@
                 continue
             announced_at = announced_times.get(call.entry)
             is_late = announced_at is not None and call.sent_at > announced_at + drain_seconds
-            if is_late and not _is_excused(seen, call.entry, run.began):
+            if is_late and not is_excused(seen, call.entry, run.began):
                 text = f"got a request of {call.entry} sent at {call.sent_at:.2f}"
                 problems.append(f"{leaving.target_id}: {text}, leaving since {announced_at:.2f}")
             if run.ended == "whole" and call.response.status == 200 and call.response.is_whole:
@@ -445,14 +450,14 @@
     return problems
 
 
-def _is_excused(seen: Observations, entry: str, at: float) -> bool:
+def is_excused(seen: Observations, entry: str, at: float) -> bool:
     """Whether an entry was paused or has exited shortly before."""
     since = at - LIMIT_EFFECT_SECONDS
     paused = any(begin < at and end > since for begin, end in seen.entries_paused.get(entry, []))
     return paused or any(since < ended < at for ended in seen.entries_ended.get(entry, []))
 
 
-def _was_delayed(seen: Observations, target_id: str, at: float) -> bool:
+def was_delayed(seen: Observations, target_id: str, at: float) -> bool:
     """Whether a link fault may have delayed requests to a target so that they arrive together."""
     since = at - LIMIT_EFFECT_SECONDS
     return any(
--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -14,9 +14,10 @@
 import subprocess
 import sys
 
+from tillerlane.gateway import budget as budgets
 from tillerlane.testing import forwarder
 
-__all__ = ["BOUNDS", "ROOT", "Daemon", "PlatformFleet"]
+__all__ = ["BOUNDS", "RETRY_BOUNDS", "ROOT", "Daemon", "PlatformFleet"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PEER_PORT = 7000
@@ -38,6 +39,7 @@
 
 
 BOUNDS = Bounds()
+RETRY_BOUNDS = budgets.RetryBounds(ratio=0.2, window_seconds=10.0, allowance=54.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -227,7 +229,7 @@
 grace_s = {BOUNDS.grace}
 config_ms = {BOUNDS.config * 1000}
 revoke_ms = {BOUNDS.revoke * 1000}
-budget_ratio = 0.2
-budget_window_s = 10
-budget_slack = 54
+budget_ratio = {RETRY_BOUNDS.ratio}
+budget_window_s = {RETRY_BOUNDS.window_seconds}
+budget_slack = {RETRY_BOUNDS.allowance}
 """
--- a/tillerlane/testing/platform_record.py
+++ b/tillerlane/testing/platform_record.py
@@ -28,7 +28,7 @@
     backoff: float = 0.0
 
 
-_HEADERS = ("kv-from", "last-event-id", "kv-backup", "prompt-prefix")
+_HEADERS = ("kv-from", "last-event-id", "kv-backup", "prompt-prefix", "deadline-ms")
 
 
 class Writer:
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -29,6 +29,7 @@
     platform_fleet,
     platform_targets,
     poisoned_prompts,
+    repeats,
     resumed_streams,
     rushes,
 )
@@ -64,6 +65,8 @@
 """Minimum time between two wipes, so that a keeper catches up before the next one is wiped."""
 POISON_PAUSE_SECONDS = (1.0, 8.0)
 """Pause between two parts of prompts that begin to end runners."""
+SILENCE_PAUSE_SECONDS = (1.0, 4.0)
+"""Pause between connections that fall silent."""
 RUSH_PAUSE_SECONDS = (4.0, 8.0)
 RUSH_SECONDS = 5.0
 """How long the load balancer hands all new connections to one entry."""
@@ -141,6 +144,7 @@
         self._release_rng = random.Random(f"releases of {seed}")
         self._prompts = poisoned_prompts.Prompts(random.Random(f"prompts of {seed}"))
         self._rush_rng = random.Random(f"rushes of {seed}")
+        self._silence_rng = random.Random(f"silent connections of {seed}")
         self._has_rushes = seed % 2 == 1
         self._has_poison = seed % 2 == 1 and not self.seen.planned_only
         self._rush_entry = ""
@@ -231,6 +235,7 @@
                 call.request_id,
                 method=b"GET" if is_read else b"POST",
                 body=b"" if is_read else b"body",
+                wait_ms=int(call.wait_seconds * 1000),
                 leave_after=leave_after,
                 **headers,
             )
@@ -334,6 +339,18 @@
             self.done["rush"] = len(self.rushes)
             await asyncio.gather(*tasks)
 
+    async def _silence_connections(self) -> None:
+        """Have open connections carry nothing more, of a target or between daemons."""
+        kinds = ["target"] if self._targets_only else ["target", "link"]
+        while not self._stopping.is_set():
+            await asyncio.sleep(self._silence_rng.uniform(*SILENCE_PAUSE_SECONDS))
+            kind = self._silence_rng.choice(kinds)
+            self.done[f"silent {kind}"] = self.done.get(f"silent {kind}", 0) + 1
+            if kind == "target":
+                await self.targets.silence_connections(self._silence_rng)
+            else:
+                self._silence_rng.choice(list(self.fleet.daemons.values())).proxy.silence()
+
     async def _release_versions(self) -> None:
         """Have runners of several software versions serve side by side."""
         operations = [self.targets.release]
@@ -520,6 +537,8 @@
             work.append(self._release_versions())
             if self._has_poison:
                 work.append(self._poison_prompts())
+            if not self.seen.planned_only:
+                work.append(self._silence_connections())
             if self._has_rushes:
                 work.append(self._rush())
             work += [self._send_calls() for _ in range(16)]
@@ -543,6 +562,7 @@
         bounds = platform_fleet.BOUNDS
         problems = platform_checker.check(self.seen, bounds.drain, bounds.revoke)
         problems += resumed_streams.check(self.seen)
+        problems += repeats.check(self.seen, platform_fleet.RETRY_BOUNDS)
         problems += poisoned_prompts.check(self.seen, self._prompts.poison)
         return problems + rushes.check(self.seen, self.rushes)
 
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -345,10 +345,18 @@
             if target.heartbeats is not None:
                 target.heartbeats.cancel()
 
-    def _pick_target(self, pool: str = "") -> Target:
+    def _list_running(self, pool: str = "", state: str = "") -> list[Target]:
         running = [item for item in self._targets.values() if item.is_running]
-        candidates = [item for item in running if pool in ("", item.pool)]
-        return self._rng.choice(candidates)
+        return [item for item in running if pool in ("", item.pool) and state in ("", item.state)]
+
+    async def _wait_for_running(self, pool: str = "", state: str = "") -> list[Target]:
+        """Wait until a target runs: on a busy host, all of a pool may be starting."""
+        while not (found := self._list_running(pool, state)):
+            await asyncio.sleep(START_CHECK_SECONDS)
+        return found
+
+    async def _pick_target(self, pool: str = "") -> Target:
+        return self._rng.choice(await self._wait_for_running(pool))
 
     # Poison parts of prompts
 
@@ -379,12 +387,12 @@
 
     async def drain(self) -> None:
         """Start a new target, then drain and end another one of the same pool."""
-        await self._drain(self._pick_target())
+        await self._drain(await self._pick_target())
 
     async def drain_runner(self) -> None:
         """Drain a runner, so that its runs are handed over, if one is running."""
-        if any(item.is_running and item.pool == "llm" for item in self._targets.values()):
-            await self._drain(self._pick_target("llm"))
+        if self._list_running("llm"):
+            await self._drain(await self._pick_target("llm"))
 
     async def _drain(self, target: Target) -> None:
         await self.add(target.pool, target.software_version)
@@ -426,7 +434,7 @@
 
     async def name_limit(self, rng: random.Random) -> None:
         """Have a target of the plain service announce a limit for a while."""
-        found = [item for item in self._targets.values() if item.is_running and item.pool == "app"]
+        found = await self._wait_for_running("app")
         target, limit = rng.choice(found), rng.choice(ANNOUNCED_LIMITS)
         starts = target.record.starts
         target.switch(platform_target.Switches({"limit": limit}))
@@ -444,7 +452,7 @@
 
     async def ask_backoff(self, rng: random.Random) -> None:
         """Have a target reject all requests for a while, and request back-off."""
-        target = rng.choice([item for item in self._targets.values() if item.is_running])
+        target = rng.choice(await self._wait_for_running())
         backoff = rng.choice(BACKOFFS)
         target.switch(platform_target.Switches({"refuses": True, "backoff": backoff}))
         await asyncio.sleep(rng.uniform(*BACKOFF_SECONDS))
@@ -453,10 +461,7 @@
 
     async def leave_by_answers(self, rng: random.Random) -> None:
         """Start a new target; another one announces in responses only that it leaves, and ends."""
-        ready = [
-            item for item in self._targets.values() if item.is_running and item.state == "ready"
-        ]
-        target = rng.choice(ready)
+        target = rng.choice(await self._wait_for_running(state="ready"))
         target.state = "leaving by answers"
         target.stop_serving()
         await self.add(target.pool, target.software_version)
@@ -472,14 +477,14 @@
     # Faults
     async def crash(self) -> None:
         """Crash a target and start a replacement."""
-        target = self._pick_target()
+        target = await self._pick_target()
         self.end(target)
         await asyncio.sleep(self._rng.uniform(0.1, 2.0))
         await self.add(target.pool, target.software_version)
 
     async def replace_software(self, rng: random.Random) -> None:
         """Crash a runner, and start one with another id and version at its address."""
-        found = [item for item in self._targets.values() if item.is_running and item.pool == "llm"]
+        found = await self._wait_for_running("llm")
         target = rng.choice(found)
         self.end(target)
         await asyncio.sleep(rng.uniform(0.0, 0.5))
@@ -489,7 +494,7 @@
 
     async def start_again(self) -> None:
         """Crash a target and restart it under the same id."""
-        target = self._pick_target()
+        target = await self._pick_target()
         if target.state != "ready":
             return
         target.kill()
@@ -499,7 +504,7 @@
 
     async def pause(self) -> None:
         """Suspend a target's process for a while."""
-        target = self._pick_target()
+        target = await self._pick_target()
         with self._record_link_fault(target):
             target.is_paused = True
             target.send(signal.SIGSTOP)
@@ -509,7 +514,7 @@
 
     async def harm_way(self) -> None:
         """Inject a link fault in front of a target."""
-        await self._inject_link_fault(self._pick_target())
+        await self._inject_link_fault(await self._pick_target())
 
     async def _inject_link_fault(self, target: Target) -> None:
         with self._record_link_fault(target):
@@ -530,7 +535,7 @@
 
     async def break_connections(self) -> None:
         """Break the connections to a runner; new ones can be established."""
-        self._break_connections(self._pick_target("llm"))
+        self._break_connections(await self._pick_target("llm"))
 
     def _break_connections(self, target: Target) -> None:
         if self._rng.random() < 0.5:
@@ -538,9 +543,13 @@
         else:
             target.switch(platform_target.Switches(resets=True))
 
+    async def silence_connections(self, rng: random.Random) -> None:
+        """Have the open connections to a target carry nothing more; new ones work."""
+        rng.choice(await self._wait_for_running()).proxy.silence()
+
     async def misbehave(self) -> None:
         """Have a target respond wrongly, late or not at all for a while."""
-        await self._misbehave(self._pick_target(), self._rng.choice(TARGET_FAULTS))
+        await self._misbehave(await self._pick_target(), self._rng.choice(TARGET_FAULTS))
 
     async def _misbehave(self, target: Target, fields: dict[str, Any]) -> None:
         """Set attributes of a target for a while, then reset them to empty values."""
@@ -551,7 +560,7 @@
 
     async def leave_badly(self) -> None:
         """Drain a runner while it, the link to it or the remaining runners have faults."""
-        leaving = self._pick_target("llm")
+        leaving = await self._pick_target("llm")
         await self.add("llm", leaving.software_version)
         if leaving.state != "ready":
             return
