Give restarted entries no part of the retry allowance for a window

Cause: an entry keeps its window of repeats in memory, and a process that starts took its share of the fixed allowance again although the former one had used it seconds before.

Why it works: whatever the former process used lies within the window before the start, so that the share is used once in any window. Only the ratio of requests that the new process has had itself is used at once.

--- /dev/null
+++ b/tillerlane/decisions/retrying.py
@@ -0,0 +1,34 @@
+"""How many sends beyond a request's first an entry may make, of what the fleet may make together.
+
+The fleet is allowed, in any window, a ratio of the requests plus a fixed allowance.  Entries keep
+to shares of it that add up to less, although each knows only its own requests, and of the others
+only how many they are said to be.
+"""
+
+__all__ = ["compute_share"]
+
+SAFETY_FACTOR = 0.7
+"""Part of the bound that is used: the number of entries lags, and callers spread unevenly."""
+
+
+def compute_share(
+    ratio: float, allowance: float, requests: int, entries: int, *, has_full_window: bool
+) -> float:
+    """Compute how many retries an entry may make within a window.
+
+    Parameters
+    ----------
+    ratio, allowance : float
+        What the fleet is allowed.
+    requests : int
+        The entry's own requests in the window.
+    entries : int
+        Number of entries; 0 if unknown, which leaves no allowance.
+    has_full_window : bool
+        Whether the entry has run for a whole window.  An earlier process of it, or the entry that
+        it replaces, may have used the allowance before.
+    """
+    share = SAFETY_FACTOR * ratio * requests
+    if entries and has_full_window:
+        share += SAFETY_FACTOR * allowance / entries
+    return share
--- a/tillerlane/gateway/budget.py
+++ b/tillerlane/gateway/budget.py
@@ -6,11 +6,11 @@
 
 import collections
 import dataclasses
+import math
 
-__all__ = ["RetryBounds", "RetryBudget"]
+from tillerlane.decisions import retrying
 
-SAFETY_FACTOR = 0.7
-"""Part of the bound that is used: the number of entries lags, and callers spread unevenly."""
+__all__ = ["RetryBounds", "RetryBudget"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,15 +46,20 @@
         The fleet's bound.
     entries : int
         Entries that share the allowance; 0 if unknown, which leaves none of it.
+    started_at : float
+        Time at which the entry's process started.
 
     Attributes
     ----------
     entries : int
-        The same, as last reported.
+        Number of entries as last reported.
     """
 
-    def __init__(self, bounds: RetryBounds, entries: int = 1) -> None:
+    def __init__(
+        self, bounds: RetryBounds, entries: int = 1, started_at: float = -math.inf
+    ) -> None:
         self._bounds = bounds
+        self._started_at = started_at
         self.entries = entries
         self._requests: dict[str, _Window] = collections.defaultdict(_Window)
         self._retries: dict[str, _Window] = collections.defaultdict(_Window)
@@ -71,8 +76,13 @@
         """Whether the budget allows a retry now."""
         bounds = self._bounds
         since = now - bounds.window_seconds
-        allowance = bounds.allowance / self.entries if self.entries else 0.0
-        max_retries = SAFETY_FACTOR * (bounds.ratio * self._requests[pool].count(since) + allowance)
+        max_retries = retrying.compute_share(
+            bounds.ratio,
+            bounds.allowance,
+            self._requests[pool].count(since),
+            self.entries,
+            has_full_window=self._started_at <= since,
+        )
         return self._retries[pool].count(since) + 1 <= max_retries
 
     def try_acquire(self, pool: str, now: float) -> bool:
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -106,7 +106,9 @@
         self.directory = directories.Directory()
         self.usage = usages.Usage(settings.name)
         self._reports = keeper_reports.KeeperReports(lambda: self.homes)
-        self._budget = budgets.RetryBudget(settings.retries, entries=0)
+        self._budget = budgets.RetryBudget(
+            settings.retries, entries=0, started_at=self._loop.time()
+        )
         self.limits = limits.Limits()
         self.permits = permits.Permits(settings.name, self.limits, self._loop.time)
         self.permits.request_grants = self._reports.request_permits
