Share the retry allowance between the most entries of the last minute

What callers saw: nothing known; one of three ways found in which repeats exceed the bound.

Cause: the last keeper's answer said how many entries share the allowance. A keeper that is cut off or has just started knows only some of them, while the others go on using their shares.

Why it works: a number that falls counts only after six windows, longer than the cuts that a fleet has to bear; one that rises counts at once.

--- a/tillerlane/decisions/retrying.py
+++ b/tillerlane/decisions/retrying.py
@@ -23,7 +23,7 @@
     requests : int
         The entry's own requests in the window.
     entries : int
-        Number of entries; 0 if unknown, which leaves no allowance.
+        Largest number of entries that there may be; 0 if unknown, which leaves no allowance.
     has_full_window : bool
         Whether the entry has run for a whole window.  An earlier process of it, or the entry that
         it replaces, may have used the allowance before.
--- a/tillerlane/gateway/budget.py
+++ b/tillerlane/gateway/budget.py
@@ -12,6 +12,10 @@
 
 __all__ = ["RetryBounds", "RetryBudget"]
 
+COUNT_RETENTION_WINDOWS = 6
+"""Windows for which the largest number of entries counts.  A keeper that is cut off or has just
+started knows only some of the entries, while the others go on using their shares."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryBounds:
@@ -61,9 +65,25 @@
         self._bounds = bounds
         self._started_at = started_at
         self.entries = entries
+        self._counts: collections.deque[tuple[float, int]] = collections.deque()
+        """Reported numbers of entries, and since when; each is larger than those after it."""
         self._requests: dict[str, _Window] = collections.defaultdict(_Window)
         self._retries: dict[str, _Window] = collections.defaultdict(_Window)
 
+    def record_entries(self, number: int, now: float) -> None:
+        """Record a reported number of entries."""
+        self.entries = number
+        while self._counts and self._counts[-1][1] <= number:
+            self._counts.pop()
+        self._counts.append((now, number))
+
+    def _compute_entries(self, now: float) -> int:
+        """Largest number of entries of late, or the last reported one."""
+        since = now - COUNT_RETENTION_WINDOWS * self._bounds.window_seconds
+        while len(self._counts) > 1 and self._counts[1][0] < since:
+            self._counts.popleft()
+        return max(self.entries, self._counts[0][1] if self._counts else 0)
+
     def record_request(self, pool: str, now: float) -> None:
         """Count a request for a pool."""
         self._requests[pool].add(now)
@@ -80,7 +100,7 @@
             bounds.ratio,
             bounds.allowance,
             self._requests[pool].count(since),
-            self.entries,
+            self._compute_entries(now),
             has_full_window=self._started_at <= since,
         )
         return self._retries[pool].count(since) + 1 <= max_retries
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -444,7 +444,7 @@
         return fresh
 
     def _set_entry_count(self, number: int) -> None:
-        self._budget.entries = number
+        self._budget.record_entries(number, self._loop.time())
         self.usage.entries = number
         self.permits.entries = number
         self.origins.set_entry_count(number)
--- a/tillerlane/gateway/tests/test_budget.py
+++ b/tillerlane/gateway/tests/test_budget.py
@@ -1,6 +1,7 @@
 """The retry budget of all entries together, whatever becomes of single ones.
 
-Guards against repeats beyond the bound after an entry has started again.
+Guards against repeats beyond the bound after an entry has started again, and while entries know
+only some of the others.
 """
 
 import dataclasses
@@ -38,14 +39,14 @@
         """Replace an entry by one that has just started."""
         entries = self.budgets[number].entries
         self.budgets[number] = budgets.RetryBudget(BOUNDS, entries=0, started_at=self.now)
-        self.budgets[number].entries = entries
+        self.budgets[number].record_entries(entries, self.now)
 
 
 def build_fleet(entries: int) -> Fleet:
     """Build a fleet of entries that know of each other."""
     fleet = Fleet([budgets.RetryBudget(BOUNDS, entries=0) for _ in range(entries)])
     for budget in fleet.budgets:
-        budget.entries = entries
+        budget.record_entries(entries, 0.0)
     return fleet
 
 
@@ -83,16 +84,34 @@
 
                 self.play(fleet, 20.0, lambda number, elapsed: 5.5, change)
 
+    def test_entries_that_know_only_some_of_the_others(self) -> None:
+        fleet = build_fleet(4)
+
+        def change(elapsed: float) -> None:
+            if 2.0 <= elapsed < 20.0:
+                for budget in fleet.budgets:
+                    budget.record_entries(1, fleet.now)
+
+        self.play(fleet, 30.0, lambda number, elapsed: 5.5, change)
+
     def test_new_entries_join(self) -> None:
         fleet = build_fleet(2)
 
         def change(elapsed: float) -> None:
             if elapsed >= 4.0 and len(fleet.budgets) < 6:
                 joined = budgets.RetryBudget(BOUNDS, entries=0, started_at=fleet.now)
-                joined.entries = 1
+                joined.record_entries(1, fleet.now)
                 fleet.budgets.append(joined)
             if elapsed >= 5.0:
                 for budget in fleet.budgets:
-                    budget.entries = len(fleet.budgets)
+                    budget.record_entries(len(fleet.budgets), fleet.now)
 
         self.play(fleet, 25.0, lambda number, elapsed: 5.5, change)
+
+    def test_smaller_fleet_gets_the_whole_allowance_in_the_end(self) -> None:
+        budget = budgets.RetryBudget(BOUNDS, entries=0)
+        budget.record_entries(4, 0.0)
+        budget.record_entries(1, 1.0)
+        until = budgets.COUNT_RETENTION_WINDOWS * BOUNDS.window_seconds
+        self.assertEqual(sum(budget.try_acquire("pool", until - 1) for _ in range(60)), 9)
+        self.assertEqual(sum(budget.try_acquire("pool", until + 20) for _ in range(60)), 36)
