Let entries repeat half of the allowed ratio of their requests

What callers saw: nothing known; one of three ways found in which repeats exceed the bound.

Cause: an entry repeats a share of its own requests of the window before. The windows of two entries' last repeats may be disjoint, so that together they repeat 0.7 of the ratio of two windows' requests, while the fleet may repeat the ratio of the fuller one.

Why it works: the windows of all repeats in one window lie within two windows, and half of the ratio of both is at most the ratio of the fuller one.

--- a/tillerlane/decisions/retrying.py
+++ b/tillerlane/decisions/retrying.py
@@ -1,14 +1,17 @@
 """How many sends beyond a request's first an entry may make, of what the fleet may make together.
 
-The fleet is allowed, in any window, a ratio of the requests plus a fixed allowance.  Entries keep
-to shares of it that add up to less, although each knows only its own requests, and of the others
-only how many they are said to be.
+The fleet is allowed, in any window, a ratio of the requests of that window or of an earlier one,
+whichever has most, plus a fixed allowance.  Entries keep to shares of it that add up to less,
+although each knows only its own requests, and of the others only how many they are said to be.
 """
 
 __all__ = ["compute_share"]
 
-SAFETY_FACTOR = 0.7
-"""Part of the bound that is used: the number of entries lags, and callers spread unevenly."""
+RATIO_SHARE = 0.5
+"""Share of the ratio in use.  The windows of two entries' last retries may be disjoint: together
+they hold the requests of two windows, while the fleet is allowed a ratio of one."""
+ALLOWANCE_SHARE = 0.7
+"""Share of the allowance in use; the rest is for sends that arrive late."""
 
 
 def compute_share(
@@ -28,7 +31,7 @@
         Whether the entry has run for a whole window.  An earlier process of it, or the entry that
         it replaces, may have used the allowance before.
     """
-    share = SAFETY_FACTOR * ratio * requests
+    share = RATIO_SHARE * ratio * requests
     if entries and has_full_window:
-        share += SAFETY_FACTOR * allowance / entries
+        share += ALLOWANCE_SHARE * allowance / entries
     return share
--- a/tillerlane/gateway/tests/test_budget.py
+++ b/tillerlane/gateway/tests/test_budget.py
@@ -1,7 +1,7 @@
 """The retry budget of all entries together, whatever becomes of single ones.
 
-Guards against repeats beyond the bound after an entry has started again, and while entries know
-only some of the others.
+Guards against repeats beyond the bound after an entry has started again, while entries know only
+some of the others, and when demand moves between them.
 """
 
 import dataclasses
@@ -94,6 +94,21 @@
 
         self.play(fleet, 30.0, lambda number, elapsed: 5.5, change)
 
+    def test_demand_that_moves_from_one_entry_to_another(self) -> None:
+        fleet = build_fleet(2)
+
+        def rate(number: int, elapsed: float) -> float:
+            return 45.0 if number == int(elapsed / 10.0) % 2 else 0.0
+
+        # The first entry's targets fail only just before demand moves.
+        fleet.budgets[0].try_acquire, kept = lambda pool, now: False, fleet.budgets[0].try_acquire
+
+        def change(elapsed: float) -> None:
+            if elapsed >= 8.0:
+                fleet.budgets[0].try_acquire = kept
+
+        self.play(fleet, 18.0, rate, change)
+
     def test_new_entries_join(self) -> None:
         fleet = build_fleet(2)
 
