Count the repeat of a broken stream before its memory is reserved

What callers saw: nothing known; one of four ways found in which repeats exceed the bound.

Cause: a stream that breaks off checked the retry budget, then waited for a reservation at another runner, and was counted when it was sent. Streams that break off together were all checked before any was counted.

Evidence: BrokenStreamsTest fails before: 46 streams of a runner that exits are sent again where the budget has room for 39.

Why it works: checking and counting are one step without a wait between them.

--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streams.py
@@ -383,7 +383,8 @@
             target = self._selector.choose(
                 admission.pool, admission.work, tried, software_version=version
             )
-            if target is None or not self._budget.can_acquire(
+            # Counted before it is sent: other streams may wait for a reservation meanwhile.
+            if target is None or not self._budget.try_acquire(
                 admission.pool.name, self._loop.time()
             ):
                 return False
@@ -415,7 +416,6 @@
                 last_event_id=stream.last_event_id,
                 hold=hold.id if hold is not None else "",
             )
-            self._budget.record_retry(admission.pool.name, self._loop.time())
             outcome = await self._continue_on(stream, target, plan, None)
             stream.runs_started += not isinstance(outcome, refusals.NotRun)
             return outcome
--- a/tillerlane/gateway/tests/test_repeats.py
+++ b/tillerlane/gateway/tests/test_repeats.py
@@ -1,6 +1,7 @@
-"""Repeats at one pool of a fleet whose entries are restarted.
+"""Repeats at one pool: of a fleet whose entries are restarted, and of streams that break off.
 
-Guards against repeats beyond the bound: a restarted entry forgets what it has repeated.
+Guards against repeats beyond the bound: a restarted entry forgets what it has repeated, and streams
+that break off together find the same part of the budget free.
 """
 
 import asyncio
@@ -56,3 +57,34 @@
             await asyncio.sleep(0.1)
         await asyncio.gather(*calls, return_exceptions=True)
         return sent_at
+
+
+class BrokenStreamsTest(gateway_scenes.GatewayCase):
+    """A runner exits under many streams, each of which may be continued in a new run."""
+
+    def test_streams_that_break_off_together_stay_within_the_budget(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            daemon = stage.entries["entry-1"]
+            first = await stage.add_runner("t1", "llm", length=200)
+            await asyncio.sleep(5.0)
+            fields = {"Token_Counts": "100,40", "Model": "m"}
+            calls = [
+                asyncio.create_task(stage.call("entry-1", "verdict", f"r{number}", **fields))
+                for number in range(46)
+            ]
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=200)
+            await asyncio.sleep(0.2)
+
+            async def take_slowly(admission: object, target: object) -> None:
+                """Reserve no memory, after the time that a runner takes to answer."""
+                await asyncio.sleep(0.1)
+
+            daemon._relay._streams._reservations.take_if_needed = take_slowly
+            self.assertEqual(len(first.ran), 46)
+            first.crash()
+            await asyncio.gather(*calls)
+            # 0.1 of 46 requests, and 0.7 of the allowance.
+            self.assertEqual(len(second.ran), 39)
+
+        self.play(scene)
