Give entries a small part of the retry allowance in their first window

Change: an entry may use 0.2 of its share of the allowance in its first window, from 2 s on, when it knows the other entries. Together with the 0.7 that a former process may have used, this stays below the whole allowance.

Evidence: test_streams passes again; test_budget and test_repeats hold as before.

--- a/tillerlane/decisions/retrying.py
+++ b/tillerlane/decisions/retrying.py
@@ -11,11 +11,17 @@
 """Share of the ratio in use.  The windows of two entries' last retries may be disjoint: together
 they hold the requests of two windows, while the fleet is allowed a ratio of one."""
 ALLOWANCE_SHARE = 0.7
-"""Share of the allowance in use; the rest is for sends that arrive late."""
+"""Share of the allowance in use."""
+FIRST_WINDOW_SHARE = 0.2
+"""Share of it for entries that have run for less than a window, together with `ALLOWANCE_SHARE`
+below the whole: an earlier process of such an entry, or the entry that it replaces, may have used
+its own share just before."""
+SETTLING_WINDOWS = 0.2
+"""Time after its start, in windows, in which an entry may know only some of the others."""
 
 
 def compute_share(
-    ratio: float, allowance: float, requests: int, entries: int, *, has_full_window: bool
+    ratio: float, allowance: float, requests: int, entries: int, windows: float
 ) -> float:
     """Compute how many retries an entry may make within a window.
 
@@ -27,11 +33,11 @@
         The entry's own requests in the window.
     entries : int
         Largest number of entries that there may be; 0 if unknown, which leaves no allowance.
-    has_full_window : bool
-        Whether the entry has run for a whole window.  An earlier process of it, or the entry that
-        it replaces, may have used the allowance before.
+    windows : float
+        Time since the entry's process started, in windows.
     """
     share = RATIO_SHARE * ratio * requests
-    if entries and has_full_window:
-        share += ALLOWANCE_SHARE * allowance / entries
+    if entries and windows >= SETTLING_WINDOWS:
+        allowance_share = ALLOWANCE_SHARE if windows >= 1 else FIRST_WINDOW_SHARE
+        share += allowance_share * allowance / entries
     return share
--- a/tillerlane/gateway/budget.py
+++ b/tillerlane/gateway/budget.py
@@ -101,7 +101,7 @@
             bounds.allowance,
             self._requests[pool].count(since),
             self._compute_entries(now),
-            has_full_window=self._started_at <= since,
+            (now - self._started_at) / bounds.window_seconds,
         )
         return self._retries[pool].count(since) + 1 <= max_retries
 
