Start a keeper that was killed while it replaced a file of its log

Cause: a leftover NAME.new of a replaced segment was taken for a segment, and its name for a number; the error ended the process without a reason of its own.

The three new tests of test_storage fail before: leftovers of every file, unknown names, files cut at every byte.

Why it works: only log-NUMBER is a segment. A leftover was never in force, as it replaces a file by its renaming, so that it is removed at the start, with a log line.

--- a/tillerlane/keeper/disk.py
+++ b/tillerlane/keeper/disk.py
@@ -8,7 +8,10 @@
 import pathlib
 from collections.abc import Callable
 
-__all__ = ["Disk", "open_folder"]
+__all__ = ["UNFINISHED_SUFFIX", "Disk", "open_folder"]
+
+UNFINISHED_SUFFIX = ".new"
+"""End of the name of a file that is written before it replaces another one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
             return None
 
     def replace(name: str, data: bytes) -> None:
-        temporary = root / f"{name}.new"
+        temporary = root / f"{name}{UNFINISHED_SUFFIX}"
         with open(temporary, "wb") as file:
             file.write(data)
             file.flush()
--- a/tillerlane/keeper/storage.py
+++ b/tillerlane/keeper/storage.py
@@ -12,17 +12,20 @@
 ``snapshot``
     Index and term of an entry, and the state after it.
 
-A torn last record is truncated.  A bad record followed by good ones means that the disk lost synced
-data; the keeper then refuses to start.
+Any other file is left alone, but for those that a crash left while a file was being replaced, which
+are removed.  A torn last record is truncated.  A bad record followed by good ones means that the
+disk lost synced data; the keeper then refuses to start.
 """
 
 import dataclasses
+import re
 import secrets
 import struct
 import zlib
 from collections.abc import Callable
 
 import msgspec
+import structlog
 
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
@@ -44,6 +47,7 @@
 _VOTE = "vote"
 _SNAPSHOT = "snapshot"
 _LOG_PREFIX = "log-"
+_LOG_NAME = re.compile(r"log-[0-9]{1,20}")
 
 
 class _Identity(msgspec.Struct):
@@ -143,6 +147,7 @@
         self.truncated_bytes = 0
         """Bytes of a torn last record that were truncated when the log was loaded."""
         try:
+            self._remove_unfinished()
             self.disk_id = self._load_identity(keeper)
             self._load_vote()
             self._load_snapshot()
@@ -152,10 +157,17 @@
 
     # Reading
 
+    def _remove_unfinished(self) -> None:
+        """Remove what a crash left of files that were being replaced; it was not in force yet."""
+        for name in self._disk.list_names():
+            if name.endswith(disks.UNFINISHED_SUFFIX):
+                self._disk.remove(name)
+                structlog.get_logger().warning("disk.unfinished", name=name)
+
     def _load_identity(self, keeper: str) -> str:
         data = self._disk.read(_IDENTITY)
         if data is None:
-            if any(name.startswith(_LOG_PREFIX) for name in self._disk.list_names()):
+            if self._list_segments():
                 raise _build_damaged(_IDENTITY, "is missing beside a log")
             identity = _Identity(keeper, secrets.token_hex(8), FORMAT)
             self._disk.replace(_IDENTITY, _add_checksum(msgspec.json.encode(identity)))
@@ -179,6 +191,8 @@
         data = self._disk.read(_SNAPSHOT)
         if data is None:
             return
+        if len(data) < _HEADER.size:
+            raise _build_damaged(_SNAPSHOT, "header is torn")
         magic, version = _HEADER.unpack_from(data)
         if (magic, version) != (_MAGIC_SNAPSHOT, FORMAT):
             raise _build_damaged(_SNAPSHOT, f"got {magic!r} format {version}")
@@ -186,10 +200,14 @@
         index, term = struct.unpack_from(">QQ", payload)
         self.snapshot = Snapshot(index, term, payload[16:])
 
+    def _list_segments(self) -> list[str]:
+        """Names of the log's segments, in order."""
+        names = [name for name in self._disk.list_names() if _LOG_NAME.fullmatch(name)]
+        return sorted(names, key=lambda name: int(name.removeprefix(_LOG_PREFIX)))
+
     def _load_log(self) -> str:
         """Load all segments in order, and return the name of the last."""
-        names = [name for name in self._disk.list_names() if name.startswith(_LOG_PREFIX)]
-        names.sort(key=lambda name: int(name.removeprefix(_LOG_PREFIX)))
+        names = self._list_segments()
         for position, name in enumerate(names):
             self._load_segment(name, is_last=position == len(names) - 1)
         if names:
@@ -325,7 +343,7 @@
         kept: list[messages.LogEntry] = []
         if self.get_term(snapshot.last_index) == snapshot.last_term:
             kept = self.entries[snapshot.last_index - self.snapshot.last_index :]
-        old = [name for name in self._disk.list_names() if name.startswith(_LOG_PREFIX)]
+        old = self._list_segments()
         segment = self._open_segment_after(snapshot, kept)
         for name in old:
             if name != segment:
--- a/tillerlane/keeper/tests/test_storage.py
+++ b/tillerlane/keeper/tests/test_storage.py
@@ -3,6 +3,8 @@
 import errno
 import unittest
 
+from structlog import testing
+
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.keeper import storage as storages
@@ -67,6 +69,46 @@
             self.assertIn("bad record", self.check_refused())
             self.disk.corrupt_byte(name, position)
 
+    def test_kill_while_any_file_is_replaced_does_not_stop_the_keeper(self) -> None:
+        """Guards against a keeper that ends at every start over a file that never was in force."""
+        self.storage.append([build_entry(1), build_entry(2)])
+        self.storage.save_vote(7, "keeper-3")
+        snapshot = storages.Snapshot(1, 1, b"state")
+        self.storage.save_snapshot(snapshot)
+        kept = dict(self.disk.files)
+        for name in ("identity", "vote", "snapshot", "log-2", "log-226", "log-1"):
+            for content in (b"", b"TLLG\0", bytes(kept.get(name, b"TLLG"))):
+                with self.subTest(name=name, content=content[:8]):
+                    self.disk.files = {**kept, f"{name}.new": bytearray(content)}
+                    with testing.capture_logs() as logs:
+                        reopened = self.open()
+                    self.assertEqual((reopened.last_index, reopened.snapshot), (2, snapshot))
+                    self.assertEqual((reopened.term, reopened.voted_for), (7, "keeper-3"))
+                    self.assertEqual(self.disk.files, kept)
+                    self.assertEqual([line["name"] for line in logs], [f"{name}.new"])
+
+    def test_unknown_files_are_left_alone(self) -> None:
+        self.storage.append([build_entry(1)])
+        for name in ("log-", "log-x", "log-1.old", "log-1~", "lost+found", "snapshot.bak"):
+            self.disk.files[name] = bytearray(b"unknown")
+        reopened = self.open()
+        self.assertEqual(reopened.entries, [build_entry(1)])
+        reopened.append([build_entry(2)])
+        reopened.save_snapshot(storages.Snapshot(2, 1, b"state"))
+        self.assertEqual(self.open().last_index, 2)
+        self.assertEqual(self.disk.files["log-x"], b"unknown")
+
+    def test_files_cut_short_stop_the_keeper_with_a_reason(self) -> None:
+        self.storage.append([build_entry(1), build_entry(2)])
+        self.storage.save_vote(7, "keeper-3")
+        self.storage.save_snapshot(storages.Snapshot(1, 1, b"state"))
+        for name in ("identity", "vote", "snapshot"):
+            complete = bytes(self.disk.files[name])
+            for size in range(len(complete)):
+                self.disk.files[name] = bytearray(complete[:size])
+                self.assertIn(name, self.check_refused())
+            self.disk.files[name] = bytearray(complete)
+
     def test_damaged_vote_and_snapshot_stop_the_keeper(self) -> None:
         self.storage.append([build_entry(1)])
         self.storage.save_vote(3, "keeper-1")
