Sync the log at a keeper's start before its entries are acknowledged

What callers could see: a change that was acknowledged and is gone after a loss of power, if a keeper had been killed between writing and syncing it.

Cause: entries that a start reads were taken for durable. The leader's entry was acknowledged without a write or a sync, as it was held already.

Evidence: test_entry_read_at_the_start_survives_a_crash fails before, with a disk that loses what was not synced.

Why it works: only the last segment can hold writes that were not synced, and it is synced before the keeper answers anybody.

--- a/tillerlane/keeper/storage.py
+++ b/tillerlane/keeper/storage.py
@@ -211,6 +211,8 @@
         for position, name in enumerate(names):
             self._load_segment(name, is_last=position == len(names) - 1)
         if names:
+            # A process that was killed may have written records without syncing them.
+            self._disk.sync(names[-1])
             return names[-1]
         return self._open_segment(self.snapshot.last_index + 1)
 
--- a/tillerlane/keeper/tests/test_storage.py
+++ b/tillerlane/keeper/tests/test_storage.py
@@ -87,6 +87,16 @@
                     self.assertEqual(self.disk.files, kept)
                     self.assertEqual([line["name"] for line in logs], [f"{name}.new"])
 
+    def test_entry_read_at_the_start_survives_a_crash(self) -> None:
+        """Guards against acknowledging an entry that a killed process wrote and never synced."""
+        self.storage.append([build_entry(1)])
+        self.storage._disk.append("log-1", storages._encode_record(1, 1, 2, b"command 2"))
+        reopened = self.open()
+        self.assertEqual(reopened.last_index, 2)
+        reopened.append([build_entry(2)])  # held already
+        self.disk.crash()
+        self.assertEqual(self.open().last_index, 2)
+
     def test_unknown_files_are_left_alone(self) -> None:
         self.storage.append([build_entry(1)])
         for name in ("log-", "log-x", "log-1.old", "log-1~", "lost+found", "snapshot.bak"):
