Read the whole request where a caller offers to change the protocol

What callers saw: a POST with "Connection: Upgrade" and "Upgrade: h2c", as HTTP/1.1 clients that also speak HTTP/2 send it, ran with an empty body and was answered with 200.

Cause: the parser ends a message at such a head and hands the rest to the other protocol. The request had been queued for serving by then, without its body. CONNECT was served in the same way.

The three new tests of test_http fail before.

Why it works: a server that does not take up an offer reads the request as if it had not been made (RFC 9110, 7.8). The head is parsed again without it, before anything is counted or queued. CONNECT is refused with 501.

--- a/tillerlane/gateway/http_head.py
+++ b/tillerlane/gateway/http_head.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "Headers",
+    "encode_head",
     "encode_request_head",
     "encode_response_head",
     "get_header",
@@ -90,8 +91,12 @@
 
 def encode_request_head(head: RequestHead) -> bytes:
     """Encode the head of a request."""
-    first = head.method + b" " + head.target + b" HTTP/1.1\r\n"
-    return first + _write_headers(head.headers) + b"\r\n"
+    return encode_head(head.method + b" " + head.target + b" HTTP/1.1", head.headers)
+
+
+def encode_head(first_line: bytes, headers: Headers) -> bytes:
+    """Encode a head from its first line and its headers."""
+    return first_line + b"\r\n" + _write_headers(headers) + b"\r\n"
 
 
 def encode_response_head(head: ResponseHead) -> bytes:
--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -214,7 +214,7 @@
         if self._incoming is not None and not self._incoming.arrived:
             self._incoming.head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
             self._check_head_size()
         except _RequestRejected as error:
             self._reject(error.status)
@@ -225,6 +225,27 @@
             else:
                 self._reject(400)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, and decline offers to change to another protocol.
+
+        The parser takes what follows such an offer for bytes of the other protocol.  A server that
+        ignores the offer reads the request as if it had not been made (RFC 9110, 7.8).
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                incoming, rest = self._incoming, data[error.args[0] :]
+                if incoming is None or incoming.method == b"CONNECT":
+                    raise _RequestRejected(501) from error
+                self._check_head_size()
+                version = self._parser.get_http_version().encode()
+                kept = [item for item in incoming.headers if item[0].lower() != b"upgrade"]
+                request_line = b"%s %s HTTP/%s" % (incoming.method, incoming.target, version)
+                self._parser = httptools.HttpRequestParser(self)
+                data = http_head.encode_head(request_line, kept) + rest
+
     def _check_head_size(self) -> None:
         """Limit the size of an incomplete head."""
         incoming = self._incoming
@@ -303,6 +324,9 @@
         """Complete the head; pauses within the body are limited by the idle time-out."""
         incoming = self._incoming
         assert incoming is not None
+        if self._parser.should_upgrade():
+            incoming.method = self._parser.get_method()
+            return  # parsed again without the offer
         self._set_timer(self._server.limits.idle_seconds)
         incoming.arrived = self._loop.time()
         incoming.method = self._parser.get_method()
@@ -327,6 +351,8 @@
 
     def on_message_complete(self) -> None:
         """Complete a request and queue it for serving."""
+        if self._parser.should_upgrade():
+            return  # parsed again without the offer
         self._clear_timer()
         incoming = self._incoming
         assert incoming is not None
--- a/tillerlane/gateway/tests/test_http.py
+++ b/tillerlane/gateway/tests/test_http.py
@@ -20,6 +20,11 @@
     await responder.send_response(head, request.body)
 
 
+def offer_again(request: bytes, offer: bytes) -> bytes:
+    """Add an offer to a request that follows another one on its connection."""
+    return request.replace(b"Host: h\r\n", b"Host: h\r\n" + offer)
+
+
 async def communicate(
     data: bytes,
     serve: http_server.Handler = echo,
@@ -65,6 +70,46 @@
         self.assertEqual(first, self.communicate(counted))
         self.assertTrue(first.endswith(b"hello"))
 
+    def test_offer_to_change_the_protocol_is_declined_without_loss(self) -> None:
+        """Guards against serving a request without its body, or with the offer's body unread."""
+        offer = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n"
+        framings = (
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+            b"\r\n",
+        )
+        follow_up = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nyo"
+        for framing in framings:
+            for method in (b"POST", b"GET"):
+                with self.subTest(framing=framing, method=method):
+                    first = method + b" /a HTTP/1.1\r\nHost: h\r\n"
+                    plain = self.communicate(first + framing + follow_up)
+                    self.assertEqual(plain.count(b"200 OK"), 2)
+                    offering = first + offer + framing + offer_again(follow_up, offer)
+                    self.assertEqual(self.communicate(offering), plain)
+                    parts = tuple(offering[at : at + 1] for at in range(len(offering)))
+                    sent = self.communicate(b"", later=parts, pause=0.001)
+                    self.assertEqual(sent, plain)
+
+    def test_limits_hold_for_requests_that_offer_another_protocol(self) -> None:
+        offer = b"POST /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
+        large_head = offer + b"X: " + b"x" * 1_000 + b"\r\nContent-Length: 1\r\n\r\na"
+        self.assertIn(b" 431 ", self.communicate(large_head))
+        large_body = offer + b"Content-Length: 2001\r\n\r\n" + b"x" * 2_001
+        self.assertIn(b" 413 ", self.communicate(large_body))
+
+    def test_tunnel_is_refused_and_not_served(self) -> None:
+        served: list[bytes] = []
+
+        async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+            served.append(request.head.method)
+            await echo(request, responder)
+
+        request = b"CONNECT shop.example:80 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        received = self.communicate(request, serve=serve)
+        self.assertTrue(received.startswith(b"HTTP/1.1 501 "), received)
+        self.assertEqual(served, [])
+
     def test_shed_connection_is_closed_unread(self) -> None:
         async def play() -> None:
             server = http_server.Server(echo, LIMITS, lambda error: None)
