Ask for a request's body only between responses

What callers could see: "100 Continue" within the response to an earlier request on the same connection.

Cause: the interim response was written as soon as a head with "Expect: 100-continue" was parsed, also while an earlier response was being written.

Evidence: test_body_is_asked_for_only_between_responses fails before.

Why it works: responses are written by one task, and the body is asked for when it has ended.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -78,6 +78,8 @@
     account: memory.Account | None = None
     counted_bytes: int = 0
     """Bytes of the body that the account holds."""
+    wants_continue: bool = False
+    """Whether the caller waits to be asked for the body."""
 
 
 class _RequestRejected(Exception):
@@ -336,7 +338,17 @@
             raise _RequestRejected(431)
         self._open_account(incoming)
         expect = http_head.get_header(incoming.headers, b"expect")
-        if expect is not None and expect.lower() == b"100-continue" and self.transport is not None:
+        is_expected = expect is not None and expect.lower() == b"100-continue"
+        incoming.wants_continue = is_expected and self._parser.get_http_version() == "1.1"
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Ask for the body of a request, unless a response to an earlier one is under way."""
+        incoming = self._incoming
+        if incoming is None or not incoming.wants_continue or self.transport is None:
+            return
+        if self._task is None:
+            incoming.wants_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -395,6 +407,8 @@
             self.transport.close()
         elif self._incoming is None:
             self._set_timer(self._server.limits.idle_seconds)
+        else:
+            self._send_continue()
 
     def _release(self, request: Request) -> None:
         """Release the memory of a request that was served."""
--- a/tillerlane/gateway/tests/test_http.py
+++ b/tillerlane/gateway/tests/test_http.py
@@ -110,6 +110,25 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 501 "), received)
         self.assertEqual(served, [])
 
+    def test_body_is_asked_for_only_between_responses(self) -> None:
+        """Guards against an interim response within the response to an earlier request."""
+
+        async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+            await responder.start_response(http_head.ResponseHead(200, []))
+            await responder.write(b"first")
+            await asyncio.sleep(0.2)
+            await responder.write(b"last")
+            await responder.finish()
+
+        first = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        second = b"POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n"
+        received = self.communicate(first + second, serve=serve, later=(b"hello",), pause=0.4)
+        interim = received.index(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.assertTrue(received[:interim].endswith(b"last\r\n0\r\n\r\n"), received)
+        self.assertEqual(received[interim:].count(b"200 OK"), 1)
+        former = second.replace(b"HTTP/1.1", b"HTTP/1.0") + b"hello"
+        self.assertNotIn(b" 100 ", self.communicate(former))
+
     def test_shed_connection_is_closed_unread(self) -> None:
         async def play() -> None:
             server = http_server.Server(echo, LIMITS, lambda error: None)
