Refuse late first requests that may outlast a planned stop

Cause: a connection that has brought nothing yet stays open for 0.3 s after the entry has stopped accepting, and its request was taken however long it could last.

Why it works: such a request is refused unless its deadline lies before the end of the stop. It has not been sent to a runner, so that the 503 is true.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -374,6 +374,9 @@
         stopping_at = self._loop.time()
         self.timeline.record("daemon.leaving", busy=self._front.count_busy())
         await asyncio.sleep(self._settings.accept_seconds)
+        self._relay.planned_stop = relay.PlannedStop(
+            self._loop.time(), stopping_at + self._settings.stop_seconds
+        )
         self._front.stop_accepting()
         self._front.close_idle()
         while (
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import budget as budgets
@@ -17,7 +18,18 @@
 from tillerlane.gateway.quarantine import guard
 from tillerlane.timeline import core as timelines
 
-__all__ = ["Relay"]
+__all__ = ["PlannedStop", "Relay"]
+
+STOPPING_RETRY_AFTER_SECONDS = 0.1
+"""Retry delay of callers refused by an entry that stops; the other entries serve them at once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """Event-loop times from which an entry accepts no more connections, and at which it ends."""
+
+    closed_at: float
+    ends_at: float
 
 
 class Relay:
@@ -60,6 +72,8 @@
         quarantined: guard.Quarantine,
         resumed: resumptions.Resumptions,
     ) -> None:
+        self.planned_stop: PlannedStop | None = None
+        """Set once the entry accepts no more connections."""
         self._resumptions = resumed
         self._quarantine = quarantined
         self._startup = startup
@@ -81,6 +95,11 @@
             facts = self._dialect.decode_request(request.head)
             await self._refuse(facts.request_id, "", responder, admission)
             return
+        late = self._refuse_outlasting(admission)
+        if late is not None:
+            route = admission.route.name
+            await self._refuse(admission.facts.request_id, route, responder, late)
+            return
         evidence = self._quarantine.list_evidence(admission)
         self._budget.record_request(admission.pool.name, self._loop.time())
         try:
@@ -101,6 +120,18 @@
                 self._quarantine.forget_proof(admission)
             await self._respond(admission, responder, result)
 
+    def _refuse_outlasting(self, admission: admissions.Admission) -> admissions.Refusal | None:
+        """Refuse a request that came after a planned stop's last ones, and may outlast the stop.
+
+        A connection that has brought no request yet stays open for a moment then.
+        """
+        stop = self.planned_stop
+        if stop is None or admission.request.arrived < stop.closed_at:
+            return None
+        if admission.deadline <= stop.ends_at:
+            return None
+        return admissions.Refusal(503, "entry is stopping", STOPPING_RETRY_AFTER_SECONDS)
+
     async def _wait_ready(self, request: http_server.Request) -> None:
         """Hold a request that arrived before the configuration."""
         facts = self._dialect.decode_request(request.head)
--- a/tillerlane/gateway/tests/test_life.py
+++ b/tillerlane/gateway/tests/test_life.py
@@ -4,7 +4,7 @@
 import unittest
 
 from tillerlane.gateway import http_client, http_head
-from tillerlane.testing import gateway_lab, gateway_scenes, platform_runner
+from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
 
 TOKENS = {"Token_Counts": "100,10", "Model": "m"}
 
@@ -59,6 +59,46 @@
         self.play(scene)
 
 
+class LateRequestTest(gateway_scenes.GatewayCase):
+    """First requests on connections that were opened before a planned stop, sent at its end."""
+
+    async def send_late(self, stage: gateway_lab.GatewayLab, route: str, wait_ms: int) -> int:
+        """Send a request on an open connection once no more are accepted; returns its status."""
+        host = stage.get_address("entry-1").partition(":")[0]
+        exchange = await http_client.connect(f"{host}:8000", 1.0)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(stage.entries["entry-1"].stop())
+        await asyncio.sleep(1.1)  # the lab's entries accept requests for 1 s
+        headers = [
+            (b"Host", caller.HOST.encode()),
+            (b"Request-Id", b"late"),
+            (b"Deadline-Ms", str(wait_ms).encode()),
+            (b"Credential", caller.KEY.encode()),
+            *((name.replace("_", "-").encode(), text.encode()) for name, text in TOKENS.items()),
+        ]
+        exchange.send(http_head.RequestHead(b"POST", f"/{route}/x".encode(), headers), b"body")
+        status = (await exchange.read_head()).status
+        stopping.cancel()
+        return status
+
+    def test_stream_that_would_be_cut_by_the_stop_is_refused(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=900)
+            await asyncio.sleep(0.5)
+            self.assertEqual(await self.send_late(stage, "record", 15_000), 503)
+            self.assertEqual(runner.ran, [])
+
+        self.play(scene)
+
+    def test_request_that_ends_before_the_stop_is_served(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "app")
+            await asyncio.sleep(0.5)
+            self.assertEqual(await self.send_late(stage, "order", 4_000), 200)
+
+        self.play(scene)
+
+
 class RecoveryTest(gateway_scenes.GatewayCase):
     """All keepers are killed at once and restarted."""
 
