--- a/tillerlane/testing/network.py
+++ b/tillerlane/testing/network.py
@@ -34,9 +34,17 @@
     def heal(self) -> None:
         """Remove all cuts."""
         self._cuts.clear()
+        self.wake_up()
+
+    def wake_up(self) -> None:
+        """Have all who wait for a cut to heal check again."""
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    async def wait_changed(self) -> None:
+        """Wait until cuts may have healed."""
+        await self._changed.wait()
+
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Whether data from `sender` to `receiver` is blocked."""
         return (sender, receiver) in self._cuts
@@ -73,30 +81,26 @@
         self._network = network
         self._reader = reader
         self._pair = (sender, receiver)
-        self._aborted = asyncio.Event()
+        self._is_aborted = False
 
     def abort(self) -> None:
         """End the connection at this side, whether or not its direction is cut."""
-        self._aborted.set()
+        self._is_aborted = True
+        self._reader.set_exception(ConnectionAbortedError("connection aborted"))
+        self._network.wake_up()
 
     async def readexactly(self, count: int) -> bytes:
-        reading = asyncio.ensure_future(self._read_when_open(count))
-        aborted = asyncio.ensure_future(self._aborted.wait())
-        try:
-            await asyncio.wait({reading, aborted}, return_when=asyncio.FIRST_COMPLETED)
-            if not reading.done():
-                raise EOFError
-            return reading.result()
-        finally:
-            reading.cancel()
-            aborted.cancel()
-
-    async def _read_when_open(self, count: int) -> bytes:
-        await self._network.wait_open(*self._pair)
+        await self._wait_open()
         data = await self._reader.readexactly(count)
-        await self._network.wait_open(*self._pair)
+        await self._wait_open()
         return data
 
+    async def _wait_open(self) -> None:
+        while self._network.is_cut(*self._pair) and not self._is_aborted:
+            await self._network.wait_changed()
+        if self._is_aborted:
+            raise ConnectionAbortedError("connection aborted")
+
 
 class _Writer:
     """A stream writer that buffers data while its direction is cut."""
