Let entries use their part of the retry allowance at the fleet's first start

Change: the small part of the first window is for entries that may have run before. The platform's settings say when all start for the first time; then nobody can have used anything.

Evidence: test_reset_scale, test_quarantine, test_streams, test_repeats and test_budget pass.

--- a/tillerlane/gateway/budget.py
+++ b/tillerlane/gateway/budget.py
@@ -51,7 +51,7 @@
     entries : int
         Entries that share the allowance; 0 if unknown, which leaves none of it.
     started_at : float
-        Time at which the entry's process started.
+        Time at which the entry's process started; minus infinity if no entry can have run before.
 
     Attributes
     ----------
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -1,6 +1,7 @@
 """An entry: forwards callers' requests to targets, as configured by the keepers."""
 
 import asyncio
+import math
 import random
 import socket
 import time
@@ -106,9 +107,8 @@
         self.directory = directories.Directory()
         self.usage = usages.Usage(settings.name)
         self._reports = keeper_reports.KeeperReports(lambda: self.homes)
-        self._budget = budgets.RetryBudget(
-            settings.retries, entries=0, started_at=self._loop.time()
-        )
+        started_at = -math.inf if settings.is_first_start else self._loop.time()
+        self._budget = budgets.RetryBudget(settings.retries, entries=0, started_at=started_at)
         self.limits = limits.Limits()
         self.permits = permits.Permits(settings.name, self.limits, self._loop.time)
         self.permits.request_grants = self._reports.request_permits
--- a/tillerlane/gateway/entry_settings.py
+++ b/tillerlane/gateway/entry_settings.py
@@ -33,6 +33,8 @@
         How far above their rate cold targets may get requests.
     memory_bytes : int
         Memory for request bodies and buffered answers; 0 for no bound.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, so that no entry ran before.
     """
 
     name: str
@@ -49,3 +51,4 @@
     retries: budgets.RetryBounds
     cold: colds.ColdBounds
     memory_bytes: int = 0
+    is_first_start: bool = False
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -179,6 +179,7 @@
         ),
         cold=cold.ColdBounds(bounds.cold_over, bounds.cold_slack),
         memory_bytes=int(settings.limits.memory_mb * 1_000_000 * MEMORY_SHARE),
+        is_first_start=settings.bootstrap,
     )
 
 
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -109,7 +109,7 @@
         for name in self.keeper_names:
             await self.start_keeper(name, is_first=True)
         for name in self.entry_names:
-            await self.start_entry(name)
+            await self.start_entry(name, is_first=True)
 
     def _block_connections(self) -> None:
         """Make new connections to a target that is cut off hang, as with lost packets."""
@@ -216,8 +216,8 @@
         for name in self.keeper_names:
             await self.start_keeper(name)
 
-    async def start_entry(self, name: str) -> entry.Entry:
-        """Start an entry."""
+    async def start_entry(self, name: str, *, is_first: bool = False) -> entry.Entry:
+        """Start an entry; `is_first` at the first start of the fleet."""
         address = self.get_address(name)
         host = address.partition(":")[0]
         daemon_settings = entry_settings.EntrySettings(
@@ -235,6 +235,7 @@
             retries=budgets.RetryBounds(0.2, 10.0, 50.0),
             cold=cold.ColdBounds(1.5, 5.0),
             memory_bytes=self.memory_bytes,
+            is_first_start=is_first,
         )
         daemon = entry.Entry(
             daemon_settings,
