Send a target's leaving to others before it is acknowledged

Cause: updates of targets are batched, and a keeper acknowledged one that was still in the queue.

Evidence: test_acknowledged_leave_outlives_its_keeper fails before, for Leave and for a heartbeat that says that its target drains.

Why it works: the entries and the other keepers are sent the update before the answer. The target does not repeat it, so that nobody else would.

--- a/tillerlane/gateway/batching.py
+++ b/tillerlane/gateway/batching.py
@@ -48,6 +48,12 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_at(due, self._flush)
 
+    def flush(self) -> None:
+        """Send what is queued at once, such as an update that will be acknowledged."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._flush()
+
     def _flush(self) -> None:
         self._timer = None
         self._sent_at = asyncio.get_running_loop().time()
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -437,6 +437,16 @@
         if known is None:
             return
         self._keeper_updates.add(known.target_id, known, is_urgent=changed)
+        if changed and known.is_leaving:
+            self._send_updates()
+
+    def _send_updates(self) -> None:
+        """Send all updates before one of them is acknowledged to its target.
+
+        This keeper may be killed right after that, and the target does not repeat the update.
+        """
+        self._subscriber_updates.flush()
+        self._keeper_updates.flush()
 
     def handle_leave(self, name: str, started_ms: int = 0) -> None:
         """Handle a target's leaving: of the start that it names, or else of the latest one."""
@@ -448,6 +458,7 @@
             return
         if self.directory.mark_gone(known.target_id):
             self._keeper_updates.add(known.target_id, known)
+            self._send_updates()
 
     def _handle_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states; those that an entry has from responses go on to other keepers."""
--- a/tillerlane/gateway/tests/test_leaving.py
+++ b/tillerlane/gateway/tests/test_leaving.py
@@ -61,6 +61,31 @@
 
         self.play(scene)
 
+    def test_acknowledged_leave_outlives_its_keeper(self) -> None:
+        """Guards against an update that waits to be batched when its keeper is killed."""
+        for phase in (directories.Phase.GONE, directories.Phase.DRAINING):
+            with self.subTest(phase=phase):
+                self.play_leave(phase)
+
+    def play_leave(self, phase: directories.Phase) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_targets(stage, 3)
+            await asyncio.sleep(0.5)
+            for name in ("app-1", "app-2"):  # the second update follows the first one at once
+                if phase is directories.Phase.GONE:
+                    stage.keepers["keeper-2"].handle_leave(name)
+                else:
+                    stage.beat(name, "app", phase=phase, keeper="keeper-2")
+                await asyncio.sleep(0.005)
+            await stage.kill_keeper("keeper-2")
+            await asyncio.sleep(PROPAGATION_SECONDS)
+            for daemon in [*stage.entries.values(), *stage.keepers.values()]:
+                found = daemon.directory.find("app-2")
+                assert found is not None
+                self.assertTrue(found.is_leaving)
+
+        self.play(scene)
+
     def test_leaving_is_still_known_after_keepers_restart(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_targets(stage, 2)
