Refuse configuration versions that do not fit into messages

What operators saw: in the review, a configuration whose version was a time with microseconds (over 2^64) was acknowledged, and then no keeper could send to another one, also after a restart.

Cause: messages carry the version in 64 bits, and a document's version was not bounded.

Evidence: test_version_that_daemons_cannot_send_to_each_other_is_rejected fails before.

Why it works: such a document is refused as invalid before it is proposed.

--- a/tillerlane/platform/tests/test_wire.py
+++ b/tillerlane/platform/tests/test_wire.py
@@ -46,6 +46,12 @@
             read(document)
         self.assertEqual(caught.exception.fault.kind, "invalid_config")
 
+    def test_version_that_daemons_cannot_send_to_each_other_is_rejected(self) -> None:
+        """Guards against a version that is committed and then stops all keepers for good."""
+        for version in (2**64, 20_261_204_050_012_345_678, 2**63, -1):
+            self.check_refused(gateway_lab.build_document(version))
+        self.assertEqual(read(gateway_lab.build_document(2**63 - 1)).version, 2**63 - 1)
+
     def test_invalid_documents_are_rejected(self) -> None:
         def change(**changes: Any) -> dict[str, Any]:
             document = gateway_lab.build_document(1)
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -251,8 +251,12 @@
     """Its part of a pool for which requests wait, relative to others; 1 unless set."""
 
 
+MAX_CONFIG_VERSION = 2**63 - 1
+"""Versions are 64 bits wide in messages between daemons."""
+
+
 class _Document(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_CONFIG_VERSION)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
