Move the modules of streams from gateway/ to gateway/streaming/

Cause: gateway/ has some fifty flat modules; the users ask for folders by domain.

Change: streams, stream_relay, stream_ends and events move, with their names; imports follow. No change of behaviour. Checks: test_rules, test_handover_evidence, test_reference, test_docstrings.

--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -34,7 +34,6 @@
     sending,
     shares,
     startup,
-    streams,
     target_updates,
 )
 from tillerlane.gateway import backoff as backoffs
@@ -52,6 +51,7 @@
 from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
 from tillerlane.gateway.speeds import reporting
+from tillerlane.gateway.streaming import streams
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
--- a/tillerlane/gateway/relay.py
+++ b/tillerlane/gateway/relay.py
@@ -13,9 +13,9 @@
 from tillerlane.gateway import http_head, http_server, outcomes, refusals, retries
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import startup as startups
-from tillerlane.gateway import streams as stream_relays
 from tillerlane.gateway.origins import resumptions
 from tillerlane.gateway.quarantine import guard
+from tillerlane.gateway.streaming import streams as stream_relays
 from tillerlane.timeline import core as timelines
 
 __all__ = ["PlannedStop", "Relay"]
--- /dev/null
+++ b/tillerlane/gateway/streaming/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of events to callers, over all runners that their runs move to."""
--- a/tillerlane/gateway/stream_ends.py
+++ b/tillerlane/gateway/streaming/stream_ends.py
@@ -1,8 +1,8 @@
 """Log lines and metrics of streams that have ended."""
 
 from tillerlane.gateway import metrics as entry_metrics
-from tillerlane.gateway import stream_relay
 from tillerlane.gateway.quarantine import guard
+from tillerlane.gateway.streaming import stream_relay
 from tillerlane.timeline import core as timelines
 
 __all__ = ["StreamEnds"]
--- a/tillerlane/gateway/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -6,9 +6,10 @@
 
 from tillerlane.decisions import quarantine
 from tillerlane.gateway import admission as admissions
-from tillerlane.gateway import events, handovers, http_client, http_server, runs
+from tillerlane.gateway import handovers, http_client, http_server, runs
 from tillerlane.gateway.delivery import watch
 from tillerlane.gateway.quarantine import suspects
+from tillerlane.gateway.streaming import events
 
 __all__ = ["StopReason", "StreamRelay"]
 
--- a/tillerlane/gateway/streams.py
+++ b/tillerlane/gateway/streaming/streams.py
@@ -23,8 +23,6 @@
     runs,
     selection,
     sending,
-    stream_ends,
-    stream_relay,
 )
 from tillerlane.gateway import budget as budgets
 from tillerlane.gateway import dialect as dialects
@@ -33,6 +31,7 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.quarantine import exit_detection, guard
+from tillerlane.gateway.streaming import stream_ends, stream_relay
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Streams"]
