--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -146,7 +146,8 @@
         self, address: str, task: "asyncio.Task[delivery.RunnerReport | None]"
     ) -> None:
         """Share a report for a while, whether or not anybody still waits for it."""
-        task.exception()
+        if not task.cancelled():
+            task.exception()  # retrieved, as those who waited may have left
         self._loop.call_later(MAX_REPORT_AGE_SECONDS, self._reports.pop, address)
 
     def _record_silence(
