Serve queued connections of a stopping entry also under overload

Cause: the stopping entry accepts what waits in its queue, and the guard against overload closed it unread, as the event loop was late at that moment.

Evidence: the entry's log has connections.shed, refused 1, lag 181 ms at the time; the new test of test_planned_close fails before.

Why it works: the guard sheds connections so that others are served. A server that stops takes no more than those in its queue.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -123,7 +123,7 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if not self._server.accepts_connection():
+        if not self._server.is_stopping and not self._server.accepts_connection():
             transport.abort()
             return
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
@@ -474,6 +474,8 @@
         self.connections: set[Connection] = set()
         self.accepts_connection: Callable[[], bool] = lambda: True
         """Whether a new connection is served; otherwise it is closed unread."""
+        self.is_stopping = False
+        """Whether only connections that waited already are accepted; these are always served."""
         self.is_closing = False
         """Whether connections are closed as soon as they are idle."""
         self._server: asyncio.Server | None = None
@@ -496,6 +498,7 @@
 
     def stop_accepting(self) -> None:
         """Accept only the connections that already wait in the listener's queue."""
+        self.is_stopping = True
         if self._listener is not None:
             self._accept_queued(self._listener)
         if self._server is not None:
--- a/tillerlane/gateway/tests/test_planned_close.py
+++ b/tillerlane/gateway/tests/test_planned_close.py
@@ -15,12 +15,16 @@
     await responder.send_response(http_head.ResponseHead(200, []), b"ok")
 
 
-async def connect_and_send(*, is_accepted: bool) -> bytes:
-    """Connect, close the listener and idle connections, and then send a request."""
+async def connect_and_send(*, is_accepted: bool, is_overloaded: bool = False) -> bytes:
+    """Connect, close the listener and idle connections, and then send a request.
+
+    A server that is overloaded closes new connections unread.
+    """
     listener = socket.create_server(("127.0.0.1", 0))
     address = listener.getsockname()
     server = http_server.Server(respond, http_server.ServerLimits(), lambda error: None)
     await server.listen("", listener)
+    server.accepts_connection = lambda: not is_overloaded
     caller = socket.create_connection(address)  # blocks: not accepted by the event loop yet
     caller.setblocking(False)
     if is_accepted:
@@ -46,6 +50,11 @@
         data = asyncio.run(connect_and_send(is_accepted=False))
         self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
 
+    def test_queued_connection_is_served_by_an_overloaded_server_that_stops(self) -> None:
+        """Guards against a caller whose connection a planned stop ends without an answer."""
+        data = asyncio.run(connect_and_send(is_accepted=False, is_overloaded=True))
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+
     def test_new_connection_is_served_before_it_is_closed(self) -> None:
         data = asyncio.run(connect_and_send(is_accepted=True))
         self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
