Take a resumed run's events from before it was resumed for made, not for lost

What callers could see: a stream resumed from its memory that is quiet for over a second before its first event at the new runner is stopped and moved once more, as the runner reports events that had been made before and that had not arrived over the silent connection. Found on reading the change.

Cause: the last event that arrived was compared with all events that the new runner reports, the former runner's among them.

Evidence: test_watch fails before (silent after 1.2 s at an unchanged report), and holds now.

Why it works: for a resumed run, the first report says what had been made before; only events beyond it count as lost.

--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -99,11 +99,16 @@
         """
         pause = first_check_seconds
         overdue_since: float | None = None
+        is_resumed = received > 0 and not has_begun
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause):
                     return await read()
             report = await self._inspect(run)
+            if is_resumed and report is not None:
+                # The memory that the run is resumed from may hold events that had not arrived.
+                received = max(received, report.events.get(run.request_id, 0))
+                is_resumed = False
             is_overdue = report is not None and delivery.is_overdue(
                 report, run.request_id, received, has_begun=has_begun
             )
