Ask a target whether it is still there where only a close ends its response

Cause: a response with neither a length nor chunks counted as complete as soon as its connection was closed regularly. The end of a connection is the operating system's word, not the process's.

An entry now calls the target after the close, on a new connection: /report of a runner, the health check of a service. No answer, a refused connection or another process's id mean that the response is cut, and what follows is what follows a broken connection. A process that was killed cannot answer.

--- a/tillerlane/decisions/delivery.py
+++ b/tillerlane/decisions/delivery.py
@@ -1,13 +1,28 @@
-"""Decides from a runner's report whether a stream's connection still delivers its events.
+"""Decides what a target itself says of a response: whether its connection delivers, and its end.
 
 A connection can fall silent without an error at either end while new ones to the same runner work.
 A pause alone proves nothing: a runner may be slow, or may have preempted the run.  Only events that
 the runner has made, and that have not arrived, tell the two apart.
+
+The regular end of a connection proves as little where it also marks the end of a response: the
+connections of a process that is killed are closed by its operating system.
 """
 
 import dataclasses
+import enum
+
+__all__ = ["Presence", "RunnerReport", "is_complete_after_close", "is_overdue"]
+
 
-__all__ = ["RunnerReport", "is_overdue"]
+class Presence(enum.StrEnum):
+    """What a new connection shows of the process that sent a response."""
+
+    ANSWERS = "answers"
+    ACCEPTS = "accepts"
+    """It has accepted the connection and not answered in time."""
+    ENDED = "ended"
+    """Its host refuses connections, or another process answers."""
+    UNKNOWN = "unknown"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,3 +62,32 @@
     # A run that had begun and is held nowhere has ended.  Before that, the request may be one that
     # the runner has not counted yet.
     return has_begun and not report.has_unlisted
+
+
+def is_complete_after_close(
+    presence: Presence, report: RunnerReport | None, request_id: str, received: int | None
+) -> bool:
+    """Whether a response is complete whose end is that of its connection.
+
+    Parameters
+    ----------
+    presence : Presence
+        Of the target's process, found out after the connection has ended.
+    report : RunnerReport or None
+        The runner's report from then, if it gives one.
+    request_id : str
+        The request that the target answered.
+    received : int or None
+        Number of the last event that arrived, from any runner of the run; None for a response that
+        is no stream.
+
+    Examples
+    --------
+    >>> is_complete_after_close(Presence.ENDED, None, "r1", 7)
+    False
+    """
+    if presence not in (Presence.ANSWERS, Presence.ACCEPTS):
+        return False
+    if report is None or received is None:
+        return True
+    return report.events.get(request_id, 0) <= received
--- a/tillerlane/decisions/tests/test_delivery.py
+++ b/tillerlane/decisions/tests/test_delivery.py
@@ -27,3 +27,26 @@
                 report = delivery.RunnerReport(events, has_unlisted)
                 found = delivery.is_overdue(report, "r1", received, has_begun=has_begun)
                 self.assertIs(found, is_overdue)
+
+
+class CloseTest(unittest.TestCase):
+    """Guards against taking the end of a process's connections for the end of its response."""
+
+    def test_only_a_process_that_is_still_there_has_completed_its_response(self) -> None:
+        presence = delivery.Presence
+        cases = [
+            # process, events listed, received: complete
+            (presence.ANSWERS, None, 10, True),
+            (presence.ANSWERS, 8, 10, True),  # an old report
+            (presence.ANSWERS, 12, 10, False),
+            (presence.ANSWERS, 12, None, True),  # no stream
+            (presence.ACCEPTS, None, 10, True),
+            (presence.ENDED, None, 10, False),
+            (presence.UNKNOWN, None, None, False),
+        ]
+        for found, made, received, is_complete in cases:
+            with self.subTest(presence=found, made=made, received=received):
+                report = delivery.RunnerReport({"r1": made}, False) if made is not None else None
+                self.assertIs(
+                    delivery.is_complete_after_close(found, report, "r1", received), is_complete
+                )
--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -1,4 +1,4 @@
-"""Finds responses whose connection has fallen silent while their runner can be reached."""
+"""Finds responses that a connection does not deliver, silent or closed, by asking their targets."""
 
 import asyncio
 import contextlib
@@ -12,7 +12,7 @@
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.timeline import core as timelines
 
-__all__ = ["DeliveryWatch", "SilentConnection", "Unreachable"]
+__all__ = ["DeliveryWatch", "SilentConnection", "UnconfirmedEnd", "Unreachable"]
 
 CHECK_INTERVAL_SECONDS = 0.7
 """Pause after which a runner is asked for its report: four times the longest pause that meets the
@@ -23,6 +23,12 @@
 REPORT_TIMEOUT_SECONDS = 0.5
 MAX_REPORT_AGE_SECONDS = 0.25
 """Age up to which streams of one runner share a report."""
+PRESENCE_TIMEOUT_SECONDS = 0.25
+"""Longest wait for a target to answer after it has closed the connection of a response.  A plain
+service may answer only once it has a free slot."""
+MAX_PRESENCE_CHECKS = 3
+"""Connections that are tried: a target with too many of them resets new ones."""
+PRESENCE_RETRY_SECONDS = 0.05
 
 _Received = TypeVar("_Received")
 
@@ -35,13 +41,17 @@
     """A runner sends nothing and accepts no connection; whether the run goes on is unknown."""
 
 
+class UnconfirmedEnd(http_client.ExchangeError):
+    """A connection was closed regularly, and nothing shows that the response is complete."""
+
+
 class DeliveryWatch:
     """Watches the responses that one entry waits for.
 
     Parameters
     ----------
     dialect : dialects.Dialect
-        Reads runners' reports.
+        Reads runners' reports, and calls other targets.
     timeline : timelines.Timeline
         Log of results.
     metrics : entry_metrics.EntryMetrics
@@ -120,6 +130,66 @@
                 self._record_silence(run, report, received, has_begun=has_begun)
                 raise SilentConnection("connection delivers nothing", sent=True)
 
+    async def confirm_end(self, run: runs.Run, received: int | None) -> None:
+        """Confirm with its target that a response has ended, of which only the connection says so.
+
+        Parameters
+        ----------
+        run : runs.Run
+            The run, or plain request, that the response came from.
+        received : int or None
+            Number of the last event that has arrived, from any runner of the run; None for a
+            response that is no stream.
+
+        Raises
+        ------
+        UnconfirmedEnd
+            If the target's process has ended, cannot be reached, or has made more.
+        """
+        presence, report = await self._find_presence(run)
+        is_complete = delivery.is_complete_after_close(presence, report, run.request_id, received)
+        made = report.events.get(run.request_id) if report is not None else None
+        self._metrics.closed_responses.labels(presence.value).inc()
+        self._timeline.record(
+            "response.closed",
+            request_id=run.request_id,
+            target=run.target.target_id,
+            address=run.target.address,
+            presence=presence.value,
+            received=received,
+            made=made,
+            complete=is_complete,
+        )
+        if not is_complete:
+            reason = f"connection closed, target's process: {presence.value}, events made: {made}"
+            raise UnconfirmedEnd(reason, sent=True)
+
+    async def _find_presence(
+        self, run: runs.Run
+    ) -> tuple[delivery.Presence, delivery.RunnerReport | None]:
+        """Whether a target's process is there now, and a runner's report."""
+        target = run.target
+        for _ in range(MAX_PRESENCE_CHECKS):
+            if target.is_superseded:
+                break
+            try:
+                if run.pool.engine is not None:
+                    report = await self._dialect.read_report(
+                        target.address, PRESENCE_TIMEOUT_SECONDS
+                    )
+                    return delivery.Presence.ANSWERS, report
+                is_same = await self._dialect.check_target(
+                    target.address, run.pool.health_path, target.target_id, PRESENCE_TIMEOUT_SECONDS
+                )
+                return delivery.Presence.ANSWERS if is_same else delivery.Presence.ENDED, None
+            except http_client.ExchangeError as error:
+                presence = _classify_failure(error)
+            if presence is not delivery.Presence.UNKNOWN:
+                return presence, None
+            await asyncio.sleep(PRESENCE_RETRY_SECONDS)
+        is_gone = target.is_superseded
+        return delivery.Presence.ENDED if is_gone else delivery.Presence.UNKNOWN, None
+
     async def _inspect(self, run: runs.Run) -> delivery.RunnerReport | None:
         """Report of a run's runner; None if it is reachable and gives none.
 
@@ -167,3 +237,12 @@
             received=received,
             made=report.events.get(run.request_id),
         )
+
+
+def _classify_failure(error: http_client.ExchangeError) -> delivery.Presence:
+    """What a call without an answer shows of a target's process."""
+    if not error.sent and isinstance(error.__cause__, ConnectionRefusedError):
+        return delivery.Presence.ENDED
+    if error.sent and isinstance(error.__cause__, TimeoutError):
+        return delivery.Presence.ACCEPTS
+    return delivery.Presence.UNKNOWN
--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -235,6 +235,9 @@
     read_report : callable
         (runner's address, seconds) gives what a runner reports of its runs; None if its answer is
         not such a report.  Raises `http_client.ExchangeError` without an answer.
+    check_target : callable
+        (address, path of health checks, target id, seconds) gives whether the target's own process
+        answers at its address.  Raises `http_client.ExchangeError` without an answer.
     """
 
     decode_request: Callable[[http_head.RequestHead], RequestFacts]
@@ -248,3 +251,4 @@
     reserve_memory: Callable[[str, int, float, float], Coroutine[Any, Any, HoldResult]]
     drop_reservation: Callable[[str, str], Awaitable[bool]]
     read_report: Callable[[str, float], Coroutine[Any, Any, RunnerReport | None]]
+    check_target: Callable[[str, str, str, float], Coroutine[Any, Any, bool]]
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -40,6 +40,8 @@
     """Responses truncated by targets, by the result of a new connection to the target."""
     silent_connections: prometheus_client.Counter
     """Connections to runners that delivered nothing more, before or after the first event."""
+    closed_responses: prometheus_client.Counter
+    """Responses that ended with their connection, by what the target's process then did."""
     cancellations: prometheus_client.Counter
     """Orders to stop runs that nobody waits for, by what was known of the run afterwards."""
     lease_age: prometheus_client.Gauge
@@ -122,6 +124,7 @@
         count("tillerlane_version_changes", "Streams resumed at another version", "pool"),
         count("tillerlane_broken_answers", "Answers that targets broke off", "reach"),
         count("tillerlane_silent_connections", "Connections that deliver nothing more", "awaited"),
+        count("tillerlane_closed_responses", "Responses that ended by a close", "presence"),
         count("tillerlane_cancellations", "Orders to stop runs that nobody waits for", "evidence"),
         gauge("tillerlane_lease_age_seconds", "Age of the word that the configuration is newest"),
         gauge("tillerlane_config_version", "Configuration in force"),
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -240,6 +240,9 @@
         if admission.is_stream and head.status == 200:
             return outcomes.Stream(head, exchange)
         body = await exchange.read_body(MAX_RESPONSE_BYTES)
+        if exchange.is_close_delimited:
+            run = runs.Run(admission.facts.request_id, admission.pool, target, admission.tokens)
+            await self._watch.confirm_end(run, received=None)
         if head.status in NOT_RUN_STATUSES:
             # These statuses would guarantee to the caller that nothing ran, which is not known.
             return outcomes.Unknown(f"status {head.status} without a guarantee that nothing ran")
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -140,14 +140,26 @@
         if self._splitter.has_partial_event:
             self.problem = "stream ended within an event"
             return StopReason.TRUNCATED
-        if self.exchange.is_close_delimited and not self._last_event_at:
-            self.problem = "connection closed before the first event"
-            return StopReason.TRUNCATED
-        if self.stop_order is not None and self.exchange.is_close_delimited:
+        if self.exchange.is_close_delimited:
+            self.problem = await self._find_close_problem()
+        return StopReason.TRUNCATED if self.problem else StopReason.COMPLETE
+
+    async def _find_close_problem(self) -> str:
+        """Why a stream that ended with its connection is not complete; empty if it is."""
+        if not self._last_event_at:
+            return "connection closed before the first event"
+        if self.stop_order is not None:
             # The end of the connection also ends a stopped stream, which is not complete then.
-            self.problem = "connection closed after an order to stop the run"
-            return StopReason.TRUNCATED
-        return StopReason.COMPLETE
+            return "connection closed after an order to stop the run"
+        try:
+            await self._watch.confirm_end(self.run, self._get_received())
+        except watch.UnconfirmedEnd as error:
+            return str(error)
+        return ""
+
+    def _get_received(self) -> int:
+        """Number of the last event that the caller has; 0 if it has no number."""
+        return int(self.last_event_id) if self.last_event_id.isdigit() else 0
 
     def prove(self) -> None:
         """Record that a run of the request has got past its beginning."""
@@ -177,7 +189,7 @@
 
     async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
         """Read more of the stream; fail if the runner is unreachable and the run can be resumed."""
-        received = int(self.last_event_id) if self.last_event_id.isdigit() else 0
+        received = self._get_received()
         while True:
             try:
                 return await self._watch.read(
--- a/tillerlane/platform/adapter.py
+++ b/tillerlane/platform/adapter.py
@@ -20,4 +20,5 @@
         reserve_memory=calls.reserve_memory,
         drop_reservation=calls.drop_reservation,
         read_report=calls.read_report,
+        check_target=calls.check_target,
     )
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from tillerlane.gateway import dialect, http_client, http_head
+from tillerlane.gateway import dialect, http_client, http_head, incarnations
 
 __all__ = [
+    "check_target",
     "copy_run",
     "drop_copy",
     "drop_reservation",
@@ -23,6 +24,8 @@
 that is slow to answer."""
 MAX_ANSWER_BYTES = 64 * 1024
 DROP_TIMEOUT_SECONDS = 1.0
+INSTANCE_ID = b"instance-id"
+"""Header in which the answer to a health check names the target."""
 
 
 class _MoveReply(msgspec.Struct):
@@ -51,13 +54,25 @@
     seconds: float,
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
 ) -> tuple[int, bytes]:
-    """Send one call to a runner.
+    """Send one call to a runner; gives the status and the body of its answer.
 
     Raises
     ------
     http_client.ExchangeError
         If it did not answer in time.
     """
+    head, answer = await _exchange(address, method, path, body, seconds, connect_seconds)
+    return head.status, answer
+
+
+async def _exchange(
+    address: str,
+    method: bytes,
+    path: bytes,
+    body: bytes,
+    seconds: float,
+    connect_seconds: float,
+) -> tuple[http_head.ResponseHead, bytes]:
     exchange = None
     try:
         async with asyncio.timeout(seconds):
@@ -69,7 +84,7 @@
             ]
             exchange.send(http_head.RequestHead(method, path, headers), body)
             head = await exchange.read_head()
-            return head.status, await exchange.read_body(MAX_ANSWER_BYTES)
+            return head, await exchange.read_body(MAX_ANSWER_BYTES)
     except TimeoutError as error:
         message = f"no answer from {address} within {seconds} s"
         raise http_client.ExchangeError(message, sent=True) from error
@@ -232,3 +247,17 @@
         {request_id: events for request_id, _, events, _ in reply.runs},
         has_unlisted=reply.waiting > 0 or reply.running > len(reply.runs),
     )
+
+
+async def check_target(address: str, health_path: str, target_id: str, seconds: float) -> bool:
+    """Whether the process that answers at a target's address is the target's own.
+
+    Raises
+    ------
+    http_client.ExchangeError
+        If none answered in time.
+    """
+    path = health_path.encode("latin-1")
+    head, _ = await _exchange(address, b"GET", path, b"", seconds, CONNECT_TIMEOUT_SECONDS)
+    named = http_head.get_header(head.headers, INSTANCE_ID)
+    return named is None or named.strip() == incarnations.parse_id(target_id).name.encode()
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -17,6 +17,7 @@
 __all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
 
 SEAL_HEADER = b"Response-Seal"
+HEALTH_PATH = "/health"
 INCREMENTAL_COPY_SECONDS = 0.01
 """Duration of a repeated copy, which transfers only the part that is new."""
 PREFILL_CHECK_INTERVAL_SECONDS = 0.05
@@ -183,6 +184,8 @@
         Ids of parts of prompts that end it likewise; the last part of a prompt never does.
     is_close_delimited : bool
         Sends responses with neither a length nor chunks; they end with their connections.
+    body_seconds : float
+        Pause in the middle of the body of such a plain response.
     ends_inside : int
         Number of an event in the middle of which a stream ends, as if it were complete.
     limit : str
@@ -248,6 +251,7 @@
         self.poison_bodies: frozenset[bytes] = frozenset()
         self.poison_parts: frozenset[str] = frozenset()
         self.is_close_delimited = False
+        self.body_seconds = 0.0
         self.ends_inside = 0
         self.limit = ""
         self.backoff = ""
@@ -293,13 +297,24 @@
 
     def crash(self) -> None:
         """Exit immediately, resetting every connection."""
+        self._end_runs()
+        self._server.abort_all()
+
+    def end_process(self) -> None:
+        """Exit immediately; the operating system closes every connection regularly."""
+        self._end_runs()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.close()
+
+    def _end_runs(self) -> None:
+        """Accept no connections any more, and end all runs."""
         self.has_crashed = True
         self._server.stop_accepting()
         now = asyncio.get_running_loop().time()
         for run in self.ran:
             run.ended_at = run.ended_at or now
             run.ended = run.ended or "crashed"
-        self._server.abort_all()
         self.others.pop(self.address, None)
 
     def reset_connections(self, request_id: str = "") -> None:
@@ -330,6 +345,9 @@
             await responder.send_response(http_head.ResponseHead(200, []), b"")
         elif path == "/report":
             await self._report(responder)
+        elif path == HEALTH_PATH:
+            answer = http_head.ResponseHead(200, [(b"Instance-Id", self.target_id.encode())])
+            await responder.send_response(answer, b"")
         elif path == "/hold-take":
             await self._take_hold(msgspec.json.decode(request.body), responder)
         elif path.startswith("/hold-drop/"):
@@ -452,8 +470,12 @@
             ],
         )
         if self.is_close_delimited:
-            body = b"answer to " + request_id.encode()
-            await close_delimited.CloseDelimitedResponder(responder).send_response(head, body)
+            answer = close_delimited.CloseDelimitedResponder(responder)
+            await answer.start_response(head)
+            await answer.write(b"answer to ")
+            await asyncio.sleep(self.body_seconds)
+            await answer.write(request_id.encode())
+            await answer.finish()
             return
         connection = responder._connection  # the server's API cannot send invalid bytes
         await connection.write(self.preface)
