Take a plain service's response for cut if its process has ended

The agent now opens a new connection to the service after such a response, and without one the call counts as broken off, possibly run. The test failed before: no error, and a regular finish after 'bo'.

--- a/tillerlane/runners/http_service.py
+++ b/tillerlane/runners/http_service.py
@@ -4,7 +4,9 @@
 base64.  A started call cannot be resumed, since services have no generation ids.
 """
 
+import asyncio
 import base64
+import contextlib
 import json
 from collections.abc import AsyncIterator
 
@@ -15,6 +17,7 @@
 __all__ = ["connect", "decode_call", "encode_call"]
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+_NO_BODY_STATUSES = frozenset({204, 304})
 _FORWARDED_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
 _RETURNED_HEADERS = ("content-type", "location", "cache-control", "etag", "retry-after")
 
@@ -37,6 +40,37 @@
     return call["method"], call["path"], call["headers"], base64.b64decode(call["body"])
 
 
+def _ends_with_connection(method: str, response: httpx.Response) -> bool:
+    """Whether a response has neither a length nor chunks."""
+    if method == "HEAD" or response.status_code in _NO_BODY_STATUSES:
+        return False
+    headers = response.headers
+    return "content-length" not in headers and "transfer-encoding" not in headers
+
+
+async def _check_service(url: httpx.URL) -> None:
+    """Check that a service accepts connections after it has closed one to end its response.
+
+    The operating system closes the connections of a process that is killed, which would make a
+    response that it cuts look complete.
+
+    Raises
+    ------
+    core.TargetError
+        If it does not.
+    """
+    port = url.port or {"http": 80, "https": 443}[url.scheme]
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(url.host, port)
+    except (OSError, TimeoutError) as error:
+        message = f"{url}: connection closed, and no new one is accepted: {error!r}"
+        raise core.TargetError(message, reached=True) from error
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()  # its end says nothing more about the service
+
+
 def connect(base_url: str) -> core.RunnerClient:
     """Build the client for the plain service at `base_url`."""
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS)
@@ -58,6 +92,8 @@
                 async for piece in response.aiter_raw():
                     yield core.Chunk(count, [base64.b64encode(piece).decode()])
                     count += 1
+                if _ends_with_connection(method, response):
+                    await _check_service(client.base_url)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise core.TargetError(f"cannot connect: {error!r}", reached=False) from error
         except httpx.HTTPError as error:
--- a/tillerlane/runners/tests/test_http_service.py
+++ b/tillerlane/runners/tests/test_http_service.py
@@ -13,16 +13,25 @@
     """Calls of a service that fails or redirects in various ways."""
 
     async def call_service(
-        self, response: bytes
+        self, response: bytes, *, exits: bool = False
     ) -> tuple[list[object], core.TargetError | None, int]:
-        """Call a service; return the items, the error, and the number of calls that reached it."""
+        """Call a service; return the items, the error, and the number of calls that reached it.
+
+        With `exits`, it stops to listen before it closes the connection.
+        """
         calls = 0
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             nonlocal calls
-            await reader.readuntil(b"order")
+            try:
+                await reader.readuntil(b"order")
+            except asyncio.IncompleteReadError:  # a connection without a call
+                writer.close()
+                return
             calls += 1
             writer.write(response)
+            if exits:
+                server.close()
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -50,6 +59,17 @@
         self.assertEqual(calls, 1)
         self.assertTrue(broken.reached)
 
+    async def test_response_that_ends_with_its_connection_is_complete(self) -> None:
+        items, broken, _ = await self.call_service(b"HTTP/1.1 200 OK\r\n\r\nbody")
+        self.assertIsNone(broken)
+        self.assertIsInstance(items[-1], core.Finish)
+
+    async def test_response_cut_by_the_exit_of_its_service_is_not_complete(self) -> None:
+        items, broken, _ = await self.call_service(b"HTTP/1.1 200 OK\r\n\r\nbo", exits=True)
+        self.assertIsNotNone(broken)
+        self.assertTrue(broken.reached)
+        self.assertNotIsInstance(items[-1], core.Finish)
+
     async def test_redirect_is_returned_to_the_caller(self) -> None:
         head = b"HTTP/1.1 307 Elsewhere\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"
         items, broken, calls = await self.call_service(head)
