Wait for the exit of a process that closes its streams before it ends

A process that shuts down closes the connections of its streams some milliseconds before it stops to listen; asked within that time it answers, and a cut stream without framing counted as complete. The test with exit_seconds=0.05 failed before. An entry asks 0.1 s after the close of a stream, when its caller has all events already; plain responses are asked about at once, since their callers wait.

--- a/tillerlane/gateway/delivery/tests/test_regular_close.py
+++ b/tillerlane/gateway/delivery/tests/test_regular_close.py
@@ -29,21 +29,32 @@
         stage: gateway_lab.GatewayLab,
         route: str,
         targets: list[platform_runner.PlatformRunner],
+        exit_seconds: float = 0.0,
     ) -> caller.CallerResponse:
-        """Send a stream's request, and end its runner's process between two events."""
+        """Send a stream's request, and end its runner's process between two events.
+
+        The process answers for `exit_seconds` after it has closed its connections.
+        """
         headers = gateway_scenes.LONG if route == "record" else {"Model": "m"}
         call = asyncio.create_task(stage.call("entry-1", route, "r1", **headers))
         while True:
             for target in targets:
                 if any(run.events >= EVENTS_BEFORE_EXIT for run in target.ran):
+                    target.close_connections()
+                    await asyncio.sleep(exit_seconds)
                     target.end_process()
                     return await call
             await asyncio.sleep(0.005)
 
     def test_stream_of_an_ended_process_does_not_look_complete(self) -> None:
+        for exit_seconds in (0.0, 0.05):
+            with self.subTest(exit_seconds=exit_seconds):
+                self.play_cut(exit_seconds)
+
+    def play_cut(self, exit_seconds: float) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             targets = await self.add_targets(stage, "llm", 1, is_close_delimited=True)
-            response = await self.stream_until_exit(stage, "record", targets)
+            response = await self.stream_until_exit(stage, "record", targets, exit_seconds)
             self.assertFalse(response.is_whole)
             self.assertEqual(response.body, gateway_scenes.build_stream("r1", EVENTS_BEFORE_EXIT))
 
--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -29,6 +29,9 @@
 MAX_PRESENCE_CHECKS = 3
 """Connections that are tried: a target with too many of them resets new ones."""
 PRESENCE_RETRY_SECONDS = 0.05
+EXIT_SECONDS = 0.1
+"""How long a process that shuts down may answer after it has closed the connections of its streams.
+By then the last event of a stream has been sent to its caller, who does not wait for anything."""
 
 _Received = TypeVar("_Received")
 
@@ -146,6 +149,8 @@
         UnconfirmedEnd
             If the target's process has ended, cannot be reached, or has made more.
         """
+        if received is not None:
+            await asyncio.sleep(EXIT_SECONDS)
         presence, report = await self._find_presence(run)
         is_complete = delivery.is_complete_after_close(presence, report, run.request_id, received)
         made = report.events.get(run.request_id) if report is not None else None
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -302,7 +302,12 @@
 
     def end_process(self) -> None:
         """Exit immediately; the operating system closes every connection regularly."""
+        self.close_connections()
         self._end_runs()
+
+    def close_connections(self) -> None:
+        """Close every connection regularly, and with them the runs, as at the begin of an exit."""
+        self._record_crash()
         for connection in list(self._server.connections):
             if connection.transport is not None:
                 connection.transport.close()
@@ -311,11 +316,14 @@
         """Accept no connections any more, and end all runs."""
         self.has_crashed = True
         self._server.stop_accepting()
+        self._record_crash()
+        self.others.pop(self.address, None)
+
+    def _record_crash(self) -> None:
         now = asyncio.get_running_loop().time()
         for run in self.ran:
             run.ended_at = run.ended_at or now
             run.ended = run.ended or "crashed"
-        self.others.pop(self.address, None)
 
     def reset_connections(self, request_id: str = "") -> None:
         """Reset the connection of a request's stream, or of all; the runs may continue."""
