Bound the bytes of a target's response outside its body

What callers saw: a target that sends bytes without end in a head, in chunk extensions or in trailers held a request until its deadline, and the entry kept reading. Names, values and lists of headers were kept in memory.

Cause: only bodies and events had bounds. httptools joins the parts of a header's name or value without a limit, and skips empty lines, interim responses and chunk extensions silently.

Why it works: everything before the body counts against one limit, before it is parsed, and what is no body afterwards against a limit that grows with the number of chunks, so that long streams of small chunks are not cut. Past either the connection is aborted, and the request goes on as after any other invalid response; the reason is in the log line request.send or stream.break.

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -14,7 +14,7 @@
 
 from tillerlane.decisions import pressure
 from tillerlane.faults import core as faults
-from tillerlane.gateway import http_head, loads, memory
+from tillerlane.gateway import http_head, http_limits, loads, memory
 from tillerlane.peers import node as nodes
 
 __all__ = ["Exchange", "ExchangeError", "ProbeResult", "connect", "is_reachable", "probe"]
@@ -73,6 +73,9 @@
         self.received_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
+        self._scanner = http_limits.HeadScanner()
+        self._framing = http_limits.FramingCounter(http_limits.MAX_RESPONSE_HEAD_BYTES)
+        self._body_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._headers: http_head.Headers = []
         self._head: http_head.ResponseHead | None = None
@@ -315,9 +318,14 @@
             return
         self.received_at = self._loop.time()
         try:
-            self._parser.feed_data(_received[:size])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._set_error(f"invalid HTTP response: {error}")
+            self._parse(_received[:size])
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            http_limits.InvalidMessage,
+        ) as error:
+            cause = error.__context__ if isinstance(error.__context__, ValueError) else error
+            self._set_error(f"invalid HTTP response: {cause}")
             self.abort()
         if self._error is None:
             self._count_held()
@@ -326,6 +334,22 @@
             self._transport.pause_reading()
         self._changed.set()
 
+    def _parse(self, data: memoryview) -> None:
+        """Parse heads one by one, and then the body; limit the bytes of both but for the body."""
+        start = 0
+        if self._head is None:
+            received = bytes(data)
+            while start < len(data) and self._head is None:
+                end = self._scanner.find_end(received, start)
+                self._parser.feed_data(data[start:end])
+                start = end
+        if start == len(data) or self._is_complete:
+            return
+        body_bytes = self._body_bytes
+        self._parser.feed_data(data[start:])
+        if not self._is_complete:
+            self._framing.add(len(data) - start - (self._body_bytes - body_bytes))
+
     def _must_pause(self) -> bool:
         """Whether reading from the target pauses until what was read is taken."""
         if self._buffered > READ_BUFFER_BYTES:
@@ -360,6 +384,8 @@
         """Complete the head; interim responses are skipped."""
         if self._head is not None:
             raise ValueError("second response on the connection")
+        if not self._scanner.is_at_end:
+            raise ValueError("head ends without an empty line")
         status = self._parser.get_status_code()
         if status < 200:
             return
@@ -373,10 +399,15 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
+        self._body_bytes += len(data)
         if not self._is_complete:
             self._chunks.append(data)
             self._buffered += len(data)
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self._framing.record_chunk()
+
     def on_message_complete(self) -> None:
         """Complete the body."""
         if self._head is not None and not self.is_close_delimited:
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -14,7 +14,14 @@
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
 from tillerlane.platform import adapter, wire
-from tillerlane.testing import caller, lab, memory_disk, network, platform_runner
+from tillerlane.testing import (
+    caller,
+    lab,
+    memory_disk,
+    network,
+    platform_runner,
+    raw_runner,
+)
 
 __all__ = ["GatewayLab", "build_document"]
 
@@ -266,11 +273,26 @@
         number = len(self.runners) + 1
         address = f"10.0.9.{number}:9000"
         runner = platform_runner.PlatformRunner(target_id, address, self._by_address, **more)
-        self.runners[target_id] = runner
-        await runner.start()
-        self.beat(target_id, pool, hall)
+        await self._start_runner(runner, pool, hall)
+        return runner
+
+    async def add_raw_runner(
+        self, target_id: str, pool: str, respond: raw_runner.Respond, **more: Any
+    ) -> raw_runner.RawRunner:
+        """Start a target that writes what `respond` gives, and send its first heartbeat."""
+        number = len(self.runners) + 1
+        address = f"10.0.9.{number}:9000"
+        runner = raw_runner.RawRunner(target_id, address, self._by_address, respond=respond, **more)
+        await self._start_runner(runner, pool, "hall-a")
         return runner
 
+    async def _start_runner(
+        self, runner: platform_runner.PlatformRunner, pool: str, hall: str
+    ) -> None:
+        self.runners[runner.target_id] = runner
+        await runner.start()
+        self.beat(runner.target_id, pool, hall)
+
     def beat(
         self,
         target_id: str,
