Close a connection that goes on after a complete response

What callers saw: nothing; an entry read what a target sent after a complete response for as long as it passed the response on.

Why it works: the first bytes after a complete response abort the connection, which serves one request only.

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -313,7 +313,9 @@
         return pressure.compute_read_buffer(state, self._buffered)
 
     def buffer_updated(self, size: int) -> None:
-        """Parse received bytes; bytes after a complete response are discarded."""
+        """Parse received bytes; bytes after a complete response end the connection."""
+        if self._is_complete and self._transport is not None:
+            self._transport.abort()
         if self._is_complete or self._error is not None:
             return
         self.received_at = self._loop.time()
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -95,6 +95,26 @@
     def test_body_without_end_is_cut(self) -> None:
         self.check_bounded(ENDLESS_BODIES, f"over {BODY_BYTES} bytes of response")
 
+    def test_surplus_without_end_closes_the_connection(self) -> None:
+        """Guards against reading on for as long as the response is being passed on."""
+
+        async def read_slowly() -> int:
+            requests: list[raw_runner.RawRequest] = []
+            prefix = HEAD + b"Content-Length: 1\r\n\r\na"
+            await raw_runner.serve_raw(
+                ADDRESS, lambda request: raw_runner.repeat_forever(prefix, b"x"), requests
+            )
+            exchange = await http_client.connect(ADDRESS, 1.0)
+            exchange.send(http_head.RequestHead(b"GET", b"/", [(b"Host", b"h")]), b"")
+            await exchange.read_head()
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            self.assertEqual(await exchange.read_body(10), b"a")
+            exchange.abort()
+            await asyncio.sleep(0.1)
+            return requests[0].written_bytes
+
+        self.assertLess(lab.run_virtual(read_slowly()), MAX_WRITTEN_BYTES)
+
 
 async def fetch(response: bytes, size: int = 0) -> tuple[http_head.ResponseHead, bytes] | str:
     """Response that a client reads from given bytes, sent in parts of a size; or its error."""
