Drop the trailers of targets' responses

What callers saw: headers that a target had sent after the body of a plain response.

Cause: the parser reports headers and trailers by one callback, which appended to the list that the complete head already held.

Evidence: the test got Response-Seal, sent as a trailer, as a header before.

Why it works: headers are kept up to the end of the final head only. Trailers may be dropped (RFC 9110, 6.5.1).

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -376,11 +376,13 @@
 
     def on_message_begin(self) -> None:
         """Start a response, or an interim one."""
-        self._headers = []
+        if self._head is None:
+            self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
+        """Add a header; trailers are dropped (RFC 9110, 6.5.1)."""
+        if self._head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Complete the head; interim responses are skipped."""
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -163,6 +163,14 @@
         for size in range(1, len(response)):
             self.assertEqual(self.fetch(response, size), whole, size)
 
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against headers that reach callers although they arrived after the body."""
+        received = self.fetch(CHUNKED + b"1\r\na\r\n0\r\nResponse-Seal: x\r\n\r\n")
+        assert not isinstance(received, str)
+        head, body = received
+        self.assertEqual(body, b"a")
+        self.assertIsNone(http_head.get_header(head.headers, b"response-seal"))
+
 
 if __name__ == "__main__":
     unittest.main()
