Reject interim responses that have a body

What callers saw: the body of an interim response before that of the final one, in a response that looked complete.

Cause: parts of any body were stored, whichever response they were of.

Evidence: the test got body "ab" of a 199 with "a" and a 200 with "b" before.

Why it works: an interim response has no body (RFC 9110, 15.2), so one that has is invalid.

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -403,6 +403,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
+        if self._head is None:
+            raise ValueError("interim response has a body")
         self._body_bytes += len(data)
         if not self._is_complete:
             self._chunks.append(data)
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -171,6 +171,13 @@
         self.assertEqual(body, b"a")
         self.assertIsNone(http_head.get_header(head.headers, b"response-seal"))
 
+    def test_body_of_an_interim_response_is_no_part_of_the_final_body(self) -> None:
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"
+        self.check_invalid(b"HTTP/1.1 199 Odd\r\nContent-Length: 1\r\n\r\na" + final)
+        self.check_invalid(
+            b"HTTP/1.1 103 Odd\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" + final
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
