Reject responses of other protocols and versions

What callers saw: a 200 made of bytes that are no HTTP/1 response.

Cause: the parser also accepts HTTP/0.9, HTTP/2.0, RTSP/1.0 and ICE/1.0.

Evidence: the test got status 200 for each of them before, also after an interim response.

--- a/tillerlane/gateway/http_limits.py
+++ b/tillerlane/gateway/http_limits.py
@@ -4,6 +4,8 @@
 has of a header's name or value, and skips empty lines, interim responses and chunk extensions.
 """
 
+import re
+
 __all__ = ["FramingCounter", "HeadScanner", "InvalidMessage"]
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
@@ -11,7 +13,9 @@
 FRAMING_BYTES_PER_CHUNK = 256
 """Bytes of framing that each chunk may bring on average; without extensions it has 12 at most."""
 
+_VERSION = b"HTTP/1."
 _HEAD_END = b"\r\n\r\n"
+_EMPTY_LINES = re.compile(rb"[\r\n]*")
 
 
 class InvalidMessage(ValueError):
@@ -21,6 +25,9 @@
 class HeadScanner:
     """Finds where the heads of responses end, before they are parsed.
 
+    Parsed one by one, each can be checked to be of HTTP/1: the parser also accepts other protocols
+    and versions.
+
     Parameters
     ----------
     limit : int
@@ -36,6 +43,7 @@
         self.is_at_end = False
         self._limit = limit
         self._scanned = 0
+        self._begin = b""
         self._tail = b""
         """Last bytes scanned, which may hold a part of the head's end."""
 
@@ -45,13 +53,20 @@
         Raises
         ------
         InvalidMessage
-            If the heads have more bytes than the limit.
+            If the heads have more bytes than the limit, or are of another protocol.
         """
         if self.is_at_end:
             self.is_at_end = False
-            self._tail = b""
-        end = self._find_head_end(data, start)
-        self._tail = (self._tail + data[max(start, end - 3) : end])[-3:]
+            self._begin = self._tail = b""
+        begin = start
+        if not self._begin:
+            blank = _EMPTY_LINES.match(data, start)
+            begin = blank.end() if blank is not None else start
+        self._begin += data[begin : begin + len(_VERSION) - len(self._begin)]
+        if not _VERSION.startswith(self._begin):
+            raise InvalidMessage("response is not of HTTP/1")
+        end = self._find_head_end(data, begin)
+        self._tail = (self._tail + data[max(begin, end - 3) : end])[-3:]
         self._scanned += end - start
         if self._scanned > self._limit:
             raise InvalidMessage(f"got over {self._limit} bytes before the body")
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -178,6 +178,12 @@
             b"HTTP/1.1 103 Odd\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" + final
         )
 
+    def test_other_protocols_and_versions_are_invalid(self) -> None:
+        rest = b" 200 OK\r\nContent-Length: 1\r\n\r\na"
+        for version in (b"HTTP/0.9", b"HTTP/2.0", b"RTSP/1.0", b"ICE/1.0"):
+            self.check_invalid(version + rest)
+            self.check_invalid(b"HTTP/1.1 100 Continue\r\n\r\n" + version + rest)
+
 
 if __name__ == "__main__":
     unittest.main()
