Reject statuses below 100

What callers saw: the response that followed one with status 000 or 099.

Cause: every status below 200 was taken for that of an interim response.

Evidence: the test got status 200 before.

--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -391,6 +391,8 @@
         if not self._scanner.is_at_end:
             raise ValueError("head ends without an empty line")
         status = self._parser.get_status_code()
+        if status < 100:
+            raise ValueError(f"got status {status}")
         if status < 200:
             return
         self._head = http_head.ResponseHead(status, self._headers)
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -184,6 +184,12 @@
             self.check_invalid(version + rest)
             self.check_invalid(b"HTTP/1.1 100 Continue\r\n\r\n" + version + rest)
 
+    def test_status_below_100_is_no_interim_response(self) -> None:
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"
+        for status in (b"000", b"099"):
+            odd = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n"
+            self.check_invalid(odd + final)
+
 
 if __name__ == "__main__":
     unittest.main()
