--- a/tillerlane/gateway/http_client.py
+++ b/tillerlane/gateway/http_client.py
@@ -14,7 +14,7 @@
 
 from tillerlane.decisions import pressure
 from tillerlane.faults import core as faults
-from tillerlane.gateway import http_head, loads, memory
+from tillerlane.gateway import http_head, http_limits, loads, memory
 from tillerlane.peers import node as nodes
 
 __all__ = ["Exchange", "ExchangeError", "ProbeResult", "connect", "is_reachable", "probe"]
@@ -73,6 +73,9 @@
         self.received_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
+        self._scanner = http_limits.HeadScanner()
+        self._framing = http_limits.FramingCounter(http_limits.MAX_RESPONSE_HEAD_BYTES)
+        self._body_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._headers: http_head.Headers = []
         self._head: http_head.ResponseHead | None = None
@@ -310,14 +313,21 @@
         return pressure.compute_read_buffer(state, self._buffered)
 
     def buffer_updated(self, size: int) -> None:
-        """Parse received bytes; bytes after a complete response are discarded."""
+        """Parse received bytes; bytes after a complete response end the connection."""
+        if self._is_complete and self._transport is not None:
+            self._transport.abort()
         if self._is_complete or self._error is not None:
             return
         self.received_at = self._loop.time()
         try:
-            self._parser.feed_data(_received[:size])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._set_error(f"invalid HTTP response: {error}")
+            self._parse(_received[:size])
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            http_limits.InvalidMessage,
+        ) as error:
+            cause = error.__context__ if isinstance(error.__context__, ValueError) else error
+            self._set_error(f"invalid HTTP response: {cause}")
             self.abort()
         if self._error is None:
             self._count_held()
@@ -326,6 +336,22 @@
             self._transport.pause_reading()
         self._changed.set()
 
+    def _parse(self, data: memoryview) -> None:
+        """Parse heads one by one, and then the body; limit the bytes of both but for the body."""
+        start = 0
+        if self._head is None:
+            received = bytes(data)
+            while start < len(data) and self._head is None:
+                end = self._scanner.find_end(received, start)
+                self._parser.feed_data(data[start:end])
+                start = end
+        if start == len(data) or self._is_complete:
+            return
+        body_bytes = self._body_bytes
+        self._parser.feed_data(data[start:])
+        if not self._is_complete:
+            self._framing.add(len(data) - start - (self._body_bytes - body_bytes))
+
     def _must_pause(self) -> bool:
         """Whether reading from the target pauses until what was read is taken."""
         if self._buffered > READ_BUFFER_BYTES:
@@ -350,17 +376,23 @@
 
     def on_message_begin(self) -> None:
         """Start a response, or an interim one."""
-        self._headers = []
+        if self._head is None:
+            self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
+        """Add a header; trailers are dropped (RFC 9110, 6.5.1)."""
+        if self._head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Complete the head; interim responses are skipped."""
         if self._head is not None:
             raise ValueError("second response on the connection")
+        if not self._scanner.is_at_end:
+            raise ValueError("head ends without an empty line")
         status = self._parser.get_status_code()
+        if status < 100:
+            raise ValueError(f"got status {status}")
         if status < 200:
             return
         self._head = http_head.ResponseHead(status, self._headers)
@@ -373,10 +405,17 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
+        if self._head is None:
+            raise ValueError("interim response has a body")
+        self._body_bytes += len(data)
         if not self._is_complete:
             self._chunks.append(data)
             self._buffered += len(data)
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self._framing.record_chunk()
+
     def on_message_complete(self) -> None:
         """Complete the body."""
         if self._head is not None and not self.is_close_delimited:
