Check that a runner has not restarted before a stream is resumed there

Callers saw streams that joined events of two software versions. A runner that restarts under its id and address is known by its former start until its next heartbeat, 1.2 s and at times seconds later. Requests name the id only, so the new process took streams that another version had begun: as a new run behind the last event, as a caller's resumption, and from copies, which the source's runner makes into whatever process listens at the destination's address.

A stream is resumed over a connection only after the target's report, asked for once the connection was established, has named the known start: the process that answers the later connection was running at the time of the earlier one. Nothing has been sent by then, so the runner is passed over like one that is out of reach. Both starts are of the target's own clock. Streams that are resumed together share a report. A target whose report names another start gets no resumed streams until its heartbeat. Reports that never name a start prove nothing, and refusing them would end every resumption there, so such targets are used as before, unless reports of their version are known to name one.

A connection that was confirmed fails as soon as its target has restarted.

--- a/tillerlane/decisions/delivery.py
+++ b/tillerlane/decisions/delivery.py
@@ -21,10 +21,16 @@
     has_unlisted : bool
         Whether the runner has requests that are not listed: they wait, were preempted, or read
         their prompts.
+    started_ms : int
+        Unix milliseconds of the runner's start, by its own clock; 0 if it does not name it.
+    lists_runs : bool
+        Whether it tells of runs at all.
     """
 
     events: dict[str, int]
     has_unlisted: bool
+    started_ms: int = 0
+    lists_runs: bool = True
 
 
 def is_overdue(report: RunnerReport, request_id: str, received: int, *, has_begun: bool) -> bool:
@@ -41,6 +47,8 @@
     has_begun : bool
         Whether any event arrived from this runner.
     """
+    if not report.lists_runs:
+        return False
     made = report.events.get(request_id)
     if made is not None:
         return made > received
--- a/tillerlane/decisions/tests/test_delivery.py
+++ b/tillerlane/decisions/tests/test_delivery.py
@@ -27,3 +27,7 @@
                 report = delivery.RunnerReport(events, has_unlisted)
                 found = delivery.is_overdue(report, "r1", received, has_begun=has_begun)
                 self.assertIs(found, is_overdue)
+
+    def test_report_that_lists_no_runs_is_taken_for_one_without_this_run(self) -> None:
+        report = delivery.RunnerReport({}, has_unlisted=False, started_ms=1, lists_runs=False)
+        self.assertFalse(delivery.is_overdue(report, "r1", 10, has_begun=True))
--- /dev/null
+++ b/tillerlane/decisions/tests/test_incarnation.py
@@ -0,0 +1,48 @@
+"""A stream is resumed over a connection only to the incarnation that is known."""
+
+import unittest
+
+from tillerlane.decisions import incarnation
+
+Verdict = incarnation.Verdict
+STARTED_MS = 1_760_000_000_000
+
+
+def judge(started_ms: int, *, is_usually_named: bool = True) -> Verdict:
+    """Judge an answer that names a start; 0 for none."""
+    answer = incarnation.Answer(True, started_ms)
+    return incarnation.judge(STARTED_MS, answer, is_usually_named=is_usually_named)
+
+
+class JudgeTest(unittest.TestCase):
+    """Verdicts by answer."""
+
+    def test_known_start_is_not_confirmed(self) -> None:
+        self.assertIs(judge(STARTED_MS), Verdict.CONFIRMED)
+        self.assertIs(judge(STARTED_MS, is_usually_named=False), Verdict.CONFIRMED)
+        self.assertTrue(Verdict.CONFIRMED.may_resume)
+
+    def test_other_start_is_used_for_resumed_streams(self) -> None:
+        for started_ms in (STARTED_MS - 1, STARTED_MS + 1, 1):
+            for is_usually_named in (False, True):
+                verdict = judge(started_ms, is_usually_named=is_usually_named)
+                self.assertIs(verdict, Verdict.REPLACED)
+        self.assertFalse(Verdict.REPLACED.may_resume)
+
+    def test_runners_whose_reports_never_name_a_start_get_no_resumed_streams(self) -> None:
+        self.assertIs(judge(0, is_usually_named=False), Verdict.UNNAMED)
+        self.assertTrue(Verdict.UNNAMED.may_resume)
+
+    def test_software_whose_reports_name_a_start_is_taken_for_one_whose_do_not(self) -> None:
+        self.assertIs(judge(0), Verdict.REPLACED)
+
+    def test_target_without_an_answer_gets_a_stream(self) -> None:
+        for is_usually_named in (False, True):
+            answer = incarnation.Answer(is_answered=False)
+            verdict = incarnation.judge(STARTED_MS, answer, is_usually_named=is_usually_named)
+            self.assertIs(verdict, Verdict.UNANSWERED)
+        self.assertFalse(Verdict.UNANSWERED.may_resume)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/gateway/dialect.py
+++ b/tillerlane/gateway/dialect.py
@@ -233,7 +233,7 @@
     drop_reservation : callable
         (runner's address, id) frees an unused reservation; gives whether the runner answered.
     read_report : callable
-        (runner's address, seconds) gives what a runner reports of its runs; None if its answer is
+        (runner's address, seconds) gives what a runner reports of itself; None if its answer is
         not such a report.  Raises `http_client.ExchangeError` without an answer.
     """
 
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -93,10 +93,19 @@
     leaving_at: float = 0.0
     """Event-loop time of its report that it leaves, as far as known here; 0 before."""
     software_version: str = ""
+    is_replaced: bool = False
+    """Whether its address is known, at this daemon, to belong to another incarnation by now, of
+    which nothing else is known."""
 
     def has_version(self, software_version: str | None) -> bool:
-        """Whether it has a software version; None stands for any."""
-        return software_version is None or self.software_version == software_version
+        """Whether a stream of a software version may be resumed by it; None stands for any."""
+        if software_version is None:
+            return True
+        return not self.is_replaced and self.software_version == software_version
+
+    def drop_version(self) -> "Target":
+        """The same target with an unknown software version."""
+        return dataclasses.replace(self, software_version="")
 
     @property
     def is_leaving(self) -> bool:
@@ -262,6 +271,15 @@
         phase, former.phase, former.is_superseded = former.phase, Phase.GONE, True
         self._notify(former, phase)
 
+    def record_replaced(self, target_id: str) -> None:
+        """Record that another incarnation, of an unknown version, serves at a target's address.
+
+        The target gets no resumed streams until a heartbeat names the later incarnation.
+        """
+        known = self.targets.get(target_id)
+        if known is not None:
+            known.is_replaced = True
+
     def find(self, name: str) -> Target | None:
         """The latest incarnation of a target, by the target's name."""
         target_id = self._latest.get(name)
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -17,6 +17,7 @@
     homes,
     http_head,
     http_server,
+    incarnation_checks,
     keeper_reports,
     limits,
     load_exchange,
@@ -208,6 +209,9 @@
         delivery_watch = watch.DeliveryWatch(dialect, self.timeline, self._metrics)
         stop_orders = handovers.StopOrders(dialect, self.timeline, self._metrics)
         canceller = cancellation.RunCanceller(stop_orders, selector, self.timeline, self._metrics)
+        checker = incarnation_checks.IncarnationChecker(
+            dialect, self.directory, self.timeline, self._metrics
+        )
         sender = sending.Sender(
             dialect,
             selector,
@@ -221,6 +225,7 @@
             self.origins,
             delivery_watch,
             canceller,
+            checker,
         )
         retrying = retries.RetryingSender(
             sender,
--- a/tillerlane/gateway/exchanges.py
+++ b/tillerlane/gateway/exchanges.py
@@ -1,6 +1,7 @@
 """Open exchanges with targets; those of a replaced incarnation are failed at once."""
 
 import collections
+import weakref
 
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import http_client
@@ -27,6 +28,8 @@
 
     def __init__(self, directory: directories.Directory) -> None:
         self._open: dict[str, set[http_client.Exchange]] = collections.defaultdict(set)
+        self._confirmed: weakref.WeakSet[http_client.Exchange] = weakref.WeakSet()
+        """Exchanges that are known to lead to the incarnation that they are listed for."""
         directory.add_listener(self._handle_phase)
 
     def add(self, target: directories.Target, exchange: http_client.Exchange) -> None:
@@ -35,6 +38,10 @@
         exchanges.add(exchange)
         exchange.on_lost = lambda: self._remove(target.target_id, exchange)
 
+    def confirm(self, exchange: http_client.Exchange) -> None:
+        """Record that an exchange leads to the incarnation of its target that it is listed for."""
+        self._confirmed.add(exchange)
+
     def _remove(self, target_id: str, exchange: http_client.Exchange) -> None:
         exchanges = self._open.get(target_id)
         if exchanges is None:
@@ -51,5 +58,5 @@
         # the same address; if it does not, it is reset as soon as the target's host answers.
         until = target.heard_at - HEARTBEAT_AGE_MARGIN_SECONDS
         for exchange in list(self._open.get(target.target_id, ())):
-            if exchange.connected_at < until:
+            if exchange.connected_at < until or exchange in self._confirmed:
                 exchange.fail(f"{target.target_id} has restarted")
--- a/tillerlane/gateway/metrics.py
+++ b/tillerlane/gateway/metrics.py
@@ -36,6 +36,8 @@
     """Runs resumed at another runner, by whether that runner accepted them."""
     version_changes: prometheus_client.Counter
     """Streams resumed at a runner with another software version, by pool."""
+    incarnation_checks: prometheus_client.Counter
+    """Reports read to find out whether a target has restarted, by the verdict."""
     broken_answers: prometheus_client.Counter
     """Responses truncated by targets, by the result of a new connection to the target."""
     silent_connections: prometheus_client.Counter
@@ -120,6 +122,7 @@
         count("tillerlane_stops", "Orders to stop a run", "evidence"),
         count("tillerlane_continuations", "Runs that went on elsewhere", "taken"),
         count("tillerlane_version_changes", "Streams resumed at another version", "pool"),
+        count("tillerlane_incarnation_checks", "Checks whether a target restarted", "verdict"),
         count("tillerlane_broken_answers", "Answers that targets broke off", "reach"),
         count("tillerlane_silent_connections", "Connections that deliver nothing more", "awaited"),
         count("tillerlane_cancellations", "Orders to stop runs that nobody waits for", "evidence"),
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
-from tillerlane.decisions import copies, placing
+from tillerlane.decisions import copies, incarnation, placing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
     availability,
     exchanges,
     http_client,
     http_head,
+    incarnation_checks,
     outcomes,
     refusals,
     reservations,
@@ -77,6 +78,8 @@
         Finds connections that have fallen silent.
     canceller : cancellation.RunCanceller
         Stops runs whose response is abandoned.
+    checker : incarnation_checks.IncarnationChecker
+        Checks that a target has not restarted before a stream is resumed there.
     """
 
     def __init__(
@@ -93,7 +96,9 @@
         origins: recorder.OriginRecorder,
         delivery_watch: watch.DeliveryWatch,
         canceller: cancellation.RunCanceller,
+        checker: incarnation_checks.IncarnationChecker,
     ) -> None:
+        self._checker = checker
         self._watch = delivery_watch
         self._canceller = canceller
         self._origins = origins
@@ -139,6 +144,10 @@
                 exchange = await http_client.connect(address, CONNECT_TIMEOUT_SECONDS)
                 exchange.set_account(admission.request.account)
                 self._exchanges.add(target, exchange)
+                if plan.last_event_id and target.software_version:
+                    refusal = await self._refuse_replaced(admission, target, exchange)
+                    if refusal is not None:
+                        return refusal
                 refusal = self.refuse_quarantined(admission)
                 if refusal is not None:
                     return refusal
@@ -156,7 +165,9 @@
                 if plan.copy is None:
                     self._record_served(admission, admission.served_tokens)
                 if plan.last_event_id == admission.facts.last_event_id:
-                    self._origins.record(admission, target)
+                    self._origins.record(
+                        admission, target.drop_version() if target.is_replaced else target
+                    )
                 outcome = await self._read_response(admission, target, exchange, plan.last_event_id)
             keep = isinstance(outcome, outcomes.Stream)
             self._record_outcome(
@@ -197,6 +208,28 @@
                     self._canceller.cancel_if_quiet(run, exchange, admission.deadline)
                     exchange.abort()
 
+    async def _refuse_replaced(
+        self,
+        admission: admissions.Admission,
+        target: directories.Target,
+        exchange: http_client.Exchange,
+    ) -> refusals.NotRun | None:
+        """Refuse to resume a stream unless its connection leads to the known incarnation.
+
+        Checked before the request is sent, so that no run has to be taken back.
+        """
+        verdict = await self._checker.check(
+            admission.pool, target, exchange.connected_at, admission.facts.request_id
+        )
+        if verdict is incarnation.Verdict.UNANSWERED:
+            self._selector.failures.record_failure(target.target_id, self._loop.time())
+        if not verdict.may_resume or target.is_superseded:
+            reason = f"{target.target_id}: incarnation is {verdict.value}"
+            return refusals.NotRun(reason, sent=False)
+        if verdict is incarnation.Verdict.CONFIRMED:
+            self._exchanges.confirm(exchange)
+        return None
+
     def _record_served(self, admission: admissions.Admission, tokens: int) -> None:
         """Count tokens as served to the request's workspace; negative ones take that back."""
         pool, workspace = admission.pool.name, admission.workspace_name
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -206,15 +207,19 @@
 
 
 class _ReportReply(msgspec.Struct):
-    """``runs`` lists each run as id, tokens in memory, events made and priority."""
+    """``runs`` lists each run as id, tokens in memory, events made and priority.
 
-    runs: list[tuple[str, int, int, int]]
+    ``born`` is the Unix millisecond of the runner's start; 0 if it is missing.
+    """
+
+    runs: list[tuple[str, int, int, int]] | None = None
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
     waiting: int = 0
     running: int = 0
 
 
 async def read_report(address: str, seconds: float) -> dialect.RunnerReport | None:
-    """Read what a runner reports of its runs; None if it gives no such report.
+    """Read what a runner reports of itself; None if it gives no such report.
 
     Raises
     ------
@@ -228,7 +233,10 @@
         reply = msgspec.json.decode(body, type=_ReportReply)
     except msgspec.DecodeError:
         return None
+    runs = reply.runs or []
     return dialect.RunnerReport(
-        {request_id: events for request_id, _, events, _ in reply.runs},
-        has_unlisted=reply.waiting > 0 or reply.running > len(reply.runs),
+        {request_id: events for request_id, _, events, _ in runs},
+        has_unlisted=reply.waiting > 0 or reply.running > len(runs),
+        started_ms=reply.born,
+        lists_runs=reply.runs is not None,
     )
--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -10,7 +10,14 @@
 from typing import Any
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold, control, control_settings, entry, entry_settings
+from tillerlane.gateway import (
+    cold,
+    control,
+    control_settings,
+    entry,
+    entry_settings,
+    incarnations,
+)
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
 from tillerlane.platform import adapter, wire
@@ -18,6 +25,9 @@
 
 __all__ = ["GatewayLab", "build_document"]
 
+RESTART_MS = 1000
+"""Time between two starts of a target by its own clock, which no daemon reads."""
+
 
 def build_document(version: int, **changes: Any) -> dict[str, Any]:
     """Build a configuration with one route of each kind.
@@ -271,6 +281,26 @@
         self.beat(target_id, pool, hall)
         return runner
 
+    async def restart_runner(self, target_id: str, **more: Any) -> platform_runner.PlatformRunner:
+        """Crash a target and restart it under its id and address, without a heartbeat.
+
+        The former incarnation stays listed under an id of its own.
+        """
+        former = self.runners[target_id]
+        former.crash()
+        runner = platform_runner.PlatformRunner(
+            target_id,
+            former.address,
+            self._by_address,
+            started_ms=former.started_ms + RESTART_MS,
+            **more,
+        )
+        self.runners[incarnations.build_id(target_id, former.started_ms)] = former
+        self.runners[target_id] = runner
+        self._sequences[target_id] = 0
+        await runner.start()
+        return runner
+
     def beat(
         self,
         target_id: str,
@@ -284,7 +314,7 @@
         sequence = self._sequences.get(target_id, 0) + 1
         self._sequences[target_id] = sequence
         target = directories.Target(
-            target_id,
+            incarnations.build_id(target_id, self.runners[target_id].started_ms),
             pool,
             self.runners[target_id].address,
             hall,
--- a/tillerlane/testing/gateway_scenes.py
+++ b/tillerlane/testing/gateway_scenes.py
@@ -43,14 +43,22 @@
         """Drop the daemons' log lines."""
         drop_log_lines()
 
-    def play(self, scene: Callable[[gateway_lab.GatewayLab], Awaitable[None]]) -> None:
-        """Start a fleet, wait for its first configuration to be in force, and run a scenario."""
+    def play(
+        self, scene: Callable[[gateway_lab.GatewayLab], Awaitable[None]], **route_changes: Any
+    ) -> None:
+        """Start a fleet, wait for its first configuration to be in force, and run a scenario.
+
+        `route_changes` are made to all routes of the configuration.
+        """
 
         async def run() -> None:
             stage = gateway_lab.GatewayLab(self.keepers, self.entries, self.desired_voters)
             await stage.start()
             await asyncio.sleep(6)
-            await stage.publish("keeper-1", gateway_lab.build_document(1))
+            document = gateway_lab.build_document(1)
+            for route in document["routes"]:
+                route.update(route_changes)
+            await stage.publish("keeper-1", document)
             await asyncio.sleep(1)
             await scene(stage)
 
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -129,6 +129,8 @@
         Memory for prompts and reservations; unbounded, and no reservations, with 0.
     software_version : str
         Version of its software.  A stream is continued whatever version began it.
+    started_ms : int
+        Unix milliseconds of its start, which its reports name; 0 if they name none.
 
     Attributes
     ----------
@@ -140,6 +142,10 @@
         New connections to it hang, while open ones work.
     report_status : int
         Status of responses to calls for a report of its runs.
+    reports_start : bool
+        Whether its report names its start.
+    loses_reports : bool
+        Never responds to calls for a report.
     hold_status : int
         Status of responses to calls that reserve memory, none of which is reserved; 0 for the usual
         ones.
@@ -217,8 +223,10 @@
         slowdown: float = 0.0,
         memory_tokens: int = 0,
         software_version: str = "",
+        started_ms: int = 0,
     ) -> None:
         self.target_id = target_id
+        self.started_ms = started_ms
         self.software_version = software_version
         self.address = address
         self._listen_address = listen_address or address
@@ -259,6 +267,8 @@
         self.pauses_runs = False
         self.takes_no_connections = False
         self.report_status = 200
+        self.reports_start = True
+        self.loses_reports = False
         self.hold_status = 0
         self.hold_seconds = 0.0
         self.loses_holds = False
@@ -349,9 +359,13 @@
         """Report the active runs; a run that reads its prompt counts, but is not listed."""
         active = [run for run in self.ran if not run.ended and self.length]
         listed = [[run.request_id, 0, run.events, 5] for run in active if run.events]
-        report = {"waiting": 0, "running": len(active), "runs": listed}
+        report: dict[str, object] = {"waiting": 0, "running": len(active), "runs": listed}
         if self.pauses_runs:
             report = {"waiting": len(active), "running": 0, "runs": []}
+        if self.started_ms and self.reports_start:
+            report["born"] = self.started_ms
+        if self.loses_reports:
+            await asyncio.sleep(3600)
         body = msgspec.json.encode(report)
         status = self.report_status
         await responder.send_response(http_head.ResponseHead(status, []), body)
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -35,6 +35,8 @@
     pace: float
     copy_seconds: float
     software_version: str = ""
+    started_ms: int = 0
+    """Unix milliseconds of its start, which its heartbeats and its reports name."""
 
 
 class Switches(msgspec.Struct):
@@ -140,6 +142,7 @@
             pace=orders.pace,
             copy_seconds=orders.copy_seconds,
             listen_address=orders.listen_address,
+            started_ms=orders.started_ms,
         )
         self._record = platform_record.Writer(pathlib.Path(orders.record))
         self.ran = _Ran(self._record)
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -119,7 +119,6 @@
         )
         self._orders = orders
         self._sequence = 0
-        self._started_ms = 0
         self._process: subprocess.Popen[bytes] | None = None
 
     async def start(self) -> None:
@@ -132,7 +131,7 @@
         TimeoutError
             If it is still starting after `START_SECONDS`.
         """
-        self._started_ms = int(time.time() * 1000)
+        self._orders.started_ms = int(time.time() * 1000)
         self._sequence = 0
         starts = self.record.starts
         self._start_process()
@@ -191,13 +190,13 @@
             "state": "draining" if self.state == "draining" else "ready",
             "cold_left_ms": 0,
             "seq": self._sequence,
-            "born": self._started_ms,
+            "born": self._orders.started_ms,
         }
         return json.dumps(values).encode()
 
     def encode_leave(self) -> bytes:
         """Build the message that it leaves now."""
-        return json.dumps({"born": self._started_ms}).encode()
+        return json.dumps({"born": self._orders.started_ms}).encode()
 
     def switch(self, switches: platform_target.Switches) -> None:
         """Switch faults of its process on or off."""
