Find out which incarnation serves the streams of a restarted runner

Callers saw new streams that began at a runner which had restarted under its id with other software, and that went on at the runner's former version: as a new run after a crash, at another entry, and moved off the runner as it left.

Until the first heartbeat after the restart, the entry sends to the runner as to its former incarnation. The record of what began the stream then names the former version, and stayed so: connections from after the former incarnation's last heartbeat survive the news of the restart, and their runs kept the superseded target.

Once the later incarnation is known, its report tells: it lists the runs that it works on, by request id. A stream that is listed is assigned to it, and the corrected record goes to the keepers as a later attempt. Until then, and for good if the runner gives no report, its version is unknown: it is resumed nowhere, has its backup copy discarded, since that lies at a runner of the former version, and is recorded as of no known version, which no runner has. A target of the same software is assigned too, so that its runs are moved when it leaves.

--- a/tillerlane/decisions/incarnation.py
+++ b/tillerlane/decisions/incarnation.py
@@ -8,7 +8,9 @@
 import dataclasses
 import enum
 
-__all__ = ["Answer", "Verdict", "judge"]
+from tillerlane.decisions import delivery
+
+__all__ = ["Answer", "Verdict", "is_served_by", "judge"]
 
 
 class Verdict(enum.StrEnum):
@@ -63,3 +65,18 @@
     if answer.started_ms or is_usually_named:
         return Verdict.REPLACED
     return Verdict.UNNAMED
+
+
+def is_served_by(report: delivery.RunnerReport, started_ms: int, request_id: str) -> bool:
+    """Whether a report proves that an incarnation works on a run.
+
+    A run that is missing proves nothing: it may read its prompt, and reports are out of date.
+
+    Parameters
+    ----------
+    report : delivery.RunnerReport
+        A report from the incarnation's address.
+    started_ms : int
+        Start of the incarnation, by its heartbeat.
+    """
+    return report.started_ms in (started_ms, 0) and request_id in report.events
--- a/tillerlane/decisions/tests/test_incarnation.py
+++ b/tillerlane/decisions/tests/test_incarnation.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tillerlane.decisions import incarnation
+from tillerlane.decisions import delivery, incarnation
 
 Verdict = incarnation.Verdict
 STARTED_MS = 1_760_000_000_000
@@ -44,5 +44,24 @@
         self.assertFalse(Verdict.UNANSWERED.may_resume)
 
 
+class ServedTest(unittest.TestCase):
+    """Runs that a later incarnation works on."""
+
+    def test_run_is_assigned_to_incarnation_that_does_not_list_it(self) -> None:
+        cases = [
+            # start reported, runs listed: whether it is served
+            (STARTED_MS, {"r1": 3}, True),
+            (0, {"r1": 3}, True),  # reports that name no start
+            (STARTED_MS, {}, False),
+            (STARTED_MS, {"r2": 3}, False),
+            (STARTED_MS - 1, {"r1": 3}, False),
+            (STARTED_MS + 1, {"r1": 3}, False),  # started again meanwhile
+        ]
+        for started_ms, events, is_served in cases:
+            with self.subTest(started_ms=started_ms, events=events):
+                report = delivery.RunnerReport(events, has_unlisted=True, started_ms=started_ms)
+                self.assertIs(incarnation.is_served_by(report, STARTED_MS, "r1"), is_served)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -52,7 +52,7 @@
 from tillerlane.gateway.queue import choosing, finder
 from tillerlane.gateway.returns import table as return_tables
 from tillerlane.gateway.speeds import reporting
-from tillerlane.gateway.streaming import streams
+from tillerlane.gateway.streaming import restarts, streams
 from tillerlane.keeper import freshness, publications
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
@@ -253,6 +253,9 @@
         )
         self._target_updates.send_to_keepers = self._reports.send_to_keepers
         self.directory.add_listener(self._target_updates.handle_change)
+        restarted = restarts.RestartedTargets(
+            dialect, self.directory, self._mover, self.origins, self.timeline
+        )
         relayed_streams = streams.Streams(
             sender,
             selector,
@@ -268,6 +271,7 @@
             reserved,
             delivery_watch,
             canceller,
+            restarted,
         )
         self._relay = relay.Relay(
             self._admission_control,
--- a/tillerlane/gateway/runs.py
+++ b/tillerlane/gateway/runs.py
@@ -205,6 +205,11 @@
             run.moving.cancel()
             run.moving = None
 
+    def discard_backup(self, run: Run) -> None:
+        """Discard a run's backup copy, if it has one."""
+        if run.backup is not None:
+            self._discard_backup(run)
+
     def _discard_backups(self, is_lost: Callable[[directories.Target], bool]) -> None:
         for run in [run for runs in self._runs.values() for run in runs]:
             if run.backup is not None and is_lost(run.backup):
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -54,6 +54,8 @@
         Whether the current runner's connection has fallen silent.
     is_unreachable : bool
         Whether it broke off because the runner sends nothing and accepts no connection.
+    is_version_unknown : bool
+        Whether its target has restarted with other software, and either incarnation may serve it.
     stop_order : handovers.StopOrder or None
         Order to the current runner to stop the run.
     former_stop_orders : list of handovers.StopOrder
@@ -87,6 +89,7 @@
         self.evidence: list[suspects.TargetExit] = []
         self.is_unreachable = False
         self.is_silent = False
+        self.is_version_unknown = False
         self.stop_order: handovers.StopOrder | None = None
         self.former_stop_orders: list[handovers.StopOrder] = []
         self.is_proven = False
@@ -109,6 +112,7 @@
         self.problem = ""
         self.is_unreachable = False
         self.is_silent = False
+        self.is_version_unknown = False
         if self.stop_order is not None:
             self.former_stop_orders.append(self.stop_order)
         self.stop_order = None
--- a/tillerlane/gateway/streaming/streams.py
+++ b/tillerlane/gateway/streaming/streams.py
@@ -31,7 +31,7 @@
 from tillerlane.gateway import usage as usages
 from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.quarantine import exit_detection, guard
-from tillerlane.gateway.streaming import stream_ends, stream_relay
+from tillerlane.gateway.streaming import restarts, stream_ends, stream_relay
 from tillerlane.timeline import core as timelines
 
 __all__ = ["Streams"]
@@ -85,6 +85,8 @@
         Finds connections that have fallen silent.
     canceller : cancellation.RunCanceller
         Stops runs whose callers have left.
+    restarted : restarts.RestartedTargets
+        Finds out which incarnation of a target serves a stream.
     """
 
     def __init__(
@@ -103,7 +105,9 @@
         reserved: reservations.Reservations,
         delivery_watch: watch.DeliveryWatch,
         canceller: cancellation.RunCanceller,
+        restarted: restarts.RestartedTargets,
     ) -> None:
+        self._restarted = restarted
         self._watch = delivery_watch
         self._canceller = canceller
         self._reservations = reserved
@@ -170,6 +174,7 @@
         assert stream.exchange is not None
         run.on_copied = stream.exchange.interrupt
         self._mover.add(run)
+        self._restarted.add(stream)
         if run.backup is not None:
             self._usage.add(run.backup.address, tokens=run.tokens)
 
@@ -210,6 +215,7 @@
             )
             if run.backup is not None:
                 self._usage.add(run.backup.address, tokens=-run.tokens)
+        self._restarted.remove(stream)
         self._mover.remove(stream.run)
 
     async def _relay_runs(self, stream: stream_relay.StreamRelay) -> None:
@@ -233,6 +239,10 @@
             if stop is stream_relay.StopReason.CAN_RESUME:
                 self._hand_over(stream)
                 continue
+            if stream.is_version_unknown and stream.last_event_id:
+                stream.problem += f"; {stream.run.target.target_id} has restarted, version unknown"
+                self._ends.record_break(stream, stream.problem)
+                return
             if await self._resume_from_copy(stream) or await self._start_new_run(stream):
                 continue
             self._ends.record_break(stream, stream.problem)
--- a/tillerlane/gateway/tests/test_restarted_software.py
+++ b/tillerlane/gateway/tests/test_restarted_software.py
@@ -196,5 +196,78 @@
         self.play(scene)
 
 
+class NewStreamTest(RestartCase):
+    """Streams that begin at a restarted runner before its heartbeat."""
+
+    async def begin(self, stage: gateway_lab.GatewayLab, **faults: Any) -> dict:
+        """Start streams at a restarted runner, which then sends its first heartbeat."""
+        await self.add(stage, "t1", FIRST)
+        restarted = await self.restart(stage, "t1", SECOND)
+        for name, value in faults.items():
+            setattr(restarted, name, value)
+        calls = self.start_streams(stage, "verdict")
+        await asyncio.sleep(0.3)
+        stage.beat("t1", "llm")
+        await self.add(stage, "t2", FIRST)
+        await self.add(stage, "t3", SECOND)
+        return calls
+
+    def test_new_run_starts_at_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*calls.values())
+            self.check_one_version(stage, calls)
+            self.check_resumed({item: call.result() for item, call in calls.items()})
+
+        self.play(scene)
+
+    def test_caller_resumes_at_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage)
+            again = await self.resume(stage, await self.break_streams(stage, calls))
+            self.check_one_version(stage, again)
+            self.check_resumed(again)
+
+        self.play(scene)
+
+    def test_stream_of_runner_without_reports_is_resumed_at_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage, loses_reports=True)
+            await asyncio.sleep(0.4)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*calls.values())
+            broken = {item: call.result() for item, call in calls.items()}
+            again = await self.resume(stage, broken)
+            self.check_one_version(stage, again)
+            self.assertEqual({item.status for item in again.values()}, {503})
+            self.check_in_order(broken)
+
+        self.play(scene)
+
+    def test_stream_that_waits_for_its_head_is_resumed_at_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage, reading_seconds=0.5)
+            await asyncio.sleep(0.6)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*calls.values())
+            self.check_one_version(stage, calls)
+            self.check_resumed({item: call.result() for item, call in calls.items()})
+
+        self.play(scene)
+
+    def test_run_of_leaving_runner_moves_to_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.5)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*calls.values())
+            self.check_one_version(stage, calls)
+            self.check_resumed({item: call.result() for item, call in calls.items()})
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
