Break a stream off at an event without its number

Callers saw a stream that looked complete, and in which an event whose number was damaged stood in the place of the right one, or before a repeat of it. The relay compared numbers only where both the event and the one before it had one: an event without an id passed unchecked, and after an id that is no number all later ones passed too.

Once a stream has ids, each event has to have one of the same kind, and numbers rise by one (decisions/event_order.py). Comments and reconnection times belong to no event and are passed on without being counted.

--- a/tillerlane/gateway/streaming/events.py
+++ b/tillerlane/gateway/streaming/events.py
@@ -1,9 +1,10 @@
 """Splits a stream of bytes into complete server-sent events."""
 
-__all__ = ["EventSplitter", "parse_event_id"]
+__all__ = ["EventSplitter", "is_comment", "parse_event_id"]
 
 MAX_EVENT_BYTES = 1024 * 1024
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
+_COMMENT_STARTS = (b":", b"retry:")
 
 
 class EventSplitter:
@@ -51,3 +52,14 @@
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
     return ""
+
+
+def is_comment(event: bytes) -> bool:
+    """Whether all lines are comments or reconnection times, which belong to no event.
+
+    Examples
+    --------
+    >>> is_comment(b": keep-alive\\n\\n")
+    True
+    """
+    return all(line.startswith(_COMMENT_STARTS) for line in event.splitlines() if line)
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Callable
 
-from tillerlane.decisions import quarantine
+from tillerlane.decisions import event_order, quarantine
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import handovers, http_client, http_server, runs
 from tillerlane.gateway.delivery import watch
@@ -13,9 +13,6 @@
 
 __all__ = ["StopReason", "StreamRelay"]
 
-BEFORE_FIRST_ID = "0"
-"""Runners number events from 1; a stream whose first event has a higher id lacks its beginning."""
-
 
 class StopReason(enum.Enum):
     """Why the relay of one runner's events stopped."""
@@ -171,17 +168,18 @@
 
     async def _forward(self, data: bytes) -> bool:
         """Relay complete events; False if one does not follow the last."""
-        previous_event_id = self.last_event_id
+        previous_event_id, previous_events = self.last_event_id, self.events
         accepted, self.problem = self._accept_in_order(self._splitter.feed(data))
-        if accepted:
-            self._record_times(previous_event_id, len(accepted))
+        if self.events > previous_events:
+            self._record_times(previous_event_id, self.events - previous_events)
             self._update_memory()
+        if accepted:
             await self.responder.write(b"".join(accepted))
         return not self.problem
 
     async def _read_chunk(self, exchange: http_client.Exchange) -> bytes | None:
         """Read more of the stream; fail if the runner is unreachable and the run can be resumed."""
-        received = int(self.last_event_id) if self.last_event_id.isdigit() else 0
+        received = event_order.parse_number(self.last_event_id) or 0
         while True:
             try:
                 return await self._watch.read(
@@ -198,13 +196,13 @@
     def _accept_in_order(self, received: list[bytes]) -> tuple[list[bytes], str]:
         """Accept events up to the first that does not follow; also gives what is wrong with it."""
         for position, event in enumerate(received):
+            if events.is_comment(event):
+                continue
             event_id = events.parse_event_id(event)
-            previous_id = self.last_event_id or BEFORE_FIRST_ID
-            if event_id.isdigit() and previous_id.isdigit():
-                expected = int(previous_id) + 1
-                if int(event_id) != expected:
-                    return received[:position], f"got event {event_id}, expected {expected}"
-            self.last_event_id = event_id or self.last_event_id
+            fault = event_order.find_fault(self.last_event_id, event_id)
+            if fault:
+                return received[:position], fault
+            self.last_event_id = event_id
             self.events += 1
         return received, ""
 
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -29,9 +29,13 @@
 Body = http_server.Responder | close_delimited.CloseDelimitedResponder
 
 
-def build_event(request_id: str, number: int) -> bytes:
-    """Build the event with a given number of a request's stream."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def build_event(request_id: str, number: int, id_line: bytes | None = None) -> bytes:
+    """Build the event with a given number of a request's stream.
+
+    `id_line` takes the place of the line with its number.
+    """
+    line = f"id: {number}\n".encode() if id_line is None else id_line
+    return line + f"data: {request_id}-{number}\n\n".encode()
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,6 +207,16 @@
         Called after a crash.
     skips_event, breaks_at : int
         Number of an event that a stream omits, or at which it breaks off.
+    id_lines : dict of int to bytes
+        Lines sent in place of those with the number of an event, by that number.
+    comment : bytes
+        Sent before each event.
+    copy_offset : int
+        Number of events by which copies that it makes differ from its runs.
+    continues_from_copy : bool
+        Sends the events behind those that a copy holds, instead of behind the caller's last one.
+    ignores_last_event : bool
+        Starts each stream at its first event.
     """
 
     others: dict[str, "PlatformRunner"]
@@ -280,6 +294,11 @@
         self.has_crashed = False
         self.skips_event = 0
         self.breaks_at = 0
+        self.id_lines: dict[int, bytes] = {}
+        self.comment = b""
+        self.copy_offset = 0
+        self.continues_from_copy = False
+        self.ignores_last_event = False
         self.dropped: list[str] = []
         self._transfer_lock = asyncio.Lock()
         """Serializes the transfer of copies."""
@@ -414,6 +433,11 @@
         self.arrived.append(arrival)
         first = int(headers.get("last-event-id", "0")) + 1
         copy_from = headers.get("kv-from", "")
+        held = self.copies.get(copy_from.rpartition("/")[2])
+        if held is not None and self.continues_from_copy:
+            first = held.events + 1
+        if self.ignores_last_event:
+            first = 1
         is_full = self.slots > 0 and self._in_progress >= self.slots + self.queue
         if self.refuses or is_full or (copy_from and not self._use_copy(copy_from, request_id)):
             await self._reject(503, request_id, responder)
@@ -572,7 +596,8 @@
                 return False
             is_sent = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_sent:
-                await responder.write(build_event(run.request_id, number))
+                event = build_event(run.request_id, number, self.id_lines.get(number))
+                await responder.write(self.comment + event)
             run.events = number
             self._grow_copy(run)
         self._record_end(run, "whole")
@@ -608,7 +633,8 @@
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
-            backup.copies[run.request_id] = MemoryCopy(run.request_id, run.events, self)
+            events = run.events + self.copy_offset
+            backup.copies[run.request_id] = MemoryCopy(run.request_id, events, self)
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """Find the run of a request that is still active."""
@@ -654,7 +680,7 @@
         finally:
             self._transferring.discard(run.request_id)
         reply = {"handle": handle, "made": run.events}
-        copy = MemoryCopy(run.request_id, run.events, self)
+        copy = MemoryCopy(run.request_id, run.events + self.copy_offset, self)
         status = 200
         if destination is None or destination.refuses:
             status = 503
