Resume no stream whose events have no ids

Callers saw such a stream begin again within one response: when its runner crashed, a new run sent all events from the first one on, behind those that the caller had. Evidence: test_resumed_order.FirstRunTest (two runners, events without ids, the first one crashes) got a complete response with the first event twice. The entry takes a stream without a last event id for one of which the caller has nothing.

A stream of which events without an id were relayed has no position to resume from, and is broken off.

--- a/tillerlane/gateway/streaming/streams.py
+++ b/tillerlane/gateway/streaming/streams.py
@@ -243,6 +243,10 @@
                 stream.problem += f"; {stream.run.target.target_id} has restarted, version unknown"
                 self._ends.record_break(stream, stream.problem)
                 return
+            if stream.events and not stream.last_event_id:
+                stream.problem += "; its events have no ids"
+                self._ends.record_break(stream, stream.problem)
+                return
             if await self._resume_from_copy(stream) or await self._start_new_run(stream):
                 continue
             self._ends.record_break(stream, stream.problem)
--- a/tillerlane/gateway/tests/test_resumed_order.py
+++ b/tillerlane/gateway/tests/test_resumed_order.py
@@ -144,6 +144,43 @@
 
         self.play(scene)
 
+    def test_stream_whose_first_event_is_damaged_goes_on(self) -> None:
+        for line in (b"", b"id: x1\n"):
+            with self.subTest(line=line):
+                self.play_damaged_begin(line)
+
+    def play_damaged_begin(self, line: bytes) -> None:
+        """Damage the line with the number of the first event at one of two runners."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            for name in ("t1", "t2"):
+                runner = await stage.add_runner(name, "llm", length=LENGTH)
+                runner.id_lines = {1: line}
+            await asyncio.sleep(0.3)
+            response = await stage.call("entry-1", "verdict", "r1")
+            self.assertFalse(response.is_whole)
+            self.assertLessEqual(response.body.count(b"data: "), 1)
+
+        self.play(scene)
+
+    def test_stream_whose_events_have_no_numbers_starts_again_within_one_response(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await stage.add_runner("t1", "llm", length=LENGTH)
+            await asyncio.sleep(0.3)
+            lines = {number: b"" for number in range(1, LENGTH + 1)}
+            stage.runners["t1"].id_lines = lines
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1"))
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=LENGTH)
+            second.id_lines = lines
+            await asyncio.sleep(0.3)
+            stage.runners["t1"].crash()
+            response = await call
+            self.assertFalse(response.is_whole)
+            self.assertEqual(response.body.count(b"data: r1-1\n"), 1)
+
+        self.play(scene)
+
     def test_stream_without_numbers_is_not_relayed(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             runner = await stage.add_runner("t1", "llm", length=LENGTH)
