Answer requests that resume a stream behind a number of thousands of digits

Callers got a closed connection without a response. The number was converted where the entry waits for the head of the response, after the request had been sent; Python converts no more than 4,300 digits and raises ValueError. The same held for digits that are no decimal ones. Evidence: test_resumed_order.CallerTest, which got no status with 5,000 digits.

Such an id is text, as in decisions/event_order.py.

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tillerlane.decisions import copies, incarnation, placing
+from tillerlane.decisions import copies, event_order, incarnation, placing
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import (
     availability,
@@ -295,7 +295,7 @@
                     exchange,
                     exchange.read_head,
                     run,
-                    received=int(last_event_id) if last_event_id.isdigit() else 0,
+                    received=event_order.parse_number(last_event_id) or 0,
                     has_begun=False,
                     first_check_seconds=max(
                         MIN_HEAD_CHECK_SECONDS, admission.route.objective_seconds
--- a/tillerlane/gateway/tests/test_resumed_order.py
+++ b/tillerlane/gateway/tests/test_resumed_order.py
@@ -228,5 +228,29 @@
         self.play(scene)
 
 
+class CallerTest(OrderCase):
+    """Last events that callers name."""
+
+    def test_last_event_that_is_no_number_ends_the_request_without_a_response(self) -> None:
+        for last_event in ("\xb2", "9" * 5000, "x"):
+            with self.subTest(last_event=last_event[:3]):
+                self.play_last_event(last_event)
+
+    def play_last_event(self, last_event: str) -> None:
+        """Resume a stream behind an event with an unusual id."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runner = await stage.add_runner("t1", "llm", length=LENGTH)
+            runner.ignores_last_event = True
+            await asyncio.sleep(3.0)
+            response = await stage.call(
+                "entry-1", "verdict", "r1", Last_Event_Id=last_event, Resumes="r0"
+            )
+            self.assertNotEqual(response.status, 0)
+            self.assertFalse(response.is_whole and response.status == 200)
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
