Resume no stream that began at a runner known to have been replaced

Callers saw streams at two versions that an entry had begun at a runner of which it knew, from its report, that it had restarted: the runner gets new streams as before, and one whose connection broke before the runner's first heartbeat went on at the former version.

A stream whose connection was established after the report that named another start is served by that other incarnation, so its version is unknown until its heartbeat. Without such a report nothing tells the two apart yet.

--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -93,9 +93,14 @@
     leaving_at: float = 0.0
     """Event-loop time of its report that it leaves, as far as known here; 0 before."""
     software_version: str = ""
-    is_replaced: bool = False
-    """Whether its address is known, at this daemon, to belong to another incarnation by now, of
-    which nothing else is known."""
+    replaced_at: float = 0.0
+    """Event-loop time since which its address is known, at this daemon, to belong to another
+    incarnation, of which nothing else is known; 0 if it is not."""
+
+    @property
+    def is_replaced(self) -> bool:
+        """Whether another incarnation serves at its address."""
+        return self.replaced_at > 0
 
     def has_version(self, software_version: str | None) -> bool:
         """Whether a stream of a software version may be resumed by it; None stands for any."""
@@ -271,14 +276,14 @@
         phase, former.phase, former.is_superseded = former.phase, Phase.GONE, True
         self._notify(former, phase)
 
-    def record_replaced(self, target_id: str) -> None:
+    def record_replaced(self, target_id: str, now: float) -> None:
         """Record that another incarnation, of an unknown version, serves at a target's address.
 
         The target gets no resumed streams until a heartbeat names the later incarnation.
         """
         known = self.targets.get(target_id)
-        if known is not None:
-            known.is_replaced = True
+        if known is not None and not known.is_replaced:
+            known.replaced_at = now
 
     def find(self, name: str) -> Target | None:
         """The latest incarnation of a target, by the target's name."""
--- a/tillerlane/gateway/incarnation_checks.py
+++ b/tillerlane/gateway/incarnation_checks.py
@@ -93,7 +93,7 @@
         if verdict is incarnation.Verdict.CONFIRMED and len(self._naming) < MAX_SOFTWARE:
             self._naming.add(software)
         if verdict is incarnation.Verdict.REPLACED:
-            self._directory.record_replaced(target.target_id)
+            self._directory.record_replaced(target.target_id, self._loop.time())
         self._metrics.incarnation_checks.labels(verdict.value).inc()
         self._timeline.record(
             "target.check",
--- a/tillerlane/gateway/streaming/restarts.py
+++ b/tillerlane/gateway/streaming/restarts.py
@@ -61,8 +61,12 @@
 
     def add(self, stream: stream_relay.StreamRelay) -> None:
         """Register a stream; its target may have restarted while its request was on its way."""
-        name = incarnations.parse_id(stream.run.target.target_id).name
+        target = stream.run.target
+        name = incarnations.parse_id(target.target_id).name
         self._streams[name].add(stream)
+        assert stream.exchange is not None
+        if target.is_replaced and stream.exchange.connected_at >= target.replaced_at:
+            stream.is_version_unknown = True  # until the later incarnation's heartbeat
         later = self._directory.find(name)
         if later is not None:
             self._start(stream, later)
--- a/tillerlane/gateway/tests/test_restarted_software.py
+++ b/tillerlane/gateway/tests/test_restarted_software.py
@@ -256,6 +256,32 @@
 
         self.play(scene)
 
+    def test_stream_of_runner_known_as_replaced_is_resumed_at_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add(stage, "t1", FIRST)
+            first = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.3)
+            await self.add(stage, "t2", FIRST)
+            restarted = await self.restart(stage, "t2", SECOND)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*first.values())
+            calls = self.start_streams(stage, "record") | {
+                f"new-{number}": asyncio.create_task(
+                    stage.call("entry-1", "verdict", f"new-{number}")
+                )
+                for number in range(STREAMS)
+            }
+            await asyncio.sleep(0.5)
+            self.assertTrue(restarted.ran)
+            await self.add(stage, "t3", FIRST)
+            restarted.reset_connections()
+            await asyncio.gather(*calls.values())
+            self.check_one_version(stage, calls)
+            self.check_in_order({item: call.result() for item, call in calls.items()})
+            self.assertEqual(stage.runners["t3"].ran, [])
+
+        self.play(scene)
+
     def test_run_of_leaving_runner_moves_to_former_version(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             calls = await self.begin(stage)
