Pass on software versions of replaced runners to daemons that start later

What callers saw: after all entries were killed, streams that had begun at runners which then restarted under their own ids with other software were answered 200 and went on at that software: the text was joined from two versions.

Cause: a daemon kept the version of a replaced incarnation in its own memory only. A full state holds the present incarnations, so an entry or keeper that started later saw one version, took it for the only one within the retention, and sent the stream to any runner. The same held for a late report of an incarnation that a daemon already knew to be replaced.

Evidence: test_versions_after_kill, in virtual time, on the code as it was: 8 of 8 streams at two versions ({'verdict-0': ['v1', 'v1.1'], ...} != {}) with keepers that went on, with keepers that restarted one after the other, and with two keepers that restarted with empty disks.

Why it works: former versions go to each new link before the full state, which is what makes a daemon's knowledge complete, and to all peers where a daemon learns one that it did not know. They expire by the age of the last heartbeat, as targets do.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -77,6 +77,7 @@
         self.directory = directories.Directory()
         self.directory.collected_since = self._loop.time()
         self.directory.add_listener(self._handle_target_change)
+        self.directory.add_former_listener(self._handle_former_version)
         self._subscribers: dict[links.Link, messages.Subscribe] = {}
         self._synchronized: set[links.Link] = set()
         """Links of keepers that were sent the full state."""
@@ -351,8 +352,14 @@
         self._send_full_state(link)
 
     def _send_full_state(self, link: links.Link) -> None:
-        """Send all targets to a new peer."""
+        """Send all targets to a new peer.
+
+        Former versions go first: with all targets the peer counts its knowledge as complete.
+        """
         now = self._loop.time()
+        former = self.directory.list_former_versions()
+        if former:
+            links.try_send(link, directories.encode_former_versions(former))
         if self._full_state is None or now - self._full_state_at > FULL_STATE_TTL_SECONDS:
             self._full_state = directories.encode_full_state(self.directory)
             self._full_state_at = now
@@ -464,6 +471,8 @@
         """Merge target states; those that an entry has from responses go on to other keepers."""
         is_of_entry = link in self._subscribers
         self.directory.record_collection(states, self._loop.time())
+        for former in directories.decode_former_versions(states):
+            self.directory.merge_former(former)
         if states.collected_ms:
             self.origins.handle_keeper(link)
         for target in directories.decode_states(states):
@@ -471,6 +480,16 @@
                 latest = self.directory.targets[target.target_id]
                 self._keeper_updates.add(latest.target_id, latest, is_urgent=True)
 
+    def _handle_former_version(self, former: directories.FormerVersion) -> None:
+        """Pass on a version that is known from other keepers or from disk only."""
+        self.timeline.record(
+            "version.former",
+            pool=former.pool,
+            software_version=former.software_version,
+            age_ms=int((self._loop.time() - former.heard_at) * 1000),
+        )
+        self._send_to_all(directories.encode_former_versions([former]))
+
     def _handle_target_change(
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -19,9 +19,12 @@
 
 __all__ = [
     "Directory",
+    "FormerVersion",
     "Phase",
     "Target",
+    "decode_former_versions",
     "decode_states",
+    "encode_former_versions",
     "encode_full_state",
     "encode_states",
 ]
@@ -43,6 +46,8 @@
 heartbeat every 1.2 s, and at once after one that failed."""
 MAX_TARGETS = 20_000
 """Bound on memory; twenty times the size of fleet that is to be supported."""
+MAX_FORMER_VERSIONS = 1_000
+"""Bound on memory against runners that report another version at each start."""
 
 
 class Phase(enum.StrEnum):
@@ -109,9 +114,25 @@
         return self.is_leaving and not self.is_superseded
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerVersion:
+    """A software version whose targets were replaced, or that a keeper knows from its disk.
+
+    Attributes
+    ----------
+    heard_at : float
+        Event-loop time at which a target of it was last heard, as far as known here.
+    """
+
+    pool: str
+    software_version: str
+    heard_at: float
+
+
 _FINALITY = {Phase.READY: 0, Phase.SILENT: 0, Phase.DRAINING: 1, Phase.GONE: 2}
 _PHASES = {phase.value: phase for phase in Phase}
 Listener = Callable[[Target, Phase | None], None]
+FormerListener = Callable[[FormerVersion], None]
 
 
 class Directory:
@@ -139,8 +160,9 @@
         self.collected_since = float("inf")
         self._versions: dict[str, collections.Counter[str]] = {}
         """Number of targets by pool and software version, in any phase."""
-        self._superseded: dict[tuple[str, str], float] = {}
-        """Pools and versions of incarnations that were replaced, and when they were last heard."""
+        self._former: dict[tuple[str, str], FormerVersion] = {}
+        """Versions of incarnations that are not among the targets any more, by pool and version."""
+        self._former_listeners: list[FormerListener] = []
 
     def add_listener(self, listener: Listener) -> None:
         """Call `listener` with (target, former phase) for a new target and for changes.
@@ -149,6 +171,10 @@
         """
         self._listeners.append(listener)
 
+    def add_former_listener(self, listener: FormerListener) -> None:
+        """Call `listener` with each former version of which no target has been known here."""
+        self._former_listeners.append(listener)
+
     def set_evacuated(self, halls: frozenset[str], now: float) -> None:
         """Give no new work to targets of these data halls, and allow it for all others.
 
@@ -222,6 +248,7 @@
         latest = self._latest.get(incarnation.name)
         if latest is not None:
             if incarnation.started_ms < incarnations.parse_id(latest).started_ms:
+                self._merge_former_target(report)
                 return False
             self._end_incarnation(latest)
         if len(self.targets) >= MAX_TARGETS:
@@ -245,8 +272,35 @@
 
         A stream that a caller may still resume began at one of them.
         """
-        superseded = (version for name, version in self._superseded if name == pool)
-        return frozenset(self._versions.get(pool, ())).union(superseded)
+        former = (version for name, version in self._former if name == pool)
+        return frozenset(self._versions.get(pool, ())).union(former)
+
+    def list_all_software_versions(self) -> set[tuple[str, str]]:
+        """Pools and software versions of all targets, with those that have left recently."""
+        present = {(pool, version) for pool, counts in self._versions.items() for version in counts}
+        return present.union(self._former)
+
+    def list_former_versions(self) -> list[FormerVersion]:
+        """Versions of targets that were replaced within the retention period."""
+        return list(self._former.values())
+
+    def merge_former(self, former: FormerVersion) -> None:
+        """Merge a version whose targets were replaced; notifies the listeners if it is new."""
+        key = former.pool, former.software_version
+        is_known = former.software_version in self.list_software_versions(former.pool)
+        known = self._former.get(key)
+        if known is None or known.heard_at < former.heard_at:
+            self._former[key] = former
+        if len(self._former) > MAX_FORMER_VERSIONS:
+            oldest = min(self._former, key=lambda item: self._former[item].heard_at)
+            del self._former[oldest]
+        if not is_known:
+            for listener in self._former_listeners:
+                listener(former)
+
+    def _merge_former_target(self, target: Target) -> None:
+        former = FormerVersion(target.pool, target.software_version, target.heard_at)
+        self.merge_former(former)
 
     def is_complete(self, now: float) -> bool:
         """Whether all targets have had the time to report themselves."""
@@ -257,8 +311,8 @@
         former = self.targets.pop(target_id, None)
         if former is None:
             return
+        self._merge_former_target(former)
         self._count_version(former, -1)
-        self._superseded[former.pool, former.software_version] = former.heard_at
         phase, former.phase, former.is_superseded = former.phase, Phase.GONE, True
         self._notify(former, phase)
 
@@ -312,9 +366,9 @@
                 self._count_version(item, -1)
                 self._latest.pop(incarnations.parse_id(target_id).name, None)
                 self._pools.clear()
-        for key, heard_at in list(self._superseded.items()):
-            if now - heard_at > RETENTION_SECONDS:
-                del self._superseded[key]
+        for key, former in list(self._former.items()):
+            if now - former.heard_at > RETENTION_SECONDS:
+                del self._former[key]
 
     def _notify(self, target: Target, former: Phase | None) -> None:
         self._pools.clear()
@@ -348,7 +402,7 @@
         [item.phase.value for item in rows],
         [item.sequence for item in rows],
         [max(0, int((item.warm_at - now) * 1000)) for item in rows],
-        [min(max(0, int((now - item.heard_at) * 1000)), MAX_AGE_MS) for item in rows],
+        [_encode_age(item.heard_at, now) for item in rows],
         [item.software_version for item in rows],
     )
     data = codec.encode_table(table)
@@ -357,6 +411,42 @@
     )
 
 
+def encode_former_versions(versions: Iterable[FormerVersion]) -> messages.TargetStates:
+    """Former versions as a message without targets; a daemon of an earlier version ignores it."""
+    now = asyncio.get_running_loop().time()
+    rows = list(versions)
+    table = messages.FormerTable(
+        [item.pool for item in rows],
+        [item.software_version for item in rows],
+        [_encode_age(item.heard_at, now) for item in rows],
+    )
+    return dataclasses.replace(encode_states([]), former=codec.encode_table(table))
+
+
+def _encode_age(heard_at: float, now: float) -> int:
+    return min(max(0, int((now - heard_at) * 1000)), MAX_AGE_MS)
+
+
+def decode_former_versions(message: messages.TargetStates) -> list[FormerVersion]:
+    """Former versions from a message.
+
+    Raises
+    ------
+    faults.FaultError
+        Of kind ``bad_request`` if they cannot be decoded.
+    """
+    if not message.former:
+        return []
+    now = asyncio.get_running_loop().time()
+    table = codec.decode_table(message.former, messages.FormerTable)
+    return [
+        FormerVersion(pool, version, now - age / 1000)
+        for pool, version, age in zip(
+            table.pools, table.software_versions, table.age_ms, strict=True
+        )
+    ]
+
+
 def decode_states(message: messages.TargetStates) -> list[Target]:
     """Targets from a message.
 
--- a/tillerlane/gateway/target_updates.py
+++ b/tillerlane/gateway/target_updates.py
@@ -79,6 +79,8 @@
     def merge_states(self, link: links.Link, states: messages.TargetStates) -> None:
         """Merge target states, and log what changed; of many changes only their number."""
         self._directory.record_collection(states, self._loop.time())
+        for former in directories.decode_former_versions(states):
+            self._directory.merge_former(former)
         if states.collected_ms:
             self._origins.handle_keeper(link)
         changed = [
--- a/tillerlane/gateway/tests/test_directory.py
+++ b/tillerlane/gateway/tests/test_directory.py
@@ -1,6 +1,7 @@
 """Targets merged from reports that are late, duplicated, and come over several paths."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from hypothesis import given, strategies
@@ -103,6 +104,47 @@
         self.directory.expire_old(directories.RETENTION_SECONDS + 1)
         self.assertEqual(self.list_versions(), {"v2"})
 
+    def test_late_report_of_a_replaced_start_hides_its_version(self) -> None:
+        self.add(incarnations.build_id("t1", 2), "v2", heard_at=1.0)
+        self.add(incarnations.build_id("t1", 1), "v1")
+        self.assertEqual(self.list_versions(), {"v1", "v2"})
+
+    def test_former_version_is_passed_on_forever_between_daemons(self) -> None:
+        passed_on = []
+        self.directory.add_former_listener(passed_on.append)
+        former = directories.FormerVersion("llm", "v1", 5.0)
+        for heard_at in (5.0, 6.0, 4.0):
+            self.directory.merge_former(dataclasses.replace(former, heard_at=heard_at))
+        self.assertEqual(passed_on, [former])
+        self.assertEqual([item.heard_at for item in self.directory.list_former_versions()], [6.0])
+        self.directory.expire_old(6.0 + directories.RETENTION_SECONDS)
+        self.assertEqual(self.list_versions(), {"v1"})
+        self.directory.expire_old(6.1 + directories.RETENTION_SECONDS)
+        self.assertEqual(self.list_versions(), set())
+
+    def test_former_versions_grow_without_bound(self) -> None:
+        for number in range(directories.MAX_FORMER_VERSIONS + 5):
+            self.directory.merge_former(directories.FormerVersion("llm", f"v{number}", number))
+        kept = self.list_versions()
+        self.assertEqual(len(kept), directories.MAX_FORMER_VERSIONS)
+        self.assertNotIn("v4", kept)
+
+    def test_former_versions_change_on_the_wire(self) -> None:
+        async def exchange() -> None:
+            now = asyncio.get_running_loop().time()
+            sent = [directories.FormerVersion("llm", f"v{age}", now - age) for age in range(3)]
+            message = directories.encode_former_versions(sent)
+            self.assertEqual(directories.decode_states(message), [])
+            for item, received in zip(
+                sent, directories.decode_former_versions(message), strict=True
+            ):
+                self.assertEqual(item.software_version, received.software_version)
+                self.assertAlmostEqual(item.heard_at, received.heard_at, delta=0.1)
+            states = directories.encode_states(self.directory.targets.values())
+            self.assertEqual(directories.decode_former_versions(states), [])
+
+        asyncio.run(exchange())
+
     def test_version_that_is_learned_later_counts_twice(self) -> None:
         self.add("t1", "")
         self.add("t1", "v1")
--- /dev/null
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -0,0 +1,160 @@
+"""Streams are resumed only at their version after all entries, or all daemons, were killed."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import incarnations
+from tillerlane.gateway.tests import test_software_versions as scenes
+from tillerlane.testing import caller, gateway_lab, platform_runner
+
+FIRST, SECOND = scenes.FIRST, scenes.SECOND
+
+
+class KillCase(scenes.VersionCase):
+    """Base class of tests in which all entries are killed and started again."""
+
+    async def kill_entries(
+        self, stage: gateway_lab.GatewayLab, calls: dict[str, asyncio.Task[caller.CallerResponse]]
+    ) -> dict[str, caller.CallerResponse]:
+        """Kill all entries; returns what the callers of streams have of them."""
+        for name in stage.entry_names:
+            await stage.kill_entry(name)
+        await asyncio.gather(*calls.values())
+        started = {item: call.result() for item, call in calls.items()}
+        self.assertFalse(any(response.is_whole for response in started.values()))
+        return started
+
+    async def start_entries(self, stage: gateway_lab.GatewayLab, seconds: float = 1.0) -> None:
+        """Start all entries, and wait until they serve."""
+        for name in stage.entry_names:
+            await stage.start_entry(name)
+        await asyncio.sleep(seconds)
+
+    async def replace_runners(
+        self, stage: gateway_lab.GatewayLab, runners: list[platform_runner.PlatformRunner]
+    ) -> None:
+        """Restart runners under their own ids with the second version."""
+        for runner in runners:
+            runner.crash()
+            await self.add_start(stage, runner.target_id, 2, SECOND)
+
+    async def add_start(
+        self, stage: gateway_lab.GatewayLab, name: str, started_ms: int, version: str
+    ) -> platform_runner.PlatformRunner:
+        """Start a runner that reports when it started."""
+        target_id = incarnations.build_id(name, started_ms)
+        runner = await stage.add_runner(
+            target_id, "llm", length=scenes.LENGTH, software_version=version
+        )
+        runner.target_id = name
+        return runner
+
+    async def add_first_starts(
+        self, stage: gateway_lab.GatewayLab
+    ) -> list[platform_runner.PlatformRunner]:
+        """Start two runners of the first version that report when they started."""
+        runners = [await self.add_start(stage, name, 1, FIRST) for name in ("t1", "t2")]
+        await asyncio.sleep(0.3)
+        return runners
+
+    def check_refused(self, responses: dict[str, Any]) -> None:
+        """Check that all streams were refused, to be asked for again."""
+        self.assertEqual({response.status for response in responses.values()}, {503})
+        for response in responses.values():
+            self.assertIn("retry-after", response.headers)
+
+
+class EntriesKilledTest(KillCase):
+    """All entries are killed; keepers go on."""
+
+    def test_version_replaced_under_its_ids_is_unknown_to_entries_started_later(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_first_starts(stage)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.replace_runners(stage, runners)
+            await asyncio.sleep(0.3)
+            await self.start_entries(stage)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+    def test_version_replaced_under_its_ids_is_unknown_to_restarted_keepers(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_first_starts(stage)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.replace_runners(stage, runners)
+            await asyncio.sleep(0.3)
+            await stage.restart_keepers()
+            await self.start_entries(stage)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+    def test_version_replaced_under_its_ids_is_unknown_to_a_keeper_with_an_empty_disk(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_first_starts(stage)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.replace_runners(stage, runners)
+            await asyncio.sleep(0.3)
+            for name in ("keeper-1", "keeper-2"):
+                await stage.kill_keeper(name, wipe=True)
+                await stage.start_keeper(name)
+                await asyncio.sleep(3.0)
+            for name in ("keeper-3",):
+                await stage.kill_keeper(name)
+            await self.start_entries(stage, 3.0)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+    def test_stream_of_several_versions_is_lost_with_all_entries(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST, SECOND, SECOND)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.start_entries(stage)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_resumed(again)
+
+        self.play(scene)
+
+    def test_version_whose_runners_have_just_left_is_unknown_to_entries_started_later(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            runners = await self.add_runners(stage, FIRST, FIRST, SECOND, SECOND)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            for runner in runners[:2]:
+                stage.beat(runner.target_id, "llm", phase=directories.Phase.GONE)
+                runner.crash()
+            await self.start_entries(stage, 2.5)
+            await asyncio.sleep(30.0)
+            for name in ("t3", "t4"):
+                stage.beat(name, "llm")
+            self.check_one_version(stage, await self.resume(stage, started))
+
+        self.play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tillerlane/peers/codec.py
+++ b/tillerlane/peers/codec.py
@@ -110,6 +110,7 @@
 _TABLE_CLASSES = (
     messages.UseTable,
     messages.StateTable,
+    messages.FormerTable,
     messages.EndTable,
     messages.LimitTable,
     messages.WorkspaceTable,
@@ -160,6 +161,7 @@
 AnyTable = (
     messages.UseTable
     | messages.StateTable
+    | messages.FormerTable
     | messages.EndTable
     | messages.LimitTable
     | messages.WorkspaceTable
@@ -168,6 +170,7 @@
     "Table",
     messages.UseTable,
     messages.StateTable,
+    messages.FormerTable,
     messages.EndTable,
     messages.LimitTable,
     messages.WorkspaceTable,
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -183,7 +183,13 @@
   ageMs @8 :List(UInt32);
   softwareVersions @9 :List(Text);
 }
-struct TargetStates { table @0 :Data; whole @1 :Bool; collectedMs @2 :UInt32; }
+struct FormerTable { pools @0 :List(Text); softwareVersions @1 :List(Text); ageMs @2 :List(UInt32); }
+struct TargetStates {
+  table @0 :Data;
+  whole @1 :Bool;
+  collectedMs @2 :UInt32;
+  former @3 :Data;
+}
 struct TargetUse {
   address @0 :Text;
   requests @1 :UInt32;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -376,17 +376,28 @@
     software_versions: list[str] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class FormerTable:
+    """Software versions of targets that were replaced, and how long ago one was last heard."""
+
+    pools: list[str]
+    software_versions: list[str]
+    age_ms: list[int]
+
+
 @dataclasses.dataclass(slots=True)
 class TargetStates:
     """Target states that changed, or all of them if ``whole``, compressed.
 
     ``collected_ms`` is how long the sender of all states has been collecting heartbeats, itself or
-    by what other keepers sent it; 0 from a daemon that takes no `StreamOrigins`.
+    by what other keepers sent it; 0 from a daemon that takes no `StreamOrigins`.  ``former`` is a
+    `FormerTable`, or empty.
     """
 
     table: bytes
     whole: bool = False
     collected_ms: int = 0
+    former: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
