Report streams to keepers while their runners have one version

What callers saw: streams that had begun while one software version served were refused with 503 at every attempt after all entries had been killed and a second version had started, although two runners of their version served.

Cause: an entry reported what it had begun only once it knew a second version. One that was killed before had told nobody, and its streams were unknown from then on.

--- a/tillerlane/gateway/origins/__init__.py
+++ b/tillerlane/gateway/origins/__init__.py
@@ -1,8 +1,8 @@
 """Which software version began each resumable stream, for the entry at which it is resumed.
 
-While runners of a pool have several versions, entries report the streams that they start to their
-home keepers (`recorder`); an entry at which a caller resumes a stream asks for its version
-(`resumptions`, `queries`), and a keeper that does not know it asks the others (`registry`).
+Entries report the streams that they start to their home keepers (`recorder`); an entry at which a
+caller resumes a stream asks for its version (`resumptions`, `queries`), and a keeper that does not
+know it asks the others (`registry`).
 `table` holds the records and encodes them.  The rules are in `tillerlane.decisions.resumption`, and
 ``docs/design/software-versions.md`` describes what happens when a part fails.
 """
--- a/tillerlane/gateway/tests/test_versions_after_kill.py
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -123,6 +123,42 @@
 
         self.play(scene)
 
+    def test_stream_begun_at_the_only_version_is_refused_once_there_is_another(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.add_runners(stage, SECOND, SECOND)
+            await self.start_entries(stage)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_resumed(again)
+
+        self.play(scene)
+
+    def test_stream_begun_at_the_only_version_is_refused_once_keepers_have_restarted(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.3)
+            for name in ("keeper-1", "keeper-2", "keeper-3"):
+                await stage.kill_keeper(name)
+                await stage.start_keeper(name)
+                await asyncio.sleep(0.3)
+            for name in ("t1", "t2"):
+                stage.beat(name, "llm")
+            started = await self.kill_entries(stage, calls)
+            await self.add_runners(stage, SECOND, SECOND)
+            await self.start_entries(stage)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_resumed(again)
+
+        self.play(scene)
+
     def test_stream_of_several_versions_is_lost_with_all_entries(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_runners(stage, FIRST, FIRST, SECOND, SECOND)
