Keep the versions that have served on each keeper's disk

What callers saw: all keepers and all entries lost power while the runners of a version were replaced. Streams of that version were answered 200 two seconds after the start and went on at the other version: the text was joined from two.

Cause: the versions that have served were in memory only. After the time within which all runners report themselves, a daemon that had heard of one version took it for the only one within the retention.

Evidence: test_versions_after_kill.PowerLostTest, before: 8 of 8 streams at two versions, with all disks and with one of three keepers' disks lost. Now 0 of 8, refused with Retry-After; with one version before and after, all go on.

Why it works: each keeper writes pools and versions to a file when the set changes, which includes what it hears from other keepers, and drops a version once it has expired. On its next start they count as versions whose runners have left just now, and are passed on as such. Nothing waits for the write: a version is unknown after the start only if power is lost everywhere within the milliseconds of its first write, if a stream has begun at it within these, and if no runner of it comes back; to hold a new version back would stop a release wherever a disk is full.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -19,6 +19,7 @@
     loads,
     metrics,
     operator_orders,
+    version_file,
 )
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
@@ -77,7 +78,6 @@
         self.directory = directories.Directory()
         self.directory.collected_since = self._loop.time()
         self.directory.add_listener(self._handle_target_change)
-        self.directory.add_former_listener(self._handle_former_version)
         self._subscribers: dict[links.Link, messages.Subscribe] = {}
         self._synchronized: set[links.Link] = set()
         """Links of keepers that were sent the full state."""
@@ -124,9 +124,12 @@
         self.formation = formations.Formation(
             settings.formation, settings.name, settings.peer_address, self.node, self.timeline
         )
-        storage = storages.Storage(
-            self._dependencies.open_disk(settings.data_folder), settings.name
+        disk = self._dependencies.open_disk(settings.data_folder)
+        storage = storages.Storage(disk, settings.name)
+        self._version_file = version_file.VersionFile(
+            disk, self._dependencies.run_blocking, self.timeline
         )
+        self._load_versions()
         state = state_machines.StateMachine()
         self.replica = replica.Replica(
             settings.name,
@@ -193,6 +196,16 @@
             on_down=self._handle_link_down,
         )
 
+    def _load_versions(self) -> None:
+        """Take the versions on disk for ones whose targets have left just now."""
+        now = self._loop.time()
+        for pool, version in self._version_file.load():
+            self.directory.merge_former(directories.FormerVersion(pool, version, now))
+        self.directory.add_former_listener(self._handle_former_version)
+
+    def _save_versions(self) -> None:
+        self._version_file.save(self.directory.list_all_software_versions())
+
     def _get_link(self, address: str) -> links.Link | None:
         return self.node.dial(address).link
 
@@ -229,6 +242,7 @@
             may_found=self._settings.formation.can_bootstrap,
             last_index=self.replica.storage.last_index,
             version=self.replica.state_machine.published.version,
+            former_versions=len(self.directory.list_former_versions()),
         )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -251,6 +265,7 @@
         self.timeline.record("daemon.stop")
         for task in self._tasks:
             task.cancel()
+        self._version_file.stop()
         self._metrics_server.stop_accepting()
         await self.replica.stop()
         await self.node.close()
@@ -262,6 +277,7 @@
             now = self._loop.time()
             self.directory.mark_silent(now - self._settings.heartbeat_timeout_seconds)
             self.directory.expire_old(now)
+            self._save_versions()
             self.limits.table.expire_unknown(self.directory.targets, now)
             subscribed = {item.entry for item in self._subscribers.values()}
             for entry, heard_at in list(self._entries.items()):
@@ -488,12 +504,14 @@
             software_version=former.software_version,
             age_ms=int((self._loop.time() - former.heard_at) * 1000),
         )
+        self._save_versions()
         self._send_to_all(directories.encode_former_versions([former]))
 
     def _handle_target_change(
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
         """Send a change to the entries, whatever its source."""
+        self._save_versions()
         self.timeline.record(
             "target.state",
             target=target.target_id,
--- a/tillerlane/gateway/tests/test_versions_after_kill.py
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -65,6 +65,15 @@
         for response in responses.values():
             self.assertIn("retry-after", response.headers)
 
+    async def kill_keepers(
+        self, stage: gateway_lab.GatewayLab, wiped: tuple[str, ...] = ()
+    ) -> None:
+        """Kill all keepers at once, and start them from their disks."""
+        for name in list(stage.keepers):
+            await stage.kill_keeper(name, wipe=name in wiped)
+        for name in stage.keeper_names:
+            await stage.start_keeper(name)
+
 
 class EntriesKilledTest(KillCase):
     """All entries are killed; keepers go on."""
@@ -192,5 +201,52 @@
         self.play(scene)
 
 
+class PowerLostTest(KillCase):
+    """All entries and all keepers are killed, and started from their disks."""
+
+    async def play_power_loss(
+        self, stage: gateway_lab.GatewayLab, wiped: tuple[str, ...] = ()
+    ) -> dict[str, caller.CallerResponse]:
+        """Lose power everywhere; only runners of the second version come back."""
+        runners = await self.add_runners(stage, FIRST, FIRST)
+        calls = self.start_streams(stage, "verdict")
+        await asyncio.sleep(0.5)
+        started = await self.kill_entries(stage, calls)
+        await self.kill_keepers(stage, wiped)
+        for runner in runners:
+            runner.crash()
+        await self.add_runners(stage, SECOND, SECOND)
+        await self.start_entries(stage, 4.0)
+        again = await self.resume(stage, started)
+        self.check_one_version(stage, again)
+        return again
+
+    def test_version_whose_runners_left_before_keepers_lost_power_is_forgotten(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            self.check_refused(await self.play_power_loss(stage))
+
+        self.play(scene)
+
+    def test_version_is_forgotten_by_keepers_of_which_one_has_lost_its_disk(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            self.check_refused(await self.play_power_loss(stage, ("keeper-1",)))
+
+        self.play(scene)
+
+    def test_stream_of_the_only_version_is_refused_after_a_loss_of_power(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            started = await self.kill_entries(stage, calls)
+            await self.kill_keepers(stage)
+            for name in ("t1", "t2"):
+                stage.beat(name, "llm")
+            await self.start_entries(stage, 4.0)
+            self.check_resumed(await self.resume(stage, started))
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
