Resume an unknown stream only after a keeper has confirmed that there is one version

What callers saw: streams of a version that had started while an entry was cut off from its keepers, or together with one keeper from the others, were answered 200 by this entry and went on at the former version: the text was joined from two.

A keeper that was asked said that it did not know a stream, even if it reached no other keeper.

Why it works: an entry that does not know a stream asks its keepers, one query of some milliseconds; it resumes the stream at the only version if a keeper answers that the majority of keepers does not know it. A keeper of the previous version does not say whether it is alone and counts as before; where no keeper takes queries nothing changes.

The line stream.resume tells the versions known and usable, how long ago keepers confirmed what the entry holds, and for how long heartbeats have been collected.

--- a/tillerlane/decisions/resumption.py
+++ b/tillerlane/decisions/resumption.py
@@ -1,8 +1,10 @@
 """Decides at which software version a caller's stream is resumed.
 
 What two versions write does not fit together, so that a stream is resumed only at the version that
-began it.  An entry that did not relay the beginning has to learn that version, unless all runners
-that can have begun the stream have the same one.
+began it.  An entry that did not relay the beginning asks the keepers for that version.  If they do
+not know the stream, it goes on only if all runners that can have begun it have the same version,
+and only if a keeper has just confirmed that: an entry or keeper that is cut off may not have heard
+yet of a version that has started.
 """
 
 import dataclasses
@@ -41,26 +43,31 @@
         Versions of the runners that accept requests.
     is_complete : bool
         Whether all runners have had the time to report themselves.
+    is_confirmed : bool
+        Whether a keeper that reaches a majority of the keepers has answered, or none takes queries.
     """
 
     origin: str | None
     has_several: bool
     usable: frozenset[str]
     is_complete: bool
+    is_confirmed: bool
 
 
-def decide(known: Knowledge, *, is_answered: bool) -> Action:
+def decide(known: Knowledge, *, is_asked: bool) -> Action:
     """Decide what to do with a request that resumes a stream.
 
     Parameters
     ----------
-    is_answered : bool
+    is_asked : bool
         Whether the keepers have been asked already.
     """
     if known.origin is not None:
         if known.origin in known.usable:
             return Action.REQUIRE
         return Action.NO_RUNNER if known.is_complete else Action.UNKNOWN
-    if not known.has_several and known.is_complete:
+    if not is_asked:
+        return Action.ASK
+    if not known.has_several and known.is_complete and known.is_confirmed:
         return Action.ANY
-    return Action.UNKNOWN if is_answered else Action.ASK
+    return Action.UNKNOWN
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -111,7 +111,9 @@
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
-        self.origins = registry.OriginRegistry(self._list_keeper_links, self._loop.time)
+        self.origins = registry.OriginRegistry(
+            self._list_keeper_links, lambda: len(self.replica.voters), self._loop.time
+        )
         self._full_state: messages.TargetStates | None = None
         self._full_state_at = 0.0
         self._changed_since_full_state: dict[str, directories.Target] = {}
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -279,6 +279,7 @@
                 self.directory,
                 self._admission_control.find_pool,
                 self._startup,
+                lambda: self._clock.compute_age(self._loop.time()),
                 self.timeline,
             ),
         )
--- a/tillerlane/gateway/origins/queries.py
+++ b/tillerlane/gateway/origins/queries.py
@@ -20,7 +20,7 @@
     origin : table.Origin or None
         None if none of those that answered within `timeout` (seconds) knows it.
     answers : int
-        Number of answers.
+        Number of answers, without those of keepers that reach no majority of the keepers.
     """
     now = asyncio.get_running_loop().time()
     calls = [asyncio.ensure_future(link.call(query, timeout)) for link in peers]
@@ -33,7 +33,7 @@
                 continue  # the number of answers is logged with the result
             if not isinstance(reply, messages.OriginReply):
                 continue
-            answers += 1
+            answers += not reply.is_alone
             if reply.known:
                 origin = table.build_origin(
                     reply.pool, reply.software_version, reply.attempt, reply.left_ms, now
--- a/tillerlane/gateway/origins/recorder.py
+++ b/tillerlane/gateway/origins/recorder.py
@@ -55,6 +55,8 @@
         """Pools with several versions since all earlier streams were reported."""
         self._capable: weakref.WeakSet[links.Link] = weakref.WeakSet()
         """Links of keepers that take reports; one of an earlier version would end its link."""
+        self.has_met_capable = False
+        """Whether any keeper has taken reports; one of an earlier version knows no versions."""
 
     def list_keepers(self) -> list[links.Link]:
         """Links to the home keepers that take reports and answer queries."""
@@ -105,6 +107,7 @@
         if link in self._capable:
             return
         self._capable.add(link)
+        self.has_met_capable = True
         for message in table.encode_origins(self.table.list_all()):
             links.try_send(link, message)
 
--- a/tillerlane/gateway/origins/registry.py
+++ b/tillerlane/gateway/origins/registry.py
@@ -20,15 +20,21 @@
     ----------
     list_keepers : callable
         Links to the other keepers.
+    count_voters : callable
+        Number of voting keepers, of which a majority has to be reached.
     now : callable
         Time of the event loop.
     """
 
     def __init__(
-        self, list_keepers: Callable[[], list[links.Link]], now: Callable[[], float]
+        self,
+        list_keepers: Callable[[], list[links.Link]],
+        count_voters: Callable[[], int],
+        now: Callable[[], float],
     ) -> None:
         self.table = table.OriginTable(now)
         self._list_keepers = list_keepers
+        self._count_voters = count_voters
         self._now = now
         self._capable: weakref.WeakSet[links.Link] = weakref.WeakSet()
         """Links of keepers that hold origins; one of an earlier version would end its link."""
@@ -55,14 +61,18 @@
     async def answer(self, query: messages.OriginQuery) -> messages.OriginReply:
         """Answer an entry or another keeper; asks the other keepers for an unknown stream once."""
         origin = self.table.find(query.key)
+        is_alone = False
         if origin is None and not query.is_forwarded:
             forwarded = messages.OriginQuery(query.key, True)
-            others = [link for link in self._list_keepers() if link in self._capable]
-            origin, _ = await queries.ask(others, forwarded, FORWARD_TIMEOUT_SECONDS)
+            others = self._list_keepers()
+            capable = [link for link in others if link in self._capable]
+            origin, answers = await queries.ask(capable, forwarded, FORWARD_TIMEOUT_SECONDS)
             if origin is not None:
                 self.table.add(query.key, origin)
+            reached = 1 + answers + len(others) - len(capable)
+            is_alone = 2 * reached <= self._count_voters()
         if origin is None:
-            return messages.OriginReply(False)
+            return messages.OriginReply(False, is_alone=is_alone)
         left_ms = table.encode_retention(origin, self._now())
         return messages.OriginReply(
             True, origin.pool, origin.software_version, origin.attempt, left_ms
--- a/tillerlane/gateway/origins/resumptions.py
+++ b/tillerlane/gateway/origins/resumptions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 
 from tillerlane.decisions import resumption
@@ -39,6 +40,8 @@
         Gives a pool of the configuration in force by its name, or None.
     starting : startup.Startup
         Knows whether runners may still be undiscovered.
+    get_contact_age : callable
+        Seconds since the keepers last confirmed what this entry holds, for the log.
     timeline : timelines.Timeline
         Log of decisions.
     """
@@ -49,12 +52,14 @@
         directory: directories.Directory,
         find_pool: Callable[[str], routes.Pool | None],
         starting: startup.Startup,
+        get_contact_age: Callable[[], float],
         timeline: timelines.Timeline,
     ) -> None:
         self._origins = origins
         self._directory = directory
         self._find_pool = find_pool
         self._startup = starting
+        self._get_contact_age = get_contact_age
         self._timeline = timeline
         self._loop = asyncio.get_running_loop()
 
@@ -63,13 +68,12 @@
     ) -> admissions.Admission | refusals.NotRun:
         """Restrict a request to the version that began its stream, or refuse it.
 
-        A request that resumes nothing, or whose stream only one version can have begun, is returned
-        as it is.
+        A request that resumes nothing is returned as it is.
         """
         if not admission.is_stream or not admission.facts.last_event_id:
             return admission
         origin, answers = self._origins.table.find(self._compute_key(admission)), 0
-        action = self._decide(admission, origin, is_answered=False)
+        action = self._decide(admission, origin, is_asked=False)
         started_at = self._loop.time()
         while action is resumption.Action.ASK or (
             action is resumption.Action.UNKNOWN
@@ -79,7 +83,7 @@
                 await asyncio.sleep(QUERY_INTERVAL_SECONDS)
             if origin is None:
                 origin, answers = await self._ask(admission)
-            action = self._decide(admission, origin, is_answered=True)
+            action = self._decide(admission, origin, is_asked=True, answers=answers)
         self._record(admission, origin, action, answers)
         return self._conclude(admission, origin, action)
 
@@ -106,7 +110,12 @@
         return origin, answers
 
     def _decide(
-        self, admission: admissions.Admission, origin: table.Origin | None, *, is_answered: bool
+        self,
+        admission: admissions.Admission,
+        origin: table.Origin | None,
+        *,
+        is_asked: bool,
+        answers: int = 0,
     ) -> resumption.Action:
         pool = self._choose_pool(admission, origin).name
         known = resumption.Knowledge(
@@ -114,8 +123,9 @@
             self._origins.has_several_versions(admission.route),
             frozenset(item.software_version for item in self._directory.list_pool(pool)),
             self._directory.is_complete(self._loop.time()),
+            answers > 0 or not self._origins.has_met_capable,
         )
-        return resumption.decide(known, is_answered=is_answered)
+        return resumption.decide(known, is_asked=is_asked)
 
     def _choose_pool(
         self, admission: admissions.Admission, origin: table.Origin | None
@@ -161,14 +171,27 @@
         action: resumption.Action,
         answers: int,
     ) -> None:
+        pool = self._choose_pool(admission, origin).name
+        now = self._loop.time()
         self._timeline.record(
             "stream.resume",
             request_id=admission.facts.request_id,
             resumes=admission.facts.resumes,
             last_event=admission.facts.last_event_id,
             action=action.value,
-            pool=self._choose_pool(admission, origin).name,
+            pool=pool,
             software_version=origin.software_version if origin is not None else "",
+            known_versions=sorted(self._directory.list_software_versions(pool)),
+            usable_versions=sorted(
+                {item.software_version for item in self._directory.list_pool(pool)}
+            ),
             answers=answers,
-            waited_ms=int((self._loop.time() - admission.request.arrived) * 1000),
+            contact_age_ms=_to_milliseconds(self._get_contact_age()),
+            collected_ms=_to_milliseconds(now - self._directory.collected_since),
+            waited_ms=_to_milliseconds(now - admission.request.arrived),
         )
+
+
+def _to_milliseconds(seconds: float) -> int:
+    """Milliseconds for a log line; -1 for a time that is not known yet."""
+    return int(seconds * 1000) if math.isfinite(seconds) else -1
--- a/tillerlane/gateway/tests/test_versions_after_kill.py
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -248,5 +248,67 @@
         self.play(scene)
 
 
+class CutOffTest(KillCase):
+    """An entry resumes streams while it is cut off from all keepers."""
+
+    def test_stream_of_a_version_that_started_during_a_cut_is_resumed_at_the_former_one(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            for name in stage.keepers:
+                stage.network.cut(name, "entry-2")
+            await self.add_runners(stage, SECOND, SECOND)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(0.4)
+            await stage.kill_entry("entry-1")
+            await asyncio.gather(*calls.values())
+            started = {item: call.result() for item, call in calls.items()}
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+    def test_stream_of_a_version_that_its_keeper_does_not_know_is_resumed_at_the_former_one(
+        self,
+    ) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            for one in ("keeper-3", "entry-2"):
+                for other in ("keeper-1", "keeper-2", "entry-1"):
+                    stage.network.cut(one, other)
+                    stage.network.cut(other, one)
+            await self.add_runners(stage, SECOND, SECOND)
+            for name in ("t1", "t2"):
+                stage.beat(name, "llm", phase=directories.Phase.DRAINING)
+            await asyncio.sleep(0.3)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(0.4)
+            await stage.kill_entry("entry-1")
+            await asyncio.gather(*calls.values())
+            started = {item: call.result() for item, call in calls.items()}
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+    def test_stream_of_the_only_version_is_resumed_late_beside_a_silent_keeper(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.5)
+            await stage.kill_entry("entry-1")
+            await asyncio.gather(*calls.values())
+            stage.network.cut("keeper-1", "entry-2")
+            again = await self.resume(stage, {item: call.result() for item, call in calls.items()})
+            self.check_resumed(again)
+            for response in again.values():
+                self.assertLess(response.seconds, scenes.LENGTH * scenes.EVENT_SECONDS)
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tillerlane/peers/messages.capnp
+++ b/tillerlane/peers/messages.capnp
@@ -282,6 +282,7 @@
   softwareVersion @2 :Text;
   attempt @3 :UInt8;
   leftMs @4 :UInt32;
+  isAlone @5 :Bool;
 }
 struct PermitWish {
   targetId @0 :Text;
--- a/tillerlane/peers/messages.py
+++ b/tillerlane/peers/messages.py
@@ -620,13 +620,17 @@
 
 @dataclasses.dataclass(slots=True)
 class OriginReply:
-    """Origin of a stream, if it is ``known``."""
+    """Origin of a stream, if it is ``known``.
+
+    ``is_alone`` tells that the sender, which does not know it, reached no majority of the keepers.
+    """
 
     known: bool
     pool: str = ""
     software_version: str = ""
     attempt: int = 0
     left_ms: int = 0
+    is_alone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
