Keep a copy of stream origins on each keeper's disk

What callers saw: after a loss of power of all keepers and all entries while two versions served, each stream that was taken up again was refused with 503, although both runners of its version served.

Cause: origins were in memory only, at keepers and at the entry that began the stream.

Why it works: a keeper appends what entries and keepers report to a file, synced once a second in a thread, and loads it at its start; streams of the last second are refused as before. A record that names another version than the one known for its stream (the first runner sent no event) is reported and written at once: the earlier record alone would send the stream to the wrong version.

--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -23,7 +23,7 @@
 )
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
-from tillerlane.gateway.origins import registry
+from tillerlane.gateway.origins import origin_file, registry
 from tillerlane.gateway.quarantine import coordinator, suspects
 from tillerlane.gateway.returns import updates as return_updates
 from tillerlane.gateway.speeds import slowdowns
@@ -132,6 +132,17 @@
             disk, self._dependencies.run_blocking, self.timeline
         )
         self._load_versions()
+        self._origin_file = origin_file.OriginFile(
+            disk,
+            self._dependencies.run_blocking,
+            self.origins.table,
+            self._loop.time,
+            self.timeline,
+        )
+        self._origin_file.load()
+        self.origins.on_records = lambda records, is_urgent: self._origin_file.add(
+            records, is_urgent=is_urgent
+        )
         state = state_machines.StateMachine()
         self.replica = replica.Replica(
             settings.name,
@@ -236,6 +247,7 @@
             self._loop.create_task(self._sweep()),
             self._loop.create_task(self._load_distribution.run()),
             self._loop.create_task(self.quarantine.run()),
+            self._loop.create_task(self._origin_file.run()),
         ]
         self.timeline.record(
             "daemon.start",
@@ -244,6 +256,7 @@
             may_found=self._settings.formation.can_bootstrap,
             last_index=self.replica.storage.last_index,
             version=self.replica.state_machine.published.version,
+            origins=len(self.origins.table),
             former_versions=len(self.directory.list_former_versions()),
         )
 
--- a/tillerlane/gateway/origins/recorder.py
+++ b/tillerlane/gateway/origins/recorder.py
@@ -90,6 +90,8 @@
         )
         self.table.add(key, origin)
         self._batcher.add(str(key), (key, origin))
+        if known is not None and not known.has_same_version(origin):
+            self._batcher.flush()  # what keepers know would be wrong if this entry were killed
 
     def handle_target_change(self, target: directories.Target) -> None:
         """Report all streams known here once the runners of a pool have several versions."""
--- a/tillerlane/gateway/origins/registry.py
+++ b/tillerlane/gateway/origins/registry.py
@@ -38,6 +38,8 @@
         self._now = now
         self._capable: weakref.WeakSet[links.Link] = weakref.WeakSet()
         """Links of keepers that hold origins; one of an earlier version would end its link."""
+        self.on_records: Callable[[list[table.Record], bool], None] = lambda records, urgent: None
+        """Called with records that tell more than was known, and whether one contradicts it."""
 
     def handle_keeper(self, link: links.Link) -> None:
         """Send all records to a keeper on a new link, which may have restarted."""
@@ -55,8 +57,14 @@
         faults.FaultError
             Of kind ``bad_request`` if the message is malformed.
         """
+        new: list[table.Record] = []
+        is_urgent = False
         for key, origin in table.decode_origins(message):
-            self.table.add(key, origin)
+            known = self.table.find(key)
+            if self.table.add(key, origin):
+                new.append((key, origin))
+                is_urgent |= known is not None and not known.has_same_version(origin)
+        self.on_records(new, is_urgent)
 
     async def answer(self, query: messages.OriginQuery) -> messages.OriginReply:
         """Answer an entry or another keeper; asks the other keepers for an unknown stream once."""
@@ -69,6 +77,7 @@
             origin, answers = await queries.ask(capable, forwarded, FORWARD_TIMEOUT_SECONDS)
             if origin is not None:
                 self.table.add(query.key, origin)
+                self.on_records([(query.key, origin)], False)
             reached = 1 + answers + len(others) - len(capable)
             is_alone = 2 * reached <= self._count_voters()
         if origin is None:
--- a/tillerlane/gateway/origins/table.py
+++ b/tillerlane/gateway/origins/table.py
@@ -21,6 +21,8 @@
 MAX_RETENTION_SECONDS = 3600.0
 """Bound on the retention that is taken from a message."""
 MAX_ATTEMPTS = 255
+EXTENSION_SECONDS = 1.0
+"""A record that is repeated over another path has another expiry by less than this."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,10 @@
     attempt: int
     expires_at: float
 
+    def has_same_version(self, other: "Origin") -> bool:
+        """Whether the same pool and software version began the stream."""
+        return (self.pool, self.software_version) == (other.pool, other.software_version)
+
 
 Record = tuple[int, Origin]
 """A stream's key and its origin."""
@@ -72,10 +78,14 @@
     def __len__(self) -> int:
         return len(self._origins)
 
-    def add(self, key: int, origin: Origin) -> None:
-        """Add an origin, unless one of a later attempt is known; drops what has expired."""
+    def add(self, key: int, origin: Origin) -> bool:
+        """Add an origin, unless one of a later attempt is known; drops what has expired.
+
+        Returns whether it tells more than what was known.
+        """
         now = self._now()
         known = self._origins.get(key)
+        is_new = self._is_new(origin, known)
         if origin.expires_at > now and (known is None or origin.attempt >= known.attempt):
             self._origins[key] = origin
             if known is None or origin.expires_at != known.expires_at:
@@ -85,6 +95,16 @@
             expired = self._origins.get(key)
             if expired is not None and expired.expires_at <= expires_at:
                 del self._origins[key]
+        return is_new and key in self._origins
+
+    def _is_new(self, origin: Origin, known: Origin | None) -> bool:
+        if origin.expires_at <= self._now():
+            return False
+        if known is None or origin.attempt > known.attempt:
+            return True
+        is_other = not known.has_same_version(origin)
+        is_extended = origin.expires_at > known.expires_at + EXTENSION_SECONDS
+        return origin.attempt == known.attempt and (is_other or is_extended)
 
     def find(self, key: int) -> Origin | None:
         """The origin of a stream; None if it is unknown or has expired."""
@@ -97,17 +117,19 @@
         return [item for item in self._origins.items() if item[1].expires_at > now]
 
 
-def encode_origins(records: Iterable[Record]) -> list[messages.StreamOrigins]:
-    """Encode records as messages of bounded size."""
+def encode_origins(
+    records: Iterable[Record], now: float | None = None
+) -> list[messages.StreamOrigins]:
+    """Encode records as messages of bounded size; `now` is needed outside of the event loop."""
     rows = list(records)
+    at = asyncio.get_running_loop().time() if now is None else now
     return [
-        _encode(rows[start : start + MAX_RECORDS_PER_MESSAGE])
+        _encode(rows[start : start + MAX_RECORDS_PER_MESSAGE], at)
         for start in range(0, len(rows), MAX_RECORDS_PER_MESSAGE)
     ]
 
 
-def _encode(rows: list[Record]) -> messages.StreamOrigins:
-    now = asyncio.get_running_loop().time()
+def _encode(rows: list[Record], now: float) -> messages.StreamOrigins:
     groups: dict[tuple[str, str], int] = {}
     for _, origin in rows:
         groups.setdefault((origin.pool, origin.software_version), len(groups))
--- a/tillerlane/gateway/origins/tests/test_recorder.py
+++ b/tillerlane/gateway/origins/tests/test_recorder.py
@@ -97,6 +97,21 @@
 
         self.play(scene)
 
+    def test_retry_at_another_version_is_reported_late(self) -> None:
+        async def scene(
+            origins: recorder.OriginRecorder, directory: directories.Directory, homes: list[Link]
+        ) -> None:
+            second = build_target("t2", "v2")
+            directory.merge(second)
+            origins.set_entry_count(LARGE_FLEET_ENTRIES)
+            await self.start_streams(origins, 1.0)
+            origins.record(build_admission("r", 99.0), self.first)
+            origins.record(build_admission("r", 99.0), second)
+            for link in homes:
+                self.assertIn("v2", link.reports[-1].software_versions)
+
+        self.play(scene)
+
     def test_streams_of_a_small_fleet_are_reported_late(self) -> None:
         async def scene(
             origins: recorder.OriginRecorder, directory: directories.Directory, homes: list[Link]
--- a/tillerlane/gateway/tests/test_versions_after_kill.py
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -233,6 +233,22 @@
 
         self.play(scene)
 
+    def test_streams_of_several_versions_are_refused_after_a_loss_of_power(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST, SECOND, SECOND, pace=0.1)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(1.5)
+            started = await self.kill_entries(stage, calls)
+            await self.kill_keepers(stage)
+            for name in stage.runners:
+                stage.beat(name, "llm")
+            await self.start_entries(stage, 3.0)
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_resumed(again)
+
+        self.play(scene)
+
     def test_stream_of_the_only_version_is_refused_after_a_loss_of_power(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             await self.add_runners(stage, FIRST, FIRST)
