Take no report of a restarted runner for the end of its former run

A stream without framing that is cut by the exit of its runner counted as complete if the runner had restarted at its address before it was asked. Its report names the start of the process that answers; one that names another start than the heartbeats is another process. The test failed before: the stream of 7 of 20 events was whole.

--- a/tillerlane/gateway/delivery/tests/test_regular_close.py
+++ b/tillerlane/gateway/delivery/tests/test_regular_close.py
@@ -74,6 +74,20 @@
 
         self.play(scene)
 
+    def test_stream_cut_by_a_restart_that_answers_already_is_not_complete(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=STREAM_LENGTH, started_ms=1_000)
+            first.is_close_delimited = True
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            while not any(run.events >= EVENTS_BEFORE_EXIT for run in first.ran):
+                await asyncio.sleep(0.005)
+            first.end_process()
+            await stage.restart_runner("t1", length=STREAM_LENGTH)
+            self.assertFalse((await call).is_whole)
+
+        self.play(scene)
+
     def play_plain(self, route: str, number: int) -> caller.CallerResponse:
         responses = []
 
--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -8,7 +8,8 @@
 
 from tillerlane.decisions import delivery
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import http_client, runs
+from tillerlane.gateway import directory as directories
+from tillerlane.gateway import http_client, incarnations, runs
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.timeline import core as timelines
 
@@ -182,7 +183,8 @@
                     report = await self._dialect.read_report(
                         target.address, PRESENCE_TIMEOUT_SECONDS
                     )
-                    return delivery.Presence.ANSWERS, report
+                    is_same = report is None or _may_come_from(report, target)
+                    return delivery.Presence.ANSWERS if is_same else delivery.Presence.ENDED, report
                 is_same = await self._dialect.check_target(
                     target.address, run.pool.health_path, target.target_id, PRESENCE_TIMEOUT_SECONDS
                 )
@@ -244,6 +246,12 @@
         )
 
 
+def _may_come_from(report: delivery.RunnerReport, target: directories.Target) -> bool:
+    """Whether a report may come from an incarnation: it names the same start, or one is unknown."""
+    started_ms = incarnations.parse_id(target.target_id).started_ms
+    return not started_ms or report.started_ms in (0, started_ms)
+
+
 def _classify_failure(error: http_client.ExchangeError) -> delivery.Presence:
     """What a call without an answer shows of a target's process."""
     if not error.sent and isinstance(error.__cause__, ConnectionRefusedError):
