Check ids of events before they are counted as relayed

What callers saw: a resumable stream that looked complete and lacked its first events; and a closed connection, without a response, for a Last-Event-Id such as b"\xb2" or 5000 digits.

Cause: `str.isdigit` is true for such texts and `int` raises. In a stream, the exception left the loop that accepts the events of one read after the events before had been counted, so they were never written, and the stream was resumed behind them. For a caller's header the exception ended the handler after the request had been written to a runner (internal.error).

Why it works: an odd id is a break at its event, as a gap is; the events before it are written. All numbers of events are parsed by one function that accepts exactly what it can convert. Ids are short and printable, since they are sent on in headers and logged.

--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -23,6 +23,7 @@
 from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.origins import recorder
 from tillerlane.gateway.quarantine import exit_detection, guard
+from tillerlane.gateway.streaming import events
 
 __all__ = ["Sender"]
 
@@ -265,7 +266,7 @@
                     exchange,
                     exchange.read_head,
                     run,
-                    received=int(last_event_id) if last_event_id.isdigit() else 0,
+                    received=events.parse_number(last_event_id) or 0,
                     has_begun=False,
                     first_check_seconds=max(
                         MIN_HEAD_CHECK_SECONDS, admission.route.objective_seconds
--- a/tillerlane/gateway/streaming/events.py
+++ b/tillerlane/gateway/streaming/events.py
@@ -1,8 +1,12 @@
 """Splits a stream of bytes into complete server-sent events."""
 
-__all__ = ["EventSplitter", "parse_event_id"]
+__all__ = ["EventSplitter", "is_valid_id", "parse_event_id", "parse_number"]
 
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_ID_CHARACTERS = 200
+"""Bound on ids, which are sent on in headers and logged; the longest in use has 4."""
+MAX_NUMBER_DIGITS = 18
+"""Digits of the largest number that also fits into messages between daemons."""
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -51,3 +55,25 @@
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
     return ""
+
+
+def is_valid_id(text: str) -> bool:
+    """Whether an event's id can be sent on in a header; digits must be a number."""
+    if not (len(text) <= MAX_ID_CHARACTERS and text.isascii() and text.isprintable()):
+        return False
+    return not text.isdigit() or parse_number(text) is not None
+
+
+def parse_number(text: str) -> int | None:
+    """Number that an event's id is; None if it is none.
+
+    `str.isdigit` alone also accepts characters, such as a superscript, that `int` does not.
+
+    Examples
+    --------
+    >>> parse_number("7"), parse_number("\u00b2")
+    (7, None)
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS):
+        return None
+    return int(text)
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -159,7 +159,7 @@
 
     def _get_received(self) -> int:
         """Number of the last event that the caller has; 0 if it has no number."""
-        return int(self.last_event_id) if self.last_event_id.isdigit() else 0
+        return events.parse_number(self.last_event_id) or 0
 
     def prove(self) -> None:
         """Record that a run of the request has got past its beginning."""
@@ -207,11 +207,12 @@
         """Accept events up to the first that does not follow; also gives what is wrong with it."""
         for position, event in enumerate(received):
             event_id = events.parse_event_id(event)
-            previous_id = self.last_event_id or BEFORE_FIRST_ID
-            if event_id.isdigit() and previous_id.isdigit():
-                expected = int(previous_id) + 1
-                if int(event_id) != expected:
-                    return received[:position], f"got event {event_id}, expected {expected}"
+            if not events.is_valid_id(event_id):
+                return received[:position], "got an event with an invalid id"
+            number = events.parse_number(event_id)
+            previous = events.parse_number(self.last_event_id or BEFORE_FIRST_ID)
+            if number is not None and previous is not None and number != previous + 1:
+                return received[:position], f"got event {number}, expected {previous + 1}"
             self.last_event_id = event_id or self.last_event_id
             self.events += 1
         return received, ""
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -344,5 +344,61 @@
                 self.assertLess(lab.run_virtual(call(prefix, unit)), MAX_WRITTEN_BYTES)
 
 
+class EventIdTest(gateway_scenes.GatewayCase):
+    """Ids of events that look like numbers, or are too long to be sent on."""
+
+    def test_odd_last_event_id_does_not_end_the_connection(self) -> None:
+        """Guards against a caller's header that `int` rejects after the request was sent."""
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            stream = build_response(
+                raw_runner.RawRequest("r1", ""),
+                b"Transfer-Encoding: chunked\r\n",
+                b"f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n",
+            )
+            await stage.add_raw_runner("t1", "llm", lambda request: [stream])
+            await asyncio.sleep(0.2)
+            for value in (b"\xb2", b"9" * 5_000, b"x", b""):
+                head = (
+                    b"POST /verdict/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n"
+                    b"Deadline-Ms: 9000\r\nCredential: key-of-workspace-a\r\nModel: m\r\n"
+                    b"Content-Length: 0\r\nLast-Event-Id: " + value + b"\r\n\r\n"
+                )
+                reader, writer = await asyncio.open_connection("10.0.1.1", 8000)
+                writer.write(head)
+                received = await reader.readuntil(b"0\r\n\r\n")
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+                writer.close()
+                await asyncio.sleep(0.1)
+
+        self.play(scene)
+
+    def test_odd_event_id_loses_no_event_of_a_resumable_stream(self) -> None:
+        """Guards against events that were counted as relayed when the next one broke the stream."""
+        for odd in (b"\xb2", b"9" * 5_000, b"9" * 300, b"x" * 300, b"x\x00"):
+            with self.subTest(odd):
+                self.play_odd_event(odd)
+
+    def play_odd_event(self, odd: bytes) -> None:
+        def respond(request: raw_runner.RawRequest) -> list[bytes]:
+            body = gateway_scenes.build_stream(request.request_id, 3) + b"id: " + odd + b"\n\n"
+            body += gateway_scenes.build_stream(request.request_id, 6, first=5)
+            chunk = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+            return [build_response(request, b"Transfer-Encoding: chunked\r\n", chunk)]
+
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            raw = await stage.add_raw_runner("t1", "llm", respond)
+            await stage.add_runner("t2", "llm", length=20)
+            await asyncio.sleep(0.2)
+            for number in range(6):
+                request_id = f"r{number}"
+                response = await stage.call("entry-1", "verdict", request_id, Model="m")
+                self.assertTrue(response.is_whole)
+                self.assertEqual(response.body, gateway_scenes.build_stream(request_id, 20))
+            self.assertTrue([item for item in raw.requests if item.path != "/report"])
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
