Treat an event without a number after numbered ones as a break

What callers saw: events with a gap, where an event with another kind of id stands before the gap.

Cause: the order was checked between two numbers only.

Evidence: the test got events 1 to 3, "x", 5 and 6 as a complete stream before.

Why it works: ids of the platform's streams are numbers that rise; an id that is none, after one that is, belongs to no such stream. Events without an id are relayed as before.

--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -211,6 +211,8 @@
                 return received[:position], "got an event with an invalid id"
             number = events.parse_number(event_id)
             previous = events.parse_number(self.last_event_id or BEFORE_FIRST_ID)
+            if event_id and number is None and events.parse_number(self.last_event_id) is not None:
+                return received[:position], "got an event without a number after numbered ones"
             if number is not None and previous is not None and number != previous + 1:
                 return received[:position], f"got event {number}, expected {previous + 1}"
             self.last_event_id = event_id or self.last_event_id
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -379,6 +379,10 @@
             with self.subTest(odd):
                 self.play_odd_event(odd)
 
+    def test_id_without_a_number_does_not_hide_a_gap(self) -> None:
+        """Guards against a gap that is not checked, since the event before it has no number."""
+        self.play_odd_event(b"x")
+
     def play_odd_event(self, odd: bytes) -> None:
         def respond(request: raw_runner.RawRequest) -> list[bytes]:
             body = gateway_scenes.build_stream(request.request_id, 3) + b"id: " + odd + b"\n\n"
