Split streams into events in time that grows linearly

What callers saw: an entry that answered nobody else for seconds while a target sent one long event in small pieces.

Cause: each piece copied the whole buffer and searched it from its beginning.

Why it works: only bytes that were not searched yet are, from three bytes before the new ones, and complete events leave the buffer together.

--- a/tillerlane/gateway/streaming/events.py
+++ b/tillerlane/gateway/streaming/events.py
@@ -1,5 +1,7 @@
 """Splits a stream of bytes into complete server-sent events."""
 
+import re
+
 __all__ = ["EventSplitter", "is_valid_id", "parse_event_id", "parse_number"]
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -7,14 +9,17 @@
 """Bound on ids, which are sent on in headers and logged; the longest in use has 4."""
 MAX_NUMBER_DIGITS = 18
 """Digits of the largest number that also fits into messages between daemons."""
-_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+MAX_SEPARATOR_BYTES = 4
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 
 
 class EventSplitter:
     """Buffers bytes and extracts the complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
+        """Bytes of the buffer before which no event ends."""
 
     @property
     def has_partial_event(self) -> bool:
@@ -31,13 +36,12 @@
         """
         self._buffer += data
         complete_events = []
-        while True:
-            ends = [self._buffer.find(end) + len(end) for end in _SEPARATORS if end in self._buffer]
-            if not ends:
-                break
-            cut = min(ends)
-            complete_events.append(self._buffer[:cut])
-            self._buffer = self._buffer[cut:]
+        begin = 0
+        for found in _EVENT_END.finditer(self._buffer, self._searched):
+            complete_events.append(bytes(self._buffer[begin : found.end()]))
+            begin = found.end()
+        del self._buffer[:begin]
+        self._searched = max(0, len(self._buffer) - MAX_SEPARATOR_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"got an event of over {MAX_EVENT_BYTES} bytes")
         return complete_events
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -4,9 +4,12 @@
 import tracemalloc
 import unittest
 
+from hypothesis import given, strategies
+
 from tillerlane.gateway import dialect, http_client, http_head
+from tillerlane.gateway.streaming import events
 from tillerlane.platform import calls
-from tillerlane.testing import gateway_lab, gateway_scenes, lab, raw_runner
+from tillerlane.testing import gateway_lab, gateway_scenes, lab, profiles, raw_runner
 
 ADDRESS = "10.0.0.1:80"
 BODY_BYTES = 100_000
@@ -404,5 +407,32 @@
         self.play(scene)
 
 
+class EventSplitterTest(unittest.TestCase):
+    """Events in pieces of any size."""
+
+    @profiles.choose(100)
+    @given(strategies.lists(strategies.sampled_from([b"a", b"\n", b"\r", b"\r\n"]), max_size=30))
+    def test_pieces_of_any_size_give_the_same_events(self, symbols: list[bytes]) -> None:
+        """Guards against an end of an event that is missed where two pieces meet."""
+        data = b"".join(symbols)
+        whole = events.EventSplitter()
+        expected = whole.feed(data)
+        rest = data[sum(map(len, expected)) :]
+        self.assertEqual(whole.has_partial_event, bool(rest))
+        self.assertFalse(b"\n\n" in rest or b"\r\n\r\n" in rest)
+        self.assertEqual(b"".join(expected) + rest, data)
+        for size in (1, 2, 3, 5):
+            splitter = events.EventSplitter()
+            parts = [data[at : at + size] for at in range(0, len(data), size)]
+            received = [event for part in parts for event in splitter.feed(part)]
+            self.assertEqual(received, expected, size)
+
+    def test_event_without_end_is_bounded_in_small_pieces(self) -> None:
+        splitter = events.EventSplitter()
+        with self.assertRaises(ValueError):
+            for _ in range(2 * events.MAX_EVENT_BYTES // 16):
+                splitter.feed(b"x" * 16)
+
+
 if __name__ == "__main__":
     unittest.main()
