Drop the trailers of callers' requests

What was seen: headers that a caller sent after the body reached runners, and took part in reading the request: the last of two headers with one name holds. They were not counted against the limit on heads.

Cause: the parser reports headers and trailers by one callback, which appended to the list that the complete head already held.

Evidence: the test got Credential, sent as a trailer, as a header before.

Why it works: headers are kept up to the end of the head only.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -318,9 +318,10 @@
         self._incoming.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailers are dropped (RFC 9110, 6.5.1)."""
         assert self._incoming is not None
-        self._incoming.headers.append((name, value))
+        if not self._incoming.arrived:
+            self._incoming.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Complete the head; pauses within the body are limited by the idle time-out."""
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -1,12 +1,14 @@
 """Bytes from targets and callers that are no HTTP message, or belong to none, without end."""
 
 import asyncio
+import contextlib
+import itertools
 import tracemalloc
 import unittest
 
 from hypothesis import given, strategies
 
-from tillerlane.gateway import dialect, http_client, http_head
+from tillerlane.gateway import dialect, http_client, http_head, http_server
 from tillerlane.gateway.streaming import events
 from tillerlane.platform import calls
 from tillerlane.testing import gateway_lab, gateway_scenes, lab, profiles, raw_runner
@@ -347,6 +349,63 @@
                 self.assertLess(lab.run_virtual(call(prefix, unit)), MAX_WRITTEN_BYTES)
 
 
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def send_to_server(data: bytes, unit: bytes = b"") -> tuple[bytes, int, http_head.Headers]:
+    """Send bytes to a server, and a unit over and over until it closes.
+
+    Returns what it sent, how many bytes it read, and the headers of the request that it served.
+    """
+    headers: http_head.Headers = []
+
+    async def serve(request: http_server.Request, responder: http_server.Responder) -> None:
+        headers.extend(request.head.headers)
+        await responder.send_response(http_head.ResponseHead(200, []), request.body)
+
+    server = http_server.Server(serve, http_server.ServerLimits(), lambda error: None)
+    await server.listen(ADDRESS)
+    host, port = ADDRESS.split(":")
+    await asyncio.sleep(1.0)  # a head that is complete at time 0 counts as incomplete
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    written = 0
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        for part in itertools.repeat(unit * (16_384 // len(unit))) if unit else ():
+            writer.write(part)
+            written += len(part)
+            await writer.drain()
+            await asyncio.sleep(0.001)
+            if loop.time() - began > TIMEOUT_SECONDS:
+                break
+    except ConnectionError:
+        pass
+    received = b""
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        async with asyncio.timeout(1.0):
+            while part := await reader.read(4096):
+                received += part
+    writer.close()
+    server.stop_accepting()
+    server.abort_all()
+    await asyncio.sleep(0.1)
+    return received, written, headers
+
+
+class RequestTest(unittest.TestCase):
+    """Requests with bytes without end outside their bodies."""
+
+    def test_trailers_of_a_request_are_no_headers(self) -> None:
+        """Guards against headers beyond the limit on heads, and those that hide others."""
+        data = POST + b"1\r\na\r\n0\r\nCredential: x\r\n\r\n"
+        received, _, headers = lab.run_virtual(send_to_server(data))
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+        self.assertTrue(received.endswith(b"a"), received)
+        self.assertEqual([name for name, _ in headers], [b"Host", b"Transfer-Encoding"])
+
+
 class EventIdTest(gateway_scenes.GatewayCase):
     """Ids of events that look like numbers, or are too long to be sent on."""
 
