Bound the bytes of a request outside its head and body

What callers saw: nothing; a caller could send chunk extensions or trailers until the idle time-out, with the name or value of a trailer kept in memory, and empty lines before a request for as long as another one was served.

Cause: the limits were on heads that had begun, and on bodies.

Why it works: what follows the head and is no body counts against the limit on heads plus 256 bytes for each chunk (431), and what follows a request without beginning another one against the limit on heads (400).

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from tillerlane.gateway import http_head, http_responder, memory
+from tillerlane.gateway import http_head, http_limits, http_responder, memory
 from tillerlane.peers import node as nodes
 
 __all__ = ["Request", "Responder", "Server", "ServerLimits"]
@@ -80,6 +80,8 @@
     """Bytes of the body that the account holds."""
     wants_continue: bool = False
     """Whether the caller waits to be asked for the body."""
+    framing: http_limits.FramingCounter | None = None
+    """Counts what is received after the head and is no body; set once the head is complete."""
 
 
 class _RequestRejected(Exception):
@@ -112,6 +114,8 @@
         self._unsent: memory.UnsentBytes | None = None
         self._account: memory.Account | None = None
         """Account of the request that is being served."""
+        self._blank_bytes = 0
+        """Bytes received since the last request, before the next one begins."""
         self._is_discarding = False
         """Whether what is received is the rest of a refused body."""
         self.has_slow_reader = False
@@ -213,11 +217,19 @@
         if self._is_lost or self._is_discarding or (self.closing and self._task is not None):
             return
         self._has_received_data = True
-        if self._incoming is not None and not self._incoming.arrived:
-            self._incoming.head_bytes += len(data)
+        incoming = self._incoming
+        if incoming is not None and not incoming.arrived:
+            incoming.head_bytes += len(data)
+        has_head = incoming is not None and incoming.framing is not None
+        body_bytes = len(incoming.body) if incoming is not None else 0
+        self._blank_bytes += len(data)  # reset by the begin of a request
         try:
             self._parse(data)
             self._check_head_size()
+            if incoming is not None and incoming is self._incoming and has_head:
+                self._count_framing(incoming, len(data) - (len(incoming.body) - body_bytes))
+            if self._incoming is None and self._blank_bytes > self._server.limits.header_bytes:
+                raise _RequestRejected(400)
         except _RequestRejected as error:
             self._reject(error.status)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -256,6 +268,16 @@
         if incoming.head_bytes > self._server.limits.header_bytes:
             raise _RequestRejected(431)
 
+    @staticmethod
+    def _count_framing(incoming: _Incoming, size: int) -> None:
+        """Limit chunk sizes, chunk extensions and trailers."""
+        if incoming.framing is None:
+            return
+        try:
+            incoming.framing.add(size)
+        except http_limits.InvalidMessage as error:
+            raise _RequestRejected(431) from error
+
     def _reject(self, status: int, retry_after: float | None = None) -> None:
         """Reject a request and close the connection: what follows it cannot be parsed."""
         self._clear_timer()
@@ -310,6 +332,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._incoming = _Incoming()
+        self._blank_bytes = 0
         self._set_timer(self._server.limits.header_seconds)
 
     def on_url(self, part: bytes) -> None:
@@ -320,7 +343,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped (RFC 9110, 6.5.1)."""
         assert self._incoming is not None
-        if not self._incoming.arrived:
+        if self._incoming.framing is None:
             self._incoming.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -332,6 +355,7 @@
             return  # parsed again without the offer
         self._set_timer(self._server.limits.idle_seconds)
         incoming.arrived = self._loop.time()
+        incoming.framing = http_limits.FramingCounter(self._server.limits.header_bytes)
         incoming.method = self._parser.get_method()
         incoming.keep_alive = self._parser.should_keep_alive()
         size = sum(len(name) + len(value) + 4 for name, value in incoming.headers)
@@ -362,6 +386,11 @@
         if len(incoming.body) > self._server.limits.body_bytes:
             raise _RequestRejected(413)
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        if self._incoming is not None and self._incoming.framing is not None:
+            self._incoming.framing.record_chunk()
+
     def on_message_complete(self) -> None:
         """Complete a request and queue it for serving."""
         if self._parser.should_upgrade():
@@ -372,6 +401,7 @@
         if len(self._queue) >= MAX_PIPELINED:
             raise _RequestRejected(400)
         self._incoming = None
+        self._blank_bytes = 0
         head = http_head.RequestHead(incoming.method, bytes(incoming.target), incoming.headers)
         request = Request(head, bytes(incoming.body), incoming.arrived, incoming.account)
         self._queue.append((request, incoming.keep_alive))
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -405,6 +405,30 @@
         self.assertTrue(received.endswith(b"a"), received)
         self.assertEqual([name for name, _ in headers], [b"Host", b"Transfer-Encoding"])
 
+    def test_many_small_chunks_of_a_request_are_read(self) -> None:
+        data = POST + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n"
+        received, _, _ = lab.run_virtual(send_to_server(data))
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received[:200])
+        self.assertTrue(received.endswith(b"a" * 50_000))
+
+    def test_bytes_without_end_are_cut(self) -> None:
+        cases = {
+            "chunk extension": (POST + b"5;", b"x"),
+            "chunk size": (POST, b"0"),
+            "chunk extensions": (POST, b"1;" + b"x" * 2_000 + b"\r\na\r\n"),
+            "trailer name": (POST + b"1\r\na\r\n0\r\n", b"x"),
+            "trailer value": (POST + b"1\r\na\r\n0\r\nX: ", b"x"),
+            "trailers": (POST + b"1\r\na\r\n0\r\n", b"X: y\r\n"),
+            "empty lines": (b"", b"\r\n"),
+            "target": (b"GET /", b"x"),
+            "headers": (b"GET / HTTP/1.1\r\n", b"X: y\r\n"),
+        }
+        for name, (data, unit) in cases.items():
+            with self.subTest(name):
+                _, written, headers = lab.run_virtual(send_to_server(data, unit))
+                self.assertEqual(headers, [])
+                self.assertLess(written, MAX_WRITTEN_BYTES)
+
 
 class EventIdTest(gateway_scenes.GatewayCase):
     """Ids of events that look like numbers, or are too long to be sent on."""
