Read numbers of any length that callers send

What callers saw: a closed connection without a response, for a Deadline-Ms, Token-Counts or Length-Hint of over 4,300 digits; an internal error for a Last-Event-ID or since_ms with a superscript digit.

Cause: `int` refuses texts of over 4,300 digits, and some characters for which `str.isdigit` is true.

Evidence: both tests of NumberTest ended with ValueError before.

Why it works: a number of more than 20 characters counts as the largest one that is accepted, as smaller ones beyond it do; only ASCII digits are digits.

--- a/tillerlane/entry/requests.py
+++ b/tillerlane/entry/requests.py
@@ -141,7 +141,7 @@
 def parse_event_id(text: str) -> tuple[str, int]:
     """Generation and next offset of a ``Last-Event-ID``."""
     generation_id, _, offset = text.rpartition(":")
-    if not offset.isdigit() or len(offset) > 9:
+    if not (offset.isascii() and offset.isdigit()) or len(offset) > 9:
         raise _build_bad_request(f"got Last-Event-ID {text[:80]!r}, expected GENERATION:OFFSET")
     parse_generation_id(generation_id)
     return generation_id, int(offset)
--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -5,12 +5,17 @@
 import itertools
 import tracemalloc
 import unittest
+from unittest import mock
 
 from hypothesis import given, strategies
 
+from tillerlane.entry import requests as entry_requests
+from tillerlane.faults import core as faults
+from tillerlane.faults import kinds
 from tillerlane.gateway import dialect, http_client, http_head, http_server
 from tillerlane.gateway.streaming import events
-from tillerlane.platform import calls
+from tillerlane.operators import api as operators_api
+from tillerlane.platform import calls, wire
 from tillerlane.testing import gateway_lab, gateway_scenes, lab, profiles, raw_runner
 
 ADDRESS = "10.0.0.1:80"
@@ -430,6 +435,33 @@
                 self.assertLess(written, MAX_WRITTEN_BYTES)
 
 
+class NumberTest(gateway_scenes.GatewayCase):
+    """Texts of digits that `int` rejects."""
+
+    def test_number_of_any_length_is_read(self) -> None:
+        """Guards against a closed connection in place of a response."""
+        digits = b"9" * 5_000
+        head = http_head.RequestHead(
+            b"POST",
+            b"/a",
+            [(b"Deadline-Ms", digits), (b"Token-Counts", b"7," + digits), (b"Length-Hint", digits)],
+        )
+        facts = wire.decode_request(head)
+        self.assertEqual(facts.wait_seconds, wire.MAX_WAIT_MS / 1000)
+        self.assertEqual((facts.prompt_tokens, facts.output_tokens), (7, wire.MAX_WAIT_MS))
+
+    def test_digits_that_are_no_number_are_a_bad_request(self) -> None:
+        """Guards against an internal error in place of a response."""
+        http = mock.Mock(query_params={"since_ms": "\u00b2"})
+        for parse in (
+            lambda: entry_requests.parse_event_id("r1~c~1:\u00b2"),
+            lambda: operators_api._parse_number(http, "since_ms"),
+        ):
+            with self.assertRaises(faults.FaultError) as caught:
+                parse()
+            self.assertEqual(caught.exception.fault.kind, kinds.ErrorKind.BAD_REQUEST)
+
+
 class EventIdTest(gateway_scenes.GatewayCase):
     """Ids of events that look like numbers, or are too long to be sent on."""
 
--- a/tillerlane/operators/api.py
+++ b/tillerlane/operators/api.py
@@ -18,6 +18,7 @@
 __all__ = ["build_handlers"]
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_NUMBER_DIGITS = 18
 Http = litestar.Request[Any, Any, Any]
 Body = TypeVar("Body", bound=pydantic.BaseModel)
 
@@ -61,8 +62,8 @@
 
 def _parse_number(http: Http, name: str) -> int:
     text = http.query_params.get(name, "0")
-    if not text.isdigit():
-        message = f"query {name}: got {text!r}, expected a non-negative integer"
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_NUMBER_DIGITS:
+        message = f"query {name}: got {text[:80]!r}, expected a non-negative integer"
         raise faults.FaultError(faults.new_fault(kinds.ErrorKind.BAD_REQUEST, message))
     return int(text)
 
--- a/tillerlane/platform/wire.py
+++ b/tillerlane/platform/wire.py
@@ -48,7 +48,7 @@
 MAX_NAME_CHARACTERS = 200
 """Bound on names and addresses in targets' reports; the longest in use has 24."""
 MAX_NUMBER_CHARACTERS = 20
-"""Bound on a number in a target's response."""
+"""Characters of the longest number that is read."""
 MAX_COLD_MS = 3600 * 1000
 """Bound on how long a target may report to be cold; the longest in use is some seconds."""
 
@@ -79,9 +79,10 @@
 
 def _parse_number(value: bytes | None) -> int | None:
     """A number in a header; None if it is missing or cannot be parsed."""
-    if value is None or not value.strip().isdigit():
+    digits = b"" if value is None else value.strip()
+    if not digits.isdigit():
         return None
-    return min(int(value), MAX_WAIT_MS)
+    return MAX_WAIT_MS if len(digits) > MAX_NUMBER_CHARACTERS else min(int(digits), MAX_WAIT_MS)
 
 
 def decode_request(head: http_head.RequestHead) -> dialect.RequestFacts:
