Bound the answers to short calls of the runners' adapter

What callers saw: nothing; an answer without end was kept in memory for up to 5 s.

Cause: the body was read without a limit.

Evidence: the test's target wrote all of its 64 MB before; now the call ends after 1 MB (and what the buffers of the connection take).

Why it works: parts are added up, and the call ends with an error past the limit, which closes the connection.

--- a/tillerlane/runners/sse_runner.py
+++ b/tillerlane/runners/sse_runner.py
@@ -23,6 +23,8 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 5.0
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 1024 * 1024
+"""Bound on the answer to a short call."""
 
 
 class _Event(msgspec.Struct):
@@ -50,6 +52,16 @@
                 yield event[6:]
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            message = f"answer of more than {MAX_ANSWER_BYTES} bytes"
+            raise core.TargetError(message, reached=True)
+    return bytes(body)
+
+
 async def _read_stream(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[core.Chunk | core.Finish]:
@@ -103,7 +115,7 @@
             async with get_session().request(
                 method, path, timeout=timeout, allow_redirects=False, **options
             ) as response:
-                return response.status, await response.read()
+                return response.status, await _read_body(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise core.TargetError(f"cannot connect: {error!r}", reached=False) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/tillerlane/runners/tests/test_sse_runner.py
+++ b/tillerlane/runners/tests/test_sse_runner.py
@@ -77,5 +77,37 @@
         self.assertFalse(caught.exception.reached)
 
 
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """Short calls to a target."""
+
+    async def test_answer_without_end_is_cut(self) -> None:
+        """Guards against an answer that takes all memory until its time-out."""
+        written = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            await reader.readuntil(REQUEST_END)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            try:
+                while written < 64 * sse_runner.MAX_ANSWER_BYTES:
+                    writer.write(b"x" * 65_536)
+                    written += 65_536
+                    await writer.drain()
+            except ConnectionError:
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = sse_runner.connect(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        try:
+            with self.assertRaises(core.TargetError) as caught:
+                await client.read_load()
+            self.assertIn("answer of more than", str(caught.exception))
+        finally:
+            await client.close()
+            server.close()
+        self.assertLess(written, 32 * sse_runner.MAX_ANSWER_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
