Bound the list of hosts that is read over HTTP

What callers saw: nothing; a list without end was kept in memory.

Cause: only lists in files were checked against the limit.

Evidence: the test's server wrote all of its 64 MB before; now reading ends after 4 MB (and what the buffers of the connection take).

--- a/tillerlane/members/platform.py
+++ b/tillerlane/members/platform.py
@@ -38,12 +38,21 @@
 
 async def _read(source: str, client: httpx.AsyncClient) -> str:
     if source.startswith(("http://", "https://")):
-        response = await client.get(source)
-        response.raise_for_status()
-        return response.text
+        return await _download(source, client)
     return await asyncio.to_thread(_read_file, pathlib.Path(source))
 
 
+async def _download(url: str, client: httpx.AsyncClient) -> str:
+    data = bytearray()
+    async with client.stream("GET", url) as response:
+        response.raise_for_status()
+        async for part in response.aiter_bytes():
+            data += part
+            if len(data) > MAX_LIST_BYTES:
+                raise ValueError(f"host list larger than {MAX_LIST_BYTES} bytes")
+    return data.decode()
+
+
 def _read_file(path: pathlib.Path) -> str:
     if path.stat().st_size > MAX_LIST_BYTES:
         raise ValueError(f"host list larger than {MAX_LIST_BYTES} bytes")
--- a/tillerlane/members/tests/test_members.py
+++ b/tillerlane/members/tests/test_members.py
@@ -85,6 +85,44 @@
         self.assertIn("FileNotFoundError", missing)
         self.assertEqual(readable, "")
 
+    def test_list_without_end_is_cut(self) -> None:
+        """Guards against a list over HTTP that takes all memory."""
+        written = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            try:
+                while written < 16 * platform.MAX_LIST_BYTES:
+                    writer.write(b"x" * 65_536)
+                    written += 65_536
+                    await writer.drain()
+            except ConnectionError:
+                pass
+            writer.close()
+
+        async def run() -> str:
+            reasons: asyncio.Queue[str] = asyncio.Queue()
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            polling = asyncio.create_task(
+                platform.poll_list(
+                    f"http://127.0.0.1:{port}/",
+                    views.MemberView(),
+                    lambda names: None,
+                    reasons.put_nowait,
+                )
+            )
+            async with asyncio.timeout(10.0):
+                reason = await reasons.get()
+            polling.cancel()
+            server.close()
+            return reason
+
+        self.assertIn("host list larger", asyncio.run(run()))
+        self.assertLess(written, 8 * platform.MAX_LIST_BYTES)
+
 
 class FleetTest(scenes.SceneCase):
     """In a running fleet."""
