--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -19,10 +19,11 @@
     loads,
     metrics,
     operator_orders,
+    version_file,
 )
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway.failures import updates as failure_updates
-from tillerlane.gateway.origins import registry
+from tillerlane.gateway.origins import origin_file, registry
 from tillerlane.gateway.quarantine import coordinator, suspects
 from tillerlane.gateway.returns import updates as return_updates
 from tillerlane.gateway.speeds import slowdowns
@@ -110,7 +111,9 @@
         self.limits = limit_updates.LimitUpdates(
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
-        self.origins = registry.OriginRegistry(self._list_keeper_links, self._loop.time)
+        self.origins = registry.OriginRegistry(
+            self._list_keeper_links, lambda: len(self.replica.voters), self._loop.time
+        )
         self._full_state: messages.TargetStates | None = None
         self._full_state_at = 0.0
         self._changed_since_full_state: dict[str, directories.Target] = {}
@@ -123,8 +126,22 @@
         self.formation = formations.Formation(
             settings.formation, settings.name, settings.peer_address, self.node, self.timeline
         )
-        storage = storages.Storage(
-            self._dependencies.open_disk(settings.data_folder), settings.name
+        disk = self._dependencies.open_disk(settings.data_folder)
+        storage = storages.Storage(disk, settings.name)
+        self._version_file = version_file.VersionFile(
+            disk, self._dependencies.run_blocking, self.timeline
+        )
+        self._load_versions()
+        self._origin_file = origin_file.OriginFile(
+            disk,
+            self._dependencies.run_blocking,
+            self.origins.table,
+            self._loop.time,
+            self.timeline,
+        )
+        self._origin_file.load()
+        self.origins.on_records = lambda records, is_urgent: self._origin_file.add(
+            records, is_urgent=is_urgent
         )
         state = state_machines.StateMachine()
         self.replica = replica.Replica(
@@ -192,6 +209,16 @@
             on_down=self._handle_link_down,
         )
 
+    def _load_versions(self) -> None:
+        """Take the versions on disk for ones whose targets have left just now."""
+        now = self._loop.time()
+        for pool, version in self._version_file.load():
+            self.directory.merge_former(directories.FormerVersion(pool, version, now))
+        self.directory.add_former_listener(self._handle_former_version)
+
+    def _save_versions(self) -> None:
+        self._version_file.save(self.directory.list_all_software_versions())
+
     def _get_link(self, address: str) -> links.Link | None:
         return self.node.dial(address).link
 
@@ -220,6 +247,7 @@
             self._loop.create_task(self._sweep()),
             self._loop.create_task(self._load_distribution.run()),
             self._loop.create_task(self.quarantine.run()),
+            self._loop.create_task(self._origin_file.run()),
         ]
         self.timeline.record(
             "daemon.start",
@@ -228,6 +256,8 @@
             may_found=self._settings.formation.can_bootstrap,
             last_index=self.replica.storage.last_index,
             version=self.replica.state_machine.published.version,
+            origins=len(self.origins.table),
+            former_versions=len(self.directory.list_former_versions()),
         )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -250,6 +280,7 @@
         self.timeline.record("daemon.stop")
         for task in self._tasks:
             task.cancel()
+        self._version_file.stop()
         self._metrics_server.stop_accepting()
         await self.replica.stop()
         await self.node.close()
@@ -261,6 +292,7 @@
             now = self._loop.time()
             self.directory.mark_silent(now - self._settings.heartbeat_timeout_seconds)
             self.directory.expire_old(now)
+            self._save_versions()
             self.limits.table.expire_unknown(self.directory.targets, now)
             subscribed = {item.entry for item in self._subscribers.values()}
             for entry, heard_at in list(self._entries.items()):
@@ -351,8 +383,14 @@
         self._send_full_state(link)
 
     def _send_full_state(self, link: links.Link) -> None:
-        """Send all targets to a new peer."""
+        """Send all targets to a new peer.
+
+        Former versions go first: with all targets the peer counts its knowledge as complete.
+        """
         now = self._loop.time()
+        former = self.directory.list_former_versions()
+        if former:
+            links.try_send(link, directories.encode_former_versions(former))
         if self._full_state is None or now - self._full_state_at > FULL_STATE_TTL_SECONDS:
             self._full_state = directories.encode_full_state(self.directory)
             self._full_state_at = now
@@ -464,6 +502,8 @@
         """Merge target states; those that an entry has from responses go on to other keepers."""
         is_of_entry = link in self._subscribers
         self.directory.record_collection(states, self._loop.time())
+        for former in directories.decode_former_versions(states):
+            self.directory.merge_former(former)
         if states.collected_ms:
             self.origins.handle_keeper(link)
         for target in directories.decode_states(states):
@@ -471,10 +511,22 @@
                 latest = self.directory.targets[target.target_id]
                 self._keeper_updates.add(latest.target_id, latest, is_urgent=True)
 
+    def _handle_former_version(self, former: directories.FormerVersion) -> None:
+        """Pass on a version that is known from other keepers or from disk only."""
+        self.timeline.record(
+            "version.former",
+            pool=former.pool,
+            software_version=former.software_version,
+            age_ms=int((self._loop.time() - former.heard_at) * 1000),
+        )
+        self._save_versions()
+        self._send_to_all(directories.encode_former_versions([former]))
+
     def _handle_target_change(
         self, target: directories.Target, former: directories.Phase | None
     ) -> None:
         """Send a change to the entries, whatever its source."""
+        self._save_versions()
         self.timeline.record(
             "target.state",
             target=target.target_id,
--- a/tillerlane/gateway/streaming/events.py
+++ b/tillerlane/gateway/streaming/events.py
@@ -2,15 +2,16 @@
 
 import re
 
-__all__ = ["EventSplitter", "is_valid_id", "parse_event_id", "parse_number"]
+from tillerlane.decisions import event_order
+
+__all__ = ["EventSplitter", "is_comment", "is_valid_id", "parse_event_id"]
 
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_ID_CHARACTERS = 200
 """Bound on ids, which are sent on in headers and logged; the longest in use has 4."""
-MAX_NUMBER_DIGITS = 18
-"""Digits of the largest number that also fits into messages between daemons."""
 MAX_SEPARATOR_BYTES = 4
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+_COMMENT_STARTS = (b":", b"retry:")
 
 
 class EventSplitter:
@@ -65,19 +66,15 @@
     """Whether an event's id can be sent on in a header; digits must be a number."""
     if not (len(text) <= MAX_ID_CHARACTERS and text.isascii() and text.isprintable()):
         return False
-    return not text.isdigit() or parse_number(text) is not None
-
+    return not text.isdigit() or event_order.parse_number(text) is not None
 
-def parse_number(text: str) -> int | None:
-    """Number that an event's id is; None if it is none.
 
-    `str.isdigit` alone also accepts characters, such as a superscript, that `int` does not.
+def is_comment(event: bytes) -> bool:
+    """Whether all lines are comments or reconnection times, which belong to no event.
 
     Examples
     --------
-    >>> parse_number("7"), parse_number("\u00b2")
-    (7, None)
+    >>> is_comment(b": keep-alive\\n\\n")
+    True
     """
-    if not (text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS):
-        return None
-    return int(text)
+    return all(line.startswith(_COMMENT_STARTS) for line in event.splitlines() if line)
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Callable
 
-from tillerlane.decisions import quarantine
+from tillerlane.decisions import event_order, quarantine
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import handovers, http_client, http_server, runs
 from tillerlane.gateway.delivery import watch
@@ -13,9 +13,6 @@
 
 __all__ = ["StopReason", "StreamRelay"]
 
-BEFORE_FIRST_ID = "0"
-"""Runners number events from 1; a stream whose first event has a higher id lacks its beginning."""
-
 
 class StopReason(enum.Enum):
     """Why the relay of one runner's events stopped."""
@@ -54,6 +51,8 @@
         Whether the current runner's connection has fallen silent.
     is_unreachable : bool
         Whether it broke off because the runner sends nothing and accepts no connection.
+    is_version_unknown : bool
+        Whether its target has restarted with other software, and either incarnation may serve it.
     stop_order : handovers.StopOrder or None
         Order to the current runner to stop the run.
     former_stop_orders : list of handovers.StopOrder
@@ -87,6 +86,7 @@
         self.evidence: list[suspects.TargetExit] = []
         self.is_unreachable = False
         self.is_silent = False
+        self.is_version_unknown = False
         self.stop_order: handovers.StopOrder | None = None
         self.former_stop_orders: list[handovers.StopOrder] = []
         self.is_proven = False
@@ -109,6 +109,7 @@
         self.problem = ""
         self.is_unreachable = False
         self.is_silent = False
+        self.is_version_unknown = False
         if self.stop_order is not None:
             self.former_stop_orders.append(self.stop_order)
         self.stop_order = None
@@ -159,7 +160,7 @@
 
     def _get_received(self) -> int:
         """Number of the last event that the caller has; 0 if it has no number."""
-        return events.parse_number(self.last_event_id) or 0
+        return event_order.parse_number(self.last_event_id) or 0
 
     def prove(self) -> None:
         """Record that a run of the request has got past its beginning."""
@@ -179,11 +180,12 @@
 
     async def _forward(self, data: bytes) -> bool:
         """Relay complete events; False if one does not follow the last."""
-        previous_event_id = self.last_event_id
+        previous_event_id, previous_events = self.last_event_id, self.events
         accepted, self.problem = self._accept_in_order(self._splitter.feed(data))
-        if accepted:
-            self._record_times(previous_event_id, len(accepted))
+        if self.events > previous_events:
+            self._record_times(previous_event_id, self.events - previous_events)
             self._update_memory()
+        if accepted:
             await self.responder.write(b"".join(accepted))
         return not self.problem
 
@@ -206,16 +208,15 @@
     def _accept_in_order(self, received: list[bytes]) -> tuple[list[bytes], str]:
         """Accept events up to the first that does not follow; also gives what is wrong with it."""
         for position, event in enumerate(received):
+            if events.is_comment(event):
+                continue
             event_id = events.parse_event_id(event)
             if not events.is_valid_id(event_id):
                 return received[:position], "got an event with an invalid id"
-            number = events.parse_number(event_id)
-            previous = events.parse_number(self.last_event_id or BEFORE_FIRST_ID)
-            if event_id and number is None and events.parse_number(self.last_event_id) is not None:
-                return received[:position], "got an event without a number after numbered ones"
-            if number is not None and previous is not None and number != previous + 1:
-                return received[:position], f"got event {number}, expected {previous + 1}"
-            self.last_event_id = event_id or self.last_event_id
+            fault = event_order.find_fault(self.last_event_id, event_id)
+            if fault:
+                return received[:position], fault
+            self.last_event_id = event_id
             self.events += 1
         return received, ""
 
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -30,9 +30,13 @@
 Body = http_server.Responder | close_delimited.CloseDelimitedResponder
 
 
-def build_event(request_id: str, number: int) -> bytes:
-    """Build the event with a given number of a request's stream."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def build_event(request_id: str, number: int, id_line: bytes | None = None) -> bytes:
+    """Build the event with a given number of a request's stream.
+
+    `id_line` takes the place of the line with its number.
+    """
+    line = f"id: {number}\n".encode() if id_line is None else id_line
+    return line + f"data: {request_id}-{number}\n\n".encode()
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +134,8 @@
         Memory for prompts and reservations; unbounded, and no reservations, with 0.
     software_version : str
         Version of its software.  A stream is continued whatever version began it.
+    started_ms : int
+        Unix milliseconds of its start, which its reports name; 0 if they name none.
 
     Attributes
     ----------
@@ -141,6 +147,10 @@
         New connections to it hang, while open ones work.
     report_status : int
         Status of responses to calls for a report of its runs.
+    reports_start : bool
+        Whether its report names its start.
+    loses_reports : bool
+        Never responds to calls for a report.
     hold_status : int
         Status of responses to calls that reserve memory, none of which is reserved; 0 for the usual
         ones.
@@ -200,6 +210,16 @@
         Called after a crash.
     skips_event, breaks_at : int
         Number of an event that a stream omits, or at which it breaks off.
+    id_lines : dict of int to bytes
+        Lines sent in place of those with the number of an event, by that number.
+    comment : bytes
+        Sent before each event.
+    copy_offset : int
+        Number of events by which copies that it makes differ from its runs.
+    continues_from_copy : bool
+        Sends the events behind those that a copy holds, instead of behind the caller's last one.
+    ignores_last_event : bool
+        Starts each stream at its first event.
     """
 
     others: dict[str, "PlatformRunner"]
@@ -220,8 +240,10 @@
         slowdown: float = 0.0,
         memory_tokens: int = 0,
         software_version: str = "",
+        started_ms: int = 0,
     ) -> None:
         self.target_id = target_id
+        self.started_ms = started_ms
         self.software_version = software_version
         self.address = address
         self._listen_address = listen_address or address
@@ -263,6 +285,8 @@
         self.pauses_runs = False
         self.takes_no_connections = False
         self.report_status = 200
+        self.reports_start = True
+        self.loses_reports = False
         self.hold_status = 0
         self.hold_seconds = 0.0
         self.loses_holds = False
@@ -274,6 +298,11 @@
         self.has_crashed = False
         self.skips_event = 0
         self.breaks_at = 0
+        self.id_lines: dict[int, bytes] = {}
+        self.comment = b""
+        self.copy_offset = 0
+        self.continues_from_copy = False
+        self.ignores_last_event = False
         self.dropped: list[str] = []
         self._transfer_lock = asyncio.Lock()
         """Serializes the transfer of copies."""
@@ -375,9 +404,13 @@
         """Report the active runs; a run that reads its prompt counts, but is not listed."""
         active = [run for run in self.ran if not run.ended and self.length]
         listed = [[run.request_id, 0, run.events, 5] for run in active if run.events]
-        report = {"waiting": 0, "running": len(active), "runs": listed}
+        report: dict[str, object] = {"waiting": 0, "running": len(active), "runs": listed}
         if self.pauses_runs:
             report = {"waiting": len(active), "running": 0, "runs": []}
+        if self.started_ms and self.reports_start:
+            report["born"] = self.started_ms
+        if self.loses_reports:
+            await asyncio.sleep(3600)
         body = msgspec.json.encode(report)
         status = self.report_status
         await responder.send_response(http_head.ResponseHead(status, []), body)
@@ -426,6 +459,11 @@
         self.arrived.append(arrival)
         first = int(headers.get("last-event-id", "0")) + 1
         copy_from = headers.get("kv-from", "")
+        held = self.copies.get(copy_from.rpartition("/")[2])
+        if held is not None and self.continues_from_copy:
+            first = held.events + 1
+        if self.ignores_last_event:
+            first = 1
         is_full = self.slots > 0 and self._in_progress >= self.slots + self.queue
         if self.refuses or is_full or (copy_from and not self._use_copy(copy_from, request_id)):
             await self._reject(503, request_id, responder)
@@ -588,7 +626,8 @@
                 return False
             is_sent = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_sent:
-                await responder.write(build_event(run.request_id, number))
+                event = build_event(run.request_id, number, self.id_lines.get(number))
+                await responder.write(self.comment + event)
             run.events = number
             self._grow_copy(run)
         self._record_end(run, "whole")
@@ -624,7 +663,8 @@
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
-            backup.copies[run.request_id] = MemoryCopy(run.request_id, run.events, self)
+            events = run.events + self.copy_offset
+            backup.copies[run.request_id] = MemoryCopy(run.request_id, events, self)
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """Find the run of a request that is still active."""
@@ -670,7 +710,7 @@
         finally:
             self._transferring.discard(run.request_id)
         reply = {"handle": handle, "made": run.events}
-        copy = MemoryCopy(run.request_id, run.events, self)
+        copy = MemoryCopy(run.request_id, run.events + self.copy_offset, self)
         status = 200
         if destination is None or destination.refuses:
             status = 503
