Pass regular ends and real resets on in the soak's forwarder

An aborted transport ends its connection regularly unless it has unread data, so what the forwarder called a reset reached the other end as a close. Resets now are resets (SO_LINGER of 0 s), a regular end is passed on after all data and closed in order, and a forwarder can stop to listen while its connections go on, as those of a killed process do. The close-delimited responder of tests closed its connection by way of an attribute that does not exist; the server's abort did it instead.

--- a/tillerlane/testing/close_delimited.py
+++ b/tillerlane/testing/close_delimited.py
@@ -1,8 +1,20 @@
 """Responses with neither a length nor chunks, which end with their connection."""
 
+import asyncio
+
 from tillerlane.gateway import http_head, http_server
+from tillerlane.testing import resets
+
+__all__ = ["CloseDelimitedResponder", "reset"]
+
+
+def _get_transport(responder: http_server.Responder) -> asyncio.Transport | None:
+    return responder._connection.transport  # type: ignore[attr-defined]
+
 
-__all__ = ["CloseDelimitedResponder"]
+def reset(responder: http_server.Responder) -> None:
+    """Reset the connection of a response."""
+    resets.reset(_get_transport(responder))
 
 
 class CloseDelimitedResponder:
@@ -15,6 +27,7 @@
     """
 
     def __init__(self, responder: http_server.Responder) -> None:
+        self._responder = responder
         self._connection = responder._connection
 
     async def start_response(self, head: http_head.ResponseHead) -> None:
@@ -38,5 +51,8 @@
         self.abort()
 
     def abort(self) -> None:
-        """Close the connection regularly."""
-        self._connection._transport.close()  # type: ignore[attr-defined]
+        """Close the connection regularly, after what was written before."""
+        self._responder.is_finished = True  # else the server aborts the connection
+        transport = _get_transport(self._responder)
+        if transport is not None:
+            transport.close()
--- a/tillerlane/testing/forwarder.py
+++ b/tillerlane/testing/forwarder.py
@@ -8,6 +8,7 @@
 import socket
 
 from tillerlane.peers import node as nodes
+from tillerlane.testing import resets
 
 __all__ = ["Forwarder", "LinkFault"]
 
@@ -61,7 +62,13 @@
         self.is_silent = False
         for writer in (self.caller, self.upstream):
             if writer is not None:
-                writer.transport.abort()
+                resets.reset(writer.transport)
+
+    def close(self) -> None:
+        """Close both connections regularly, after what was written to them."""
+        for writer in (self.caller, self.upstream):
+            if writer is not None:
+                writer.close()
 
 
 class Forwarder:
@@ -94,6 +101,13 @@
     def stop(self) -> None:
         """Reset all connections and stop listening."""
         self.inject(LinkFault.RESET)
+        self.stop_listening()
+
+    def stop_listening(self) -> None:
+        """Stop listening; open connections go on, and each of their ends is passed on as it is."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
@@ -112,7 +126,7 @@
         """Reset the callers' side of all connections, leaving the upstream's side open."""
         for pair in list(self._pairs):
             pair.is_orphan = True
-            pair.caller.transport.abort()
+            resets.reset(pair.caller.transport)
 
     def silence(self) -> None:
         """Have all open connections carry nothing more, without an end; new ones work."""
@@ -160,17 +174,20 @@
         try:
             await self._wait_while(_BLOCKS_CONNECTIONS)
             if self._fault is LinkFault.RESET:
-                return
+                raise ConnectionResetError
             host, port = nodes.split_address(self._upstream)
             upstream_reader, pair.upstream = await asyncio.open_connection(host, port)
             await asyncio.gather(
                 self._pump(pair, reader, pair.upstream, _BLOCKS_IN),
                 self._pump(pair, upstream_reader, writer, _BLOCKS_OUT),
             )
+            pair.close()
         except (OSError, RuntimeError):
-            pass  # one end has failed, so the other one is reset below
-        finally:
             pair.reset()
+        except asyncio.CancelledError:
+            pair.reset()
+            raise
+        finally:
             self._pairs.discard(pair)
 
     async def _pump(
