Kill, break off and never end answers in the platform soak

Users saw streams complete before their last piece and at two software versions; the soak could not show either. All entries, or all entries and keepers, are killed at once around releases and restarts of runners under their id with other software. Callers also resume a stream while their first connection stays open.

Checked: each event that a caller got, over all attempts, once and in order and of one version, which the events name; a connection with a broken answer is closed within its deadline and a second; an entry stays within its host's 128 MB; calls are served beside endless answers.

--- a/tillerlane/testing/caller.py
+++ b/tillerlane/testing/caller.py
@@ -13,6 +13,10 @@
 """Workspace that the key belongs to."""
 HOST = "shop.example"
 CONNECT_TIMEOUT_SECONDS = 5.0
+MAX_KEPT_BYTES = 1024 * 1024
+"""Number of bytes of a body beyond which further ones are read and not kept."""
+_kept_open: set[asyncio.Task[None]] = set()
+"""Tasks that read on from connections that their callers have given up."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,11 +52,13 @@
     body: bytes = b"body",
     wait_ms: int = 10_000,
     leave_after: float | None = None,
+    keeps_connection: bool = False,
     **headers: str,
 ) -> CallerResponse:
     """Send a request to an entry and read the response to its end.
 
-    With `leave_after`, the caller disconnects after that many seconds.
+    With `leave_after`, the caller disconnects after that many seconds; with `keeps_connection`, it
+    leaves the connection open and ignores what still arrives there.
     """
     fields = {
         "Host": HOST,
@@ -72,6 +78,7 @@
     exchange = await http_client.connect(address, CONNECT_TIMEOUT_SECONDS)
     response.connected_at = loop.time()
     exchange.send(head, body)
+    is_kept = False
     try:
         async with asyncio.timeout(leave_after):
             received = await exchange.read_head()
@@ -80,16 +87,36 @@
                 name.decode().lower(): value.decode() for name, value in received.headers
             }
             while (chunk := await exchange.read_chunk()) is not None:
-                response.body += chunk
+                if len(response.body) < MAX_KEPT_BYTES:
+                    response.body += chunk
             response.is_whole = True
-    except (http_client.ExchangeError, TimeoutError):
+    except http_client.ExchangeError:
         pass
+    except TimeoutError:
+        is_kept = keeps_connection
     finally:
-        exchange.abort()
+        if is_kept:
+            task = loop.create_task(_ignore(exchange))
+            _kept_open.add(task)
+            task.add_done_callback(_kept_open.discard)
+        else:
+            exchange.abort()
     response.seconds = loop.time() - began
     return response
 
 
+async def _ignore(exchange: http_client.Exchange) -> None:
+    """Read and ignore the rest of a response."""
+    try:
+        await exchange.read_head()
+        while await exchange.read_chunk() is not None:
+            pass
+    except http_client.ExchangeError:
+        pass
+    finally:
+        exchange.abort()
+
+
 def _format_path(route: str) -> bytes:
     return f"/{route}/x?q=1".encode()
 
--- a/tillerlane/testing/platform_checker.py
+++ b/tillerlane/testing/platform_checker.py
@@ -7,7 +7,13 @@
 import itertools
 from collections.abc import Iterator
 
-from tillerlane.testing import caller, limit_scenes, platform_runner
+from tillerlane.testing import (
+    broken_answers,
+    caller,
+    limit_scenes,
+    platform_record,
+    platform_runner,
+)
 
 __all__ = [
     "AnnouncedLimit",
@@ -155,6 +161,12 @@
         Limits that targets announced.
     rejected : dict
         Target id to the requests that it rejected.
+    broken : dict
+        Target id to the calls that it answered with broken answers.
+    silenced : dict
+        Target id to the times at which its open connections fell silent.
+    memory : dict
+        (entry, start) to the most memory that its process had in use, in bytes.
     backoffs : int
         Number of spans in which targets requested back-off.
     announced_in_responses : list of Leaving
@@ -188,6 +200,9 @@
     entries_ended: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     limits: list[AnnouncedLimit] = dataclasses.field(default_factory=list)
     rejected: dict[str, list[platform_runner.Arrival]] = dataclasses.field(default_factory=dict)
+    broken: dict[str, list[platform_record.BrokenCall]] = dataclasses.field(default_factory=dict)
+    silenced: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    memory: dict[tuple[str, int], int] = dataclasses.field(default_factory=dict)
     backoffs: int = 0
     announced_in_responses: list[Leaving] = dataclasses.field(default_factory=list)
     planned_only: bool = False
@@ -246,14 +261,20 @@
     seen: Observations, call: Call, runs: list[platform_runner.RanRequest]
 ) -> list[str]:
     response, name = call.response, call.request_id
-    if response.status == 200:
+    if 200 <= response.status < 300:
         expected = _build_body(seen, call)
-        if response.is_whole and response.body != expected:
+        body = platform_runner.strip_versions(response.body)
+        if response.is_whole and body != expected:
+            at = f"{call.entry} from {call.sent_at:.2f} to {call.ended_at:.2f}"
+            return [
+                f"{name}: {call.route} is complete, but its {len(body)} bytes are not its own "
+                f"response of {len(expected)}, {at}; {_describe_runs(runs)}"
+            ]
+        is_endless = any(run.ended == broken_answers.Ending.ENDLESS for run in runs)
+        if not is_endless and not expected.startswith(body):
             return [
-                f"{name}: complete, but its {len(response.body)} bytes are not its own response"
+                f"{name}: events are missing, repeated or another request's; {_describe_runs(runs)}"
             ]
-        if not expected.startswith(response.body):
-            return [f"{name}: events are missing, repeated or another request's"]
     if response.status in NOT_RUN_STATUSES and runs and call.route != "price":
         return [f"{name}: got {response.status}, which guarantees that it has not run, but it ran"]
     if response.status in NOT_RUN_STATUSES and "retry-after" not in response.headers:
@@ -286,6 +307,16 @@
     return f"connected {call.connected_at:.2f}, {len(runs)} runs; entry {'; '.join(parts)}"
 
 
+def _describe_runs(runs: list[platform_runner.RanRequest]) -> str:
+    """Describe the runs of a call, to trace a wrong response."""
+    parts = [
+        f"{run.target_id} ({run.software_version}) from {run.began:.2f} to {run.ended_at:.2f}, "
+        f"events {run.first_event} to {run.events}, {run.ended or 'running'}"
+        for run in runs
+    ]
+    return f"runs: {'; '.join(parts) or 'none'}"
+
+
 def _outlasted_stop(seen: Observations, call: Call, runs: list[platform_runner.RanRequest]) -> bool:
     """Whether a target was still processing a request shortly before its entry had to exit.
 
--- a/tillerlane/testing/platform_fleet.py
+++ b/tillerlane/testing/platform_fleet.py
@@ -17,7 +17,7 @@
 from tillerlane.gateway import budget as budgets
 from tillerlane.testing import forwarder
 
-__all__ = ["BOUNDS", "RETRY_BOUNDS", "ROOT", "Daemon", "PlatformFleet"]
+__all__ = ["BOUNDS", "HOST_MEMORY_MB", "RETRY_BOUNDS", "ROOT", "Daemon", "PlatformFleet"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PEER_PORT = 7000
@@ -39,6 +39,8 @@
 
 
 BOUNDS = Bounds()
+HOST_MEMORY_MB = 128
+"""Memory of an entry's host (docs/design/platform.md), in MB of 1,000,000 bytes."""
 RETRY_BOUNDS = budgets.RetryBounds(ratio=0.2, window_seconds=10.0, allowance=54.0)
 
 
@@ -88,6 +90,16 @@
         """Whether its process runs."""
         return self.process is not None and self.process.poll() is None
 
+    def read_peak_memory(self) -> int:
+        """Most memory that its process has had in use, in bytes; 0 if it does not run."""
+        if self.process is None or not self.is_running:
+            return 0
+        with contextlib.suppress(OSError):
+            for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) * 1024
+        return 0
+
 
 class PlatformFleet:
     """Keepers and entries.
@@ -224,6 +236,8 @@
 peer = "{listen_ip}:{PEER_PORT}"
 [tolerate]
 machines = 2
+[limits]
+memory_mb = {HOST_MEMORY_MB}
 [bounds]
 drain_ms = {BOUNDS.drain * 1000}
 grace_s = {BOUNDS.grace}
--- a/tillerlane/testing/platform_record.py
+++ b/tillerlane/testing/platform_record.py
@@ -3,22 +3,24 @@
 Each start, event and end is written as a line of JSON before the work proceeds.
 """
 
+import dataclasses
 import os
 import pathlib
+import time
 from typing import Literal
 
 import msgspec
 
 from tillerlane.testing import platform_runner
 
-__all__ = ["Reader", "Writer"]
+__all__ = ["BrokenCall", "Reader", "Writer"]
 
 
 class _Line(msgspec.Struct, omit_defaults=True):
     """One action of a target; `at` is in seconds on the host's monotonic clock."""
 
     at: float
-    what: Literal["start", "begin", "event", "end", "refuse"]
+    what: Literal["start", "begin", "event", "end", "refuse", "broken", "closed"]
     request_id: str = ""
     run: str = ""
     """Identifies the run among all runs of the target."""
@@ -26,6 +28,32 @@
     event: int = 0
     ended: str = ""
     backoff: float = 0.0
+    text: str = ""
+    """Version of the software of a start, or how an answer is broken."""
+
+
+@dataclasses.dataclass(slots=True)
+class BrokenCall:
+    """A call that a target answered with a broken answer; times are event-loop times.
+
+    Attributes
+    ----------
+    request_id : str
+        Empty for an order.
+    text : str
+        How the answer was broken.
+    deadline_seconds : float
+        Time that the call named; 0 without one.
+    closed_at : float
+        When its connection ended; infinite while it is open.
+    """
+
+    target_id: str
+    request_id: str
+    text: str
+    began: float
+    deadline_seconds: float
+    closed_at: float = float("inf")
 
 
 _HEADERS = ("kv-from", "last-event-id", "kv-backup", "prompt-prefix", "deadline-ms")
@@ -43,6 +71,7 @@
     def __init__(self, path: pathlib.Path) -> None:
         self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self._runs: dict[int, str] = {}
+        self._broken = 0
 
     def _write(self, line: _Line) -> None:
         os.write(self._file, msgspec.json.encode(line) + b"\n")
@@ -51,9 +80,21 @@
         """Close the record."""
         os.close(self._file)
 
-    def record_start(self, now: float) -> None:
+    def record_start(self, now: float, software_version: str = "") -> None:
         """Record that the target listens."""
-        self._write(_Line(now, "start"))
+        self._write(_Line(now, "start", text=software_version))
+
+    def record_broken(self, now: float, request_id: str, deadline_ms: int, text: str) -> str:
+        """Record that a call gets a broken answer; returns a name for it."""
+        self._broken += 1
+        name = f"{os.getpid()}.{self._broken}"
+        headers = {"deadline-ms": str(deadline_ms)}
+        self._write(_Line(now, "broken", request_id, name, headers, text=text))
+        return name
+
+    def record_closed(self, now: float, name: str) -> None:
+        """Record that the connection of a broken answer has ended."""
+        self._write(_Line(now, "closed", run=name))
 
     def record_begin(self, run: platform_runner.RanRequest) -> None:
         """Record the start of a run."""
@@ -94,6 +135,8 @@
         All runs; one without an end has `ended_at` at its last line so far.
     rejected : list of platform_runner.Arrival
         Requests that were rejected.
+    broken : list of BrokenCall
+        Calls that got broken answers.
     starts : int
         Number of times that the target has started to listen.
     """
@@ -104,8 +147,10 @@
         self._software_version = software_version
         self._offset = 0
         self._active: dict[str, platform_runner.RanRequest] = {}
+        self._open: dict[str, BrokenCall] = {}
         self.ran: list[platform_runner.RanRequest] = []
         self.rejected: list[platform_runner.Arrival] = []
+        self.broken: list[BrokenCall] = []
         self.starts = 0
 
     @property
@@ -130,11 +175,22 @@
         for run in self._active.values():
             run.ended = "crashed"
         self._active.clear()
+        for call in self._open.values():
+            call.closed_at = time.monotonic()
+        self._open.clear()
 
     def _handle_line(self, line: _Line) -> None:
         if line.what == "start":
             self.record_crash()
             self.starts += 1
+            self._software_version = line.text or self._software_version
+        elif line.what == "broken":
+            seconds = int(line.headers["deadline-ms"]) / 1000
+            call = BrokenCall(self._target_id, line.request_id, line.text, line.at, seconds)
+            self.broken.append(call)
+            self._open[line.run] = call
+        elif line.what == "closed":
+            self._open.pop(line.run).closed_at = line.at
         elif line.what == "begin":
             run = platform_runner.RanRequest(
                 line.request_id,
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +15,15 @@
 from tillerlane.gateway import http_head, http_server
 from tillerlane.testing import close_delimited, runner_memory, silent_transport
 
-__all__ = ["Arrival", "MemoryCopy", "PlatformRunner", "RanRequest", "build_event"]
+__all__ = [
+    "SEAL_HEADER",
+    "Arrival",
+    "MemoryCopy",
+    "PlatformRunner",
+    "RanRequest",
+    "build_event",
+    "strip_versions",
+]
 
 SEAL_HEADER = b"Response-Seal"
 INCREMENTAL_COPY_SECONDS = 0.01
@@ -27,11 +36,21 @@
 
 
 Body = http_server.Responder | close_delimited.CloseDelimitedResponder
+_LABEL = re.compile(rb"^:[^\n]*\n?", re.MULTILINE)
 
 
-def build_event(request_id: str, number: int) -> bytes:
-    """Build the event with a given number of a request's stream."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def build_event(request_id: str, number: int, version: str = "") -> bytes:
+    """Build the event with a given number of a request's stream.
+
+    With a version of software, the event names it in a comment.
+    """
+    label = f": {version}\n" if version else ""
+    return f"id: {number}\ndata: {request_id}-{number}\n{label}\n".encode()
+
+
+def strip_versions(body: bytes) -> bytes:
+    """Remove the versions of software from the events of a stream."""
+    return _LABEL.sub(b"", body)
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,7 +65,7 @@
         Number of the last event written.
     ended : str
         Empty while it runs; afterwards how it ended: ``whole``, ``gone`` (connection lost),
-        ``stopped``, ``crashed``, ``lost`` or ``denied``.
+        ``stopped``, ``crashed``, ``lost``, ``denied``, or an ending of `broken_answers`.
     """
 
     request_id: str
@@ -183,6 +202,10 @@
         Ids of parts of prompts that end it likewise; the last part of a prompt never does.
     is_close_delimited : bool
         Sends responses with neither a length nor chunks; they end with their connections.
+    is_chunked : bool
+        Sends plain responses in chunks instead of with a length.
+    labels_events : bool
+        Puts the version of its software into the events of its streams.
     ends_inside : int
         Number of an event in the middle of which a stream ends, as if it were complete.
     limit : str
@@ -248,6 +271,8 @@
         self.poison_bodies: frozenset[bytes] = frozenset()
         self.poison_parts: frozenset[str] = frozenset()
         self.is_close_delimited = False
+        self.is_chunked = False
+        self.labels_events = False
         self.ends_inside = 0
         self.limit = ""
         self.backoff = ""
@@ -306,7 +331,13 @@
         """Reset the connection of a request's stream, or of all; the runs may continue."""
         for run_id, responder in list(self._streams.items()):
             if run_id == (request_id or run_id):
-                responder.abort()
+                self._break_off(responder)
+
+    def _break_off(self, responder: http_server.Responder) -> None:
+        """Break off a stream so that it does not look complete, whatever its framing."""
+        if self.is_close_delimited:
+            close_delimited.reset(responder)
+        responder.abort()
 
     def go_dark(self) -> None:
         """Stop responding: connections stay open, nothing is sent, new ones are not accepted."""
@@ -420,6 +451,8 @@
             software_version=self.software_version,
         )
         self.ran.append(run)
+        if await self._send_broken(run, responder):
+            return
         if self.loses_answer and self.length:
             self._record_end(run, "lost")
             responder.abort()
@@ -455,11 +488,20 @@
             body = b"answer to " + request_id.encode()
             await close_delimited.CloseDelimitedResponder(responder).send_response(head, body)
             return
+        if self.is_chunked:
+            await responder.start_response(head)
+            await responder.write(b"answer to " + request_id.encode())
+            await responder.finish()
+            return
         connection = responder._connection  # the server's API cannot send invalid bytes
         await connection.write(self.preface)
         await responder.send_response(head, b"answer to " + request_id.encode())
         await connection.write(self.surplus)
 
+    async def _send_broken(self, run: RanRequest, responder: http_server.Responder) -> bool:
+        """Break the answer to a run, as simulated processes may; return whether that was done."""
+        return False
+
     async def _work(self, run: RanRequest) -> None:
         """Wait for the duration of a plain request, in one of the slots if they are bounded."""
         if not self.slots:
@@ -546,24 +588,30 @@
                 await asyncio.sleep(3600)
             if number == self.breaks_at:
                 self._record_end(run, "gone")
+                if run.request_id in self._streams:
+                    self._break_off(self._streams[run.request_id])
             if run.ended:
                 if responder is not None:
                     responder.abort()
                 return False
             run.is_mute = run.is_mute or self.is_mute
             if number == self.ends_inside and responder is not None:
-                await responder.write(build_event(run.request_id, number)[:-1])
+                await responder.write(self._build_event(run, number)[:-1])
                 self._record_end(run, "gone")
                 await responder.finish()
                 return False
             is_sent = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_sent:
-                await responder.write(build_event(run.request_id, number))
+                await responder.write(self._build_event(run, number))
             run.events = number
             self._grow_copy(run)
         self._record_end(run, "whole")
         return not run.is_mute and not self.is_cut_off
 
+    def _build_event(self, run: RanRequest, number: int) -> bytes:
+        version = self.software_version if self.labels_events else ""
+        return build_event(run.request_id, number, version)
+
     def _record_end(self, run: RanRequest, ended: str) -> None:
         run.ended = run.ended or ended
         run.ended_at = run.ended_at or asyncio.get_running_loop().time()
@@ -581,7 +629,7 @@
                 self._exit()
                 await asyncio.sleep(3600)
             self._record_end(run, "crashed")
-            await body.write(build_event(run.request_id, 1)[:-1])
+            await body.write(self._build_event(run, 1)[:-1])
             self._server.stop_accepting()
             asyncio.get_running_loop().call_later(CLOSE_SECONDS, self._exit)
             body.abort()
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -21,6 +21,7 @@
 
 from tillerlane.gateway import http_client, http_head
 from tillerlane.testing import (
+    answer_faults,
     caller,
     forwarder,
     gateway_lab,
@@ -54,6 +55,8 @@
 LEAVING_SHARE = 0.25
 LEAVING_SECONDS = (0.4, 2.0)
 """Share of callers that lose their connection in the middle of a stream, and when."""
+KEPT_SHARE = 0.5
+"""Share of these that leave the connection open while they resume the stream."""
 CALLER_SECONDS = 10.0
 """Time of a caller over all attempts."""
 FEEDBACK_PAUSE_SECONDS = (2.0, 5.0)
@@ -65,6 +68,9 @@
 """Minimum time between two wipes, so that a keeper catches up before the next one is wiped."""
 POISON_PAUSE_SECONDS = (1.0, 8.0)
 """Pause between two parts of prompts that begin to end runners."""
+OUTAGE_PAUSE_SECONDS = (2.0, 6.0)
+"""Pause between two outages of all entries, and between a release and an outage."""
+OUTAGE_SECONDS = (0.5, 2.5)
 SILENCE_PAUSE_SECONDS = (1.0, 4.0)
 """Pause between connections that fall silent."""
 RUSH_PAUSE_SECONDS = (4.0, 8.0)
@@ -80,6 +86,7 @@
 TASK_SHUTDOWN_SECONDS = 0.2
 """Time for the tasks of closed connections to finish."""
 Fault = Callable[[], Awaitable[None]]
+Release = Callable[[random.Random], Awaitable[None]]
 _SHED = re.compile(r"^tillerlane_shed_connections (\S+)$", re.MULTILINE)
 _VERSION = re.compile(r"^tillerlane_config_version (\S+)$", re.MULTILINE)
 
@@ -123,7 +130,12 @@
             platform_targets.STREAM_LENGTH, planned_only=seed % 3 == 0
         )
         self.targets = platform_targets.Targets(
-            self.fleet.folder, net, self.seen, self._notify, self._rng
+            self.fleet.folder,
+            net,
+            self.seen,
+            self._notify,
+            self._rng,
+            random.Random(f"framing of {seed}"),
         )
         self._targets_only = seed % 3 == 2
         self.seen.are_daemons_sound = self._targets_only or self.seen.planned_only
@@ -145,6 +157,14 @@
         self._prompts = poisoned_prompts.Prompts(random.Random(f"prompts of {seed}"))
         self._rush_rng = random.Random(f"rushes of {seed}")
         self._silence_rng = random.Random(f"silent connections of {seed}")
+        self._outage_rng = random.Random(f"outages of {seed}")
+        self._caller_rng = random.Random(f"callers of {seed}")
+        self._answer_faults = answer_faults.AnswerFaults(
+            self.targets,
+            random.Random(f"answers of {seed}"),
+            lambda work: self._start_task(self._record_fault(lambda: work)),
+            self.done,
+        )
         self._has_rushes = seed % 2 == 1
         self._has_poison = seed % 2 == 1 and not self.seen.planned_only
         self._rush_entry = ""
@@ -202,11 +222,12 @@
     async def _send_call(self, route: str, key: str) -> None:
         call = platform_checker.Call(f"r{self._next()}", route, key, self._loop.time())
         call.prompt = self._prompts.draw(call.request_id)
-        leave_after = None
+        leave_after, is_kept = None, False
         if route == "verdict" and self._release_rng.random() < LEAVING_SHARE:
             call.has_left = True
             leave_after = self._release_rng.uniform(*LEAVING_SECONDS)
-        sent = await self._send_attempt(call, leave_after)
+            is_kept = self._caller_rng.random() < KEPT_SHARE
+        sent = await self._send_attempt(call, leave_after, is_kept=is_kept)
         if sent is None or route != "verdict" or sent.response.is_whole:
             return
         if resumed_streams.find_last_event(sent.response.body):
@@ -216,7 +237,11 @@
             )
 
     async def _send_attempt(
-        self, call: platform_checker.Call, leave_after: float | None = None
+        self,
+        call: platform_checker.Call,
+        leave_after: float | None = None,
+        *,
+        is_kept: bool = False,
     ) -> platform_checker.Call | None:
         """Send one attempt to any entry; None if no connection is established."""
         entry = self._pick_entry()
@@ -237,6 +262,7 @@
                 body=b"" if is_read else b"body",
                 wait_ms=int(call.wait_seconds * 1000),
                 leave_after=leave_after,
+                keeps_connection=is_kept,
                 **headers,
             )
             call.connected_at = call.response.connected_at
@@ -274,6 +300,10 @@
             for daemon in self.fleet.daemons.values():
                 start = daemon.starts
                 status, text = await fetch(daemon.metrics, b"GET", "/metrics")
+                if daemon.role == "entry" and start == daemon.starts:
+                    peak = daemon.read_peak_memory()
+                    former = self.seen.memory.get((daemon.name, start), 0)
+                    self.seen.memory[daemon.name, start] = max(former, peak)
                 match = _VERSION.search(text.decode()) if status == 200 else None
                 if match is not None and start == daemon.starts:
                     versions = self.seen.in_force.setdefault((daemon.name, start), [])
@@ -364,6 +394,43 @@
             is_planned = operation == self.targets.release
             self._start_task(work if is_planned else self._record_fault(lambda work=work: work))
 
+    async def _lose_all(self) -> None:
+        """Kill all entries at once, also with all keepers, around releases of other software."""
+        rng = self._outage_rng
+        releases = [
+            self.targets.release,
+            self.targets.replace_software,
+            self.targets.change_software,
+        ]
+        while not self._stopping.is_set():
+            await asyncio.sleep(rng.uniform(*OUTAGE_PAUSE_SECONDS))
+            roles = rng.choice((("entry",), ("entry", "keeper")))
+            moments = rng.sample(("before", "during", "after"), rng.randrange(1, 4))
+            chosen = {moment: rng.choice(releases) for moment in moments}
+            name = f"outage of {' and '.join(roles)}"
+            self.done[name] = self.done.get(name, 0) + 1
+
+            def start_release(moment: str, chosen: dict[str, Release] = chosen) -> None:
+                if moment in chosen:
+                    work = chosen[moment](rng)
+                    self._start_task(self._record_fault(lambda: work))
+
+            start_release("before")
+            await asyncio.sleep(rng.uniform(*OUTAGE_PAUSE_SECONDS) if "before" in chosen else 0)
+            began = self._loop.time()
+            daemons = [item for item in self.fleet.daemons.values() if item.role in roles]
+            for daemon in daemons:
+                if daemon.is_running:
+                    self._record_entry_exit(daemon)
+                    self.fleet.send(daemon, signal.SIGKILL)
+            await asyncio.gather(*(self._wait_for_exit(daemon) for daemon in daemons))
+            start_release("during")
+            await asyncio.sleep(rng.uniform(*OUTAGE_SECONDS))
+            for daemon in daemons:
+                self._start_daemon(daemon)
+            self.seen.fault_spans.append((began, self._loop.time()))
+            start_release("after")
+
     def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
         """Return the planned operations and the unplanned faults."""
         targets = [
@@ -539,6 +606,9 @@
                 work.append(self._poison_prompts())
             if not self.seen.planned_only:
                 work.append(self._silence_connections())
+                work.append(self._answer_faults.inject(self._stopping))
+            if not self.seen.planned_only and not self._targets_only:
+                work.append(self._lose_all())
             if self._has_rushes:
                 work.append(self._rush())
             work += [self._send_calls() for _ in range(16)]
@@ -562,6 +632,7 @@
         bounds = platform_fleet.BOUNDS
         problems = platform_checker.check(self.seen, bounds.drain, bounds.revoke)
         problems += resumed_streams.check(self.seen)
+        problems += answer_faults.check(self.seen)
         problems += repeats.check(self.seen, platform_fleet.RETRY_BOUNDS)
         problems += poisoned_prompts.check(self.seen, self._prompts.poison)
         return problems + rushes.check(self.seen, self.rushes)
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from tillerlane.gateway import http_client, http_head, http_server
-from tillerlane.testing import platform_record, platform_runner
+from tillerlane.testing import broken_answers, platform_record, platform_runner
 
 __all__ = ["Orders", "Switches"]
 
@@ -22,6 +22,9 @@
 """Timeout of a call to another runner, about a copy of a run's memory."""
 COPY_REPORT_INTERVAL_SECONDS = 0.5
 """Interval between updates to another runner of an incremental copy."""
+MAX_ENDLESS = 2
+"""Number of endless answers that a target writes at a time, a bound on their cost to the host."""
+ORDER_PATHS = ("/report", "/kv-move")
 
 
 class Orders(msgspec.Struct):
@@ -35,6 +38,7 @@
     pace: float
     copy_seconds: float
     software_version: str = ""
+    framing: broken_answers.Framing = broken_answers.Framing.USUAL
 
 
 class Switches(msgspec.Struct):
@@ -140,17 +144,27 @@
             pace=orders.pace,
             copy_seconds=orders.copy_seconds,
             listen_address=orders.listen_address,
+            software_version=orders.software_version,
         )
+        self.labels_events = True
+        self.is_close_delimited = orders.framing is broken_answers.Framing.CLOSE
+        self.is_chunked = orders.framing is broken_answers.Framing.CHUNKED
+        self.broken: broken_answers.BrokenAnswer | None = None
+        self._framing = orders.framing
+        self._endless = 0
         self._record = platform_record.Writer(pathlib.Path(orders.record))
         self.ran = _Ran(self._record)
 
     async def start(self) -> None:
         """Start to listen, and record it."""
         await super().start()
-        self._record.record_start(time.monotonic())
+        self._record.record_start(time.monotonic(), self.software_version)
 
     async def _serve(self, request: http_server.Request, responder: http_server.Responder) -> None:
         path = request.head.target.decode()
+        if path in ORDER_PATHS and self._must_break(broken_answers.Kind.ORDER):
+            await self._break_answer("", 0, {}, b"{}", responder)
+            return
         if not path.startswith("/kv-copy/"):
             await super()._serve(request, responder)
             return
@@ -160,6 +174,53 @@
         self.copies[path.rpartition("/")[2]] = copy
         await responder.send_response(http_head.ResponseHead(200, []), b"")
 
+    def _must_break(self, kind: broken_answers.Kind) -> bool:
+        if self.broken is None or self.broken.kind is not kind:
+            return False
+        is_endless = self.broken.ending is broken_answers.Ending.ENDLESS
+        return not is_endless or self._endless < MAX_ENDLESS
+
+    async def _send_broken(
+        self, run: platform_runner.RanRequest, responder: http_server.Responder
+    ) -> bool:
+        if not self._must_break(broken_answers.Kind.RUN):
+            return False
+        body = b"answer to " + run.request_id.encode()
+        if self.length:
+            numbers = range(run.first_event, self.length + 1)
+            body = b"".join(self._build_event(run, number) for number in numbers)
+        fields = {"Request-Id": run.request_id, platform_runner.SEAL_HEADER.decode(): "s.1"}
+        ending = self.broken.ending if self.broken is not None else ""
+        try:
+            milliseconds = int(run.headers.get("deadline-ms", "0"))
+            await self._break_answer(run.request_id, milliseconds, fields, body, responder)
+        finally:
+            self._record_end(run, ending)
+        return True
+
+    async def _break_answer(
+        self,
+        request_id: str,
+        deadline_ms: int,
+        fields: dict[str, str],
+        body: bytes,
+        responder: http_server.Responder,
+    ) -> None:
+        """Send a broken answer, and record until when its connection was open."""
+        assert self.broken is not None
+        answer, framing = self.broken, self._framing
+        if self.length and framing is broken_answers.Framing.USUAL and request_id:
+            framing = broken_answers.Framing.CHUNKED
+        is_endless = answer.ending is broken_answers.Ending.ENDLESS
+        self._endless += is_endless
+        text = f"{answer.kind} {answer.ending} {answer.place or f'{answer.share:.2f}'}"
+        name = self._record.record_broken(time.monotonic(), request_id, deadline_ms, text)
+        try:
+            await broken_answers.send(answer, framing, fields, body, responder)
+        finally:
+            self._endless -= is_endless
+            self._record.record_closed(time.monotonic(), name)
+
     def _grow_copy(self, run: platform_runner.RanRequest) -> None:
         self._record.record_event(run, time.monotonic())
         super()._grow_copy(run)
@@ -182,7 +243,9 @@
         """Switch faults on or off."""
         for name, value in switches.fields.items():
             known = getattr(self, name)
-            if isinstance(known, bytes):
+            if name == "broken":
+                value = msgspec.convert(value, broken_answers.BrokenAnswer | None)
+            elif isinstance(known, bytes):
                 value = value.encode()
             elif isinstance(known, frozenset):
                 value = frozenset(value)
--- a/tillerlane/testing/platform_targets.py
+++ b/tillerlane/testing/platform_targets.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from tillerlane.testing import (
+    broken_answers,
     check,
     forwarder,
     platform_checker,
@@ -42,6 +43,8 @@
 DRAIN_NOTICE_SECONDS = 2.0
 """Time from a runner's announcement that it drains to its exit."""
 EXIT_CHECK_SECONDS = 0.02
+REGULAR_CLOSE_SHARE = 0.5
+"""Share of the killed processes whose connections end regularly instead of with a reset."""
 REPLACEMENT_SECONDS = 3.0
 """Time from the exit of a target's process until another one is started."""
 DETACHED_RUN_SHARE = 0.5
@@ -117,6 +120,7 @@
         self.record = platform_record.Reader(
             pathlib.Path(orders.record), orders.target_id, orders.software_version
         )
+        self.framing = orders.framing
         self._orders = orders
         self._sequence = 0
         self._started_ms = 0
@@ -217,9 +221,21 @@
         if self._process is not None:
             self._process.send_signal(number)
 
-    def kill(self) -> None:
-        """Kill its process and connections, and read the rest of its record."""
-        self.proxy.stop()
+    def change_software(self, version: str) -> None:
+        """Set the version of the software of its next start."""
+        self.software_version = version
+        self._orders = msgspec.structs.replace(self._orders, software_version=version)
+
+    def kill(self, *, is_regular: bool = False) -> None:
+        """Kill its process, and read the rest of its record.
+
+        Its connections are reset before or, with `is_regular`, end as the killed process's host
+        ends them: regularly, after all that was written.
+        """
+        if is_regular:
+            self.proxy.stop_listening()
+        else:
+            self.proxy.stop()
         self.is_running = False
         self.stop_serving()
         if self._process is None:
@@ -247,8 +263,8 @@
         Receives their runs and the spans of link faults.
     notify : callable
         Coroutine function that sends a message to the keepers.
-    rng : random.Random
-        Chooses the faults.
+    rng, framing_rng : random.Random
+        Choose the faults, and the framing of answers and how connections of killed processes end.
     """
 
     def __init__(
@@ -258,12 +274,14 @@
         seen: platform_checker.Observations,
         notify: Notify,
         rng: random.Random,
+        framing_rng: random.Random,
     ) -> None:
         self._folder = folder
         self._net = net
         self._seen = seen
         self._notify = notify
         self._rng = rng
+        self._framing_rng = framing_rng
         self._targets: dict[str, Target] = {}
         self._number = 0
         self._releases = 0
@@ -297,6 +315,7 @@
             pace=STREAM_EVENT_SECONDS,
             copy_seconds=COPY_SECONDS,
             software_version=software_version,
+            framing=self._framing_rng.choice(list(broken_answers.Framing)),
         )
         hall = platform_fleet.HALLS[number % 4]
         proxy = forwarder.Forwarder(public_address, listen_address, self._rng)
@@ -306,17 +325,21 @@
         self._targets[target.target_id] = target
         self._seen.ran[target.target_id] = target.record.ran
         self._seen.rejected[target.target_id] = target.record.rejected
+        self._seen.broken[target.target_id] = target.record.broken
         await target.start()
         if is_runner:
-            target.serving = platform_checker.Serving(
-                target.target_id, software_version, self._loop.time()
-            )
-            self._seen.serving.append(target.serving)
+            self._record_serving(target)
         target.switch(platform_target.Switches({"works_on": works_on}))
         if is_runner and self._poison_parts:
             target.switch(platform_target.Switches({"poison_parts": self._poison_parts}))
         target.heartbeats = self._loop.create_task(self._send_heartbeats(target))
 
+    def _record_serving(self, target: Target) -> None:
+        target.serving = platform_checker.Serving(
+            target.target_id, target.software_version, self._loop.time()
+        )
+        self._seen.serving.append(target.serving)
+
     async def _send_heartbeats(self, target: Target) -> None:
         while target.target_id in self._targets:
             if target.is_running and not target.is_paused:
@@ -327,7 +350,24 @@
     def end(self, target: Target) -> None:
         """Kill a target, if it has not been ended before."""
         if self._targets.pop(target.target_id, None) is not None:
-            target.kill()
+            target.kill(is_regular=self._framing_rng.random() < REGULAR_CLOSE_SHARE)
+
+    async def restart(self, target: Target, seconds: float, version: str = "") -> None:
+        """Kill a target and restart it under the same id, with other software if given."""
+        target.kill(is_regular=self._framing_rng.random() < REGULAR_CLOSE_SHARE)
+        await asyncio.sleep(seconds)
+        if target.target_id not in self._targets or target.is_running:
+            return
+        if version:
+            target.change_software(version)
+        await target.start()
+        if version and target.pool == "llm":
+            self._record_serving(target)
+
+    def list_versions(self) -> list[str]:
+        """Versions of the software of the runners, the first one, and one that never ran."""
+        versions = {item.software_version for item in self._list_running("llm")}
+        return [*sorted(versions | {FIRST_VERSION}), f"{FIRST_VERSION}.0"]
 
     def read_records(self) -> None:
         """Read what the running targets have recorded since the last call."""
@@ -349,14 +389,14 @@
         running = [item for item in self._targets.values() if item.is_running]
         return [item for item in running if pool in ("", item.pool) and state in ("", item.state)]
 
-    async def _wait_for_running(self, pool: str = "", state: str = "") -> list[Target]:
+    async def wait_for_running(self, pool: str = "", state: str = "") -> list[Target]:
         """Wait until a target runs: on a busy host, all of a pool may be starting."""
         while not (found := self._list_running(pool, state)):
             await asyncio.sleep(START_CHECK_SECONDS)
         return found
 
     async def _pick_target(self, pool: str = "") -> Target:
-        return self._rng.choice(await self._wait_for_running(pool))
+        return self._rng.choice(await self.wait_for_running(pool))
 
     # Poison parts of prompts
 
@@ -434,7 +474,7 @@
 
     async def name_limit(self, rng: random.Random) -> None:
         """Have a target of the plain service announce a limit for a while."""
-        found = await self._wait_for_running("app")
+        found = await self.wait_for_running("app")
         target, limit = rng.choice(found), rng.choice(ANNOUNCED_LIMITS)
         starts = target.record.starts
         target.switch(platform_target.Switches({"limit": limit}))
@@ -452,7 +492,7 @@
 
     async def ask_backoff(self, rng: random.Random) -> None:
         """Have a target reject all requests for a while, and request back-off."""
-        target = rng.choice(await self._wait_for_running())
+        target = rng.choice(await self.wait_for_running())
         backoff = rng.choice(BACKOFFS)
         target.switch(platform_target.Switches({"refuses": True, "backoff": backoff}))
         await asyncio.sleep(rng.uniform(*BACKOFF_SECONDS))
@@ -461,7 +501,7 @@
 
     async def leave_by_answers(self, rng: random.Random) -> None:
         """Start a new target; another one announces in responses only that it leaves, and ends."""
-        target = rng.choice(await self._wait_for_running(state="ready"))
+        target = rng.choice(await self.wait_for_running(state="ready"))
         target.state = "leaving by answers"
         target.stop_serving()
         await self.add(target.pool, target.software_version)
@@ -484,23 +524,24 @@
 
     async def replace_software(self, rng: random.Random) -> None:
         """Crash a runner, and start one with another id and version at its address."""
-        found = await self._wait_for_running("llm")
+        found = await self.wait_for_running("llm")
         target = rng.choice(found)
+        versions = self.list_versions()
         self.end(target)
         await asyncio.sleep(rng.uniform(0.0, 0.5))
-        versions = sorted({item.software_version for item in found} | {FIRST_VERSION})
-        version = rng.choice([*versions, f"{FIRST_VERSION}.0"])
-        await self.add("llm", version, target.host_number)
+        await self.add("llm", rng.choice(versions), target.host_number)
+
+    async def change_software(self, rng: random.Random) -> None:
+        """Kill a runner, and restart it under the same id with other software."""
+        target = rng.choice(await self.wait_for_running("llm", "ready"))
+        await self.restart(target, rng.uniform(0.0, 1.0), rng.choice(self.list_versions()))
 
     async def start_again(self) -> None:
         """Crash a target and restart it under the same id."""
         target = await self._pick_target()
         if target.state != "ready":
             return
-        target.kill()
-        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
-        if target.target_id in self._targets:
-            await target.start()
+        await self.restart(target, self._rng.uniform(0.1, 2.0))
 
     async def pause(self) -> None:
         """Suspend a target's process for a while."""
@@ -545,7 +586,9 @@
 
     async def silence_connections(self, rng: random.Random) -> None:
         """Have the open connections to a target carry nothing more; new ones work."""
-        rng.choice(await self._wait_for_running()).proxy.silence()
+        target = rng.choice(await self.wait_for_running())
+        self._seen.silenced.setdefault(target.target_id, []).append(self._loop.time())
+        target.proxy.silence()
 
     async def misbehave(self) -> None:
         """Have a target respond wrongly, late or not at all for a while."""
--- a/tillerlane/testing/resumed_streams.py
+++ b/tillerlane/testing/resumed_streams.py
@@ -19,13 +19,23 @@
 """Runners of a stream's version that have to serve for its resumption to count."""
 SERVING_DELAY_SECONDS = 3.0
 """Time after a runner's start and after an entry's disturbance for which nothing is counted."""
+NO_ENTRY_PAUSE_SECONDS = 0.2
+"""Pause after an attempt for which no entry accepted a connection."""
 _EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+_VERSION = re.compile(rb"^: (\S+)$", re.MULTILINE)
+
+
+def _list_events(body: bytes) -> Iterator[tuple[int, str]]:
+    """Yield the number of each complete event, and the version that it names, if any."""
+    for event in body.split(b"\n\n")[:-1]:
+        number, version = _EVENT_ID.search(event), _VERSION.search(event)
+        if number is not None:
+            yield int(number.group(1)), version.group(1).decode() if version is not None else ""
 
 
 def find_last_event(body: bytes) -> int:
-    """Number of the last event in what a caller has received; 0 without one."""
-    found = _EVENT_ID.findall(body)
-    return int(found[-1]) if found else 0
+    """Number of the last complete event in what a caller has received; 0 without one."""
+    return max((number for number, _ in _list_events(body)), default=0)
 
 
 async def resume(
@@ -46,9 +56,8 @@
     """
     loop = asyncio.get_running_loop()
     last_event = find_last_event(call.response.body)
-    for _ in range(MAX_RESUMPTIONS):
-        if loop.time() >= until:
-            return
+    left = MAX_RESUMPTIONS
+    while left and loop.time() < until:
         attempt = platform_checker.Call(
             next_id(),
             call.route,
@@ -59,23 +68,26 @@
             prompt=call.prompt,
         )
         sent = await send(attempt)
-        if sent is not None and sent.response.is_whole and sent.response.status == 200:
+        if sent is None:
+            await asyncio.sleep(NO_ENTRY_PAUSE_SECONDS)
+            continue
+        if sent.response.is_whole and sent.response.status == 200:
             return
-        seconds = rng.uniform(0.0, 0.2)
-        if sent is not None:
-            last_event = max(last_event, find_last_event(sent.response.body))
-            seconds = float(sent.response.headers.get("retry-after", seconds))
+        left -= 1
+        last_event = max(last_event, find_last_event(sent.response.body))
+        seconds = float(sent.response.headers.get("retry-after", rng.uniform(0.0, 0.2)))
         await asyncio.sleep(min(seconds, max(0.0, until - loop.time()) / 3))
 
 
 def check(seen: platform_checker.Observations) -> list[str]:
-    """Return a description of each stream with events of runners of several versions."""
+    """Return a description of each stream with events of several versions, or out of order."""
     problems: list[str] = []
     resumed: list[bool] = []
     runs = _group_runs(seen)
     for attempts in _list_streams(seen):
         written = list(_list_versions(runs, attempts))
         versions = {version for _, version in written}
+        problems += _check_events(runs, attempts)
         if len(versions) > 1:
             text = ", ".join(f"{target_id} ({version})" for target_id, version in written)
             problems.append(f"{attempts[0].request_id}: events of several versions: {text}")
@@ -95,6 +107,37 @@
     return problems
 
 
+def _check_events(
+    runs: dict[str, list[platform_runner.RanRequest]], attempts: list[platform_checker.Call]
+) -> Iterator[str]:
+    """Yield what is wrong with the events that a caller got over all attempts at a stream."""
+    name = attempts[0].request_id
+    events = [(item, event) for item in attempts for event in _list_events(item.response.body)]
+    numbers = [number for _, (number, _) in events]
+    if numbers != list(range(1, len(numbers) + 1)):
+        shares = [
+            f"{item.request_id} from {item.entry}: "
+            + " ".join(str(number) for number, _ in _list_events(item.response.body))
+            for item in attempts
+        ]
+        yield f"{name}: events not once each and in order: {'; '.join(shares)}"
+    versions = list(dict.fromkeys(version for _, (_, version) in events if version))
+    if len(versions) > 1:
+        firsts = [
+            f"{version} from event {number} in {item.request_id} of {item.entry}"
+            for wanted in versions
+            for item, (number, version) in [
+                next(found for found in events if found[1][1] == wanted)
+            ]
+        ]
+        yield f"{name}: events name several versions: {', '.join(firsts)}"
+    for item in attempts:
+        ran = {run.software_version for run in runs.get(item.request_id, [])}
+        unknown = {version for _, version in _list_events(item.response.body)} - ran - {""}
+        if unknown:
+            yield f"{item.request_id}: events of {unknown}, but it ran at {ran or 'no version'}"
+
+
 def _is_new_stream(call: platform_checker.Call) -> bool:
     return call.route == "verdict" and not call.resumes
 
