--- a/tillerlane/testing/answer_faults.py
+++ b/tillerlane/testing/answer_faults.py
@@ -22,7 +22,7 @@
 """Pause between two faults; each may go on while the next one begins."""
 MAX_SERIES = 3
 """Number of targets that have a fault together, at most."""
-BROKEN_SECONDS = (0.2, 3.0)
+BROKEN_SECONDS = (0.5, 4.0)
 """How long a target answers so."""
 KILL_DELAY_SECONDS = (0.05, 0.6)
 """Time from the stop of a target's answers to the kill of its process."""
@@ -67,13 +67,15 @@
 
     async def inject(self, stopping: asyncio.Event) -> None:
         """Inject series of faults until the run stops."""
-        faults = (self._kill, self._kill, self._break_off, self._break_off, self._never_end)
+        faults = (self._kill, self._kill, self._break_off, self._never_end, self._never_end)
         while not stopping.is_set():
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
             fault = self._rng.choice(faults)
             name = fault.__name__.strip("_")
             pool = self._rng.choice(("llm", "app"))
-            kinds = list(broken_answers.Kind) if pool == "llm" else [broken_answers.Kind.RUN]
+            kinds = [broken_answers.Kind.RUN] * 2
+            if pool == "llm":
+                kinds.append(broken_answers.Kind.ORDER)
             found = await self._targets.wait_for_running(pool)
             number = min(len(found), self._rng.randrange(1, MAX_SERIES + 1))
             answers = fault(self._rng.choice(kinds))
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -68,9 +68,13 @@
 """Minimum time between two wipes, so that a keeper catches up before the next one is wiped."""
 POISON_PAUSE_SECONDS = (1.0, 8.0)
 """Pause between two parts of prompts that begin to end runners."""
-OUTAGE_PAUSE_SECONDS = (2.0, 6.0)
-"""Pause between two outages of all entries, and between a release and an outage."""
+OUTAGE_PAUSE_SECONDS = (3.0, 7.0)
+"""Pause between two outages of all entries."""
+RELEASE_LEAD_SECONDS = (0.0, 3.0)
+"""Time from a release to an outage."""
 OUTAGE_SECONDS = (0.5, 2.5)
+STREAM_CALLERS = 12
+"""Additional callers of streams that they resume, where all entries are killed."""
 SILENCE_PAUSE_SECONDS = (1.0, 4.0)
 """Pause between connections that fall silent."""
 RUSH_PAUSE_SECONDS = (4.0, 8.0)
@@ -213,6 +217,11 @@
             await self._send_call(route, caller.KEY)
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
 
+    async def _send_streams(self) -> None:
+        while not self._stopping.is_set():
+            await self._send_call("verdict", caller.KEY)
+            await asyncio.sleep(self._caller_rng.uniform(0.0, 0.2))
+
     async def _send_revoked(self) -> None:
         while not self._stopping.is_set():
             await asyncio.sleep(0.5)
@@ -416,7 +425,7 @@
                     self._start_task(self._record_fault(lambda: work))
 
             start_release("before")
-            await asyncio.sleep(rng.uniform(*OUTAGE_PAUSE_SECONDS) if "before" in chosen else 0)
+            await asyncio.sleep(rng.uniform(*RELEASE_LEAD_SECONDS) if "before" in chosen else 0)
             began = self._loop.time()
             daemons = [item for item in self.fleet.daemons.values() if item.role in roles]
             for daemon in daemons:
@@ -609,6 +618,7 @@
                 work.append(self._answer_faults.inject(self._stopping))
             if not self.seen.planned_only and not self._targets_only:
                 work.append(self._lose_all())
+                work += [self._send_streams() for _ in range(STREAM_CALLERS)]
             if self._has_rushes:
                 work.append(self._rush())
             work += [self._send_calls() for _ in range(16)]
@@ -672,6 +682,8 @@
     runs = [run for ran in soak.seen.ran.values() for run in ran]
     resumed = soak.count_resumed()
     faults = ", ".join(f"{name} {number}" for name, number in sorted(soak.done.items()))
+    broken = [call for found in soak.seen.broken.values() for call in found]
+    peak = max(soak.seen.memory.values(), default=0) / 1e6
     return (
         f"calls {len(calls)}, complete {complete}, refused {refusals}; "
         f"runs {len(runs) - resumed}, resumed elsewhere {resumed}; "
@@ -679,7 +691,9 @@
         f"limits {len(soak.seen.limits)}, back-offs {soak.seen.backoffs}, "
         f"leaving announced in responses {len(soak.seen.announced_in_responses)}, "
         f"streams resumed {soak.seen.resumptions[0]} of {soak.seen.resumptions[1]} to be resumed, "
-        f"{sum(bool(call.resumes) for call in calls)} attempts; {faults}"
+        f"{sum(bool(call.resumes) for call in calls)} attempts; "
+        f"broken answers {len(broken)}, {sum('endless' in call.text for call in broken)} of them "
+        f"endless, most memory of an entry {peak:.0f} MB; {faults}"
     )
 
 
--- a/tillerlane/testing/tests/test_platform_target.py
+++ b/tillerlane/testing/tests/test_platform_target.py
@@ -72,6 +72,14 @@
         self.reader.record_crash()
         self.assertEqual(present.ended, "crashed")
 
+    def test_runs_have_the_version_of_their_start(self) -> None:
+        """Guards against versions that are taken from the first start of a target's id."""
+        self.writer.record_begin(build_run("a"))
+        self.writer.record_start(5.0, "v2")
+        self.writer.record_begin(build_run("b"))
+        self.reader.read()
+        self.assertEqual([run.software_version for run in self.reader.ran], ["", "v2"])
+
     def test_partial_line_is_left_for_the_next_read(self) -> None:
         self.writer.record_begin(build_run("a"))
         whole = self.path.read_bytes()
--- a/tillerlane/testing/tests/test_resumed_streams.py
+++ b/tillerlane/testing/tests/test_resumed_streams.py
@@ -58,6 +58,41 @@
         self.add_call("r2", range(3, 6), resumes="r1")
         self.assertEqual(self.check(), ["r1: events of several versions: i-v1 (v1), i-v2 (v2)"])
 
+    def test_event_that_arrives_twice(self) -> None:
+        """Guards against a resumption that begins at an event that the caller has."""
+        self.add_run("r1", "v1", 1.0)
+        self.add_run("r2", "v1", 2.0, first=2)
+        self.add_call("r1", range(1, 3))
+        self.add_call("r2", range(2, 6), resumes="r1")
+        [found] = self.check()
+        self.assertIn("r1: events not once each and in order: r1 from entry-1: 1 2; r2", found)
+
+    def test_event_that_is_missing(self) -> None:
+        self.add_run("r1", "v1", 1.0)
+        self.add_run("r2", "v1", 2.0, first=4)
+        self.add_call("r1", range(1, 3))
+        self.add_call("r2", range(4, 6), resumes="r1")
+        self.assertIn("not once each and in order", self.check()[0])
+
+    def test_versions_that_events_name(self) -> None:
+        """Guards against records that attribute events of one version to a run of another."""
+        self.add_run("r1", "v1", 1.0)
+        self.add_call("r1", range(1, 3))
+        body = b"".join(
+            platform_runner.build_event("r1", number, version)
+            for number, version in ((1, "v1"), (2, "v2"))
+        )
+        self.seen.calls[0].response.body = body
+        found = self.check()
+        self.assertIn("v1 from event 1 in r1 of entry-1, v2 from event 2 in r1", found[0])
+        self.assertIn("r1: events of {'v2'}, but it ran at {'v1'}", found[1])
+
+    def test_incomplete_event_is_not_received(self) -> None:
+        """Guards against a caller that resumes a stream behind an event of which it has a part."""
+        event = platform_runner.build_event("r1", 1)
+        self.assertEqual(resumed_streams.find_last_event(event + b"id: 2\ndata: r1"), 1)
+        self.assertEqual(resumed_streams.find_last_event(b"id: 1"), 0)
+
     def test_run_without_received_events_counts_for_nothing(self) -> None:
         self.add_run("r1", "v1", 1.0)
         self.add_run("r1", "v2", 2.0)
