Begin the next outage of the soak after an entry is ready, and play seeds of endless answers alone

On a busy machine an entry starts slower than outages followed one another, so seeds 1 and 4 had few calls.

--- a/tillerlane/testing/answer_faults.py
+++ b/tillerlane/testing/answer_faults.py
@@ -51,6 +51,8 @@
         Starts a fault as a task that is recorded as a fault.
     done : dict
         Counts the faults by name.
+    is_endless_only : bool
+        Whether answers only never end, so that few of them are cut short by other faults.
     """
 
     def __init__(
@@ -59,15 +61,20 @@
         rng: random.Random,
         start: Start,
         done: dict[str, int],
+        *,
+        is_endless_only: bool = False,
     ) -> None:
         self._targets = targets
         self._rng = rng
         self._start = start
         self._done = done
+        self._is_endless_only = is_endless_only
 
     async def inject(self, stopping: asyncio.Event) -> None:
         """Inject series of faults until the run stops."""
-        faults = (self._kill, self._kill, self._break_off, self._never_end, self._never_end)
+        faults = [self._never_end]
+        if not self._is_endless_only:
+            faults += [self._kill, self._kill, self._break_off]
         while not stopping.is_set():
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
             fault = self._rng.choice(faults)
--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -69,7 +69,9 @@
 POISON_PAUSE_SECONDS = (1.0, 8.0)
 """Pause between two parts of prompts that begin to end runners."""
 OUTAGE_PAUSE_SECONDS = (3.0, 7.0)
-"""Pause between two outages of all entries."""
+"""Pause between two outages of all entries, from when an entry is ready again."""
+OUTAGE_SERIES_SHARE = 0.25
+"""Share of the outages that do not wait for that."""
 RELEASE_LEAD_SECONDS = (0.0, 3.0)
 """Time from a release to an outage."""
 OUTAGE_SECONDS = (0.5, 2.5)
@@ -168,6 +170,7 @@
             random.Random(f"answers of {seed}"),
             lambda work: self._start_task(self._record_fault(lambda: work)),
             self.done,
+            is_endless_only=seed % 4 == 0,
         )
         self._has_rushes = seed % 2 == 1
         self._has_poison = seed % 2 == 1 and not self.seen.planned_only
@@ -439,6 +442,15 @@
                 self._start_daemon(daemon)
             self.seen.fault_spans.append((began, self._loop.time()))
             start_release("after")
+            if rng.random() >= OUTAGE_SERIES_SHARE:
+                await self._wait_for_entry()
+
+    async def _wait_for_entry(self) -> None:
+        while not self._stopping.is_set():
+            for entry in self.fleet.list_role("entry"):
+                if (await fetch(entry.ready, b"GET", "/ready"))[0] == 200:
+                    return
+            await asyncio.sleep(EXTENSION_CHECK_SECONDS)
 
     def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
         """Return the planned operations and the unplanned faults."""
