--- a/tillerlane/testing/answer_faults.py
+++ b/tillerlane/testing/answer_faults.py
@@ -27,11 +27,15 @@
 KILL_DELAY_SECONDS = (0.05, 0.6)
 """Time from the stop of a target's answers to the kill of its process."""
 RESTART_SECONDS = (0.0, 1.5)
+OPEN_CHECK_SECONDS = 0.2
 CLOSE_SECONDS = 1.0
 """Time after a request's deadline within which its connection to a target has to be closed."""
 LONGEST_CALL_SECONDS = 10.0
 """Time that callers wait; orders about a request name no time of their own."""
+MAX_ENDLESS_TARGETS = 3
+"""Number of targets with endless answers at a time, which all pass through the soak's process."""
 MIN_CALLS = 20
+STREAM_ROUTES = ("record", "verdict")
 MIN_SHARE = 0.75
 """Share of the calls served otherwise that must be served beside endless answers, as in rushes."""
 
@@ -69,6 +73,8 @@
         self._start = start
         self._done = done
         self._is_endless_only = is_endless_only
+        self._endless: set[str] = set()
+        """Ids of the targets that have endless answers."""
 
     async def inject(self, stopping: asyncio.Event) -> None:
         """Inject series of faults until the run stops."""
@@ -141,7 +147,25 @@
             place=self._rng.choice(list(broken_answers.ENDLESS_PLACES)),
         )
         seconds = self._rng.uniform(*BROKEN_SECONDS)
-        return lambda target: _answer_so(target, answer, seconds)
+
+        async def never_end(target: platform_targets.Target) -> None:
+            if len(self._endless) >= MAX_ENDLESS_TARGETS or target.target_id in self._endless:
+                return
+            self._endless.add(target.target_id)
+            try:
+                await _answer_so(target, answer, seconds)
+                while target.is_running and _has_open(target.record):
+                    await asyncio.sleep(OPEN_CHECK_SECONDS)
+            finally:
+                self._endless.discard(target.target_id)
+
+        return never_end
+
+
+def _has_open(record: platform_record.Reader) -> bool:
+    """Whether a broken answer of a target is under way."""
+    record.read()
+    return any(call.closed_at == float("inf") for call in record.broken)
 
 
 async def _answer_so(
@@ -188,21 +212,32 @@
 
 
 def _check_served(seen: platform_checker.Observations) -> list[str]:
-    """Check that calls to other targets are served while answers do not end.
+    """Check that calls to the other pool are served while answers of one do not end.
 
     Only where entries and keepers have no faults: these may end more calls than an endless answer.
     """
     if not seen.are_daemons_sound:
         return []
-    endless = [call for calls in seen.broken.values() for call in calls if "endless" in call.text]
-    targets = {call.target_id for call in endless}
-    touched = {run.request_id for target_id in targets for run in seen.ran.get(target_id, [])}
+    routes = {call.request_id: call.route for call in seen.calls}
+    endless = [
+        (call, routes.get(call.request_id, STREAM_ROUTES[0]) in STREAM_ROUTES)
+        for calls in seen.broken.values()
+        for call in calls
+        if broken_answers.Ending.ENDLESS in call.text
+    ]
     served: dict[bool, list[bool]] = {True: [], False: []}
     for call in seen.calls:
-        if call.request_id in touched or call.key in seen.revoked or call.has_left or call.resumes:
+        if call.key in seen.revoked or call.has_left or call.resumes:
             continue
-        is_during = any(item.began < call.sent_at < item.closed_at for item in endless)
-        served[is_during].append(call.response.status == 200 and call.response.is_whole)
+        is_stream = call.route in STREAM_ROUTES
+        of_streams = {
+            item_of_streams
+            for item, item_of_streams in endless
+            if item.began < call.ended_at and item.closed_at > call.sent_at
+        }
+        if is_stream not in of_streams:
+            is_served = call.response.status == 200 and call.response.is_whole
+            served[bool(of_streams)].append(is_served)
     if min(map(len, served.values())) < MIN_CALLS:
         return []
     during, otherwise = (sum(served[key]) / len(served[key]) for key in (True, False))
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -22,7 +22,7 @@
 """Timeout of a call to another runner, about a copy of a run's memory."""
 COPY_REPORT_INTERVAL_SECONDS = 0.5
 """Interval between updates to another runner of an incremental copy."""
-MAX_ENDLESS = 2
+MAX_ENDLESS = 1
 """Number of endless answers that a target writes at a time, a bound on their cost to the host."""
 ORDER_PATHS = ("/report", "/kv-move")
 
