--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -75,6 +75,8 @@
 RELEASE_LEAD_SECONDS = (0.0, 3.0)
 """Time from a release to an outage."""
 OUTAGE_SECONDS = (0.5, 2.5)
+OUTAGE_CHECK_SECONDS = 0.1
+EXIT_CHECK_SECONDS = 0.02
 STREAM_CALLERS = 12
 """Additional callers of streams that they resume, where all entries are killed."""
 SILENCE_PAUSE_SECONDS = (1.0, 4.0)
@@ -430,14 +432,13 @@
             start_release("before")
             await asyncio.sleep(rng.uniform(*RELEASE_LEAD_SECONDS) if "before" in chosen else 0)
             began = self._loop.time()
+            until = began + rng.uniform(*OUTAGE_SECONDS)
             daemons = [item for item in self.fleet.daemons.values() if item.role in roles]
-            for daemon in daemons:
-                if daemon.is_running:
-                    self._record_entry_exit(daemon)
-                    self.fleet.send(daemon, signal.SIGKILL)
-            await asyncio.gather(*(self._wait_for_exit(daemon) for daemon in daemons))
+            await self._kill_running(daemons)
             start_release("during")
-            await asyncio.sleep(rng.uniform(*OUTAGE_SECONDS))
+            while self._loop.time() < until:
+                await asyncio.sleep(OUTAGE_CHECK_SECONDS)
+                await self._kill_running(daemons)  # another fault may have started one again
             for daemon in daemons:
                 self._start_daemon(daemon)
             self.seen.fault_spans.append((began, self._loop.time()))
@@ -445,6 +446,16 @@
             if rng.random() >= OUTAGE_SERIES_SHARE:
                 await self._wait_for_entry()
 
+    async def _kill_running(self, daemons: list[platform_fleet.Daemon]) -> None:
+        """Kill all daemons that run at once, and wait until these processes have exited."""
+        running = [item for item in daemons if item.is_running]
+        for daemon in running:
+            self._record_entry_exit(daemon)
+            self.fleet.send(daemon, signal.SIGKILL)
+        processes = [item.process for item in running]
+        while any(item is not None and item.poll() is None for item in processes):
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
+
     async def _wait_for_entry(self) -> None:
         while not self._stopping.is_set():
             for entry in self.fleet.list_role("entry"):
@@ -514,7 +525,7 @@
 
     async def _wait_for_exit(self, daemon: platform_fleet.Daemon) -> None:
         while daemon.is_running:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
 
     async def _kill(self) -> None:
         await self._restart(self._pick_daemon(), self._rng.uniform(0.1, 2.0))
