--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -423,29 +423,33 @@
             chosen = {moment: rng.choice(releases) for moment in moments}
             name = f"outage of {' and '.join(roles)}"
             self.done[name] = self.done.get(name, 0) + 1
-
-            def start_release(moment: str, chosen: dict[str, Release] = chosen) -> None:
-                if moment in chosen:
-                    work = chosen[moment](rng)
-                    self._start_task(self._record_fault(lambda: work))
-
-            start_release("before")
+            self._start_releases(chosen.get("before"))
             await asyncio.sleep(rng.uniform(*RELEASE_LEAD_SECONDS) if "before" in chosen else 0)
             began = self._loop.time()
             until = began + rng.uniform(*OUTAGE_SECONDS)
             daemons = [item for item in self.fleet.daemons.values() if item.role in roles]
             await self._kill_running(daemons)
-            start_release("during")
+            self._start_releases(chosen.get("during"))
             while self._loop.time() < until:
                 await asyncio.sleep(OUTAGE_CHECK_SECONDS)
                 await self._kill_running(daemons)  # another fault may have started one again
             for daemon in daemons:
                 self._start_daemon(daemon)
             self.seen.fault_spans.append((began, self._loop.time()))
-            start_release("after")
+            self._start_releases(chosen.get("after"))
             if rng.random() >= OUTAGE_SERIES_SHARE:
                 await self._wait_for_entry()
 
+    def _start_releases(self, release: Release | None) -> None:
+        """Start a release, or changes of several runners' software at once."""
+        if release is None:
+            return
+        number = 1
+        if release != self.targets.release:
+            number = self._outage_rng.randrange(1, platform_targets.RUNNERS + 1)
+        for _ in range(number):
+            self._start_task(self._record_fault(lambda: release(self._outage_rng)))
+
     async def _kill_running(self, daemons: list[platform_fleet.Daemon]) -> None:
         """Kill all daemons that run at once, and wait until these processes have exited."""
         running = [item for item in daemons if item.is_running]
