--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -10,14 +10,31 @@
 from typing import Any
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold, control, control_settings, entry, entry_settings
+from tillerlane.gateway import (
+    cold,
+    control,
+    control_settings,
+    entry,
+    entry_settings,
+    incarnations,
+)
 from tillerlane.gateway import directory as directories
 from tillerlane.keeper import formation
 from tillerlane.platform import adapter, wire
-from tillerlane.testing import caller, lab, memory_disk, network, platform_runner
+from tillerlane.testing import (
+    caller,
+    lab,
+    memory_disk,
+    network,
+    platform_runner,
+    raw_runner,
+)
 
 __all__ = ["GatewayLab", "build_document"]
 
+RESTART_MS = 1000
+"""Time between two starts of a target by its own clock, which no daemon reads."""
+
 
 def build_document(version: int, **changes: Any) -> dict[str, Any]:
     """Build a configuration with one route of each kind.
@@ -266,9 +283,44 @@
         number = len(self.runners) + 1
         address = f"10.0.9.{number}:9000"
         runner = platform_runner.PlatformRunner(target_id, address, self._by_address, **more)
+        await self._start_runner(runner, pool, hall)
+        return runner
+
+    async def add_raw_runner(
+        self, target_id: str, pool: str, respond: raw_runner.Respond, **more: Any
+    ) -> raw_runner.RawRunner:
+        """Start a target that writes what `respond` gives, and send its first heartbeat."""
+        number = len(self.runners) + 1
+        address = f"10.0.9.{number}:9000"
+        runner = raw_runner.RawRunner(target_id, address, self._by_address, respond=respond, **more)
+        await self._start_runner(runner, pool, "hall-a")
+        return runner
+
+    async def _start_runner(
+        self, runner: platform_runner.PlatformRunner, pool: str, hall: str
+    ) -> None:
+        self.runners[runner.target_id] = runner
+        await runner.start()
+        self.beat(runner.target_id, pool, hall)
+
+    async def restart_runner(self, target_id: str, **more: Any) -> platform_runner.PlatformRunner:
+        """Crash a target and restart it under its id and address, without a heartbeat.
+
+        The former incarnation stays listed under an id of its own.
+        """
+        former = self.runners[target_id]
+        former.crash()
+        runner = platform_runner.PlatformRunner(
+            target_id,
+            former.address,
+            self._by_address,
+            started_ms=former.started_ms + RESTART_MS,
+            **more,
+        )
+        self.runners[incarnations.build_id(target_id, former.started_ms)] = former
         self.runners[target_id] = runner
+        self._sequences[target_id] = 0
         await runner.start()
-        self.beat(target_id, pool, hall)
         return runner
 
     def beat(
@@ -284,7 +336,7 @@
         sequence = self._sequences.get(target_id, 0) + 1
         self._sequences[target_id] = sequence
         target = directories.Target(
-            target_id,
+            incarnations.build_id(target_id, self.runners[target_id].started_ms),
             pool,
             self.runners[target_id].address,
             hall,
--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -26,6 +26,7 @@
 ]
 
 SEAL_HEADER = b"Response-Seal"
+HEALTH_PATH = "/health"
 INCREMENTAL_COPY_SECONDS = 0.01
 """Duration of a repeated copy, which transfers only the part that is new."""
 PREFILL_CHECK_INTERVAL_SECONDS = 0.05
@@ -39,13 +40,17 @@
 _LABEL = re.compile(rb"^:[^\n]*\n?", re.MULTILINE)
 
 
-def build_event(request_id: str, number: int, version: str = "") -> bytes:
+def build_event(
+    request_id: str, number: int, id_line: bytes | None = None, *, version: str = ""
+) -> bytes:
     """Build the event with a given number of a request's stream.
 
-    With a version of software, the event names it in a comment.
+    `id_line` takes the place of the line with its number. With a version of software, the event
+    names it in a comment.
     """
+    line = f"id: {number}\n".encode() if id_line is None else id_line
     label = f": {version}\n" if version else ""
-    return f"id: {number}\ndata: {request_id}-{number}\n{label}\n".encode()
+    return line + f"data: {request_id}-{number}\n{label}\n".encode()
 
 
 def strip_versions(body: bytes) -> bytes:
@@ -148,6 +153,8 @@
         Memory for prompts and reservations; unbounded, and no reservations, with 0.
     software_version : str
         Version of its software.  A stream is continued whatever version began it.
+    started_ms : int
+        Unix milliseconds of its start, which its reports name; 0 if they name none.
 
     Attributes
     ----------
@@ -159,6 +166,10 @@
         New connections to it hang, while open ones work.
     report_status : int
         Status of responses to calls for a report of its runs.
+    reports_start : bool
+        Whether its report names its start.
+    loses_reports : bool
+        Never responds to calls for a report.
     hold_status : int
         Status of responses to calls that reserve memory, none of which is reserved; 0 for the usual
         ones.
@@ -206,6 +217,8 @@
         Sends plain responses in chunks instead of with a length.
     labels_events : bool
         Puts the version of its software into the events of its streams.
+    body_seconds : float
+        Pause in the middle of the body of such a plain response.
     ends_inside : int
         Number of an event in the middle of which a stream ends, as if it were complete.
     limit : str
@@ -220,6 +233,16 @@
         Called after a crash.
     skips_event, breaks_at : int
         Number of an event that a stream omits, or at which it breaks off.
+    id_lines : dict of int to bytes
+        Lines sent in place of those with the number of an event, by that number.
+    comment : bytes
+        Sent before each event.
+    copy_offset : int
+        Number of events by which copies that it makes differ from its runs.
+    continues_from_copy : bool
+        Sends the events behind those that a copy holds, instead of behind the caller's last one.
+    ignores_last_event : bool
+        Starts each stream at its first event.
     """
 
     others: dict[str, "PlatformRunner"]
@@ -240,8 +263,10 @@
         slowdown: float = 0.0,
         memory_tokens: int = 0,
         software_version: str = "",
+        started_ms: int = 0,
     ) -> None:
         self.target_id = target_id
+        self.started_ms = started_ms
         self.software_version = software_version
         self.address = address
         self._listen_address = listen_address or address
@@ -273,6 +298,7 @@
         self.is_close_delimited = False
         self.is_chunked = False
         self.labels_events = False
+        self.body_seconds = 0.0
         self.ends_inside = 0
         self.limit = ""
         self.backoff = ""
@@ -284,6 +310,8 @@
         self.pauses_runs = False
         self.takes_no_connections = False
         self.report_status = 200
+        self.reports_start = True
+        self.loses_reports = False
         self.hold_status = 0
         self.hold_seconds = 0.0
         self.loses_holds = False
@@ -295,6 +323,11 @@
         self.has_crashed = False
         self.skips_event = 0
         self.breaks_at = 0
+        self.id_lines: dict[int, bytes] = {}
+        self.comment = b""
+        self.copy_offset = 0
+        self.continues_from_copy = False
+        self.ignores_last_event = False
         self.dropped: list[str] = []
         self._transfer_lock = asyncio.Lock()
         """Serializes the transfer of copies."""
@@ -318,14 +351,33 @@
 
     def crash(self) -> None:
         """Exit immediately, resetting every connection."""
+        self._end_runs()
+        self._server.abort_all()
+
+    def end_process(self) -> None:
+        """Exit immediately; the operating system closes every connection regularly."""
+        self.close_connections()
+        self._end_runs()
+
+    def close_connections(self) -> None:
+        """Close every connection regularly, and with them the runs, as at the begin of an exit."""
+        self._record_crash()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.close()
+
+    def _end_runs(self) -> None:
+        """Accept no connections any more, and end all runs."""
         self.has_crashed = True
         self._server.stop_accepting()
+        self._record_crash()
+        self.others.pop(self.address, None)
+
+    def _record_crash(self) -> None:
         now = asyncio.get_running_loop().time()
         for run in self.ran:
             run.ended_at = run.ended_at or now
             run.ended = run.ended or "crashed"
-        self._server.abort_all()
-        self.others.pop(self.address, None)
 
     def reset_connections(self, request_id: str = "") -> None:
         """Reset the connection of a request's stream, or of all; the runs may continue."""
@@ -361,6 +413,9 @@
             await responder.send_response(http_head.ResponseHead(200, []), b"")
         elif path == "/report":
             await self._report(responder)
+        elif path == HEALTH_PATH:
+            answer = http_head.ResponseHead(200, [(b"Instance-Id", self.target_id.encode())])
+            await responder.send_response(answer, b"")
         elif path == "/hold-take":
             await self._take_hold(msgspec.json.decode(request.body), responder)
         elif path.startswith("/hold-drop/"):
@@ -380,9 +435,13 @@
         """Report the active runs; a run that reads its prompt counts, but is not listed."""
         active = [run for run in self.ran if not run.ended and self.length]
         listed = [[run.request_id, 0, run.events, 5] for run in active if run.events]
-        report = {"waiting": 0, "running": len(active), "runs": listed}
+        report: dict[str, object] = {"waiting": 0, "running": len(active), "runs": listed}
         if self.pauses_runs:
             report = {"waiting": len(active), "running": 0, "runs": []}
+        if self.started_ms and self.reports_start:
+            report["born"] = self.started_ms
+        if self.loses_reports:
+            await asyncio.sleep(3600)
         body = msgspec.json.encode(report)
         status = self.report_status
         await responder.send_response(http_head.ResponseHead(status, []), body)
@@ -431,6 +490,11 @@
         self.arrived.append(arrival)
         first = int(headers.get("last-event-id", "0")) + 1
         copy_from = headers.get("kv-from", "")
+        held = self.copies.get(copy_from.rpartition("/")[2])
+        if held is not None and self.continues_from_copy:
+            first = held.events + 1
+        if self.ignores_last_event:
+            first = 1
         is_full = self.slots > 0 and self._in_progress >= self.slots + self.queue
         if self.refuses or is_full or (copy_from and not self._use_copy(copy_from, request_id)):
             await self._reject(503, request_id, responder)
@@ -485,8 +549,12 @@
             ],
         )
         if self.is_close_delimited:
-            body = b"answer to " + request_id.encode()
-            await close_delimited.CloseDelimitedResponder(responder).send_response(head, body)
+            answer = close_delimited.CloseDelimitedResponder(responder)
+            await answer.start_response(head)
+            await answer.write(b"answer to ")
+            await asyncio.sleep(self.body_seconds)
+            await answer.write(request_id.encode())
+            await answer.finish()
             return
         if self.is_chunked:
             await responder.start_response(head)
@@ -602,7 +670,7 @@
                 return False
             is_sent = not run.is_mute and not self.is_cut_off and number != self.skips_event
             if responder is not None and is_sent:
-                await responder.write(self._build_event(run, number))
+                await responder.write(self.comment + self._build_event(run, number))
             run.events = number
             self._grow_copy(run)
         self._record_end(run, "whole")
@@ -610,7 +678,7 @@
 
     def _build_event(self, run: RanRequest, number: int) -> bytes:
         version = self.software_version if self.labels_events else ""
-        return build_event(run.request_id, number, version)
+        return build_event(run.request_id, number, self.id_lines.get(number), version=version)
 
     def _record_end(self, run: RanRequest, ended: str) -> None:
         run.ended = run.ended or ended
@@ -642,7 +710,8 @@
     def _grow_copy(self, run: RanRequest) -> None:
         backup = self.others.get(run.headers.get("kv-backup", ""))
         if backup is not None:
-            backup.copies[run.request_id] = MemoryCopy(run.request_id, run.events, self)
+            events = run.events + self.copy_offset
+            backup.copies[run.request_id] = MemoryCopy(run.request_id, events, self)
 
     def find_run(self, request_id: str) -> RanRequest | None:
         """Find the run of a request that is still active."""
@@ -688,7 +757,7 @@
         finally:
             self._transferring.discard(run.request_id)
         reply = {"handle": handle, "made": run.events}
-        copy = MemoryCopy(run.request_id, run.events, self)
+        copy = MemoryCopy(run.request_id, run.events + self.copy_offset, self)
         status = 200
         if destination is None or destination.refuses:
             status = 503
--- a/tillerlane/testing/platform_target.py
+++ b/tillerlane/testing/platform_target.py
@@ -39,6 +39,8 @@
     copy_seconds: float
     software_version: str = ""
     framing: broken_answers.Framing = broken_answers.Framing.USUAL
+    started_ms: int = 0
+    """Unix milliseconds of its start, which its heartbeats and its reports name."""
 
 
 class Switches(msgspec.Struct):
@@ -145,6 +147,7 @@
             copy_seconds=orders.copy_seconds,
             listen_address=orders.listen_address,
             software_version=orders.software_version,
+            started_ms=orders.started_ms,
         )
         self.labels_events = True
         self.is_close_delimited = orders.framing is broken_answers.Framing.CLOSE
--- a/tillerlane/testing/tests/test_resumed_streams.py
+++ b/tillerlane/testing/tests/test_resumed_streams.py
@@ -79,7 +79,7 @@
         self.add_run("r1", "v1", 1.0)
         self.add_call("r1", range(1, 3))
         body = b"".join(
-            platform_runner.build_event("r1", number, version)
+            platform_runner.build_event("r1", number, version=version)
             for number, version in ((1, "v1"), (2, "v2"))
         )
         self.seen.calls[0].response.body = body
