--- a/tillerlane/testing/answer_faults.py
+++ b/tillerlane/testing/answer_faults.py
@@ -78,18 +78,17 @@
 
     async def inject(self, stopping: asyncio.Event) -> None:
         """Inject series of faults until the run stops."""
-        faults = [self._never_end]
-        if not self._is_endless_only:
-            faults += [self._kill, self._kill, self._break_off]
         while not stopping.is_set():
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
-            fault = self._rng.choice(faults)
-            name = fault.__name__.strip("_")
             pool = self._rng.choice(("llm", "app"))
             kinds = [broken_answers.Kind.RUN] * 2
+            faults = [self._kill, self._kill, self._break_off, self._never_end]
             if pool == "llm":
                 kinds.append(broken_answers.Kind.ORDER)
+                faults.append(self._end_inside)
+            fault = self._never_end if self._is_endless_only else self._rng.choice(faults)
             found = await self._targets.wait_for_running(pool)
+            name = fault.__name__.strip("_")
             number = min(len(found), self._rng.randrange(1, MAX_SERIES + 1))
             answers = fault(self._rng.choice(kinds))
             for target in self._rng.sample(found, number):
@@ -137,6 +136,20 @@
 
         return break_off
 
+    def _end_inside(
+        self, kind: broken_answers.Kind
+    ) -> Callable[[platform_targets.Target], Awaitable[None]]:
+        """Have streams end inside an event as if they were complete."""
+        event = self._rng.randrange(1, platform_targets.STREAM_LENGTH + 1)
+        seconds = self._rng.uniform(*BROKEN_SECONDS)
+
+        async def end_inside(target: platform_targets.Target) -> None:
+            target.switch(platform_target.Switches({"ends_inside": event}))
+            await asyncio.sleep(seconds)
+            target.switch(platform_target.Switches({"ends_inside": 0}))
+
+        return end_inside
+
     def _never_end(
         self, kind: broken_answers.Kind
     ) -> Callable[[platform_targets.Target], Awaitable[None]]:
