--- a/tillerlane/testing/tests/test_answer_faults.py
+++ b/tillerlane/testing/tests/test_answer_faults.py
@@ -5,6 +5,7 @@
 import random
 import tempfile
 import unittest
+from unittest import mock
 
 from tillerlane.testing import (
     answer_faults,
@@ -152,6 +153,25 @@
                 self.assertEqual(self.target.record.ran[-1].ended, "endless")
 
 
+class ChoiceTest(unittest.IsolatedAsyncioTestCase):
+    """Which answers are broken how."""
+
+    async def test_no_working_target_ends_an_answer_without_framing_inside_its_body(self) -> None:
+        """Guards against a fault that no receiver could tell from a complete answer."""
+        for name in ("KILL_DELAY_SECONDS", "BROKEN_SECONDS"):
+            self.enterContext(mock.patch.object(answer_faults, name, (0.0, 0.0)))
+        target = mock.Mock(framing=broken_answers.Framing.CLOSE)
+        targets = mock.Mock()
+        faults = answer_faults.AnswerFaults(targets, random.Random(1), mock.Mock(), {})
+        for _ in range(100):
+            await faults._break_off(broken_answers.Kind.RUN)(target)
+        switched = [call.args[0].fields["broken"] for call in target.switch.call_args_list]
+        answers = [answer for answer in switched if answer is not None]
+        found = {(answer.ending, answer.is_inside_body) for answer in answers}
+        close, hang = broken_answers.Ending.CLOSE, broken_answers.Ending.HANG
+        self.assertEqual(found, {(close, False), (hang, False), (hang, True)})
+
+
 class CheckTest(unittest.TestCase):
     """The checks of what broken answers cost."""
 
