--- a/tillerlane/testing/platform_soak.py
+++ b/tillerlane/testing/platform_soak.py
@@ -21,6 +21,7 @@
 
 from tillerlane.gateway import http_client, http_head
 from tillerlane.testing import (
+    answer_faults,
     caller,
     forwarder,
     gateway_lab,
@@ -54,6 +55,8 @@
 LEAVING_SHARE = 0.25
 LEAVING_SECONDS = (0.4, 2.0)
 """Share of callers that lose their connection in the middle of a stream, and when."""
+KEPT_SHARE = 0.5
+"""Share of these that leave the connection open while they resume the stream."""
 CALLER_SECONDS = 10.0
 """Time of a caller over all attempts."""
 FEEDBACK_PAUSE_SECONDS = (2.0, 5.0)
@@ -65,6 +68,17 @@
 """Minimum time between two wipes, so that a keeper catches up before the next one is wiped."""
 POISON_PAUSE_SECONDS = (1.0, 8.0)
 """Pause between two parts of prompts that begin to end runners."""
+OUTAGE_PAUSE_SECONDS = (3.0, 7.0)
+"""Pause between two outages of all entries, from when an entry is ready again."""
+OUTAGE_SERIES_SHARE = 0.25
+"""Share of the outages that do not wait for that."""
+RELEASE_LEAD_SECONDS = (0.0, 3.0)
+"""Time from a release to an outage."""
+OUTAGE_SECONDS = (0.5, 2.5)
+OUTAGE_CHECK_SECONDS = 0.1
+EXIT_CHECK_SECONDS = 0.02
+STREAM_CALLERS = 12
+"""Additional callers of streams that they resume, where all entries are killed."""
 SILENCE_PAUSE_SECONDS = (1.0, 4.0)
 """Pause between connections that fall silent."""
 RUSH_PAUSE_SECONDS = (4.0, 8.0)
@@ -80,6 +94,7 @@
 TASK_SHUTDOWN_SECONDS = 0.2
 """Time for the tasks of closed connections to finish."""
 Fault = Callable[[], Awaitable[None]]
+Release = Callable[[random.Random], Awaitable[None]]
 _SHED = re.compile(r"^tillerlane_shed_connections (\S+)$", re.MULTILINE)
 _VERSION = re.compile(r"^tillerlane_config_version (\S+)$", re.MULTILINE)
 
@@ -123,7 +138,12 @@
             platform_targets.STREAM_LENGTH, planned_only=seed % 3 == 0
         )
         self.targets = platform_targets.Targets(
-            self.fleet.folder, net, self.seen, self._notify, self._rng
+            self.fleet.folder,
+            net,
+            self.seen,
+            self._notify,
+            self._rng,
+            random.Random(f"framing of {seed}"),
         )
         self._targets_only = seed % 3 == 2
         self.seen.are_daemons_sound = self._targets_only or self.seen.planned_only
@@ -145,6 +165,15 @@
         self._prompts = poisoned_prompts.Prompts(random.Random(f"prompts of {seed}"))
         self._rush_rng = random.Random(f"rushes of {seed}")
         self._silence_rng = random.Random(f"silent connections of {seed}")
+        self._outage_rng = random.Random(f"outages of {seed}")
+        self._caller_rng = random.Random(f"callers of {seed}")
+        self._answer_faults = answer_faults.AnswerFaults(
+            self.targets,
+            random.Random(f"answers of {seed}"),
+            lambda work: self._start_task(self._record_fault(lambda: work)),
+            self.done,
+            is_endless_only=seed % 4 == 0,
+        )
         self._has_rushes = seed % 2 == 1
         self._has_poison = seed % 2 == 1 and not self.seen.planned_only
         self._rush_entry = ""
@@ -193,6 +222,11 @@
             await self._send_call(route, caller.KEY)
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
 
+    async def _send_streams(self) -> None:
+        while not self._stopping.is_set():
+            await self._send_call("verdict", caller.KEY)
+            await asyncio.sleep(self._caller_rng.uniform(0.0, 0.2))
+
     async def _send_revoked(self) -> None:
         while not self._stopping.is_set():
             await asyncio.sleep(0.5)
@@ -202,11 +236,12 @@
     async def _send_call(self, route: str, key: str) -> None:
         call = platform_checker.Call(f"r{self._next()}", route, key, self._loop.time())
         call.prompt = self._prompts.draw(call.request_id)
-        leave_after = None
+        leave_after, is_kept = None, False
         if route == "verdict" and self._release_rng.random() < LEAVING_SHARE:
             call.has_left = True
             leave_after = self._release_rng.uniform(*LEAVING_SECONDS)
-        sent = await self._send_attempt(call, leave_after)
+            is_kept = self._caller_rng.random() < KEPT_SHARE
+        sent = await self._send_attempt(call, leave_after, is_kept=is_kept)
         if sent is None or route != "verdict" or sent.response.is_whole:
             return
         if resumed_streams.find_last_event(sent.response.body):
@@ -216,7 +251,11 @@
             )
 
     async def _send_attempt(
-        self, call: platform_checker.Call, leave_after: float | None = None
+        self,
+        call: platform_checker.Call,
+        leave_after: float | None = None,
+        *,
+        is_kept: bool = False,
     ) -> platform_checker.Call | None:
         """Send one attempt to any entry; None if no connection is established."""
         entry = self._pick_entry()
@@ -237,6 +276,7 @@
                 body=b"" if is_read else b"body",
                 wait_ms=int(call.wait_seconds * 1000),
                 leave_after=leave_after,
+                keeps_connection=is_kept,
                 **headers,
             )
             call.connected_at = call.response.connected_at
@@ -274,6 +314,10 @@
             for daemon in self.fleet.daemons.values():
                 start = daemon.starts
                 status, text = await fetch(daemon.metrics, b"GET", "/metrics")
+                if daemon.role == "entry" and start == daemon.starts:
+                    peak = daemon.read_peak_memory()
+                    former = self.seen.memory.get((daemon.name, start), 0)
+                    self.seen.memory[daemon.name, start] = max(former, peak)
                 match = _VERSION.search(text.decode()) if status == 200 else None
                 if match is not None and start == daemon.starts:
                     versions = self.seen.in_force.setdefault((daemon.name, start), [])
@@ -364,6 +408,65 @@
             is_planned = operation == self.targets.release
             self._start_task(work if is_planned else self._record_fault(lambda work=work: work))
 
+    async def _lose_all(self) -> None:
+        """Kill all entries at once, also with all keepers, around releases of other software."""
+        rng = self._outage_rng
+        releases = [
+            self.targets.release,
+            self.targets.replace_software,
+            self.targets.change_software,
+        ]
+        while not self._stopping.is_set():
+            await asyncio.sleep(rng.uniform(*OUTAGE_PAUSE_SECONDS))
+            roles = rng.choice((("entry",), ("entry", "keeper")))
+            moments = rng.sample(("before", "during", "after"), rng.randrange(1, 4))
+            chosen = {moment: rng.choice(releases) for moment in moments}
+            name = f"outage of {' and '.join(roles)}"
+            self.done[name] = self.done.get(name, 0) + 1
+            self._start_releases(chosen.get("before"))
+            await asyncio.sleep(rng.uniform(*RELEASE_LEAD_SECONDS) if "before" in chosen else 0)
+            began = self._loop.time()
+            until = began + rng.uniform(*OUTAGE_SECONDS)
+            daemons = [item for item in self.fleet.daemons.values() if item.role in roles]
+            await self._kill_running(daemons)
+            self._start_releases(chosen.get("during"))
+            while self._loop.time() < until:
+                await asyncio.sleep(OUTAGE_CHECK_SECONDS)
+                await self._kill_running(daemons)  # another fault may have started one again
+            for daemon in daemons:
+                self._start_daemon(daemon)
+            self.seen.fault_spans.append((began, self._loop.time()))
+            self._start_releases(chosen.get("after"))
+            if rng.random() >= OUTAGE_SERIES_SHARE:
+                await self._wait_for_entry()
+
+    def _start_releases(self, release: Release | None) -> None:
+        """Start a release, or changes of several runners' software at once."""
+        if release is None:
+            return
+        number = 1
+        if release != self.targets.release:
+            number = self._outage_rng.randrange(1, platform_targets.RUNNERS + 1)
+        for _ in range(number):
+            self._start_task(self._record_fault(lambda: release(self._outage_rng)))
+
+    async def _kill_running(self, daemons: list[platform_fleet.Daemon]) -> None:
+        """Kill all daemons that run at once, and wait until these processes have exited."""
+        running = [item for item in daemons if item.is_running]
+        for daemon in running:
+            self._record_entry_exit(daemon)
+            self.fleet.send(daemon, signal.SIGKILL)
+        processes = [item.process for item in running]
+        while any(item is not None and item.poll() is None for item in processes):
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
+
+    async def _wait_for_entry(self) -> None:
+        while not self._stopping.is_set():
+            for entry in self.fleet.list_role("entry"):
+                if (await fetch(entry.ready, b"GET", "/ready"))[0] == 200:
+                    return
+            await asyncio.sleep(EXTENSION_CHECK_SECONDS)
+
     def _list_faults(self) -> tuple[list[Fault], list[Fault]]:
         """Return the planned operations and the unplanned faults."""
         targets = [
@@ -426,7 +529,7 @@
 
     async def _wait_for_exit(self, daemon: platform_fleet.Daemon) -> None:
         while daemon.is_running:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
 
     async def _kill(self) -> None:
         await self._restart(self._pick_daemon(), self._rng.uniform(0.1, 2.0))
@@ -539,6 +642,10 @@
                 work.append(self._poison_prompts())
             if not self.seen.planned_only:
                 work.append(self._silence_connections())
+                work.append(self._answer_faults.inject(self._stopping))
+            if not self.seen.planned_only and not self._targets_only:
+                work.append(self._lose_all())
+                work += [self._send_streams() for _ in range(STREAM_CALLERS)]
             if self._has_rushes:
                 work.append(self._rush())
             work += [self._send_calls() for _ in range(16)]
@@ -562,6 +669,7 @@
         bounds = platform_fleet.BOUNDS
         problems = platform_checker.check(self.seen, bounds.drain, bounds.revoke)
         problems += resumed_streams.check(self.seen)
+        problems += answer_faults.check(self.seen)
         problems += repeats.check(self.seen, platform_fleet.RETRY_BOUNDS)
         problems += poisoned_prompts.check(self.seen, self._prompts.poison)
         return problems + rushes.check(self.seen, self.rushes)
@@ -601,6 +709,8 @@
     runs = [run for ran in soak.seen.ran.values() for run in ran]
     resumed = soak.count_resumed()
     faults = ", ".join(f"{name} {number}" for name, number in sorted(soak.done.items()))
+    broken = [call for found in soak.seen.broken.values() for call in found]
+    peak = max(soak.seen.memory.values(), default=0) / 1e6
     return (
         f"calls {len(calls)}, complete {complete}, refused {refusals}; "
         f"runs {len(runs) - resumed}, resumed elsewhere {resumed}; "
@@ -608,7 +718,9 @@
         f"limits {len(soak.seen.limits)}, back-offs {soak.seen.backoffs}, "
         f"leaving announced in responses {len(soak.seen.announced_in_responses)}, "
         f"streams resumed {soak.seen.resumptions[0]} of {soak.seen.resumptions[1]} to be resumed, "
-        f"{sum(bool(call.resumes) for call in calls)} attempts; {faults}"
+        f"{sum(bool(call.resumes) for call in calls)} attempts; "
+        f"broken answers {len(broken)}, {sum('endless' in call.text for call in broken)} of them "
+        f"endless, most memory of an entry {peak:.0f} MB; {faults}"
     )
 
 
