--- a/tillerlane/testing/gateway_lab.py
+++ b/tillerlane/testing/gateway_lab.py
@@ -335,8 +335,9 @@
         """Send a target's heartbeat to one keeper."""
         sequence = self._sequences.get(target_id, 0) + 1
         self._sequences[target_id] = sequence
+        started_ms = self.runners[target_id].started_ms
         target = directories.Target(
-            incarnations.build_id(target_id, self.runners[target_id].started_ms),
+            incarnations.build_id(target_id, started_ms) if started_ms else target_id,
             pool,
             self.runners[target_id].address,
             hall,
