Give runners a second for the report before a resumption

Callers give a stream up after 2 s without an event or later; half of that leaves time for another runner.

--- a/tillerlane/gateway/incarnation_checks.py
+++ b/tillerlane/gateway/incarnation_checks.py
@@ -13,8 +13,9 @@
 
 __all__ = ["IncarnationChecker"]
 
-REPORT_TIMEOUT_SECONDS = 0.5
-"""Several retransmissions over a link that loses packets."""
+REPORT_TIMEOUT_SECONDS = 1.0
+"""Half of the shortest pause after which callers give a stream up, so that another target can be
+tried.  With 0.5 s, targets on hosts without free processor time were passed over."""
 MAX_SOFTWARE = 1000
 """Bound on the pools and versions whose reports are known to name a start."""
 
