Let only the process of a response confirm that a close ended it

A review by one who had not seen the work found ends without framing that still counted as complete: a host that went away was taken for a process that accepts connections, since the time-out of the call (0.25 s) passed before that of the connection (0.3 s); a successor with another id at the same address answered /report for the process that had been killed; and a process that closed its streams 0.3 s before its exit was asked too early.

A call that never had a connection is now reported as not sent; where a report does not name a start that is known, the health check has to name the target; streams are asked about after 0.5 s, those of a leaving runner, which may exit as soon as they are complete, after 0.1 s. A stream that a runner may still get an earlier order to stop is broken off. A stream that goes on behind its last event, and gets nothing more from a runner that confirms the end, is complete: before, a whole stream whose runner exited right after it was broken off. Each has a test that failed before.

--- a/tillerlane/gateway/delivery/tests/test_regular_close.py
+++ b/tillerlane/gateway/delivery/tests/test_regular_close.py
@@ -47,7 +47,7 @@
             await asyncio.sleep(0.005)
 
     def test_stream_of_an_ended_process_does_not_look_complete(self) -> None:
-        for exit_seconds in (0.0, 0.05):
+        for exit_seconds in (0.0, 0.05, 0.3):
             with self.subTest(exit_seconds=exit_seconds):
                 self.play_cut(exit_seconds)
 
@@ -88,6 +88,51 @@
 
         self.play(scene)
 
+    def test_stream_of_a_host_that_went_away_is_not_complete(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            target, call = await self.begin_stream(stage)
+            target.close_connections()
+            target.takes_no_connections = True
+            self.assertFalse((await call).is_whole)
+
+        self.play(scene)
+
+    def test_successor_at_the_same_address_does_not_confirm_a_stream(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            target, call = await self.begin_stream(stage)
+            target.end_process()
+            successor = platform_runner.PlatformRunner(
+                "t1-next", target.address, stage._by_address, length=STREAM_LENGTH
+            )
+            await stage._start_runner(successor, "llm", "hall-a")
+            self.assertFalse((await call).is_whole)
+
+        self.play(scene)
+
+    async def begin_stream(
+        self, stage: gateway_lab.GatewayLab
+    ) -> tuple[platform_runner.PlatformRunner, asyncio.Task[caller.CallerResponse]]:
+        """Begin a stream of the only runner, up to the last event before its exit."""
+        (target,) = await self.add_targets(stage, "llm", 1, is_close_delimited=True)
+        call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+        while not any(run.events >= EVENTS_BEFORE_EXIT for run in target.ran):
+            await asyncio.sleep(0.005)
+        return target, call
+
+    def test_whole_stream_of_a_runner_that_then_exits_is_confirmed_by_another(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            targets = await self.add_targets(stage, "llm", 2, is_close_delimited=True)
+            call = asyncio.create_task(stage.call("entry-1", "verdict", "r1", Model="m"))
+            while not any(run.ended == "whole" for target in targets for run in target.ran):
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.03)
+            next(target for target in targets if target.ran).end_process()
+            response = await call
+            self.assertTrue(response.is_whole)
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", STREAM_LENGTH))
+
+        self.play(scene)
+
     def play_plain(self, route: str, number: int) -> caller.CallerResponse:
         responses = []
 
--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -8,7 +8,6 @@
 
 from tillerlane.decisions import delivery
 from tillerlane.gateway import dialect as dialects
-from tillerlane.gateway import directory as directories
 from tillerlane.gateway import http_client, incarnations, runs
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.timeline import core as timelines
@@ -30,9 +29,11 @@
 MAX_PRESENCE_CHECKS = 3
 """Connections that are tried: a target with too many of them resets new ones."""
 PRESENCE_RETRY_SECONDS = 0.05
-EXIT_SECONDS = 0.1
+EXIT_SECONDS = 0.5
 """How long a process that shuts down may answer after it has closed the connections of its streams.
 By then the last event of a stream has been sent to its caller, who does not wait for anything."""
+LEAVING_EXIT_SECONDS = 0.1
+"""The same for a runner that leaves, which may exit as soon as its last stream is complete."""
 
 _Received = TypeVar("_Received")
 
@@ -151,7 +152,8 @@
             If the target's process has ended, cannot be reached, or has made more.
         """
         if received is not None:
-            await asyncio.sleep(EXIT_SECONDS)
+            is_leaving = run.target.is_leaving
+            await asyncio.sleep(LEAVING_EXIT_SECONDS if is_leaving else EXIT_SECONDS)
         presence, report = await self._find_presence(run)
         is_complete = delivery.is_complete_after_close(presence, report, run.request_id, received)
         made = report.events.get(run.request_id) if report is not None else None
@@ -179,16 +181,7 @@
             if target.is_superseded:
                 break
             try:
-                if run.pool.engine is not None:
-                    report = await self._dialect.read_report(
-                        target.address, PRESENCE_TIMEOUT_SECONDS
-                    )
-                    is_same = report is None or _may_come_from(report, target)
-                    return delivery.Presence.ANSWERS if is_same else delivery.Presence.ENDED, report
-                is_same = await self._dialect.check_target(
-                    target.address, run.pool.health_path, target.target_id, PRESENCE_TIMEOUT_SECONDS
-                )
-                return delivery.Presence.ANSWERS if is_same else delivery.Presence.ENDED, None
+                return await self._ask_process(run)
             except http_client.ExchangeError as error:
                 presence = _classify_failure(error)
             if presence is not delivery.Presence.UNKNOWN:
@@ -197,6 +190,22 @@
         is_gone = target.is_superseded
         return delivery.Presence.ENDED if is_gone else delivery.Presence.UNKNOWN, None
 
+    async def _ask_process(
+        self, run: runs.Run
+    ) -> tuple[delivery.Presence, delivery.RunnerReport | None]:
+        """Ask the process at a target's address which one it is, and a runner for its report."""
+        target, report = run.target, None
+        if run.pool.engine is not None:
+            report = await self._dialect.read_report(target.address, PRESENCE_TIMEOUT_SECONDS)
+        started_ms = incarnations.parse_id(target.target_id).started_ms
+        if report is not None and started_ms and report.started_ms:
+            is_same = report.started_ms == started_ms
+        else:
+            is_same = await self._dialect.check_target(
+                target.address, run.pool.health_path, target.target_id, PRESENCE_TIMEOUT_SECONDS
+            )
+        return delivery.Presence.ANSWERS if is_same else delivery.Presence.ENDED, report
+
     async def _inspect(self, run: runs.Run) -> delivery.RunnerReport | None:
         """Report of a run's runner; None if it is reachable and gives none.
 
@@ -246,12 +255,6 @@
         )
 
 
-def _may_come_from(report: delivery.RunnerReport, target: directories.Target) -> bool:
-    """Whether a report may come from an incarnation: it names the same start, or one is unknown."""
-    started_ms = incarnations.parse_id(target.target_id).started_ms
-    return not started_ms or report.started_ms in (0, started_ms)
-
-
 def _classify_failure(error: http_client.ExchangeError) -> delivery.Presence:
     """What a call without an answer shows of a target's process."""
     if not error.sent and isinstance(error.__cause__, ConnectionRefusedError):
--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -147,9 +147,9 @@
 
     async def _find_close_problem(self) -> str:
         """Why a stream that ended with its connection is not complete; empty if it is."""
-        if not self._last_event_at:
+        if not self.last_event_id and not self.events:
             return "connection closed before the first event"
-        if self.stop_order is not None:
+        if self._may_have_been_stopped():
             # The end of the connection also ends a stopped stream, which is not complete then.
             return "connection closed after an order to stop the run"
         try:
@@ -158,6 +158,11 @@
             return str(error)
         return ""
 
+    def _may_have_been_stopped(self) -> bool:
+        """Whether the current runner was ordered to stop the run, by now or at an earlier time."""
+        former = (item.run.target.address for item in self.former_stop_orders)
+        return self.stop_order is not None or self.run.target.address in former
+
     def _get_received(self) -> int:
         """Number of the last event that the caller has; 0 if it has no number."""
         return event_order.parse_number(self.last_event_id) or 0
--- a/tillerlane/platform/calls.py
+++ b/tillerlane/platform/calls.py
@@ -88,7 +88,8 @@
             return head, await exchange.read_body(MAX_ANSWER_BYTES)
     except TimeoutError as error:
         message = f"no answer from {address} within {seconds} s"
-        raise http_client.ExchangeError(message, sent=True) from error
+        is_sent = exchange is not None and exchange.sent
+        raise http_client.ExchangeError(message, sent=is_sent) from error
     finally:
         if exchange is not None:
             exchange.abort()
