--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -112,7 +112,7 @@
             BATCH_INTERVAL_SECONDS, self._send_to_all, self.timeline
         )
         self.origins = registry.OriginRegistry(
-            self._list_keeper_links, lambda: len(self.replica.voters), self._loop.time
+            self._list_keeper_links, self._count_keepers, self._loop.time
         )
         self._full_state: messages.TargetStates | None = None
         self._full_state_at = 0.0
@@ -454,6 +454,10 @@
         found = map(self._get_link, self.formation.list_addresses())
         return [link for link in found if link is not None]
 
+    def _count_keepers(self) -> int:
+        """Number of keepers, this one included, whether or not they are reached."""
+        return max(len(self.replica.voters), 1 + len(self.formation.list_addresses()))
+
     # Targets
 
     def handle_heartbeat(self, target: directories.Target) -> None:
--- a/tillerlane/gateway/origins/registry.py
+++ b/tillerlane/gateway/origins/registry.py
@@ -20,8 +20,9 @@
     ----------
     list_keepers : callable
         Links to the other keepers.
-    count_voters : callable
-        Number of voting keepers, of which a majority has to be reached.
+    count_keepers : callable
+        Number of known keepers, voting or not, of which a majority has to be reached: any of them
+        may be the only one that has heard of a version.
     now : callable
         Time of the event loop.
     """
@@ -29,12 +30,12 @@
     def __init__(
         self,
         list_keepers: Callable[[], list[links.Link]],
-        count_voters: Callable[[], int],
+        count_keepers: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
         self.table = table.OriginTable(now)
         self._list_keepers = list_keepers
-        self._count_voters = count_voters
+        self._count_keepers = count_keepers
         self._now = now
         self._capable: weakref.WeakSet[links.Link] = weakref.WeakSet()
         """Links of keepers that hold origins; one of an earlier version would end its link."""
@@ -79,7 +80,7 @@
                 self.table.add(query.key, origin)
                 self.on_records([(query.key, origin)], False)
             reached = 1 + answers + len(others) - len(capable)
-            is_alone = 2 * reached <= self._count_voters()
+            is_alone = 2 * reached <= self._count_keepers()
         if origin is None:
             return messages.OriginReply(False, is_alone=is_alone)
         left_ms = table.encode_retention(origin, self._now())
--- a/tillerlane/gateway/tests/test_versions_after_kill.py
+++ b/tillerlane/gateway/tests/test_versions_after_kill.py
@@ -1,6 +1,7 @@
 """Streams are resumed only at their version after all entries, or all daemons, were killed."""
 
 import asyncio
+import itertools
 import unittest
 from typing import Any
 
@@ -326,5 +327,52 @@
         self.play(scene)
 
 
+class MinorityOfKeepersTest(KillCase):
+    """Guards against counting keepers that do not vote towards the majority of the voters."""
+
+    keepers = 5
+    desired_voters = 3
+
+    def test_stream_is_resumed_at_the_only_version_that_two_of_five_keepers_know(self) -> None:
+        for minority in itertools.combinations(range(1, 6), 2):
+            with self.subTest(minority=minority):
+                self.play_minority({f"keeper-{number}" for number in minority})
+
+    def play_minority(self, minority: set[str]) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add_runners(stage, FIRST, FIRST)
+            self.assertEqual(len(next(iter(stage.keepers.values())).replica.voters), 3)
+            rest = set(stage.keepers) - minority | {"entry-1"}
+            for one in minority | {"entry-2"}:
+                for other in rest:
+                    stage.network.cut(one, other)
+                    stage.network.cut(other, one)
+            heard = min(rest - {"entry-1"})
+            for index in (1, 2):
+                runner = platform_runner.PlatformRunner(
+                    f"new{index}",
+                    f"10.0.9.9{index}:9000",
+                    stage._by_address,
+                    length=scenes.LENGTH,
+                    software_version=SECOND,
+                )
+                stage.runners[runner.target_id] = runner
+                await runner.start()
+                stage.beat(runner.target_id, "llm", keeper=heard)
+            for name in ("t1", "t2"):
+                stage.beat(name, "llm", phase=directories.Phase.DRAINING, keeper=heard)
+            await asyncio.sleep(0.6)
+            calls = self.start_streams(stage, "verdict", 2 * scenes.STREAMS)
+            await asyncio.sleep(0.4)
+            await stage.kill_entry("entry-1")
+            await asyncio.gather(*calls.values())
+            started = {item: call.result() for item, call in calls.items()}
+            again = await self.resume(stage, started)
+            self.check_one_version(stage, again)
+            self.check_refused(again)
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
