Judge restarted runners by reports only, and their open streams at once

Found in review, each with a test in test_restarted_software that failed before: one 429 in place of a report was taken for a restart, and the runner got no resumed streams for good; one reset of the call for a report broke a stream off; streams that began between a restart and the first report that showed it kept the former version, and were resumed there.

An answer that is no report now counts as none, a reset call is repeated twice, and open streams of a target are marked as of an unknown version as soon as it is known to have been replaced.

--- a/tillerlane/decisions/incarnation.py
+++ b/tillerlane/decisions/incarnation.py
@@ -40,11 +40,14 @@
     is_answered : bool
         Whether there was a response.
     started_ms : int
-        Start that it names; 0 if it names none or is no report.
+        Start that it names; 0 if it names none.
+    is_report : bool
+        Whether the response is a report: a target may refuse to give one.
     """
 
     is_answered: bool
     started_ms: int = 0
+    is_report: bool = True
 
 
 def judge(expected_ms: int, answer: Answer, *, is_usually_named: bool) -> Verdict:
@@ -58,7 +61,7 @@
         Whether reports of targets with its software version name their start.  A report without one
         then comes from other software.
     """
-    if not answer.is_answered:
+    if not answer.is_answered or (is_usually_named and not answer.is_report):
         return Verdict.UNANSWERED
     if answer.started_ms == expected_ms:
         return Verdict.CONFIRMED
--- a/tillerlane/gateway/directory.py
+++ b/tillerlane/gateway/directory.py
@@ -181,7 +181,8 @@
     def add_listener(self, listener: Listener) -> None:
         """Call `listener` with (target, former phase) for a new target and for changes.
 
-        Changes are another phase, and a target that turns cold.
+        Changes are another phase, a target that turns cold, and one whose address is known to
+        belong to another incarnation.
         """
         self._listeners.append(listener)
 
@@ -338,6 +339,7 @@
         known = self.targets.get(target_id)
         if known is not None and not known.is_replaced:
             known.replaced_at = now
+            self._notify(known, known.phase)
 
     def find(self, name: str) -> Target | None:
         """The latest incarnation of a target, by the target's name."""
--- a/tillerlane/gateway/incarnation_checks.py
+++ b/tillerlane/gateway/incarnation_checks.py
@@ -16,6 +16,9 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 """Half of the shortest pause after which callers give a stream up, so that another target can be
 tried.  With 0.5 s, targets on hosts without free processor time were passed over."""
+MAX_CALLS = 3
+"""Connections that are tried: a target with too many of them resets new ones."""
+CALL_RETRY_SECONDS = 0.05
 MAX_SOFTWARE = 1000
 """Bound on the pools and versions whose reports are known to name a start."""
 
@@ -124,8 +127,15 @@
             return reports.latest
 
     async def _ask(self, address: str) -> incarnation.Answer:
-        try:
-            report = await self._dialect.read_report(address, REPORT_TIMEOUT_SECONDS)
-        except http_client.ExchangeError:
-            return incarnation.Answer(is_answered=False)
-        return incarnation.Answer(True, report.started_ms if report is not None else 0)
+        for _ in range(MAX_CALLS):
+            try:
+                report = await self._dialect.read_report(address, REPORT_TIMEOUT_SECONDS)
+            except http_client.ExchangeError as error:
+                if not error.sent or isinstance(error.__cause__, TimeoutError):
+                    break
+                await asyncio.sleep(CALL_RETRY_SECONDS)
+                continue
+            if report is None:
+                return incarnation.Answer(True, is_report=False)
+            return incarnation.Answer(True, report.started_ms)
+        return incarnation.Answer(is_answered=False)
--- a/tillerlane/gateway/sending.py
+++ b/tillerlane/gateway/sending.py
@@ -221,8 +221,6 @@
         verdict = await self._checker.check(
             admission.pool, target, exchange.connected_at, admission.facts.request_id
         )
-        if verdict is incarnation.Verdict.UNANSWERED:
-            self._selector.failures.record_failure(target.target_id, self._loop.time())
         if not verdict.may_resume or target.is_superseded:
             reason = f"{target.target_id}: incarnation is {verdict.value}"
             return refusals.NotRun(reason, sent=False)
--- a/tillerlane/gateway/streaming/restarts.py
+++ b/tillerlane/gateway/streaming/restarts.py
@@ -11,7 +11,7 @@
 from tillerlane.decisions import incarnation
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import http_client, incarnations, runs
+from tillerlane.gateway import exchanges, http_client, incarnations, runs
 from tillerlane.gateway.origins import recorder
 from tillerlane.gateway.streaming import stream_relay
 from tillerlane.timeline import core as timelines
@@ -64,9 +64,7 @@
         target = stream.run.target
         name = incarnations.parse_id(target.target_id).name
         self._streams[name].add(stream)
-        assert stream.exchange is not None
-        if target.is_replaced and stream.exchange.connected_at >= target.replaced_at:
-            stream.is_version_unknown = True  # until the later incarnation's heartbeat
+        self._mark_unknown(stream, target)
         later = self._directory.find(name)
         if later is not None:
             self._start(stream, later)
@@ -83,10 +81,21 @@
         if task is not None:
             task.cancel()
 
+    def _mark_unknown(self, stream: stream_relay.StreamRelay, target: directories.Target) -> None:
+        """Mark a stream that either incarnation may serve, until the later one's heartbeat."""
+        last_heard_at = target.heard_at - exchanges.HEARTBEAT_AGE_MARGIN_SECONDS
+        if not target.is_replaced or stream.run.target is not target or stream.exchange is None:
+            return
+        if stream.exchange.connected_at >= last_heard_at and stream.exchange.is_awaited:
+            stream.is_version_unknown = True
+            self._record_origin(stream, target.drop_version())
+
     def _handle_change(self, target: directories.Target, former: directories.Phase | None) -> None:
+        name = incarnations.parse_id(target.target_id).name
         if former is not None:
+            for stream in list(self._streams.get(name, ())):
+                self._mark_unknown(stream, target)
             return
-        name = incarnations.parse_id(target.target_id).name
         for stream in list(self._streams.get(name, ())):
             self._start(stream, target)
 
--- a/tillerlane/gateway/tests/test_restarted_software.py
+++ b/tillerlane/gateway/tests/test_restarted_software.py
@@ -295,5 +295,77 @@
         self.play(scene)
 
 
+class ReplacedBeforeReportTest(RestartCase):
+    """Guards against the former version for streams that began between a restart and its report."""
+
+    def test_stream_begun_before_the_report_is_resumed_at_the_former_version(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add(stage, "t1", FIRST)
+            first = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.3)
+            await self.add(stage, "t2", FIRST)
+            restarted = await self.restart(stage, "t2", SECOND)
+            calls = {
+                f"new-{number}": asyncio.create_task(
+                    stage.call("entry-1", "verdict", f"new-{number}")
+                )
+                for number in range(2 * STREAMS)
+            }
+            await asyncio.sleep(0.2)
+            self.assertTrue(restarted.ran)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*first.values())
+            await self.add(stage, "t3", FIRST)
+            restarted.reset_connections()
+            await asyncio.gather(*calls.values())
+            self.check_one_version(stage, calls)
+
+        self.play(scene, max_attempts=4)
+
+
+class RefusedReportTest(RestartCase):
+    """Guards against taking a refused call for a report for a restart, for good."""
+
+    def test_runner_that_refused_a_report_gets_no_resumed_streams_any_more(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add(stage, "t1", FIRST)
+            calls = self.start_streams(stage, "verdict")
+            await asyncio.sleep(0.3)
+            await self.add(stage, "t2", FIRST)
+            stage.runners["t1"].crash()  # its streams go on at the second runner
+            await asyncio.sleep(0.3)
+            third = await self.add(stage, "t3", FIRST)
+            third.report_status = 429
+            stage.runners["t2"].crash()
+            await asyncio.gather(*calls.values())
+            third.report_status = 200
+            for _ in range(3):
+                stage.beat("t3", "llm")
+                await asyncio.sleep(1.0)
+            broken = {item: call.result() for item, call in calls.items()}
+            again = await self.resume(stage, broken, "entry-1")
+            self.check_resumed(again)
+
+        self.play(scene, max_attempts=4)
+
+
+class ReportAtConnectionLimitTest(RestartCase):
+    """Guards against giving a stream up for one connection that its runner resets."""
+
+    def test_stream_is_broken_off_where_the_call_for_a_report_is_reset_once(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            await self.add(stage, "t1", FIRST)
+            calls = self.start_streams(stage, "verdict", 1)
+            await asyncio.sleep(0.3)
+            second = await self.add(stage, "t2", FIRST)
+            accepted = iter((True, False))  # the resumption's connection, not that of the report
+            second._server.accepts_connection = lambda: next(accepted, True)
+            stage.runners["t1"].crash()
+            await asyncio.gather(*calls.values())
+            self.check_resumed({item: call.result() for item, call in calls.items()})
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
