--- a/tillerlane/gateway/tests/test_endless_bytes.py
+++ b/tillerlane/gateway/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 import itertools
 import tracemalloc
 import unittest
+from collections.abc import Iterable
 from unittest import mock
 
 from hypothesis import given, strategies
@@ -219,14 +220,14 @@
         expected: tuple[int, bool],
     ) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
-            runner = await stage.add_raw_runner("t1", pool, lambda request: [])
+            parts: Iterable[bytes] = ()
+            runner = await stage.add_raw_runner("t1", pool, lambda request: parts)
             await asyncio.sleep(0.2)
             for number, (name, (prefix, unit)) in enumerate(cases.items()):
                 with self.subTest(name, route=route):
                     request_id = f"r{number}"
                     prefix = prefix.replace(b"r1", request_id.encode())
                     parts = raw_runner.repeat_forever(prefix, unit)
-                    runner.respond = lambda request, parts=parts: parts
                     body = request_id.encode()
                     response = await stage.call("entry-1", route, request_id, body=body)
                     await asyncio.sleep(0.1)
