--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -211,6 +211,8 @@
             if events.is_comment(event):
                 continue
             event_id = events.parse_event_id(event)
+            if not events.is_valid_id(event_id):
+                return received[:position], "got an event with an invalid id"
             fault = event_order.find_fault(self.last_event_id, event_id)
             if fault:
                 return received[:position], fault
