--- a/tillerlane/testing/tests/test_answer_faults.py
+++ b/tillerlane/testing/tests/test_answer_faults.py
@@ -12,6 +12,7 @@
     broken_answers,
     caller,
     forwarder,
+    loopback,
     platform_checker,
     platform_fleet,
     platform_record,
@@ -33,11 +34,14 @@
         """Start the target and connect to it."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        address = "127.15.4.1:9000"
+        addresses = loopback.reserve(0)
+        self.addCleanup(addresses.release)
+        self.host = f"127.{addresses.net}.0.1"
+        address = f"{self.host}:9000"
         orders = platform_target.Orders(
             "t1",
             address,
-            "127.15.5.1:9000",
+            f"127.{addresses.net + 1}.0.1:9000",
             str(pathlib.Path(folder.name) / "t1.record"),
             length,
             PACE_SECONDS,
@@ -57,7 +61,7 @@
 
     async def send(self) -> asyncio.StreamReader:
         """Send a request."""
-        reader, self.writer = await asyncio.open_connection("127.15.4.1", 9000)
+        reader, self.writer = await asyncio.open_connection(self.host, 9000)
         self.addCleanup(self.writer.close)
         self.writer.write(REQUEST + b"\r\n")
         return reader
@@ -103,7 +107,7 @@
         data += await asyncio.wait_for(reader.read(-1), 5.0)
         self.assertLess(data.count(b"id: "), LENGTH)
         with self.assertRaises(ConnectionRefusedError):
-            await asyncio.open_connection("127.15.4.1", 9000)
+            await asyncio.open_connection(self.host, 9000)
 
     async def test_stream_that_breaks_off_without_framing_is_reset(self) -> None:
         """Guards against a fault that no receiver could tell from a complete answer."""
