Complete a stream without framing that ended before the order to stop it

A runner that has stopped a run holds its memory, so that an answer of 'no run' to an order after the close shows that the run had ended by itself; with that, and its process still there, the stream is complete. The test failed before: 40 of 40 events, broken off.

--- a/tillerlane/gateway/streaming/stream_relay.py
+++ b/tillerlane/gateway/streaming/stream_relay.py
@@ -26,6 +26,8 @@
     """The connection ended before the stream was complete."""
     CAN_RESUME = "can_go_on"
     """The stream has not ended, but a copy of the run is ready on another runner."""
+    STOPPED = "stopped"
+    """The connection ended after an order to stop the run; the run may also have been complete."""
     RELEASED = "let_go"
     """The runner has stopped the run, but its stream has not ended here."""
 
@@ -142,21 +144,29 @@
             self.problem = "stream ended within an event"
             return StopReason.TRUNCATED
         if self.exchange.is_close_delimited:
-            self.problem = await self._find_close_problem()
-        return StopReason.TRUNCATED if self.problem else StopReason.COMPLETE
+            return await self._judge_close()
+        return StopReason.COMPLETE
 
-    async def _find_close_problem(self) -> str:
-        """Why a stream that ended with its connection is not complete; empty if it is."""
+    async def _judge_close(self) -> StopReason:
+        """Why a stream ended whose end is that of its connection."""
         if not self.last_event_id and not self.events:
-            return "connection closed before the first event"
+            self.problem = "connection closed before the first event"
+            return StopReason.TRUNCATED
         if self._may_have_been_stopped():
             # The end of the connection also ends a stopped stream, which is not complete then.
-            return "connection closed after an order to stop the run"
+            self.problem = "connection closed after an order to stop the run"
+            return StopReason.STOPPED
+        is_confirmed = await self.is_end_confirmed()
+        return StopReason.COMPLETE if is_confirmed else StopReason.TRUNCATED
+
+    async def is_end_confirmed(self) -> bool:
+        """Whether the runner confirms the end of a stream; sets the problem if it does not."""
         try:
             await self._watch.confirm_end(self.run, self._get_received())
         except watch.UnconfirmedEnd as error:
-            return str(error)
-        return ""
+            self.problem = str(error)
+            return False
+        return True
 
     def _may_have_been_stopped(self) -> bool:
         """Whether the current runner was ordered to stop the run, by now or at an earlier time."""
--- a/tillerlane/gateway/streaming/streams.py
+++ b/tillerlane/gateway/streaming/streams.py
@@ -222,11 +222,13 @@
         """Relay a stream over all runners that its run is moved to."""
         while True:
             stop = await stream.relay()
+            if stop is stream_relay.StopReason.STOPPED and await self._has_ended_by_itself(stream):
+                stop = stream_relay.StopReason.COMPLETE
             if stop is stream_relay.StopReason.COMPLETE:
                 await stream.responder.finish()
                 self._ends.record_end(stream)
                 return
-            if stop is stream_relay.StopReason.TRUNCATED:
+            if stop in (stream_relay.StopReason.TRUNCATED, stream_relay.StopReason.STOPPED):
                 assert stream.exchange is not None
                 sent_at = stream.exchange.sent_at
                 if stream.stop_order is None:  # otherwise its run has been stopped
@@ -252,6 +254,18 @@
             self._ends.record_break(stream, stream.problem)
             return
 
+    async def _has_ended_by_itself(self, stream: stream_relay.StreamRelay) -> bool:
+        """Whether a run was complete when the order to stop it arrived.
+
+        Its runner has it no more then, and would still hold the memory of one that it stopped.
+        """
+        stop_order = stream.stop_order
+        if stop_order is None:
+            return False
+        self._stop_orders.record_stream_end(stop_order)
+        evidence = await stop_order.wait_for_evidence(STOP_TIMEOUT_SECONDS)
+        return evidence is handover.Evidence.NO_RUN and await stream.is_end_confirmed()
+
     async def _wait_for_move(self, run: runs.Run) -> runs.ResumePoint | None:
         if run.moving is None:
             return None
--- a/tillerlane/gateway/tests/test_handover_orders.py
+++ b/tillerlane/gateway/tests/test_handover_orders.py
@@ -274,6 +274,37 @@
 
         self.play(scene)
 
+    def test_close_delimited_stream_that_ended_before_the_order_is_not_broken_off(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            first = await stage.add_runner("t1", "llm", length=40)
+            first.is_close_delimited = True
+            orders: list[Order] = []
+
+            async def delay_order(order: Order, responder: http_server.Responder) -> bool:
+                if order.get("last"):
+                    orders.append(order)
+                    while not first.ran[0].ended:
+                        await asyncio.sleep(0.005)
+                return False
+
+            intercept(first, delay_order)
+            await asyncio.sleep(0.2)
+            call = asyncio.create_task(
+                stage.call("entry-1", "record", "r1", wait_ms=15_000, **gateway_scenes.LONG)
+            )
+            await asyncio.sleep(0.5)
+            second = await stage.add_runner("t2", "llm", length=40)
+            second.loses_copies = True  # as of a run that has ended
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.DRAINING)
+            response = await call
+            self.assertTrue(orders)
+            self.assertEqual(first.ran[0].ended, "whole")
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", 40))
+            self.assertTrue(response.is_whole)
+
+        self.play(scene)
+
     def test_runs_that_wait_for_a_cold_destination_are_not_lost(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             document = gateway_lab.build_document(2)
