Take a rejected call for a report for no proof of other software

Callers' resumed streams were refused at a healthy runner until its next restart: one answer to the check that is no report, such as a 503 under load, counted as a report without a start, which marks the runner as replaced where reports of its version are known to name one.

Such an answer proves nothing: the runner is passed over this time, as one that gives none, or used as before where no report of its version ever named a start.

--- a/tillerlane/decisions/tests/test_incarnation.py
+++ b/tillerlane/decisions/tests/test_incarnation.py
@@ -10,7 +10,7 @@
 
 def judge(started_ms: int, *, is_usually_named: bool = True) -> Verdict:
     """Judge an answer that names a start; 0 for none."""
-    answer = incarnation.Answer(True, started_ms)
+    answer = incarnation.Answer(True, started_ms=started_ms)
     return incarnation.judge(STARTED_MS, answer, is_usually_named=is_usually_named)
 
 
@@ -36,6 +36,12 @@
     def test_software_whose_reports_name_a_start_is_taken_for_one_whose_do_not(self) -> None:
         self.assertIs(judge(0), Verdict.REPLACED)
 
+    def test_answer_that_is_no_report_is_taken_for_one_of_other_software(self) -> None:
+        for is_usually_named, expected in ((True, Verdict.UNANSWERED), (False, Verdict.UNNAMED)):
+            answer = incarnation.Answer(is_answered=True, is_report=False)
+            verdict = incarnation.judge(STARTED_MS, answer, is_usually_named=is_usually_named)
+            self.assertIs(verdict, expected)
+
     def test_target_without_an_answer_gets_a_stream(self) -> None:
         for is_usually_named in (False, True):
             answer = incarnation.Answer(is_answered=False)
--- a/tillerlane/gateway/tests/test_restarted_software.py
+++ b/tillerlane/gateway/tests/test_restarted_software.py
@@ -184,6 +184,26 @@
 
         self.play(scene, max_attempts=4)
 
+    def test_runner_that_rejects_a_call_for_its_report_gets_no_more_streams(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            calls = await self.begin(stage, "verdict")
+            stage.runners["t1"].crash()
+            await asyncio.sleep(0.3)
+            third = await self.add(stage, "t3", FIRST)
+            third.report_status = 503
+            part = await stage.call("entry-1", "verdict", "part", leave_after=0.2)
+            stage.runners["t2"].refuses = True
+            last = str(test_software_versions.resumed_streams.find_last_event(part.body))
+            resume = {"Last_Event_Id": last, "Resumes": "part"}
+            rejected = await stage.call("entry-1", "verdict", "again", **resume)
+            third.report_status = 200
+            await asyncio.sleep(0.7)
+            accepted = await stage.call("entry-1", "verdict", "once-more", **resume)
+            self.assertEqual((rejected.status, accepted.status), (503, 200))
+            await self.finish(stage, calls)
+
+        self.play(scene)
+
     def test_stream_waits_for_runner_that_gives_no_report(self) -> None:
         async def scene(stage: gateway_lab.GatewayLab) -> None:
             calls = await self.begin(stage, "verdict")
