Reset the stream of a muted run without framing in the soak

In virtual time the same switch gives a complete stream of 7 of 20 events (response.closed: answers, complete). The stand-in now resets the connection, as its other faults of working targets do; the new test failed before, with the stream ending regularly.

--- a/tillerlane/testing/platform_runner.py
+++ b/tillerlane/testing/platform_runner.py
@@ -623,6 +623,8 @@
             if await self._write_events(run, body):
                 await body.finish()
                 await responder._connection.write(self.surplus)
+            elif not responder.is_finished:
+                self._break_off(responder)
         except asyncio.CancelledError:
             if self.works_on or self.is_cut_off:
                 task = asyncio.get_running_loop().create_task(self._write_events(run, None))
--- a/tillerlane/testing/tests/test_answer_faults.py
+++ b/tillerlane/testing/tests/test_answer_faults.py
@@ -119,6 +119,16 @@
             await asyncio.wait_for(reader.read(-1), 5.0)
             await asyncio.wait_for(reader.read(-1), 5.0)
 
+    async def test_stream_that_falls_mute_without_framing_is_reset(self) -> None:
+        """Guards against the same fault of a run that goes on to its end."""
+        await self.start(broken_answers.Framing.CLOSE, LENGTH)
+        reader = await self.send()
+        await reader.readuntil(b"id: 3\n")
+        self.target.switch(platform_target.Switches({"is_mute": True}))
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(-1), 5.0)
+            await asyncio.wait_for(reader.read(-1), 5.0)
+
     async def test_head_that_stops_and_closes(self) -> None:
         await self.start(broken_answers.Framing.USUAL)
         answer = broken_answers.BrokenAnswer(
