--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterator
 
 from tillerlane.decisions import limits
-from tillerlane.gateway import permits
+from tillerlane.gateway.backpressure import permits
 
 __all__ = ["LOADS", "STRATEGIES", "Figures", "Load", "simulate"]
 
--- a/tillerlane/gateway/availability.py
+++ b/tillerlane/gateway/availability.py
@@ -18,11 +18,12 @@
 import enum
 from collections.abc import Callable, Collection
 
-from tillerlane.gateway import backoff as backoffs
-from tillerlane.gateway import cold as colds
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import permits, routes
+from tillerlane.gateway import routes
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import backoff as backoffs
+from tillerlane.gateway.backpressure import cold as colds
+from tillerlane.gateway.backpressure import permits
 
 __all__ = ["Availability", "Cause", "Obstacle"]
 
--- a/tillerlane/gateway/backoff_updates.py
+++ b/tillerlane/gateway/backpressure/backoff_updates.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from tillerlane.gateway import backoff, batching
+from tillerlane.gateway import batching
+from tillerlane.gateway.backpressure import backoff
 from tillerlane.peers import messages
 
 __all__ = ["BackoffUpdates"]
--- a/tillerlane/gateway/grants.py
+++ b/tillerlane/gateway/backpressure/grants.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from tillerlane.decisions import limits as decisions
-from tillerlane.gateway import limits
+from tillerlane.gateway.backpressure import limits
 from tillerlane.keeper import proposals
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
--- a/tillerlane/gateway/limit_updates.py
+++ b/tillerlane/gateway/backpressure/limit_updates.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable
 
-from tillerlane.gateway import batching, limits
+from tillerlane.gateway import batching
+from tillerlane.gateway.backpressure import limits
 from tillerlane.peers import messages
 from tillerlane.timeline import core as timelines
 
--- a/tillerlane/gateway/permits.py
+++ b/tillerlane/gateway/backpressure/permits.py
@@ -3,8 +3,8 @@
 The entry requests a permit for a caller's request to such a target and waits for the reply, a round
 trip.  While permits are denied, callers' requests go elsewhere, and permits are requested without
 waiting for later ones.  Permits that are not used soon are returned.  The leader of the keepers'
-log issues them (`gateway.grants`); the keeper that receives the request forwards it.  Without an
-issuer, the entry keeps to its hash-based share.
+log issues them (`gateway.backpressure.grants`); the keeper that receives the request forwards it.
+Without an issuer, the entry keeps to its hash-based share.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 
 from tillerlane.decisions import limits as decisions
 from tillerlane.faults import core as faults
-from tillerlane.gateway import limits
+from tillerlane.gateway.backpressure import limits
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
 
--- a/tillerlane/gateway/control.py
+++ b/tillerlane/gateway/control.py
@@ -7,14 +7,11 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import (
-    backoff_updates,
     batching,
     control_gauges,
     control_settings,
-    grants,
     homes,
     incarnations,
-    limit_updates,
     load_distribution,
     loads,
     metrics,
@@ -22,6 +19,7 @@
     version_file,
 )
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway.backpressure import backoff_updates, grants, limit_updates
 from tillerlane.gateway.failures import updates as failure_updates
 from tillerlane.gateway.origins import origin_file, registry
 from tillerlane.gateway.quarantine import coordinator, suspects
--- a/tillerlane/gateway/entry.py
+++ b/tillerlane/gateway/entry.py
@@ -19,13 +19,11 @@
     http_server,
     incarnation_checks,
     keeper_reports,
-    limits,
     load_exchange,
     memory,
     metrics,
     moved_loads,
     overload,
-    permits,
     refusals,
     relay,
     reservations,
@@ -37,13 +35,14 @@
     startup,
     target_updates,
 )
-from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold as colds
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import feedback as feedbacks
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import backoff as backoffs
+from tillerlane.gateway.backpressure import cold as colds
+from tillerlane.gateway.backpressure import limits, permits
 from tillerlane.gateway.delivery import cancellation, watch
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.failures import tracker as failure_trackers
--- a/tillerlane/gateway/entry_settings.py
+++ b/tillerlane/gateway/entry_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold as colds
+from tillerlane.gateway.backpressure import cold as colds
 
 __all__ = ["EntrySettings"]
 
--- a/tillerlane/gateway/feedback.py
+++ b/tillerlane/gateway/feedback.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
-from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import dialect as dialects
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import limits
 from tillerlane.gateway import metrics as entry_metrics
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import backoff as backoffs
+from tillerlane.gateway.backpressure import limits
 from tillerlane.timeline import core as timelines
 
 __all__ = ["TargetFeedback"]
--- a/tillerlane/gateway/keeper_reports.py
+++ b/tillerlane/gateway/keeper_reports.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
-from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, limits, permits
+from tillerlane.gateway import homes
+from tillerlane.gateway.backpressure import backoff as backoffs
+from tillerlane.gateway.backpressure import limits, permits
 from tillerlane.gateway.failures import reports as failure_reports
 from tillerlane.gateway.quarantine import suspects
 from tillerlane.gateway.returns import table as return_tables
--- a/tillerlane/gateway/load_exchange.py
+++ b/tillerlane/gateway/load_exchange.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from tillerlane.gateway import directory as directories
-from tillerlane.gateway import homes, limits, shares
+from tillerlane.gateway import homes, shares
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import limits
 from tillerlane.gateway.queue import finder
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
--- a/tillerlane/gateway/refusals.py
+++ b/tillerlane/gateway/refusals.py
@@ -6,8 +6,8 @@
 from tillerlane.decisions import limits, returns, room
 from tillerlane.gateway import admission as admissions
 from tillerlane.gateway import availability, routes
-from tillerlane.gateway import backoff as backoffs
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import backoff as backoffs
 
 __all__ = ["NotRun", "RefusalBuilder", "build_no_version"]
 
--- a/tillerlane/gateway/selection.py
+++ b/tillerlane/gateway/selection.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Collection, Iterator
 
 from tillerlane.decisions import failing, placing
-from tillerlane.gateway import availability, loads, permits, routes
+from tillerlane.gateway import availability, loads, routes
 from tillerlane.gateway import directory as directories
 from tillerlane.gateway import usage as usages
+from tillerlane.gateway.backpressure import permits
 from tillerlane.gateway.failures import tracker
 from tillerlane.gateway.speeds import estimates
 
--- a/tillerlane/gateway/target_updates.py
+++ b/tillerlane/gateway/target_updates.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from tillerlane.gateway import announcements, limits, permits
-from tillerlane.gateway import backoff as backoffs
+from tillerlane.gateway import announcements
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway.backpressure import backoff as backoffs
+from tillerlane.gateway.backpressure import limits, permits
 from tillerlane.gateway.failures import tracker
 from tillerlane.gateway.origins import recorder
 from tillerlane.gateway.queue import finder
--- a/tillerlane/gateway/tests/test_backoff_records.py
+++ b/tillerlane/gateway/tests/test_backoff_records.py
@@ -3,7 +3,7 @@
 import unittest
 
 from tillerlane.faults import core as faults
-from tillerlane.gateway import backoff
+from tillerlane.gateway.backpressure import backoff
 from tillerlane.peers import messages
 
 
--- a/tillerlane/gateway/tests/test_limits.py
+++ b/tillerlane/gateway/tests/test_limits.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies
 
-from tillerlane.gateway import limits
+from tillerlane.gateway.backpressure import limits
 from tillerlane.testing import lab, profiles
 
 LimitRecord = limits.LimitRecord
--- a/tillerlane/gateway/tests/test_permits.py
+++ b/tillerlane/gateway/tests/test_permits.py
@@ -7,7 +7,7 @@
 
 from hypothesis import example, given, strategies
 
-from tillerlane.gateway import grants, limits, permits
+from tillerlane.gateway.backpressure import grants, limits, permits
 from tillerlane.peers import link as links
 from tillerlane.peers import messages
 from tillerlane.testing import lab, limit_scenes, profiles
--- a/tillerlane/platform/settings.py
+++ b/tillerlane/platform/settings.py
@@ -10,7 +10,8 @@
 from tillerlane.faults import core as faults
 from tillerlane.faults import kinds
 from tillerlane.gateway import budget as budgets
-from tillerlane.gateway import cold, control_settings, entry_settings
+from tillerlane.gateway import control_settings, entry_settings
+from tillerlane.gateway.backpressure import cold
 from tillerlane.keeper import formation
 from tillerlane.peers import node as nodes
 
--- a/tillerlane/testing/selectors.py
+++ b/tillerlane/testing/selectors.py
@@ -2,8 +2,9 @@
 
 import random
 
-from tillerlane.gateway import availability, backoff, cold, limits, permits, selection, usage
+from tillerlane.gateway import availability, selection, usage
 from tillerlane.gateway import directory as directories
+from tillerlane.gateway.backpressure import backoff, cold, limits, permits
 
 __all__ = ["build_selector"]
 
