Ask about the end of a stream at once, and again unless its runner leaves

The entry asked 0.5 s after the close, and a leaving runner exits as soon as its last stream is complete.

The process is asked at once, when one that was killed answers no more, and once more after 0.5 s, when one that shuts down without notice has exited. Where the runner is known to leave by then, the first answer counts.

--- a/tillerlane/decisions/delivery.py
+++ b/tillerlane/decisions/delivery.py
@@ -24,6 +24,11 @@
     """Its host refuses connections, or another process answers."""
     UNKNOWN = "unknown"
 
+    @property
+    def is_present(self) -> bool:
+        """Whether the process is there."""
+        return self in (Presence.ANSWERS, Presence.ACCEPTS)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerReport:
@@ -94,7 +99,7 @@
     >>> is_complete_after_close(Presence.ENDED, None, "r1", 7)
     False
     """
-    if presence not in (Presence.ANSWERS, Presence.ACCEPTS):
+    if not presence.is_present:
         return False
     if report is None or received is None:
         return True
--- a/tillerlane/gateway/delivery/tests/test_regular_close.py
+++ b/tillerlane/gateway/delivery/tests/test_regular_close.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from tillerlane.gateway import directory as directories
 from tillerlane.testing import caller, gateway_lab, gateway_scenes, platform_runner
 
 EVENTS_BEFORE_EXIT = 7
@@ -133,6 +134,21 @@
 
         self.play(scene)
 
+    def test_last_stream_of_a_leaving_runner_is_not_broken_off(self) -> None:
+        async def scene(stage: gateway_lab.GatewayLab) -> None:
+            (target,) = await self.add_targets(stage, "llm", 1, is_close_delimited=True)
+            call = asyncio.create_task(stage.call("entry-1", "record", "r1", **gateway_scenes.LONG))
+            while not any(run.ended == "whole" for run in target.ran):
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.2)
+            stage.beat("t1", "llm", phase=directories.Phase.GONE)
+            target.end_process()
+            response = await call
+            self.assertEqual(response.body, gateway_scenes.build_stream("r1", STREAM_LENGTH))
+            self.assertTrue(response.is_whole)
+
+        self.play(scene)
+
     def play_plain(self, route: str, number: int) -> caller.CallerResponse:
         responses = []
 
--- a/tillerlane/gateway/delivery/watch.py
+++ b/tillerlane/gateway/delivery/watch.py
@@ -32,8 +32,6 @@
 EXIT_SECONDS = 0.5
 """How long a process that shuts down may answer after it has closed the connections of its streams.
 By then the last event of a stream has been sent to its caller, who does not wait for anything."""
-LEAVING_EXIT_SECONDS = 0.1
-"""The same for a runner that leaves, which may exit as soon as its last stream is complete."""
 
 _Received = TypeVar("_Received")
 
@@ -151,10 +149,12 @@
         UnconfirmedEnd
             If the target's process has ended, cannot be reached, or has made more.
         """
-        if received is not None:
-            is_leaving = run.target.is_leaving
-            await asyncio.sleep(LEAVING_EXIT_SECONDS if is_leaving else EXIT_SECONDS)
         presence, report = await self._find_presence(run)
+        if received is not None and presence.is_present and not run.target.is_leaving:
+            await asyncio.sleep(EXIT_SECONDS)
+            later, _ = await self._find_presence(run)
+            # A runner that leaves may exit as soon as its last stream is complete.
+            presence = presence if run.target.is_leaving else later
         is_complete = delivery.is_complete_after_close(presence, report, run.request_id, received)
         made = report.events.get(run.request_id) if report is not None else None
         self._metrics.closed_responses.labels(presence.value).inc()
