Check for framing once, and walk a target's streams once

No change of behaviour. Cause: the server tested twice whether a request's framing is counted, at the call and within it, where the second test could not fail; two loops over the streams of one target differed in the function called.

--- a/tillerlane/gateway/http_server.py
+++ b/tillerlane/gateway/http_server.py
@@ -220,14 +220,14 @@
         incoming = self._incoming
         if incoming is not None and not incoming.arrived:
             incoming.head_bytes += len(data)
-        has_head = incoming is not None and incoming.framing is not None
+        framing = incoming.framing if incoming is not None else None
         body_bytes = len(incoming.body) if incoming is not None else 0
         self._blank_bytes += len(data)  # reset by the begin of a request
         try:
             self._parse(data)
             self._check_head_size()
-            if incoming is not None and incoming is self._incoming and has_head:
-                self._count_framing(incoming, len(data) - (len(incoming.body) - body_bytes))
+            if framing is not None and incoming is not None and incoming is self._incoming:
+                self._count_framing(framing, len(data) - (len(incoming.body) - body_bytes))
             if self._incoming is None and self._blank_bytes > self._server.limits.header_bytes:
                 raise _RequestRejected(400)
         except _RequestRejected as error:
@@ -269,12 +269,10 @@
             raise _RequestRejected(431)
 
     @staticmethod
-    def _count_framing(incoming: _Incoming, size: int) -> None:
+    def _count_framing(framing: http_limits.FramingCounter, size: int) -> None:
         """Limit chunk sizes, chunk extensions and trailers."""
-        if incoming.framing is None:
-            return
         try:
-            incoming.framing.add(size)
+            framing.add(size)
         except http_limits.InvalidMessage as error:
             raise _RequestRejected(431) from error
 
--- a/tillerlane/gateway/streaming/restarts.py
+++ b/tillerlane/gateway/streaming/restarts.py
@@ -91,13 +91,10 @@
             self._record_origin(stream, target.drop_version())
 
     def _handle_change(self, target: directories.Target, former: directories.Phase | None) -> None:
+        handle = self._start if former is None else self._mark_unknown
         name = incarnations.parse_id(target.target_id).name
-        if former is not None:
-            for stream in list(self._streams.get(name, ())):
-                self._mark_unknown(stream, target)
-            return
         for stream in list(self._streams.get(name, ())):
-            self._start(stream, target)
+            handle(stream, target)
 
     def _start(self, stream: stream_relay.StreamRelay, later: directories.Target) -> None:
         """Start to find out whether the later incarnation of a stream's target serves it.
