--- a/review/common_2.py
+++ b/review/common_2.py
@@ -394,6 +394,7 @@
         self._serve = serve
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
+        self._serving: set[asyncio.Task[None]] = set()
         self._sequence = 0
         self.on_ack: Callable[[dict[str, Any], float], None] = lambda beat, sent_at: None
         """Called with a heartbeat that was acknowledged, and when it was sent."""
@@ -401,7 +402,7 @@
     async def start(self) -> None:
         """Listen and send heartbeats."""
         host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._handle, host, int(port))
+        self._server = await asyncio.start_server(self._accept, host, int(port))
         self._beats = asyncio.create_task(self._beat())
 
     async def _beat(self) -> None:
@@ -440,6 +441,11 @@
             self.on_ack(beat, sent_at)
         return status
 
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._handle(reader, writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
     async def _handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             first, headers = await read_head(reader)
@@ -460,8 +466,8 @@
                 await writer.drain()
             else:
                 await self._serve(Arrived(method, path, headers, body), writer)
-        except (OSError, EOFError, ValueError, asyncio.CancelledError):
-            pass  # the caller has left, or the case is over
+        except (OSError, EOFError, ValueError):
+            pass  # the caller has left
         finally:
             writer.close()
 
